--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# The two commands that set up a fresh machine are `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+RUN := $(VENV)/bin/python
+PACKAGES := damsonlane damsonlane_rpc damsonlaned damsonlane_cli damsonlane_bench
+SOURCES := packages tools
+
+.PHONY: demo test check fuzz capacity measure clean
+
+demo: $(VENV)/made
+	$(RUN) -m damsonlane_bench.demo
+
+test: $(VENV)/made
+	HYPOTHESIS_STORAGE_DIRECTORY=$(VENV)/hypothesis $(RUN) tools/run_tests.py
+
+check: $(VENV)/made
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(VENV)/bin/mypy $(addprefix packages/,$(addsuffix /src,$(PACKAGES))) tools
+
+$(VENV)/made: constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt setuptools
+	$(VENV)/bin/pip install -q -c constraints.txt --no-build-isolation -r requirements.txt $(addprefix -e packages/,$(PACKAGES))
+	touch $@
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/admission/_gate.py
@@ -0,0 +1,76 @@
+"""The gate: how many requests of each organisation may be in flight at once."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from damsonlane.settings import Lane
+
+#: Seconds for which an organisation's share is kept after it was last seen.
+ACTIVE_SECONDS: Final = 5.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Visitor:
+    """Who wants to enter, and under which settings."""
+
+    #: The organisation.
+    organisation: str
+    #: Its lane; lanes never wait for each other.
+    lane: Lane
+    #: Its weight among the organisations.
+    weight: float
+    #: Most requests of the lane in flight at this entry.
+    limit: int
+
+
+@dataclass
+class _Usage:
+    """What one organisation uses of one lane; mutable."""
+
+    in_flight: int = 0
+    weight: float = 1.0
+    seen_at: float = 0.0
+
+
+class Gate:
+    """Shares each lane among organisations by weight and lends what is unused.
+
+    An organisation within its share always enters.  Beyond it, it enters
+    while the lane as a whole has room, so an idle organisation's share is
+    lent out and is back as soon as it is asked for.  A lane may thus hold up
+    to twice its limit for a moment, never more.
+    """
+
+    def __init__(self) -> None:
+        self._lanes: dict[Lane, dict[str, _Usage]] = {}
+
+    def try_enter(self, visitor: Visitor, now: float) -> bool:
+        """Let a request in, or not; whoever entered must `leave`."""
+        lane = self._lanes.setdefault(visitor.lane, {})
+        usage = lane.setdefault(visitor.organisation, _Usage())
+        usage.weight = visitor.weight
+        usage.seen_at = now
+        total = sum(other.in_flight for other in lane.values())
+        if usage.in_flight >= self._share(lane, usage, visitor.limit, now):
+            if total >= visitor.limit:
+                return False
+        elif total >= 2 * visitor.limit:
+            return False
+        usage.in_flight += 1
+        return True
+
+    def leave(self, visitor: Visitor) -> None:
+        """Let a request out."""
+        self._lanes[visitor.lane][visitor.organisation].in_flight -= 1
+
+    def in_flight(self) -> int:
+        """Return the requests inside, over all lanes."""
+        return sum(usage.in_flight for lane in self._lanes.values() for usage in lane.values())
+
+    def _share(self, lane: dict[str, _Usage], usage: _Usage, limit: int, now: float) -> float:
+        weights = sum(
+            other.weight
+            for other in lane.values()
+            if other.in_flight > 0 or now - other.seen_at < ACTIVE_SECONDS
+        )
+        return limit * usage.weight / weights
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/agreement/__init__.py
@@ -0,0 +1,43 @@
+"""Agreement: a replicated log with elections, snapshots, learners and current reads."""
+
+from damsonlane.agreement._log import Log
+from damsonlane.agreement._messages import (
+    AppendReply,
+    AppendRequest,
+    Envelope,
+    HardState,
+    LogEntry,
+    Member,
+    Members,
+    Noop,
+    Opaque,
+    Snapshot,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from damsonlane.agreement._output import Output, Persist, ReadReady
+from damsonlane.agreement._replica import EMPTY_SNAPSHOT, Replica, Stored
+
+__all__ = [
+    "EMPTY_SNAPSHOT",
+    "AppendReply",
+    "AppendRequest",
+    "Envelope",
+    "HardState",
+    "Log",
+    "LogEntry",
+    "Member",
+    "Members",
+    "Noop",
+    "Opaque",
+    "Output",
+    "Persist",
+    "ReadReady",
+    "Replica",
+    "Snapshot",
+    "SnapshotRequest",
+    "Stored",
+    "VoteReply",
+    "VoteRequest",
+]
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/agreement/_log.py
@@ -0,0 +1,69 @@
+"""The part of the replicated log that follows the last snapshot."""
+
+from collections.abc import Sequence
+
+from damsonlane.agreement._messages import LogEntry, Members, Snapshot
+
+
+class Log:
+    """Entries after a snapshot, in memory; the disk holds the same."""
+
+    def __init__(self, snapshot: Snapshot, entries: Sequence[LogEntry]) -> None:
+        self.snapshot = snapshot
+        self._entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, or of the snapshot when there is none after it."""
+        return self.snapshot.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self.snapshot.term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None when it is not here."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        position = index - self.snapshot.index - 1
+        if 0 <= position < len(self._entries):
+            return self._entries[position].term
+        return None
+
+    def between(self, first: int, last: int) -> tuple[LogEntry, ...]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        offset = self.snapshot.index + 1
+        return tuple(self._entries[first - offset : last + 1 - offset])
+
+    def append(self, entry: LogEntry) -> None:
+        """Add an entry at the end."""
+        self._entries.append(entry)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entry at ``index`` and all after it."""
+        del self._entries[index - self.snapshot.index - 1 :]
+
+    def replace(self, snapshot: Snapshot) -> None:
+        """Replace everything by a snapshot."""
+        self.snapshot = snapshot
+        self._entries.clear()
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Let a snapshot stand for the entries up to its index and keep those after it."""
+        self._entries = list(self.between(snapshot.index + 1, self.last_index))
+        self.snapshot = snapshot
+
+    def members_entry(self) -> LogEntry | None:
+        """Return the last entry that changes the group, or None if the snapshot's stands."""
+        for entry in reversed(self._entries):
+            if isinstance(entry.body, Members):
+                return entry
+        return None
+
+    def members_at(self, index: int) -> Members:
+        """Return the group after the entry at ``index``."""
+        for entry in reversed(self.between(self.snapshot.index + 1, index)):
+            if isinstance(entry.body, Members):
+                return entry.body
+        return self.snapshot.members
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/agreement/_replica.py
@@ -0,0 +1,626 @@
+"""One replica of the agreement: a state machine of events to outputs.
+
+The algorithm is the replicated log of Ongaro and Ousterhout ("In Search of an
+Understandable Consensus Algorithm", 2014) with trial votes, learners and
+changes of one member at a time.  Time and randomness are passed in.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final, Literal
+
+from damsonlane.agreement._log import Log
+from damsonlane.agreement._messages import (
+    AppendReply,
+    AppendRequest,
+    Body,
+    Envelope,
+    HardState,
+    LogEntry,
+    Member,
+    Members,
+    Message,
+    Noop,
+    Opaque,
+    Snapshot,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from damsonlane.agreement._output import Output, Persist, ReadReady
+from damsonlane.agreement._progress import Progress
+from damsonlane.errors import AgreementError, NotLeaderError
+
+#: Heartbeats a leader sends in one election time.
+HEARTBEATS_PER_ELECTION: Final = 4
+#: Most entries in one message.
+ENTRIES_PER_MESSAGE: Final = 512
+#: Heartbeats to wait before a snapshot is sent again.
+SNAPSHOT_PATIENCE: Final = 20
+
+Standing = Literal["follower", "trial", "candidate", "leader"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Stored:
+    """What a replica finds on its disk at its start."""
+
+    #: Term and vote.
+    hard_state: HardState
+    #: Last snapshot.
+    snapshot: Snapshot
+    #: Entries after it.
+    entries: tuple[LogEntry, ...] = ()
+
+
+#: The snapshot of a folder that holds nothing.
+EMPTY_SNAPSHOT: Final = Snapshot(index=0, term=0, members=Members(voters=()), state="")
+
+
+class Replica:
+    """A replica; call its methods from one thread and carry out what they return.
+
+    Args:
+        cluster: identity of the group.
+        name: name of this replica.
+        stored: what its disk holds.
+        election_seconds: shortest time without a leader before an election.
+        randomness: source of election delays.
+        now: the clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        cluster: str,
+        name: str,
+        stored: Stored,
+        election_seconds: float,
+        randomness: random.Random,
+        now: float,
+    ) -> None:
+        self.cluster: Final = cluster
+        self.name: Final = name
+        self.term = stored.hard_state.term
+        self.voted_for = stored.hard_state.voted_for
+        self.standing: Standing = "follower"
+        self.leader = ""
+        self.commit = stored.snapshot.index
+        self._log = Log(stored.snapshot, stored.entries)
+        self._applied = stored.snapshot.index
+        self._synced = self._log.last_index
+        self._election_seconds = election_seconds
+        self._randomness = randomness
+        self._now = now
+        self._heard_leader_at = float("-inf")
+        self._election_due = 0.0
+        self._heartbeat_due = 0.0
+        self._quorum_due = 0.0
+        self._votes: set[str] = set()
+        self._progress: dict[str, Progress] = {}
+        self._round = 0
+        self._reads: list[tuple[int, int]] = []
+        self._envelopes: list[Envelope] = []
+        self._ready_reads: list[ReadReady] = []
+        self._failed_reads: list[int] = []
+        self._installed: Snapshot | None = None
+        self._hard_state_changed = False
+        self._unsynced_from: int = self._log.last_index + 1
+        self._reset_election()
+
+    # What others may ask.
+
+    @property
+    def members(self) -> Members:
+        """The group in force here: the latest in the log, committed or not."""
+        entry = self._log.members_entry()
+        if entry is not None and isinstance(entry.body, Members):
+            return entry.body
+        return self._log.snapshot.members
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._log.last_index
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index of the last entry inside the snapshot."""
+        return self._log.snapshot.index
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads, as far as it knows."""
+        return self.standing == "leader"
+
+    def leader_address(self) -> str:
+        """Return the leader's address, or an empty string."""
+        for member in self.members.everyone():
+            if member.replica == self.leader:
+                return member.address
+        return ""
+
+    def match_of(self, replica: str) -> int:
+        """Return the highest index known to be synced at a replica (leader only)."""
+        if replica == self.name:
+            return self._synced
+        progress = self._progress.get(replica)
+        return progress.match if progress else 0
+
+    # Events.
+
+    def tick(self, now: float) -> Output:
+        """Let time pass."""
+        self._now = max(self._now, now)
+        if self.standing == "leader":
+            self._tick_leader()
+        elif self._now >= self._election_due:
+            self._start_trial()
+        return self._take_output()
+
+    def receive(self, now: float, envelope: Envelope) -> Output:
+        """Take a message; one for another group or replica is ignored."""
+        self._now = max(self._now, now)
+        if envelope.cluster == self.cluster and envelope.receiver == self.name:
+            self._receive(envelope.sender, envelope.message)
+        return self._take_output()
+
+    def propose(self, now: float, texts: Sequence[str]) -> tuple[Output, tuple[LogEntry, ...]]:
+        """Append commands as the leader.
+
+        Returns:
+            The output and the entries, which count once they come back as
+            committed with the same index and term.
+
+        Raises:
+            NotLeaderError: another replica leads.
+        """
+        self._now = max(self._now, now)
+        self._require_leader()
+        entries = tuple(self._append(Opaque(text=text)) for text in texts)
+        self._broadcast()
+        return self._take_output(), entries
+
+    def read(self, now: float, reference: int) -> Output:
+        """Ask to read the state as it is after this moment.
+
+        Raises:
+            NotLeaderError: another replica leads.
+        """
+        self._now = max(self._now, now)
+        self._require_leader()
+        self._round += 1
+        self._reads.append((self._round, reference))
+        self._broadcast()
+        self._answer_reads()
+        return self._take_output()
+
+    def add_learner(self, now: float, member: Member) -> Output:
+        """Let a replica learn; it becomes a voter by itself once it holds the log.
+
+        Raises:
+            NotLeaderError: another replica leads.
+            AgreementError: another change is under way, or it is a member.
+        """
+        self._now = max(self._now, now)
+        self._require_change_allowed()
+        if any(known.replica == member.replica for known in self.members.everyone()):
+            raise AgreementError(f"replica '{member.replica}' is a member already")
+        self._change_members(self.members.with_learner(member))
+        return self._take_output()
+
+    def remove(self, now: float, replica: str) -> Output:
+        """Remove a member; its vote stops counting at once.
+
+        Raises:
+            NotLeaderError: another replica leads.
+            AgreementError: another change is under way, it is no member, or
+                it is the last voter.
+        """
+        self._now = max(self._now, now)
+        self._require_change_allowed()
+        members = self.members
+        if not any(known.replica == replica for known in members.everyone()):
+            raise AgreementError(f"replica '{replica}' is not a member")
+        if members.is_voter(replica) and len(members.voters) == 1:
+            raise AgreementError(f"replica '{replica}' is the last voter")
+        self._change_members(members.without(replica))
+        return self._take_output()
+
+    def acknowledge_persist(self) -> Output:
+        """Hear that everything in the last output's `Persist` is synced."""
+        self._synced = self._log.last_index
+        if self.standing == "leader":
+            self._advance_commit()
+        return self._take_output()
+
+    def compact(self, state: str, index: int) -> Snapshot:
+        """Let a snapshot of the state after ``index`` stand for the log up to it.
+
+        Returns:
+            The snapshot, which the caller writes together with `tail`.
+        """
+        term = self._log.term_at(index)
+        if term is None:
+            raise AgreementError(f"entry {index} is not in the log")
+        members = self._log.members_at(index)
+        snapshot = Snapshot(index=index, term=term, members=members, state=state)
+        self._log.compact(snapshot)
+        return snapshot
+
+    def stored(self) -> Stored:
+        """Return all that the disk should hold now."""
+        return Stored(
+            hard_state=HardState(term=self.term, voted_for=self.voted_for),
+            snapshot=self._log.snapshot,
+            entries=self._log.between(self._log.snapshot.index + 1, self._log.last_index),
+        )
+
+    # Elections.
+
+    def _start_trial(self) -> None:
+        if not self.members.is_voter(self.name):
+            self._reset_election()
+            return
+        self.standing = "trial"
+        self.leader = ""
+        self._votes = {self.name}
+        self._reset_election()
+        self._ask_for_votes(self.term + 1, is_trial=True)
+        self._count_votes()
+
+    def _start_candidacy(self) -> None:
+        self.standing = "candidate"
+        self.term += 1
+        self.voted_for = self.name
+        self._hard_state_changed = True
+        self._votes = {self.name}
+        self._reset_election()
+        self._ask_for_votes(self.term, is_trial=False)
+        self._count_votes()
+
+    def _ask_for_votes(self, term: int, *, is_trial: bool) -> None:
+        request = VoteRequest(
+            term=term,
+            last_index=self._log.last_index,
+            last_term=self._log.last_term,
+            is_trial=is_trial,
+        )
+        for member in self.members.voters:
+            self._send(member.replica, request)
+
+    def _count_votes(self) -> None:
+        granted = sum(1 for member in self.members.voters if member.replica in self._votes)
+        if granted < self.members.quorum():
+            return
+        if self.standing == "trial":
+            self._start_candidacy()
+        elif self.standing == "candidate":
+            self._start_leading()
+
+    def _start_leading(self) -> None:
+        self.standing = "leader"
+        self.leader = self.name
+        self._progress = {}
+        self._follow_members()
+        self._append(Noop())
+        self._quorum_due = self._now + self._election_seconds
+        self._heartbeat_due = self._now + self._election_seconds / HEARTBEATS_PER_ELECTION
+        self._broadcast()
+
+    def _step_down(self, term: int, leader: str = "") -> None:
+        if term > self.term:
+            self.term = term
+            self.voted_for = ""
+            self._hard_state_changed = True
+        self.standing = "follower"
+        self.leader = leader
+        self._failed_reads.extend(reference for _, reference in self._reads)
+        self._reads.clear()
+        self._reset_election()
+
+    def _reset_election(self) -> None:
+        delay = self._election_seconds * (1.0 + self._randomness.random())
+        self._election_due = self._now + delay
+
+    # Messages.
+
+    def _receive(self, sender: str, message: Message) -> None:
+        if isinstance(message, VoteRequest):
+            self._receive_vote_request(sender, message)
+        elif isinstance(message, VoteReply):
+            self._receive_vote_reply(sender, message)
+        elif isinstance(message, AppendReply):
+            self._receive_append_reply(sender, message)
+        elif message.term < self.term:
+            self._reply_append(sender, message.round, is_success=False, match=0)
+        else:
+            self._hear_leader(sender, message.term)
+            if isinstance(message, AppendRequest):
+                self._receive_append(sender, message)
+            else:
+                self._receive_snapshot(sender, message)
+
+    def _receive_vote_request(self, sender: str, request: VoteRequest) -> None:
+        if request.is_trial:
+            self._receive_trial(sender, request)
+            return
+        if request.term > self.term:
+            self._step_down(request.term)
+        is_granted = (
+            request.term == self.term
+            and self.voted_for in ("", sender)
+            and self._is_current(request)
+        )
+        if is_granted:
+            self.voted_for = sender
+            self._hard_state_changed = True
+            self._reset_election()
+        self._send(sender, VoteReply(term=self.term, is_granted=is_granted, is_trial=False))
+
+    def _receive_trial(self, sender: str, request: VoteRequest) -> None:
+        has_leader = self.is_leader or (
+            self._now - self._heard_leader_at < self._election_seconds and self.leader != ""
+        )
+        is_granted = request.term > self.term and self._is_current(request) and not has_leader
+        term = request.term if is_granted else self.term
+        self._send(sender, VoteReply(term=term, is_granted=is_granted, is_trial=True))
+
+    def _is_current(self, request: VoteRequest) -> bool:
+        own = (self._log.last_term, self._log.last_index)
+        return (request.last_term, request.last_index) >= own
+
+    def _receive_vote_reply(self, sender: str, reply: VoteReply) -> None:
+        if not reply.is_granted:
+            if reply.term > self.term:
+                self._step_down(reply.term)
+            return
+        expected = self.term + 1 if reply.is_trial else self.term
+        wanted: Standing = "trial" if reply.is_trial else "candidate"
+        if self.standing == wanted and reply.term == expected:
+            self._votes.add(sender)
+            self._count_votes()
+
+    def _hear_leader(self, sender: str, term: int) -> None:
+        if term > self.term or self.standing != "follower":
+            self._step_down(term, sender)
+        self.leader = sender
+        self._heard_leader_at = self._now
+        self._reset_election()
+
+    def _receive_append(self, sender: str, request: AppendRequest) -> None:
+        first_kept = self._log.snapshot.index
+        if request.previous_index < first_kept:
+            # Entries inside the snapshot are committed, so they match; the rest follows them.
+            entries = tuple(entry for entry in request.entries if entry.index > first_kept)
+            covers = request.previous_index + len(request.entries) >= first_kept
+            if not covers:
+                self._reply_append(sender, request.round, is_success=True, match=first_kept)
+                return
+        elif self._log.term_at(request.previous_index) != request.previous_term:
+            hint = min(request.previous_index - 1, self._log.last_index)
+            self._reply_append(sender, request.round, is_success=False, match=hint)
+            return
+        else:
+            entries = request.entries
+        self._store(entries)
+        match = max(request.previous_index + len(request.entries), first_kept)
+        self._raise_commit(min(request.commit, match))
+        self._reply_append(sender, request.round, is_success=True, match=match)
+
+    def _store(self, entries: Sequence[LogEntry]) -> None:
+        for entry in entries:
+            term = self._log.term_at(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                self._log.truncate_from(entry.index)
+                self._unsynced_from = min(self._unsynced_from, entry.index)
+            self._log.append(entry)
+            self._unsynced_from = min(self._unsynced_from, entry.index)
+
+    def _receive_snapshot(self, sender: str, request: SnapshotRequest) -> None:
+        snapshot = request.snapshot
+        if snapshot.index > self.commit:
+            self._log.replace(snapshot)
+            self.commit = snapshot.index
+            self._applied = snapshot.index
+            self._installed = snapshot
+            self._unsynced_from = snapshot.index + 1
+        match = max(snapshot.index, self.commit)
+        self._reply_append(sender, request.round, is_success=True, match=match)
+
+    def _reply_append(self, leader: str, number: int, *, is_success: bool, match: int) -> None:
+        reply = AppendReply(term=self.term, is_success=is_success, match=match, round=number)
+        self._send(leader, reply)
+
+    def _receive_append_reply(self, sender: str, reply: AppendReply) -> None:
+        if reply.term > self.term:
+            self._step_down(reply.term)
+            return
+        progress = self._progress.get(sender)
+        if self.standing != "leader" or reply.term < self.term or progress is None:
+            return
+        progress.heard_at = self._now
+        progress.round = max(progress.round, reply.round)
+        if reply.is_success:
+            progress.match = max(progress.match, reply.match)
+            progress.next_index = max(progress.next_index, progress.match + 1)
+            progress.snapshot_at = float("-inf")
+            self._advance_commit()
+            self._promote(sender)
+        else:
+            progress.next_index = max(progress.match + 1, min(progress.next_index, reply.match + 1))
+        self._answer_reads()
+        if progress.next_index <= self._log.last_index and self.standing == "leader":
+            self._send_append(sender, progress)
+
+    # Leading.
+
+    def _tick_leader(self) -> None:
+        if self._now >= self._quorum_due:
+            if not self._has_heard_quorum():
+                self._step_down(self.term)
+                return
+            self._quorum_due = self._now + self._election_seconds
+        if self._now < self._heartbeat_due:
+            return
+        interval = self._election_seconds / HEARTBEATS_PER_ELECTION
+        self._heartbeat_due = self._now + interval
+        for progress in self._progress.values():
+            if self._now - progress.heard_at > 2 * interval:
+                progress.next_index = progress.match + 1
+        self._broadcast()
+
+    def _has_heard_quorum(self) -> bool:
+        since = self._now - self._election_seconds
+        heard = 0
+        for member in self.members.voters:
+            progress = self._progress.get(member.replica)
+            if member.replica == self.name or (progress and progress.heard_at >= since):
+                heard += 1
+        return heard >= self.members.quorum()
+
+    def _append(self, body: Body) -> LogEntry:
+        entry = LogEntry(index=self._log.last_index + 1, term=self.term, body=body)
+        self._log.append(entry)
+        self._unsynced_from = min(self._unsynced_from, entry.index)
+        return entry
+
+    def _broadcast(self) -> None:
+        for replica, progress in self._progress.items():
+            self._send_append(replica, progress)
+
+    def _send_append(self, replica: str, progress: Progress) -> None:
+        previous = progress.next_index - 1
+        previous_term = self._log.term_at(previous)
+        if previous_term is None:
+            self._send_snapshot(replica, progress)
+            return
+        last = min(self._log.last_index, previous + ENTRIES_PER_MESSAGE)
+        request = AppendRequest(
+            term=self.term,
+            previous_index=previous,
+            previous_term=previous_term,
+            entries=self._log.between(progress.next_index, last),
+            commit=self.commit,
+            round=self._round,
+        )
+        progress.next_index = last + 1
+        self._send(replica, request)
+
+    def _send_snapshot(self, replica: str, progress: Progress) -> None:
+        patience = SNAPSHOT_PATIENCE * self._election_seconds / HEARTBEATS_PER_ELECTION
+        if self._now - progress.snapshot_at < patience:
+            return
+        progress.snapshot_at = self._now
+        snapshot = self._log.snapshot
+        self._send(replica, SnapshotRequest(term=self.term, snapshot=snapshot, round=self._round))
+
+    def _advance_commit(self) -> None:
+        matches = sorted(self.match_of(member.replica) for member in self.members.voters)
+        reached = matches[len(matches) - self.members.quorum()] if matches else 0
+        # Only an entry of the leader's own term is committed by counting replicas.
+        if reached > self.commit and self._log.term_at(reached) == self.term:
+            self._raise_commit(reached)
+            self._answer_reads()
+            if not self.members.is_voter(self.name) and self._is_members_committed():
+                self._step_down(self.term)
+
+    def _raise_commit(self, index: int) -> None:
+        self.commit = max(self.commit, index)
+
+    def _answer_reads(self) -> None:
+        if self._log.term_at(self.commit) != self.term:
+            return
+        rounds = sorted(
+            self._round if member.replica == self.name else self._round_of(member.replica)
+            for member in self.members.voters
+        )
+        confirmed = rounds[len(rounds) - self.members.quorum()] if rounds else 0
+        waiting = []
+        for number, reference in self._reads:
+            if number <= confirmed:
+                self._ready_reads.append(ReadReady(reference=reference, index=self.commit))
+            else:
+                waiting.append((number, reference))
+        self._reads = waiting
+
+    def _round_of(self, replica: str) -> int:
+        progress = self._progress.get(replica)
+        return progress.round if progress else 0
+
+    # Changes of the group.
+
+    def _require_leader(self) -> None:
+        if self.standing != "leader":
+            raise NotLeaderError(self.leader_address())
+
+    def _require_change_allowed(self) -> None:
+        self._require_leader()
+        if not self._is_change_allowed():
+            raise AgreementError("another change of the group is under way; try again shortly")
+
+    def _is_change_allowed(self) -> bool:
+        has_own_entry = self._log.term_at(self.commit) == self.term
+        return has_own_entry and self._is_members_committed()
+
+    def _is_members_committed(self) -> bool:
+        entry = self._log.members_entry()
+        return entry is None or entry.index <= self.commit
+
+    def _change_members(self, members: Members) -> None:
+        self._append(members)
+        self._follow_members()
+        self._broadcast()
+
+    def _follow_members(self) -> None:
+        names = {member.replica for member in self.members.everyone()} - {self.name}
+        for gone in set(self._progress) - names:
+            del self._progress[gone]
+        for name in sorted(names - set(self._progress)):
+            self._progress[name] = Progress(next_index=self._log.last_index + 1, heard_at=self._now)
+
+    def _promote(self, replica: str) -> None:
+        """Make a learner a voter once it holds every committed entry."""
+        if not self.members.is_learner(replica) or not self._is_change_allowed():
+            return
+        if self._progress[replica].match >= self.commit:
+            self._change_members(self.members.with_promoted(replica))
+
+    # Output.
+
+    def _send(self, receiver: str, message: Message) -> None:
+        if receiver != self.name:
+            self._envelopes.append(
+                Envelope(cluster=self.cluster, sender=self.name, receiver=receiver, message=message)
+            )
+
+    def _clear_output(self) -> None:
+        self._envelopes = []
+        self._ready_reads = []
+        self._failed_reads = []
+        self._installed = None
+        self._hard_state_changed = False
+        self._unsynced_from = self._log.last_index + 1
+
+    def _take_output(self) -> Output:
+        output = Output(
+            persist=self._take_persist(),
+            envelopes=tuple(self._envelopes),
+            installed=self._installed,
+            committed=self._log.between(self._applied + 1, self.commit),
+            reads=tuple(self._ready_reads),
+            failed_reads=tuple(self._failed_reads),
+        )
+        self._applied = self.commit
+        self._synced = min(self._synced, self._unsynced_from - 1)
+        self._clear_output()
+        return output
+
+    def _take_persist(self) -> Persist:
+        changed = self._hard_state_changed
+        hard_state = HardState(term=self.term, voted_for=self.voted_for) if changed else None
+        entries = self._log.between(self._unsynced_from, self._log.last_index)
+        return Persist(hard_state=hard_state, snapshot=self._installed, entries=entries)
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/cluster/__init__.py
@@ -0,0 +1,41 @@
+"""The replicated state: settings, job ledger and costs."""
+
+from damsonlane.cluster._changes import (
+    AcceptedChange,
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeRefused,
+    ChangeReply,
+    ChangeSettings,
+)
+from damsonlane.cluster._settings_store import (
+    SettingsSnapshot,
+    SettingsStore,
+    merge_changes,
+)
+from damsonlane.cluster._state import (
+    ClusterSnapshot,
+    ClusterState,
+    Command,
+    Reply,
+    decode_command,
+    encode_command,
+)
+
+__all__ = [
+    "AcceptedChange",
+    "ChangeAccepted",
+    "ChangeConflict",
+    "ChangeRefused",
+    "ChangeReply",
+    "ChangeSettings",
+    "ClusterSnapshot",
+    "ClusterState",
+    "Command",
+    "Reply",
+    "SettingsSnapshot",
+    "SettingsStore",
+    "decode_command",
+    "encode_command",
+    "merge_changes",
+]
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/cluster/_state.py
@@ -0,0 +1,95 @@
+"""Everything that control replicates, as one state machine."""
+
+from dataclasses import dataclass, field
+from typing import Annotated
+
+from pydantic import Field
+
+from damsonlane.cluster._changes import (
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeRefused,
+    ChangeSettings,
+)
+from damsonlane.cluster._settings_store import SettingsSnapshot, SettingsStore
+from damsonlane.codec import decode_bytes, decode_value, encode_text
+from damsonlane.costs import CostBook, CostsRecorded, CostTotal, RecordCosts, SenderProgress
+from damsonlane.ledger import ClaimJob, DropJob, FinishJob, Job, JobReply, Ledger, StartJob
+
+Command = Annotated[
+    ChangeSettings | ClaimJob | StartJob | FinishJob | DropJob | RecordCosts,
+    Field(discriminator="kind"),
+]
+Reply = Annotated[
+    ChangeAccepted | ChangeConflict | ChangeRefused | JobReply | CostsRecorded,
+    Field(discriminator="kind"),
+]
+
+
+@dataclass(frozen=True, kw_only=True)
+class ClusterSnapshot:
+    """All replicated state, for a snapshot."""
+
+    #: The settings tree with its history.
+    settings: SettingsSnapshot = field(default_factory=SettingsSnapshot)
+    #: Records of jobs.
+    jobs: tuple[Job, ...] = ()
+    #: The ledger's clock, in seconds since 1970.
+    clock: float = 0.0
+    #: Cost totals.
+    totals: tuple[CostTotal, ...] = ()
+    #: Senders of cost batches.
+    senders: tuple[SenderProgress, ...] = ()
+
+
+def encode_command(command: Command) -> str:
+    """Return a command as text."""
+    return encode_text(command, Command)
+
+
+def decode_command(text: str) -> Command:
+    """Return the command in a text."""
+    command: Command = decode_value(text, Command)
+    return command
+
+
+class ClusterState:
+    """Applies committed commands; two replicas with the same log hold the same state."""
+
+    def __init__(self, snapshot: ClusterSnapshot | None = None) -> None:
+        start = snapshot or ClusterSnapshot()
+        self.settings = SettingsStore(start.settings)
+        self.ledger = Ledger(start.jobs, start.clock)
+        self.costs = CostBook(start.totals, start.senders)
+
+    @classmethod
+    def from_text(cls, text: str) -> "ClusterState":
+        """Return the state in an encoded snapshot; empty text is the empty state."""
+        return cls(decode_bytes(text, ClusterSnapshot) if text else None)
+
+    def to_text(self) -> str:
+        """Return the whole state, encoded."""
+        snapshot = ClusterSnapshot(
+            settings=self.settings.snapshot(),
+            jobs=self.ledger.jobs(),
+            clock=self.ledger.clock,
+            totals=self.costs.totals(),
+            senders=self.costs.senders(),
+        )
+        return encode_text(snapshot, ClusterSnapshot)
+
+    def apply(self, command: Command) -> Reply:
+        """Apply one committed command and return its reply."""
+        match command:
+            case ChangeSettings():
+                return self.settings.change(command)
+            case ClaimJob():
+                return self.ledger.claim(command)
+            case StartJob():
+                return self.ledger.start(command)
+            case FinishJob():
+                return self.ledger.finish(command)
+            case DropJob():
+                return self.ledger.drop(command)
+            case RecordCosts():
+                return self.costs.record(command)
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/codec.py
@@ -0,0 +1,41 @@
+"""Text and bytes of typed values, by way of pydantic."""
+
+from functools import lru_cache
+from typing import Any, TypeVar, cast
+
+from pydantic import TypeAdapter
+
+Value = TypeVar("Value")
+
+
+@lru_cache(maxsize=256)
+def _adapter(shape: Any) -> TypeAdapter[Any]:
+    return TypeAdapter(shape)
+
+
+def encode_bytes(value: Any, shape: Any) -> bytes:
+    """Return ``value`` as JSON, encoded as its declared ``shape``."""
+    return _adapter(shape).dump_json(value)
+
+
+def decode_bytes(data: bytes | str, shape: type[Value]) -> Value:
+    """Return the value of ``shape`` in JSON ``data``.
+
+    Raises:
+        pydantic.ValidationError: the data has another shape.
+    """
+    return cast(Value, _adapter(cast(Any, shape)).validate_json(data))
+
+
+def encode_text(value: Any, shape: Any) -> str:
+    """Return ``value`` as JSON text, encoded as its declared ``shape``."""
+    return encode_bytes(value, shape).decode()
+
+
+def decode_value(data: bytes | str, shape: Any) -> Any:
+    """Return the value in JSON ``data`` for a shape that is no class, such as a union.
+
+    Raises:
+        pydantic.ValidationError: the data has another shape.
+    """
+    return _adapter(shape).validate_json(data)
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/costs/__init__.py
@@ -0,0 +1,21 @@
+"""Cost by stage: lines from entries, totals in the replicated state."""
+
+from damsonlane.costs._book import CostBook
+from damsonlane.costs._lines import (
+    AttemptOutcome,
+    CostLine,
+    CostsRecorded,
+    CostTotal,
+    RecordCosts,
+    SenderProgress,
+)
+
+__all__ = [
+    "AttemptOutcome",
+    "CostBook",
+    "CostLine",
+    "CostTotal",
+    "CostsRecorded",
+    "RecordCosts",
+    "SenderProgress",
+]
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/ledger/__init__.py
@@ -0,0 +1,30 @@
+"""The job ledger: what makes a marked request run at most once."""
+
+from damsonlane.ledger._horizon import HORIZON_SECONDS, read_key_time
+from damsonlane.ledger._jobs import (
+    ClaimJob,
+    DropJob,
+    FinishJob,
+    Job,
+    JobKey,
+    JobReply,
+    Phase,
+    StartJob,
+    Verdict,
+)
+from damsonlane.ledger._ledger import Ledger
+
+__all__ = [
+    "HORIZON_SECONDS",
+    "ClaimJob",
+    "DropJob",
+    "FinishJob",
+    "Job",
+    "JobKey",
+    "JobReply",
+    "Ledger",
+    "Phase",
+    "StartJob",
+    "Verdict",
+    "read_key_time",
+]
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/ledger/_jobs.py
@@ -0,0 +1,110 @@
+"""Jobs that may run at most once, as the ledger records them."""
+
+from dataclasses import dataclass, replace
+from typing import Literal
+
+#: A job is claimed, then either started and perhaps finished, or dropped.
+#: A dropped job has not run and its key may be claimed again.
+Phase = Literal["claimed", "started", "finished", "dropped", "expired"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class JobKey:
+    """The name of a job, unique within an organisation."""
+
+    #: Organisation that owns the job.
+    organisation: str
+    #: Key chosen by the caller.
+    key: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Job:
+    """The record of one job."""
+
+    #: Name of the job.
+    name: JobKey
+    #: SHA-256 digest of the request, in hexadecimal.
+    digest: str
+    #: Token of the claim in force; only its holder may start the job.
+    token: str
+    #: How far the job is.
+    phase: Phase
+    #: When the claim was made, in seconds since 1970.
+    claimed_at: float
+    #: The answer to repeat, once finished.
+    answer: str = ""
+
+    def with_phase(self, phase: Phase, answer: str = "") -> "Job":
+        """Return the record in another phase."""
+        return replace(self, phase=phase, answer=answer)
+
+
+@dataclass(frozen=True, kw_only=True)
+class ClaimJob:
+    """Claim a key; a claimed, started or finished one is reported, not taken."""
+
+    kind: Literal["claim-job"] = "claim-job"
+    #: Name of the job.
+    name: JobKey
+    #: Digest of the request.
+    digest: str
+    #: Token of this claim, drawn anew for each passage of a request.
+    token: str
+    #: Wall clock of the entry, in seconds since 1970.
+    at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class StartJob:
+    """Record that the job may reach a target from now on."""
+
+    kind: Literal["start-job"] = "start-job"
+    #: Name of the job.
+    name: JobKey
+    #: Token of the claim.
+    token: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class FinishJob:
+    """Record the whole answer of a started job."""
+
+    kind: Literal["finish-job"] = "finish-job"
+    #: Name of the job.
+    name: JobKey
+    #: Token of the claim.
+    token: str
+    #: The answer to keep.
+    answer: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class DropJob:
+    """Record that a claim will never run."""
+
+    kind: Literal["drop-job"] = "drop-job"
+    #: Name of the job.
+    name: JobKey
+    #: Token of the claim to drop; another entry's, when taking over.
+    token: str
+    #: Set only by the holder, when it started the job but sent no byte of it.
+    is_unsent: bool = False
+
+
+Verdict = Literal["done", "busy", "mismatch", "refused", "too-old"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class JobReply:
+    """What the ledger says to a job command."""
+
+    kind: Literal["job-reply"] = "job-reply"
+    #: Whether the command took effect, and if not, why.
+    verdict: Verdict
+    #: Phase of the record after the command.
+    phase: Phase
+    #: Token of the claim in force.
+    token: str = ""
+    #: The kept answer of a finished job.
+    answer: str = ""
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/ledger/_ledger.py
@@ -0,0 +1,124 @@
+"""The ledger: part of the replicated state, changed only by committed commands."""
+
+from collections.abc import Iterable
+
+from damsonlane.ledger._horizon import HORIZON_SECONDS, read_key_time
+from damsonlane.ledger._jobs import (
+    ClaimJob,
+    DropJob,
+    FinishJob,
+    Job,
+    JobKey,
+    JobReply,
+    StartJob,
+    Verdict,
+)
+
+
+class Ledger:
+    """Records of jobs that may run at most once.
+
+    Its clock is the latest time that a command carried, so that every replica
+    forgets the same records at the same entry of the log.
+    """
+
+    def __init__(self, jobs: Iterable[Job] = (), clock: float = 0.0) -> None:
+        self._jobs = {job.name: job for job in jobs}
+        self.clock = clock
+
+    def jobs(self) -> tuple[Job, ...]:
+        """Return all records, in the order of their first claims."""
+        return tuple(self._jobs.values())
+
+    def claim(self, command: ClaimJob) -> JobReply:
+        """Claim a key that is new or whose last claim was dropped."""
+        self._advance_clock(command.at)
+        job = self._jobs.get(command.name)
+        if job is None and self._is_too_old(command.name.key):
+            return JobReply(verdict="too-old", phase="expired")
+        if job is None or (job.phase == "dropped" and job.digest == command.digest):
+            return self._take(command)
+        if job.digest != command.digest:
+            return JobReply(verdict="mismatch", phase=job.phase)
+        if job.token == command.token:
+            return _reply("done", job)
+        if job.phase == "expired":
+            return _reply("too-old", job)
+        return _reply("busy", job)
+
+    def start(self, command: StartJob) -> JobReply:
+        """Let the holder of the claim run the job."""
+        job = self._jobs.get(command.name)
+        if job is None or job.token != command.token or job.phase not in ("claimed", "started"):
+            return _refuse(job)
+        return self._store(job.with_phase("started"))
+
+    def finish(self, command: FinishJob) -> JobReply:
+        """Keep the answer of a started job."""
+        job = self._jobs.get(command.name)
+        if job is None or job.token != command.token or job.phase not in ("started", "finished"):
+            return _refuse(job)
+        if job.phase == "finished":
+            return _reply("done", job)
+        return self._store(job.with_phase("finished", command.answer))
+
+    def drop(self, command: DropJob) -> JobReply:
+        """Drop a claim, which makes a later start of it impossible."""
+        job = self._jobs.get(command.name)
+        if job is None or job.token != command.token:
+            return _refuse(job)
+        is_started_unsent = job.phase == "started" and command.is_unsent
+        if job.phase not in ("claimed", "dropped") and not is_started_unsent:
+            return _refuse(job)
+        return self._store(job.with_phase("dropped"))
+
+    def _take(self, command: ClaimJob) -> JobReply:
+        job = Job(
+            name=command.name,
+            digest=command.digest,
+            token=command.token,
+            phase="claimed",
+            claimed_at=command.at,
+        )
+        return self._store(job)
+
+    def _store(self, job: Job) -> JobReply:
+        self._jobs[job.name] = job
+        return _reply("done", job)
+
+    def _is_too_old(self, key: str) -> bool:
+        made_at = read_key_time(key)
+        return made_at is not None and made_at < self.clock - HORIZON_SECONDS
+
+    def _advance_clock(self, at: float) -> None:
+        """Move the clock and let the oldest records go past the horizon."""
+        self.clock = max(self.clock, at)
+        floor = self.clock - HORIZON_SECONDS
+        for name, job in list(self._jobs.items()):
+            if job.claimed_at >= floor:
+                break
+            self._expire(name, job)
+
+    def _expire(self, name: JobKey, job: Job) -> None:
+        """Forget a dated key, which will be refused; of any other keep that it was used."""
+        del self._jobs[name]
+        if not self._is_too_old(name.key):
+            # Moved to the end with a new time, so that the sweep does not meet it each time.
+            expired = Job(
+                name=name,
+                digest=job.digest,
+                token="",
+                phase="expired",
+                claimed_at=self.clock,
+            )
+            self._jobs[name] = expired
+
+
+def _reply(verdict: Verdict, job: Job) -> JobReply:
+    return JobReply(verdict=verdict, phase=job.phase, token=job.token, answer=job.answer)
+
+
+def _refuse(job: Job | None) -> JobReply:
+    if job is None:
+        return JobReply(verdict="refused", phase="dropped")
+    return _reply("refused", job)
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/requests/__init__.py
@@ -0,0 +1,44 @@
+"""Requests: the passage of one request from its caller to its ending."""
+
+from damsonlane.requests._budget import RetryBudget
+from damsonlane.requests._effects import AskLedger, Effect, End, Send, Wait
+from damsonlane.requests._encoding import decode_answer, encode_answer
+from damsonlane.requests._parts import (
+    Answer,
+    AttemptKey,
+    AttemptResult,
+    Billed,
+    Ending,
+    Reason,
+    Refusal,
+    Repeat,
+    Request,
+    Run,
+    StagePlan,
+    StageReport,
+)
+from damsonlane.requests._run import RequestRun
+
+__all__ = [
+    "Answer",
+    "AskLedger",
+    "AttemptKey",
+    "AttemptResult",
+    "Billed",
+    "Effect",
+    "End",
+    "Ending",
+    "Reason",
+    "Refusal",
+    "Repeat",
+    "Request",
+    "RequestRun",
+    "RetryBudget",
+    "Run",
+    "Send",
+    "StagePlan",
+    "StageReport",
+    "Wait",
+    "decode_answer",
+    "encode_answer",
+]
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/requests/_run.py
@@ -0,0 +1,324 @@
+"""The passage of one request through its stages: a state machine."""
+
+from typing import Final
+
+from damsonlane.costs import AttemptOutcome, CostLine
+from damsonlane.ledger import ClaimJob, DropJob, FinishJob, JobReply, StartJob
+from damsonlane.requests._budget import RetryBudget
+from damsonlane.requests._effects import AskLedger, Effect, End, Send, Wait
+from damsonlane.requests._encoding import encode_answer
+from damsonlane.requests._parts import (
+    Answer,
+    AttemptKey,
+    AttemptResult,
+    Billed,
+    Ending,
+    Reason,
+    Refusal,
+    Repeat,
+    Request,
+    Run,
+    StageReport,
+)
+
+#: Seconds between looks at a job that another passage of it holds.
+BUSY_WAIT: Final = 0.05
+#: Seconds that a claim may stand unstarted before another passage takes it over.
+CLAIM_PATIENCE: Final = 0.5
+#: Seconds that are kept back from the ledger for telling the caller.
+ANSWER_RESERVE: Final = 0.02
+#: Shortest time that an attempt is worth, in seconds.
+LEAST_ATTEMPT: Final = 0.005
+#: Seconds after which a caller may come back when no better guess exists.
+DEFAULT_RETRY_AFTER: Final = 1.0
+
+
+class RequestRun:
+    """Runs one request; each method returns the next effect to carry out.
+
+    Args:
+        request: the request.
+        token: token of this passage in the ledger, never used before.
+        wall_clock: seconds since 1970 at the start, for the ledger's horizon.
+        budget: retries allowed to this entry, shared by its requests.
+    """
+
+    def __init__(
+        self, request: Request, *, token: str, wall_clock: float, budget: RetryBudget
+    ) -> None:
+        self._request: Final = request
+        self._token: Final = token
+        self._wall_clock: Final = wall_clock
+        self._budget: Final = budget
+        self._stage = 0
+        self._text = request.text
+        self._attempts = 0
+        self._stage_attempts = 0
+        self._stage_began = 0.0
+        self._sent_at = 0.0
+        self._avoid: tuple[str, ...] = ()
+        self._reports: list[StageReport] = []
+        self._costs: list[CostLine] = []
+        self._is_started = False
+        self._may_have_run = False
+        self._busy_since: float | None = None
+        self._busy_token = ""
+        self._pending: Ending | None = None
+
+    @property
+    def is_marked(self) -> bool:
+        """Whether the request must run at most once."""
+        return self._request.job is not None
+
+    def begin(self, now: float) -> Effect:
+        """Start: claim the job of a marked request, or send the first stage."""
+        if self._request.due_at <= now:
+            return self._refuse("deadline-passed", "the deadline had passed on arrival")
+        if self.is_marked:
+            return self._claim(now)
+        return self._send(now)
+
+    def take_reply(self, now: float, reply: JobReply | None) -> Effect:
+        """Take the ledger's reply; None when it could not be had in time."""
+        if self._pending is not None:
+            return self._take_closing_reply(reply)
+        if self._is_started:
+            return self._take_finish_reply()
+        if reply is None:
+            return self._give_up_unconfirmed(now)
+        if reply.verdict == "done" and reply.phase == "claimed":
+            return self._take_claim(now, reply)
+        if reply.verdict == "done" and reply.phase == "started":
+            self._is_started = True
+            return self._send(now)
+        return self._take_other(now, reply)
+
+    def resume(self, now: float) -> Effect:
+        """Go on after a wait: look again at a job that was held by another passage."""
+        return self._claim(now)
+
+    def take_result(self, now: float, target: str, result: AttemptResult) -> Effect:
+        """Take what came of the last `Send`."""
+        outcome = result.outcome
+        if outcome == "answered" and result.answers != self._key():
+            # An answer to something else tells nothing about this attempt.
+            outcome = "failed"
+        self._bill(now, target, result, outcome == "answered")
+        if outcome in ("answered", "failed"):
+            self._may_have_run = True
+        if outcome == "answered":
+            return self._complete_stage(now, target, result.output)
+        return self._recover(now, target, result)
+
+    # Marked requests.
+
+    def _claim(self, now: float) -> Effect:
+        job = self._request.job
+        assert job is not None
+        remaining = self._remaining(now)
+        if remaining <= 0:
+            if self._busy_since is not None:
+                return self._refuse("key-busy", "the same job is still running", "unknown")
+            return self._refuse("deadline", "the deadline passed", self._unconfirmed_run())
+        command = ClaimJob(
+            name=job,
+            digest=self._request.digest,
+            token=self._token,
+            at=self._wall_clock,
+        )
+        return AskLedger(command=command, seconds=remaining)
+
+    def _take_claim(self, now: float, reply: JobReply) -> Effect:
+        job = self._request.job
+        assert job is not None
+        if reply.token != self._token:
+            return self._claim(now)
+        return AskLedger(
+            command=StartJob(name=job, token=self._token), seconds=self._remaining(now)
+        )
+
+    def _take_other(self, now: float, reply: JobReply) -> Effect:
+        """Deal with a job that this passage does not hold."""
+        if reply.verdict == "mismatch":
+            detail = "the key was used before with another request"
+            return self._refuse("key-mismatch", detail, "no")
+        if reply.verdict == "too-old":
+            return self._refuse("key-too-old", "the key is past its horizon", "unknown")
+        if reply.phase == "finished":
+            return self._end(Repeat(answer=reply.answer))
+        if reply.phase == "dropped":
+            return self._claim(now)
+        return self._await_holder(now, reply)
+
+    def _await_holder(self, now: float, reply: JobReply) -> Effect:
+        if self._busy_since is None or self._busy_token != reply.token:
+            self._busy_since = now
+            self._busy_token = reply.token
+        is_stale = now - self._busy_since >= CLAIM_PATIENCE
+        if reply.phase == "claimed" and is_stale and self._remaining(now) > 0:
+            # Once the drop is committed the holder cannot start, so taking over is safe.
+            job = self._request.job
+            assert job is not None
+            command = DropJob(name=job, token=reply.token)
+            return AskLedger(command=command, seconds=self._remaining(now))
+        if self._remaining(now) <= BUSY_WAIT:
+            return self._refuse("key-busy", "the same job is still running", "unknown")
+        return Wait(seconds=BUSY_WAIT)
+
+    def _give_up_unconfirmed(self, now: float) -> Effect:
+        detail = "control could not confirm the job in time"
+        if self._busy_since is not None:
+            return self._refuse("no-quorum", detail, "unknown")
+        return self._refuse("no-quorum", detail, self._unconfirmed_run())
+
+    def _unconfirmed_run(self) -> Run:
+        """Say whether the job ran when this passage sent nothing and cannot ask the ledger.
+
+        Only the caller knows whether an earlier passage of the key may have run.
+        """
+        return "no" if self._request.is_first_send or not self.is_marked else "unknown"
+
+    def _take_finish_reply(self) -> Effect:
+        """End after the answer was offered to the ledger; the caller gets it either way."""
+        return self._end(self._answer)
+
+    def _take_closing_reply(self, reply: JobReply | None) -> Effect:
+        """End a started job of which nothing was sent, once the ledger says it was dropped."""
+        pending = self._pending
+        assert isinstance(pending, Refusal)
+        is_dropped = reply is not None and reply.verdict == "done" and reply.phase == "dropped"
+        if is_dropped:
+            return self._end(pending)
+        return self._refuse(pending.reason, pending.detail, "unknown", pending.retry_after)
+
+    # Stages.
+
+    def _send(self, now: float) -> Effect:
+        remaining = self._remaining(now)
+        if remaining < LEAST_ATTEMPT:
+            return self._fail(now, "deadline", "the deadline came before the last stage")
+        if self._stage_attempts == 0:
+            self._stage_began = now
+        self._attempts += 1
+        self._stage_attempts += 1
+        self._sent_at = now
+        return Send(
+            key=self._key(),
+            stage=self._request.stages[self._stage],
+            text=self._text,
+            avoid=self._avoid,
+            seconds=remaining,
+            is_last=self._stage == len(self._request.stages) - 1,
+        )
+
+    def _key(self) -> AttemptKey:
+        return AttemptKey(
+            request=self._request.request,
+            organisation=self._request.organisation,
+            stage=self._request.stages[self._stage].name,
+            number=self._attempts,
+        )
+
+    def _complete_stage(self, now: float, target: str, output: str) -> Effect:
+        stage = self._request.stages[self._stage]
+        report = StageReport(
+            name=stage.name,
+            target=target,
+            attempts=self._stage_attempts,
+            seconds=round(now - self._stage_began, 6),
+        )
+        self._reports.append(report)
+        self._text = output
+        self._stage += 1
+        self._stage_attempts = 0
+        self._avoid = ()
+        if self._stage < len(self._request.stages):
+            return self._send(now)
+        return self._complete(now, output)
+
+    def _complete(self, now: float, output: str) -> Effect:
+        self._answer = Answer(
+            request=self._request.request,
+            output=output,
+            stages=tuple(self._reports),
+            remaining=round(self._request.due_at - now, 6),
+        )
+        if not self.is_marked:
+            return self._end(self._answer)
+        job = self._request.job
+        assert job is not None
+        command = FinishJob(name=job, token=self._token, answer=encode_answer(self._answer))
+        # The result exists and is whole: it is kept for resends for as long as the caller waits.
+        return AskLedger(command=command, seconds=max(LEAST_ATTEMPT, self._remaining(now)))
+
+    def _recover(self, now: float, target: str, result: AttemptResult) -> Effect:
+        """Retry elsewhere where that is safe and worth it, else give up."""
+        self._avoid = (*self._avoid, target)
+        reason: Reason = "no-target" if result.outcome == "unsent" else "target-failed"
+        if result.is_leaving:
+            reason = "leaving"
+        detail = f"stage '{self._request.stages[self._stage].name}': {result.fault}"
+        if result.is_delivered:
+            return self._refuse("not-whole", detail, "unknown")
+        if self.is_marked or not self._may_retry(now, target):
+            return self._fail(now, reason, detail)
+        return self._send(now)
+
+    def _may_retry(self, now: float, target: str) -> bool:
+        has_attempts = self._stage_attempts < self._request.stages[self._stage].attempts
+        has_time = self._remaining(now) > LEAST_ATTEMPT
+        return bool(target) and has_attempts and has_time and self._budget.try_spend()
+
+    def _fail(self, now: float, reason: Reason, detail: str) -> Effect:
+        if self._may_have_run:
+            retry_after = 0.0 if self.is_marked else DEFAULT_RETRY_AFTER
+            return self._refuse(reason, detail, "unknown", retry_after)
+        job = self._request.job
+        if job is None:
+            return self._refuse(reason, detail, "no", DEFAULT_RETRY_AFTER)
+        self._pending = Refusal(
+            request=self._request.request,
+            reason=reason,
+            detail=detail,
+            run="no",
+            retry_after=DEFAULT_RETRY_AFTER,
+        )
+        command = DropJob(name=job, token=self._token, is_unsent=True)
+        return AskLedger(command=command, seconds=max(LEAST_ATTEMPT, self._remaining(now)))
+
+    # Endings.
+
+    def _remaining(self, now: float) -> float:
+        return self._request.due_at - now - ANSWER_RESERVE
+
+    def _refuse(
+        self, reason: Reason, detail: str, run: Run = "no", retry_after: float = 0.0
+    ) -> Effect:
+        refusal = Refusal(
+            request=self._request.request,
+            reason=reason,
+            detail=detail,
+            run=run,
+            retry_after=retry_after,
+        )
+        return self._end(refusal)
+
+    def _end(self, ending: Ending) -> End:
+        return End(billed=Billed(ending=ending, costs=tuple(self._costs)))
+
+    def _bill(self, now: float, target: str, result: AttemptResult, is_answered: bool) -> None:
+        if result.outcome == "unsent" or not target:
+            return
+        outcome: AttemptOutcome = "answered" if is_answered else "failed"
+        line = CostLine(
+            organisation=self._request.organisation,
+            pipeline=self._request.pipeline,
+            stage=self._request.stages[self._stage].name,
+            target=target,
+            request=self._request.request,
+            attempt=self._attempts,
+            outcome=outcome,
+            seconds=round(now - self._sent_at, 6),
+            tokens=result.tokens,
+        )
+        self._costs.append(line)
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/routing/__init__.py
@@ -0,0 +1,19 @@
+"""Routing: which target of a service gets a request."""
+
+from damsonlane.routing._book import Choice, Health, LoadReport, Standing, TargetBook
+from damsonlane.routing._policies import POLICIES, RoutingPolicy, predict_time, routing_policy
+from damsonlane.routing._views import Origin, TargetView
+
+__all__ = [
+    "POLICIES",
+    "Choice",
+    "Health",
+    "LoadReport",
+    "Origin",
+    "RoutingPolicy",
+    "Standing",
+    "TargetBook",
+    "TargetView",
+    "predict_time",
+    "routing_policy",
+]
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/routing/_policies.py
@@ -0,0 +1,125 @@
+"""Routing policies, in a registry that a decorator fills."""
+
+import hashlib
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+from typing import Final, final
+
+from damsonlane.routing._views import Origin, TargetView
+
+#: Cost of leaving the data centre, as a share of one request's time at a target.
+DISTANCE_SHARE: Final = 0.25
+#: Characters of a prompt that decide affinity.
+AFFINITY_LENGTH: Final = 256
+#: Load over the mean at which affinity gives way.
+AFFINITY_BOUND: Final = 1.25
+
+
+class RoutingPolicy(ABC):
+    """Chooses one of the usable targets of a service."""
+
+    @abstractmethod
+    def choose(
+        self, views: Sequence[TargetView], origin: Origin, randomness: random.Random
+    ) -> TargetView:
+        """Return the target to use; ``views`` is never empty."""
+
+
+#: All policies by name.
+POLICIES: Final[dict[str, RoutingPolicy]] = {}
+
+
+def routing_policy(name: str) -> Callable[[type[RoutingPolicy]], type[RoutingPolicy]]:
+    """Register a policy under a name that settings may use."""
+
+    def register(policy: type[RoutingPolicy]) -> type[RoutingPolicy]:
+        POLICIES[name] = policy()
+        return policy
+
+    return register
+
+
+@final
+@routing_policy("random")
+class RandomChoice(RoutingPolicy):
+    """Any target, evenly."""
+
+    def choose(
+        self, views: Sequence[TargetView], origin: Origin, randomness: random.Random
+    ) -> TargetView:
+        """Return any target."""
+        return randomness.choice(views)
+
+
+@final
+@routing_policy("round-robin")
+class RoundRobin(RoutingPolicy):
+    """Each target in turn."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def choose(
+        self, views: Sequence[TargetView], origin: Origin, randomness: random.Random
+    ) -> TargetView:
+        """Return the next target."""
+        self._turn += 1
+        return views[self._turn % len(views)]
+
+
+@final
+@routing_policy("least-in-flight")
+class LeastInFlight(RoutingPolicy):
+    """The target with the fewest requests of this entry."""
+
+    def choose(
+        self, views: Sequence[TargetView], origin: Origin, randomness: random.Random
+    ) -> TargetView:
+        """Return a target with the fewest requests in flight, ties broken at random."""
+        return min(views, key=lambda view: (view.in_flight, randomness.random()))
+
+
+@final
+@routing_policy("predicted")
+class Predicted(RoutingPolicy):
+    """The target whose predicted time is shortest, reports and distance considered."""
+
+    def choose(
+        self, views: Sequence[TargetView], origin: Origin, randomness: random.Random
+    ) -> TargetView:
+        """Return the target with the shortest predicted time, ties broken at random."""
+        return min(views, key=lambda view: (predict_time(view, origin), randomness.random()))
+
+
+@final
+@routing_policy("prefix-affinity")
+class PrefixAffinity(RoutingPolicy):
+    """The target that a prompt's prefix hashes to, unless it is clearly busier than the rest."""
+
+    def choose(
+        self, views: Sequence[TargetView], origin: Origin, randomness: random.Random
+    ) -> TargetView:
+        """Return the first target by rendezvous hashing whose load is within the bound."""
+        if not origin.affinity:
+            return POLICIES["predicted"].choose(views, origin, randomness)
+        prefix = origin.affinity[:AFFINITY_LENGTH]
+        ranked = sorted(views, key=lambda view: _rank(view.name, prefix))
+        mean = sum(view.load() + 1 for view in views) / len(views)
+        for view in ranked:
+            if view.load() + 1 <= AFFINITY_BOUND * mean and view.slowness < 2.0:
+                return view
+        return POLICIES["predicted"].choose(views, origin, randomness)
+
+
+def predict_time(view: TargetView, origin: Origin) -> float:
+    """Return the predicted time at a target, in units of one request's usual time."""
+    waiting = max(0, view.load() + 1 - view.slots) / view.slots
+    crowding = (view.load() + 1) / view.slots
+    distance = 0.0 if view.data_centre == origin.data_centre else DISTANCE_SHARE
+    # Crowding below the slots still counts a little: engines that batch slow down.
+    return view.slowness * (1.0 + waiting + 0.1 * crowding) + distance
+
+
+def _rank(name: str, prefix: str) -> bytes:
+    return hashlib.blake2b(f"{name}\0{prefix}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/settings/_box.py
@@ -0,0 +1,91 @@
+"""Settings of one box, which it reads from a file at its start."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Annotated, Final, Literal
+
+from pydantic import Field, TypeAdapter
+
+from damsonlane.errors import SettingsError
+from damsonlane.findings import Finding, Place
+from damsonlane.settings._text import Document
+from damsonlane.settings._tree import Address, Name
+from damsonlane.settings._validation import CLOSED, check_value, locate
+
+#: What a process does.
+Role = Literal["entry", "control"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class TlsFiles:
+    """Files of the keys with which boxes trust each other."""
+
+    __pydantic_config__ = CLOSED
+
+    #: Certificate of this box, PEM.
+    certificate: str
+    #: Private key of this box, PEM.
+    key: str
+    #: Certificate of the authority that signs boxes and operators, PEM.
+    authority: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class BoxSettings:
+    """What a process learns at its start."""
+
+    __pydantic_config__ = CLOSED
+
+    #: Name of the box, unique in the system.
+    name: Name
+    #: Data centre in which it stands.
+    data_centre: Name
+    #: Role it plays.
+    role: Role
+    #: Folder that holds all its files.
+    data_folder: Annotated[str, Field(min_length=1)]
+    #: Address for calls between boxes.
+    internal_address: Address
+    #: Address for metrics and readiness.
+    admin_address: Address
+    #: Internal addresses of the control replicas.
+    control: tuple[Address, ...]
+    #: Address for callers; an entry needs one.
+    caller_address: Address | Literal[""] = ""
+    #: Internal addresses of other entries.
+    peers: tuple[Address, ...] = ()
+    #: Keys between boxes; without them calls travel in the clear.
+    tls: TlsFiles | None = None
+    #: Threads that serve callers; more than all lanes together may hold.
+    caller_threads: Annotated[int, Field(ge=4, le=2000)] = 200
+    #: Largest request body, in bytes.
+    body_limit: Annotated[int, Field(ge=1024, le=64 * 2**20)] = 2 * 2**20
+    #: Seconds between SIGTERM and the closing of the callers' socket.
+    grace_seconds: Annotated[float, Field(ge=0, le=60)] = 1.0
+    #: Seconds without word from a leader before an election starts, at the least.
+    election_seconds: Annotated[float, Field(ge=0.1, le=60)] = 1.0
+
+
+_ADAPTER: Final = TypeAdapter(BoxSettings)
+
+
+def read_box_settings(document: Document) -> BoxSettings:
+    """Check a document as the settings of a box.
+
+    Raises:
+        SettingsError: with all findings, each with line, column and path.
+    """
+    checked = check_value(document.value, _ADAPTER, BoxSettings)
+    if not isinstance(checked, BoxSettings):
+        raise SettingsError(locate(checked, document))
+    findings = tuple(_check_role(checked))
+    if findings:
+        raise SettingsError(locate(findings, document))
+    return checked
+
+
+def _check_role(settings: BoxSettings) -> Iterator[Finding]:
+    if settings.role == "entry" and not settings.caller_address:
+        yield Finding(place=Place(path="/caller_address"), message="an entry needs this address")
+    if settings.role == "entry" and not settings.control:
+        yield Finding(place=Place(path="/control"), message="an entry needs a control address")
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/demo.py
@@ -0,0 +1,140 @@
+"""The demonstration: a whole small system, driven as its operators and callers would."""
+
+import json
+import sys
+import tempfile
+import time
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any, Final
+
+from damsonlane_bench.fleet import Fleet, Response, wait_until
+from damsonlane_bench.trees import STAGES, digest_token, make_pipeline, make_services
+
+_TOKEN: Final = "florist-token"
+_FILING: Final = Path(__file__).with_name("filing.txt")
+
+
+class Demonstration:
+    """Runs the steps and remembers which did not hold."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet: Final = fleet
+        self.faults: list[str] = []
+
+    def run(self) -> None:
+        """Run all steps."""
+        self._start()
+        self._answer_all()
+        self._refuse_one()
+        self._change_root()
+
+    def _start(self) -> None:
+        print("Starting 3 control replicas, 2 entries, 4 stage targets and 1 plain service ...")
+        for service in (*STAGES, "terminal"):
+            self._fleet.start_standin(f"{service}-1")
+        self._fleet.start_control_group()
+        self._fleet.start_entries()
+        self._fleet.wait_standins()
+        self._fleet.apply_tree(make_tree(self._fleet.standins))
+        print(self._fleet.require("control", "status"))
+
+    def _answer_all(self) -> None:
+        filing = _FILING.read_text(encoding="utf-8")
+        self._show("a statement question", "statement", "Why does my statement show Tuesday?")
+        self._show("a long filing", "filing", filing)
+        self._show("a subtitle line", "subtitle", "The court will rise.")
+        key = {"Idempotency-Key": "demo-refund-1"}
+        first = self._show("a terminal ping", "refund", "confirm refund 1", key)
+        again = self._show("the same ping again", "refund", "confirm refund 1", key)
+        self._check(again.body.get("repeated") is True, "a resent ping repeats the first answer")
+        self._check(
+            first.body.get("output") == again.body.get("output"), "both answers are the same"
+        )
+        runs = self._fleet.read_executions("terminal-1")
+        self._check(len(runs) == 1 and runs[0]["count"] == 1, "the marked ping ran once")
+
+    def _show(
+        self, what: str, pipeline: str, text: str, headers: dict[str, str] | None = None
+    ) -> Response:
+        response = self._fleet.call("entry-1", pipeline, text, token=_TOKEN, headers=headers)
+        self._check(response.status == 200, f"{what} is answered (status {response.status})")
+        if response.status == 200:
+            body = response.body
+            print(f"{what}: {len(text)} characters in, answered: {body['output'][:90]!r}")
+            for stage in body["stages"]:
+                print(f"    {stage['name']:<10} {stage['seconds'] * 1000:8.1f} ms")
+            print(f"    remaining  {body['remaining_ms']:6d} ms of the deadline")
+        return response
+
+    def _refuse_one(self) -> None:
+        headers = {"Damsonlane-Deadline-Ms": "0"}
+        response = self._fleet.call(
+            "entry-2", "statement", "too late", token=_TOKEN, headers=headers
+        )
+        print(f"an honest refusal: {json.dumps(response.body)}")
+        self._check(response.body.get("run") == "no", "the refusal says that nothing ran")
+
+    def _change_root(self) -> None:
+        print(self._fleet.require("settings", "set", "/policy/deadline_seconds", "2.5").strip())
+        print(self._fleet.require("control", "boxes"))
+        for entry in ("entry-1", "entry-2"):
+            response = self._fleet.call(entry, "statement", "in force?", token=_TOKEN)
+            remaining = response.body.get("remaining_ms", 9999)
+            self._check(remaining <= 2500, f"the new deadline is in force at {entry}")
+        wait_until(self._are_costs_in, "the costs have arrived")
+        print(self._fleet.require("report", "cost"))
+
+    def _are_costs_in(self) -> bool:
+        return "refund" in self._fleet.require("report", "cost")
+
+    def _check(self, holds: bool, what: str) -> None:
+        print(f"{'ok ' if holds else 'BAD'} {what}")
+        if not holds:
+            self.faults.append(what)
+
+
+def make_tree(addresses: dict[str, str]) -> dict[str, Any]:
+    """Return the settings tree of the demonstration."""
+    return {
+        "policy": {"deadline_seconds": 3.0},
+        "data_centres": {"fukuoka-a": {}, "kumamoto": {}},
+        "services": make_services(addresses, "fukuoka-a"),
+        "organisations": {
+            "florists": {
+                "token_digests": [digest_token(_TOKEN)],
+                "pipelines": {
+                    "statement": make_pipeline(*STAGES),
+                    "filing": make_pipeline(*STAGES, lane="bulk"),
+                    "subtitle": make_pipeline("generate"),
+                    "refund": make_pipeline("terminal", repeatable=False, lane="lookup"),
+                },
+            }
+        },
+        "events": {
+            "closing-time": {
+                "starts_at": datetime.now(UTC).isoformat(),
+                "answer_within_seconds": 600,
+                "pipelines": ["florists/statement"],
+            }
+        },
+    }
+
+
+def main() -> int:
+    """Run the demonstration; the exit code tells whether all of it held."""
+    began_at = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder, Fleet(Path(folder)) as fleet:
+        demonstration = Demonstration(fleet)
+        demonstration.run()
+        for name in ("entry-1", "entry-2"):
+            code = fleet.stop(name)
+            print(f"{name} stopped with code {code}")
+            if code != 0:
+                demonstration.faults.append(f"{name} stopped with code {code}")
+    print(f"{time.monotonic() - began_at:.1f} s in all; {len(demonstration.faults)} faults")
+    return 1 if demonstration.faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/__init__.py
@@ -0,0 +1,23 @@
+"""Fleets of real processes, for tests, measurements and the demonstration."""
+
+from damsonlane_bench.fleet._fleet import Box, CommandResult, Fleet
+from damsonlane_bench.fleet._http import Response, send
+from damsonlane_bench.fleet._keys import KeyMaker
+from damsonlane_bench.fleet._ports import take_address
+from damsonlane_bench.fleet._processes import Process, find_program
+from damsonlane_bench.fleet._waiting import PATIENCE, StuckError, wait_until
+
+__all__ = [
+    "PATIENCE",
+    "Box",
+    "CommandResult",
+    "Fleet",
+    "KeyMaker",
+    "Process",
+    "Response",
+    "StuckError",
+    "find_program",
+    "send",
+    "take_address",
+    "wait_until",
+]
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/_fleet.py
@@ -0,0 +1,300 @@
+"""A whole system on one machine: control, entries and stand-ins as processes."""
+
+import contextlib
+import dataclasses
+import functools
+import json
+import os
+import shutil
+import subprocess
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from damsonlane.settings import TlsFiles
+
+from damsonlane_bench.fleet._http import Response, send
+from damsonlane_bench.fleet._keys import KeyMaker
+from damsonlane_bench.fleet._ports import take_address
+from damsonlane_bench.fleet._processes import Process, find_program
+from damsonlane_bench.fleet._waiting import wait_until
+
+#: Seconds that a command may take.
+_COMMAND_SECONDS: Final = 60.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Box:
+    """A box of the fleet."""
+
+    #: Its name.
+    name: str
+    #: Its role.
+    role: str
+    #: Its addresses.
+    internal_address: str
+    admin_address: str
+    caller_address: str
+    #: File with its settings.
+    settings_file: Path
+    #: Its data folder.
+    data_folder: Path
+
+
+@dataclass(frozen=True, kw_only=True)
+class CommandResult:
+    """What the operator's command said."""
+
+    #: Exit code.
+    code: int
+    #: Standard output.
+    output: str
+    #: Standard error.
+    errors: str
+
+
+class Fleet:
+    """Processes in one folder; use as a context manager, so that all are ended.
+
+    Args:
+        folder: holds settings, data folders and logs.
+        controls: control boxes.
+        entries: entry boxes.
+        data_centres: names, given to the boxes in turn.
+        with_tls: whether calls between boxes are secured.
+        election_seconds: shortest time without a leader before an election.
+        box_settings: further settings of every box.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        controls: int = 3,
+        entries: int = 2,
+        data_centres: Sequence[str] = ("fukuoka-a", "kumamoto"),
+        with_tls: bool = True,
+        election_seconds: float = 0.4,
+        box_settings: Mapping[str, Any] | None = None,
+    ) -> None:
+        self.folder: Final = folder
+        folder.mkdir(parents=True, exist_ok=True)
+        self._election_seconds: Final = election_seconds
+        self._box_settings: Final = dict(box_settings or {})
+        self._keys: Final = KeyMaker(folder / "keys") if with_tls else None
+        self._data_centres: Final = data_centres
+        self.processes: dict[str, Process] = {}
+        self.standins: dict[str, str] = {}
+        self.boxes: dict[str, Box] = {}
+        names = [f"control-{number + 1}" for number in range(controls)]
+        names += [f"entry-{number + 1}" for number in range(entries)]
+        for number, name in enumerate(names):
+            self._plan_box(name, data_centres[number % len(data_centres)])
+        self._write_files()
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop_all()
+
+    # Boxes.
+
+    def controls(self) -> list[Box]:
+        """Return the control boxes."""
+        return [box for box in self.boxes.values() if box.role == "control"]
+
+    def entries(self) -> list[Box]:
+        """Return the entry boxes."""
+        return [box for box in self.boxes.values() if box.role == "entry"]
+
+    def add_control(self, name: str) -> Box:
+        """Plan one more control box; start it with `start`."""
+        self._plan_box(name, self._data_centres[0])
+        self._write_files()
+        return self.boxes[name]
+
+    def start(self, name: str) -> Process:
+        """Start a box."""
+        box = self.boxes[name]
+        command = [find_program("damsonlaned"), f"--settings={box.settings_file}"]
+        process = Process(name, command, self.folder / f"{name}.log")
+        self.processes[name] = process
+        return process
+
+    def start_control_group(self) -> None:
+        """Start all control boxes and make them one group."""
+        first, *others = self.controls()
+        for box in (first, *others):
+            self.start(box.name)
+        for box in (first, *others):
+            self.wait_listening(box)
+        self.require("control", "found", first.internal_address)
+        for box in others:
+            self.require("control", "add", box.internal_address)
+
+    def start_entries(self) -> None:
+        """Start all entries and wait until they are ready."""
+        for box in self.entries():
+            self.start(box.name)
+        for box in self.entries():
+            self.wait_ready(box)
+
+    def wait_listening(self, box: Box) -> None:
+        """Wait until a box answers on its admin address."""
+        url = f"http://{box.admin_address}/livez"
+        wait_until(functools.partial(_answers, url), f"{box.name} listens")
+
+    def wait_ready(self, box: Box) -> None:
+        """Wait until a box says that it is ready."""
+        url = f"http://{box.admin_address}/readyz"
+        wait_until(functools.partial(_answers, url), f"{box.name} is ready")
+
+    def wipe(self, name: str) -> None:
+        """Empty the data folder of a box that does not run."""
+        shutil.rmtree(self.boxes[name].data_folder)
+
+    # Stand-ins.
+
+    def start_standin(self, name: str, **behaviour: object) -> str:
+        """Start a stand-in and return its address."""
+        address = take_address()
+        command = [sys.executable, "-m", "damsonlane_bench.standin", f"--address={address}"]
+        command += [f"--{field}={value}" for field, value in behaviour.items()]
+        self.processes[name] = Process(name, command, self.folder / f"{name}.log")
+        self.standins[name] = address
+        return address
+
+    def wait_standins(self) -> None:
+        """Wait until all stand-ins answer."""
+        for name, address in self.standins.items():
+            wait_until(
+                functools.partial(_answers, f"http://{address}/executions"), f"{name} listens"
+            )
+
+    def change_behaviour(self, name: str, **behaviour: object) -> None:
+        """Change how a stand-in behaves."""
+        send("POST", f"http://{self.standins[name]}/behaviour", behaviour)
+
+    def read_executions(self, name: str) -> list[dict[str, Any]]:
+        """Return what a stand-in really ran."""
+        return list(send("GET", f"http://{self.standins[name]}/executions").body["executions"])
+
+    # Operators and callers.
+
+    def command(self, *arguments: str) -> CommandResult:
+        """Run the operator's command."""
+        environment = {**os.environ, "DAMSONLANE_SETTINGS": str(self.folder / "operator.json")}
+        done = subprocess.run(
+            [find_program("damsonlane"), *arguments],
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=_COMMAND_SECONDS,
+            check=False,
+        )
+        return CommandResult(code=done.returncode, output=done.stdout, errors=done.stderr)
+
+    def require(self, *arguments: str) -> str:
+        """Run the operator's command, which must succeed, and return what it printed."""
+        result = self.command(*arguments)
+        if result.code != 0:
+            raise AssertionError(f"damsonlane {' '.join(arguments)}: {result}")
+        return result.output
+
+    def apply_tree(self, tree: Mapping[str, Any]) -> None:
+        """Put a settings tree in force."""
+        path = self.folder / "tree.json"
+        path.write_text(json.dumps(tree, indent=2), encoding="utf-8")
+        self.require("settings", "apply", str(path))
+
+    def call(
+        self,
+        entry: str,
+        pipeline: str,
+        text: str,
+        *,
+        token: str,
+        headers: Mapping[str, str] | None = None,
+    ) -> Response:
+        """Send a request through an entry."""
+        address = self.boxes[entry].caller_address
+        return send(
+            "POST",
+            f"http://{address}/v1/pipelines/{pipeline}",
+            {"input": text},
+            {"Authorization": f"Bearer {token}", **(headers or {})},
+        )
+
+    # Ends.
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self.processes.pop(name).kill()
+
+    def stop(self, name: str) -> int:
+        """Stop a process cleanly and return its exit code."""
+        return self.processes.pop(name).stop()
+
+    def stop_all(self) -> None:
+        """End everything that was started, entries first."""
+        order = sorted(self.processes, key=lambda name: not name.startswith("entry"))
+        for name in order:
+            with contextlib.suppress(ProcessLookupError):
+                self.processes[name].thaw()
+            self.processes.pop(name).stop()
+
+    # Files.
+
+    def _plan_box(self, name: str, data_centre: str) -> None:
+        role = name.partition("-")[0]
+        box = Box(
+            name=name,
+            role=role,
+            internal_address=take_address(),
+            admin_address=take_address(),
+            caller_address=take_address() if role == "entry" else "",
+            settings_file=self.folder / f"{name}.json",
+            data_folder=self.folder / "data" / name,
+        )
+        self.boxes[name] = box
+        self._centres = {**getattr(self, "_centres", {}), name: data_centre}
+
+    def _write_files(self) -> None:
+        control = [box.internal_address for box in self.controls()]
+        for box in self.boxes.values():
+            box.settings_file.write_text(json.dumps(self._describe(box, control), indent=2))
+        operator: dict[str, Any] = {"control": control}
+        if self._keys:
+            operator["tls"] = dataclasses.asdict(self._sign("operator"))
+        (self.folder / "operator.json").write_text(json.dumps(operator, indent=2))
+
+    def _describe(self, box: Box, control: Sequence[str]) -> dict[str, Any]:
+        described: dict[str, Any] = {
+            "name": box.name,
+            "data_centre": self._centres[box.name],
+            "role": box.role,
+            "data_folder": str(box.data_folder),
+            "internal_address": box.internal_address,
+            "admin_address": box.admin_address,
+            "control": control,
+            "election_seconds": self._election_seconds,
+            **self._box_settings,
+        }
+        if box.role == "entry":
+            described["caller_address"] = box.caller_address
+            others = [other for other in self.entries() if other.name != box.name]
+            described["peers"] = [other.internal_address for other in others]
+        if self._keys:
+            described["tls"] = dataclasses.asdict(self._sign(box.name))
+        return described
+
+    def _sign(self, name: str) -> TlsFiles:
+        assert self._keys is not None
+        return self._keys.sign(name)
+
+
+def _answers(url: str) -> bool:
+    return send("GET", url).status == 200
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/standin/_server.py
@@ -0,0 +1,163 @@
+"""The stand-in as a WSGI application."""
+
+import json
+import threading
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import asdict
+from typing import Any, Final
+
+from damsonlane_bench.standin import _texts
+from damsonlane_bench.standin._behaviour import Behaviour, is_due
+from damsonlane_bench.standin._oracle import Execution, Oracle
+
+#: Longest part of an input that the oracle keeps.
+_KEPT_TEXT: Final = 200
+
+_STAGES: Final[dict[str, Callable[[str], str]]] = {
+    "encode": _texts.encode,
+    "retrieve": _texts.retrieve,
+    "rerank": _texts.rerank,
+}
+
+
+class HangUpError(Exception):
+    """Raised to break the connection without an answer."""
+
+
+class StandIn:
+    """One target: stage worker, plain service or engine, as the path asks."""
+
+    def __init__(self, behaviour: Behaviour) -> None:
+        self.behaviour = behaviour
+        self.oracle: Final = Oracle()
+        self._lock: Final = threading.Lock()
+        self._held = 0
+        self._count = 0
+        self._free = threading.Semaphore(behaviour.slots)
+
+    def __call__(self, environment: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Answer one request."""
+        path = environment["PATH_INFO"]
+        if path == "/executions":
+            return self._answer_json(start, self._describe())
+        body = json.loads(environment["wsgi.input"].read(int(environment["CONTENT_LENGTH"])))
+        if path == "/behaviour":
+            self._change(body)
+            return self._answer_json(start, {})
+        return self._work(path, body, start)
+
+    def _work(self, path: str, body: dict[str, Any], start: Any) -> Iterable[bytes]:
+        behaviour = self.behaviour
+        if behaviour.is_leaving or behaviour.is_refusing:
+            return self._refuse(start, behaviour)
+        with self._lock:
+            self._held += 1
+            self._count += 1
+            count = self._count
+        if path == "/v1/completions":
+            return self._generate(body, start, behaviour, count)
+        try:
+            with self._free:
+                return self._run_stage(body, start, behaviour, count)
+        finally:
+            self._release()
+
+    def _run_stage(
+        self, body: dict[str, Any], start: Any, behaviour: Behaviour, count: int
+    ) -> Iterable[bytes]:
+        text = body["input"]
+        time.sleep(behaviour.seconds + behaviour.seconds_per_thousand * len(text) / 1000)
+        self._record(body, text)
+        if is_due(behaviour.hang_up_every, count):
+            raise HangUpError
+        if is_due(behaviour.fail_every, count):
+            return self._answer_json(start, {"error": "planned"}, "500 Internal Server Error")
+        answer = {name: body[name] for name in ("request", "organisation", "stage", "attempt")}
+        answer["output"] = _STAGES.get(body["stage"], _texts.encode)(text)
+        if is_due(behaviour.cross_every, count):
+            answer["request"] = "another"
+        data = json.dumps(answer).encode()
+        if is_due(behaviour.truncate_every, count):
+            # The length is right and the text is not: only its form shows the fault.
+            data = data[: len(data) // 2]
+        return self._answer(start, "200 OK", data)
+
+    def _generate(
+        self, body: dict[str, Any], start: Any, behaviour: Behaviour, count: int
+    ) -> Iterable[bytes]:
+        headers = [("Content-Type", "text/event-stream"), self._load_header()]
+        start("200 OK", headers)
+        return self._stream(body, behaviour, count)
+
+    def _stream(self, body: dict[str, Any], behaviour: Behaviour, count: int) -> Iterator[bytes]:
+        try:
+            with self._free:
+                yield from self._tokens(body, behaviour, count)
+        finally:
+            self._release()
+
+    def _tokens(self, body: dict[str, Any], behaviour: Behaviour, count: int) -> Iterator[bytes]:
+        prompt = body["prompt"]
+        time.sleep(behaviour.seconds + behaviour.seconds_per_thousand * len(prompt) / 1000)
+        metadata = dict(body["metadata"])
+        self._record(metadata, prompt)
+        if is_due(behaviour.cross_every, count):
+            metadata["request"] = "another"
+        tokens = _texts.generate(prompt)
+        if is_due(behaviour.truncate_every, count):
+            tokens = tokens[: len(tokens) // 2]
+        for token in tokens:
+            time.sleep(behaviour.token_seconds)
+            self.oracle.add_tokens(1)
+            event = {"id": metadata["request"], "choices": [{"text": token}], "metadata": metadata}
+            yield f"data: {json.dumps(event)}\n\n".encode()
+        if not is_due(behaviour.truncate_every, count):
+            yield b"data: [DONE]\n\n"
+
+    def _record(self, names: dict[str, Any], text: str) -> None:
+        execution = Execution(
+            request=names["request"],
+            organisation=names["organisation"],
+            stage=names["stage"],
+            text=text[:_KEPT_TEXT],
+        )
+        self.oracle.count(execution)
+
+    def _refuse(self, start: Any, behaviour: Behaviour) -> Iterable[bytes]:
+        headers = [("Damsonlane-Leaving", "1")] if behaviour.is_leaving else []
+        return self._answer(start, "503 Service Unavailable", b"{}", headers)
+
+    def _release(self) -> None:
+        with self._lock:
+            self._held -= 1
+
+    def _load_header(self) -> tuple[str, str]:
+        with self._lock:
+            load = {"held": self._held, "slots": self.behaviour.slots}
+        return ("Damsonlane-Load", json.dumps(load))
+
+    def _change(self, fields: dict[str, Any]) -> None:
+        behaviour = self.behaviour.with_fields(**fields)
+        if behaviour.slots != self.behaviour.slots:
+            self._free = threading.Semaphore(behaviour.slots)
+        self.behaviour = behaviour
+
+    def _describe(self) -> dict[str, Any]:
+        executions = [
+            {**asdict(execution), "count": count}
+            for execution, count in self.oracle.executions().items()
+        ]
+        return {"executions": executions, "tokens": self.oracle.tokens, "held": self._held}
+
+    def _answer_json(
+        self, start: Any, body: dict[str, Any], status: str = "200 OK"
+    ) -> Iterable[bytes]:
+        return self._answer(start, status, json.dumps(body).encode())
+
+    def _answer(
+        self, start: Any, status: str, data: bytes, headers: Iterable[tuple[str, str]] = ()
+    ) -> Iterable[bytes]:
+        fixed = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+        start(status, [*fixed, self._load_header(), *headers])
+        return [data]
--- /dev/null
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_context.py
@@ -0,0 +1,130 @@
+"""What every command needs: where control is, who asks, and how to print."""
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Final, NoReturn, TypeVar
+
+from damsonlane.errors import DamsonlaneError, SettingsError
+from damsonlane.findings import Finding, Place
+from damsonlane.settings import Document, TlsFiles, read_document
+from damsonlane.settings.checks import CLOSED, check_value, locate
+from damsonlane_rpc import ControlClient, make_client_context
+from pydantic import Field, TypeAdapter
+from tabulate import tabulate
+
+#: Exit codes, as docs/operations.md lists them.
+EXIT_REFUSED: Final = 1
+EXIT_INPUT: Final = 2
+EXIT_UNKNOWN: Final = 3
+EXIT_CONFLICT: Final = 4
+EXIT_NOT_IN_FORCE: Final = 5
+
+#: Environment variable with the path of the operator's settings.
+SETTINGS_VARIABLE: Final = "DAMSONLANE_SETTINGS"
+#: Path used when the variable is not set.
+DEFAULT_PATH: Final = "damsonlane.json"
+
+Result = TypeVar("Result")
+
+
+@dataclass(frozen=True, kw_only=True)
+class OperatorSettings:
+    """What the operator's command reads from its file."""
+
+    __pydantic_config__ = CLOSED
+
+    #: Internal addresses of the control replicas.
+    control: Annotated[tuple[str, ...], Field(min_length=1)]
+    #: File that holds the operator's token and nothing else.
+    token_file: str = ""
+    #: Keys towards the boxes.
+    tls: TlsFiles | None = None
+
+
+_ADAPTER: Final = TypeAdapter(OperatorSettings)
+
+
+def fail(message: str, code: int) -> NoReturn:
+    """Print what is wrong, a line each, and exit."""
+    for line in message.splitlines():
+        print(f"damsonlane: {line}", file=sys.stderr)
+    sys.exit(code)
+
+
+def read_text(path: str) -> str:
+    """Return the content of a file.
+
+    Raises:
+        SettingsError: it can't be read.
+    """
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        place = Place(path="", file=path)
+        raise SettingsError([Finding(place=place, message=f"cannot be read: {reason}")]) from None
+
+
+def read_operator_settings() -> OperatorSettings:
+    """Read the operator's settings.
+
+    Raises:
+        SettingsError: with all findings.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
+    document = read_document(read_text(path), path)
+    return _check(document)
+
+
+def _check(document: Document) -> OperatorSettings:
+    checked = check_value(document.value, _ADAPTER, OperatorSettings)
+    if isinstance(checked, OperatorSettings):
+        return checked
+    raise SettingsError(locate(checked, document))
+
+
+def call_control(
+    work: Callable[[ControlClient, OperatorSettings], Awaitable[Result]],
+) -> Result:
+    """Run ``work`` with a client of control; exit with one line if it can't be done."""
+    try:
+        settings = read_operator_settings()
+        token = read_text(settings.token_file).strip() if settings.token_file else ""
+        return asyncio.run(_call(work, settings, token))
+    except SettingsError as error:
+        fail(str(error), EXIT_INPUT)
+    except DamsonlaneError as error:
+        fail(str(error), EXIT_UNKNOWN)
+
+
+async def _call(
+    work: Callable[[ControlClient, OperatorSettings], Awaitable[Result]],
+    settings: OperatorSettings,
+    token: str,
+) -> Result:
+    context = make_client_context(settings.tls) if settings.tls else None
+    client = ControlClient(settings.control, context=context, token=token)
+    try:
+        return await work(client, settings)
+    finally:
+        client.close()
+
+
+def print_rows(rows: Sequence[Mapping[str, Any]], is_json: bool) -> None:
+    """Print rows as an aligned table, or as JSON."""
+    if is_json:
+        print(json.dumps(list(rows), indent=2))
+    elif rows:
+        print(tabulate(rows, headers="keys", tablefmt="plain"))
+    else:
+        print("nothing to show")
+
+
+def print_value(value: Any) -> None:
+    """Print a value as JSON."""
+    print(json.dumps(value, indent=2, ensure_ascii=False))
--- /dev/null
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_control.py
@@ -0,0 +1,169 @@
+"""``damsonlane control``: the group of control replicas."""
+
+import asyncio
+import time
+from typing import Final
+
+from damsonlane.errors import UnavailableError
+from damsonlane_rpc import (
+    ADD,
+    FOUND,
+    REMOVE,
+    AddRequest,
+    ControlClient,
+    Denied,
+    Forbidden,
+    FoundRequest,
+    GroupReply,
+    RemoveRequest,
+    StatusReply,
+)
+
+from damsonlane_cli._context import (
+    EXIT_INPUT,
+    EXIT_REFUSED,
+    EXIT_UNKNOWN,
+    OperatorSettings,
+    call_control,
+    fail,
+    print_rows,
+)
+
+#: Seconds to wait for a change of the group.
+SECONDS: Final = 30.0
+_POLL_SECONDS: Final = 0.1
+_CALL_SECONDS: Final = 2.0
+
+
+class ControlCommands:
+    """Look at and change the group of control replicas."""
+
+    def status(self, json: bool = False) -> None:
+        """Show each control replica."""
+        statuses = call_control(_read_statuses)
+        rows = [_describe(address, status) for address, status in statuses.items()]
+        print_rows(rows, json)
+
+    def boxes(self, json: bool = False) -> None:
+        """Show which settings are in force at each box."""
+        statuses = call_control(_read_statuses)
+        rows = [
+            {
+                "box": box.box,
+                "data centre": box.data_centre,
+                "version": box.version,
+                "silent seconds": box.silent_seconds,
+                "seen by": status.box,
+            }
+            for status in statuses.values()
+            if status is not None
+            for box in status.boxes
+        ]
+        print_rows(sorted(rows, key=lambda row: str(row["box"])), json)
+
+    def found(self, address: str) -> None:
+        """Found a group whose first member is the control box at an address."""
+
+        async def work(client: ControlClient, _: OperatorSettings) -> None:
+            reply = await FOUND.unary(client.channel(address))(FoundRequest(), timeout=SECONDS)
+            _require_done(reply)
+            print(f"founded a group at {address}")
+
+        call_control(work)
+
+    def add(self, address: str, seconds: float = SECONDS) -> None:
+        """Admit the control box at an address and wait until it votes."""
+
+        async def work(client: ControlClient, _: OperatorSettings) -> None:
+            await _admit(client, address, seconds)
+
+        call_control(work)
+
+    def remove(self, replica: str, seconds: float = SECONDS) -> None:
+        """Remove a replica by its name."""
+
+        async def work(client: ControlClient, settings: OperatorSettings) -> None:
+            await _dismiss(client, settings, str(replica), seconds)
+
+        call_control(work)
+
+    def replace(self, replica: str, address: str, seconds: float = SECONDS) -> None:
+        """Admit the control box at an address, then remove a replica that was lost."""
+
+        async def work(client: ControlClient, settings: OperatorSettings) -> None:
+            await _admit(client, address, seconds)
+            await _dismiss(client, settings, str(replica), seconds)
+
+        call_control(work)
+
+
+async def _admit(client: ControlClient, address: str, seconds: float) -> None:
+    status = await client.status(address, _CALL_SECONDS)
+    request = AddRequest(replica=status.replica, address=address)
+    due = time.monotonic() + seconds
+    while True:
+        reply = await client.change_group(ADD, request, seconds)
+        if not isinstance(reply.outcome, Denied) or "under way" not in reply.outcome.detail:
+            _require_done(reply)
+            break
+        if time.monotonic() >= due:
+            _require_done(reply)
+        await asyncio.sleep(_POLL_SECONDS)
+    print(f"{status.replica} is learning")
+    while time.monotonic() < due:
+        status = await client.status(address, _CALL_SECONDS)
+        if status.members.is_voter(status.replica) and status.leader:
+            print(f"{status.replica} votes")
+            return
+        await asyncio.sleep(_POLL_SECONDS)
+    fail(f"{status.replica} does not vote yet; see 'damsonlane control status'", EXIT_UNKNOWN)
+
+
+async def _dismiss(
+    client: ControlClient, settings: OperatorSettings, replica: str, seconds: float
+) -> None:
+    due = time.monotonic() + seconds
+    while True:
+        request = RemoveRequest(replica=replica)
+        reply = await client.change_group(REMOVE, request, seconds)
+        is_busy = isinstance(reply.outcome, Denied) and "under way" in reply.outcome.detail
+        if not is_busy or time.monotonic() >= due:
+            _require_done(reply)
+            break
+        await asyncio.sleep(_POLL_SECONDS)
+    print(f"{replica} is removed")
+
+
+async def _read_statuses(
+    client: ControlClient, settings: OperatorSettings
+) -> dict[str, StatusReply | None]:
+    statuses: dict[str, StatusReply | None] = {}
+    for address in settings.control:
+        try:
+            statuses[address] = await client.status(address, _CALL_SECONDS)
+        except UnavailableError:
+            statuses[address] = None
+    return statuses
+
+
+def _describe(address: str, status: StatusReply | None) -> dict[str, object]:
+    if status is None:
+        return {"address": address, "standing": "does not answer"}
+    return {
+        "address": address,
+        "replica": status.replica,
+        "standing": status.standing,
+        "term": status.term,
+        "commit": status.commit,
+        "last": status.last_index,
+        "settings": status.version,
+        "votes": status.members.is_voter(status.replica),
+    }
+
+
+def _require_done(reply: GroupReply) -> None:
+    outcome = reply.outcome
+    if isinstance(outcome, Denied):
+        fail(outcome.detail, EXIT_INPUT)
+    if isinstance(outcome, Forbidden):
+        fail(outcome.detail, EXIT_REFUSED)
--- /dev/null
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -0,0 +1,314 @@
+"""Messages between processes, besides those that the core defines."""
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from damsonlane.agreement import Members
+from damsonlane.cluster import AcceptedChange, ChangeReply, Command, Reply
+from damsonlane.costs import CostTotal
+from damsonlane.settings import Role
+from pydantic import Field, JsonValue
+
+
+@dataclass(frozen=True, kw_only=True)
+class SubmitRequest:
+    """Commands to commit together."""
+
+    #: The commands, in order.
+    commands: tuple[Command, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Submitted:
+    """All commands are committed."""
+
+    kind: Literal["submitted"] = "submitted"
+    #: The reply to each command, in order.
+    replies: tuple[Reply, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotLeader:
+    """This replica can't answer; ask the leader."""
+
+    kind: Literal["not-leader"] = "not-leader"
+    #: Internal address of the leader, or empty when unknown.
+    leader: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Unconfirmed:
+    """The outcome is unknown: a quorum could not be reached in time."""
+
+    kind: Literal["unconfirmed"] = "unconfirmed"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Forbidden:
+    """The operator may not do this."""
+
+    kind: Literal["forbidden"] = "forbidden"
+    #: Why.
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class SubmitReply:
+    """The outcome of a submission."""
+
+    #: What became of it.
+    outcome: Annotated[Submitted | NotLeader | Unconfirmed | Forbidden, Field(discriminator="kind")]
+
+
+@dataclass(frozen=True, kw_only=True)
+class SettingsQuery:
+    """Ask for the settings tree."""
+
+    kind: Literal["settings-query"] = "settings-query"
+
+
+@dataclass(frozen=True, kw_only=True)
+class HistoryQuery:
+    """Ask for the latest accepted changes."""
+
+    kind: Literal["history-query"] = "history-query"
+    #: How many at the most.
+    limit: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class ChangeQuery:
+    """Ask what became of a change id."""
+
+    kind: Literal["change-query"] = "change-query"
+    #: The change id.
+    change: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class CostsQuery:
+    """Ask for the cost totals."""
+
+    kind: Literal["costs-query"] = "costs-query"
+
+
+@dataclass(frozen=True, kw_only=True)
+class QueryRequest:
+    """A read that must be current."""
+
+    #: What is asked.
+    query: Annotated[
+        SettingsQuery | HistoryQuery | ChangeQuery | CostsQuery, Field(discriminator="kind")
+    ]
+
+
+@dataclass(frozen=True, kw_only=True)
+class SettingsView:
+    """The settings tree at a version."""
+
+    kind: Literal["settings-view"] = "settings-view"
+    #: The version.
+    version: int
+    #: The tree as written.
+    document: JsonValue
+
+
+@dataclass(frozen=True, kw_only=True)
+class HistoryView:
+    """Accepted changes, oldest first."""
+
+    kind: Literal["history-view"] = "history-view"
+    #: The changes.
+    changes: tuple[AcceptedChange, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class ChangeView:
+    """What became of a change id."""
+
+    kind: Literal["change-view"] = "change-view"
+    #: The answer given, or None when the change id never arrived.
+    reply: Annotated[ChangeReply, Field(discriminator="kind")] | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class CostsView:
+    """Cost totals."""
+
+    kind: Literal["costs-view"] = "costs-view"
+    #: The totals, sorted by account.
+    totals: tuple[CostTotal, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class QueryReply:
+    """The outcome of a query."""
+
+    #: What came of it.
+    outcome: Annotated[
+        SettingsView | HistoryView | ChangeView | CostsView | NotLeader | Unconfirmed | Forbidden,
+        Field(discriminator="kind"),
+    ]
+
+
+@dataclass(frozen=True, kw_only=True)
+class WatchReport:
+    """A box says which settings it has in force."""
+
+    #: Name of the box.
+    box: str
+    #: Drawn anew at each start of its process.
+    incarnation: str
+    #: Its data centre.
+    data_centre: str
+    #: Version in force there.
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class WatchUpdate:
+    """Newer settings, as changes where the history reaches back far enough."""
+
+    #: Version that holds after this update.
+    version: int
+    #: Accepted changes in order, from the version the box reported.
+    changes: tuple[AcceptedChange, ...] = ()
+    #: The whole tree, or None when the changes say it all.
+    document: JsonValue = None
+    #: Whether the sender is in touch with a quorum; a box leaves one that is not.
+    is_current: bool = True
+
+
+@dataclass(frozen=True, kw_only=True)
+class StatusRequest:
+    """Ask a box how it is."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class BoxStatus:
+    """What a control replica knows of a box that watches it."""
+
+    #: Name of the box.
+    box: str
+    #: Incarnation of its process.
+    incarnation: str
+    #: Its data centre.
+    data_centre: str
+    #: Version in force there.
+    version: int
+    #: Seconds since it was last heard.
+    silent_seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class StatusReply:
+    """How a control box is."""
+
+    #: Name of the box.
+    box: str
+    #: What it does.
+    role: Role
+    #: Name of its replica.
+    replica: str
+    #: Identity of its group, or empty while it waits to be admitted.
+    cluster: str
+    #: Its standing in the agreement.
+    standing: str
+    #: Its term.
+    term: int
+    #: Internal address of the leader, or empty.
+    leader: str
+    #: Index of the last committed entry.
+    commit: int
+    #: Index of the last entry.
+    last_index: int
+    #: Version of the settings tree in its state.
+    version: int
+    #: The group as it knows it.
+    members: Members
+    #: Boxes that watch this replica.
+    boxes: tuple[BoxStatus, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class FoundRequest:
+    """Found a group whose only member is the box that is asked."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class AddRequest:
+    """Admit a replica to the group."""
+
+    #: Name of the replica, as its box reports it.
+    replica: str
+    #: Internal address of its box.
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class RemoveRequest:
+    """Remove a replica from the group."""
+
+    #: Name of the replica.
+    replica: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Done:
+    """The change of the group is under way."""
+
+    kind: Literal["done"] = "done"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Denied:
+    """The change of the group can't be made now."""
+
+    kind: Literal["denied"] = "denied"
+    #: Why, and what to do.
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class GroupReply:
+    """The outcome of a change of the group."""
+
+    #: What came of it.
+    outcome: Annotated[Done | Denied | NotLeader | Forbidden, Field(discriminator="kind")]
+
+
+@dataclass(frozen=True, kw_only=True)
+class ExchangeEnd:
+    """The end of a stream of envelopes."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerRequest:
+    """An entry asks another for settings newer than its own."""
+
+    #: Version in force at the asking entry.
+    version: int
+    #: Services whose targets the asking entry knows to be leaving.
+    leaving: tuple["LeavingTarget", ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeavingTarget:
+    """A target that said it is leaving."""
+
+    #: Its service.
+    service: str
+    #: Its name.
+    target: str
+    #: Seconds since it said so.
+    age: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerReply:
+    """What the other entry has."""
+
+    #: Newer settings, or None when it has none.
+    update: WatchUpdate | None
+    #: Targets that it knows to be leaving.
+    leaving: tuple[LeavingTarget, ...] = ()
--- /dev/null
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_methods.py
@@ -0,0 +1,96 @@
+"""The calls that processes make to each other."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final, Generic, TypeVar
+
+from damsonlane.agreement import Envelope
+from grpclib.client import Channel, StreamStreamMethod, StreamUnaryMethod, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.server import Stream
+
+from damsonlane_rpc._messages import (
+    AddRequest,
+    ExchangeEnd,
+    FoundRequest,
+    GroupReply,
+    PeerReply,
+    PeerRequest,
+    QueryReply,
+    QueryRequest,
+    RemoveRequest,
+    StatusReply,
+    StatusRequest,
+    SubmitReply,
+    SubmitRequest,
+    WatchReport,
+    WatchUpdate,
+)
+
+Request = TypeVar("Request")
+Reply = TypeVar("Reply")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Method(Generic[Request, Reply]):
+    """One call: its name, kind and message types."""
+
+    #: Full path of the call.
+    path: str
+    #: Whether each side sends one message or a stream.
+    cardinality: Cardinality
+    #: Type of what the caller sends.
+    request: type[Request]
+    #: Type of what comes back.
+    reply: type[Reply]
+
+    def handler(self, function: Callable[[Stream[Request, Reply]], Awaitable[None]]) -> Handler:
+        """Return the server's side of the call."""
+        return Handler(function, self.cardinality, self.request, self.reply)
+
+    def unary(self, channel: Channel) -> UnaryUnaryMethod[Request, Reply]:
+        """Return the client's side of a call with one message each way."""
+        return UnaryUnaryMethod(channel, self.path, self.request, self.reply)
+
+    def stream(self, channel: Channel) -> StreamStreamMethod[Request, Reply]:
+        """Return the client's side of a call with streams both ways."""
+        return StreamStreamMethod(channel, self.path, self.request, self.reply)
+
+    def upload(self, channel: Channel) -> StreamUnaryMethod[Request, Reply]:
+        """Return the client's side of a call that streams one way."""
+        return StreamUnaryMethod(channel, self.path, self.request, self.reply)
+
+
+def _unary(path: str, request: type[Request], reply: type[Reply]) -> Method[Request, Reply]:
+    return Method(path=path, cardinality=Cardinality.UNARY_UNARY, request=request, reply=reply)
+
+
+SUBMIT: Final = _unary("/damsonlane.Control/Submit", SubmitRequest, SubmitReply)
+QUERY: Final = _unary("/damsonlane.Control/Query", QueryRequest, QueryReply)
+STATUS: Final = _unary("/damsonlane.Control/Status", StatusRequest, StatusReply)
+FOUND: Final = _unary("/damsonlane.Control/Found", FoundRequest, GroupReply)
+ADD: Final = _unary("/damsonlane.Control/Add", AddRequest, GroupReply)
+REMOVE: Final = _unary("/damsonlane.Control/Remove", RemoveRequest, GroupReply)
+WATCH: Final = Method(
+    path="/damsonlane.Control/Watch",
+    cardinality=Cardinality.STREAM_STREAM,
+    request=WatchReport,
+    reply=WatchUpdate,
+)
+EXCHANGE: Final = Method(
+    path="/damsonlane.Replication/Exchange",
+    cardinality=Cardinality.STREAM_UNARY,
+    request=Envelope,
+    reply=ExchangeEnd,
+)
+COMPARE: Final = _unary("/damsonlane.Peer/Compare", PeerRequest, PeerReply)
+
+
+class Service:
+    """A set of calls that a process serves, in the form grpclib expects."""
+
+    def __init__(self, handlers: dict[str, Any]) -> None:
+        self._handlers = handlers
+
+    def __mapping__(self) -> dict[str, Any]:
+        return self._handlers
--- /dev/null
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_tls.py
@@ -0,0 +1,45 @@
+"""Mutual TLS between boxes, from the files that settings name."""
+
+import ssl
+from typing import Final
+
+from damsonlane.errors import StorageError
+from damsonlane.settings import TlsFiles
+
+_PROTOCOLS: Final = ["h2"]
+
+
+def make_server_context(files: TlsFiles) -> ssl.SSLContext:
+    """Return a context that serves only peers whose key the authority signed.
+
+    Raises:
+        StorageError: a file is missing or no key.
+    """
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.verify_mode = ssl.CERT_REQUIRED
+    return _load(context, files)
+
+
+def make_client_context(files: TlsFiles) -> ssl.SSLContext:
+    """Return a context that shows this box's key and trusts the authority only.
+
+    Raises:
+        StorageError: a file is missing or no key.
+    """
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    # Boxes are named by settings and reached by number, so the authority alone decides.
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    return _load(context, files)
+
+
+def _load(context: ssl.SSLContext, files: TlsFiles) -> ssl.SSLContext:
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.set_alpn_protocols(_PROTOCOLS)
+    try:
+        context.load_cert_chain(files.certificate, files.key)
+        context.load_verify_locations(files.authority)
+    except (OSError, ssl.SSLError) as error:
+        names = f"{files.certificate}, {files.key}, {files.authority}"
+        raise StorageError(f"cannot load the TLS files ({names}): {error}") from None
+    return context
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/control/__init__.py
@@ -0,0 +1,6 @@
+"""The control role: agreement between the boxes with disks."""
+
+from damsonlaned.control._node import ControlNode
+from damsonlaned.control._service import ControlService
+
+__all__ = ["ControlNode", "ControlService"]
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/control/_links.py
@@ -0,0 +1,89 @@
+"""Streams of envelopes to the other replicas."""
+
+import asyncio
+import contextlib
+import ssl
+from collections import deque
+from collections.abc import Iterable
+from typing import Final
+
+from damsonlane.agreement import Envelope, Member
+from damsonlane_rpc import CALL_FAULTS, EXCHANGE, open_channel
+
+#: Envelopes kept for a replica that does not take them; older ones are dropped.
+QUEUE_LENGTH: Final = 256
+#: Seconds between attempts to reach a replica.
+RECONNECT_SECONDS: Final = 0.1
+
+
+class Link:
+    """A stream to one replica, opened again whenever it breaks."""
+
+    def __init__(self, address: str, context: ssl.SSLContext | None) -> None:
+        self._address: Final = address
+        self._context: Final = context
+        self._queue: deque[Envelope] = deque(maxlen=QUEUE_LENGTH)
+        self._has_more = asyncio.Event()
+        self._task = asyncio.create_task(self._run())
+
+    def send(self, envelope: Envelope) -> None:
+        """Queue an envelope; it may get lost."""
+        self._queue.append(envelope)
+        self._has_more.set()
+
+    async def close(self) -> None:
+        """Stop sending."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._stream()
+            except CALL_FAULTS:
+                # What was queued for a broken stream is old; the leader sends again.
+                self._queue.clear()
+            await asyncio.sleep(RECONNECT_SECONDS)
+
+    async def _stream(self) -> None:
+        channel = open_channel(self._address, self._context)
+        try:
+            async with EXCHANGE.upload(channel).open() as stream:
+                await stream.send_request()
+                while True:
+                    await self._has_more.wait()
+                    self._has_more.clear()
+                    while self._queue:
+                        await stream.send_message(self._queue.popleft())
+        finally:
+            channel.close()
+
+
+class Links:
+    """Streams to all other members."""
+
+    def __init__(self, own_address: str, context: ssl.SSLContext | None) -> None:
+        self._own_address: Final = own_address
+        self._context: Final = context
+        self._links: dict[str, Link] = {}
+        self._addresses: dict[str, str] = {}
+
+    def follow(self, members: Iterable[Member]) -> None:
+        """Learn the addresses of the members."""
+        self._addresses.update({member.replica: member.address for member in members})
+
+    def send(self, envelope: Envelope) -> None:
+        """Send an envelope if its receiver's address is known."""
+        address = self._addresses.get(envelope.receiver)
+        if address is None or address == self._own_address:
+            return
+        if address not in self._links:
+            self._links[address] = Link(address, self._context)
+        self._links[address].send(envelope)
+
+    async def close(self) -> None:
+        """Close all streams."""
+        for link in self._links.values():
+            await link.close()
+        self._links.clear()
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/entry/_callers.py
@@ -0,0 +1,262 @@
+"""The callers' interface, as a WSGI application."""
+
+import json
+import logging
+import threading
+import time
+from collections.abc import Callable, Generator, Iterable, Iterator
+from http import HTTPStatus
+from typing import Any, Final
+
+from damsonlane.admission import Gate
+from damsonlane.requests import (
+    Answer,
+    Billed,
+    Ending,
+    Refusal,
+    Repeat,
+    decode_answer,
+)
+from damsonlane.settings import BoxSettings
+
+from damsonlaned.entry._intake import (
+    PIPELINES,
+    Environment,
+    Intake,
+    ProblemError,
+    take_request,
+)
+from damsonlaned.entry._passage import Passages
+from damsonlaned.entry._problems import Problem, describe_refusal
+from damsonlaned.entry._view import SettingsView
+from damsonlaned.metrics import Metrics
+
+_LOG: Final = logging.getLogger(__name__)
+
+#: Seconds after which a caller that met a full lane may come back.
+FULL_RETRY_SECONDS: Final = 1.0
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class CallerApplication:
+    """Answers callers, one thread each.
+
+    Args:
+        settings: settings of the box.
+        view: the settings tree in force.
+        passages: runs requests.
+        metrics: counts endings.
+    """
+
+    def __init__(
+        self, settings: BoxSettings, view: SettingsView, passages: Passages, metrics: Metrics
+    ) -> None:
+        self._settings: Final = settings
+        self._view: Final = view
+        self._passages: Final = passages
+        self._metrics: Final = metrics
+        self._gate: Final = Gate()
+        self._gate_lock: Final = threading.Lock()
+        self.is_draining = False
+
+    def __call__(self, environment: Environment, start: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        arrived_at = time.monotonic()
+        path = str(environment["PATH_INFO"])
+        if not path.startswith(PIPELINES):
+            return self._answer_plain(path, start)
+        try:
+            intake = self._take(environment, arrived_at)
+            self._enter(intake)
+        except ProblemError as error:
+            return self._answer_problem(error.problem, start)
+        return self._serve(intake, start, arrived_at)
+
+    def in_flight(self) -> int:
+        """Return the requests inside."""
+        with self._gate_lock:
+            return self._gate.in_flight()
+
+    def is_ready(self) -> bool:
+        """Tell whether a balancer should send requests here."""
+        return self._view.is_confirmed and not self.is_draining
+
+    def _take(self, environment: Environment, arrived_at: float) -> Intake:
+        if not self._view.is_confirmed:
+            detail = "no settings are confirmed here yet"
+            problem = Problem(
+                name="not-ready",
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+                detail=detail,
+                retry_after=FULL_RETRY_SECONDS,
+            )
+            raise ProblemError(problem)
+        return take_request(
+            environment,
+            self._view.current,
+            data_centre=self._settings.data_centre,
+            body_limit=self._settings.body_limit,
+            arrived_at=arrived_at,
+        )
+
+    def _enter(self, intake: Intake) -> None:
+        with self._gate_lock:
+            is_inside = self._gate.try_enter(intake.visitor, time.monotonic())
+        if not is_inside:
+            refusal = Refusal(
+                request=intake.request.request,
+                reason="overloaded",
+                detail=f"lane '{intake.visitor.lane}' is full",
+                run="no",
+                retry_after=FULL_RETRY_SECONDS,
+            )
+            self._count(intake, refusal, 0.0)
+            raise ProblemError(describe_refusal(refusal))
+
+    def _leave(self, intake: Intake) -> None:
+        with self._gate_lock:
+            self._gate.leave(intake.visitor)
+
+    def _serve(self, intake: Intake, start: StartResponse, arrived_at: float) -> Iterable[bytes]:
+        passage = self._passages.run(intake)
+        try:
+            first = _advance(passage)
+        except BaseException:
+            self._leave(intake)
+            raise
+        if isinstance(first, Billed):
+            self._leave(intake)
+            self._count(intake, first.ending, time.monotonic() - arrived_at)
+            if intake.is_streaming and not isinstance(first.ending, Refusal):
+                return self._answer_whole_stream(first.ending, start)
+            return self._answer_ending(first.ending, start)
+        start("200 OK", self._headers([("Content-Type", "text/event-stream")]))
+        return self._stream(intake, passage, first, arrived_at)
+
+    def _stream(
+        self,
+        intake: Intake,
+        passage: Generator[str, None, Billed],
+        piece: "str | Billed",
+        arrived_at: float,
+    ) -> Iterator[bytes]:
+        """Yield events; the caller's connection closes the generator when it breaks."""
+        try:
+            while isinstance(piece, str):
+                yield _event("token", {"text": piece})
+                piece = _advance(passage)
+            self._count(intake, piece.ending, time.monotonic() - arrived_at)
+            yield _last_event(piece.ending)
+        finally:
+            passage.close()
+            self._leave(intake)
+
+    def _answer_whole_stream(self, ending: Ending, start: StartResponse) -> Iterable[bytes]:
+        """Answer a caller that wants a stream with an answer that is there at once."""
+        start("200 OK", self._headers([("Content-Type", "text/event-stream")]))
+        answer = decode_answer(ending.answer) if isinstance(ending, Repeat) else ending
+        text = answer.output if isinstance(answer, Answer) else ""
+        return [_event("token", {"text": text}), _last_event(ending)]
+
+    def _answer_ending(self, ending: Ending, start: StartResponse) -> Iterable[bytes]:
+        if isinstance(ending, Refusal):
+            return self._answer_problem(describe_refusal(ending), start)
+        body = json.dumps(_describe(ending)).encode()
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        start("200 OK", self._headers(headers))
+        return [body]
+
+    def _answer_problem(self, problem: Problem, start: StartResponse) -> Iterable[bytes]:
+        body = problem.body()
+        headers = [*problem.headers(), ("Content-Length", str(len(body)))]
+        if problem.status in (HTTPStatus.REQUEST_ENTITY_TOO_LARGE, HTTPStatus.LENGTH_REQUIRED):
+            # The body was not read, so the connection can't be used again.
+            headers.append(("Connection", "close"))
+        start(f"{int(problem.status)} {problem.status.phrase}", self._headers(headers))
+        return [body]
+
+    def _answer_plain(self, path: str, start: StartResponse) -> Iterable[bytes]:
+        if path == "/livez" or (path == "/readyz" and self.is_ready()):
+            return _answer_text("200 OK", "ok\n", start)
+        if path == "/readyz":
+            return _answer_text("503 Service Unavailable", "not ready\n", start)
+        detail = f"pipelines are below {PIPELINES}"
+        problem = Problem(name="unknown-path", status=HTTPStatus.NOT_FOUND, detail=detail)
+        return self._answer_problem(problem, start)
+
+    def _headers(self, headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Ask callers to go elsewhere once this box is leaving."""
+        if self.is_draining and ("Connection", "close") not in headers:
+            return [*headers, ("Connection", "close")]
+        return headers
+
+    def _count(self, intake: Intake, ending: Ending, seconds: float) -> None:
+        request = intake.request
+        outcome = ending.reason if isinstance(ending, Refusal) else "answered"
+        labels = {
+            "organisation": request.organisation,
+            "pipeline": request.pipeline,
+            "outcome": outcome,
+        }
+        with self._gate_lock:
+            self._metrics.requests.inc(labels)
+            self._metrics.seconds.observe({"pipeline": request.pipeline}, seconds)
+        _LOG.info(
+            "request",
+            extra={
+                "request": request.request,
+                "organisation": request.organisation,
+                "pipeline": request.pipeline,
+                "outcome": outcome,
+                "run": ending.run if isinstance(ending, Refusal) else "yes",
+                "seconds": round(seconds, 6),
+            },
+        )
+
+
+def _advance(passage: Generator[str, None, Billed]) -> str | Billed:
+    """Return the next piece, or the ending once there are no more."""
+    try:
+        return next(passage)
+    except StopIteration as stop:
+        ending: Billed = stop.value
+        return ending
+
+
+def _describe(ending: Answer | Repeat) -> dict[str, object]:
+    is_repeat = isinstance(ending, Repeat)
+    answer = decode_answer(ending.answer) if isinstance(ending, Repeat) else ending
+    return {
+        "request": answer.request,
+        "output": answer.output,
+        "stages": [
+            {
+                "name": stage.name,
+                "target": stage.target,
+                "attempts": stage.attempts,
+                "seconds": stage.seconds,
+            }
+            for stage in answer.stages
+        ],
+        "remaining_ms": int(answer.remaining * 1000),
+        "repeated": is_repeat,
+    }
+
+
+def _event(name: str, data: dict[str, object]) -> bytes:
+    return f"event: {name}\ndata: {json.dumps(data)}\n\n".encode()
+
+
+def _last_event(ending: Ending) -> bytes:
+    """Return the event that says whether the stream is whole."""
+    if isinstance(ending, Refusal):
+        return _event("end", {"whole": False, "reason": ending.reason, "run": ending.run})
+    described = _describe(ending)
+    del described["output"]
+    return _event("end", {"whole": True, **described})
+
+
+def _answer_text(status: str, text: str, start: StartResponse) -> Iterable[bytes]:
+    start(status, [("Content-Type", "text/plain"), ("Content-Length", str(len(text)))])
+    return [text.encode()]
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
@@ -0,0 +1,106 @@
+"""Sending attempts to targets, with what this entry knows of them."""
+
+import random
+import threading
+import time
+from collections.abc import Generator
+from typing import Final
+
+from damsonlane.requests import AttemptResult, Send
+from damsonlane.routing import Choice, Health, LoadReport, Origin, Standing, TargetBook
+from damsonlane.settings import Tree
+
+from damsonlaned.entry._pace import Paces
+from damsonlaned.targets import KINDS, Connections, TargetCall, TargetReply
+
+
+class Dispatch:
+    """Chooses targets and calls them; safe for many threads.
+
+    The lock covers choices and counts only, never a call.
+
+    Args:
+        data_centre: data centre of this entry.
+    """
+
+    def __init__(self, data_centre: str) -> None:
+        self._data_centre: Final = data_centre
+        self._connections: Final = Connections()
+        self._books: dict[str, TargetBook] = {}
+        self._paces: Final = Paces()
+        self._tree: Tree | None = None
+        self._lock: Final = threading.Lock()
+        self._randomness: Final = random.Random()
+
+    def send(
+        self, send: Send, tree: Tree, pipeline: str
+    ) -> Generator[str, None, tuple[str, AttemptResult]]:
+        """Make one attempt, yielding output as it comes.
+
+        Returns:
+            Name of the target, empty if there was none, and the result.
+        """
+        choice = self._choose(send, tree)
+        if choice is None:
+            fault = f"service '{send.stage.service}' has no target that may be used"
+            return "", AttemptResult(answers=None, outcome="unsent", fault=fault)
+        began_at = time.monotonic()
+        call = TargetCall(
+            address=choice.address,
+            key=send.key,
+            text=send.text,
+            model=tree.services[send.stage.service].model,
+            due_at=began_at + send.seconds,
+        )
+        reply: TargetReply | None = None
+        try:
+            kind = KINDS[tree.services[send.stage.service].kind]
+            reply = yield from kind.call(self._connections, call)
+        finally:
+            # A caller that hangs up closes the generator: the target is not to blame.
+            self._finish(send, choice, pipeline, reply, began_at)
+        return choice.target, reply.result
+
+    def close(self) -> None:
+        """Close all connections to targets."""
+        self._connections.close()
+
+    def _choose(self, send: Send, tree: Tree) -> Choice | None:
+        with self._lock:
+            if tree is not self._tree:
+                self._follow(tree)
+            origin = Origin(data_centre=self._data_centre, affinity=send.text)
+            return self._books[send.stage.service].choose(
+                send.stage.routing, origin, send.avoid, time.monotonic(), self._randomness
+            )
+
+    def _follow(self, tree: Tree) -> None:
+        self._tree = tree
+        for name, service in tree.services.items():
+            standings = {
+                target: Standing(address=written.address, data_centre=written.data_centre)
+                for target, written in service.targets.items()
+            }
+            self._books.setdefault(name, TargetBook()).update(standings)
+
+    def _finish(
+        self, send: Send, choice: Choice, pipeline: str, reply: TargetReply | None, began_at: float
+    ) -> None:
+        now = time.monotonic()
+        report: LoadReport | None = reply.report if reply else None
+        with self._lock:
+            book = self._books[send.stage.service]
+            pace = None
+            if reply is not None and reply.result.outcome == "answered":
+                work = f"{send.key.organisation}/{pipeline}/{send.stage.name}"
+                pace = self._paces.measure(work, now - began_at)
+            health = _judge(reply)
+            book.finish(choice.target, health, now, pace=pace, report=report)
+            if reply is not None and reply.result.is_leaving:
+                book.mark_leaving(choice.target, now)
+
+
+def _judge(reply: TargetReply | None) -> Health:
+    if reply is None or reply.result.outcome == "refused":
+        return "neutral"
+    return "good" if reply.result.outcome == "answered" else "bad"
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/entry/_intake.py
@@ -0,0 +1,216 @@
+"""From an HTTP request to a typed request, or to a problem."""
+
+import hashlib
+import json
+import secrets
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from http import HTTPStatus
+from typing import Any, Final
+
+from damsonlane.admission import Visitor
+from damsonlane.ledger import JobKey
+from damsonlane.requests import Request, StagePlan
+from damsonlane.settings import EffectivePolicy, Pipeline, Tree
+
+from damsonlaned.entry._problems import Problem
+from damsonlaned.entry._view import SettingsInForce
+
+#: First part of the path of every pipeline.
+PIPELINES: Final = "/v1/pipelines/"
+#: Longest idempotency key, in characters.
+KEY_LENGTH: Final = 256
+#: Header with the caller's remaining time, in milliseconds.
+DEADLINE_HEADER: Final = "HTTP_DAMSONLANE_DEADLINE_MS"
+#: Header by which a caller says whether it sent this key before.
+RESEND_HEADER: Final = "HTTP_DAMSONLANE_RESEND"
+#: Set by the server when a header that may stand once stood twice.
+REPEATED_HEADER: Final = "HTTP_DAMSONLANE_REPEATED_HEADER"
+
+Environment = Mapping[str, Any]
+
+
+class ProblemError(Exception):
+    """The request can't be taken.
+
+    Attributes:
+        problem: what the caller is told.
+    """
+
+    def __init__(self, problem: Problem) -> None:
+        self.problem = problem
+        super().__init__(problem.detail)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Intake:
+    """A request that was taken."""
+
+    #: The request.
+    request: Request
+    #: How it enters.
+    visitor: Visitor
+    #: Whether the caller wants tokens as they come.
+    is_streaming: bool
+    #: The tree under which it was taken.
+    tree: Tree
+
+
+def take_request(
+    environment: Environment,
+    settings: SettingsInForce,
+    *,
+    data_centre: str,
+    body_limit: int,
+    arrived_at: float,
+) -> Intake:
+    """Check everything that a caller sent.
+
+    Args:
+        environment: the request as WSGI gives it.
+        settings: the settings in force.
+        data_centre: data centre of this entry.
+        body_limit: largest body, in bytes.
+        arrived_at: monotonic clock at arrival, in seconds.
+
+    Raises:
+        ProblemError: with what is wrong; nothing ran.
+    """
+    _check_headers(environment)
+    organisation = _authenticate(environment, settings)
+    name, pipeline = _find_pipeline(environment, settings.tree, organisation)
+    text = _read_text(environment, body_limit)
+    policy = settings.tree.policy_of(data_centre, organisation, name)
+    key = _read_key(environment, pipeline)
+    request = Request(
+        request=secrets.token_hex(12),
+        organisation=organisation,
+        pipeline=name,
+        text=text,
+        due_at=_find_due(environment, settings.tree, organisation, name, policy, arrived_at),
+        stages=_plan_stages(settings.tree, data_centre, organisation, name),
+        job=JobKey(organisation=organisation, key=key) if key else None,
+        digest=hashlib.sha256(f"{name}\0{text}".encode()).hexdigest(),
+        is_first_send=str(environment.get(RESEND_HEADER, "")).strip().lower() == "no",
+    )
+    visitor = Visitor(
+        organisation=organisation, lane=policy.lane, weight=policy.weight, limit=policy.in_flight
+    )
+    accepted = str(environment.get("HTTP_ACCEPT", ""))
+    return Intake(
+        request=request,
+        visitor=visitor,
+        is_streaming="text/event-stream" in accepted,
+        tree=settings.tree,
+    )
+
+
+def _check_headers(environment: Environment) -> None:
+    repeated = environment.get(REPEATED_HEADER)
+    if repeated:
+        raise _problem("malformed", HTTPStatus.BAD_REQUEST, f"header {repeated} stands twice")
+    if environment["REQUEST_METHOD"] != "POST":
+        raise _problem("method", HTTPStatus.METHOD_NOT_ALLOWED, "pipelines take POST only")
+
+
+def _authenticate(environment: Environment, settings: SettingsInForce) -> str:
+    scheme, _, token = str(environment.get("HTTP_AUTHORIZATION", "")).partition(" ")
+    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    owner = settings.owners.get(digest) if scheme.lower() == "bearer" else None
+    if owner is None:
+        detail = "a bearer token of an organisation is needed"
+        raise _problem("unauthorised", HTTPStatus.UNAUTHORIZED, detail)
+    return owner
+
+
+def _find_pipeline(environment: Environment, tree: Tree, organisation: str) -> tuple[str, Pipeline]:
+    name = str(environment["PATH_INFO"]).removeprefix(PIPELINES)
+    pipeline = tree.organisations[organisation].pipelines.get(name)
+    if pipeline is None:
+        # Another organisation's pipeline reads the same as one that does not exist.
+        detail = f"organisation '{organisation}' has no such pipeline"
+        raise _problem("unknown-pipeline", HTTPStatus.NOT_FOUND, detail)
+    return name, pipeline
+
+
+def _read_text(environment: Environment, limit: int) -> str:
+    length_text = str(environment.get("CONTENT_LENGTH") or "")
+    if not length_text.isdecimal():
+        raise _problem("malformed", HTTPStatus.LENGTH_REQUIRED, "Content-Length is needed")
+    length = int(length_text)
+    if length > limit:
+        detail = f"the body has {length} bytes; {limit} are allowed"
+        raise _problem("too-large", HTTPStatus.REQUEST_ENTITY_TOO_LARGE, detail)
+    data = environment["wsgi.input"].read(length)
+    if len(data) < length:
+        raise _problem("malformed", HTTPStatus.BAD_REQUEST, "the body ends early")
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        detail = f"the body is not JSON: {error}"
+        raise _problem("malformed", HTTPStatus.BAD_REQUEST, detail) from None
+    if not isinstance(body, dict) or not isinstance(body.get("input"), str):
+        detail = 'the body must be an object with a text named "input"'
+        raise _problem("malformed", HTTPStatus.BAD_REQUEST, detail)
+    unknown = sorted(set(body) - {"input"})
+    if unknown:
+        detail = f"the body has unknown names: {', '.join(unknown)}"
+        raise _problem("malformed", HTTPStatus.BAD_REQUEST, detail)
+    return str(body["input"])
+
+
+def _read_key(environment: Environment, pipeline: Pipeline) -> str:
+    key = str(environment.get("HTTP_IDEMPOTENCY_KEY", "")).strip().strip('"')
+    if len(key) > KEY_LENGTH:
+        detail = f"the idempotency key is longer than {KEY_LENGTH} characters"
+        raise _problem("malformed", HTTPStatus.BAD_REQUEST, detail)
+    if not key and not pipeline.repeatable:
+        detail = "this pipeline is not repeatable: send an Idempotency-Key"
+        raise _problem("key-needed", HTTPStatus.BAD_REQUEST, detail)
+    return key
+
+
+def _find_due(
+    environment: Environment,
+    tree: Tree,
+    organisation: str,
+    name: str,
+    policy: EffectivePolicy,
+    arrived_at: float,
+) -> float:
+    """Return the earliest of the settings' limit, the caller's time and the event's end."""
+    seconds = policy.deadline_seconds
+    written = environment.get(DEADLINE_HEADER)
+    if written is not None:
+        try:
+            seconds = min(seconds, int(str(written)) / 1000.0)
+        except ValueError:
+            detail = "Damsonlane-Deadline-Ms must be a whole number of milliseconds"
+            raise _problem("malformed", HTTPStatus.BAD_REQUEST, detail) from None
+    end = tree.event_end(organisation, name, datetime.now(UTC))
+    if end is not None:
+        seconds = min(seconds, end - time.time())
+    return arrived_at + seconds
+
+
+def _plan_stages(
+    tree: Tree, data_centre: str, organisation: str, name: str
+) -> tuple[StagePlan, ...]:
+    plans = []
+    for stage in tree.organisations[organisation].pipelines[name].stages:
+        policy = tree.stage_policy_of(data_centre, organisation, name, stage.service)
+        plan = StagePlan(
+            name=stage.name,
+            service=stage.service,
+            attempts=policy.stage_attempts,
+            routing=policy.routing,
+            retry_share=policy.retry_share,
+        )
+        plans.append(plan)
+    return tuple(plans)
+
+
+def _problem(name: str, status: HTTPStatus, detail: str) -> ProblemError:
+    return ProblemError(Problem(name=name, status=status, detail=detail))
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -0,0 +1,75 @@
+"""The entry node: everything between callers and targets on one box."""
+
+import asyncio
+import ssl
+from typing import Final
+
+from damsonlane.settings import BoxSettings
+
+from damsonlaned.admin import Admin
+from damsonlaned.entry._callers import CallerApplication
+from damsonlaned.entry._dispatch import Dispatch
+from damsonlaned.entry._passage import Passages
+from damsonlaned.entry._peers import PeerService
+from damsonlaned.entry._uplink import Uplink
+from damsonlaned.entry._view import SettingsView
+from damsonlaned.metrics import Metrics
+from damsonlaned.servers import HttpServer
+
+#: Seconds between looks at what is still in flight while stopping.
+DRAIN_POLL: Final = 0.05
+#: Looks in a row that must find nothing before the socket is closed.
+QUIET_POLLS: Final = 3
+
+
+class EntryNode:
+    """One entry box.
+
+    Args:
+        settings: settings of the box.
+        context: TLS context towards other boxes, or None.
+    """
+
+    def __init__(self, settings: BoxSettings, context: ssl.SSLContext | None) -> None:
+        self._settings: Final = settings
+        self._view: Final = SettingsView()
+        self._metrics: Final = Metrics()
+        self._uplink: Final = Uplink(settings, self._view, context)
+        self._dispatch: Final = Dispatch(settings.data_centre)
+        passages = Passages(self._uplink, self._dispatch)
+        self._callers: Final = CallerApplication(settings, self._view, passages, self._metrics)
+        self._server: Final = HttpServer(
+            settings.caller_address, self._callers, settings.caller_threads
+        )
+        self._admin: Final = Admin(
+            settings.admin_address, self._metrics, self._callers.is_ready, self._refresh
+        )
+        self.peers: Final = PeerService(self._view)
+
+    def start(self) -> None:
+        """Start serving; callers are refused until settings are confirmed.
+
+        Raises:
+            StorageError: an address can't be had.
+        """
+        self._admin.start()
+        self._server.start()
+        self._uplink.start()
+
+    async def stop(self) -> None:
+        """Let everything in flight end, then stop."""
+        self._callers.is_draining = True
+        await asyncio.sleep(self._settings.grace_seconds)
+        quiet = 0
+        while quiet < QUIET_POLLS:
+            is_busy = self._callers.in_flight() > 0 or self._server.waiting() > 0
+            quiet = 0 if is_busy else quiet + 1
+            await asyncio.sleep(DRAIN_POLL)
+        await asyncio.to_thread(self._server.stop)
+        await self._uplink.stop()
+        self._dispatch.close()
+        await asyncio.to_thread(self._admin.stop)
+
+    def _refresh(self) -> None:
+        self._metrics.in_flight.set({}, self._callers.in_flight())
+        self._metrics.version.set({}, self._view.current.version)
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/entry/_passage.py
@@ -0,0 +1,112 @@
+"""Carrying out what a request's run asks for."""
+
+import logging
+import secrets
+import threading
+import time
+from collections.abc import Generator
+from dataclasses import replace
+from typing import Final
+
+from damsonlane.requests import (
+    AskLedger,
+    Billed,
+    Effect,
+    End,
+    RequestRun,
+    RetryBudget,
+    Send,
+    Wait,
+)
+
+from damsonlaned.entry._dispatch import Dispatch
+from damsonlaned.entry._intake import Intake
+from damsonlaned.entry._uplink import Uplink
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+class Passages:
+    """Runs requests, each in the thread of its caller."""
+
+    def __init__(self, uplink: Uplink, dispatch: Dispatch) -> None:
+        self._uplink: Final = uplink
+        self._dispatch: Final = dispatch
+        self._budget: Final = _SharedBudget()
+
+    def run(self, intake: Intake) -> Generator[str, None, Billed]:
+        """Run a request, yielding pieces of the last stage's output if it is streamed."""
+        run = RequestRun(
+            intake.request,
+            token=secrets.token_hex(12),
+            wall_clock=time.time(),
+            budget=self._budget,
+        )
+        effect = run.begin(time.monotonic())
+        while not isinstance(effect, End):
+            effect = yield from self._carry_out(run, effect, intake)
+        self._uplink.add_costs(effect.billed.costs)
+        return effect.billed
+
+    def _carry_out(
+        self, run: RequestRun, effect: Effect, intake: Intake
+    ) -> Generator[str, None, Effect]:
+        if isinstance(effect, Send):
+            return (yield from self._send(run, effect, intake))
+        if isinstance(effect, AskLedger):
+            reply = self._uplink.ask_ledger(effect.command, effect.seconds)
+            return run.take_reply(time.monotonic(), reply)
+        assert isinstance(effect, Wait)
+        time.sleep(effect.seconds)
+        return run.resume(time.monotonic())
+
+    def _send(self, run: RequestRun, send: Send, intake: Intake) -> Generator[str, None, Effect]:
+        if send.key.number == 1:
+            self._budget.count_first(send.stage.retry_share)
+        attempt = self._dispatch.send(send, intake.tree, intake.request.pipeline)
+        is_delivered = False
+        while True:
+            try:
+                piece = next(attempt)
+            except StopIteration as stop:
+                target, result = stop.value
+                break
+            if send.is_last and intake.is_streaming:
+                is_delivered = True
+                yield piece
+        _log_attempt(send, target, result.outcome, result.fault)
+        result = replace(result, is_delivered=is_delivered)
+        return run.take_result(time.monotonic(), target, result)
+
+
+class _SharedBudget(RetryBudget):
+    """The retry budget of an entry, safe for many threads."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._lock = threading.Lock()
+
+    def count_first(self, share: float) -> None:
+        with self._lock:
+            super().count_first(share)
+
+    def try_spend(self) -> bool:
+        with self._lock:
+            return super().try_spend()
+
+
+def _log_attempt(send: Send, target: str, outcome: str, fault: str) -> None:
+    level = logging.INFO if outcome == "answered" else logging.WARNING
+    _LOG.log(
+        level,
+        "attempt",
+        extra={
+            "request": send.key.request,
+            "organisation": send.key.organisation,
+            "stage": send.key.stage,
+            "target": target,
+            "attempt": send.key.number,
+            "outcome": outcome,
+            "fault": fault,
+        },
+    )
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/entry/_peers.py
@@ -0,0 +1,30 @@
+"""What an entry tells its peers."""
+
+from typing import Final
+
+from damsonlane_rpc import COMPARE, PeerReply, PeerRequest, Service, WatchUpdate
+from grpclib.server import Stream
+
+from damsonlaned.entry._view import SettingsView
+
+
+class PeerService:
+    """Gives newer settings to entries that ask."""
+
+    def __init__(self, view: SettingsView) -> None:
+        self._view: Final = view
+
+    def service(self) -> Service:
+        """Return the calls in the form grpclib expects."""
+        return Service({COMPARE.path: COMPARE.handler(self.compare)})
+
+    async def compare(self, stream: Stream[PeerRequest, PeerReply]) -> None:
+        """Answer with the settings in force here if they are newer."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        current = self._view.current
+        update = None
+        if current.version > request.version:
+            update = WatchUpdate(version=current.version, document=current.document)
+        await stream.send_message(PeerReply(update=update))
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -0,0 +1,45 @@
+"""Metrics of a process, rendered by aioprometheus."""
+
+from typing import Final
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+#: Upper bounds of the time histograms, in seconds.
+_BUCKETS: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0]
+
+
+class Metrics:
+    """All metrics of one process, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry: Final = Registry()
+        self.requests: Final = Counter(
+            "damsonlane_requests_total", "Requests ended.", registry=self.registry
+        )
+        self.seconds: Final = Histogram(
+            "damsonlane_request_seconds",
+            "Time from arrival to ending.",
+            buckets=_BUCKETS,
+            registry=self.registry,
+        )
+        self.attempts: Final = Counter(
+            "damsonlane_attempts_total", "Attempts at targets.", registry=self.registry
+        )
+        self.in_flight: Final = Gauge(
+            "damsonlane_in_flight", "Requests inside the entry.", registry=self.registry
+        )
+        self.version: Final = Gauge(
+            "damsonlane_settings_version", "Settings in force.", registry=self.registry
+        )
+        self.commit: Final = Gauge(
+            "damsonlane_commit_index", "Last committed log entry.", registry=self.registry
+        )
+        self.is_leader: Final = Gauge(
+            "damsonlane_is_leader", "1 while this replica leads.", registry=self.registry
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        content, _ = render(self.registry, [])
+        return bytes(content)
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/storage/_folder.py
@@ -0,0 +1,44 @@
+"""The data folder, held by one process at a time."""
+
+import fcntl
+import os
+from pathlib import Path
+from typing import Final
+
+from damsonlane.errors import StorageError
+
+_LOCK: Final = "lock"
+
+
+class DataFolder:
+    """A data folder; open it once at the start of a process.
+
+    Args:
+        path: the folder, made if it is missing.
+    """
+
+    def __init__(self, path: str) -> None:
+        self.path: Final = Path(path)
+        self._descriptor = -1
+
+    def open(self) -> None:
+        """Make the folder if needed and take it.
+
+        Raises:
+            StorageError: it can't be made, or another process holds it.
+        """
+        try:
+            self.path.mkdir(parents=True, exist_ok=True)
+            self._descriptor = os.open(self.path / _LOCK, os.O_RDWR | os.O_CREAT, 0o600)
+            fcntl.flock(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            message = f"{self.path}: another process uses this data folder"
+            raise StorageError(message) from None
+        except OSError as error:
+            raise StorageError(f"{self.path}: {error.strerror}") from None
+
+    def close(self) -> None:
+        """Give the folder back."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/storage/_frames.py
@@ -0,0 +1,61 @@
+"""Frames: pieces of a file that are whole or recognisably not."""
+
+import struct
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+_MAGIC: Final = b"DLF1"
+#: Magic, length of the payload, checksum of length and payload.
+_HEADER: Final = struct.Struct(">4sII")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Frame:
+    """A whole frame."""
+
+    #: Byte offset at which it starts.
+    offset: int
+    #: Byte offset just after it.
+    end: int
+    #: What it holds.
+    payload: bytes
+
+
+def encode_frame(payload: bytes) -> bytes:
+    """Return the payload as a frame."""
+    return _HEADER.pack(_MAGIC, len(payload), _checksum(payload)) + payload
+
+
+def read_frame(data: bytes, offset: int) -> Frame | None:
+    """Return the frame at ``offset``, or None when no whole frame starts there."""
+    if len(data) - offset < _HEADER.size:
+        return None
+    magic, length, checksum = _HEADER.unpack_from(data, offset)
+    start = offset + _HEADER.size
+    payload = data[start : start + length]
+    if magic != _MAGIC or len(payload) < length or _checksum(payload) != checksum:
+        return None
+    return Frame(offset=offset, end=start + length, payload=payload)
+
+
+def read_frames(data: bytes) -> Iterator[Frame]:
+    """Yield frames from the start up to the first that is not whole."""
+    offset = 0
+    while (frame := read_frame(data, offset)) is not None:
+        yield frame
+        offset = frame.end
+
+
+def find_frame(data: bytes, offset: int) -> int | None:
+    """Return where the next whole frame starts at or after ``offset``, or None."""
+    while (offset := data.find(_MAGIC, offset)) >= 0:
+        if read_frame(data, offset) is not None:
+            return offset
+        offset += 1
+    return None
+
+
+def _checksum(payload: bytes) -> int:
+    return zlib.crc32(payload, zlib.crc32(struct.pack(">I", len(payload))))
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/targets/__init__.py
@@ -0,0 +1,18 @@
+"""Targets: the protocols of back ends, one module each, in a registry."""
+
+from damsonlaned.targets._calls import KINDS, TargetCall, TargetKind, TargetReply, target_kind
+from damsonlaned.targets._connections import Connections
+from damsonlaned.targets._engines import Engine
+from damsonlaned.targets._pools import Plain, Pool
+
+__all__ = [
+    "KINDS",
+    "Connections",
+    "Engine",
+    "Plain",
+    "Pool",
+    "TargetCall",
+    "TargetKind",
+    "TargetReply",
+    "target_kind",
+]
