--- a/packages/damsonlane/src/damsonlane/agreement/_replica.py
+++ b/packages/damsonlane/src/damsonlane/agreement/_replica.py
@@ -260,7 +260,7 @@
     # Elections.
 
     def _start_trial(self) -> None:
-        if not self.members.is_voter(self.name):
+        if not self._may_campaign():
             self._reset_election()
             return
         self.standing = "trial"
@@ -270,6 +270,17 @@
         self._ask_for_votes(self.term + 1, is_trial=True)
         self._count_votes()
 
+    def _may_campaign(self) -> bool:
+        """Tell whether this replica votes, or did before a change that is not committed.
+
+        Its log may be the longest, and then nobody else could be elected.  It
+        counts only the votes of the new group, so not its own.
+        """
+        entry = self._log.members_entry()
+        if self.members.is_voter(self.name) or entry is None or entry.index <= self.commit:
+            return self.members.is_voter(self.name)
+        return self._log.members_at(entry.index - 1).is_voter(self.name)
+
     def _start_candidacy(self) -> None:
         self.standing = "candidate"
         self.term += 1
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/agreement/tests/group.py
@@ -0,0 +1,385 @@
+"""A group of replicas with a small network and small disks, all in memory."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from damsonlane.agreement import (
+    EMPTY_SNAPSHOT,
+    Envelope,
+    HardState,
+    LogEntry,
+    Member,
+    Members,
+    Opaque,
+    Output,
+    Persist,
+    Replica,
+    Snapshot,
+    Stored,
+)
+from damsonlane.cluster import (
+    ChangeAccepted,
+    ChangeSettings,
+    ClusterSnapshot,
+    ClusterState,
+    Reply,
+    decode_command,
+    encode_command,
+)
+from damsonlane.codec import decode_bytes, encode_text
+from damsonlane.errors import AgreementError, NotLeaderError
+from damsonlane.settings import Edit
+
+ELECTION_SECONDS = 1.0
+CLUSTER = "group"
+
+
+class Fault(Enum):
+    """Faults that can be planted, to show that the machine finds them."""
+
+    NONE = "none"
+    VOTE_BEFORE_SYNC = "messages leave before the disk has synced"
+    FORGET_CHANGE_IDS = "a snapshot loses the change ids"
+    EMPTY_FOLDER_VOTES = "an emptied folder votes under its old name"
+    READ_WITHOUT_QUORUM = "a leader answers reads without asking a quorum"
+    CHANGE_WITHOUT_OWN_ENTRY = "a member change without an entry of the leader's own term"
+    COMMIT_OLD_TERM = "an entry of an older term is committed by counting"
+    COUNT_UNSYNCED = "a leader counts its own entries before they are synced"
+
+
+class _ReadsAtOnce(Replica):
+    """A replica with the planted fault of unconfirmed reads."""
+
+    def _answer_reads(self) -> None:
+        self._reads = [(0, reference) for _, reference in self._reads]
+        super()._answer_reads()
+
+
+class _ChangesAtOnce(Replica):
+    """A replica with the planted fault of changes before an entry of its own."""
+
+    def _is_change_allowed(self) -> bool:
+        return self._is_members_committed()
+
+
+class _CommitsOldTerms(Replica):
+    """A replica with the planted fault of commits by counting alone."""
+
+    def _advance_commit(self) -> None:
+        matches = sorted(self.match_of(member.replica) for member in self.members.voters)
+        reached = matches[len(matches) - self.members.quorum()] if matches else 0
+        self._raise_commit(reached)
+
+
+class _CountsUnsynced(Replica):
+    """A replica with the planted fault of counting itself too early."""
+
+    def match_of(self, replica: str) -> int:
+        return self.last_index if replica == self.name else super().match_of(replica)
+
+    def _append(self, body: object) -> LogEntry:
+        entry = super()._append(body)  # type: ignore[arg-type]
+        self._advance_commit()
+        return entry
+
+
+_SHAPES: dict[Fault, type[Replica]] = {
+    Fault.READ_WITHOUT_QUORUM: _ReadsAtOnce,
+    Fault.CHANGE_WITHOUT_OWN_ENTRY: _ChangesAtOnce,
+    Fault.COMMIT_OLD_TERM: _CommitsOldTerms,
+    Fault.COUNT_UNSYNCED: _CountsUnsynced,
+}
+
+
+@dataclass
+class Disk:
+    """What a box keeps through a crash."""
+
+    stored: Stored = field(
+        default_factory=lambda: Stored(hard_state=HardState(), snapshot=EMPTY_SNAPSHOT)
+    )
+
+    def write(self, persist: Persist) -> None:
+        stored = self.stored
+        snapshot, entries = stored.snapshot, list(stored.entries)
+        if persist.snapshot is not None:
+            snapshot, entries = persist.snapshot, []
+        if persist.entries:
+            del entries[persist.entries[0].index - snapshot.index - 1 :]
+            entries.extend(persist.entries)
+        self.stored = Stored(
+            hard_state=persist.hard_state or stored.hard_state,
+            snapshot=snapshot,
+            entries=tuple(entries),
+        )
+
+
+@dataclass
+class PendingRead:
+    """A read that was asked and is not answered yet."""
+
+    least_version: int
+    index: int | None = None
+
+
+class Box:
+    """One box: a replica with disk, clock and state."""
+
+    def __init__(self, group: "Group", name: str, stored: Stored | None = None) -> None:
+        self.group = group
+        self.name = name
+        self.disk = Disk(stored) if stored else Disk()
+        self.clock = 0.0
+        self.is_frozen = False
+        self.crashes_next = False
+        self.replica: Replica | None = None
+        self.state = ClusterState()
+        self.applied = 0
+        self.waiters: dict[int, tuple[int, ChangeSettings]] = {}
+        self.reads: dict[int, PendingRead] = {}
+        self.start()
+
+    def start(self) -> None:
+        stored = self.disk.stored
+        shape = _SHAPES.get(self.group.fault, Replica)
+        self.replica = shape(
+            cluster=CLUSTER,
+            name=self.name,
+            stored=stored,
+            election_seconds=ELECTION_SECONDS,
+            randomness=self.group.randomness,
+            now=self.clock,
+        )
+        self.state = ClusterState.from_text(stored.snapshot.state)
+        self.applied = stored.snapshot.index
+        self.waiters = {}
+        self.reads = {}
+        self.is_frozen = False
+
+    def crash(self) -> None:
+        self.replica = None
+        self.crashes_next = False
+
+    def is_up(self) -> bool:
+        return self.replica is not None and not self.is_frozen
+
+    def act(self, step: Callable[[Replica], Output]) -> None:
+        """Take one step and carry out what it asks, perhaps crashing half way."""
+        replica = self.replica
+        if replica is not None and not self.is_frozen:
+            self.carry_out(replica, step(replica))
+
+    def carry_out(self, replica: Replica, output: Output) -> None:
+        self.group.note_leader(replica)
+        if self.group.fault in (Fault.VOTE_BEFORE_SYNC, Fault.COUNT_UNSYNCED):
+            self.group.send(output.envelopes)
+            if self.group.fault is Fault.COUNT_UNSYNCED:
+                self._apply_all(output)
+        if not output.persist.is_empty():
+            if self.crashes_next:
+                self.crash()
+                return
+            self.disk.write(output.persist)
+            follow_up = replica.acknowledge_persist()
+        else:
+            follow_up = Output()
+        self.group.send(output.envelopes)
+        self._apply_all(output)
+        if follow_up != Output():
+            self.carry_out(replica, follow_up)
+
+    def compact(self) -> None:
+        if self.replica is None or self.is_frozen or self.applied <= self.replica.snapshot_index:
+            return
+        text = self.state.to_text()
+        if self.group.fault is Fault.FORGET_CHANGE_IDS:
+            text = _drop_answers(text)
+            self.state = ClusterState.from_text(text)
+        self.replica.compact(text, self.applied)
+        self.disk.stored = self.replica.stored()
+
+    def _apply_all(self, output: Output) -> None:
+        if output.installed is not None:
+            self.state = ClusterState.from_text(output.installed.state)
+            self.applied = output.installed.index
+        for entry in output.committed:
+            if entry.index == self.applied + 1:
+                self._apply(entry)
+        for ready in output.reads:
+            if ready.reference in self.reads:
+                self.reads[ready.reference].index = ready.index
+        for reference in output.failed_reads:
+            self.reads.pop(reference, None)
+        self._answer_reads()
+
+    def _apply(self, entry: LogEntry) -> None:
+        self.group.note_committed(entry)
+        self.applied = entry.index
+        if not isinstance(entry.body, Opaque):
+            return
+        reply = self.state.apply(decode_command(entry.body.text))
+        term, command = self.waiters.pop(entry.index, (0, None))
+        if command is not None and term == entry.term:
+            self.group.note_reply(command, reply)
+
+    def _answer_reads(self) -> None:
+        for reference, read in list(self.reads.items()):
+            if read.index is not None and self.applied >= read.index:
+                del self.reads[reference]
+                self.group.note_read(read, self.state.settings.version)
+
+
+class Group:
+    """All boxes, the messages under way, and what was promised to clients."""
+
+    def __init__(self, size: int, fault: Fault, seed: int) -> None:
+        self.fault = fault
+        self.randomness = random.Random(seed)
+        self.flying: list[Envelope] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, LogEntry] = {}
+        self.accepted: dict[int, ChangeSettings] = {}
+        self.answers: dict[str, Reply] = {}
+        self.references = 0
+        names = [f"box-{number}" for number in range(size)]
+        members = Members(voters=tuple(Member(replica=n, address=n) for n in names))
+        snapshot = Snapshot(index=1, term=1, members=members, state="")
+        stored = Stored(hard_state=HardState(term=1), snapshot=snapshot)
+        self.boxes = {name: Box(self, name, stored) for name in names}
+
+    # What boxes report.
+
+    def send(self, envelopes: tuple[Envelope, ...]) -> None:
+        self.flying.extend(envelopes)
+        del self.flying[:-400]
+
+    def note_leader(self, replica: Replica) -> None:
+        if replica.is_leader:
+            known = self.leaders.setdefault(replica.term, replica.name)
+            assert known == replica.name, f"two leaders in term {replica.term}"
+
+    def note_committed(self, entry: LogEntry) -> None:
+        known = self.committed.setdefault(entry.index, entry)
+        assert known == entry, f"entry {entry.index} was committed twice, differently"
+
+    def note_reply(self, command: ChangeSettings, reply: Reply) -> None:
+        known = self.answers.setdefault(command.change, reply)
+        assert known == reply, f"change {command.change} got two answers"
+        if isinstance(reply, ChangeAccepted):
+            known_change = self.accepted.setdefault(reply.version, command)
+            assert known_change.change == command.change, "two changes made one version"
+
+    def note_read(self, read: PendingRead, version: int) -> None:
+        assert version >= read.least_version, (
+            f"a current read gave version {version} after {read.least_version} was accepted"
+        )
+
+    # What a test does.
+
+    def last_accepted(self) -> int:
+        return max(self.accepted, default=0)
+
+    def deliver(self, envelope: Envelope) -> None:
+        if (envelope.sender, envelope.receiver) in self.cuts:
+            return
+        box = self.boxes.get(envelope.receiver)
+        if box is not None:
+            box.act(lambda replica: replica.receive(box.clock, envelope))
+
+    def pass_time(self, seconds: float) -> None:
+        for box in list(self.boxes.values()):
+            if not box.is_frozen:
+                box.clock += seconds
+            box.act(lambda replica, box=box: replica.tick(box.clock))  # type: ignore[misc]
+
+    def settle(self, rounds: int, until: Callable[[], bool] = lambda: False) -> None:
+        """Let time pass and messages arrive in order."""
+        for _ in range(rounds):
+            if until():
+                return
+            self.pass_time(ELECTION_SECONDS / 8)
+            for _ in range(20):
+                flying, self.flying = self.flying, []
+                if not flying:
+                    break
+                for envelope in flying:
+                    self.deliver(envelope)
+
+    def propose(self, name: str, change: str, expected: int) -> None:
+        box = self.boxes[name]
+        replica = box.replica
+        if replica is None or box.is_frozen:
+            return
+        edit = Edit(path="/policy/weight", value=1 + len(change))
+        command = ChangeSettings(
+            change=change, expected_version=expected, operator="o", at=0.0, edits=(edit,)
+        )
+        try:
+            output, entries = replica.propose(box.clock, [encode_command(command)])
+        except NotLeaderError:
+            return
+        box.waiters[entries[0].index] = (entries[0].term, command)
+        box.carry_out(replica, output)
+
+    def read(self, name: str) -> None:
+        box = self.boxes[name]
+        replica = box.replica
+        if replica is None or box.is_frozen:
+            return
+        self.references += 1
+        box.reads[self.references] = PendingRead(least_version=self.last_accepted())
+        try:
+            output = replica.read(box.clock, self.references)
+        except NotLeaderError:
+            del box.reads[self.references]
+            return
+        box.carry_out(replica, output)
+
+    def change_members(self, name: str, step: Callable[[Replica, float], Output]) -> bool:
+        box = self.boxes[name]
+        replica = box.replica
+        if replica is None or box.is_frozen:
+            return False
+        try:
+            output = step(replica, box.clock)
+        except (NotLeaderError, AgreementError):
+            return False
+        box.carry_out(replica, output)
+        return True
+
+    def leader(self) -> Box | None:
+        """Return the box that leads in the latest term, if one does."""
+        leading = [
+            box
+            for box in self.boxes.values()
+            if box.is_up() and box.replica is not None and box.replica.is_leader
+        ]
+        return max(leading, key=lambda box: box.replica.term if box.replica else 0, default=None)
+
+    def check(self) -> None:
+        """Check what must hold at every moment."""
+        for box in self.boxes.values():
+            history = box.state.settings.history()
+            changes = [change.change for change in history]
+            assert len(changes) == len(set(changes)), f"{box.name}: a change was applied twice"
+            for applied in history:
+                promised = self.accepted.get(applied.version)
+                if promised is not None:
+                    assert promised.change == applied.change, (
+                        f"{box.name}: version {applied.version} is another change than accepted"
+                    )
+
+
+def _drop_answers(text: str) -> str:
+    snapshot = decode_bytes(text, ClusterSnapshot)
+    settings = snapshot.settings
+    emptied = type(settings)(
+        version=settings.version, document=settings.document, history=settings.history
+    )
+    return encode_text(
+        ClusterSnapshot(settings=emptied, jobs=snapshot.jobs, clock=snapshot.clock),
+        ClusterSnapshot,
+    )
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -194,9 +194,10 @@
 
     async def _tick(self) -> None:
         interval = self.settings.election_seconds / TICKS_PER_ELECTION
-        while True:
+        while not self.failure.done():
             if self.replica is not None:
-                self._carry_out(self.replica.tick(self.now()))
+                with contextlib.suppress(StorageError):
+                    self._carry_out(self.replica.tick(self.now()))
             await asyncio.sleep(interval)
 
     def _flush(self) -> None:
@@ -239,6 +240,9 @@
         try:
             self._journal.append(output.persist)
         except StorageError as error:
+            # The replica believes in entries that are on no disk, so it must not
+            # speak again: a repeated heartbeat would acknowledge them.
+            self.replica = None
             if not self.failure.done():
                 self.failure.set_exception(error)
             raise
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_node.py
@@ -0,0 +1,64 @@
+"""The control node when its disk fails."""
+
+import asyncio
+import tempfile
+import unittest
+from unittest import mock
+
+from damsonlane.agreement import AppendRequest, Envelope, LogEntry, Noop
+from damsonlane.errors import NotLeaderError, StorageError
+from damsonlane.settings import BoxSettings
+
+from damsonlaned.control import ControlNode
+from damsonlaned.storage import DataFolder, Journal
+
+
+class FailingDiskTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_replica_whose_disk_failed_acknowledges_nothing(self) -> None:
+        with tempfile.TemporaryDirectory() as path:
+            folder = DataFolder(path)
+            folder.open()
+            node = ControlNode(_settings(path), folder, None)
+            node.start()
+            sent: list[Envelope] = []
+            request = AppendRequest(
+                term=1,
+                previous_index=0,
+                previous_term=0,
+                entries=(LogEntry(index=1, term=1, body=Noop()),),
+                commit=0,
+                round=1,
+            )
+            envelope = Envelope(
+                cluster="c", sender="leader", receiver=node.identity.replica, message=request
+            )
+            with (
+                mock.patch.object(Journal, "append", side_effect=StorageError("full")),
+                mock.patch.object(node._links, "send", side_effect=sent.append),
+            ):
+                with self.assertRaises(StorageError):
+                    node.receive(envelope)
+                # The leader sends again; the entry is in memory and on no disk.
+                with self.assertRaises(NotLeaderError):
+                    node.receive(envelope)
+                await asyncio.sleep(0)
+            self.assertEqual(sent, [])
+            self.assertIsInstance(node.failure.exception(), StorageError)
+            await node.stop()
+            folder.close()
+
+
+def _settings(path: str) -> BoxSettings:
+    return BoxSettings(
+        name="box",
+        data_centre="fukuoka-a",
+        role="control",
+        data_folder=path,
+        internal_address="127.0.0.1:1",
+        admin_address="127.0.0.1:2",
+        control=("127.0.0.1:1",),
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
