--- a/packages/damsonlane/src/damsonlane/agreement/_replica.py
+++ b/packages/damsonlane/src/damsonlane/agreement/_replica.py
@@ -68,6 +68,7 @@
         election_seconds: shortest time without a leader before an election.
         randomness: source of election delays.
         now: the clock, in seconds.
+        entries_per_message: most entries in one message.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         election_seconds: float,
         randomness: random.Random,
         now: float,
+        entries_per_message: int = ENTRIES_PER_MESSAGE,
     ) -> None:
         self.cluster: Final = cluster
         self.name: Final = name
@@ -92,6 +94,7 @@
         self._synced = self._log.last_index
         self._election_seconds = election_seconds
         self._randomness = randomness
+        self._entries_per_message = entries_per_message
         self._now = now
         self._heard_leader_at = float("-inf")
         self._election_due = 0.0
@@ -509,7 +512,7 @@
         if previous_term is None:
             self._send_snapshot(replica, progress)
             return
-        last = min(self._log.last_index, previous + ENTRIES_PER_MESSAGE)
+        last = min(self._log.last_index, previous + self._entries_per_message)
         request = AppendRequest(
             term=self.term,
             previous_index=previous,
--- a/packages/damsonlane/src/damsonlane/agreement/tests/group.py
+++ b/packages/damsonlane/src/damsonlane/agreement/tests/group.py
@@ -151,6 +151,7 @@
             election_seconds=ELECTION_SECONDS,
             randomness=self.group.randomness,
             now=self.clock,
+            entries_per_message=self.group.entries_per_message,
         )
         self.state = ClusterState.from_text(stored.snapshot.state)
         self.applied = stored.snapshot.index
@@ -237,6 +238,8 @@
     def __init__(self, size: int, fault: Fault, seed: int) -> None:
         self.fault = fault
         self.randomness = random.Random(seed)
+        # One entry a message lets entries of several terms arrive apart.
+        self.entries_per_message = self.randomness.choice([1, 512])
         self.flying: list[Envelope] = []
         self.cuts: set[tuple[str, str]] = set()
         self.leaders: dict[int, str] = {}
--- a/packages/damsonlane/src/damsonlane/requests/_run.py
+++ b/packages/damsonlane/src/damsonlane/requests/_run.py
@@ -1,5 +1,6 @@
 """The passage of one request through its stages: a state machine."""
 
+from collections.abc import Mapping
 from typing import Final
 
 from damsonlane.costs import AttemptOutcome, CostLine
@@ -32,6 +33,14 @@
 #: Seconds after which a caller may come back when no better guess exists.
 DEFAULT_RETRY_AFTER: Final = 1.0
 
+#: Reasons for giving up, by the outcome of the last attempt.
+_REASONS: Final[Mapping[str, Reason]] = {
+    "answered": "target-failed",
+    "failed": "target-failed",
+    "refused": "overloaded",
+    "unsent": "no-target",
+}
+
 
 class RequestRun:
     """Runs one request; each method returns the next effect to carry out.
@@ -254,9 +263,7 @@
     def _recover(self, now: float, target: str, result: AttemptResult) -> Effect:
         """Retry elsewhere where that is safe and worth it, else give up."""
         self._avoid = (*self._avoid, target)
-        reason: Reason = "no-target" if result.outcome == "unsent" else "target-failed"
-        if result.is_leaving:
-            reason = "leaving"
+        reason: Reason = "leaving" if result.is_leaving else _REASONS[result.outcome]
         detail = f"stage '{self._request.stages[self._stage].name}': {result.fault}"
         if result.is_delivered:
             return self._refuse("not-whole", detail, "unknown")
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/requests/tests/machine.py
@@ -0,0 +1,105 @@
+"""The stateful machine that drives requests through targets and a ledger that fail."""
+
+from typing import Any
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from damsonlane.requests import AskLedger, Send, Wait
+from damsonlane.requests.tests.world import Fault, Passage, World
+
+_PICK = st.integers(min_value=0, max_value=1000)
+_LEDGER = st.sampled_from(["commit", "commit", "commit", "commit-and-lose", "doubt", "lose"])
+_TARGET = st.sampled_from(
+    [
+        "answered",
+        "answered",
+        "answered",
+        "crossed",
+        "late",
+        "truncated",
+        "lost-after",
+        "lost-before",
+        "refused",
+        "leaving",
+        "unsent",
+    ]
+)
+
+
+class RequestMachine(RuleBasedStateMachine):
+    """Drives passages; subclasses say which fault is planted."""
+
+    fault = Fault.NONE
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(self.fault)
+
+    @rule(
+        organisation=st.sampled_from(["north", "south"]),
+        key=st.sampled_from(["", "k1", "k1", "k2"]),
+        text=st.sampled_from(["refund", "refund", "other"]),
+    )
+    def begin(self, organisation: str, key: str, text: str) -> None:
+        self.world.begin(organisation, key, text)
+
+    def _waiting(self, effect: type) -> list[Passage]:
+        return [p for p in self.world.open_passages() if isinstance(p.effect, effect)]
+
+    @precondition(lambda self: self._waiting(AskLedger))
+    @rule(pick=_PICK, how=_LEDGER)
+    def answer_ledger(self, pick: int, how: str) -> None:
+        waiting = self._waiting(AskLedger)
+        self.world.answer_ledger(waiting[pick % len(waiting)], how)
+
+    @precondition(lambda self: self.world.doubtful)
+    @rule(pick=_PICK, is_kept=st.booleans())
+    def commit_doubtful(self, pick: int, is_kept: bool) -> None:
+        """A command whose sender heard nothing is committed late, perhaps twice."""
+        doubtful = self.world.doubtful
+        position = pick % len(doubtful)
+        self.world.commit(doubtful[position] if is_kept else doubtful.pop(position))
+
+    @precondition(lambda self: self._waiting(Send))
+    @rule(pick=_PICK, how=_TARGET)
+    def answer_target(self, pick: int, how: str) -> None:
+        waiting = self._waiting(Send)
+        self.world.answer_target(waiting[pick % len(waiting)], how)
+
+    @precondition(lambda self: self._waiting(Wait))
+    @rule(pick=_PICK)
+    def resume(self, pick: int) -> None:
+        waiting = self._waiting(Wait)
+        self.world.resume(waiting[pick % len(waiting)])
+
+    @rule(seconds=st.sampled_from([0.1, 0.6, 2.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.world.now += seconds
+
+    @precondition(lambda self: self.world.open_passages())
+    @rule(pick=_PICK)
+    def lose_entry(self, pick: int) -> None:
+        """The entry of a passage dies."""
+        waiting = self.world.open_passages()
+        self.world.passages.remove(waiting[pick % len(waiting)])
+
+    @precondition(lambda self: self.world.open_passages())
+    @rule(pick=_PICK)
+    def finish_one(self, pick: int) -> None:
+        """One passage meets no fault until its end."""
+        waiting = self.world.open_passages()
+        passage = waiting[pick % len(waiting)]
+        while passage.ending is None:
+            if isinstance(passage.effect, AskLedger):
+                self.world.answer_ledger(passage, "commit")
+            elif isinstance(passage.effect, Send):
+                self.world.answer_target(passage, "answered")
+            else:
+                self.world.resume(passage)
+
+
+def make_machine(planted: Fault) -> type[RequestMachine]:
+    """Return a machine with a planted fault."""
+    namespace: dict[str, Any] = {"fault": planted}
+    return type(f"RequestMachineWith{planted.name.title()}", (RequestMachine,), namespace)
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/requests/tests/world.py
@@ -0,0 +1,289 @@
+"""Requests, targets and a ledger in memory, and what really ran."""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from damsonlane.ledger import (
+    ClaimJob,
+    DropJob,
+    FinishJob,
+    JobKey,
+    JobReply,
+    Ledger,
+    StartJob,
+)
+from damsonlane.requests import (
+    Answer,
+    AskLedger,
+    AttemptResult,
+    Effect,
+    End,
+    Ending,
+    Refusal,
+    Repeat,
+    Request,
+    RequestRun,
+    RetryBudget,
+    Send,
+    StagePlan,
+    Wait,
+    decode_answer,
+)
+
+STAGES = ("encode", "confirm")
+DEADLINE = 3.0
+
+
+class Fault(Enum):
+    """Faults that can be planted, to show that the machine finds them."""
+
+    NONE = "none"
+    RETRY_STARTED = "a started call is sent again"
+    ANSWER_BY_POSITION = "an answer is taken without looking whose it is"
+    NOT_RUN_TOO_EARLY = "'not run' is said before the ledger says so"
+    SEND_UNCONFIRMED = "a job is sent although its start is not confirmed"
+    TAKE_OVER_STARTED = "a started job is taken over as if it were only claimed"
+    FORGET_ANSWER = "a finished job is claimed anew"
+
+
+class _RetriesStarted(RequestRun):
+    @property
+    def is_marked(self) -> bool:
+        return super().is_marked and not self._is_started
+
+
+class _TakesAnyAnswer(RequestRun):
+    def take_result(self, now: float, target: str, result: AttemptResult) -> Effect:
+        return super().take_result(now, target, replace(result, answers=self._key()))
+
+
+class _SaysNotRunEarly(RequestRun):
+    def _take_closing_reply(self, reply: JobReply | None) -> Effect:
+        assert self._pending is not None
+        return self._end(self._pending)
+
+    def _unconfirmed_run(self) -> str:  # type: ignore[override]
+        return "no"
+
+
+class _SendsUnconfirmed(RequestRun):
+    def take_reply(self, now: float, reply: JobReply | None) -> Effect:
+        if reply is None and self._pending is None and not self._is_started:
+            self._is_started = True
+            return self._send(now)
+        return super().take_reply(now, reply)
+
+
+class _LedgerThatLetsGo(Ledger):
+    def drop(self, command: DropJob) -> JobReply:
+        return super().drop(replace(command, is_unsent=True))
+
+
+class _RunThatTakesOver(RequestRun):
+    def _await_holder(self, now: float, reply: JobReply) -> Effect:
+        return super()._await_holder(now, replace(reply, phase="claimed"))
+
+
+class _LedgerThatForgets(Ledger):
+    def claim(self, command: ClaimJob) -> JobReply:
+        job = self._jobs.get(command.name)
+        if job is not None and job.phase == "finished":
+            del self._jobs[command.name]
+        return super().claim(command)
+
+
+_RUNS: dict[Fault, type[RequestRun]] = {
+    Fault.RETRY_STARTED: _RetriesStarted,
+    Fault.ANSWER_BY_POSITION: _TakesAnyAnswer,
+    Fault.NOT_RUN_TOO_EARLY: _SaysNotRunEarly,
+    Fault.SEND_UNCONFIRMED: _SendsUnconfirmed,
+    Fault.TAKE_OVER_STARTED: _RunThatTakesOver,
+}
+_LEDGERS: dict[Fault, type[Ledger]] = {
+    Fault.TAKE_OVER_STARTED: _LedgerThatLetsGo,
+    Fault.FORGET_ANSWER: _LedgerThatForgets,
+}
+
+
+@dataclass
+class Passage:
+    """One passage of a request through one entry."""
+
+    number: int
+    request: Request
+    run: RequestRun
+    effect: Effect
+    ending: Ending | None = None
+
+
+@dataclass(frozen=True)
+class Ran:
+    """One execution at a target."""
+
+    passage: int
+    digest: str
+    key: str
+    stage: str
+
+
+@dataclass
+class World:
+    """Everything that passages share."""
+
+    fault: Fault
+    now: float = 100.0
+    begun: int = 0
+    passages: list[Passage] = field(default_factory=list)
+    ran: list[Ran] = field(default_factory=list)
+    doubtful: list[ClaimJob | StartJob | FinishJob | DropJob] = field(default_factory=list)
+    outputs: dict[str, str] = field(default_factory=dict)
+    keys_seen: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.ledger = _LEDGERS.get(self.fault, Ledger)()
+        self.budget = RetryBudget()
+
+    def begin(self, organisation: str, key: str, text: str) -> None:
+        """Send a request; an empty key sends one that may be repeated."""
+        number = self.begun
+        self.begun += 1
+        full_key = f"{organisation}/{key}"
+        request = Request(
+            request=f"request-{number}",
+            organisation=organisation,
+            pipeline="p",
+            text=text,
+            due_at=self.now + DEADLINE,
+            stages=tuple(
+                StagePlan(name=stage, service=stage, attempts=3, routing="random")
+                for stage in STAGES
+            ),
+            job=JobKey(organisation=organisation, key=key) if key else None,
+            digest=text,
+            is_first_send=full_key not in self.keys_seen,
+        )
+        self.keys_seen.add(full_key)
+        shape = _RUNS.get(self.fault, RequestRun)
+        run = shape(request, token=f"token-{number}", wall_clock=self.now, budget=self.budget)
+        self.passages.append(Passage(number, request, run, run.begin(self.now)))
+        self._note_end(self.passages[-1])
+
+    def open_passages(self) -> list[Passage]:
+        """Return the passages that have not ended."""
+        return [passage for passage in self.passages if passage.ending is None]
+
+    def answer_ledger(self, passage: Passage, how: str) -> None:
+        """Answer a passage that asks the ledger."""
+        effect = passage.effect
+        assert isinstance(effect, AskLedger)
+        reply = None
+        if how in ("commit", "commit-and-lose"):
+            reply = self.commit(effect.command)
+        elif how == "doubt":
+            self.doubtful.append(effect.command)
+        shown = reply if how == "commit" else None
+        if shown is None:
+            # An entry that hears nothing waits as long as it may.
+            self.now += min(effect.seconds, 0.5)
+        passage.effect = passage.run.take_reply(self.now, shown)
+        self._note_end(passage)
+
+    def commit(self, command: ClaimJob | StartJob | FinishJob | DropJob) -> JobReply:
+        """Apply a command to the ledger."""
+        match command:
+            case ClaimJob():
+                return self.ledger.claim(command)
+            case StartJob():
+                return self.ledger.start(command)
+            case FinishJob():
+                return self.ledger.finish(command)
+            case DropJob():
+                return self.ledger.drop(command)
+
+    def answer_target(self, passage: Passage, how: str) -> None:
+        """Answer a passage that waits for a target."""
+        effect = passage.effect
+        assert isinstance(effect, Send)
+        if how not in ("refused", "leaving", "unsent", "lost-before"):
+            self._run(passage, effect)
+        result = self._make_result(effect, how)
+        target = "" if how == "unsent" else "target"
+        passage.effect = passage.run.take_result(self.now, target, result)
+        self._note_end(passage)
+
+    def resume(self, passage: Passage) -> None:
+        """Let a waiting passage go on."""
+        assert isinstance(passage.effect, Wait)
+        self.now += passage.effect.seconds
+        passage.effect = passage.run.resume(self.now)
+        self._note_end(passage)
+
+    def _make_result(self, effect: Send, how: str) -> AttemptResult:
+        output = make_output(effect.stage.name, effect.text)
+        match how:
+            case "answered":
+                return AttemptResult(answers=effect.key, outcome="answered", output=output)
+            case "crossed":
+                other = replace(effect.key, request="another")
+                return AttemptResult(answers=other, outcome="answered", output="someone else's")
+            case "late":
+                earlier = replace(effect.key, number=effect.key.number - 1)
+                return AttemptResult(answers=earlier, outcome="answered", output="an older one")
+            case "refused" | "leaving":
+                return AttemptResult(
+                    answers=None, outcome="refused", is_leaving=how == "leaving", fault="no"
+                )
+            case "unsent":
+                return AttemptResult(answers=None, outcome="unsent", fault="not reached")
+            case _:
+                return AttemptResult(answers=None, outcome="failed", fault="broke off")
+
+    def _run(self, passage: Passage, effect: Send) -> None:
+        job = passage.request.job
+        key = f"{job.organisation}/{job.key}" if job else ""
+        self.ran.append(Ran(passage.number, passage.request.digest, key, effect.stage.name))
+        if not key:
+            return
+        runs = Counter((ran.key, ran.stage) for ran in self.ran)
+        assert runs[(key, effect.stage.name)] <= 1, f"{key} ran twice at {effect.stage.name}"
+        assert not self._was_refused_as_not_run(passage), "a passage ran after it said 'not run'"
+
+    def _was_refused_as_not_run(self, passage: Passage) -> bool:
+        return isinstance(passage.ending, Refusal) and passage.ending.run == "no"
+
+    def _note_end(self, passage: Passage) -> None:
+        if not isinstance(passage.effect, End):
+            return
+        ending = passage.effect.billed.ending
+        passage.ending = ending
+        if isinstance(ending, Refusal):
+            if ending.run == "no":
+                self._check_not_run(passage)
+        else:
+            self._check_answer(passage, ending)
+
+    def _check_not_run(self, passage: Passage) -> None:
+        """'Not run' speaks of this sending and all earlier ones of the same request."""
+        request = passage.request
+        key = f"{request.organisation}/{request.job.key}" if request.job else ""
+        for ran in self.ran:
+            is_same = ran.key == key and ran.digest == request.digest if key else False
+            mine = ran.passage == passage.number or (is_same and ran.passage < passage.number)
+            assert not mine, f"'not run' is false: {ran}"
+
+    def _check_answer(self, passage: Passage, ending: Answer | Repeat) -> None:
+        answer = decode_answer(ending.answer) if isinstance(ending, Repeat) else ending
+        expected = passage.request.text
+        for stage in STAGES:
+            expected = make_output(stage, expected)
+        assert answer.output == expected, f"{answer.output!r} is not the answer to its request"
+        if passage.request.job is not None:
+            key = f"{passage.request.organisation}/{passage.request.job.key}"
+            first = self.outputs.setdefault(key, answer.request)
+            assert first == answer.request, f"{key} got answers of two runs"
+
+
+def make_output(stage: str, text: str) -> str:
+    """Return what a target makes of a text."""
+    return f"{stage}({text})"
