Admission by Little's law instead of stale load reports

Change: each entry forecasts a stage from its own requests in flight and its own endings a second, once times show that the service queues; usual times rise slowly, so waiting is not learned as work. Routing adds other entries' requests from reports that fade in half a second.

--- a/packages/damsonlane/src/damsonlane/admission/__init__.py
+++ b/packages/damsonlane/src/damsonlane/admission/__init__.py
@@ -1,5 +1,18 @@
 """Admission: who may enter, decided at once and without a queue."""
 
+from damsonlane.admission._forecast import (
+    ADMISSION_SHARE,
+    STAGE_SHARE,
+    ServiceMeter,
+    Work,
+)
 from damsonlane.admission._gate import Gate, Visitor
 
-__all__ = ["Gate", "Visitor"]
+__all__ = [
+    "ADMISSION_SHARE",
+    "STAGE_SHARE",
+    "Gate",
+    "ServiceMeter",
+    "Visitor",
+    "Work",
+]
--- a/packages/damsonlane/src/damsonlane/ledger/_ledger.py
+++ b/packages/damsonlane/src/damsonlane/ledger/_ledger.py
@@ -94,7 +94,8 @@
         """Move the clock and let the oldest records go past the horizon."""
         self.clock = max(self.clock, at)
         floor = self.clock - HORIZON_SECONDS
-        for name, job in list(self._jobs.items()):
+        while self._jobs:
+            name, job = next(iter(self._jobs.items()))
             if job.claimed_at >= floor:
                 break
             self._expire(name, job)
--- a/packages/damsonlane/src/damsonlane/requests/_run.py
+++ b/packages/damsonlane/src/damsonlane/requests/_run.py
@@ -119,6 +119,10 @@
             return self._complete_stage(now, target, result.output)
         return self._recover(now, target, result)
 
+    def give_up(self, now: float) -> Effect:
+        """End instead of carrying out the last `Send`, because its stages can't end in time."""
+        return self._fail(now, "deadline", "the remaining stages can't end in time")
+
     # Marked requests.
 
     def _claim(self, now: float) -> Effect:
--- a/packages/damsonlane/src/damsonlane/routing/_book.py
+++ b/packages/damsonlane/src/damsonlane/routing/_book.py
@@ -20,6 +20,8 @@
 SLOWNESS_WEIGHT: Final = 0.2
 #: Seconds in which an idle target's slowness goes half way back to normal.
 SLOWNESS_HALF_LIFE: Final = 10.0
+#: Seconds in which a report of other entries' requests loses half of its worth.
+REPORT_HALF_LIFE: Final = 0.5
 #: Seconds for which a target that said it is leaving gets nothing, unless it says so again.
 LEAVING_SECONDS: Final = 60.0
 #: Bounds of one slowness sample.
@@ -65,8 +67,8 @@
     def __init__(self, standing: Standing) -> None:
         self.standing = standing
         self.in_flight = 0
-        self.reported = 0
-        self.sent_since = 0
+        self.others = 0.0
+        self.reported_at = 0.0
         self.slots = 1
         self.slowness = 1.0
         self.measured_at = 0.0
@@ -76,16 +78,14 @@
         self.leaving_until = 0.0
 
     def view(self, name: str, now: float) -> TargetView:
-        age = max(0.0, now - self.measured_at)
-        fading = 0.5 ** (age / SLOWNESS_HALF_LIFE)
+        slowness_fading = _fade(now - self.measured_at, SLOWNESS_HALF_LIFE)
         return TargetView(
             name=name,
             data_centre=self.standing.data_centre,
             in_flight=self.in_flight,
-            reported=self.reported,
-            sent_since=self.sent_since,
+            others=self.others * _fade(now - self.reported_at, REPORT_HALF_LIFE),
             slots=self.slots,
-            slowness=self.slowness**fading,
+            slowness=self.slowness**slowness_fading,
         )
 
     def is_ejected(self, now: float) -> bool:
@@ -141,7 +141,6 @@
         chosen = POLICIES[policy].choose(views, origin, randomness)
         record = self._records[chosen.name]
         record.in_flight += 1
-        record.sent_since += 1
         return Choice(target=chosen.name, address=record.standing.address)
 
     def finish(
@@ -167,9 +166,10 @@
             return
         record.in_flight = max(0, record.in_flight - 1)
         if report is not None:
-            record.reported = report.held
+            # The report counts the request that just ended, and those still in flight here.
+            record.others = float(max(0, report.held - record.in_flight - 1))
+            record.reported_at = now
             record.slots = max(1, report.slots)
-            record.sent_since = 0
         if pace is not None:
             self._measure(record, pace, now)
         if health == "bad":
@@ -213,3 +213,8 @@
         sample = min(high, max(low, pace))
         record.slowness += SLOWNESS_WEIGHT * (sample - record.slowness)
         record.measured_at = now
+
+
+def _fade(age: float, half_life: float) -> float:
+    """Return what is left of an old observation, as a share."""
+    return float(0.5 ** (max(0.0, age) / half_life))
--- a/packages/damsonlane/src/damsonlane/routing/_policies.py
+++ b/packages/damsonlane/src/damsonlane/routing/_policies.py
@@ -114,11 +114,9 @@
 
 def predict_time(view: TargetView, origin: Origin) -> float:
     """Return the predicted time at a target, in units of one request's usual time."""
-    waiting = max(0, view.load() + 1 - view.slots) / view.slots
-    crowding = (view.load() + 1) / view.slots
+    crowding = view.load() / view.slots
     distance = 0.0 if view.data_centre == origin.data_centre else DISTANCE_SHARE
-    # Crowding below the slots still counts a little: engines that batch slow down.
-    return view.slowness * (1.0 + waiting + 0.1 * crowding) + distance
+    return view.slowness * (1.0 + crowding) + distance
 
 
 def _rank(name: str, prefix: str) -> bytes:
--- a/packages/damsonlane/src/damsonlane/routing/_views.py
+++ b/packages/damsonlane/src/damsonlane/routing/_views.py
@@ -13,18 +13,16 @@
     data_centre: str
     #: Requests that this entry has in flight there.
     in_flight: int
-    #: Requests held there when it last reported, by any entry.
-    reported: int
-    #: Requests that this entry has sent since that report.
-    sent_since: int
+    #: Requests of other entries held there, as far as its last report tells.
+    others: float
     #: Requests that it runs at once, from its report; 1 when unknown.
     slots: int
     #: How its times compare with those of its fellows; 1 is the usual pace.
     slowness: float
 
-    def load(self) -> int:
-        """Return the requests it probably holds, never fewer than our own."""
-        return max(self.in_flight, self.reported + self.sent_since)
+    def load(self) -> float:
+        """Return the requests it probably holds."""
+        return self.in_flight + self.others
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/entry/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_callers.py
@@ -6,13 +6,14 @@
 import time
 from collections.abc import Callable, Generator, Iterable, Iterator
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, NoReturn
 
-from damsonlane.admission import Gate
+from damsonlane.admission import ADMISSION_SHARE, Gate
 from damsonlane.requests import (
     Answer,
     Billed,
     Ending,
+    Reason,
     Refusal,
     Repeat,
     decode_answer,
@@ -101,18 +102,35 @@
         )
 
     def _enter(self, intake: Intake) -> None:
+        """Let a request in, or refuse it at once.
+
+        Raises:
+            ProblemError: its lane is full or its deadline can't be met.
+        """
+        request = intake.request
+        remaining = request.due_at - time.monotonic()
+        allowed = ADMISSION_SHARE * remaining
+        needed = self._passages.forecast(intake)
+        if 0 < allowed < needed:
+            detail = f"the stages need about {needed:.2f} s of the {remaining:.2f} s left"
+            self._refuse(intake, "deadline", detail, needed - allowed)
         with self._gate_lock:
             is_inside = self._gate.try_enter(intake.visitor, time.monotonic())
         if not is_inside:
-            refusal = Refusal(
-                request=intake.request.request,
-                reason="overloaded",
-                detail=f"lane '{intake.visitor.lane}' is full",
-                run="no",
-                retry_after=FULL_RETRY_SECONDS,
-            )
-            self._count(intake, refusal, 0.0)
-            raise ProblemError(describe_refusal(refusal))
+            self._refuse(intake, "overloaded", f"lane '{intake.visitor.lane}' is full")
+
+    def _refuse(
+        self, intake: Intake, reason: Reason, detail: str, retry_after: float = 0.0
+    ) -> NoReturn:
+        refusal = Refusal(
+            request=intake.request.request,
+            reason=reason,
+            detail=detail,
+            run=intake.run_if_refused(),
+            retry_after=max(FULL_RETRY_SECONDS, retry_after),
+        )
+        self._count(intake, refusal, 0.0)
+        raise ProblemError(describe_refusal(refusal))
 
     def _leave(self, intake: Intake) -> None:
         with self._gate_lock:
--- a/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
@@ -6,11 +6,11 @@
 from collections.abc import Generator
 from typing import Final
 
-from damsonlane.requests import AttemptResult, Send
+from damsonlane.admission import ServiceMeter, Work
+from damsonlane.requests import AttemptResult, Request, Send
 from damsonlane.routing import Choice, Health, LoadReport, Origin, Standing, TargetBook
 from damsonlane.settings import Tree
 
-from damsonlaned.entry._pace import Paces
 from damsonlaned.targets import KINDS, Connections, TargetCall, TargetReply
 
 
@@ -27,11 +27,26 @@
         self._data_centre: Final = data_centre
         self._connections: Final = Connections()
         self._books: dict[str, TargetBook] = {}
-        self._paces: Final = Paces()
+        self._meters: dict[str, ServiceMeter] = {}
         self._tree: Tree | None = None
         self._lock: Final = threading.Lock()
         self._randomness: Final = random.Random()
 
+    def forecast(self, request: Request, tree: Tree, first: int = 0) -> float:
+        """Return the predicted seconds of a request's stages from the ``first`` on."""
+        now = time.monotonic()
+        total = 0.0
+        with self._lock:
+            self._follow(tree)
+            for stage in request.stages[first:]:
+                work = Work(
+                    organisation=request.organisation,
+                    pipeline=request.pipeline,
+                    stage=stage.name,
+                )
+                total += self._meters[stage.service].predict(work, now)
+        return total
+
     def send(
         self, send: Send, tree: Tree, pipeline: str
     ) -> Generator[str, None, tuple[str, AttemptResult]]:
@@ -67,14 +82,19 @@
 
     def _choose(self, send: Send, tree: Tree) -> Choice | None:
         with self._lock:
-            if tree is not self._tree:
-                self._follow(tree)
+            self._follow(tree)
             origin = Origin(data_centre=self._data_centre, affinity=send.text)
-            return self._books[send.stage.service].choose(
+            choice = self._books[send.stage.service].choose(
                 send.stage.routing, origin, send.avoid, time.monotonic(), self._randomness
             )
+            if choice is not None:
+                self._meters[send.stage.service].begin()
+            return choice
 
     def _follow(self, tree: Tree) -> None:
+        """Take over the targets of a tree, if it is another than before."""
+        if tree is self._tree:
+            return
         self._tree = tree
         for name, service in tree.services.items():
             standings = {
@@ -82,6 +102,7 @@
                 for target, written in service.targets.items()
             }
             self._books.setdefault(name, TargetBook()).update(standings)
+            self._meters.setdefault(name, ServiceMeter())
 
     def _finish(
         self, send: Send, choice: Choice, pipeline: str, reply: TargetReply | None, began_at: float
@@ -90,12 +111,16 @@
         report: LoadReport | None = reply.report if reply else None
         with self._lock:
             book = self._books[send.stage.service]
-            pace = None
-            if reply is not None and reply.result.outcome == "answered":
-                work = f"{send.key.organisation}/{pipeline}/{send.stage.name}"
-                pace = self._paces.measure(work, now - began_at)
+            work = Work(
+                organisation=send.key.organisation, pipeline=pipeline, stage=send.stage.name
+            )
+            is_answered = reply is not None and reply.result.outcome == "answered"
+            seconds = now - began_at if is_answered else None
+            pace = self._meters[send.stage.service].finish(work, now, seconds)
             health = _judge(reply)
-            book.finish(choice.target, health, now, pace=pace, report=report)
+            book.finish(
+                choice.target, health, now, pace=pace if is_answered else None, report=report
+            )
             if reply is not None and reply.result.is_leaving:
                 book.mark_leaving(choice.target, now)
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_intake.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_intake.py
@@ -12,7 +12,7 @@
 
 from damsonlane.admission import Visitor
 from damsonlane.ledger import JobKey
-from damsonlane.requests import Request, StagePlan
+from damsonlane.requests import Request, Run, StagePlan
 from damsonlane.settings import EffectivePolicy, Pipeline, Tree
 
 from damsonlaned.entry._problems import Problem
@@ -57,6 +57,14 @@
     #: The tree under which it was taken.
     tree: Tree
 
+    def run_if_refused(self) -> Run:
+        """Say what is known to have run if the request is refused before it entered.
+
+        An earlier sending of a marked request may have run.
+        """
+        is_known = self.request.job is None or self.request.is_first_send
+        return "no" if is_known else "unknown"
+
 
 def take_request(
     environment: Environment,
--- a/packages/damsonlaned/src/damsonlaned/entry/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_passage.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from typing import Final
 
+from damsonlane.admission import STAGE_SHARE
 from damsonlane.requests import (
     AskLedger,
     Billed,
@@ -34,6 +35,10 @@
         self._dispatch: Final = dispatch
         self._budget: Final = _SharedBudget()
 
+    def forecast(self, intake: Intake) -> float:
+        """Return the predicted seconds of a request."""
+        return self._dispatch.forecast(intake.request, intake.tree)
+
     def run(self, intake: Intake) -> Generator[str, None, Billed]:
         """Run a request, yielding pieces of the last stage's output if it is streamed."""
         run = RequestRun(
@@ -60,7 +65,18 @@
         time.sleep(effect.seconds)
         return run.resume(time.monotonic())
 
+    def _is_hopeless(self, send: Send, intake: Intake) -> bool:
+        """Tell whether what is left of a request that has run in part can't end in time."""
+        names = [stage.name for stage in intake.request.stages]
+        first = names.index(send.stage.name)
+        if first == 0:
+            return False
+        needed = self._dispatch.forecast(intake.request, intake.tree, first)
+        return needed > STAGE_SHARE * send.seconds
+
     def _send(self, run: RequestRun, send: Send, intake: Intake) -> Generator[str, None, Effect]:
+        if self._is_hopeless(send, intake):
+            return run.give_up(time.monotonic())
         if send.key.number == 1:
             self._budget.count_first(send.stage.retry_share)
         attempt = self._dispatch.send(send, intake.tree, intake.request.pipeline)
