--- a/packages/damsonlane/src/damsonlane/admission/_forecast.py
+++ b/packages/damsonlane/src/damsonlane/admission/_forecast.py
@@ -19,7 +19,7 @@
 #: Seconds over which endings are counted.
 WINDOW_SECONDS: Final = 1.0
 #: Share of the remaining time that a forecast may fill at admission.
-ADMISSION_SHARE: Final = 0.7
+ADMISSION_SHARE: Final = 0.6
 #: Share of the remaining time that a forecast may fill before a later stage.
 STAGE_SHARE: Final = 1.0
 
