Membership through the log; shares that return; leaving targets by three sources

Cause: limits stood for one entry only, an entry knew its peers from its settings only, and a leaving target was known to the entry that met its refusal and to no other.

Ruled out: heartbeats of every box to the leader (350 a second at the target size). A box reports to one control replica; only changes of the list are committed, with the incarnation and the replica that hears it, so a late word of an old incarnation or of a replica that lost touch changes nothing.

Change: membership in the replicated state; control tells entries how many are live and a few peers' addresses; fleet limits are divided by the live entries; leaving targets come from refusals, the platform's list (file or HTTP, in a registry) and peers.

Shares are split evenly, not yet by demand.

--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,16 @@
 	$(VENV)/bin/pip install -q -c constraints.txt --no-build-isolation -r requirements.txt $(addprefix -e packages/,$(PACKAGES))
 	touch $@
 
+# Each prints its figures; they stand in docs/ with the date of the run.
+capacity: $(VENV)/made
+	$(RUN) -m damsonlane_bench.capacity
+
+measure: $(VENV)/made
+	$(RUN) -m damsonlane_bench.policy
+	$(RUN) -m damsonlane_bench.overhead
+
+fuzz: $(VENV)/made
+	$(RUN) tools/fuzz.py
+
 clean:
 	rm -rf $(VENV)
--- a/packages/damsonlane/src/damsonlane/admission/_gate.py
+++ b/packages/damsonlane/src/damsonlane/admission/_gate.py
@@ -21,6 +21,8 @@
     weight: float
     #: Most requests of the lane in flight at this entry.
     limit: int
+    #: Most requests of the organisation in flight at this entry, over all lanes; 0 for no limit.
+    own_limit: int = 0
 
 
 @dataclass
@@ -46,6 +48,8 @@
 
     def try_enter(self, visitor: Visitor, now: float) -> bool:
         """Let a request in, or not; whoever entered must `leave`."""
+        if 0 < visitor.own_limit <= self._own(visitor.organisation):
+            return False
         lane = self._lanes.setdefault(visitor.lane, {})
         usage = lane.setdefault(visitor.organisation, _Usage())
         usage.weight = visitor.weight
@@ -67,6 +71,11 @@
         """Return the requests inside, over all lanes."""
         return sum(usage.in_flight for lane in self._lanes.values() for usage in lane.values())
 
+    def _own(self, organisation: str) -> int:
+        return sum(
+            lane[organisation].in_flight for lane in self._lanes.values() if organisation in lane
+        )
+
     def _share(self, lane: dict[str, _Usage], usage: _Usage, limit: int, now: float) -> float:
         weights = sum(
             other.weight
--- a/packages/damsonlane/src/damsonlane/agreement/_replica.py
+++ b/packages/damsonlane/src/damsonlane/agreement/_replica.py
@@ -151,6 +151,13 @@
         progress = self._progress.get(replica)
         return progress.match if progress else 0
 
+    def silence_of(self, replica: str) -> float:
+        """Return the seconds since a member was last heard (leader only)."""
+        if replica == self.name:
+            return 0.0
+        progress = self._progress.get(replica)
+        return self._now - progress.heard_at if progress else float("inf")
+
     # Events.
 
     def tick(self, now: float) -> Output:
--- a/packages/damsonlane/src/damsonlane/cluster/_state.py
+++ b/packages/damsonlane/src/damsonlane/cluster/_state.py
@@ -15,13 +15,14 @@
 from damsonlane.codec import decode_bytes, decode_value, encode_text
 from damsonlane.costs import CostBook, CostsRecorded, CostTotal, RecordCosts, SenderProgress
 from damsonlane.ledger import ClaimJob, DropJob, FinishJob, Job, JobReply, Ledger, StartJob
+from damsonlane.membership import BoxNoted, BoxRecord, LoseBox, Membership, NoteBox
 
 Command = Annotated[
-    ChangeSettings | ClaimJob | StartJob | FinishJob | DropJob | RecordCosts,
+    ChangeSettings | ClaimJob | StartJob | FinishJob | DropJob | RecordCosts | NoteBox | LoseBox,
     Field(discriminator="kind"),
 ]
 Reply = Annotated[
-    ChangeAccepted | ChangeConflict | ChangeRefused | JobReply | CostsRecorded,
+    ChangeAccepted | ChangeConflict | ChangeRefused | JobReply | CostsRecorded | BoxNoted,
     Field(discriminator="kind"),
 ]
 
@@ -40,6 +41,8 @@
     totals: tuple[CostTotal, ...] = ()
     #: Senders of cost batches.
     senders: tuple[SenderProgress, ...] = ()
+    #: Boxes that are heard.
+    boxes: tuple[BoxRecord, ...] = ()
 
 
 def encode_command(command: Command) -> str:
@@ -61,6 +64,7 @@
         self.settings = SettingsStore(start.settings)
         self.ledger = Ledger(start.jobs, start.clock)
         self.costs = CostBook(start.totals, start.senders)
+        self.membership = Membership(start.boxes)
 
     @classmethod
     def from_text(cls, text: str) -> "ClusterState":
@@ -75,6 +79,7 @@
             clock=self.ledger.clock,
             totals=self.costs.totals(),
             senders=self.costs.senders(),
+            boxes=self.membership.records(),
         )
         return encode_text(snapshot, ClusterSnapshot)
 
@@ -93,3 +98,7 @@
                 return self.ledger.drop(command)
             case RecordCosts():
                 return self.costs.record(command)
+            case NoteBox():
+                return self.membership.note(command)
+            case LoseBox():
+                return self.membership.lose(command)
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/membership/__init__.py
@@ -0,0 +1,12 @@
+"""Membership of boxes: live, leaving, gone; an old incarnation never comes back."""
+
+from damsonlane.membership._boxes import (
+    BoxNoted,
+    BoxRecord,
+    BoxStanding,
+    LoseBox,
+    Membership,
+    NoteBox,
+)
+
+__all__ = ["BoxNoted", "BoxRecord", "BoxStanding", "LoseBox", "Membership", "NoteBox"]
--- a/packages/damsonlane/src/damsonlane/requests/_run.py
+++ b/packages/damsonlane/src/damsonlane/requests/_run.py
@@ -179,9 +179,9 @@
         return Wait(seconds=BUSY_WAIT)
 
     def _give_up_unconfirmed(self, now: float) -> Effect:
-        detail = "control could not confirm the job in time"
         if self._busy_since is not None:
-            return self._refuse("no-quorum", detail, "unknown")
+            return self._refuse("key-busy", "the same job is still running", "unknown")
+        detail = "control could not confirm the job in time"
         return self._refuse("no-quorum", detail, self._unconfirmed_run())
 
     def _unconfirmed_run(self) -> Run:
--- a/packages/damsonlane/src/damsonlane/routing/_book.py
+++ b/packages/damsonlane/src/damsonlane/routing/_book.py
@@ -22,8 +22,6 @@
 SLOWNESS_HALF_LIFE: Final = 10.0
 #: Seconds in which a report of other entries' requests loses half of its worth.
 REPORT_HALF_LIFE: Final = 0.5
-#: Seconds for which a target that said it is leaving gets nothing, unless it says so again.
-LEAVING_SECONDS: Final = 60.0
 #: Bounds of one slowness sample.
 SLOWNESS_RANGE: Final = (0.1, 20.0)
 
@@ -75,7 +73,6 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
-        self.leaving_until = 0.0
 
     def view(self, name: str, now: float) -> TargetView:
         slowness_fading = _fade(now - self.measured_at, SLOWNESS_HALF_LIFE)
@@ -116,7 +113,9 @@
         self,
         policy: str,
         origin: Origin,
-        avoid: Collection[str],
+        *,
+        avoid: Collection[str] = (),
+        leaving: Collection[str] = (),
         now: float,
         randomness: random.Random,
     ) -> Choice | None:
@@ -127,13 +126,14 @@
             origin: where the choice is made.
             avoid: targets that failed this request already; used only if
                 nothing else is left.
+            leaving: targets that get nothing new, whatever is left.
             now: the clock, in seconds.
             randomness: source of tie breaks.
 
         Returns:
             The choice, or None when the service has no target that may be used.
         """
-        usable = self._usable(now)
+        usable = self._usable(now, leaving)
         preferred = [name for name in usable if name not in avoid] or usable
         if not preferred:
             return None
@@ -178,18 +178,8 @@
             record.failures = 0
             record.ejections = 0
 
-    def mark_leaving(self, target: str, now: float) -> None:
-        """Send nothing more to a target that said it is leaving."""
-        record = self._records.get(target)
-        if record is not None:
-            record.leaving_until = now + LEAVING_SECONDS
-
-    def views(self, now: float) -> tuple[TargetView, ...]:
-        """Return the usable targets."""
-        return tuple(self._records[name].view(name, now) for name in self._usable(now))
-
-    def _usable(self, now: float) -> list[str]:
-        present = [name for name, record in self._records.items() if record.leaving_until <= now]
+    def _usable(self, now: float, leaving: Collection[str]) -> list[str]:
+        present = [name for name in self._records if name not in leaving]
         healthy = [name for name in present if not self._records[name].is_ejected(now)]
         least = len(present) - int(len(present) * EJECTED_SHARE)
         if len(healthy) >= least:
--- a/packages/damsonlane/src/damsonlane/settings/__init__.py
+++ b/packages/damsonlane/src/damsonlane/settings/__init__.py
@@ -1,6 +1,6 @@
 """Settings: of one box, and the tree that governs all of them."""
 
-from damsonlane.settings._box import BoxSettings, Role, TlsFiles, read_box_settings
+from damsonlane.settings._box import BoxSettings, PlatformList, Role, TlsFiles, read_box_settings
 from damsonlane.settings._edits import Edit, apply_edits
 from damsonlane.settings._policy import (
     INHERIT,
@@ -43,6 +43,7 @@
     "Organisation",
     "Origin",
     "Pipeline",
+    "PlatformList",
     "Policy",
     "Role",
     "Service",
--- a/packages/damsonlane/src/damsonlane/settings/_box.py
+++ b/packages/damsonlane/src/damsonlane/settings/_box.py
@@ -30,6 +30,18 @@
     authority: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class PlatformList:
+    """Where the platform's list of live and leaving boxes is."""
+
+    __pydantic_config__ = CLOSED
+
+    #: How it is read.
+    kind: Literal["file", "http"]
+    #: Path of the file, or address to get it from.
+    place: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class BoxSettings:
     """What a process learns at its start."""
@@ -56,6 +68,8 @@
     peers: tuple[Address, ...] = ()
     #: Keys between boxes; without them calls travel in the clear.
     tls: TlsFiles | None = None
+    #: The platform's list of boxes; it lags, so it is one source among others.
+    platform_list: PlatformList | None = None
     #: Threads that serve callers; more than all lanes together may hold.
     caller_threads: Annotated[int, Field(ge=4, le=2000)] = 200
     #: Largest request body, in bytes.
--- a/packages/damsonlane/src/damsonlane/settings/_policy.py
+++ b/packages/damsonlane/src/damsonlane/settings/_policy.py
@@ -42,6 +42,8 @@
     weight: Annotated[float, Field(gt=0, le=1000)] | Inherit = INHERIT
     #: Most requests of a lane in flight at one entry.
     in_flight: Annotated[int, Field(ge=1, le=10_000)] | Inherit = INHERIT
+    #: Most requests of an organisation in flight at all entries together; 0 for no limit.
+    fleet_in_flight: Annotated[int, Field(ge=0, le=1_000_000)] | Inherit = INHERIT
     #: Lane of admission.
     lane: Lane | Inherit = INHERIT
 
@@ -62,6 +64,8 @@
     weight: float = 1.0
     #: Most requests of a lane in flight at one entry.
     in_flight: int = 64
+    #: Most requests of an organisation in flight at all entries together; 0 for no limit.
+    fleet_in_flight: int = 0
     #: Lane of admission.
     lane: Lane = "standard"
 
--- a/packages/damsonlane_cli/src/damsonlane_cli/_control.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_control.py
@@ -10,11 +10,14 @@
     FOUND,
     REMOVE,
     AddRequest,
+    BoxesQuery,
+    BoxesView,
     ControlClient,
     Denied,
     Forbidden,
     FoundRequest,
     GroupReply,
+    QueryRequest,
     RemoveRequest,
     StatusReply,
 )
@@ -31,6 +34,8 @@
 
 #: Seconds to wait for a change of the group.
 SECONDS: Final = 30.0
+#: Seconds of silence after which a box is shown as suspected.
+SUSPECTED_SECONDS: Final = 3.5
 _POLL_SECONDS: Final = 0.1
 _CALL_SECONDS: Final = 2.0
 
@@ -45,21 +50,8 @@
         print_rows(rows, json)
 
     def boxes(self, json: bool = False) -> None:
-        """Show which settings are in force at each box."""
-        statuses = call_control(_read_statuses)
-        rows = [
-            {
-                "box": box.box,
-                "data centre": box.data_centre,
-                "version": box.version,
-                "silent seconds": box.silent_seconds,
-                "seen by": status.box,
-            }
-            for status in statuses.values()
-            if status is not None
-            for box in status.boxes
-        ]
-        print_rows(sorted(rows, key=lambda row: str(row["box"])), json)
+        """Show the boxes that control hears, and which settings are in force there."""
+        print_rows(call_control(_read_boxes), json)
 
     def found(self, address: str) -> None:
         """Found a group whose first member is the control box at an address."""
@@ -146,6 +138,29 @@
     return statuses
 
 
+async def _read_boxes(client: ControlClient, settings: OperatorSettings) -> list[dict[str, object]]:
+    reply = await client.query(QueryRequest(query=BoxesQuery()), SECONDS)
+    assert isinstance(reply.outcome, BoxesView)
+    statuses = await _read_statuses(client, settings)
+    heard = {
+        box.box: box for status in statuses.values() if status is not None for box in status.boxes
+    }
+    rows: list[dict[str, object]] = []
+    for record in reply.outcome.boxes:
+        status = heard.get(record.box)
+        is_silent = status is None or status.silent_seconds > SUSPECTED_SECONDS
+        row = {
+            "box": record.box,
+            "data centre": record.data_centre,
+            "standing": "suspected" if is_silent else record.standing,
+            "version": status.version if status else 0,
+            "address": record.address,
+            "heard by": record.via,
+        }
+        rows.append(row)
+    return rows
+
+
 def _describe(address: str, status: StatusReply | None) -> dict[str, object]:
     if status is None:
         return {"address": address, "standing": "does not answer"}
--- a/packages/damsonlane_cli/src/damsonlane_cli/_settings.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_settings.py
@@ -19,6 +19,8 @@
 from damsonlane.errors import SettingsError, UnavailableError
 from damsonlane.settings import Edit, Tree, check_tree, read_document, read_tree
 from damsonlane_rpc import (
+    BoxesQuery,
+    BoxesView,
     ChangeQuery,
     ChangeView,
     ControlClient,
@@ -49,8 +51,6 @@
 SECONDS: Final = 10.0
 #: Seconds between looks at the boxes while waiting.
 POLL_SECONDS: Final = 0.2
-#: Seconds of silence after which a box is not waited for.
-SILENT_SECONDS: Final = 10.0
 
 
 class SettingsCommands:
@@ -256,15 +256,17 @@
 
 
 async def read_boxes(client: ControlClient, settings: OperatorSettings) -> dict[str, int]:
-    """Return the version in force at each box that any control replica heard lately."""
-    boxes: dict[str, int] = {}
+    """Return the version in force at each box that control knows; 0 where none is heard of."""
+    reply = await client.query(QueryRequest(query=BoxesQuery()), SECONDS)
+    assert isinstance(reply.outcome, BoxesView)
+    boxes = {record.box: 0 for record in reply.outcome.boxes}
     for address in settings.control:
         try:
             status = await client.status(address, POLL_SECONDS * 5)
         except UnavailableError:
             continue
         for box in status.boxes:
-            if box.silent_seconds < SILENT_SECONDS:
+            if box.box in boxes:
                 boxes[box.box] = max(box.version, boxes.get(box.box, 0))
     return boxes
 
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -8,9 +8,11 @@
     ForbiddenError,
     open_channel,
 )
-from damsonlane_rpc._codec import DataclassCodec
+from damsonlane_rpc._codec import TRAFFIC, DataclassCodec, Traffic
 from damsonlane_rpc._messages import (
     AddRequest,
+    BoxesQuery,
+    BoxesView,
     BoxStatus,
     ChangeQuery,
     ChangeView,
@@ -68,9 +70,12 @@
     "STATUS",
     "SUBMIT",
     "TOKEN_FIELD",
+    "TRAFFIC",
     "WATCH",
     "AddRequest",
     "BoxStatus",
+    "BoxesQuery",
+    "BoxesView",
     "ChangeQuery",
     "ChangeView",
     "ControlClient",
@@ -103,6 +108,7 @@
     "SubmitReply",
     "SubmitRequest",
     "Submitted",
+    "Traffic",
     "Unconfirmed",
     "WatchReport",
     "WatchUpdate",
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -6,6 +6,7 @@
 from damsonlane.agreement import Members
 from damsonlane.cluster import AcceptedChange, ChangeReply, Command, Reply
 from damsonlane.costs import CostTotal
+from damsonlane.membership import BoxRecord
 from damsonlane.settings import Role
 from pydantic import Field, JsonValue
 
@@ -92,13 +93,30 @@
     kind: Literal["costs-query"] = "costs-query"
 
 
+@dataclass(frozen=True, kw_only=True)
+class BoxesQuery:
+    """Ask which boxes are heard."""
+
+    kind: Literal["boxes-query"] = "boxes-query"
+
+
+@dataclass(frozen=True, kw_only=True)
+class BoxesView:
+    """The boxes that are heard."""
+
+    kind: Literal["boxes-view"] = "boxes-view"
+    #: Their records, sorted by name.
+    boxes: tuple[BoxRecord, ...]
+
+
 @dataclass(frozen=True, kw_only=True)
 class QueryRequest:
     """A read that must be current."""
 
     #: What is asked.
     query: Annotated[
-        SettingsQuery | HistoryQuery | ChangeQuery | CostsQuery, Field(discriminator="kind")
+        SettingsQuery | HistoryQuery | ChangeQuery | CostsQuery | BoxesQuery,
+        Field(discriminator="kind"),
     ]
 
 
@@ -146,7 +164,14 @@
 
     #: What came of it.
     outcome: Annotated[
-        SettingsView | HistoryView | ChangeView | CostsView | NotLeader | Unconfirmed | Forbidden,
+        SettingsView
+        | HistoryView
+        | ChangeView
+        | CostsView
+        | BoxesView
+        | NotLeader
+        | Unconfirmed
+        | Forbidden,
         Field(discriminator="kind"),
     ]
 
@@ -163,6 +188,12 @@
     data_centre: str
     #: Version in force there.
     version: int
+    #: Start of its process by its own clock, in seconds since 1970.
+    started_at: float
+    #: Its internal address.
+    address: str
+    #: Whether it is stopping.
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -177,6 +208,10 @@
     document: JsonValue = None
     #: Whether the sender is in touch with a quorum; a box leaves one that is not.
     is_current: bool = True
+    #: How many entries are live.
+    live_entries: int = 1
+    #: Internal addresses of some other entries.
+    peers: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -288,7 +323,7 @@
 
     #: Version in force at the asking entry.
     version: int
-    #: Services whose targets the asking entry knows to be leaving.
+    #: Targets that the asking entry knows to be leaving.
     leaving: tuple["LeavingTarget", ...] = ()
 
 
--- a/packages/damsonlaned/src/damsonlaned/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/_process.py
@@ -11,6 +11,7 @@
 from damsonlane.findings import Finding, Place
 from damsonlane.settings import BoxSettings, read_box_settings, read_document
 from damsonlane_rpc import (
+    ControlClient,
     DataclassCodec,
     Endpoint,
     Service,
@@ -20,7 +21,7 @@
 from grpclib.server import Server
 
 from damsonlaned.admin import Admin
-from damsonlaned.control import ControlNode, ControlService
+from damsonlaned.control import ControlNode, ControlService, Keeper
 from damsonlaned.entry import EntryNode
 from damsonlaned.logs import configure_logs
 from damsonlaned.metrics import Metrics
@@ -74,10 +75,14 @@
 
     admin = Admin(settings.admin_address, metrics, node.is_current, refresh)
     server = await _serve(settings, ControlService(node).service())
+    client = ControlClient(_list_control(settings), context=_client_context(settings))
+    keeper = Keeper(node, client)
     node.start()
+    keeper.start()
     admin.start()
     stop = asyncio.create_task(_wait_for_stop())
     await asyncio.wait({stop, node.failure}, return_when=asyncio.FIRST_COMPLETED)
+    await keeper.stop()
     await node.stop()
     await _close(server)
     await asyncio.to_thread(admin.stop)
@@ -97,6 +102,11 @@
     _LOG.info("stopped")
 
 
+def _list_control(settings: BoxSettings) -> tuple[str, ...]:
+    own = settings.internal_address
+    return (own, *(address for address in settings.control if address != own))
+
+
 async def _serve(settings: BoxSettings, service: Service) -> Server:
     context = make_server_context(settings.tls) if settings.tls else None
     server = Server([service], codec=DataclassCodec())
--- a/packages/damsonlaned/src/damsonlaned/control/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/control/__init__.py
@@ -1,6 +1,7 @@
 """The control role: agreement between the boxes with disks."""
 
+from damsonlaned.control._keeper import Keeper
 from damsonlaned.control._node import ControlNode
 from damsonlaned.control._service import ControlService
 
-__all__ = ["ControlNode", "ControlService"]
+__all__ = ["ControlNode", "ControlService", "Keeper"]
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -254,6 +254,7 @@
 
     def _apply(self, entry: LogEntry) -> None:
         version = self.state.settings.version
+        live = self.state.membership.live()
         reply: Reply | None = None
         if isinstance(entry.body, Opaque):
             reply = self.state.apply(decode_command(entry.body.text))
@@ -265,7 +266,7 @@
                 waiter.future.set_result(reply)
             else:
                 waiter.future.set_exception(UnavailableError("another leader took over"))
-        if self.state.settings.version != version:
+        if self.state.settings.version != version or self.state.membership.live() != live:
             self.watchers.announce()
 
     def _finish_reads(self, output: Output) -> None:
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
+import random
 import time
 from typing import Final
 
@@ -21,6 +22,8 @@
     TOKEN_FIELD,
     WATCH,
     AddRequest,
+    BoxesQuery,
+    BoxesView,
     ChangeQuery,
     ChangeView,
     CostsQuery,
@@ -55,6 +58,8 @@
 
 #: Who is written into the history while there are no operators.
 ANYONE: Final = "anyone"
+#: Entries that a box is told of.
+PEERS_TOLD: Final = 4
 #: The group of a box that belongs to none.
 _EMPTY_MEMBERS: Final = Members(voters=())
 
@@ -143,16 +148,24 @@
                 await sender
 
     async def _push(self, stream: Stream[WatchReport, WatchUpdate], version: int) -> None:
+        live = 0
         while True:
-            current = self._node.state.settings.version
-            if current > version:
-                await stream.send_message(make_update(self._node, version))
-                version = current
+            state = self._node.state
+            if state.settings.version > version or state.membership.live() != live:
+                live = state.membership.live()
+                update = make_update(self._node, version)
+                version = update.version
+                await stream.send_message(update)
             else:
                 await self._node.watchers.wait()
 
     def _heartbeat(self, version: int) -> WatchUpdate:
-        return WatchUpdate(version=version, is_current=self._node.is_current())
+        return WatchUpdate(
+            version=version,
+            is_current=self._node.is_current(),
+            live_entries=self._node.state.membership.live(),
+            peers=_sample_peers(self._node),
+        )
 
     async def _submit(
         self, stream: Stream[SubmitRequest, SubmitReply], request: SubmitRequest
@@ -194,6 +207,8 @@
                 return QueryReply(outcome=HistoryView(changes=settings.history()[-limit:]))
             case ChangeQuery(change=change):
                 return QueryReply(outcome=ChangeView(reply=settings.answer_to(change)))
+            case BoxesQuery():
+                return QueryReply(outcome=BoxesView(boxes=state.membership.records()))
             case CostsQuery():
                 return QueryReply(outcome=CostsView(totals=state.costs.totals()))
 
@@ -265,9 +280,21 @@
     """Return what takes a box from a version to the current one."""
     settings = node.state.settings
     changes = settings.changes_after(version) if version else None
-    if changes is None:
-        return WatchUpdate(version=settings.version, document=settings.document)
-    return WatchUpdate(version=settings.version, changes=changes)
+    document = settings.document if changes is None else None
+    return WatchUpdate(
+        version=settings.version,
+        changes=changes or (),
+        document=document,
+        is_current=node.is_current(),
+        live_entries=node.state.membership.live(),
+        peers=_sample_peers(node),
+    )
+
+
+def _sample_peers(node: ControlNode) -> tuple[str, ...]:
+    """Return some entries' addresses, enough to pass settings on without knowing all."""
+    addresses = [record.address for record in node.state.membership.records()]
+    return tuple(random.sample(addresses, min(PEERS_TOLD, len(addresses))))
 
 
 def _sign(command: Command, operator: str) -> Command:
--- a/packages/damsonlaned/src/damsonlaned/control/_watchers.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_watchers.py
@@ -11,8 +11,12 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class _Sighting:
+class Sighting:
+    """A report of a box."""
+
+    #: What it said.
     report: WatchReport
+    #: When, by the monotonic clock; in copies handed out, how many seconds ago.
     at: float
 
 
@@ -20,12 +24,23 @@
     """The latest report of each box, and the signal that wakes their streams."""
 
     def __init__(self) -> None:
-        self._sightings: dict[str, _Sighting] = {}
+        self._sightings: dict[str, Sighting] = {}
         self._changed = asyncio.Event()
 
     def note(self, report: WatchReport, now: float) -> None:
         """Note a box's report."""
-        self._sightings[report.box] = _Sighting(report=report, at=now)
+        self._sightings[report.box] = Sighting(report=report, at=now)
+
+    def sightings(self, now: float) -> tuple[Sighting, ...]:
+        """Return the latest report of each box with its age."""
+        return tuple(
+            Sighting(report=sighting.report, at=now - sighting.at)
+            for sighting in self._sightings.values()
+        )
+
+    def forget(self, box: str) -> None:
+        """Forget a box that fell silent."""
+        self._sightings.pop(box, None)
 
     def statuses(self, now: float) -> tuple[BoxStatus, ...]:
         """Return what is known of boxes that were heard lately."""
--- a/packages/damsonlaned/src/damsonlaned/entry/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_callers.py
@@ -99,6 +99,7 @@
             data_centre=self._settings.data_centre,
             body_limit=self._settings.body_limit,
             arrived_at=arrived_at,
+            live_entries=self._passages.live_entries(),
         )
 
     def _enter(self, intake: Intake) -> None:
--- a/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
@@ -11,6 +11,7 @@
 from damsonlane.routing import Choice, Health, LoadReport, Origin, Standing, TargetBook
 from damsonlane.settings import Tree
 
+from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.targets import KINDS, Connections, TargetCall, TargetReply
 
 
@@ -21,10 +22,12 @@
 
     Args:
         data_centre: data centre of this entry.
+        leaving: targets that get nothing new.
     """
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(self, data_centre: str, leaving: LeavingTargets) -> None:
         self._data_centre: Final = data_centre
+        self._leaving: Final = leaving
         self._connections: Final = Connections()
         self._books: dict[str, TargetBook] = {}
         self._meters: dict[str, ServiceMeter] = {}
@@ -85,7 +88,12 @@
             self._follow(tree)
             origin = Origin(data_centre=self._data_centre, affinity=send.text)
             choice = self._books[send.stage.service].choose(
-                send.stage.routing, origin, send.avoid, time.monotonic(), self._randomness
+                send.stage.routing,
+                origin,
+                avoid=send.avoid,
+                leaving=self._leaving.of(send.stage.service),
+                now=time.monotonic(),
+                randomness=self._randomness,
             )
             if choice is not None:
                 self._meters[send.stage.service].begin()
@@ -122,7 +130,7 @@
                 choice.target, health, now, pace=pace if is_answered else None, report=report
             )
             if reply is not None and reply.result.is_leaving:
-                book.mark_leaving(choice.target, now)
+                self._leaving.mark(send.stage.service, choice.target)
 
 
 def _judge(reply: TargetReply | None) -> Health:
--- a/packages/damsonlaned/src/damsonlaned/entry/_intake.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_intake.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import math
 import secrets
 import time
 from collections.abc import Mapping
@@ -73,6 +74,7 @@
     data_centre: str,
     body_limit: int,
     arrived_at: float,
+    live_entries: int = 1,
 ) -> Intake:
     """Check everything that a caller sent.
 
@@ -82,6 +84,7 @@
         data_centre: data centre of this entry.
         body_limit: largest body, in bytes.
         arrived_at: monotonic clock at arrival, in seconds.
+        live_entries: entries that share the fleet's limits.
 
     Raises:
         ProblemError: with what is wrong; nothing ran.
@@ -104,7 +107,11 @@
         is_first_send=str(environment.get(RESEND_HEADER, "")).strip().lower() == "no",
     )
     visitor = Visitor(
-        organisation=organisation, lane=policy.lane, weight=policy.weight, limit=policy.in_flight
+        organisation=organisation,
+        lane=policy.lane,
+        weight=policy.weight,
+        limit=policy.in_flight,
+        own_limit=math.ceil(policy.fleet_in_flight / live_entries),
     )
     accepted = str(environment.get("HTTP_ACCEPT", ""))
     return Intake(
--- a/packages/damsonlaned/src/damsonlaned/entry/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -9,8 +9,10 @@
 from damsonlaned.admin import Admin
 from damsonlaned.entry._callers import CallerApplication
 from damsonlaned.entry._dispatch import Dispatch
+from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._passage import Passages
 from damsonlaned.entry._peers import PeerService
+from damsonlaned.entry._platform import PlatformWatch
 from damsonlaned.entry._uplink import Uplink
 from damsonlaned.entry._view import SettingsView
 from damsonlaned.metrics import Metrics
@@ -34,8 +36,10 @@
         self._settings: Final = settings
         self._view: Final = SettingsView()
         self._metrics: Final = Metrics()
-        self._uplink: Final = Uplink(settings, self._view, context)
-        self._dispatch: Final = Dispatch(settings.data_centre)
+        leaving = LeavingTargets()
+        self._uplink: Final = Uplink(settings, self._view, leaving, context)
+        self._dispatch: Final = Dispatch(settings.data_centre, leaving)
+        self._platform: Final = PlatformWatch(settings, self._view, leaving)
         passages = Passages(self._uplink, self._dispatch)
         self._callers: Final = CallerApplication(settings, self._view, passages, self._metrics)
         self._server: Final = HttpServer(
@@ -44,7 +48,7 @@
         self._admin: Final = Admin(
             settings.admin_address, self._metrics, self._callers.is_ready, self._refresh
         )
-        self.peers: Final = PeerService(self._view)
+        self.peers: Final = PeerService(self._view, leaving)
 
     def start(self) -> None:
         """Start serving; callers are refused until settings are confirmed.
@@ -55,10 +59,12 @@
         self._admin.start()
         self._server.start()
         self._uplink.start()
+        self._platform.start()
 
     async def stop(self) -> None:
         """Let everything in flight end, then stop."""
         self._callers.is_draining = True
+        self._uplink.announce_leaving()
         await asyncio.sleep(self._settings.grace_seconds)
         quiet = 0
         while quiet < QUIET_POLLS:
@@ -66,6 +72,7 @@
             quiet = 0 if is_busy else quiet + 1
             await asyncio.sleep(DRAIN_POLL)
         await asyncio.to_thread(self._server.stop)
+        await self._platform.stop()
         await self._uplink.stop()
         self._dispatch.close()
         await asyncio.to_thread(self._admin.stop)
--- a/packages/damsonlaned/src/damsonlaned/entry/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_passage.py
@@ -35,6 +35,10 @@
         self._dispatch: Final = dispatch
         self._budget: Final = _SharedBudget()
 
+    def live_entries(self) -> int:
+        """Return how many entries share the fleet's limits."""
+        return self._uplink.live_entries
+
     def forecast(self, intake: Intake) -> float:
         """Return the predicted seconds of a request."""
         return self._dispatch.forecast(intake.request, intake.tree)
--- a/packages/damsonlaned/src/damsonlaned/entry/_peers.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_peers.py
@@ -5,14 +5,16 @@
 from damsonlane_rpc import COMPARE, PeerReply, PeerRequest, Service, WatchUpdate
 from grpclib.server import Stream
 
+from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._view import SettingsView
 
 
 class PeerService:
     """Gives newer settings to entries that ask."""
 
-    def __init__(self, view: SettingsView) -> None:
+    def __init__(self, view: SettingsView, leaving: LeavingTargets) -> None:
         self._view: Final = view
+        self._leaving: Final = leaving
 
     def service(self) -> Service:
         """Return the calls in the form grpclib expects."""
@@ -23,8 +25,9 @@
         request = await stream.recv_message()
         if request is None:
             return
+        self._leaving.learn(request.leaving)
         current = self._view.current
         update = None
         if current.version > request.version:
             update = WatchUpdate(version=current.version, document=current.document)
-        await stream.send_message(PeerReply(update=update))
+        await stream.send_message(PeerReply(update=update, leaving=self._leaving.list()))
--- a/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
@@ -9,6 +9,7 @@
 import secrets
 import ssl
 import threading
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -35,6 +36,7 @@
 )
 from grpclib.client import Stream
 
+from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._view import SettingsView
 
 _LOG: Final = logging.getLogger(__name__)
@@ -67,15 +69,21 @@
     Args:
         settings: settings of the box.
         view: where newer settings are put in force.
+        leaving: targets that are known to be leaving.
         context: TLS context towards other boxes, or None.
     """
 
     def __init__(
-        self, settings: BoxSettings, view: SettingsView, context: ssl.SSLContext | None
+        self,
+        settings: BoxSettings,
+        view: SettingsView,
+        leaving: LeavingTargets,
+        context: ssl.SSLContext | None,
     ) -> None:
         self.incarnation: Final = secrets.token_hex(6)
         self._settings: Final = settings
         self._view: Final = view
+        self._leaving: Final = leaving
         self._context: Final = context
         self._client: Final = ControlClient(settings.control, context=context)
         self._loop: Final = asyncio.get_running_loop()
@@ -85,17 +93,29 @@
         self._costs: list[CostLine] = []
         self._costs_lock = threading.Lock()
         self._batches = itertools.count(1)
-        self._version_changed = asyncio.Event()
+        self._report_due = asyncio.Event()
+        self._started_at: Final = time.time()
+        self._told_peers: tuple[str, ...] = ()
+        #: How many entries share the fleet's limits, as control last said.
+        self.live_entries = 1
         self._is_stopping = False
+        #: Whether this box is leaving; control hears it with the next report.
+        self.is_leaving = False
 
     def start(self) -> None:
         """Start following control."""
         for work in (self._follow, self._send_costs, self._ask_peers):
             self._tasks.append(asyncio.create_task(work()))
 
+    def announce_leaving(self) -> None:
+        """Tell control that this box takes no new requests."""
+        self.is_leaving = True
+        self._report_due.set()
+
     async def stop(self) -> None:
         """Hand over what is left and stop."""
         self._is_stopping = True
+        self._report_due.set()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._tasks[1], CALL_SECONDS)
         for task in self._tasks:
@@ -194,19 +214,24 @@
                 return
 
     def _take_update(self, update: WatchUpdate) -> None:
+        self.live_entries = max(1, update.live_entries)
+        self._told_peers = update.peers
+        self._take_settings(update)
+
+    def _take_settings(self, update: WatchUpdate) -> None:
         if update.document is not None:
             is_newer = self._view.replace(update.version, update.document)
         else:
             is_newer = self._view.merge(update.changes)
         if is_newer:
-            self._version_changed.set()
+            self._report_due.set()
             _LOG.info("settings in force", extra={"version": update.version})
 
     async def _send_reports(self, stream: Stream[WatchReport, WatchUpdate]) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._version_changed.wait(), REPORT_SECONDS)
-            self._version_changed.clear()
+                await asyncio.wait_for(self._report_due.wait(), REPORT_SECONDS)
+            self._report_due.clear()
             await stream.send_message(self._report())
 
     def _report(self) -> WatchReport:
@@ -215,6 +240,9 @@
             incarnation=self.incarnation,
             data_centre=self._settings.data_centre,
             version=self._view.current.version,
+            started_at=self._started_at,
+            address=self._settings.internal_address,
+            is_leaving=self.is_leaving,
         )
 
     # Peers.
@@ -222,18 +250,24 @@
     async def _ask_peers(self) -> None:
         while True:
             await asyncio.sleep(PEER_SECONDS * random.uniform(0.75, 1.25))
-            if not self._settings.peers or not self._view.is_confirmed:
-                continue
-            channel = open_channel(random.choice(self._settings.peers), self._context)
-            request = PeerRequest(version=self._view.current.version)
-            try:
-                reply = await COMPARE.unary(channel)(request, timeout=PEER_SECONDS)
-                if reply.update is not None:
-                    self._take_update(reply.update)
-            except CALL_FAULTS as error:
-                _LOG.debug("peer does not answer", extra={"fault": str(error)})
-            finally:
-                channel.close()
+            peers = set(self._settings.peers or self._told_peers)
+            peers.discard(self._settings.internal_address)
+            if peers and self._view.is_confirmed:
+                await self._ask_peer(random.choice(sorted(peers)))
+
+    async def _ask_peer(self, address: str) -> None:
+        """Take newer settings from a peer and tell each other which targets are leaving."""
+        channel = open_channel(address, self._context)
+        request = PeerRequest(version=self._view.current.version, leaving=self._leaving.list())
+        try:
+            reply = await COMPARE.unary(channel)(request, timeout=PEER_SECONDS)
+            if reply.update is not None:
+                self._take_settings(reply.update)
+            self._leaving.learn(reply.leaving)
+        except CALL_FAULTS as error:
+            _LOG.debug("peer does not answer", extra={"fault": str(error)})
+        finally:
+            channel.close()
 
     # Costs.
 
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
+from damsonlane_rpc import TRAFFIC
 
 #: Upper bounds of the time histograms, in seconds.
 _BUCKETS: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0]
@@ -39,7 +40,18 @@
             "damsonlane_is_leader", "1 while this replica leads.", registry=self.registry
         )
 
+        self.messages: Final = Gauge(
+            "damsonlane_rpc_messages", "Messages between boxes.", registry=self.registry
+        )
+        self.bytes: Final = Gauge(
+            "damsonlane_rpc_bytes", "Bytes of messages between boxes.", registry=self.registry
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
+        self.messages.set({"direction": "sent"}, TRAFFIC.messages_sent)
+        self.messages.set({"direction": "received"}, TRAFFIC.messages_received)
+        self.bytes.set({"direction": "sent"}, TRAFFIC.bytes_sent)
+        self.bytes.set({"direction": "received"}, TRAFFIC.bytes_received)
         content, _ = render(self.registry, [])
         return bytes(content)
