Report on service-level burn, from durable counts

Cause: the users asked for a report on service-level burn; only costs were durable.

Ruled out: computing it from metrics, which a restart loses. Drawing by our own code: pygal makes the SVG.

Before: no report.

--- a/packages/damsonlane/src/damsonlane/cluster/_state.py
+++ b/packages/damsonlane/src/damsonlane/cluster/_state.py
@@ -5,6 +5,7 @@
 
 from pydantic import Field
 
+from damsonlane.burn import EndingCount
 from damsonlane.cluster._changes import (
     ChangeAccepted,
     ChangeConflict,
@@ -43,6 +44,8 @@
     senders: tuple[SenderProgress, ...] = ()
     #: Boxes that are heard.
     boxes: tuple[BoxRecord, ...] = ()
+    #: Endings of requests.
+    endings: tuple[EndingCount, ...] = ()
 
 
 def encode_command(command: Command) -> str:
@@ -63,7 +66,7 @@
         start = snapshot or ClusterSnapshot()
         self.settings = SettingsStore(start.settings)
         self.ledger = Ledger(start.jobs, start.clock)
-        self.costs = CostBook(start.totals, start.senders)
+        self.costs = CostBook(start.totals, start.senders, start.endings)
         self.membership = Membership(start.boxes)
 
     @classmethod
@@ -80,6 +83,7 @@
             totals=self.costs.totals(),
             senders=self.costs.senders(),
             boxes=self.membership.records(),
+            endings=self.costs.burn.counts(),
         )
         return encode_text(snapshot, ClusterSnapshot)
 
--- a/packages/damsonlane/src/damsonlane/costs/_book.py
+++ b/packages/damsonlane/src/damsonlane/costs/_book.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from damsonlane.burn import BurnBook, EndingCount
 from damsonlane.costs._lines import (
     AttemptOutcome,
     CostLine,
@@ -25,8 +26,12 @@
     """Totals by organisation, pipeline, stage and outcome."""
 
     def __init__(
-        self, totals: Iterable[CostTotal] = (), senders: Iterable[SenderProgress] = ()
+        self,
+        totals: Iterable[CostTotal] = (),
+        senders: Iterable[SenderProgress] = (),
+        endings: Iterable[EndingCount] = (),
     ) -> None:
+        self.burn = BurnBook(endings)
         self._totals = {_account(total): total for total in totals}
         self._batches = {progress.sender: progress.batch for progress in senders}
 
@@ -36,6 +41,7 @@
         if command.batch == last + 1:
             for line in command.lines:
                 self._add(line)
+            self.burn.record(command.endings)
             last = command.batch
             self._batches[command.sender] = last
         return CostsRecorded(batch=last)
--- a/packages/damsonlane/src/damsonlane/costs/_lines.py
+++ b/packages/damsonlane/src/damsonlane/costs/_lines.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Literal
 
+from damsonlane.burn import EndingCount
+
 #: How an attempt ended, as the bill shows it.
 AttemptOutcome = Literal["answered", "failed", "cancelled"]
 
@@ -42,6 +44,8 @@
     batch: int
     #: The lines.
     lines: tuple[CostLine, ...]
+    #: Endings counted since the batch before, in fine buckets.
+    endings: tuple[EndingCount, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane/src/damsonlane/settings/_policy.py
+++ b/packages/damsonlane/src/damsonlane/settings/_policy.py
@@ -44,6 +44,8 @@
     in_flight: Annotated[int, Field(ge=1, le=10_000)] | Inherit = INHERIT
     #: Most requests of an organisation in flight at all entries together; 0 for no limit.
     fleet_in_flight: Annotated[int, Field(ge=0, le=1_000_000)] | Inherit = INHERIT
+    #: Share of requests that should be answered whole and in time.
+    objective: Annotated[float, Field(gt=0, lt=1)] | Inherit = INHERIT
     #: Lane of admission.
     lane: Lane | Inherit = INHERIT
 
@@ -66,6 +68,8 @@
     in_flight: int = 64
     #: Most requests of an organisation in flight at all entries together; 0 for no limit.
     fleet_in_flight: int = 0
+    #: Share of requests that should be answered whole and in time.
+    objective: float = 0.99
     #: Lane of admission.
     lane: Lane = "standard"
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/demo.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/demo.py
@@ -84,6 +84,9 @@
             self._check(remaining <= 2500, f"the new deadline is in force at {entry}")
         wait_until(self._are_costs_in, "the costs have arrived")
         print(self._fleet.require("report", "cost"))
+        plot = self._fleet.folder / "attainment.svg"
+        print(self._fleet.require("report", "burn", f"--plot={plot}"))
+        self._check(plot.stat().st_size > 0, "the plot of attainment is drawn")
 
     def _are_costs_in(self) -> bool:
         return "refund" in self._fleet.require("report", "cost")
--- a/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
@@ -1,14 +1,36 @@
-"""``damsonlane report``: cost by stage."""
+"""``damsonlane report``: cost by stage and service-level burn."""
 
 import csv
 import sys
-from typing import Final
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, Final
 
-from damsonlane_rpc import ControlClient, CostsQuery, CostsView, QueryRequest
+import pygal
+from damsonlane.burn import (
+    FINE_SECONDS,
+    Burn,
+    EndingCount,
+    Window,
+    list_windows,
+    measure_burn,
+)
+from damsonlane.settings import Tree, check_tree
+from damsonlane_rpc import (
+    ControlClient,
+    CostsQuery,
+    CostsView,
+    QueryRequest,
+    SettingsQuery,
+    SettingsView,
+)
 
 from damsonlane_cli._context import EXIT_INPUT, call_control, fail, print_rows
 
 _SECONDS: Final = 10.0
+#: Fine buckets that a plot shows.
+_PLOTTED: Final = 60
 
 
 class ReportCommands:
@@ -21,7 +43,7 @@
             format: text, json or csv.
             organisation: show only this one.
         """
-        view = call_control(lambda client, _: _query(client))
+        view = call_control(lambda client, _: _query_costs(client))
         rows: list[dict[str, object]] = [
             {
                 "organisation": total.organisation,
@@ -35,21 +57,109 @@
             for total in view.totals
             if not organisation or total.organisation == organisation
         ]
-        if format == "csv":
-            _print_csv(rows)
-        elif format in ("text", "json"):
-            print_rows(rows, format == "json")
-        else:
-            fail(f"no format '{format}'; known are text, json and csv", EXIT_INPUT)
+        _print(rows, format)
 
+    def burn(self, format: str = "text", plot: str = "") -> None:
+        """Show how fast each pipeline and event uses up its allowance for failures.
 
-async def _query(client: ControlClient) -> CostsView:
+        Args:
+            format: text, json or csv.
+            plot: file for a plot of attainment by minute, as SVG.
+        """
+        view = call_control(lambda client, _: _query_costs(client))
+        tree = _read_tree()
+        rows = [_describe(burn) for burn in _measure_all(view.endings, tree)]
+        _print(rows, format)
+        if plot:
+            Path(plot).write_bytes(draw_attainment(view.endings, time.time()))
+
+
+def _measure_all(endings: Sequence[EndingCount], tree: Tree) -> list[Burn]:
+    burns: list[Burn] = []
+    for organisation, written in tree.organisations.items():
+        for pipeline in written.pipelines:
+            own = [e for e in endings if (e.organisation, e.pipeline) == (organisation, pipeline)]
+            objective = tree.policy_of("", organisation, pipeline).objective
+            for window in _list_all_windows(tree, f"{organisation}/{pipeline}"):
+                burns.extend(measure_burn(own, window, objective))
+    return burns
+
+
+def _list_all_windows(tree: Tree, pipeline: str) -> list[Window]:
+    """Return the usual windows and one for each event that the pipeline serves."""
+    events = [
+        Window(name=f"event {name}", start=event.starts_at.timestamp(), end=event.ends_at())
+        for name, event in tree.events.items()
+        if pipeline in event.pipelines
+    ]
+    return [*list_windows(time.time()), *events]
+
+
+def _describe(burn: Burn) -> dict[str, object]:
+    return {
+        "organisation": burn.organisation,
+        "pipeline": burn.pipeline,
+        "window": burn.window,
+        "requests": burn.total,
+        "attained %": round(100 * burn.attainment, 3),
+        "burn": round(burn.rate, 2),
+    }
+
+
+def draw_attainment(endings: Sequence[EndingCount], now: float) -> bytes:
+    """Return a plot of attainment by minute, one line a pipeline, as SVG."""
+    newest = int(now) - int(now) % FINE_SECONDS
+    starts = [newest - FINE_SECONDS * back for back in range(_PLOTTED - 1, -1, -1)]
+    chart = pygal.Line(
+        title="Attainment by minute (%)",
+        x_label_rotation=45,
+        show_minor_x_labels=False,
+        range=(0, 100),
+        disable_xml_declaration=False,
+    )
+    chart.x_labels = [time.strftime("%H:%M", time.gmtime(start)) for start in starts]
+    chart.x_labels_major = list(chart.x_labels)[::10]
+    fine = [ending for ending in endings if ending.length == FINE_SECONDS]
+    for name in sorted({f"{ending.organisation}/{ending.pipeline}" for ending in fine}):
+        found = {e.start: e for e in fine if f"{e.organisation}/{e.pipeline}" == name}
+        chart.add(name, [_share(found.get(start)) for start in starts])
+    return bytes(chart.render())
+
+
+def _share(count: EndingCount | None) -> float | None:
+    return 100.0 * count.attained / count.total if count else None
+
+
+def _read_tree() -> Tree:
+    view = call_control(lambda client, _: _query_settings(client))
+    tree = check_tree(view.document)
+    if isinstance(tree, Tree):
+        return tree
+    return fail(tree[0].render(), EXIT_INPUT)
+
+
+async def _query_costs(client: ControlClient) -> CostsView:
     reply = await client.query(QueryRequest(query=CostsQuery()), _SECONDS)
     assert isinstance(reply.outcome, CostsView)
     return reply.outcome
 
 
-def _print_csv(rows: list[dict[str, object]]) -> None:
+async def _query_settings(client: ControlClient) -> SettingsView:
+    reply = await client.query(QueryRequest(query=SettingsQuery()), _SECONDS)
+    assert isinstance(reply.outcome, SettingsView)
+    return reply.outcome
+
+
+def _print(rows: Sequence[Mapping[str, Any]], format: str) -> None:
+    if format == "csv":
+        _print_csv(rows)
+    elif format in ("text", "json"):
+        print_rows(rows, format == "json")
+    else:
+        fail(f"no format '{format}'; known are text, json and csv", EXIT_INPUT)
+
+
+def _print_csv(rows: Sequence[Mapping[str, Any]]) -> None:
     if rows:
         writer = csv.DictWriter(sys.stdout, list(rows[0]))
         writer.writeheader()
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -4,6 +4,7 @@
 from typing import Annotated, Literal
 
 from damsonlane.agreement import Members
+from damsonlane.burn import EndingCount
 from damsonlane.cluster import AcceptedChange, ChangeReply, Command, Reply
 from damsonlane.costs import CostTotal
 from damsonlane.membership import BoxRecord
@@ -88,7 +89,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CostsQuery:
-    """Ask for the cost totals."""
+    """Ask for the cost totals and the counts of endings."""
 
     kind: Literal["costs-query"] = "costs-query"
 
@@ -151,11 +152,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CostsView:
-    """Cost totals."""
+    """Cost totals and counts of endings."""
 
     kind: Literal["costs-view"] = "costs-view"
     #: The totals, sorted by account.
     totals: tuple[CostTotal, ...]
+    #: Endings, sorted by pipeline and time.
+    endings: tuple[EndingCount, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -210,7 +210,11 @@
             case BoxesQuery():
                 return QueryReply(outcome=BoxesView(boxes=state.membership.records()))
             case CostsQuery():
-                return QueryReply(outcome=CostsView(totals=state.costs.totals()))
+                return QueryReply(
+                    outcome=CostsView(
+                        totals=state.costs.totals(), endings=state.costs.burn.counts()
+                    )
+                )
 
     def _change_group(
         self,
--- a/packages/damsonlaned/src/damsonlaned/entry/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_callers.py
@@ -211,6 +211,7 @@
         return headers
 
     def _count(self, intake: Intake, ending: Ending, seconds: float) -> None:
+        self._passages.count_ending(intake, ending)
         request = intake.request
         outcome = ending.reason if isinstance(ending, Refusal) else "answered"
         labels = {
--- a/packages/damsonlaned/src/damsonlaned/entry/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_passage.py
@@ -14,6 +14,8 @@
     Billed,
     Effect,
     End,
+    Ending,
+    Refusal,
     RequestRun,
     RetryBudget,
     Send,
@@ -39,6 +41,15 @@
         """Return how many entries share the fleet's limits."""
         return self._uplink.live_entries
 
+    def count_ending(self, intake: Intake, ending: Ending) -> None:
+        """Count how a request ended, for the report on burn."""
+        request = intake.request
+        self._uplink.count_ending(
+            request.organisation,
+            request.pipeline,
+            is_attained=not isinstance(ending, Refusal) and time.monotonic() <= request.due_at,
+        )
+
     def forecast(self, intake: Intake) -> float:
         """Return the predicted seconds of a request."""
         return self._dispatch.forecast(intake.request, intake.tree)
--- a/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.burn import FINE_SECONDS, EndingCount
 from damsonlane.cluster import Command, Reply
 from damsonlane.costs import CostLine, CostsRecorded, RecordCosts
 from damsonlane.errors import UnavailableError
@@ -91,6 +92,7 @@
         self._flushes: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._costs: list[CostLine] = []
+        self._endings: dict[str, EndingCount] = {}
         self._costs_lock = threading.Lock()
         self._batches = itertools.count(1)
         self._report_due = asyncio.Event()
@@ -141,6 +143,22 @@
         with self._costs_lock:
             self._costs.extend(lines)
 
+    def count_ending(self, organisation: str, pipeline: str, *, is_attained: bool) -> None:
+        """Count how a request ended, for control."""
+        now = int(time.time())
+        count = EndingCount(
+            organisation=organisation,
+            pipeline=pipeline,
+            start=now - now % FINE_SECONDS,
+            length=FINE_SECONDS,
+            attained=int(is_attained),
+            total=1,
+        )
+        name = f"{organisation}/{pipeline}/{count.start}"
+        with self._costs_lock:
+            known = self._endings.get(name)
+            self._endings[name] = known.with_more(count) if known else count
+
     # Ledger.
 
     async def _ask(self, command: Command, seconds: float) -> Reply:
@@ -277,17 +295,21 @@
             with self._costs_lock:
                 lines = tuple(self._costs[:COSTS_PER_BATCH])
                 del self._costs[:COSTS_PER_BATCH]
-            if lines:
-                await self._send_batch(next(self._batches), lines)
+                endings = tuple(self._endings.values())
+                self._endings.clear()
+            if lines or endings:
+                await self._send_batch(next(self._batches), lines, endings)
             elif is_last:
                 return
             else:
                 await asyncio.sleep(COST_SECONDS)
 
-    async def _send_batch(self, batch: int, lines: tuple[CostLine, ...]) -> None:
+    async def _send_batch(
+        self, batch: int, lines: tuple[CostLine, ...], endings: tuple[EndingCount, ...]
+    ) -> None:
         """Send a batch until control has recorded it; control counts each batch once."""
         sender = f"{self._settings.name}.{self.incarnation}"
-        command = RecordCosts(sender=sender, batch=batch, lines=lines)
+        command = RecordCosts(sender=sender, batch=batch, lines=lines, endings=endings)
         while True:
             try:
                 replies = await self._client.submit([command], CALL_SECONDS)
