--- a/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
@@ -20,4 +20,4 @@
 
 def main() -> None:
     """Run the ``damsonlane`` command."""
-    fire.Fire(Commands, name="damsonlane")
+    fire.Fire(Commands(), name="damsonlane")
