Golden sessions; a resend learns at once that the box of its job is gone

Cause: the golden session of a lost entry showed a resent key of a started job waiting out its whole deadline before it heard "unknown", though the box that ran the job was gone for good. An answer that is known to be the last one must come at once.

Ruled out: a shorter fixed wait, which would cut off resends of long jobs that still run.

Change: a claim's token names box and incarnation, and the ledger's reply says whether that process is still heard. Claims of gone processes are taken over at once; started jobs of theirs are answered "unknown" (holder-gone). The machine calls holders gone at any time, rightly or wrongly. Four golden sessions: closing-time wave, hearing, leaving engine, lost entry.

--- a/packages/damsonlane/src/damsonlane/cluster/_state.py
+++ b/packages/damsonlane/src/damsonlane/cluster/_state.py
@@ -1,6 +1,6 @@
 """Everything that control replicates, as one state machine."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Annotated
 
 from pydantic import Field
@@ -15,7 +15,16 @@
 from damsonlane.cluster._settings_store import SettingsSnapshot, SettingsStore
 from damsonlane.codec import decode_bytes, decode_value, encode_text
 from damsonlane.costs import CostBook, CostsRecorded, CostTotal, RecordCosts, SenderProgress
-from damsonlane.ledger import ClaimJob, DropJob, FinishJob, Job, JobReply, Ledger, StartJob
+from damsonlane.ledger import (
+    ClaimJob,
+    DropJob,
+    FinishJob,
+    Job,
+    JobReply,
+    Ledger,
+    StartJob,
+    read_holder,
+)
 from damsonlane.membership import BoxNoted, BoxRecord, LoseBox, Membership, NoteBox
 
 Command = Annotated[
@@ -93,7 +102,7 @@
             case ChangeSettings():
                 return self.settings.change(command)
             case ClaimJob():
-                return self.ledger.claim(command)
+                return self._tell_holder(self.ledger.claim(command))
             case StartJob():
                 return self.ledger.start(command)
             case FinishJob():
@@ -106,3 +115,12 @@
                 return self.membership.note(command)
             case LoseBox():
                 return self.membership.lose(command)
+
+    def _tell_holder(self, reply: JobReply) -> JobReply:
+        """Say of a job that another process holds whether that process is still heard."""
+        holder = read_holder(reply.token)
+        if reply.verdict != "busy" or holder is None:
+            return reply
+        record = self.membership.record_of(holder.box)
+        is_gone = record is None or record.incarnation != holder.incarnation
+        return replace(reply, is_holder_gone=is_gone)
--- a/packages/damsonlane/src/damsonlane/ledger/__init__.py
+++ b/packages/damsonlane/src/damsonlane/ledger/__init__.py
@@ -13,12 +13,14 @@
     Verdict,
 )
 from damsonlane.ledger._ledger import Ledger
+from damsonlane.ledger._token import Holder, read_holder
 
 __all__ = [
     "HORIZON_SECONDS",
     "ClaimJob",
     "DropJob",
     "FinishJob",
+    "Holder",
     "Job",
     "JobKey",
     "JobReply",
@@ -26,5 +28,6 @@
     "Phase",
     "StartJob",
     "Verdict",
+    "read_holder",
     "read_key_time",
 ]
--- a/packages/damsonlane/src/damsonlane/ledger/_jobs.py
+++ b/packages/damsonlane/src/damsonlane/ledger/_jobs.py
@@ -108,3 +108,5 @@
     token: str = ""
     #: The kept answer of a finished job.
     answer: str = ""
+    #: Whether the process that holds the claim is no longer among the boxes.
+    is_holder_gone: bool = False
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/ledger/_token.py
@@ -0,0 +1,28 @@
+"""Tokens of claims, which say which process holds them."""
+
+from dataclasses import dataclass
+from typing import Final
+
+_SEPARATOR: Final = "/"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Holder:
+    """The process that holds a claim."""
+
+    #: Name of its box.
+    box: str
+    #: Its incarnation.
+    incarnation: str
+
+    def make_token(self, nonce: str) -> str:
+        """Return a token for one passage of a request through this process."""
+        return _SEPARATOR.join((self.box, self.incarnation, nonce))
+
+
+def read_holder(token: str) -> Holder | None:
+    """Return the holder that a token names, or None if it names none."""
+    parts = token.split(_SEPARATOR)
+    if len(parts) != 3:
+        return None
+    return Holder(box=parts[0], incarnation=parts[1])
--- a/packages/damsonlane/src/damsonlane/requests/_parts.py
+++ b/packages/damsonlane/src/damsonlane/requests/_parts.py
@@ -21,6 +21,7 @@
     "key-mismatch",
     "key-too-old",
     "key-busy",
+    "holder-gone",
     "not-whole",
 ]
 
--- a/packages/damsonlane/src/damsonlane/requests/_run.py
+++ b/packages/damsonlane/src/damsonlane/requests/_run.py
@@ -168,6 +168,10 @@
             self._busy_since = now
             self._busy_token = reply.token
         is_stale = now - self._busy_since >= CLAIM_PATIENCE
+        if reply.phase == "started" and reply.is_holder_gone:
+            detail = "the box that ran the job is gone, and how far it came is not known"
+            return self._refuse("holder-gone", detail, "unknown")
+        is_stale = is_stale or reply.is_holder_gone
         if reply.phase == "claimed" and is_stale and self._remaining(now) > 0:
             # Once the drop is committed the holder cannot start, so taking over is safe.
             job = self._request.job
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/requests/tests/session.py
@@ -0,0 +1,445 @@
+"""Whole sessions through the pure parts of an entry, with clock and identities injected.
+
+``python -m damsonlane.requests.tests.session`` writes the golden files anew;
+read the difference before you commit it.
+"""
+
+import heapq
+import itertools
+import json
+import random
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+from damsonlane.admission import ADMISSION_SHARE, Gate, ServiceMeter, Visitor, Work
+from damsonlane.costs import CostBook, RecordCosts
+from damsonlane.ledger import (
+    ClaimJob,
+    DropJob,
+    FinishJob,
+    JobKey,
+    JobReply,
+    Ledger,
+    StartJob,
+    read_holder,
+)
+from damsonlane.requests import (
+    AskLedger,
+    AttemptResult,
+    Effect,
+    End,
+    Ending,
+    Refusal,
+    Repeat,
+    Request,
+    RequestRun,
+    RetryBudget,
+    Send,
+    StagePlan,
+    Wait,
+    decode_answer,
+)
+from damsonlane.routing import Choice, LoadReport, Origin, Standing, TargetBook
+from damsonlane.settings import Lane
+
+GOLDEN = Path(__file__).with_name("golden")
+#: Seconds that a commit takes.
+COMMIT_SECONDS = 0.002
+
+
+@dataclass
+class FakeTarget:
+    """A target with slots and a queue."""
+
+    name: str
+    slots: int
+    seconds_per_thousand: float
+    base_seconds: float = 0.01
+    leaves_at: float = float("inf")
+    free_at: list[float] = field(default_factory=list)
+
+    def work(self, now: float, text: str) -> float:
+        """Take a request and return when it ends."""
+        self.free_at = [end for end in self.free_at if end > now]
+        start = now if len(self.free_at) < self.slots else sorted(self.free_at)[-self.slots]
+        end = start + self.base_seconds + self.seconds_per_thousand * len(text) / 1000
+        self.free_at.append(end)
+        return end
+
+    def report(self, now: float) -> LoadReport:
+        """Return the load as the target sees it."""
+        return LoadReport(held=sum(1 for end in self.free_at if end > now), slots=self.slots)
+
+
+@dataclass(frozen=True)
+class Asked:
+    """One request of a session."""
+
+    at: float
+    entry: str
+    organisation: str
+    pipeline: str
+    text: str
+    deadline: float = 3.0
+    key: str = ""
+    lane: Lane = "standard"
+
+
+class FakeEntry:
+    """What one entry knows."""
+
+    def __init__(self, services: dict[str, list[FakeTarget]]) -> None:
+        self.books = {service: TargetBook() for service in services}
+        self.meters = {service: ServiceMeter() for service in services}
+        self.gate = Gate()
+        self.budget = RetryBudget()
+        self.leaving: set[str] = set()
+        self.is_lost = False
+        for service, targets in services.items():
+            standings = {
+                target.name: Standing(address=f"127.0.0.1:{number}", data_centre="one")
+                for number, target in enumerate(targets)
+            }
+            self.books[service].update(standings)
+
+
+class Session:
+    """Runs requests in the order of an injected clock and writes down what happens."""
+
+    def __init__(
+        self, services: dict[str, list[FakeTarget]], pipelines: dict[str, list[str]]
+    ) -> None:
+        self._services = services
+        self._pipelines = pipelines
+        self._entries = {name: FakeEntry(services) for name in ("entry-1", "entry-2")}
+        self._ledger = Ledger()
+        self._costs = CostBook()
+        self._batches = itertools.count(1)
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._order = itertools.count()
+        self._numbers = itertools.count(1)
+        self._randomness = random.Random(7)
+        self.lines: list[dict[str, Any]] = []
+
+    def run(self, asked: list[Asked], lost: dict[str, float] | None = None) -> dict[str, Any]:
+        """Run a session and return its whole transcript."""
+        for request in asked:
+            self._at(request.at, lambda now, request=request: self._arrive(now, request))
+        for entry, at in (lost or {}).items():
+            self._at(at, lambda now, entry=entry: self._lose(now, entry))
+        while self._events:
+            now, _, act = heapq.heappop(self._events)
+            act(now)
+        return {
+            "requests": [asdict(request) for request in asked],
+            "lines": self.lines,
+            "ledger": [asdict(job) for job in self._ledger.jobs()],
+            "costs": [asdict(total) for total in self._costs.totals()],
+        }
+
+    def _at(self, moment: float, act: Callable[..., None]) -> None:
+        heapq.heappush(self._events, (moment, next(self._order), act))
+
+    def _lose(self, now: float, entry: str) -> None:
+        self._entries[entry].is_lost = True
+        self._write(now, entry, "lost", {})
+
+    def _arrive(self, now: float, asked: Asked) -> None:
+        entry = self._entries[asked.entry]
+        number = next(self._numbers)
+        job = JobKey(organisation=asked.organisation, key=asked.key) if asked.key else None
+        request = Request(
+            request=f"request-{number}",
+            organisation=asked.organisation,
+            pipeline=asked.pipeline,
+            text=asked.text,
+            due_at=now + asked.deadline,
+            stages=tuple(
+                StagePlan(name=stage, service=stage, attempts=2, routing="predicted")
+                for stage in self._pipelines[asked.pipeline]
+            ),
+            job=job,
+            digest=asked.text,
+        )
+        visitor = Visitor(organisation=asked.organisation, lane=asked.lane, weight=1.0, limit=8)
+        needed = sum(
+            entry.meters[stage.service].predict(_work(request, stage.name), now)
+            for stage in request.stages
+        )
+        if needed > ADMISSION_SHARE * asked.deadline:
+            self._write(now, asked.entry, "refused at the door", {"request": request.request})
+        elif not entry.gate.try_enter(visitor, now):
+            self._write(now, asked.entry, "lane full", {"request": request.request})
+        else:
+            run = RequestRun(
+                request, token=f"{asked.entry}/1/{number}", wall_clock=now, budget=entry.budget
+            )
+            passage = _Passage(self, asked.entry, request, visitor, run)
+            passage.carry_out(now, run.begin(now))
+
+    def _write(self, now: float, entry: str, what: str, more: dict[str, Any]) -> None:
+        self.lines.append({"at": round(now, 4), "entry": entry, "what": what, **more})
+
+    # What a passage asks of the session.
+
+    def schedule(self, entry: str, moment: float, act: Callable[[float], None]) -> None:
+        """Act at a moment, unless the entry is lost by then."""
+        self._at(moment, lambda now: None if self._entries[entry].is_lost else act(now))
+
+    def commit(self, command: ClaimJob | StartJob | FinishJob | DropJob) -> JobReply:
+        """Commit a job command."""
+        match command:
+            case ClaimJob():
+                return self._tell_holder(self._ledger.claim(command))
+            case StartJob():
+                return self._ledger.start(command)
+            case FinishJob():
+                return self._ledger.finish(command)
+            case DropJob():
+                return self._ledger.drop(command)
+
+    def _tell_holder(self, reply: JobReply) -> JobReply:
+        holder = read_holder(reply.token)
+        is_gone = holder is not None and self._entries[holder.box].is_lost
+        return replace(reply, is_holder_gone=is_gone) if reply.verdict == "busy" else reply
+
+    def choose(self, entry: str, send: Send, now: float) -> Choice | None:
+        """Choose a target as the entry would."""
+        known = self._entries[entry]
+        choice = known.books[send.stage.service].choose(
+            send.stage.routing,
+            Origin(data_centre="one"),
+            avoid=send.avoid,
+            leaving=known.leaving,
+            now=now,
+            randomness=self._randomness,
+        )
+        if choice is not None:
+            known.meters[send.stage.service].begin()
+        return choice
+
+    def call(self, choice: Choice, send: Send, now: float) -> tuple[float, AttemptResult]:
+        """Call a target; return when it answers and what."""
+        target = next(t for t in self._services[send.stage.service] if t.name == choice.target)
+        if now >= target.leaves_at:
+            refusal = AttemptResult(answers=None, outcome="refused", is_leaving=True, fault="gone")
+            return now + 0.001, refusal
+        end = target.work(now, send.text)
+        if end > now + send.seconds:
+            late = AttemptResult(answers=None, outcome="failed", fault="late")
+            return now + send.seconds, late
+        if now < target.leaves_at < end and send.stage.name == "generate":
+            broken = AttemptResult(answers=None, outcome="failed", tokens=3, fault="cut")
+            return target.leaves_at, broken
+        output = f"{send.stage.name}({send.text[:24]})"
+        return end, AttemptResult(answers=send.key, outcome="answered", output=output, tokens=5)
+
+    def finish(
+        self,
+        entry: str,
+        request: Request,
+        send: Send,
+        choice: Choice,
+        now: float,
+        began_at: float,
+        result: AttemptResult,
+    ) -> None:
+        """Take down what an ended attempt tells of its target."""
+        known = self._entries[entry]
+        target = next(t for t in self._services[send.stage.service] if t.name == choice.target)
+        is_answered = result.outcome == "answered"
+        seconds = now - began_at if is_answered else None
+        work = _work(request, send.stage.name)
+        pace = known.meters[send.stage.service].finish(work, now, seconds)
+        known.books[send.stage.service].finish(
+            choice.target,
+            "good" if is_answered else ("neutral" if result.outcome == "refused" else "bad"),
+            now,
+            pace=pace if is_answered else None,
+            report=target.report(now),
+        )
+        if result.is_leaving:
+            known.leaving.add(choice.target)
+
+    def end(self, entry: str, passage: "_Passage", now: float, effect: End) -> None:
+        """Write down an ending and bill it."""
+        self._entries[entry].gate.leave(passage.visitor)
+        lines = effect.billed.costs
+        self._costs.record(RecordCosts(sender="s", batch=next(self._batches), lines=lines))
+        ending = _describe(effect.billed.ending)
+        self._write(now, entry, "ended", {"request": passage.request.request, **ending})
+
+
+class _Passage:
+    """One request on its way."""
+
+    def __init__(
+        self, session: Session, entry: str, request: Request, visitor: Visitor, run: RequestRun
+    ) -> None:
+        self.session, self.entry, self.request = session, entry, request
+        self.visitor, self.run = visitor, run
+
+    def carry_out(self, now: float, effect: Effect) -> None:
+        """Carry out one effect; the next one follows at its moment."""
+        if isinstance(effect, End):
+            self.session.end(self.entry, self, now, effect)
+        elif isinstance(effect, Wait):
+            self._later(now + effect.seconds, self.run.resume)
+        elif isinstance(effect, AskLedger):
+            self._ask(now, effect)
+        else:
+            self._send(now, effect)
+
+    def _later(self, moment: float, step: Callable[[float], Effect]) -> None:
+        self.session.schedule(self.entry, moment, lambda now: self.carry_out(now, step(now)))
+
+    def _ask(self, now: float, effect: AskLedger) -> None:
+        def reply(later: float) -> Effect:
+            return self.run.take_reply(later, self.session.commit(effect.command))
+
+        self._later(now + COMMIT_SECONDS, reply)
+
+    def _send(self, now: float, send: Send) -> None:
+        choice = self.session.choose(self.entry, send, now)
+        if choice is None:
+            unsent = AttemptResult(answers=None, outcome="unsent", fault="no target")
+            self.carry_out(now, self.run.take_result(now, "", unsent))
+            return
+        answered_at, result = self.session.call(choice, send, now)
+
+        def take(later: float) -> Effect:
+            self.session.finish(self.entry, self.request, send, choice, later, now, result)
+            return self.run.take_result(later, choice.target, result)
+
+        self._later(answered_at, take)
+
+
+def _work(request: Request, stage: str) -> Work:
+    return Work(organisation=request.organisation, pipeline=request.pipeline, stage=stage)
+
+
+def _describe(ending: Ending) -> dict[str, Any]:
+    if isinstance(ending, Refusal):
+        return {"refused": ending.reason, "run": ending.run}
+    answer = decode_answer(ending.answer) if isinstance(ending, Repeat) else ending
+    return {
+        "output": answer.output,
+        "targets": [f"{stage.target} x{stage.attempts}" for stage in answer.stages],
+        "answers": answer.request,
+    }
+
+
+def _make_targets(**counts: int) -> dict[str, list[FakeTarget]]:
+    return {
+        service: [
+            FakeTarget(name=f"{service}-{number + 1}", slots=2, seconds_per_thousand=0.2)
+            for number in range(count)
+        ]
+        for service, count in counts.items()
+    }
+
+
+_FOUR = ["encode", "retrieve", "rerank", "generate"]
+
+
+def play_closing_time() -> dict[str, Any]:
+    """Florists and grocers all ask at closing time; two targets a stage."""
+    services = _make_targets(encode=2, retrieve=2, rerank=2, generate=2)
+    asked = [
+        Asked(
+            at=round(1.0 + 0.01 * number, 3),
+            entry=f"entry-{1 + number % 2}",
+            organisation="florists" if number % 4 else "grocers",
+            pipeline="statement",
+            text=f"statement {number} " * 40,
+            deadline=1.5,
+        )
+        for number in range(40)
+    ]
+    return Session(services, {"statement": _FOUR}).run(asked)
+
+
+def play_hearing() -> dict[str, Any]:
+    """One long dossier, and many lookups that must not wait for it."""
+    services = _make_targets(encode=1, retrieve=1, rerank=1, generate=1, lookup=1)
+    dossier = Asked(
+        at=0.0,
+        entry="entry-1",
+        organisation="bureau",
+        pipeline="dossier",
+        text="page " * 2000,
+        deadline=30.0,
+        lane="bulk",
+    )
+    lookups = [
+        Asked(
+            at=round(0.1 * number, 2),
+            entry="entry-1",
+            organisation="bureau",
+            pipeline="lookup",
+            text=f"term {number}",
+            deadline=0.5,
+            lane="lookup",
+        )
+        for number in range(1, 20)
+    ]
+    return Session(services, {"dossier": _FOUR, "lookup": ["lookup"]}).run([dossier, *lookups])
+
+
+def play_leaving_target() -> dict[str, Any]:
+    """An engine leaves in the middle of a generation."""
+    services = _make_targets(generate=2)
+    services["generate"][0].leaves_at = 0.5
+    asked = [
+        Asked(
+            at=round(0.1 * number, 2),
+            entry="entry-1",
+            organisation="bureau",
+            pipeline="subtitle",
+            text=f"line {number} " * 100,
+        )
+        for number in range(10)
+    ]
+    return Session(services, {"subtitle": ["generate"]}).run(asked)
+
+
+def play_lost_entry() -> dict[str, Any]:
+    """An entry is lost with marked requests at each point; they are sent again elsewhere."""
+    services = _make_targets(terminal=1)
+    services["terminal"][0].base_seconds = 0.05
+    moments = {"before the claim": 0.999, "claimed": 0.997, "running": 0.98, "finished": 0.8}
+    first = [
+        Asked(at=at, entry="entry-1", organisation="florists", pipeline="refund", text=key, key=key)
+        for key, at in moments.items()
+    ]
+    again = [
+        Asked(
+            at=1.5, entry="entry-2", organisation="florists", pipeline="refund", text=key, key=key
+        )
+        for key in moments
+    ]
+    return Session(services, {"refund": ["terminal"]}).run([*first, *again], {"entry-1": 1.0})
+
+
+SESSIONS: dict[str, Callable[[], dict[str, Any]]] = {
+    "closing-time": play_closing_time,
+    "hearing": play_hearing,
+    "leaving-target": play_leaving_target,
+    "lost-entry": play_lost_entry,
+}
+
+
+def render(transcript: dict[str, Any]) -> str:
+    """Return a transcript as text, one line each item."""
+    parts = []
+    for name, items in transcript.items():
+        lines = ",\n".join(f"    {json.dumps(item)}" for item in items)
+        parts.append(f'  "{name}": [\n{lines}\n  ]')
+    return "{\n" + ",\n".join(parts) + "\n}\n"
+
+
+if __name__ == "__main__":
+    for session_name, play in SESSIONS.items():
+        (GOLDEN / f"{session_name}.json").write_text(render(play()))
--- a/packages/damsonlane/src/damsonlane/requests/tests/world.py
+++ b/packages/damsonlane/src/damsonlane/requests/tests/world.py
@@ -193,7 +193,11 @@
         """Apply a command to the ledger."""
         match command:
             case ClaimJob():
-                return self.ledger.claim(command)
+                reply = self.ledger.claim(command)
+                if reply.verdict != "busy":
+                    return reply
+                # Membership may call any holder gone, rightly or wrongly.
+                return replace(reply, is_holder_gone=len(self.ran) % 2 == 0)
             case StartJob():
                 return self.ledger.start(command)
             case FinishJob():
--- a/packages/damsonlaned/src/damsonlaned/entry/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_passage.py
@@ -58,7 +58,7 @@
         """Run a request, yielding pieces of the last stage's output if it is streamed."""
         run = RequestRun(
             intake.request,
-            token=secrets.token_hex(12),
+            token=self._uplink.holder.make_token(secrets.token_hex(8)),
             wall_clock=time.time(),
             budget=self._budget,
         )
--- a/packages/damsonlaned/src/damsonlaned/entry/_problems.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_problems.py
@@ -22,6 +22,7 @@
     "key-mismatch": HTTPStatus.UNPROCESSABLE_ENTITY,
     "key-too-old": HTTPStatus.GONE,
     "key-busy": HTTPStatus.CONFLICT,
+    "holder-gone": HTTPStatus.CONFLICT,
     "not-whole": HTTPStatus.BAD_GATEWAY,
 }
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
@@ -18,7 +18,7 @@
 from damsonlane.cluster import Command, Reply
 from damsonlane.costs import CostLine, CostsRecorded, RecordCosts
 from damsonlane.errors import UnavailableError
-from damsonlane.ledger import JobReply
+from damsonlane.ledger import Holder, JobReply
 from damsonlane.settings import BoxSettings
 from damsonlane_rpc import (
     CALL_FAULTS,
@@ -82,6 +82,7 @@
         context: ssl.SSLContext | None,
     ) -> None:
         self.incarnation: Final = secrets.token_hex(6)
+        self.holder: Final = Holder(box=settings.name, incarnation=self.incarnation)
         self._settings: Final = settings
         self._view: Final = view
         self._leaving: Final = leaving
