Agreement in smaller modules; two classic sequences as scripts

Cause: the replica's module held five jobs in 647 lines, and the machine did not find two planted faults: committing an entry of an older term by counting (not in 240 s), and a member change before an entry of the leader's own term (once in 1,622 examples, by its later effect only).

Ruled out: longer random search. The first fault needs one entry a message, because a new leader's own entry otherwise travels with the old ones.

Change: outbox, waiting reads and followers are modules of their own. The two sequences are played by scripts, which are harmless without the planted fault and end in "committed twice, differently" with it.

Before: two planted faults without a test that finds them.

--- a/packages/damsonlane/src/damsonlane/agreement/_replica.py
+++ b/packages/damsonlane/src/damsonlane/agreement/_replica.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Final, Literal
 
+from damsonlane.agreement._followers import Followers, Progress, find_majority
 from damsonlane.agreement._log import Log
 from damsonlane.agreement._messages import (
     AppendReply,
@@ -28,8 +29,9 @@
     VoteReply,
     VoteRequest,
 )
-from damsonlane.agreement._output import Output, Persist, ReadReady
-from damsonlane.agreement._progress import Progress
+from damsonlane.agreement._outbox import Outbox
+from damsonlane.agreement._output import Output, Persist
+from damsonlane.agreement._reads import WaitingReads
 from damsonlane.errors import AgreementError, NotLeaderError
 
 #: Heartbeats a leader sends in one election time.
@@ -101,15 +103,10 @@
         self._heartbeat_due = 0.0
         self._quorum_due = 0.0
         self._votes: set[str] = set()
-        self._progress: dict[str, Progress] = {}
+        self._followers = Followers()
         self._round = 0
-        self._reads: list[tuple[int, int]] = []
-        self._envelopes: list[Envelope] = []
-        self._ready_reads: list[ReadReady] = []
-        self._failed_reads: list[int] = []
-        self._installed: Snapshot | None = None
-        self._hard_state_changed = False
-        self._unsynced_from: int = self._log.last_index + 1
+        self._reads = WaitingReads()
+        self._outbox = self._make_outbox()
         self._reset_election()
 
     # What others may ask.
@@ -148,14 +145,14 @@
         """Return the highest index known to be synced at a replica (leader only)."""
         if replica == self.name:
             return self._synced
-        progress = self._progress.get(replica)
+        progress = self._followers.find(replica)
         return progress.match if progress else 0
 
     def silence_of(self, replica: str) -> float:
         """Return the seconds since a member was last heard (leader only)."""
         if replica == self.name:
             return 0.0
-        progress = self._progress.get(replica)
+        progress = self._followers.find(replica)
         return self._now - progress.heard_at if progress else float("inf")
 
     # Events.
@@ -201,7 +198,7 @@
         self._now = max(self._now, now)
         self._require_leader()
         self._round += 1
-        self._reads.append((self._round, reference))
+        self._reads.add(self._round, reference)
         self._broadcast()
         self._answer_reads()
         return self._take_output()
@@ -295,7 +292,7 @@
         self.standing = "candidate"
         self.term += 1
         self.voted_for = self.name
-        self._hard_state_changed = True
+        self._outbox.has_new_hard_state = True
         self._votes = {self.name}
         self._reset_election()
         self._ask_for_votes(self.term, is_trial=False)
@@ -309,7 +306,7 @@
             is_trial=is_trial,
         )
         for member in self.members.voters:
-            self._send(member.replica, request)
+            self._outbox.send(member.replica, request)
 
     def _count_votes(self) -> None:
         granted = sum(1 for member in self.members.voters if member.replica in self._votes)
@@ -323,7 +320,7 @@
     def _start_leading(self) -> None:
         self.standing = "leader"
         self.leader = self.name
-        self._progress = {}
+        self._followers.clear()
         self._follow_members()
         self._append(Noop())
         self._quorum_due = self._now + self._election_seconds
@@ -334,11 +331,10 @@
         if term > self.term:
             self.term = term
             self.voted_for = ""
-            self._hard_state_changed = True
+            self._outbox.has_new_hard_state = True
         self.standing = "follower"
         self.leader = leader
-        self._failed_reads.extend(reference for _, reference in self._reads)
-        self._reads.clear()
+        self._outbox.failed.extend(self._reads.take_all())
         self._reset_election()
 
     def _reset_election(self) -> None:
@@ -376,9 +372,9 @@
         )
         if is_granted:
             self.voted_for = sender
-            self._hard_state_changed = True
+            self._outbox.has_new_hard_state = True
             self._reset_election()
-        self._send(sender, VoteReply(term=self.term, is_granted=is_granted, is_trial=False))
+        self._outbox.send(sender, VoteReply(term=self.term, is_granted=is_granted, is_trial=False))
 
     def _receive_trial(self, sender: str, request: VoteRequest) -> None:
         has_leader = self.is_leader or (
@@ -386,7 +382,7 @@
         )
         is_granted = request.term > self.term and self._is_current(request) and not has_leader
         term = request.term if is_granted else self.term
-        self._send(sender, VoteReply(term=term, is_granted=is_granted, is_trial=True))
+        self._outbox.send(sender, VoteReply(term=term, is_granted=is_granted, is_trial=True))
 
     def _is_current(self, request: VoteRequest) -> bool:
         own = (self._log.last_term, self._log.last_index)
@@ -437,9 +433,8 @@
                 continue
             if term is not None:
                 self._log.truncate_from(entry.index)
-                self._unsynced_from = min(self._unsynced_from, entry.index)
             self._log.append(entry)
-            self._unsynced_from = min(self._unsynced_from, entry.index)
+            self._outbox.note_unsynced(entry.index)
 
     def _receive_snapshot(self, sender: str, request: SnapshotRequest) -> None:
         snapshot = request.snapshot
@@ -447,20 +442,20 @@
             self._log.replace(snapshot)
             self.commit = snapshot.index
             self._applied = snapshot.index
-            self._installed = snapshot
-            self._unsynced_from = snapshot.index + 1
+            self._outbox.installed = snapshot
+            self._outbox.unsynced_from = snapshot.index + 1
         match = max(snapshot.index, self.commit)
         self._reply_append(sender, request.round, is_success=True, match=match)
 
     def _reply_append(self, leader: str, number: int, *, is_success: bool, match: int) -> None:
         reply = AppendReply(term=self.term, is_success=is_success, match=match, round=number)
-        self._send(leader, reply)
+        self._outbox.send(leader, reply)
 
     def _receive_append_reply(self, sender: str, reply: AppendReply) -> None:
         if reply.term > self.term:
             self._step_down(reply.term)
             return
-        progress = self._progress.get(sender)
+        progress = self._followers.find(sender)
         if self.standing != "leader" or reply.term < self.term or progress is None:
             return
         progress.heard_at = self._now
@@ -489,29 +484,25 @@
             return
         interval = self._election_seconds / HEARTBEATS_PER_ELECTION
         self._heartbeat_due = self._now + interval
-        for progress in self._progress.values():
-            if self._now - progress.heard_at > 2 * interval:
-                progress.next_index = progress.match + 1
+        self._followers.restart_silent(self._now - 2 * interval)
         self._broadcast()
 
     def _has_heard_quorum(self) -> bool:
         since = self._now - self._election_seconds
-        heard = 0
-        for member in self.members.voters:
-            progress = self._progress.get(member.replica)
-            if member.replica == self.name or (progress and progress.heard_at >= since):
-                heard += 1
+        heard = self._followers.count_heard(self.members, self.name, since)
         return heard >= self.members.quorum()
 
     def _append(self, body: Body) -> LogEntry:
         entry = LogEntry(index=self._log.last_index + 1, term=self.term, body=body)
         self._log.append(entry)
-        self._unsynced_from = min(self._unsynced_from, entry.index)
+        self._outbox.note_unsynced(entry.index)
         return entry
 
     def _broadcast(self) -> None:
-        for replica, progress in self._progress.items():
-            self._send_append(replica, progress)
+        for replica in self._followers:
+            progress = self._followers.find(replica)
+            if progress is not None:
+                self._send_append(replica, progress)
 
     def _send_append(self, replica: str, progress: Progress) -> None:
         previous = progress.next_index - 1
@@ -529,7 +520,7 @@
             round=self._round,
         )
         progress.next_index = last + 1
-        self._send(replica, request)
+        self._outbox.send(replica, request)
 
     def _send_snapshot(self, replica: str, progress: Progress) -> None:
         patience = SNAPSHOT_PATIENCE * self._election_seconds / HEARTBEATS_PER_ELECTION
@@ -537,11 +528,12 @@
             return
         progress.snapshot_at = self._now
         snapshot = self._log.snapshot
-        self._send(replica, SnapshotRequest(term=self.term, snapshot=snapshot, round=self._round))
+        self._outbox.send(
+            replica, SnapshotRequest(term=self.term, snapshot=snapshot, round=self._round)
+        )
 
     def _advance_commit(self) -> None:
-        matches = sorted(self.match_of(member.replica) for member in self.members.voters)
-        reached = matches[len(matches) - self.members.quorum()] if matches else 0
+        reached = find_majority(self.members, self.match_of)
         # Only an entry of the leader's own term is committed by counting replicas.
         if reached > self.commit and self._log.term_at(reached) == self.term:
             self._raise_commit(reached)
@@ -555,21 +547,13 @@
     def _answer_reads(self) -> None:
         if self._log.term_at(self.commit) != self.term:
             return
-        rounds = sorted(
-            self._round if member.replica == self.name else self._round_of(member.replica)
-            for member in self.members.voters
-        )
-        confirmed = rounds[len(rounds) - self.members.quorum()] if rounds else 0
-        waiting = []
-        for number, reference in self._reads:
-            if number <= confirmed:
-                self._ready_reads.append(ReadReady(reference=reference, index=self.commit))
-            else:
-                waiting.append((number, reference))
-        self._reads = waiting
+        confirmed = find_majority(self.members, self._round_of)
+        self._outbox.ready.extend(self._reads.take_confirmed(confirmed, self.commit))
 
     def _round_of(self, replica: str) -> int:
-        progress = self._progress.get(replica)
+        if replica == self.name:
+            return self._round
+        progress = self._followers.find(replica)
         return progress.round if progress else 0
 
     # Changes of the group.
@@ -597,51 +581,40 @@
         self._broadcast()
 
     def _follow_members(self) -> None:
-        names = {member.replica for member in self.members.everyone()} - {self.name}
-        for gone in set(self._progress) - names:
-            del self._progress[gone]
-        for name in sorted(names - set(self._progress)):
-            self._progress[name] = Progress(next_index=self._log.last_index + 1, heard_at=self._now)
+        next_index = self._log.last_index + 1
+        self._followers.follow(self.members, self.name, next_index, self._now)
 
     def _promote(self, replica: str) -> None:
         """Make a learner a voter once it holds every committed entry."""
         if not self.members.is_learner(replica) or not self._is_change_allowed():
             return
-        if self._progress[replica].match >= self.commit:
+        if self.match_of(replica) >= self.commit:
             self._change_members(self.members.with_promoted(replica))
 
     # Output.
 
-    def _send(self, receiver: str, message: Message) -> None:
-        if receiver != self.name:
-            self._envelopes.append(
-                Envelope(cluster=self.cluster, sender=self.name, receiver=receiver, message=message)
-            )
-
-    def _clear_output(self) -> None:
-        self._envelopes = []
-        self._ready_reads = []
-        self._failed_reads = []
-        self._installed = None
-        self._hard_state_changed = False
-        self._unsynced_from = self._log.last_index + 1
+    def _make_outbox(self) -> Outbox:
+        return Outbox(
+            cluster=self.cluster, sender=self.name, unsynced_from=self._log.last_index + 1
+        )
 
     def _take_output(self) -> Output:
+        outbox = self._outbox
         output = Output(
-            persist=self._take_persist(),
-            envelopes=tuple(self._envelopes),
-            installed=self._installed,
+            persist=self._make_persist(outbox),
+            envelopes=tuple(outbox.envelopes),
+            installed=outbox.installed,
             committed=self._log.between(self._applied + 1, self.commit),
-            reads=tuple(self._ready_reads),
-            failed_reads=tuple(self._failed_reads),
+            reads=tuple(outbox.ready),
+            failed_reads=tuple(outbox.failed),
         )
         self._applied = self.commit
-        self._synced = min(self._synced, self._unsynced_from - 1)
-        self._clear_output()
+        self._synced = min(self._synced, outbox.unsynced_from - 1)
+        self._outbox = self._make_outbox()
         return output
 
-    def _take_persist(self) -> Persist:
-        changed = self._hard_state_changed
-        hard_state = HardState(term=self.term, voted_for=self.voted_for) if changed else None
-        entries = self._log.between(self._unsynced_from, self._log.last_index)
-        return Persist(hard_state=hard_state, snapshot=self._installed, entries=entries)
+    def _make_persist(self, outbox: Outbox) -> Persist:
+        has_new = outbox.has_new_hard_state
+        hard_state = HardState(term=self.term, voted_for=self.voted_for) if has_new else None
+        entries = self._log.between(outbox.unsynced_from, self._log.last_index)
+        return Persist(hard_state=hard_state, snapshot=outbox.installed, entries=entries)
--- a/packages/damsonlane/src/damsonlane/agreement/tests/group.py
+++ b/packages/damsonlane/src/damsonlane/agreement/tests/group.py
@@ -19,6 +19,7 @@
     Snapshot,
     Stored,
 )
+from damsonlane.agreement._followers import find_majority
 from damsonlane.cluster import (
     ChangeAccepted,
     ChangeSettings,
@@ -53,8 +54,7 @@
     """A replica with the planted fault of unconfirmed reads."""
 
     def _answer_reads(self) -> None:
-        self._reads = [(0, reference) for _, reference in self._reads]
-        super()._answer_reads()
+        self._outbox.ready.extend(self._reads.take_confirmed(self._round, self.commit))
 
 
 class _ChangesAtOnce(Replica):
@@ -68,9 +68,7 @@
     """A replica with the planted fault of commits by counting alone."""
 
     def _advance_commit(self) -> None:
-        matches = sorted(self.match_of(member.replica) for member in self.members.voters)
-        reached = matches[len(matches) - self.members.quorum()] if matches else 0
-        self._raise_commit(reached)
+        self._raise_commit(find_majority(self.members, self.match_of))
 
 
 class _CountsUnsynced(Replica):
--- a/packages/damsonlane/src/damsonlane/agreement/tests/test_machine.py
+++ b/packages/damsonlane/src/damsonlane/agreement/tests/test_machine.py
@@ -19,15 +19,22 @@
 #: Planted faults are searched for longer, and not shrunk.
 _SEARCH = settings(_SETTINGS, max_examples=3000, phases=[Phase.generate])
 
+#: The others need longer sequences; test_scripts plays them.
+_FOUND_BY_CHANCE = (
+    Fault.VOTE_BEFORE_SYNC,
+    Fault.FORGET_CHANGE_IDS,
+    Fault.EMPTY_FOLDER_VOTES,
+    Fault.READ_WITHOUT_QUORUM,
+    Fault.COUNT_UNSYNCED,
+)
+
 
 class MachineTest(unittest.TestCase):
     def test_promises_hold(self) -> None:
         run_state_machine_as_test(GroupMachine, settings=_SETTINGS)
 
     def test_planted_faults_are_found(self) -> None:
-        for fault in Fault:
-            if fault is Fault.NONE:
-                continue
+        for fault in _FOUND_BY_CHANCE:
             with self.subTest(fault=fault.name), self.assertRaises(AssertionError):
                 run_state_machine_as_test(make_machine(fault), settings=_SEARCH)
 
