Entry's side of control in modules of one job each

Change: job link, accounts, settings link and rendering are modules of their own; Stored.with_persist stands once.

--- a/packages/damsonlane/src/damsonlane/agreement/__init__.py
+++ b/packages/damsonlane/src/damsonlane/agreement/__init__.py
@@ -17,7 +17,8 @@
     VoteRequest,
 )
 from damsonlane.agreement._output import Output, Persist, ReadReady
-from damsonlane.agreement._replica import EMPTY_SNAPSHOT, Replica, Stored
+from damsonlane.agreement._replica import Replica
+from damsonlane.agreement._stored import EMPTY_SNAPSHOT, Stored
 
 __all__ = [
     "EMPTY_SNAPSHOT",
--- a/packages/damsonlane/src/damsonlane/agreement/_replica.py
+++ b/packages/damsonlane/src/damsonlane/agreement/_replica.py
@@ -7,7 +7,6 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Final, Literal
 
 from damsonlane.agreement._followers import Followers, Progress, find_majority
@@ -32,6 +31,7 @@
 from damsonlane.agreement._outbox import Outbox
 from damsonlane.agreement._output import Output, Persist
 from damsonlane.agreement._reads import WaitingReads
+from damsonlane.agreement._stored import Stored
 from damsonlane.errors import AgreementError, NotLeaderError
 
 #: Heartbeats a leader sends in one election time.
@@ -44,22 +44,6 @@
 Standing = Literal["follower", "trial", "candidate", "leader"]
 
 
-@dataclass(frozen=True, kw_only=True)
-class Stored:
-    """What a replica finds on its disk at its start."""
-
-    #: Term and vote.
-    hard_state: HardState
-    #: Last snapshot.
-    snapshot: Snapshot
-    #: Entries after it.
-    entries: tuple[LogEntry, ...] = ()
-
-
-#: The snapshot of a folder that holds nothing.
-EMPTY_SNAPSHOT: Final = Snapshot(index=0, term=0, members=Members(voters=()), state="")
-
-
 class Replica:
     """A replica; call its methods from one thread and carry out what they return.
 
--- a/packages/damsonlane/src/damsonlane/agreement/tests/group.py
+++ b/packages/damsonlane/src/damsonlane/agreement/tests/group.py
@@ -100,18 +100,7 @@
     )
 
     def write(self, persist: Persist) -> None:
-        stored = self.stored
-        snapshot, entries = stored.snapshot, list(stored.entries)
-        if persist.snapshot is not None:
-            snapshot, entries = persist.snapshot, []
-        if persist.entries:
-            del entries[persist.entries[0].index - snapshot.index - 1 :]
-            entries.extend(persist.entries)
-        self.stored = Stored(
-            hard_state=persist.hard_state or stored.hard_state,
-            snapshot=snapshot,
-            entries=tuple(entries),
-        )
+        self.stored = self.stored.with_persist(persist)
 
 
 @dataclass
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/entry/_accounts.py
@@ -0,0 +1,108 @@
+"""Cost lines and counts of endings on their way to control, each counted there once."""
+
+import asyncio
+import itertools
+import threading
+import time
+from collections.abc import Sequence
+from typing import Final
+
+from damsonlane.burn import FINE_SECONDS, EndingCount
+from damsonlane.costs import CostLine, CostsRecorded, RecordCosts
+from damsonlane.errors import UnavailableError
+from damsonlane_rpc import ControlClient
+
+#: Seconds between batches.
+BATCH_SECONDS: Final = 0.5
+#: Most cost lines in one batch.
+LINES_PER_BATCH: Final = 2_000
+#: Seconds to wait before a batch is sent again.
+PAUSE_SECONDS: Final = 0.2
+#: Seconds that one attempt to send may take.
+CALL_SECONDS: Final = 5.0
+
+
+class Accounts:
+    """Collects from the callers' threads and sends batches in order.
+
+    Args:
+        client: client of control, used on the running loop.
+        sender: name of this process, never used by another.
+    """
+
+    def __init__(self, client: ControlClient, sender: str) -> None:
+        self._client: Final = client
+        self._sender: Final = sender
+        self._lines: list[CostLine] = []
+        self._endings: dict[str, EndingCount] = {}
+        self._lock: Final = threading.Lock()
+        self._batches: Final = itertools.count(1)
+        self._is_stopping = False
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start sending."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Send what is left, for as long as one call may take, and stop."""
+        self._is_stopping = True
+        if self._task is not None:
+            done, _ = await asyncio.wait([self._task], timeout=CALL_SECONDS)
+            if not done:
+                self._task.cancel()
+
+    def add_costs(self, lines: Sequence[CostLine]) -> None:
+        """Queue cost lines."""
+        with self._lock:
+            self._lines.extend(lines)
+
+    def count_ending(self, organisation: str, pipeline: str, *, is_attained: bool) -> None:
+        """Count how a request ended."""
+        now = int(time.time())
+        count = EndingCount(
+            organisation=organisation,
+            pipeline=pipeline,
+            start=now - now % FINE_SECONDS,
+            length=FINE_SECONDS,
+            attained=int(is_attained),
+            total=1,
+        )
+        name = f"{organisation}/{pipeline}/{count.start}"
+        with self._lock:
+            known = self._endings.get(name)
+            self._endings[name] = known.with_more(count) if known else count
+
+    async def _run(self) -> None:
+        while True:
+            is_last = self._is_stopping
+            command = self._take_batch()
+            if command is not None:
+                await self._send(command)
+            elif is_last:
+                return
+            else:
+                await asyncio.sleep(BATCH_SECONDS)
+
+    def _take_batch(self) -> RecordCosts | None:
+        with self._lock:
+            lines = tuple(self._lines[:LINES_PER_BATCH])
+            del self._lines[:LINES_PER_BATCH]
+            endings = tuple(self._endings.values())
+            self._endings.clear()
+        if not lines and not endings:
+            return None
+        return RecordCosts(
+            sender=self._sender, batch=next(self._batches), lines=lines, endings=endings
+        )
+
+    async def _send(self, command: RecordCosts) -> None:
+        """Send a batch until control has recorded it."""
+        while True:
+            try:
+                replies = await self._client.submit([command], CALL_SECONDS)
+            except UnavailableError:
+                await asyncio.sleep(PAUSE_SECONDS)
+                continue
+            if isinstance(replies[0], CostsRecorded) and replies[0].batch >= command.batch:
+                return
--- a/packages/damsonlaned/src/damsonlaned/entry/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_callers.py
@@ -1,6 +1,5 @@
 """The callers' interface, as a WSGI application."""
 
-import json
 import logging
 import threading
 import time
@@ -29,6 +28,7 @@
 )
 from damsonlaned.entry._passage import Passages
 from damsonlaned.entry._problems import Problem, describe_refusal
+from damsonlaned.entry._rendering import render_answer, render_event, render_last_event
 from damsonlaned.entry._view import SettingsView
 from damsonlaned.metrics import Metrics
 
@@ -163,10 +163,10 @@
         """Yield events; the caller's connection closes the generator when it breaks."""
         try:
             while isinstance(piece, str):
-                yield _event("token", {"text": piece})
+                yield render_event("token", {"text": piece})
                 piece = _advance(passage)
             self._count(intake, piece.ending, time.monotonic() - arrived_at)
-            yield _last_event(piece.ending)
+            yield render_last_event(piece.ending)
         finally:
             passage.close()
             self._leave(intake)
@@ -176,12 +176,12 @@
         start("200 OK", self._headers([("Content-Type", "text/event-stream")]))
         answer = decode_answer(ending.answer) if isinstance(ending, Repeat) else ending
         text = answer.output if isinstance(answer, Answer) else ""
-        return [_event("token", {"text": text}), _last_event(ending)]
+        return [render_event("token", {"text": text}), render_last_event(ending)]
 
     def _answer_ending(self, ending: Ending, start: StartResponse) -> Iterable[bytes]:
         if isinstance(ending, Refusal):
             return self._answer_problem(describe_refusal(ending), start)
-        body = json.dumps(_describe(ending)).encode()
+        body = render_answer(ending)
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         start("200 OK", self._headers(headers))
         return [body]
@@ -244,39 +244,6 @@
         return ending
 
 
-def _describe(ending: Answer | Repeat) -> dict[str, object]:
-    is_repeat = isinstance(ending, Repeat)
-    answer = decode_answer(ending.answer) if isinstance(ending, Repeat) else ending
-    return {
-        "request": answer.request,
-        "output": answer.output,
-        "stages": [
-            {
-                "name": stage.name,
-                "target": stage.target,
-                "attempts": stage.attempts,
-                "seconds": stage.seconds,
-            }
-            for stage in answer.stages
-        ],
-        "remaining_ms": int(answer.remaining * 1000),
-        "repeated": is_repeat,
-    }
-
-
-def _event(name: str, data: dict[str, object]) -> bytes:
-    return f"event: {name}\ndata: {json.dumps(data)}\n\n".encode()
-
-
-def _last_event(ending: Ending) -> bytes:
-    """Return the event that says whether the stream is whole."""
-    if isinstance(ending, Refusal):
-        return _event("end", {"whole": False, "reason": ending.reason, "run": ending.run})
-    described = _describe(ending)
-    del described["output"]
-    return _event("end", {"whole": True, **described})
-
-
 def _answer_text(status: str, text: str, start: StartResponse) -> Iterable[bytes]:
     start(status, [("Content-Type", "text/plain"), ("Content-Length", str(len(text)))])
     return [text.encode()]
--- a/packages/damsonlaned/src/damsonlaned/entry/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -64,7 +64,7 @@
     async def stop(self) -> None:
         """Let everything in flight end, then stop."""
         self._callers.is_draining = True
-        self._uplink.announce_leaving()
+        self._uplink.settings.announce_leaving()
         await asyncio.sleep(self._settings.grace_seconds)
         quiet = 0
         while quiet < QUIET_POLLS:
--- a/packages/damsonlaned/src/damsonlaned/entry/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_passage.py
@@ -39,12 +39,12 @@
 
     def live_entries(self) -> int:
         """Return how many entries share the fleet's limits."""
-        return self._uplink.live_entries
+        return self._uplink.settings.live_entries
 
     def count_ending(self, intake: Intake, ending: Ending) -> None:
         """Count how a request ended, for the report on burn."""
         request = intake.request
-        self._uplink.count_ending(
+        self._uplink.accounts.count_ending(
             request.organisation,
             request.pipeline,
             is_attained=not isinstance(ending, Refusal) and time.monotonic() <= request.due_at,
@@ -65,7 +65,7 @@
         effect = run.begin(time.monotonic())
         while not isinstance(effect, End):
             effect = yield from self._carry_out(run, effect, intake)
-        self._uplink.add_costs(effect.billed.costs)
+        self._uplink.accounts.add_costs(effect.billed.costs)
         return effect.billed
 
     def _carry_out(
@@ -74,7 +74,7 @@
         if isinstance(effect, Send):
             return (yield from self._send(run, effect, intake))
         if isinstance(effect, AskLedger):
-            reply = self._uplink.ask_ledger(effect.command, effect.seconds)
+            reply = self._uplink.jobs.ask(effect.command, effect.seconds)
             return run.take_reply(time.monotonic(), reply)
         assert isinstance(effect, Wait)
         time.sleep(effect.seconds)
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/entry/_settings_link.py
@@ -0,0 +1,193 @@
+"""Keeping the settings in force current: from control, and from other entries."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import ssl
+import time
+from typing import Final
+
+from damsonlane.errors import UnavailableError
+from damsonlane.ledger import Holder
+from damsonlane.settings import BoxSettings
+from damsonlane_rpc import (
+    CALL_FAULTS,
+    COMPARE,
+    WATCH,
+    ControlClient,
+    PeerRequest,
+    QueryRequest,
+    SettingsQuery,
+    WatchReport,
+    WatchUpdate,
+    open_channel,
+)
+from damsonlane_rpc import SettingsView as SettingsReply
+from grpclib.client import Stream
+
+from damsonlaned.entry._leaving import LeavingTargets
+from damsonlaned.entry._view import SettingsView
+
+_LOG: Final = logging.getLogger(__name__)
+
+#: Seconds between reports of the version in force.
+REPORT_SECONDS: Final = 2.0
+#: Seconds without word after which another control replica is tried.
+SILENCE_SECONDS: Final = 6.0
+#: Seconds between questions to a peer.
+PEER_SECONDS: Final = 2.0
+#: Seconds to wait before control is asked again.
+PAUSE_SECONDS: Final = 0.2
+#: Seconds for which one question to control may take.
+CALL_SECONDS: Final = 5.0
+
+
+class SettingsLink:
+    """Follows one control replica by a stream and asks peers now and then.
+
+    Args:
+        settings: settings of the box.
+        holder: this process.
+        client: client of control, used on the running loop.
+        view: where newer settings are put in force.
+        leaving: targets that are known to be leaving.
+        context: TLS context towards other boxes, or None.
+    """
+
+    def __init__(
+        self,
+        settings: BoxSettings,
+        holder: Holder,
+        client: ControlClient,
+        view: SettingsView,
+        leaving: LeavingTargets,
+        context: ssl.SSLContext | None,
+    ) -> None:
+        self._settings: Final = settings
+        self._holder: Final = holder
+        self._client: Final = client
+        self._view: Final = view
+        self._leaving: Final = leaving
+        self._context: Final = context
+        self._started_at: Final = time.time()
+        self._report_due: Final = asyncio.Event()
+        self._told_peers: tuple[str, ...] = ()
+        self._is_leaving = False
+        self._tasks: list[asyncio.Task[None]] = []
+        #: How many entries share the fleet's limits, as control last said.
+        self.live_entries = 1
+
+    def start(self) -> None:
+        """Start following."""
+        self._tasks = [
+            asyncio.create_task(self._follow()),
+            asyncio.create_task(self._ask_peers()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop following."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def announce_leaving(self) -> None:
+        """Tell control that this box takes no new requests."""
+        self._is_leaving = True
+        self._report_due.set()
+
+    # Control.
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                await self._read_confirmed()
+                await self._watch(random.choice(self._settings.control))
+            except (UnavailableError, TimeoutError, *CALL_FAULTS) as error:
+                _LOG.warning("lost control", extra={"fault": str(error) or type(error).__name__})
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _read_confirmed(self) -> None:
+        reply = await self._client.query(QueryRequest(query=SettingsQuery()), CALL_SECONDS)
+        if isinstance(reply.outcome, SettingsReply):
+            self._view.replace(reply.outcome.version, reply.outcome.document)
+            if not self._view.is_confirmed:
+                _LOG.info("settings confirmed", extra={"version": reply.outcome.version})
+            self._view.confirm()
+
+    async def _watch(self, address: str) -> None:
+        channel = open_channel(address, self._context)
+        try:
+            async with WATCH.stream(channel).open() as stream:
+                await stream.send_message(self._report())
+                reporter = asyncio.create_task(self._send_reports(stream))
+                try:
+                    await self._take_updates(stream)
+                finally:
+                    reporter.cancel()
+                    await asyncio.gather(reporter, return_exceptions=True)
+        finally:
+            channel.close()
+
+    async def _take_updates(self, stream: Stream[WatchReport, WatchUpdate]) -> None:
+        while True:
+            update = await asyncio.wait_for(stream.recv_message(), SILENCE_SECONDS)
+            if update is None or not update.is_current:
+                return
+            self.live_entries = max(1, update.live_entries)
+            self._told_peers = update.peers
+            self._take_settings(update)
+            if update.version > self._view.current.version:
+                # The changes did not fit, so the whole tree must be read again.
+                return
+
+    def _take_settings(self, update: WatchUpdate) -> None:
+        if update.document is not None:
+            is_newer = self._view.replace(update.version, update.document)
+        else:
+            is_newer = self._view.merge(update.changes)
+        if is_newer:
+            self._report_due.set()
+            _LOG.info("settings in force", extra={"version": update.version})
+
+    async def _send_reports(self, stream: Stream[WatchReport, WatchUpdate]) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._report_due.wait(), REPORT_SECONDS)
+            self._report_due.clear()
+            await stream.send_message(self._report())
+
+    def _report(self) -> WatchReport:
+        return WatchReport(
+            box=self._holder.box,
+            incarnation=self._holder.incarnation,
+            data_centre=self._settings.data_centre,
+            version=self._view.current.version,
+            started_at=self._started_at,
+            address=self._settings.internal_address,
+            is_leaving=self._is_leaving,
+        )
+
+    # Peers.
+
+    async def _ask_peers(self) -> None:
+        while True:
+            await asyncio.sleep(PEER_SECONDS * random.uniform(0.75, 1.25))
+            peers = set(self._settings.peers or self._told_peers)
+            peers.discard(self._settings.internal_address)
+            if peers and self._view.is_confirmed:
+                await self._ask_peer(random.choice(sorted(peers)))
+
+    async def _ask_peer(self, address: str) -> None:
+        """Take newer settings from a peer and tell each other which targets are leaving."""
+        channel = open_channel(address, self._context)
+        request = PeerRequest(version=self._view.current.version, leaving=self._leaving.list())
+        try:
+            reply = await COMPARE.unary(channel)(request, timeout=PEER_SECONDS)
+            if reply.update is not None:
+                self._take_settings(reply.update)
+            self._leaving.learn(reply.leaving)
+        except CALL_FAULTS as error:
+            _LOG.debug("peer does not answer", extra={"fault": str(error)})
+        finally:
+            channel.close()
--- a/packages/damsonlaned/src/damsonlaned/storage/_journal.py
+++ b/packages/damsonlaned/src/damsonlaned/storage/_journal.py
@@ -61,7 +61,7 @@
             raise CorruptionError(str(self._path), 0, "the first frame is not whole")
         stored = self._decode(frames[0], Stored)
         for frame in frames[1:]:
-            stored = _replay(stored, self._decode(frame, Persist))
+            stored = stored.with_persist(self._decode(frame, Persist))
         self._open()
         return stored
 
@@ -122,16 +122,3 @@
         except ValidationError as error:
             reason = f"the frame holds no {shape.__name__}: {error.errors()[0]['msg']}"
             raise CorruptionError(str(self._path), frame.offset, reason) from None
-
-
-def _replay(stored: Stored, persist: Persist) -> Stored:
-    snapshot = stored.snapshot
-    entries = list(stored.entries)
-    if persist.snapshot is not None:
-        snapshot = persist.snapshot
-        entries.clear()
-    if persist.entries:
-        del entries[persist.entries[0].index - snapshot.index - 1 :]
-        entries.extend(persist.entries)
-    hard_state = persist.hard_state or stored.hard_state
-    return Stored(hard_state=hard_state, snapshot=snapshot, entries=tuple(entries))
