Measurements say how much processor time was stolen

Ruled out: other processes of ours (2.8 of 8 cores used). The machine's own accounting shows 212,753 ticks stolen by its host beside 662,348 used, a quarter. Change: each policy run prints the stolen share, so that noisy runs can be told apart. Before: unknown. After: shown.

--- a/packages/damsonlane_bench/src/damsonlane_bench/policy.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/policy.py
@@ -26,6 +26,7 @@
     send_arrivals,
     summarize,
 )
+from damsonlane_bench.machine import read_processor_times
 from damsonlane_bench.trees import STAGES, digest_token, make_pipeline, make_services
 
 _TOKENS: Final = {"merchants": "merchants-token", "bureau": "bureau-token"}
@@ -230,11 +231,13 @@
     fleet.require("settings", "set", "/policy/routing", policy)
     time.sleep(1.0)
     name = f"{scenario.name}-{policy}-{seed}-{time.monotonic_ns()}"
+    before = read_processor_times()
     outcomes = run_once(fleet, scenario, name, seed)
+    stolen = read_processor_times().stolen_share(before)
     doubled, false = count_false(fleet, outcomes)
     summaries = {summary.name: summary for summary in summarize(outcomes)}
     line = {"scenario": scenario.name, "policy": policy, "seed": seed}
-    line |= _describe(summaries, doubled, false)
+    line |= _describe(summaries, doubled, false) | {"stolen %": round(100 * stolen, 1)}
     classes = {key: asdict(summary) for key, summary in summaries.items()}
     return {"line": line, "classes": classes}
 
