--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -9,6 +9,7 @@
     open_channel,
 )
 from damsonlane_rpc._codec import TRAFFIC, DataclassCodec, Traffic
+from damsonlane_rpc._key_watch import KeyWatch
 from damsonlane_rpc._messages import (
     AddRequest,
     BoxesQuery,
@@ -92,6 +93,7 @@
     "GroupReply",
     "HistoryQuery",
     "HistoryView",
+    "KeyWatch",
     "LeavingTarget",
     "Method",
     "NotLeader",
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_tls.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_tls.py
@@ -17,7 +17,8 @@
     """
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.verify_mode = ssl.CERT_REQUIRED
-    return _load(context, files)
+    load_files(context, files)
+    return context
 
 
 def make_client_context(files: TlsFiles) -> ssl.SSLContext:
@@ -30,10 +31,16 @@
     # Boxes are named by settings and reached by number, so the authority alone decides.
     context.check_hostname = False
     context.verify_mode = ssl.CERT_REQUIRED
-    return _load(context, files)
+    load_files(context, files)
+    return context
 
 
-def _load(context: ssl.SSLContext, files: TlsFiles) -> ssl.SSLContext:
+def load_files(context: ssl.SSLContext, files: TlsFiles) -> None:
+    """Load keys into a context; connections made from now on use them.
+
+    Raises:
+        StorageError: a file is missing or no key.
+    """
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     context.set_alpn_protocols(_PROTOCOLS)
     try:
@@ -42,4 +49,3 @@
     except (OSError, ssl.SSLError) as error:
         names = f"{files.certificate}, {files.key}, {files.authority}"
         raise StorageError(f"cannot load the TLS files ({names}): {error}") from None
-    return context
--- a/packages/damsonlaned/src/damsonlaned/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/_process.py
@@ -14,6 +14,7 @@
     ControlClient,
     DataclassCodec,
     Endpoint,
+    KeyWatch,
     Service,
     make_client_context,
     make_server_context,
@@ -54,17 +55,38 @@
     configure_logs(settings.name, settings.role)
     folder = DataFolder(settings.data_folder)
     folder.open()
+    keys = _Keys(settings)
     try:
         if settings.role == "control":
-            await _run_control(settings, folder)
+            await _run_control(settings, folder, keys)
         else:
-            await _run_entry(settings)
+            await _run_entry(settings, keys)
     finally:
+        await keys.stop()
         folder.close()
 
 
-async def _run_control(settings: BoxSettings, folder: DataFolder) -> None:
-    node = ControlNode(settings, folder, _client_context(settings))
+class _Keys:
+    """The TLS contexts of a process, renewed when their files change; None without TLS."""
+
+    def __init__(self, settings: BoxSettings) -> None:
+        self.server: ssl.SSLContext | None = None
+        self.client: ssl.SSLContext | None = None
+        self._watch: KeyWatch | None = None
+        if settings.tls is not None:
+            self.server = make_server_context(settings.tls)
+            self.client = make_client_context(settings.tls)
+            self._watch = KeyWatch(settings.tls, [self.server, self.client])
+            self._watch.start()
+
+    async def stop(self) -> None:
+        """Stop watching the files."""
+        if self._watch is not None:
+            await self._watch.stop()
+
+
+async def _run_control(settings: BoxSettings, folder: DataFolder, keys: _Keys) -> None:
+    node = ControlNode(settings, folder, keys.client)
     metrics = Metrics()
 
     def refresh() -> None:
@@ -74,8 +96,8 @@
         metrics.is_leader.set({}, 1 if replica and replica.is_leader else 0)
 
     admin = Admin(settings.admin_address, metrics, node.is_current, refresh)
-    server = await _serve(settings, ControlService(node).service())
-    client = ControlClient(_list_control(settings), context=_client_context(settings))
+    server = await _serve(settings, ControlService(node).service(), keys)
+    client = ControlClient(_list_control(settings), context=keys.client)
     keeper = Keeper(node, client)
     node.start()
     keeper.start()
@@ -90,9 +112,9 @@
         node.failure.result()
 
 
-async def _run_entry(settings: BoxSettings) -> None:
-    node = EntryNode(settings, _client_context(settings))
-    server = await _serve(settings, node.peers.service())
+async def _run_entry(settings: BoxSettings, keys: _Keys) -> None:
+    node = EntryNode(settings, keys.client)
+    server = await _serve(settings, node.peers.service(), keys)
     node.start()
     _LOG.info("started")
     await _wait_for_stop()
@@ -107,12 +129,11 @@
     return (own, *(address for address in settings.control if address != own))
 
 
-async def _serve(settings: BoxSettings, service: Service) -> Server:
-    context = make_server_context(settings.tls) if settings.tls else None
+async def _serve(settings: BoxSettings, service: Service, keys: _Keys) -> Server:
     server = Server([service], codec=DataclassCodec())
     endpoint = Endpoint.parse(settings.internal_address)
     try:
-        await server.start(endpoint.host, endpoint.port, ssl=context)
+        await server.start(endpoint.host, endpoint.port, ssl=keys.server)
     except OSError as error:
         reason = error.strerror or str(error)
         raise StorageError(f"cannot listen on {settings.internal_address}: {reason}") from None
@@ -124,10 +145,6 @@
     await server.wait_closed()
 
 
-def _client_context(settings: BoxSettings) -> ssl.SSLContext | None:
-    return make_client_context(settings.tls) if settings.tls else None
-
-
 async def _wait_for_stop() -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
