--- a/packages/damsonlane/src/damsonlane/errors.py
+++ b/packages/damsonlane/src/damsonlane/errors.py
@@ -58,5 +58,9 @@
         super().__init__(f"not the leader; ask {leader or 'another control replica'}")
 
 
+class NotUnderstoodError(UnavailableError):
+    """Control accepted settings that this process, being older, can't read."""
+
+
 class AgreementError(DamsonlaneError):
     """A change of the control group is not allowed now."""
--- a/packages/damsonlane/src/damsonlane/requests/_run.py
+++ b/packages/damsonlane/src/damsonlane/requests/_run.py
@@ -22,8 +22,12 @@
     StageReport,
 )
 
-#: Seconds between looks at a job that another passage of it holds.
-BUSY_WAIT: Final = 0.05
+#: Seconds before the second look at a job that another passage of it holds.
+FIRST_BUSY_WAIT: Final = 0.05
+#: Factor by which each further wait is longer: every look is a commit of control.
+BUSY_WAIT_GROWTH: Final = 1.5
+#: Longest wait between two looks, in seconds.
+LONGEST_BUSY_WAIT: Final = 0.5
 #: Seconds that a claim may stand unstarted before another passage takes it over.
 CLAIM_PATIENCE: Final = 0.5
 #: Seconds that are kept back from the ledger for telling the caller.
@@ -72,7 +76,9 @@
         self._may_have_run = False
         self._busy_since: float | None = None
         self._busy_token = ""
-        self._pending: Ending | None = None
+        self._busy_wait = FIRST_BUSY_WAIT
+        self._pending: Refusal | None = None
+        self._answer: Answer | None = None
 
     @property
     def is_marked(self) -> bool:
@@ -178,9 +184,11 @@
             assert job is not None
             command = DropJob(name=job, token=reply.token)
             return AskLedger(command=command, seconds=self._remaining(now))
-        if self._remaining(now) <= BUSY_WAIT:
+        wait = self._busy_wait
+        if self._remaining(now) <= wait:
             return self._refuse("key-busy", "the same job is still running", "unknown")
-        return Wait(seconds=BUSY_WAIT)
+        self._busy_wait = min(LONGEST_BUSY_WAIT, wait * BUSY_WAIT_GROWTH)
+        return Wait(seconds=wait)
 
     def _give_up_unconfirmed(self, now: float) -> Effect:
         if self._busy_since is not None:
@@ -197,12 +205,13 @@
 
     def _take_finish_reply(self) -> Effect:
         """End after the answer was offered to the ledger; the caller gets it either way."""
+        assert self._answer is not None
         return self._end(self._answer)
 
     def _take_closing_reply(self, reply: JobReply | None) -> Effect:
         """End a started job of which nothing was sent, once the ledger says it was dropped."""
         pending = self._pending
-        assert isinstance(pending, Refusal)
+        assert pending is not None
         is_dropped = reply is not None and reply.verdict == "done" and reply.phase == "dropped"
         if is_dropped:
             return self._end(pending)
@@ -254,17 +263,17 @@
         return self._complete(now, output)
 
     def _complete(self, now: float, output: str) -> Effect:
-        self._answer = Answer(
+        answer = Answer(
             request=self._request.request,
             output=output,
             stages=tuple(self._reports),
             remaining=round(self._request.due_at - now, 6),
         )
-        if not self.is_marked:
-            return self._end(self._answer)
         job = self._request.job
-        assert job is not None
-        command = FinishJob(name=job, token=self._token, answer=encode_answer(self._answer))
+        if job is None:
+            return self._end(answer)
+        self._answer = answer
+        command = FinishJob(name=job, token=self._token, answer=encode_answer(answer))
         # The result exists and is whole: it is kept for resends for as long as the caller waits.
         return AskLedger(command=command, seconds=max(LEAST_ATTEMPT, self._remaining(now)))
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/fleet/_fleet.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/_fleet.py
@@ -14,7 +14,6 @@
 from typing import Any, Final
 
 from damsonlane.settings import TlsFiles
-
 from damsonlane_bench.fleet._http import Response, send
 from damsonlane_bench.fleet._keys import KeyMaker
 from damsonlane_bench.fleet._ports import take_address
--- a/packages/damsonlane_bench/src/damsonlane_bench/fleet/_keys.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/_keys.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import trustme
+
 from damsonlane.settings import TlsFiles
 
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/operator.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/operator.py
@@ -15,6 +15,7 @@
 )
 from damsonlane.errors import UnavailableError
 from damsonlane.settings import Edit, TlsFiles
+from damsonlane_bench.fleet import Box, Fleet
 from damsonlane_rpc import (
     CALL_FAULTS,
     STATUS,
@@ -30,8 +31,6 @@
     open_channel,
 )
 
-from damsonlane_bench.fleet import Box, Fleet
-
 #: Seconds for which one change is sent again until its outcome is known.
 _SECONDS: Final = 60.0
 _STATUS_SECONDS: Final = 1.0
--- a/packages/damsonlane_cli/src/damsonlane_cli/_context.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_context.py
@@ -9,13 +9,14 @@
 from pathlib import Path
 from typing import Annotated, Any, Final, NoReturn, TypeVar
 
+from pydantic import Field, TypeAdapter
+from tabulate import tabulate
+
 from damsonlane.errors import DamsonlaneError, SettingsError
 from damsonlane.findings import Finding, Place
 from damsonlane.settings import Document, TlsFiles, read_document
 from damsonlane.settings.checks import CLOSED, check_value, locate
 from damsonlane_rpc import ControlClient, make_client_context
-from pydantic import Field, TypeAdapter
-from tabulate import tabulate
 
 #: Exit codes, as docs/operations.md lists them.
 EXIT_REFUSED: Final = 1
--- a/packages/damsonlane_cli/src/damsonlane_cli/_control.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_control.py
@@ -5,6 +5,15 @@
 from typing import Final
 
 from damsonlane.errors import UnavailableError
+from damsonlane_cli._context import (
+    EXIT_INPUT,
+    EXIT_REFUSED,
+    EXIT_UNKNOWN,
+    OperatorSettings,
+    call_control,
+    fail,
+    print_rows,
+)
 from damsonlane_rpc import (
     ADD,
     FOUND,
@@ -22,16 +31,6 @@
     StatusReply,
 )
 
-from damsonlane_cli._context import (
-    EXIT_INPUT,
-    EXIT_REFUSED,
-    EXIT_UNKNOWN,
-    OperatorSettings,
-    call_control,
-    fail,
-    print_rows,
-)
-
 #: Seconds to wait for a change of the group.
 SECONDS: Final = 30.0
 #: Seconds of silence after which a box is shown as suspected.
--- a/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 import pygal
+
 from damsonlane.burn import (
     FINE_SECONDS,
     Burn,
@@ -17,6 +18,7 @@
     measure_burn,
 )
 from damsonlane.settings import Tree, check_tree
+from damsonlane_cli._context import EXIT_INPUT, call_control, fail, print_rows
 from damsonlane_rpc import (
     ControlClient,
     CostsQuery,
@@ -26,8 +28,6 @@
     SettingsView,
 )
 
-from damsonlane_cli._context import EXIT_INPUT, call_control, fail, print_rows
-
 _SECONDS: Final = 10.0
 #: Fine buckets that a plot shows.
 _PLOTTED: Final = 60
--- a/packages/damsonlane_cli/src/damsonlane_cli/_settings.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_settings.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 from typing import Final
 
+from pydantic import JsonValue
+
 from damsonlane.cluster import (
     ChangeAccepted,
     ChangeConflict,
@@ -18,21 +20,6 @@
 )
 from damsonlane.errors import SettingsError, UnavailableError
 from damsonlane.settings import Edit, Tree, check_tree, read_document, read_tree
-from damsonlane_rpc import (
-    BoxesQuery,
-    BoxesView,
-    ChangeQuery,
-    ChangeView,
-    ControlClient,
-    ForbiddenError,
-    HistoryQuery,
-    HistoryView,
-    QueryRequest,
-    SettingsQuery,
-    SettingsView,
-)
-from pydantic import JsonValue
-
 from damsonlane_cli._context import (
     EXIT_CONFLICT,
     EXIT_INPUT,
@@ -46,6 +33,19 @@
     print_value,
     read_text,
 )
+from damsonlane_rpc import (
+    BoxesQuery,
+    BoxesView,
+    ChangeQuery,
+    ChangeView,
+    ControlClient,
+    ForbiddenError,
+    HistoryQuery,
+    HistoryView,
+    QueryRequest,
+    SettingsQuery,
+    SettingsView,
+)
 
 #: Seconds to wait for control, unless the operator says otherwise.
 SECONDS: Final = 10.0
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
@@ -6,11 +6,11 @@
 from collections.abc import Sequence
 from typing import Final, TypeVar
 
-from damsonlane.cluster import Command, Reply
-from damsonlane.errors import UnavailableError
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from damsonlane.cluster import Command, Reply
+from damsonlane.errors import UnavailableError
 from damsonlane_rpc._addresses import Endpoint
 from damsonlane_rpc._codec import DataclassCodec
 from damsonlane_rpc._messages import (
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_codec.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_codec.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from damsonlane.codec import decode_bytes, encode_bytes
 from grpclib.encoding.base import CodecBase
 
+from damsonlane.codec import decode_bytes, encode_bytes
+
 
 @dataclass
 class Traffic:
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_key_watch.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_key_watch.py
@@ -10,7 +10,6 @@
 
 from damsonlane.errors import StorageError
 from damsonlane.settings import TlsFiles
-
 from damsonlane_rpc._tls import load_files
 
 _LOG: Final = logging.getLogger(__name__)
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -3,13 +3,14 @@
 from dataclasses import dataclass
 from typing import Annotated, Literal
 
+from pydantic import Field, JsonValue
+
 from damsonlane.agreement import Members
 from damsonlane.burn import EndingCount
 from damsonlane.cluster import AcceptedChange, ChangeReply, Command, Reply
 from damsonlane.costs import CostTotal
 from damsonlane.membership import BoxRecord
 from damsonlane.settings import Role
-from pydantic import Field, JsonValue
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_methods.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_methods.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from typing import Any, Final, Generic, TypeVar
 
-from damsonlane.agreement import Envelope
 from grpclib.client import Channel, StreamStreamMethod, StreamUnaryMethod, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Stream
 
+from damsonlane.agreement import Envelope
 from damsonlane_rpc._messages import (
     AddRequest,
     ExchangeEnd,
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_key_watch.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_key_watch.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 import trustme
-from damsonlane.settings import TlsFiles
 
+from damsonlane.settings import TlsFiles
 from damsonlane_rpc import KeyWatch, make_client_context, make_server_context
 
 
--- a/packages/damsonlaned/src/damsonlaned/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/__init__.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 import fire
-from damsonlane.errors import DamsonlaneError, SettingsError
 
+from damsonlane.errors import DamsonlaneError, SettingsError
 from damsonlaned._process import describe_failure, read_settings_file, run_box
 
 __all__ = ["main"]
--- a/packages/damsonlaned/src/damsonlaned/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/_process.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Final
 
+from grpclib.server import Server
+
 from damsonlane.errors import DamsonlaneError, SettingsError, StorageError
 from damsonlane.findings import Finding, Place
 from damsonlane.settings import BoxSettings, read_box_settings, read_document
@@ -19,8 +21,6 @@
     make_client_context,
     make_server_context,
 )
-from grpclib.server import Server
-
 from damsonlaned.admin import Admin
 from damsonlaned.control import ControlNode, ControlService, Keeper
 from damsonlaned.entry import EntryNode
--- a/packages/damsonlaned/src/damsonlaned/control/_keeper.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_keeper.py
@@ -7,7 +7,6 @@
 from damsonlane.errors import UnavailableError
 from damsonlane.membership import BoxRecord, LoseBox, NoteBox
 from damsonlane_rpc import ControlClient, WatchReport
-
 from damsonlaned.control._node import ControlNode
 
 #: Seconds between looks.
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -7,7 +7,7 @@
 import random
 import secrets
 import ssl
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -27,7 +27,6 @@
 from damsonlane.cluster import ClusterState, Command, Reply, decode_command, encode_command
 from damsonlane.errors import AgreementError, NotLeaderError, StorageError, UnavailableError
 from damsonlane.settings import BoxSettings
-
 from damsonlaned.control._links import Links
 from damsonlaned.control._watchers import Watchers
 from damsonlaned.storage import (
@@ -222,7 +221,8 @@
         replica = self._require_replica()
         follow_up = None
         if not output.persist.is_empty():
-            self._persist(output)
+            with self._writing():
+                self._journal.append(output.persist)
             follow_up = replica.acknowledge_persist()
         self._links.follow(replica.members.everyone())
         for envelope in output.envelopes:
@@ -236,12 +236,16 @@
             self._carry_out(follow_up)
         self._compact_if_due()
 
-    def _persist(self, output: Output) -> None:
+    @contextlib.contextmanager
+    def _writing(self) -> Iterator[None]:
+        """Fall silent for good if the disk fails.
+
+        The replica then believes in entries that are on no disk, and a
+        repeated heartbeat would acknowledge them.
+        """
         try:
-            self._journal.append(output.persist)
+            yield
         except StorageError as error:
-            # The replica believes in entries that are on no disk, so it must not
-            # speak again: a repeated heartbeat would acknowledge them.
             self.replica = None
             if not self.failure.done():
                 self.failure.set_exception(error)
@@ -285,7 +289,8 @@
             return
         self._since_snapshot = 0
         replica.compact(self.state.to_text(), self._applied)
-        self._journal.rewrite(replica.stored())
+        with self._writing():
+            self._journal.rewrite(replica.stored())
 
     # Identity.
 
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -7,6 +7,8 @@
 import time
 from typing import Final
 
+from grpclib.server import Stream
+
 from damsonlane.agreement import Envelope, Members
 from damsonlane.cluster import ChangeSettings, Command
 from damsonlane.errors import AgreementError, NotLeaderError, UnavailableError
@@ -52,8 +54,6 @@
     WatchReport,
     WatchUpdate,
 )
-from grpclib.server import Stream
-
 from damsonlaned.control._node import ControlNode
 
 #: Who is written into the history while there are no operators.
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_node.py
@@ -8,7 +8,6 @@
 from damsonlane.agreement import AppendRequest, Envelope, LogEntry, Noop
 from damsonlane.errors import NotLeaderError, StorageError
 from damsonlane.settings import BoxSettings
-
 from damsonlaned.control import ControlNode
 from damsonlaned.storage import DataFolder, Journal
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_callers.py
@@ -18,7 +18,6 @@
     decode_answer,
 )
 from damsonlane.settings import BoxSettings
-
 from damsonlaned.entry._intake import (
     PIPELINES,
     Environment,
--- a/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
@@ -9,9 +9,8 @@
 from damsonlane.admission import ServiceMeter, Work
 from damsonlane.requests import AttemptResult, Request, Send
 from damsonlane.routing import Choice, Health, LoadReport, Origin, Standing, TargetBook
-from damsonlane.settings import Tree
-
 from damsonlaned.entry._leaving import LeavingTargets
+from damsonlaned.entry._view import SettingsInForce
 from damsonlaned.targets import KINDS, Connections, TargetCall, TargetReply
 
 
@@ -31,16 +30,16 @@
         self._connections: Final = Connections()
         self._books: dict[str, TargetBook] = {}
         self._meters: dict[str, ServiceMeter] = {}
-        self._tree: Tree | None = None
+        self._version = 0
         self._lock: Final = threading.Lock()
         self._randomness: Final = random.Random()
 
-    def forecast(self, request: Request, tree: Tree, first: int = 0) -> float:
+    def forecast(self, request: Request, settings: SettingsInForce, first: int = 0) -> float:
         """Return the predicted seconds of a request's stages from the ``first`` on."""
         now = time.monotonic()
         total = 0.0
         with self._lock:
-            self._follow(tree)
+            self._follow(settings)
             for stage in request.stages[first:]:
                 work = Work(
                     organisation=request.organisation,
@@ -51,29 +50,29 @@
         return total
 
     def send(
-        self, send: Send, tree: Tree, pipeline: str
+        self, send: Send, settings: SettingsInForce, pipeline: str
     ) -> Generator[str, None, tuple[str, AttemptResult]]:
         """Make one attempt, yielding output as it comes.
 
         Returns:
             Name of the target, empty if there was none, and the result.
         """
-        choice = self._choose(send, tree)
+        choice = self._choose(send, settings)
         if choice is None:
             fault = f"service '{send.stage.service}' has no target that may be used"
             return "", AttemptResult(answers=None, outcome="unsent", fault=fault)
         began_at = time.monotonic()
+        service = settings.tree.services[send.stage.service]
         call = TargetCall(
             address=choice.address,
             key=send.key,
             text=send.text,
-            model=tree.services[send.stage.service].model,
+            model=service.model,
             due_at=began_at + send.seconds,
         )
         reply: TargetReply | None = None
         try:
-            kind = KINDS[tree.services[send.stage.service].kind]
-            reply = yield from kind.call(self._connections, call)
+            reply = yield from KINDS[service.kind].call(self._connections, call)
         finally:
             # A caller that hangs up closes the generator: the target is not to blame.
             self._finish(send, choice, pipeline, reply, began_at)
@@ -83,9 +82,9 @@
         """Close all connections to targets."""
         self._connections.close()
 
-    def _choose(self, send: Send, tree: Tree) -> Choice | None:
+    def _choose(self, send: Send, settings: SettingsInForce) -> Choice | None:
         with self._lock:
-            self._follow(tree)
+            self._follow(settings)
             origin = Origin(data_centre=self._data_centre, affinity=send.text)
             choice = self._books[send.stage.service].choose(
                 send.stage.routing,
@@ -99,12 +98,12 @@
                 self._meters[send.stage.service].begin()
             return choice
 
-    def _follow(self, tree: Tree) -> None:
-        """Take over the targets of a tree, if it is another than before."""
-        if tree is self._tree:
+    def _follow(self, settings: SettingsInForce) -> None:
+        """Take over the targets of newer settings; a request under older ones changes nothing."""
+        if settings.version <= self._version:
             return
-        self._tree = tree
-        for name, service in tree.services.items():
+        self._version = settings.version
+        for name, service in settings.tree.services.items():
             standings = {
                 target: Standing(address=written.address, data_centre=written.data_centre)
                 for target, written in service.targets.items()
--- a/packages/damsonlaned/src/damsonlaned/entry/_intake.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_intake.py
@@ -15,7 +15,6 @@
 from damsonlane.ledger import JobKey
 from damsonlane.requests import Request, Run, StagePlan
 from damsonlane.settings import EffectivePolicy, Pipeline, Tree
-
 from damsonlaned.entry._problems import Problem
 from damsonlaned.entry._view import SettingsInForce
 
@@ -55,8 +54,8 @@
     visitor: Visitor
     #: Whether the caller wants tokens as they come.
     is_streaming: bool
-    #: The tree under which it was taken.
-    tree: Tree
+    #: The settings under which it was taken, which hold until its end.
+    settings: SettingsInForce
 
     def run_if_refused(self) -> Run:
         """Say what is known to have run if the request is refused before it entered.
@@ -118,7 +117,7 @@
         request=request,
         visitor=visitor,
         is_streaming="text/event-stream" in accepted,
-        tree=settings.tree,
+        settings=settings,
     )
 
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from damsonlane.settings import BoxSettings
-
 from damsonlaned.admin import Admin
 from damsonlaned.entry._callers import CallerApplication
 from damsonlaned.entry._dispatch import Dispatch
--- a/packages/damsonlaned/src/damsonlaned/entry/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_passage.py
@@ -21,7 +21,6 @@
     Send,
     Wait,
 )
-
 from damsonlaned.entry._dispatch import Dispatch
 from damsonlaned.entry._intake import Intake
 from damsonlaned.entry._uplink import Uplink
@@ -52,7 +51,7 @@
 
     def forecast(self, intake: Intake) -> float:
         """Return the predicted seconds of a request."""
-        return self._dispatch.forecast(intake.request, intake.tree)
+        return self._dispatch.forecast(intake.request, intake.settings)
 
     def run(self, intake: Intake) -> Generator[str, None, Billed]:
         """Run a request, yielding pieces of the last stage's output if it is streamed."""
@@ -86,7 +85,7 @@
         first = names.index(send.stage.name)
         if first == 0:
             return False
-        needed = self._dispatch.forecast(intake.request, intake.tree, first)
+        needed = self._dispatch.forecast(intake.request, intake.settings, first)
         return needed > STAGE_SHARE * send.seconds
 
     def _send(self, run: RequestRun, send: Send, intake: Intake) -> Generator[str, None, Effect]:
@@ -94,7 +93,7 @@
             return run.give_up(time.monotonic())
         if send.key.number == 1:
             self._budget.count_first(send.stage.retry_share)
-        attempt = self._dispatch.send(send, intake.tree, intake.request.pipeline)
+        attempt = self._dispatch.send(send, intake.settings, intake.request.pipeline)
         is_delivered = False
         while True:
             try:
--- a/packages/damsonlaned/src/damsonlaned/entry/_peers.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_peers.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-from damsonlane_rpc import COMPARE, PeerReply, PeerRequest, Service, WatchUpdate
 from grpclib.server import Stream
 
+from damsonlane_rpc import COMPARE, PeerReply, PeerRequest, Service, WatchUpdate
 from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._view import SettingsView
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_platform.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_platform.py
@@ -9,9 +9,9 @@
 from typing import Final
 
 import urllib3
-from damsonlane.settings import BoxSettings
 from pydantic import TypeAdapter, ValidationError
 
+from damsonlane.settings import BoxSettings
 from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._view import SettingsView
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_settings_link.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_settings_link.py
@@ -8,6 +8,8 @@
 import time
 from typing import Final
 
+from grpclib.client import Stream
+
 from damsonlane.errors import UnavailableError
 from damsonlane.ledger import Holder
 from damsonlane.settings import BoxSettings
@@ -24,8 +26,6 @@
     open_channel,
 )
 from damsonlane_rpc import SettingsView as SettingsReply
-from grpclib.client import Stream
-
 from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._view import SettingsView
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
@@ -7,7 +7,6 @@
 from damsonlane.ledger import Holder
 from damsonlane.settings import BoxSettings
 from damsonlane_rpc import ControlClient
-
 from damsonlaned.entry._accounts import Accounts
 from damsonlaned.entry._job_link import JobLink
 from damsonlaned.entry._leaving import LeavingTargets
--- a/packages/damsonlaned/src/damsonlaned/entry/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_view.py
@@ -4,9 +4,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from pydantic import JsonValue
+
 from damsonlane.cluster import AcceptedChange, merge_changes
+from damsonlane.errors import NotUnderstoodError
 from damsonlane.settings import Tree, check_tree
-from pydantic import JsonValue
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -66,8 +68,10 @@
 def _index(version: int, document: JsonValue) -> SettingsInForce:
     tree = check_tree(document)
     if not isinstance(tree, Tree):
-        # Control accepted it, so this process is older than the settings it was sent.
-        raise ValueError(f"version {version} is not understood: {tree[0].render()}")
+        raise NotUnderstoodError(
+            f"version {version} of the settings is not understood; this process is older than "
+            f"control and needs an upgrade: {tree[0].render()}"
+        )
     owners = {
         digest: name
         for name, organisation in tree.organisations.items()
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
+
 from damsonlane_rpc import TRAFFIC
 
 #: Upper bounds of the time histograms, in seconds.
--- a/packages/damsonlaned/src/damsonlaned/servers.py
+++ b/packages/damsonlaned/src/damsonlaned/servers.py
@@ -6,6 +6,7 @@
 
 from cheroot import server as cheroot_server
 from cheroot import wsgi
+
 from damsonlane.errors import StorageError
 from damsonlane_rpc import Endpoint
 
--- a/packages/damsonlaned/src/damsonlaned/storage/_identity.py
+++ b/packages/damsonlaned/src/damsonlaned/storage/_identity.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 from typing import Final
 
-from damsonlane.codec import decode_bytes, encode_bytes
-from damsonlane.errors import CorruptionError
 from pydantic import ValidationError
 
+from damsonlane.codec import decode_bytes, encode_bytes
+from damsonlane.errors import CorruptionError
 from damsonlaned.storage._files import replace_file
 
 _NAME: Final = "identity"
--- a/packages/damsonlaned/src/damsonlaned/storage/_journal.py
+++ b/packages/damsonlaned/src/damsonlaned/storage/_journal.py
@@ -10,11 +10,11 @@
 from pathlib import Path
 from typing import Final, TypeVar
 
+from pydantic import ValidationError
+
 from damsonlane.agreement import EMPTY_SNAPSHOT, HardState, Persist, Stored
 from damsonlane.codec import decode_bytes, encode_bytes
 from damsonlane.errors import CorruptionError, StorageError
-from pydantic import ValidationError
-
 from damsonlaned.storage._files import replace_file
 from damsonlaned.storage._frames import Frame, encode_frame, find_frame, read_frames
 
--- a/packages/damsonlaned/src/damsonlaned/storage/tests/test_journal.py
+++ b/packages/damsonlaned/src/damsonlaned/storage/tests/test_journal.py
@@ -16,7 +16,6 @@
     Stored,
 )
 from damsonlane.errors import CorruptionError, StorageError
-
 from damsonlaned.storage import DataFolder, Identity, Journal, read_identity, write_identity
 
 _MEMBERS = Members(voters=(Member(replica="a", address="127.0.0.1:1"),))
--- a/packages/damsonlaned/src/damsonlaned/targets/_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_calls.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 import urllib3
+
 from damsonlane.requests import AttemptKey, AttemptResult
 from damsonlane.routing import LoadReport
-
 from damsonlaned.targets._connections import (
     LEAVING_HEADER,
     SENT_FAULTS,
--- a/packages/damsonlaned/src/damsonlaned/targets/_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_connections.py
@@ -7,9 +7,10 @@
 from typing import Final
 
 import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
 from damsonlane.routing import LoadReport
 from damsonlane_rpc import Endpoint
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 #: Idle connections kept for one target.
 IDLE_CONNECTIONS: Final = 64
--- a/packages/damsonlaned/src/damsonlaned/targets/_engines.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_engines.py
@@ -6,8 +6,8 @@
 
 import sseclient
 import urllib3
-from damsonlane.requests import AttemptKey, AttemptResult
 
+from damsonlane.requests import AttemptKey, AttemptResult
 from damsonlaned.targets._calls import TargetCall, TargetKind, target_kind
 from damsonlaned.targets._connections import read_chunks
 from damsonlaned.targets._pools import read_key
--- a/packages/damsonlaned/src/damsonlaned/targets/_pools.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_pools.py
@@ -5,8 +5,8 @@
 from typing import final
 
 import urllib3
-from damsonlane.requests import AttemptKey, AttemptResult
 
+from damsonlane.requests import AttemptKey, AttemptResult
 from damsonlaned.targets._calls import TargetCall, TargetKind, target_kind
 from damsonlaned.targets._connections import read_chunks
 
