--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_node.py
@@ -5,10 +5,11 @@
 import unittest
 from unittest import mock
 
-from damsonlane.agreement import AppendRequest, Envelope, LogEntry, Noop
+from damsonlane.agreement import AppendRequest, Envelope, LogEntry, Noop, Output
 from damsonlane.errors import NotLeaderError, StorageError
 from damsonlane.settings import BoxSettings
 from damsonlaned.control import ControlNode
+from damsonlaned.control._node import ENTRIES_PER_SNAPSHOT
 from damsonlaned.storage import DataFolder, Journal
 
 
@@ -46,6 +47,23 @@
             await node.stop()
             folder.close()
 
+    async def test_a_replica_whose_snapshot_cannot_be_written_falls_silent(self) -> None:
+        with tempfile.TemporaryDirectory() as path:
+            folder = DataFolder(path)
+            folder.open()
+            node = ControlNode(_settings(path), folder, None)
+            node.found()
+            node._since_snapshot = ENTRIES_PER_SNAPSHOT
+            with (
+                mock.patch.object(Journal, "rewrite", side_effect=StorageError("full")),
+                self.assertRaises(StorageError),
+            ):
+                node._carry_out(Output())
+            self.assertIsNone(node.replica)
+            self.assertIsInstance(node.failure.exception(), StorageError)
+            await node.stop()
+            folder.close()
+
 
 def _settings(path: str) -> BoxSettings:
     return BoxSettings(
