A target that refuses at once is passed over like one that fails

A refusing target never has anything in flight, so it drew everything.

Ruled out: punishing by pace, which only answers teach.

--- a/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
@@ -133,6 +133,6 @@
 
 
 def _judge(reply: TargetReply | None) -> Health:
-    if reply is None or reply.result.outcome == "refused":
+    if reply is None:
         return "neutral"
     return "good" if reply.result.outcome == "answered" else "bad"
--- a/packages/damsonlaned/src/damsonlaned/entry/tests/test_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/tests/test_dispatch.py
@@ -1,21 +1,37 @@
 """Dispatch while settings change under requests."""
 
 import unittest
+from collections.abc import Generator
+from unittest import mock
 
 from pydantic import JsonValue
 
-from damsonlane.requests import AttemptKey, Request, Send, StagePlan
+from damsonlane.requests import AttemptKey, AttemptResult, Request, Send, StagePlan
 from damsonlane.settings import Tree, check_tree
 from damsonlaned.entry._dispatch import Dispatch
 from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._view import SettingsInForce
+from damsonlaned.targets import KINDS, Connections, Pool, TargetCall, TargetReply
 
 _STAGE = StagePlan(name="encode", service="encode", attempts=1, routing="paced")
 
 
-def _settings(version: int, target: str) -> SettingsInForce:
-    where: JsonValue = {"address": "127.0.0.1:1", "data_centre": "one"}
-    tree = check_tree({"services": {"encode": {"kind": "pool", "targets": {target: where}}}})
+_SEND = Send(
+    key=AttemptKey(request="r", organisation="o", stage="encode", number=1),
+    stage=_STAGE,
+    text="",
+    avoid=(),
+    seconds=0.0,
+    is_last=True,
+)
+
+
+def _settings(version: int, *names: str) -> SettingsInForce:
+    targets: dict[str, JsonValue] = {
+        name: {"address": f"127.0.0.1:{number}", "data_centre": "one"}
+        for number, name in enumerate(names, start=1)
+    }
+    tree = check_tree({"services": {"encode": {"kind": "pool", "targets": targets}}})
     assert isinstance(tree, Tree)
     return SettingsInForce(version=version, tree=tree)
 
@@ -29,12 +45,31 @@
         old, new = _settings(1, "removed"), _settings(2, "added")
         for settings in (old, new, old):
             dispatch.forecast(request, settings)
-        key = AttemptKey(request="r", organisation="o", stage="encode", number=1)
-        send = Send(key=key, stage=_STAGE, text="", avoid=(), seconds=0.0, is_last=True)
-        attempt = dispatch.send(send, old, "p")
+        self.assertEqual(self._send(dispatch, old), "added")
+
+    def test_a_target_that_refuses_at_once_does_not_draw_all_requests(self) -> None:
+        """It never has anything in flight, so by that alone it would always be chosen."""
+        dispatch = Dispatch("one", LeavingTargets())
+        settings = _settings(1, "refusing", "working")
+        with mock.patch.dict(KINDS, {"pool": _RefusingPool()}):
+            chosen = [self._send(dispatch, settings) for _ in range(40)]
+        self.assertLess(chosen.count("refusing"), 6)
+
+    def _send(self, dispatch: Dispatch, settings: SettingsInForce) -> str:
+        attempt = dispatch.send(_SEND, settings, "p")
         with self.assertRaises(StopIteration) as stopped:
             next(attempt)
-        self.assertEqual(stopped.exception.value[0], "added")
+        return str(stopped.exception.value[0])
+
+
+class _RefusingPool(Pool):
+    """Refuses at the first port and answers at any other."""
+
+    def call(self, connections: Connections, call: TargetCall) -> Generator[str, None, TargetReply]:
+        yield from ()
+        if call.address.endswith(":1"):
+            return TargetReply(result=AttemptResult(answers=None, outcome="refused"))
+        return TargetReply(result=AttemptResult(answers=call.key, outcome="answered"))
 
 
 if __name__ == "__main__":
