Attempts are logged with their pipeline

Cause: found by reading: the log of an attempt named everything but its pipeline. Change: it does. Before: missing.

--- a/packages/damsonlaned/src/damsonlaned/entry/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_passage.py
@@ -11,6 +11,7 @@
 from damsonlane.admission import STAGE_SHARE
 from damsonlane.requests import (
     AskLedger,
+    AttemptResult,
     Billed,
     Effect,
     End,
@@ -104,7 +105,7 @@
             if send.is_last and intake.is_streaming:
                 is_delivered = True
                 yield piece
-        _log_attempt(send, target, result.outcome, result.fault)
+        _log_attempt(send, intake.request.pipeline, target, result)
         result = replace(result, is_delivered=is_delivered)
         return run.take_result(time.monotonic(), target, result)
 
@@ -125,18 +126,19 @@
             return super().try_spend()
 
 
-def _log_attempt(send: Send, target: str, outcome: str, fault: str) -> None:
-    level = logging.INFO if outcome == "answered" else logging.WARNING
+def _log_attempt(send: Send, pipeline: str, target: str, result: AttemptResult) -> None:
+    level = logging.INFO if result.outcome == "answered" else logging.WARNING
     _LOG.log(
         level,
         "attempt",
         extra={
             "request": send.key.request,
             "organisation": send.key.organisation,
+            "pipeline": pipeline,
             "stage": send.key.stage,
             "target": target,
             "attempt": send.key.number,
-            "outcome": outcome,
-            "fault": fault,
+            "outcome": result.outcome,
+            "fault": result.fault,
         },
     )
