One place that applies any job command

Cause: found by reading: the four-way choice of a job command stood in the cluster's state, in the request machine and in the golden sessions.

Change: Ledger.apply, and JobCommand as a type of its own.

--- a/packages/damsonlane/src/damsonlane/cluster/_state.py
+++ b/packages/damsonlane/src/damsonlane/cluster/_state.py
@@ -101,14 +101,8 @@
         match command:
             case ChangeSettings():
                 return self.settings.change(command)
-            case ClaimJob():
-                return self._tell_holder(self.ledger.claim(command))
-            case StartJob():
-                return self.ledger.start(command)
-            case FinishJob():
-                return self.ledger.finish(command)
-            case DropJob():
-                return self.ledger.drop(command)
+            case ClaimJob() | StartJob() | FinishJob() | DropJob():
+                return self._tell_holder(self.ledger.apply(command))
             case RecordCosts():
                 return self.costs.record(command)
             case NoteBox():
--- a/packages/damsonlane/src/damsonlane/ledger/_jobs.py
+++ b/packages/damsonlane/src/damsonlane/ledger/_jobs.py
@@ -92,6 +92,9 @@
     is_unsent: bool = False
 
 
+#: Any command to the ledger.
+JobCommand = ClaimJob | StartJob | FinishJob | DropJob
+
 Verdict = Literal["done", "busy", "mismatch", "refused", "too-old"]
 
 
--- a/packages/damsonlane/src/damsonlane/ledger/_ledger.py
+++ b/packages/damsonlane/src/damsonlane/ledger/_ledger.py
@@ -8,6 +8,7 @@
     DropJob,
     FinishJob,
     Job,
+    JobCommand,
     JobKey,
     JobReply,
     StartJob,
@@ -30,6 +31,18 @@
         """Return all records, in the order of their first claims."""
         return tuple(self._jobs.values())
 
+    def apply(self, command: JobCommand) -> JobReply:
+        """Apply any command."""
+        match command:
+            case ClaimJob():
+                return self.claim(command)
+            case StartJob():
+                return self.start(command)
+            case FinishJob():
+                return self.finish(command)
+            case DropJob():
+                return self.drop(command)
+
     def claim(self, command: ClaimJob) -> JobReply:
         """Claim a key that is new or whose last claim was dropped."""
         self._advance_clock(command.at)
--- a/packages/damsonlane/src/damsonlane/requests/_effects.py
+++ b/packages/damsonlane/src/damsonlane/requests/_effects.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from damsonlane.ledger import ClaimJob, DropJob, FinishJob, StartJob
+from damsonlane.ledger import JobCommand
 from damsonlane.requests._parts import AttemptKey, Billed, StagePlan
 
 
@@ -32,7 +32,7 @@
 
     kind: Literal["ask-ledger"] = "ask-ledger"
     #: The command.
-    command: ClaimJob | StartJob | FinishJob | DropJob
+    command: JobCommand
     #: Seconds to wait at the most.
     seconds: float
 
--- a/packages/damsonlane/src/damsonlane/requests/tests/session.py
+++ b/packages/damsonlane/src/damsonlane/requests/tests/session.py
@@ -15,16 +15,7 @@
 
 from damsonlane.admission import ADMISSION_SHARE, Gate, ServiceMeter, Visitor, Work
 from damsonlane.costs import CostBook, RecordCosts
-from damsonlane.ledger import (
-    ClaimJob,
-    DropJob,
-    FinishJob,
-    JobKey,
-    JobReply,
-    Ledger,
-    StartJob,
-    read_holder,
-)
+from damsonlane.ledger import JobCommand, JobKey, JobReply, Ledger, read_holder
 from damsonlane.requests import (
     AskLedger,
     AttemptResult,
@@ -188,17 +179,9 @@
         """Act at a moment, unless the entry is lost by then."""
         self._at(moment, lambda now: None if self._entries[entry].is_lost else act(now))
 
-    def commit(self, command: ClaimJob | StartJob | FinishJob | DropJob) -> JobReply:
+    def commit(self, command: JobCommand) -> JobReply:
         """Commit a job command."""
-        match command:
-            case ClaimJob():
-                return self._tell_holder(self._ledger.claim(command))
-            case StartJob():
-                return self._ledger.start(command)
-            case FinishJob():
-                return self._ledger.finish(command)
-            case DropJob():
-                return self._ledger.drop(command)
+        return self._tell_holder(self._ledger.apply(command))
 
     def _tell_holder(self, reply: JobReply) -> JobReply:
         holder = read_holder(reply.token)
--- a/packages/damsonlane/src/damsonlane/requests/tests/world.py
+++ b/packages/damsonlane/src/damsonlane/requests/tests/world.py
@@ -7,11 +7,10 @@
 from damsonlane.ledger import (
     ClaimJob,
     DropJob,
-    FinishJob,
+    JobCommand,
     JobKey,
     JobReply,
     Ledger,
-    StartJob,
 )
 from damsonlane.requests import (
     Answer,
@@ -136,7 +135,7 @@
     begun: int = 0
     passages: list[Passage] = field(default_factory=list)
     ran: list[Ran] = field(default_factory=list)
-    doubtful: list[ClaimJob | StartJob | FinishJob | DropJob] = field(default_factory=list)
+    doubtful: list[JobCommand] = field(default_factory=list)
     outputs: dict[str, str] = field(default_factory=dict)
     keys_seen: set[str] = field(default_factory=set)
 
@@ -189,21 +188,13 @@
         passage.effect = passage.run.take_reply(self.now, shown)
         self._note_end(passage)
 
-    def commit(self, command: ClaimJob | StartJob | FinishJob | DropJob) -> JobReply:
+    def commit(self, command: JobCommand) -> JobReply:
         """Apply a command to the ledger."""
-        match command:
-            case ClaimJob():
-                reply = self.ledger.claim(command)
-                if reply.verdict != "busy":
-                    return reply
-                # Membership may call any holder gone, rightly or wrongly.
-                return replace(reply, is_holder_gone=len(self.ran) % 2 == 0)
-            case StartJob():
-                return self.ledger.start(command)
-            case FinishJob():
-                return self.ledger.finish(command)
-            case DropJob():
-                return self.ledger.drop(command)
+        reply = self.ledger.apply(command)
+        if reply.verdict != "busy":
+            return reply
+        # Membership may call any holder gone, rightly or wrongly.
+        return replace(reply, is_holder_gone=len(self.ran) % 2 == 0)
 
     def answer_target(self, passage: Passage, how: str) -> None:
         """Answer a passage that waits for a target."""
