--- a/packages/damsonlaned/src/damsonlaned/control/_links.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_links.py
@@ -8,8 +8,11 @@
 from dataclasses import replace
 from typing import Final
 
+from grpclib.client import Stream
+
 from damsonlane.agreement import Envelope, Member
-from damsonlane_rpc import CALL_FAULTS, EXCHANGE, open_channel
+from damsonlane_rpc import CALL_FAULTS, EXCHANGE, ExchangeEnd, open_channel
+from damsonlaned.tasks import start_task
 
 #: Envelopes kept for a replica that does not take them; older ones are dropped.
 QUEUE_LENGTH: Final = 256
@@ -25,7 +28,7 @@
         self._context: Final = context
         self._queue: deque[Envelope] = deque(maxlen=QUEUE_LENGTH)
         self._has_more = asyncio.Event()
-        self._task = asyncio.create_task(self._run())
+        self._task = start_task(self._run(), "stream to a replica")
 
     def send(self, envelope: Envelope) -> None:
         """Queue an envelope; it may get lost."""
@@ -52,14 +55,26 @@
         try:
             async with EXCHANGE.upload(channel).open() as stream:
                 await stream.send_request()
-                while True:
-                    await self._has_more.wait()
-                    self._has_more.clear()
-                    while self._queue:
-                        await stream.send_message(self._queue.popleft())
+                # The other side answers only at its end; a link that did not listen
+                # would go on sending to a process that is gone.
+                ended = asyncio.create_task(stream.recv_message())
+                sending = asyncio.create_task(self._send_queued(stream))
+                try:
+                    await asyncio.wait({ended, sending}, return_when=asyncio.FIRST_COMPLETED)
+                finally:
+                    ended.cancel()
+                    sending.cancel()
+                    await asyncio.gather(ended, sending, return_exceptions=True)
         finally:
             channel.close()
 
+    async def _send_queued(self, stream: Stream[Envelope, ExchangeEnd]) -> None:
+        while True:
+            await self._has_more.wait()
+            self._has_more.clear()
+            while self._queue:
+                await stream.send_message(self._queue.popleft())
+
 
 class Links:
     """Streams to all other members."""
