Pool pieces run beside their inputs, hopeless requests are told at once

Owners were taken for silent because withdrawn orders were counted twice.

Ruled out: larger batches by waiting (calls follow each other without a pause).

Change: room counts as free once the free call is answered; a target that has no room is believed for a while; pieces prefer targets beside their inputs while one is free soon; a request whose stages are not begun and would miss its aim is refused at once with the queue's time; orders due are a set.

--- a/packages/damsonlane/src/damsonlane/pools/__init__.py
+++ b/packages/damsonlane/src/damsonlane/pools/__init__.py
@@ -2,10 +2,11 @@
 
 from damsonlane.pools._pieces import PieceFault, PieceOrder, PieceResult
 from damsonlane.pools._plan import StagePlan, StageStart
-from damsonlane.pools._queue import PieceQueue, Selection, WaitingPiece
+from damsonlane.pools._queue import Offer, PieceQueue, Selection, WaitingPiece
 from damsonlane.pools._room import ResultRoom
 
 __all__ = [
+    "Offer",
     "PieceFault",
     "PieceOrder",
     "PieceQueue",
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -32,6 +32,9 @@
     rank: int
     #: Approximate size of the result.
     result_bytes: int
+    #: Data centre in which it should run, since its inputs or the user of its
+    #: result are there; empty when little would have to travel.
+    home: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -44,3 +47,5 @@
     handle: str = ""
     #: Why there is none, or None.
     fault: PieceFault | None = None
+    #: Seconds that a piece which came now would wait for its turn.
+    wait_seconds: float = 0.0
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -1,5 +1,6 @@
 """Pieces that wait for a target of their pool, and which of them run next."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -9,6 +10,15 @@
 #: routes of ranks 0 to 2 this is less than the spread of aims (1.6 to 3.6 s), so
 #: a less urgent piece still gets its turn; a first figure, not yet measured.
 SECONDS_PER_RANK: Final = 0.4
+#: Seconds by which a piece of a begun request that misses its aim is put back.
+#: Its earlier stages are paid for, so it is finished all the same.
+SECONDS_FOR_MISSED_AIM: Final = 1.0
+#: Full calls that a piece must still have time for, so that it waits for a
+#: target beside its inputs rather than have them sent to another data centre.
+CALLS_TO_WAIT: Final = 3.0
+#: Longest wait for such a target, in seconds.  Inputs take room at their makers
+#: meanwhile, which binds the pool before this one when traffic is high.
+HOME_WAIT_SECONDS: Final = 0.2
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,6 +41,36 @@
         """Sender and number of the order."""
         return (self.sender, self.order.number)
 
+    @property
+    def is_first(self) -> bool:
+        """Whether nothing has been done for its request yet."""
+        return not self.order.inputs and self.attempts == 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Offer:
+    """A target that could take a call, and the pool it belongs to."""
+
+    #: Its data centre.
+    data_centre: str
+    #: Bytes free for results there.
+    room: int
+    #: Seconds until a target is free in each data centre that has one that works.
+    free_in: Mapping[str, float]
+    #: Targets of the pool that work.
+    targets: int
+    #: Most pieces in one call.
+    batch: int
+    #: Time of a call besides its pieces, in seconds.
+    call_seconds: float
+    #: Time of one piece, in seconds.
+    piece_seconds: float
+
+    @property
+    def full_seconds(self) -> float:
+        """Time of a call with as many pieces as it may have."""
+        return self.call_seconds + self.batch * self.piece_seconds
+
 
 @dataclass(frozen=True, kw_only=True)
 class Selection:
@@ -38,7 +78,7 @@
 
     #: Pieces to run, most urgent first.
     batch: tuple[WaitingPiece, ...]
-    #: Pieces whose time has run out; they are no longer in the queue.
+    #: Pieces whose time has run out, or will before their turn; no longer in the queue.
     late: tuple[WaitingPiece, ...]
 
 
@@ -64,34 +104,80 @@
         for identity in [key for key in self._waiting if key[0] == sender]:
             del self._waiting[identity]
 
-    def select(
-        self, now: float, *, limit: int, room: int, call_seconds: float, piece_seconds: float
-    ) -> Selection:
-        """Take out the pieces for one call, and those that are too late.
-
-        Args:
-            now: the monotonic clock.
-            limit: most pieces in the call.
-            room: bytes free for results at the target.
-            call_seconds: time of a call besides its pieces.
-            piece_seconds: time of one piece.
+    def forecast(self, offer: Offer) -> float:
+        """Return the seconds until a piece that comes now would begin, by the pieces waiting."""
+        return len(self._waiting) / offer.batch * offer.full_seconds / max(1, offer.targets)
+
+    def select(self, now: float, offer: Offer) -> Selection:
+        """Take out the pieces for one call, and those that are too late."""
+        soonest = now + offer.call_seconds + offer.piece_seconds
+        late = [piece for piece in self._waiting.values() if piece.due_at < soonest]
+        self._remove(late)
+        ordered = sorted(self._waiting.values(), key=lambda piece: _urgency(piece, soonest))
+        hopeless = self._find_hopeless(ordered, now, offer)
+        self._remove(hopeless)
+        batch = _fill(ordered, hopeless, now, offer)
+        self._remove(batch)
+        return Selection(batch=tuple(batch), late=(*late, *hopeless))
+
+    def _find_hopeless(
+        self, ordered: list[WaitingPiece], now: float, offer: Offer
+    ) -> list[WaitingPiece]:
+        """Return the pieces whose request is not begun and would miss its aim in this queue.
+
+        They are told so while their callers can still come back.  While there
+        are fewer pieces than the targets take at once, nothing is hopeless: a
+        late answer is better than none.
         """
-        soonest = now + call_seconds + piece_seconds
-        late = tuple(piece for piece in self._waiting.values() if piece.due_at < soonest)
-        for piece in late:
-            del self._waiting[piece.identity]
-        batch: list[WaitingPiece] = []
-        for piece in sorted(self._waiting.values(), key=lambda item: _urgency(item, soonest)):
-            if len(batch) == limit:
-                break
-            if piece.order.result_bytes <= room:
-                room -= piece.order.result_bytes
-                batch.append(piece)
-        for piece in batch:
+        at_once = offer.batch * max(1, offer.targets)
+        hopeless: list[WaitingPiece] = []
+        for place, piece in enumerate(ordered):
+            ahead = place - len(hopeless)
+            if ahead < at_once or not piece.is_first:
+                continue
+            begins_at = now + (ahead // at_once) * offer.full_seconds
+            if begins_at + offer.full_seconds > piece.aim_at:
+                hopeless.append(piece)
+        return hopeless
+
+    def _remove(self, pieces: list[WaitingPiece]) -> None:
+        for piece in pieces:
             del self._waiting[piece.identity]
-        return Selection(batch=tuple(batch), late=late)
 
 
-def _urgency(piece: WaitingPiece, soonest: float) -> tuple[bool, float]:
-    """Pieces that can still keep their request in aim come first, then by time and rank."""
-    return (piece.aim_at < soonest, piece.aim_at + piece.order.rank * SECONDS_PER_RANK)
+def _fill(
+    ordered: list[WaitingPiece], passed_over: list[WaitingPiece], now: float, offer: Offer
+) -> list[WaitingPiece]:
+    """Return the pieces of one call, within its size and the room for its results."""
+    left_out = {piece.identity for piece in passed_over}
+    batch: list[WaitingPiece] = []
+    room = offer.room
+    for piece in ordered:
+        if len(batch) == offer.batch:
+            break
+        if piece.identity in left_out or not _may_run_at(piece, now, offer):
+            continue
+        if piece.order.result_bytes <= room:
+            room -= piece.order.result_bytes
+            batch.append(piece)
+    return batch
+
+
+def _may_run_at(piece: WaitingPiece, now: float, offer: Offer) -> bool:
+    """Tell whether a piece may run away from its inputs: only where waiting would cost more."""
+    home = piece.order.home
+    if home in ("", offer.data_centre) or home not in offer.free_in:
+        return True
+    if offer.free_in[home] > HOME_WAIT_SECONDS:
+        return True
+    return piece.aim_at < now + CALLS_TO_WAIT * offer.full_seconds
+
+
+def _urgency(piece: WaitingPiece, soonest: float) -> float:
+    """Return when a piece is due, by its request's aim and rank."""
+    due = piece.aim_at + piece.order.rank * SECONDS_PER_RANK
+    if piece.aim_at >= soonest:
+        return due
+    if piece.is_first:
+        return float("inf")
+    return due + SECONDS_FOR_MISSED_AIM
--- a/packages/damsonlane/src/damsonlane/pools/_room.py
+++ b/packages/damsonlane/src/damsonlane/pools/_room.py
@@ -1,6 +1,11 @@
 """Room for results at one target, as the box that sends it work counts it."""
 
 from dataclasses import dataclass
+from typing import Final
+
+#: Seconds for which a target that said it has no room is believed; about the
+#: time in which one of its results is used.
+FULL_SECONDS: Final = 0.15
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -24,9 +29,12 @@
         self._keep_seconds = keep_seconds
         self._held: dict[str, _Held] = {}
         self._announced = 0
+        self._full_until = 0.0
 
     def free_bytes(self, now: float) -> int:
         """Return the bytes that are free, as far as this box knows."""
+        if now < self._full_until:
+            return 0
         for handle in [name for name, held in self._held.items() if held.until <= now]:
             del self._held[handle]
         used = sum(held.size for held in self._held.values())
@@ -42,6 +50,14 @@
         for handle, size in made.items():
             self._held[handle] = _Held(size=size, until=now + self._keep_seconds)
 
+    def note_full(self, now: float) -> None:
+        """Believe the target that it has no room, until a result is freed or some time passes.
+
+        Sizes are approximate, and results of another box may lie there too.
+        """
+        self._full_until = now + FULL_SECONDS
+
     def free(self, handle: str) -> bool:
         """Forget a result; tell whether it was known."""
+        self._full_until = 0.0
         return self._held.pop(handle, None) is not None
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
@@ -3,7 +3,8 @@
 import unittest
 from dataclasses import replace
 
-from damsonlane.pools import PieceOrder, PieceQueue, ResultRoom, StagePlan, WaitingPiece
+from damsonlane.pools import Offer, PieceOrder, PieceQueue, ResultRoom, StagePlan, WaitingPiece
+from damsonlane.pools._room import FULL_SECONDS
 from damsonlane.routes import Stage
 
 ORDER = PieceOrder(
@@ -27,8 +28,19 @@
     return WaitingPiece(order=order, sender="e1", due_at=due_at, aim_at=aim_at)
 
 
+OFFER = Offer(
+    data_centre="dha",
+    room=1000,
+    free_in={"dha": 0.0, "johar": 0.1, "model-town": 1.0},
+    targets=1,
+    batch=10,
+    call_seconds=0.2,
+    piece_seconds=0.01,
+)
+
+
 def select(queue: PieceQueue, *, limit: int = 10, room: int = 1000, now: float = 0.0) -> list[int]:
-    selection = queue.select(now, limit=limit, room=room, call_seconds=0.2, piece_seconds=0.01)
+    selection = queue.select(now, replace(OFFER, batch=limit, room=room))
     return [piece.order.number for piece in selection.batch]
 
 
@@ -114,10 +126,49 @@
     def test_late_pieces_are_dropped_before_they_cost(self) -> None:
         self.queue.add(make_piece(1, due_at=0.2))
         self.queue.add(make_piece(2, due_at=0.3))
-        selection = self.queue.select(0.0, limit=9, room=99, call_seconds=0.2, piece_seconds=0.01)
+        selection = self.queue.select(0.0, OFFER)
         self.assertEqual([piece.order.number for piece in selection.late], [1])
         self.assertEqual([piece.order.number for piece in selection.batch], [2])
 
+    def test_what_would_miss_its_aim_behind_others_is_told_at_once(self) -> None:
+        for number in range(5):
+            self.queue.add(make_piece(number, aim_at=0.3 + number / 100))
+        selection = self.queue.select(0.0, replace(OFFER, batch=2, targets=2))
+        self.assertEqual([piece.order.number for piece in selection.batch], [0, 1])
+        self.assertEqual([piece.order.number for piece in selection.late], [4])
+
+    def test_what_is_begun_is_finished_though_late(self) -> None:
+        for number in range(4):
+            self.queue.add(make_piece(number, aim_at=0.1))
+        begun = replace(ORDER, number=9, inputs=("h",))
+        self.queue.add(WaitingPiece(order=begun, sender="e1", due_at=5.0, aim_at=0.1))
+        selection = self.queue.select(0.0, replace(OFFER, batch=1))
+        self.assertEqual([piece.order.number for piece in selection.batch], [9])
+        self.assertEqual(len(selection.late), 4)
+
+    def test_pieces_run_beside_their_inputs_while_there_is_time(self) -> None:
+        cases = (
+            ("inputs here", "dha", 9.0, True),
+            ("inputs elsewhere, time to wait", "johar", 9.0, False),
+            ("inputs elsewhere, no time to wait", "johar", 0.5, True),
+            ("inputs where no target works", "gulberg", 9.0, True),
+            ("inputs where no target is free for long", "model-town", 9.0, True),
+            ("little to move", "", 9.0, True),
+        )
+        for name, home, aim_at, runs in cases:
+            with self.subTest(name):
+                queue = PieceQueue()
+                order = replace(ORDER, home=home, inputs=("h",))
+                queue.add(WaitingPiece(order=order, sender="e1", due_at=20.0, aim_at=aim_at))
+                self.assertEqual(bool(select(queue)), runs)
+
+    def test_the_forecast_grows_with_the_pieces_waiting(self) -> None:
+        self.assertEqual(self.queue.forecast(OFFER), 0.0)
+        for number in range(20):
+            self.queue.add(make_piece(number))
+        self.assertAlmostEqual(self.queue.forecast(OFFER), 0.6)
+        self.assertAlmostEqual(self.queue.forecast(replace(OFFER, targets=2)), 0.3)
+
     def test_a_batch_fits_the_room(self) -> None:
         for number in range(4):
             self.queue.add(make_piece(number))
@@ -140,6 +191,16 @@
 
 
 class ResultRoomTest(unittest.TestCase):
+    def test_a_target_that_says_it_is_full_is_believed_for_a_while(self) -> None:
+        room = ResultRoom(100, keep_seconds=4.0)
+        room.settle(0, {"h1": 20}, 0.0)
+        room.note_full(1.0)
+        self.assertEqual(room.free_bytes(1.1), 0)
+        self.assertEqual(room.free_bytes(1.0 + FULL_SECONDS), 80)
+        room.note_full(2.0)
+        room.free("h1")
+        self.assertEqual(room.free_bytes(2.0), 100)
+
     def test_room_is_taken_until_results_are_freed_or_forgotten(self) -> None:
         room = ResultRoom(100, keep_seconds=4.0)
         room.announce(40)
--- a/packages/damsonlane/src/damsonlane/routing/__init__.py
+++ b/packages/damsonlane/src/damsonlane/routing/__init__.py
@@ -1,7 +1,13 @@
 """Routing: which target of a service gets a request."""
 
 from damsonlane.routing._book import Choice, Health, LoadReport, Standing, TargetBook
-from damsonlane.routing._policies import POLICIES, RoutingPolicy, predict_time, routing_policy
+from damsonlane.routing._policies import (
+    POLICIES,
+    RoutingPolicy,
+    predict_time,
+    rank_target,
+    routing_policy,
+)
 from damsonlane.routing._views import Origin, TargetView
 
 __all__ = [
@@ -15,5 +21,6 @@
     "TargetBook",
     "TargetView",
     "predict_time",
+    "rank_target",
     "routing_policy",
 ]
--- a/packages/damsonlane/src/damsonlane/routing/_policies.py
+++ b/packages/damsonlane/src/damsonlane/routing/_policies.py
@@ -125,7 +125,7 @@
         if not origin.affinity:
             return POLICIES["paced"].choose(views, origin, randomness)
         prefix = origin.affinity[:AFFINITY_LENGTH]
-        ranked = sorted(views, key=lambda view: _rank(view.name, prefix))
+        ranked = sorted(views, key=lambda view: rank_target(view.name, prefix))
         mean = sum(view.load() + 1 for view in views) / len(views)
         for view in ranked:
             if view.load() + 1 <= math.ceil(AFFINITY_BOUND * mean) and view.slowness < 2.0:
@@ -140,5 +140,6 @@
     return view.slowness * (1.0 + crowding) + distance
 
 
-def _rank(name: str, prefix: str) -> bytes:
+def rank_target(name: str, prefix: str) -> bytes:
+    """Return the rank of a target for a prefix by rendezvous hashing; the least owns it."""
     return hashlib.blake2b(f"{name}\0{prefix}".encode(), digest_size=8).digest()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -63,9 +63,11 @@
 
     def choose(self, call: Call, avoid: Collection[str]) -> Chosen | None:
         """Choose a target for a request."""
-        parts = call.request.prefix[:-1]
-        affinity = parts[-1].identity if parts else ""
-        return self._targets.choose(call.service, affinity, avoid)
+        return self._targets.choose(call.service, _find_affinity(call), avoid)
+
+    def likely_home(self, call: Call) -> str:
+        """Return the data centre of the target that a request will probably go to."""
+        return self._targets.likely_home(call.service, _find_affinity(call))
 
     def count_first(self, call: Call) -> None:
         """Count the first sending of a request."""
@@ -152,6 +154,12 @@
         return asyncio.get_running_loop().time()
 
 
+def _find_affinity(call: Call) -> str:
+    """Return the last part of the prompt that other requests share, or an empty string."""
+    parts = call.request.prefix[:-1]
+    return parts[-1].identity if parts else ""
+
+
 def _is_unnamed_refusal(signs: AnswerSigns) -> bool:
     """A target that turns a request away may do so before it reads the id."""
     return signs.request_id is None and signs.has_not_run
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -64,7 +64,7 @@
             GatewayParts(
                 view=self._view,
                 attempts=attempts,
-                stages=StageRunner(self._pools),
+                stages=StageRunner(self._pools, self._locate),
                 dialect=self._dialect,
                 metrics=self._metrics,
                 entries=self._count_entries,
@@ -135,6 +135,9 @@
         is_ready = self._dialect.is_ready_call(request) and self.is_ready()
         reply.send_whole(HttpResponse(status=200 if is_ready else 503))
 
+    def _locate(self, handle: str) -> str:
+        return self._view.data_centre_at(self._dialect.read_maker(handle))
+
     def _count_entries(self) -> int:
         return max(1, len(self._view.entries))
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -97,7 +97,7 @@
         except TimeoutError:
             self._end_late()
         except StageError as error:
-            self._refuse(503, str(error), retry_after_seconds=FULL_RETRY_SECONDS)
+            self._refuse(503, str(error), retry_after_seconds=error.retry_seconds)
         except asyncio.CancelledError:
             self.outcome = "caller-gone"
             raise
@@ -126,7 +126,8 @@
     async def _try_once(self) -> _Unserved | None:
         """Send the request to one target; return None once the caller has its answer."""
         if not self._has_results:
-            self._results = await self._stages.make(self._call)
+            home = self._attempts.likely_home(self._call)
+            self._results = await self._stages.make(self._call, home)
             self._has_results = True
         chosen = self._attempts.choose(self._call, self._tried)
         if chosen is None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -40,6 +40,14 @@
     future: "asyncio.Future[PieceResult]"
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Wait:
+    """What an owner said of its queue."""
+
+    seconds: float
+    heard_at: float
+
+
 class PoolClient:
     """Orders pieces for the requests of this entry.
 
@@ -62,6 +70,7 @@
         self._links: dict[str, _OwnerLink] = {}
         self._suspects: dict[str, float] = {}
         self._withdrawn: dict[int, str] = {}
+        self._waits: dict[str, _Wait] = {}
 
     def order(
         self, service: str, orders: Sequence[PieceOrder]
@@ -131,6 +140,7 @@
     def take(self, results: Sequence[PieceResult]) -> None:
         """Take results; those that nobody waits for any more are freed."""
         for result in results:
+            self._note_wait(result)
             pending = self._pending.pop(result.number, None)
             if pending is not None and not pending.future.done():
                 pending.future.set_result(result)
@@ -139,6 +149,20 @@
             if service and result.handle:
                 self.free(service, (result.handle,))
 
+    def wait_seconds(self, service: str) -> float:
+        """Return how long a piece would wait for its turn in a pool, as last heard."""
+        known = self._waits.get(service)
+        if known is None:
+            return 0.0
+        age = asyncio.get_running_loop().time() - known.heard_at
+        return max(0.0, known.seconds - age)
+
+    def _note_wait(self, result: PieceResult) -> None:
+        pending = self._pending.get(result.number)
+        if pending is not None:
+            now = asyncio.get_running_loop().time()
+            self._waits[pending.service] = _Wait(seconds=result.wait_seconds, heard_at=now)
+
     def lose_owner(self, owner: str, numbers: Sequence[int], fault: str) -> None:
         """Order again elsewhere what an owner did not deliver."""
         link = self._links.pop(owner, None)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -8,6 +8,7 @@
 
 from damsonlane.errors import DamsonlaneError
 from damsonlane.pools import (
+    Offer,
     PieceFault,
     PieceOrder,
     PieceQueue,
@@ -16,6 +17,7 @@
     WaitingPiece,
 )
 from damsonlane.routes import PoolTraits, Service
+from damsonlane.targets import TargetRecord
 from damsonlaned.dialects import BadRequestError, Dialect, MadePiece
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
@@ -40,7 +42,9 @@
 #: Seconds for which a target that was full is left alone.
 FULL_REST_SECONDS: Final = 0.15
 #: Seconds over which results that were given up are collected into one call.
-FREE_SECONDS: Final = 0.03
+FREE_SECONDS: Final = 0.005
+#: Seconds for which a call that gives results up may take.
+FREE_CALL_SECONDS: Final = 0.6
 
 #: Takes results back to the entry that ordered them.
 Deliver = Callable[[Sequence[PieceResult]], None]
@@ -49,17 +53,24 @@
 class _Maker:
     """One target of the pool; mutable, owned by the owner."""
 
-    def __init__(self, name: str, address: str, traits: PoolTraits) -> None:
-        self.name = name
-        self.address = address
+    def __init__(self, record: TargetRecord, traits: PoolTraits) -> None:
+        self.name = record.target
+        self.address = record.address
+        self.data_centre = record.data_centre
         self.room = ResultRoom(traits.room_bytes, traits.keep_seconds)
         self.is_busy = False
+        #: When its call should end, while it is busy.
+        self.free_at = 0.0
         self.rests_until = 0.0
         self.failures = 0
 
     def is_free(self, now: float) -> bool:
         """Tell whether it may be sent a call."""
-        return not self.is_busy and now >= self.rests_until
+        return not self.is_busy and self.works(now)
+
+    def works(self, now: float) -> bool:
+        """Tell whether it is not left alone after failures."""
+        return now >= self.rests_until
 
     def note_failure(self, now: float) -> None:
         """Leave it alone for a while."""
@@ -75,6 +86,8 @@
     maker: _Maker
     batch: tuple[WaitingPiece, ...]
     announced: int
+    #: Room for results before the call, as this box knew it.
+    free_bytes: int
     seconds: float
 
 
@@ -142,10 +155,6 @@
             if not self._freed:
                 asyncio.get_running_loop().call_later(FREE_SECONDS, self._send_freed)
             self._freed.setdefault(address, []).append(handle)
-            for maker in self._makers.values():
-                if maker.address == address:
-                    maker.room.free(handle)
-        self._pump()
 
     # Sending calls.
 
@@ -166,22 +175,44 @@
             self._wake_later(now)
 
     def _select(self, maker: _Maker, traits: PoolTraits, now: float) -> _Call | None:
-        selection = self._queue.select(
-            now,
-            limit=traits.batch,
-            room=maker.room.free_bytes(now),
-            call_seconds=traits.call_seconds,
-            piece_seconds=traits.piece_seconds,
-        )
+        selection = self._queue.select(now, self._make_offer(maker, traits, now))
         for piece in selection.late:
             self._answer(piece, fault="late")
         if not selection.batch:
             return None
         announced = sum(piece.order.result_bytes for piece in selection.batch)
+        free_bytes = maker.room.free_bytes(now)
         maker.room.announce(announced)
         maker.is_busy = True
         seconds = traits.call_seconds + len(selection.batch) * traits.piece_seconds
-        return _Call(maker=maker, batch=selection.batch, announced=announced, seconds=seconds)
+        maker.free_at = now + seconds
+        return _Call(
+            maker=maker,
+            batch=selection.batch,
+            announced=announced,
+            free_bytes=free_bytes,
+            seconds=seconds,
+        )
+
+    def _make_offer(self, maker: _Maker, traits: PoolTraits, now: float) -> Offer:
+        working = [other for other in self._makers.values() if other.works(now)]
+        return Offer(
+            data_centre=maker.data_centre,
+            room=maker.room.free_bytes(now),
+            free_in=_find_free(working, now),
+            targets=len(working),
+            batch=traits.batch,
+            call_seconds=traits.call_seconds,
+            piece_seconds=traits.piece_seconds,
+        )
+
+    def _forecast(self) -> float:
+        """Return the seconds that a piece which came now would wait for its turn."""
+        service = self._find_service()
+        if service is None or service.pool is None or not self._makers:
+            return 0.0
+        maker = next(iter(self._makers.values()))
+        return self._queue.forecast(self._make_offer(maker, service.pool, self._now()))
 
     async def _run(self, call: _Call, service: Service) -> None:
         maker = call.maker
@@ -209,6 +240,8 @@
                 "target": maker.name,
                 "pieces": len(call.batch),
                 "made": len(made),
+                "announced_bytes": call.announced,
+                "free_bytes": call.free_bytes,
                 "expected_seconds": round(call.seconds, 3),
                 "seconds": round(self._now() - began_at, 3),
                 "waiting": len(self._queue),
@@ -249,6 +282,8 @@
                 self._answer(piece, fault="lost-input")
             else:
                 retried.append(piece)
+                if reply.fault == "no-room":
+                    call.maker.room.note_full(self._now())
         self._requeue(retried, has_run=True)
         return made
 
@@ -273,7 +308,13 @@
     ) -> None:
         deliver = self._deliver.get(piece.sender)
         if deliver is not None:
-            deliver((PieceResult(number=piece.order.number, handle=handle, fault=fault),))
+            result = PieceResult(
+                number=piece.order.number,
+                handle=handle,
+                fault=fault,
+                wait_seconds=round(self._forecast(), 3),
+            )
+            deliver((result,))
         elif handle:
             self.free((handle,))
 
@@ -286,11 +327,11 @@
             handles = freed.get(maker.address)
             if handles and service is not None:
                 pool = self._targets.pool(service, maker.name, maker.address)
-                self._start(self._free_at(pool, handles))
+                self._start(self._free_at(maker, pool, handles))
 
-    async def _free_at(self, pool: ConnectionPool, handles: Sequence[str]) -> None:
+    async def _free_at(self, maker: _Maker, pool: ConnectionPool, handles: Sequence[str]) -> None:
         try:
-            async with asyncio.timeout(CALL_SLACK_SECONDS):
+            async with asyncio.timeout(FREE_CALL_SECONDS):
                 exchange = await pool.send(self._dialect.make_free_call(handles), CONNECT_SECONDS)
                 try:
                     await exchange.read_head()
@@ -300,6 +341,11 @@
         except (DamsonlaneError, TimeoutError) as error:
             # The target forgets results by itself a few seconds later.
             _LOG.info("results not freed", extra={"fault": str(error), "count": len(handles)})
+            return
+        # Only now is the room there: a call that came before would be refused it.
+        for handle in handles:
+            maker.room.free(handle)
+        self._pump()
 
     # Targets.
 
@@ -316,7 +362,7 @@
             del self._makers[gone]
         for name, record in present.items():
             if name not in self._makers:
-                self._makers[name] = _Maker(name, record.address, service.pool)
+                self._makers[name] = _Maker(record, service.pool)
         self._pump()
 
     def _find_service(self) -> Service | None:
@@ -341,5 +387,14 @@
         return asyncio.get_running_loop().time()
 
 
+def _find_free(makers: Sequence[_Maker], now: float) -> dict[str, float]:
+    """Return for each data centre the seconds until one of its makers is free."""
+    free: dict[str, float] = {}
+    for maker in makers:
+        wait = max(0.0, maker.free_at - now) if maker.is_busy else 0.0
+        free[maker.data_centre] = min(free.get(maker.data_centre, wait), wait)
+    return free
+
+
 class _FullError(Exception):
     """The target's queue is full, by calls of another box."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
@@ -67,12 +67,12 @@
     def _take(self, sender: str, message: PoolOrders, outgoing: "_Outgoing") -> None:
         owner = self._owners.get(message.service)
         owner.attach(sender, outgoing.add)
-        outgoing.expected += len(message.orders)
+        outgoing.due.update(order.number for order in message.orders)
         if message.freed:
             owner.free(message.freed)
         if message.withdrawn:
             owner.withdraw(sender, message.withdrawn)
-            outgoing.expected -= len(message.withdrawn)
+            outgoing.due.difference_update(message.withdrawn)
         if message.orders:
             owner.order(sender, message.orders)
 
@@ -83,13 +83,13 @@
     def __init__(self) -> None:
         self._results: list[PieceResult] = []
         self._has_more = asyncio.Event()
-        #: Results that the entry still waits for, about.
-        self.expected = 0
+        #: Numbers of the orders whose results the entry waits for.
+        self.due: set[int] = set()
 
     def add(self, results: Sequence[PieceResult]) -> None:
         """Queue results."""
         self._results.extend(results)
-        self.expected -= len(results)
+        self.due.difference_update(result.number for result in results)
         self._has_more.set()
 
     async def push(self, stream: Stream[PoolOrders, PoolResults]) -> None:
@@ -99,5 +99,5 @@
                 await asyncio.wait_for(self._has_more.wait(), ALIVE_SECONDS)
             self._has_more.clear()
             results, self._results = tuple(self._results), []
-            if results or self.expected > 0:
+            if results or self.due:
                 await stream.send_message(PoolResults(results=results))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -24,8 +25,22 @@
 MOST_PLANS: Final = 2
 
 
+#: Bytes that a stage must move before it matters in which data centre it runs.
+HOME_BYTES: Final = 100_000
+#: Seconds after which a caller whose stages failed should come back, at the least.
+RETRY_SECONDS: Final = 0.5
+
+
 class StageError(DamsonlaneError):
-    """The stages of a request could not be made; it has not run."""
+    """The stages of a request could not be made; it has not run.
+
+    Attributes:
+        retry_seconds: when the caller should come back.
+    """
+
+    def __init__(self, detail: str, retry_seconds: float = RETRY_SECONDS) -> None:
+        self.retry_seconds = retry_seconds
+        super().__init__(detail)
 
 
 class _LostInputError(Exception):
@@ -43,14 +58,24 @@
 
 
 class StageRunner:
-    """Makes stages by way of the pools' owners."""
+    """Makes stages by way of the pools' owners.
 
-    def __init__(self, client: PoolClient) -> None:
+    Args:
+        client: orders pieces.
+        locate: returns the data centre in which a result lies, by its handle.
+    """
+
+    def __init__(self, client: PoolClient, locate: Callable[[str], str]) -> None:
         self._client: Final = client
+        self._locate: Final = locate
 
-    async def make(self, call: Call) -> StageResults:
+    async def make(self, call: Call, home: str) -> StageResults:
         """Return the results of all stages of a request.
 
+        Args:
+            call: the request.
+            home: data centre in which its last step will probably run.
+
         Raises:
             StageError: a piece was too late or could not be made.
         """
@@ -61,7 +86,7 @@
             raise StageError(f"{len(pieces)} numbers of pieces for {len(call.route.stages)} stages")
         for _ in range(MOST_PLANS):
             with contextlib.suppress(_LostInputError):
-                return await self._make_once(call)
+                return await self._make_once(call, home)
             _LOG.warning("stage result lost", extra=call.log_fields())
         raise StageError("results of its stages were lost repeatedly")
 
@@ -73,14 +98,16 @@
         for service, handles in by_service.items():
             self._client.free(service, handles)
 
-    async def _make_once(self, call: Call) -> StageResults:
+    async def _make_once(self, call: Call, home: str) -> StageResults:
         plan = StagePlan(call.route.stages, call.request.pieces)
         held: dict[str, str] = {}
         tasks: set[asyncio.Task[int]] = set()
         try:
             while not plan.is_done():
                 for start in plan.take_ready():
-                    tasks.add(asyncio.ensure_future(self._make_stage(call, plan, start, held)))
+                    tasks.add(
+                        asyncio.ensure_future(self._make_stage(call, plan, start, held, home))
+                    )
                 done, tasks = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
                 for task in done:
                     self._give_up_spent(plan, task.result(), held)
@@ -93,10 +120,13 @@
         return _collect(held, plan.final_inputs())
 
     async def _make_stage(
-        self, call: Call, plan: StagePlan, start: StageStart, held: dict[str, str]
+        self, call: Call, plan: StagePlan, start: StageStart, held: dict[str, str], home: str
     ) -> int:
         """Make one stage and return its index."""
-        orders = [self._make_order(call, plan, start, piece) for piece in range(start.pieces)]
+        where = self._find_home(call, plan, start, home)
+        orders = [
+            self._make_order(call, plan, start, piece, where) for piece in range(start.pieces)
+        ]
         futures = self._client.order(start.stage.service, orders)
         began_at = call.remaining()
         try:
@@ -136,10 +166,31 @@
     def _raise_fault(self, start: StageStart, result: PieceResult) -> None:
         if result.fault == "lost-input":
             raise _LostInputError
-        raise StageError(f"stage {start.index} of service {start.stage.service}: {result.fault}")
-
-    def _make_order(self, call: Call, plan: StagePlan, start: StageStart, piece: int) -> PieceOrder:
-        later = sum(_expect_seconds(call, stage) for stage in plan.depth_after(start.index))
+        detail = f"stage {start.index} of service {start.stage.service}: {result.fault}"
+        raise StageError(detail, RETRY_SECONDS + result.wait_seconds)
+
+    def _find_home(self, call: Call, plan: StagePlan, start: StageStart, home: str) -> str:
+        """Return the data centre in which a stage should run, or an empty string."""
+        if start.inputs:
+            moved = start.pieces * sum(
+                call.request.pieces[earlier] * call.route.stages[earlier].result_bytes
+                for earlier in start.stage.after
+            )
+            return self._most_common_place(start.inputs) if moved >= HOME_BYTES else ""
+        if plan.depth_after(start.index):
+            return ""
+        return home if start.pieces * start.stage.result_bytes >= HOME_BYTES else ""
+
+    def _most_common_place(self, handles: Sequence[str]) -> str:
+        places = Counter(self._locate(handle) for handle in handles)
+        return places.most_common(1)[0][0]
+
+    def _make_order(
+        self, call: Call, plan: StagePlan, start: StageStart, piece: int, home: str
+    ) -> PieceOrder:
+        chain = plan.depth_after(start.index)
+        later = sum(_expect_seconds(call, stage) for stage in chain)
+        waits = sum(self._client.wait_seconds(stage.service) for stage in chain)
         now = asyncio.get_running_loop().time()
         return PieceOrder(
             number=0,
@@ -149,9 +200,10 @@
             material_key=call.request.material_key if not start.stage.after else "",
             inputs=start.inputs,
             left_seconds=call.due_at - now - later - FIRST_TOKEN_SECONDS,
-            aim_left_seconds=call.aim_at - now - later - FIRST_TOKEN_SECONDS,
+            aim_left_seconds=call.aim_at - now - later - waits - FIRST_TOKEN_SECONDS,
             rank=call.rank,
             result_bytes=start.stage.result_bytes,
+            home=home,
         )
 
     def _give_up_spent(self, plan: StagePlan, stage: int, held: dict[str, str]) -> None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
@@ -7,7 +7,15 @@
 from typing import Final
 
 from damsonlane.routes import Service
-from damsonlane.routing import Choice, Health, LoadReport, Origin, Standing, TargetBook
+from damsonlane.routing import (
+    Choice,
+    Health,
+    LoadReport,
+    Origin,
+    Standing,
+    TargetBook,
+    rank_target,
+)
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import ConnectionPool
 
@@ -70,6 +78,15 @@
         )
         return self._make_chosen(service, choice) if choice is not None else None
 
+    def likely_home(self, service: Service, affinity: str) -> str:
+        """Return the data centre of the target that a prompt's prefix hashes to."""
+        records = [
+            record for record in self._view.targets_of(service.name) if record.standing == "live"
+        ]
+        if not records or not affinity:
+            return ""
+        return min(records, key=lambda record: rank_target(record.target, affinity)).data_centre
+
     def finish(
         self,
         chosen: Chosen,
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -44,6 +44,13 @@
         """Return the records of a service's targets."""
         return tuple(record for record in self._targets.values() if record.service == service)
 
+    def data_centre_at(self, address: str) -> str:
+        """Return the data centre of the target at an address, or an empty string."""
+        for record in self._targets.values():
+            if record.address == address:
+                return record.data_centre
+        return ""
+
     def put_document(self, document: PackedDocument) -> None:
         """Put a document in force if it is newer than the one held."""
         if document.version <= self.version():
