Rank counts for more in the queues of pools

Cause: requests with the tightest aims, which are worth most, were refused first under load. Change: a step of rank counts as 1.5 s, not 0.4 s.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -9,7 +9,7 @@
 #: Seconds by which one step of rank puts a piece back behind another.  With
 #: routes of ranks 0 to 2 this is less than the spread of aims (1.6 to 3.6 s), so
 #: a less urgent piece still gets its turn; a first figure, not yet measured.
-SECONDS_PER_RANK: Final = 0.4
+SECONDS_PER_RANK: Final = 1.5
 #: Seconds by which a piece of a begun request that misses its aim is put back.
 #: Its earlier stages are paid for, so it is finished all the same.
 SECONDS_FOR_MISSED_AIM: Final = 1.0
