--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
@@ -0,0 +1,180 @@
+"""The address of control for targets and operators, over HTTP, with one replica."""
+
+import asyncio
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import cast
+
+from damsonlane.codec import encode_bytes
+from damsonlane.routes import RoutingDocument
+from damsonlane.settings import BoxSettings
+from damsonlane.targets import TargetRecord
+from damsonlane_rpc import ControlClient
+from damsonlaned.control import ControlNode, GroupKeeper, Registry
+from damsonlaned.dialects import NativeDialect
+from damsonlaned.http import ConnectionPool, HttpRequest
+from damsonlaned.storage import DataFolder
+
+PATIENCE = 20.0
+RECORD = TargetRecord(
+    target="t1",
+    service="desk",
+    address="10.0.0.1:80",
+    data_centre="dha",
+    slots=4,
+    standing="live",
+    sequence=1,
+)
+
+
+class OpenGroup:
+    """Stands in for the keeper of a group that has its full size, or has not."""
+
+    def __init__(self) -> None:
+        self.is_whole = True
+
+    def takes_orders(self) -> bool:
+        return self.is_whole
+
+
+def make_text(version: int, **fields: object) -> bytes:
+    return json.dumps({"version": version, **fields}).encode()
+
+
+class RegistryTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        settings = BoxSettings(
+            name="box",
+            data_centre="dha",
+            role="control",
+            data_folder=folder.name,
+            internal_address="127.0.0.1:1",
+            admin_address="127.0.0.1:2",
+            control=("127.0.0.1:1",),
+            election_seconds=0.2,
+        )
+        data = DataFolder(str(Path(folder.name)))
+        data.open()
+        self.addCleanup(data.close)
+        self.node = ControlNode(settings, data, None)
+        self.node.found()
+        self.node.start()
+        self.addAsyncCleanup(self.node.stop)
+        self.group = OpenGroup()
+        client = ControlClient(("127.0.0.1:1",))
+        self.addCleanup(client.close)
+        self.registry = Registry(
+            self.node,
+            cast(GroupKeeper, self.group),
+            client,
+            NativeDialect(),
+            "127.0.0.1:0",
+            heartbeat_seconds=1.0,
+        )
+        await self.registry.start()
+        self.addAsyncCleanup(self.registry.stop)
+        self.pool = ConnectionPool(f"127.0.0.1:{self.registry._listener.port()}", 4)
+        self.addCleanup(self.pool.close)
+        async with asyncio.timeout(PATIENCE):
+            while self.node.replica is None or not self.node.replica.is_leader:
+                await asyncio.sleep(0.02)
+
+    async def call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+        request = HttpRequest(method=method, target=path, headers=((b"Host", b"h"),), body=body)
+        async with asyncio.timeout(PATIENCE):
+            exchange = await self.pool.send(request, PATIENCE)
+            try:
+                head = await exchange.read_head()
+                return head.status, await exchange.body.read_whole()
+            finally:
+                exchange.finish()
+
+    async def beat(self, **changes: object) -> int:
+        record = TargetRecord(**{**vars(RECORD), **changes})
+        status, _ = await self.call(
+            "PUT", f"/v1/targets/{record.target}", encode_bytes(record, TargetRecord)
+        )
+        return status
+
+    async def test_the_highest_version_holds_and_is_read_back_as_sent(self) -> None:
+        text = b'{ "version": 7,\n "routes": [] }'
+        cases = ((text, 200), (make_text(6), 200), (make_text(7, routes=[]), 200), (text, 200))
+        self.assertEqual((await self.call("GET", "/v1/routes"))[0], 503)
+        for sent, status in cases:
+            self.assertEqual((await self.call("PUT", "/v1/routes", sent))[0], status)
+            self.assertEqual(await self.call("GET", "/v1/routes"), (200, text))
+
+    async def test_invalid_documents_are_refused_each_time_and_change_nothing(self) -> None:
+        invalid = make_text(9, organisations=[{"name": n, "keys": ["k"]} for n in ("a", "b")])
+        for text in (invalid, invalid, b"{", make_text(9)[:-1], b'{"routes": []}'):
+            status, body = await self.call("PUT", "/v1/routes", text)
+            self.assertEqual(status, 400)
+            self.assertEqual(json.loads(body)["status"], 400)
+        self.assertEqual(self.node.state.documents.document.version, 0)
+
+    async def test_targets_come_drain_and_go(self) -> None:
+        self.assertEqual(await self.beat(), 200)
+        self.assertEqual(await self.beat(sequence=2), 200)
+        self.assertEqual(await self.beat(sequence=5, standing="leaving"), 200)
+        # A late heartbeat is acknowledged and changes nothing.
+        self.assertEqual(await self.beat(sequence=3), 200)
+        record = self.node.state.targets.find("t1")
+        self.assertEqual(record.standing if record else "", "leaving")
+        for _ in range(2):
+            self.assertEqual((await self.call("DELETE", "/v1/targets/t1"))[0], 200)
+        self.assertIsNone(self.node.state.targets.find("t1"))
+        self.assertEqual(await self.beat(sequence=9), 200)
+        self.assertIsNone(self.node.state.targets.find("t1"))
+
+    async def test_a_steady_heartbeat_writes_nothing(self) -> None:
+        await self.beat()
+        before = self.node.replica.last_index if self.node.replica else 0
+        for sequence in range(2, 8):
+            await self.beat(sequence=sequence)
+        self.assertEqual(self.node.replica.last_index if self.node.replica else 0, before)
+
+    async def test_silent_targets_become_the_last_choice_until_heard(self) -> None:
+        await self.beat()
+        await self.registry._silence()
+        self.registry._led_since = self.registry._heard["t1"] = self.node.now() - 60
+        await self.registry._silence()
+        record = self.node.state.targets.find("t1")
+        self.assertEqual(record.standing if record else "", "silent")
+        await self.beat(sequence=2)
+        record = self.node.state.targets.find("t1")
+        self.assertEqual(record.standing if record else "", "live")
+
+    async def test_what_is_not_understood_is_refused(self) -> None:
+        cases = (
+            ("PUT", "/v1/targets/t1", b"{}", 400),
+            ("PUT", "/v1/targets/other", encode_bytes(RECORD, TargetRecord), 400),
+            ("GET", "/v1/none", b"", 404),
+            ("POST", "/v1/routes", b"", 404),
+        )
+        for method, path, body, status in cases:
+            with self.subTest(method=method, path=path):
+                self.assertEqual((await self.call(method, path, body))[0], status)
+
+    async def test_a_group_that_still_forms_takes_nothing(self) -> None:
+        self.group.is_whole = False
+        self.assertEqual(await self.beat(), 503)
+        text = encode_bytes(RoutingDocument(version=1), RoutingDocument)
+        self.assertEqual((await self.call("PUT", "/v1/routes", text))[0], 503)
+        # What is invalid stays invalid.
+        self.assertEqual((await self.call("PUT", "/v1/routes", b"{"))[0], 400)
+
+    async def test_a_read_without_a_leader_is_refused(self) -> None:
+        await self.call("PUT", "/v1/routes", make_text(7))
+        replica = self.node.replica
+        assert replica is not None
+        replica._step_down(replica.term)
+        replica._election_due = float("inf")
+        self.assertEqual((await self.call("GET", "/v1/routes"))[0], 503)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -0,0 +1,281 @@
+"""An entry and its targets in one process, on loopback ports."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+
+from damsonlane.cluster import PackedDocument
+from damsonlane.codec import encode_bytes
+from damsonlane.routes import (
+    Organisation,
+    PoolTraits,
+    Route,
+    RoutingDocument,
+    Service,
+    Stage,
+    WeightedService,
+)
+from damsonlane.targets import TargetChanges, TargetRecord
+from damsonlaned.dialects import NativeDialect
+from damsonlaned.gateway._attempts import Attempts
+from damsonlaned.gateway._callers import CallerService, GatewayParts
+from damsonlaned.gateway._pool_client import PoolClient
+from damsonlaned.gateway._pool_service import PoolOwners
+from damsonlaned.gateway._stages import StageRunner
+from damsonlaned.gateway._targets import Targets
+from damsonlaned.gateway._view import FleetView
+from damsonlaned.http import HttpHead, HttpRequest, HttpResponse, Reply, WebListener
+from damsonlaned.metrics import Metrics
+
+#: Seconds after which a test gives up.
+PATIENCE = 20.0
+#: The key of the only organisation.
+KEY = "florists-key"
+
+Answer = Callable[[HttpRequest, Reply], Awaitable[None]]
+
+ROUTE = Route(
+    name="ping",
+    host="shop.example",
+    prefix="/ping/",
+    repeat="safe",
+    timeout_seconds=2.0,
+    aim_seconds=0.2,
+    priority=0,
+    services=(WeightedService(service="desk", weight=1.0),),
+    most_targets=2,
+)
+DOCUMENT = RoutingDocument(
+    version=1,
+    routes=(
+        ROUTE,
+        replace(ROUTE, name="once", prefix="/once/", repeat="once", most_targets=1),
+        replace(ROUTE, name="chat", prefix="/chat/", repeat="stream", is_resumable=True),
+        replace(ROUTE, name="draft", prefix="/draft/", repeat="stream", most_targets=1),
+        replace(ROUTE, name="open", prefix="/open/", is_public=True),
+        replace(
+            ROUTE,
+            name="staged",
+            prefix="/staged/",
+            stages=(Stage(service="pool"), Stage(service="pool", after=(0,))),
+        ),
+    ),
+    services=(
+        Service(name="desk", most_connections=20),
+        Service(
+            name="pool",
+            most_connections=20,
+            pool=PoolTraits(
+                slots=1,
+                queue=2,
+                batch=4,
+                call_seconds=0.01,
+                piece_seconds=0.001,
+                room_bytes=1_000_000,
+                keep_seconds=4.0,
+            ),
+        ),
+    ),
+    organisations=(Organisation(name="florists", keys=(KEY,)),),
+)
+
+
+def render(status: int, detail: str) -> HttpResponse:
+    return HttpResponse(status=status, body=detail.encode())
+
+
+class StandIn:
+    """A target whose answers a test writes."""
+
+    def __init__(self, name: str, answer: Answer, service: str = "desk") -> None:
+        self.name = name
+        self.service = service
+        self.requests: list[HttpRequest] = []
+        self.gone = asyncio.Event()
+        self.address = ""
+        self._answer = answer
+        self._listener = WebListener("127.0.0.1:0", self._serve, render_refusal=render)
+
+    async def start(self) -> TargetRecord:
+        await self._listener.start()
+        self.address = f"127.0.0.1:{self._listener.port()}"
+        return TargetRecord(
+            target=self.name,
+            service=self.service,
+            address=self.address,
+            data_centre="gulberg",
+            slots=4,
+            standing="live",
+            sequence=1,
+        )
+
+    async def stop(self) -> None:
+        await self._listener.stop()
+
+    async def _serve(self, request: HttpRequest, reply: Reply) -> None:
+        self.requests.append(request)
+        try:
+            await self._answer(request, reply)
+        except asyncio.CancelledError:
+            self.gone.set()
+            raise
+
+
+def read_id(request: HttpRequest) -> bytes:
+    return (request.find(b"damsonlane-request-id") or "").encode()
+
+
+async def answer_well(request: HttpRequest, reply: Reply) -> None:
+    headers = (
+        (b"Damsonlane-Request-Id", read_id(request)),
+        (b"Signature", b"of the target"),
+        (b"Damsonlane-Load", b"1,0,4"),
+    )
+    reply.send_whole(HttpResponse(status=200, headers=headers, body=b"done"))
+
+
+def answer_with(status: int, *, has_run: bool) -> Answer:
+    async def answer(request: HttpRequest, reply: Reply) -> None:
+        promise = () if has_run else ((b"Damsonlane-Run-No", b"1"),)
+        headers = (
+            (b"Damsonlane-Request-Id", read_id(request)),
+            (b"Signature", b"s"),
+            *promise,
+        )
+        reply.send_whole(HttpResponse(status=status, headers=headers, body=b"no"))
+
+    return answer
+
+
+async def cut(request: HttpRequest, reply: Reply) -> None:
+    reply.cut()
+
+
+async def hang(request: HttpRequest, reply: Reply) -> None:
+    await asyncio.sleep(PATIENCE)
+
+
+def stream_events(first: int, last: int, *, is_cut: bool = False) -> Answer:
+    """Return an answer of events; a cut one breaks off in the middle of the next."""
+
+    async def answer(request: HttpRequest, reply: Reply) -> None:
+        headers = (
+            (b"Damsonlane-Request-Id", read_id(request)),
+            (b"Content-Type", b"text/event-stream"),
+            (b"Signature", str(first).encode()),
+        )
+        reply.start(HttpHead(status=200, headers=headers))
+        begin = int(request.find(b"last-event-id") or first - 1) + 1
+        for number in range(begin, last + 1):
+            await reply.send(f"id: {number}\ndata: token {number}\n\n".encode())
+        if is_cut:
+            await reply.send(b"id: 99\nda")
+            await asyncio.sleep(0.05)
+            reply.cut()
+        else:
+            reply.finish()
+
+    return answer
+
+
+def make_pieces(address: Callable[[], str]) -> Answer:
+    """Return the answers of a pool target at an address, which makes every piece."""
+
+    async def answer(request: HttpRequest, reply: Reply) -> None:
+        body = json.loads(request.body)
+        if request.path.endswith("/free"):
+            reply.send_whole(HttpResponse(status=200))
+            return
+        made = [
+            {"handle": f"{address()}/{piece['request']}-{piece['stage']}-{piece['piece']}"}
+            for piece in body["pieces"]
+        ]
+        reply.send_whole(HttpResponse(status=200, body=json.dumps({"pieces": made}).encode()))
+
+    return answer
+
+
+@dataclass(frozen=True, kw_only=True)
+class Response:
+    """What a caller read."""
+
+    #: The status; 0 when the connection ended without a head.
+    status: int
+    #: Head and body as they came.
+    data: bytes
+
+    def is_whole(self) -> bool:
+        """Tell whether the answer ended as its head promised."""
+        head, _, body = self.data.partition(b"\r\n\r\n")
+        if b"transfer-encoding: chunked" in head.lower():
+            return body.endswith(b"0\r\n\r\n")
+        length = head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0]
+        return length.isdigit() and len(body) == int(length)
+
+
+class Entry:
+    """A caller service with a view that a test fills."""
+
+    def __init__(self, document: RoutingDocument = DOCUMENT, *, slack: float = 20.0) -> None:
+        dialect = NativeDialect()
+        self.view = FleetView(dialect)
+        targets = Targets(self.view, "gulberg", lambda: 1)
+        self.owners = PoolOwners(self.view, targets, dialect)
+        self.pools = PoolClient(self.view, self.owners, "127.0.0.1:9")
+        self.attempts = Attempts(targets, dialect, 0.2, 10.0, slack)
+        self.callers = CallerService(
+            GatewayParts(
+                view=self.view,
+                attempts=self.attempts,
+                stages=StageRunner(self.pools, lambda handle: "gulberg"),
+                dialect=dialect,
+                metrics=Metrics(),
+                entries=lambda: 1,
+            )
+        )
+        self._listener = WebListener(
+            "127.0.0.1:0", self.callers.serve, render_refusal=self.callers.render_bad_bytes
+        )
+        self._document = document
+        self._revision = 0
+
+    async def start(self, *records: TargetRecord) -> None:
+        await self._listener.start()
+        text = encode_bytes(self._document, RoutingDocument)
+        self.view.put_document(PackedDocument.pack(self._document.version, text))
+        self.put_targets(*records)
+
+    async def stop(self) -> None:
+        await self._listener.stop()
+
+    def put_targets(self, *records: TargetRecord) -> None:
+        self._revision += 1
+        changes = TargetChanges(revision=self._revision, records=records, is_whole=True)
+        self.view.put_targets(changes)
+
+    async def send(
+        self, path: str, *, headers: str = "", deadline_ms: int = 2000, key: str = KEY
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._listener.port())
+        writer.write(
+            f"GET {path} HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n"
+            f"Damsonlane-Request-Id: r1\r\nDamsonlane-Deadline-Ms: {deadline_ms}\r\n"
+            f"Authorization: Bearer {key}\r\n{headers}\r\n".encode()
+        )
+        return reader, writer
+
+    async def call(
+        self, path: str, *, headers: str = "", deadline_ms: int = 2000, key: str = KEY
+    ) -> Response:
+        reader, writer = await self.send(path, headers=headers, deadline_ms=deadline_ms, key=key)
+        data = b""
+        async with asyncio.timeout(PATIENCE):
+            try:
+                while part := await reader.read(65_536):
+                    data += part
+            except ConnectionResetError:
+                pass
+        writer.close()
+        status = int(data[9:12]) if data.startswith(b"HTTP/1.1 ") else 0
+        return Response(status=status, data=data)
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -0,0 +1,273 @@
+"""Requests through an entry, with targets that fail in each way."""
+
+import asyncio
+import unittest
+from dataclasses import dataclass, replace
+
+from damsonlane.cluster import PackedDocument
+from damsonlane.codec import encode_bytes
+from damsonlane.routes import RoutingDocument
+from damsonlaned.gateway.tests.harness import (
+    DOCUMENT,
+    PATIENCE,
+    Answer,
+    Entry,
+    StandIn,
+    answer_well,
+    answer_with,
+    cut,
+    hang,
+    make_pieces,
+    stream_events,
+)
+from damsonlaned.http import HttpRequest, Reply
+
+
+@dataclass(frozen=True, kw_only=True)
+class Case:
+    """How two targets answer a request, and what its caller gets."""
+
+    name: str
+    path: str
+    #: How the first target that is tried answers, then the second.
+    answers: tuple[Answer, Answer]
+    status: int
+    #: Requests that both targets saw together.
+    sent: int
+    deadline_ms: int = 2000
+
+
+CASES = (
+    Case(name="well", path="/ping/a", answers=(answer_well, answer_well), status=200, sent=1),
+    Case(name="safe, cut", path="/ping/a", answers=(cut, answer_well), status=200, sent=2),
+    Case(name="safe, silent", path="/ping/a", answers=(hang, answer_well), status=200, sent=2),
+    Case(
+        name="safe, failed",
+        path="/ping/a",
+        answers=(answer_with(500, has_run=True), answer_well),
+        status=200,
+        sent=2,
+    ),
+    Case(
+        name="safe, failed twice: the target's own answer is passed on",
+        path="/ping/a",
+        answers=(answer_with(500, has_run=True), answer_with(500, has_run=True)),
+        status=500,
+        sent=2,
+    ),
+    Case(name="safe, cut twice", path="/ping/a", answers=(cut, cut), status=502, sent=2),
+    Case(name="once, cut: it may have run", path="/once/a", answers=(cut, cut), status=502, sent=1),
+    Case(
+        name="once, failed: it has run",
+        path="/once/a",
+        answers=(answer_with(500, has_run=True), answer_well),
+        status=500,
+        sent=1,
+    ),
+    Case(
+        name="once, turned away: it has not run, so another may",
+        path="/once/a",
+        answers=(answer_with(503, has_run=False), answer_well),
+        status=200,
+        sent=2,
+    ),
+    Case(
+        name="once, turned away by all: a promise that it has not run",
+        path="/once/a",
+        answers=(answer_with(503, has_run=False), answer_with(503, has_run=False)),
+        status=503,
+        sent=3,
+    ),
+    Case(
+        name="once, another target at the address",
+        path="/once/a",
+        answers=(answer_with(421, has_run=False), answer_well),
+        status=200,
+        sent=2,
+    ),
+    Case(
+        name="once, silent until the deadline",
+        path="/once/a",
+        answers=(hang, hang),
+        status=504,
+        sent=1,
+        deadline_ms=300,
+    ),
+)
+
+
+def answer_in_turn(answers: list[Answer]) -> Answer:
+    """Return an answer that is each of some in turn; the last one stays."""
+
+    async def answer(request: HttpRequest, reply: Reply) -> None:
+        chosen = answers.pop(0) if len(answers) > 1 else answers[0]
+        await chosen(request, reply)
+
+    return answer
+
+
+class GatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def open(
+        self, *stand_ins: StandIn, document: RoutingDocument = DOCUMENT, slack: float = 20.0
+    ) -> Entry:
+        entry = Entry(document, slack=slack)
+        records = []
+        for stand_in in stand_ins:
+            records.append(await stand_in.start())
+            self.addAsyncCleanup(stand_in.stop)
+        await entry.start(*records)
+        self.addAsyncCleanup(entry.stop)
+        return entry
+
+    async def test_each_case(self) -> None:
+        for case in CASES:
+            with self.subTest(case.name):
+                # Whichever target is tried first gives the first answer.
+                answers = list(case.answers)
+
+                answer = answer_in_turn(answers)
+                targets = [StandIn("t1", answer), StandIn("t2", answer)]
+                entry = await self.open(*targets)
+                response = await entry.call(case.path, deadline_ms=case.deadline_ms)
+                self.assertEqual(response.status, case.status)
+                self.assertTrue(response.is_whole())
+                self.assertEqual(sum(len(target.requests) for target in targets), case.sent)
+                is_ours = case.status in (502, 503, 504)
+                self.assertEqual(b"Signature" in response.data, not is_ours)
+                self.assertEqual(b"Retry-After" in response.data, case.status == 503)
+
+    async def test_a_target_sees_what_the_caller_sent_and_what_is_left(self) -> None:
+        target = StandIn("t1", answer_well)
+        entry = await self.open(target)
+        headers = "X-Own: kept\r\nDamsonlane-Organisation: forged\r\nDamsonlane-Target: forged\r\n"
+        await entry.call("/once/a/b?c=d", headers=headers)
+        request = target.requests[0]
+        self.assertEqual((request.method, request.target), ("GET", "/once/a/b?c=d"))
+        self.assertEqual(request.find(b"x-own"), "kept")
+        self.assertEqual(request.find(b"damsonlane-organisation"), "florists")
+        self.assertEqual(request.find(b"damsonlane-target"), "t1")
+        self.assertIsNone(request.find(b"authorization"))
+        self.assertLessEqual(int(request.find(b"damsonlane-deadline-ms") or 0), 2000)
+
+    async def test_what_is_not_allowed_is_refused_and_goes_nowhere(self) -> None:
+        target = StandIn("t1", answer_well)
+        entry = await self.open(target)
+        cases = (("/none/a", "florists-key", 404), ("/ping/a", "other", 401), ("/ping/a", "", 401))
+        for path, key, status in cases:
+            with self.subTest(path=path, key=key):
+                self.assertEqual((await entry.call(path, key=key)).status, status)
+        self.assertEqual(target.requests, [])
+        self.assertEqual((await entry.call("/open/a", key="")).status, 200)
+
+    async def test_an_entry_that_knows_no_routes_refuses(self) -> None:
+        entry = Entry()
+        await entry._listener.start()
+        self.addAsyncCleanup(entry.stop)
+        response = await entry.call("/ping/a")
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"Retry-After", response.data)
+
+    async def test_a_caller_that_leaves_frees_the_target(self) -> None:
+        target = StandIn("t1", hang)
+        entry = await self.open(target)
+        _, writer = await entry.send("/once/a")
+        async with asyncio.timeout(PATIENCE):
+            while not target.requests:
+                await asyncio.sleep(0.01)
+            writer.close()
+            await target.gone.wait()
+            while entry.callers.in_flight():
+                await asyncio.sleep(0.01)
+
+    async def test_leaving_targets_get_nothing_new(self) -> None:
+        first, second = StandIn("t1", answer_well), StandIn("t2", answer_well)
+        records = [await first.start(), await second.start()]
+        self.addAsyncCleanup(first.stop)
+        self.addAsyncCleanup(second.stop)
+        entry = Entry()
+        await entry.start(records[0].with_standing("leaving"), records[1])
+        self.addAsyncCleanup(entry.stop)
+        for _ in range(6):
+            self.assertEqual((await entry.call("/ping/a")).status, 200)
+        self.assertEqual((len(first.requests), len(second.requests)), (0, 6))
+
+    async def test_repeats_stop_when_their_budget_is_spent(self) -> None:
+        targets = [StandIn("t1", cut), StandIn("t2", cut)]
+        entry = await self.open(*targets, slack=0.0)
+        for _ in range(10):
+            await entry.call("/ping/a")
+        # Ten first sends allow one repeat: seven tenths of a fifth of them.
+        self.assertEqual(sum(len(target.requests) for target in targets), 11)
+
+    # Event streams.
+
+    async def test_a_stream_is_passed_whole(self) -> None:
+        entry = await self.open(StandIn("t1", stream_events(1, 3)))
+        response = await entry.call("/chat/a")
+        self.assertTrue(response.is_whole())
+        for number in (1, 2, 3):
+            self.assertEqual(response.data.count(f"token {number}".encode()), 1)
+
+    async def test_a_broken_stream_is_taken_up_where_it_broke(self) -> None:
+        broken, whole = stream_events(1, 2, is_cut=True), stream_events(1, 5)
+        answer = answer_in_turn([broken, whole])
+        targets = [StandIn("t1", answer), StandIn("t2", answer)]
+        entry = await self.open(*targets)
+        response = await entry.call("/chat/a")
+        self.assertTrue(response.is_whole())
+        for number in range(1, 6):
+            self.assertEqual(response.data.count(f"data: token {number}\n".encode()), 1)
+        self.assertNotIn(b"id: 99", response.data)
+        self.assertEqual(response.data.count(b"HTTP/1.1 200"), 1)
+        resumed = [request for target in targets for request in target.requests][-1]
+        self.assertEqual(sum(len(target.requests) for target in targets), 2)
+        self.assertIn(resumed.find(b"last-event-id"), ("2", None))
+
+    async def test_a_stream_that_may_not_be_resumed_is_cut_after_its_last_whole_event(self) -> None:
+        target = StandIn("t1", stream_events(1, 2, is_cut=True))
+        entry = await self.open(target)
+        response = await entry.call("/draft/a")
+        self.assertFalse(response.is_whole())
+        self.assertIn(b"token 2", response.data)
+        self.assertNotIn(b"id: 99", response.data)
+        self.assertEqual(len(target.requests), 1)
+
+    # Stages.
+
+    async def test_stages_are_made_in_order_and_their_results_given_up(self) -> None:
+        desk = StandIn("t1", answer_well)
+        pool = StandIn("p1", make_pieces(lambda: pool.address), "pool")
+        entry = await self.open(desk, pool)
+        headers = "Damsonlane-Pieces: 2,1\r\nDamsonlane-Material-Key: m\r\n"
+        response = await entry.call("/staged/a", headers=headers)
+        self.assertEqual(response.status, 200)
+        self.assertEqual(desk.requests[0].find(b"damsonlane-inputs"), f"{pool.address}/r1-1-0")
+        async with asyncio.timeout(PATIENCE):
+            while sum(request.path.endswith("/free") for request in pool.requests) < 2:
+                await asyncio.sleep(0.01)
+        freed = [request.body for request in pool.requests if request.path.endswith("/free")]
+        self.assertEqual(b"".join(freed).count(pool.address.encode()), 3)
+
+    async def test_a_request_whose_stages_fail_is_refused_and_has_not_run(self) -> None:
+        desk = StandIn("t1", answer_well)
+        pool = StandIn("p1", answer_with(500, has_run=True), "pool")
+        entry = await self.open(desk, pool)
+        headers = "Damsonlane-Pieces: 1,1\r\nDamsonlane-Material-Key: m\r\n"
+        response = await entry.call("/staged/a", headers=headers, deadline_ms=700)
+        self.assertEqual(response.status, 503)
+        self.assertEqual(desk.requests, [])
+
+    # Documents.
+
+    async def test_an_older_document_never_replaces_a_newer_one(self) -> None:
+        entry = await self.open(StandIn("t1", answer_well))
+        newer = replace(DOCUMENT, version=5, routes=())
+        for document in (newer, DOCUMENT):
+            text = encode_bytes(document, RoutingDocument)
+            entry.view.put_document(PackedDocument.pack(document.version, text))
+        self.assertEqual(entry.view.version(), 5)
+        self.assertEqual((await entry.call("/ping/a")).status, 404)
+
+
+if __name__ == "__main__":
+    unittest.main()
