Entries that stop own no pool, slow pool targets are left alone, explain

While entries stopped one after the other, each went on as owner of its pools for its own requests, so two boxes sent calls to the same targets and each took 1.7 to 2.1 times as long. Two of four targets of the first pool then took five times as long, and batches went on being sent to them.

Ruled out: room (no note of a full target then); loss of orders (all links that broke had none due).

Change: an entry that control does not list owns nothing; a pool target over 2.2 times the expected time rests for two seconds while others work; calls are given up after 2.5 times and 0.4 s. "ended" lines carry reason and stage time, and `damsonlane explain` puts a request's lines in order.

--- a/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
@@ -3,6 +3,7 @@
 import fire
 
 from damsonlane_cli._control import ControlCommands
+from damsonlane_cli._explain import explain
 from damsonlane_cli._reports import ReportCommands
 from damsonlane_cli._settings import SettingsCommands
 
@@ -10,12 +11,13 @@
 
 
 class Commands:
-    """Operate damsonlane: settings, control replicas and reports."""
+    """Operate damsonlane: settings, control replicas, reports, and what became of a request."""
 
     def __init__(self) -> None:
         self.settings = SettingsCommands()
         self.control = ControlCommands()
         self.report = ReportCommands()
+        self.explain = explain
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/damsonlane_cli/src/damsonlane_cli/tests/test_explain.py
@@ -0,0 +1,69 @@
+"""Reading one request's lines out of logs."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from damsonlane_cli._explain import explain, explain_outcome, read_lines
+
+
+def make_line(time: str, box: str, message: str, request: str = "r1", **fields: object) -> str:
+    line = {"time": time, "box": box, "message": message, "request": request, **fields}
+    return json.dumps(line) + "\n"
+
+
+class ExplainTest(unittest.TestCase):
+    def test_lines_of_all_boxes_come_in_order_with_the_meaning_of_the_end(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            first, second = Path(folder) / "a.log", Path(folder) / "b.log"
+            first.write_text(
+                make_line("10:00:02", "entry-1", "ended", outcome="refused-504", offers=1)
+                + make_line("10:00:01", "entry-1", "sent", target="t1")
+                + make_line("10:00:01", "entry-1", "sent", request="r2")
+                + "no line of a log with r1\n"
+            )
+            second.write_text("12.5 entry-2 " + make_line("10:00:00", "entry-2", "refused"))
+            output = io.StringIO()
+            with contextlib.redirect_stdout(output):
+                explain("r1", str(first), str(second))
+        shown = output.getvalue().splitlines()
+        self.assertEqual([line.split("  ")[2] for line in shown[:3]], ["refused", "sent", "ended"])
+        self.assertIn("it may have run there", shown[3])
+        self.assertEqual(len(shown), 4)
+
+    def test_a_request_whose_entry_was_lost_is_told(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "a.log"
+            path.write_text(make_line("10:00:01", "entry-1", "sent"))
+            output = io.StringIO()
+            with contextlib.redirect_stdout(output):
+                explain("r1", str(path))
+        self.assertIn("the process was lost", output.getvalue())
+
+    def test_unknown_requests_and_files_end_with_an_error(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "a.log"
+            path.write_text("")
+            for files in ([str(path)], [str(path) + ".missing"]):
+                with (
+                    self.subTest(files),
+                    contextlib.redirect_stderr(io.StringIO()) as errors,
+                    self.assertRaises(SystemExit),
+                ):
+                    explain("r1", *files)
+                self.assertNotIn("Traceback", errors.getvalue())
+
+    def test_lines_that_are_no_json_are_passed_over(self) -> None:
+        texts = ['{"request": "r1"', "r1", '["r1"]', make_line("t", "b", "m")]
+        self.assertEqual(len(list(read_lines(texts, "r1"))), 1)
+
+    def test_every_outcome_has_a_meaning(self) -> None:
+        for outcome in ("answered", "cut", "refused-502", "refused-503", "refused-504"):
+            self.assertNotIn("does not know", explain_outcome(outcome))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -81,11 +81,13 @@
         self._entries: Final = entries
         self._results = StageResults()
         self._has_results = False
+        self._staged_seconds = 0.0
         self._may_have_run = False
         self._ran_on = 0
         self._offers = 0
         self._tried: set[str] = set()
         self._last_event: str | None = None
+        self._detail = ""
         #: How it ended, for logs and metrics.
         self.outcome = "gone"
 
@@ -114,6 +116,7 @@
             unserved = await self._try_once()
             if unserved is None:
                 return
+            self._log_unserved(unserved)
             self._may_have_run = self._may_have_run or unserved.may_have_run
             if unserved.may_have_run:
                 self._ran_on += 1
@@ -129,6 +132,7 @@
             home = self._attempts.likely_home(self._call)
             self._results = await self._stages.make(self._call, home)
             self._has_results = True
+            self._staged_seconds = asyncio.get_running_loop().time() - self._call.arrived_at
         chosen = self._attempts.choose(self._call, self._tried)
         if chosen is None:
             return _Unserved(detail="the service has no target", may_have_run=False)
@@ -316,6 +320,7 @@
             self._reply.cut()
             return
         self.outcome = f"refused-{status}"
+        self._detail = detail
         refusal = Refusal(
             status=status,
             detail=detail,
@@ -325,6 +330,10 @@
         request_id = self._call.request.request_id
         self._reply.send_whole(self._dialect.render_refusal(refusal, request_id))
 
+    def _log_unserved(self, unserved: _Unserved) -> None:
+        fields = {"reason": unserved.detail, "may_have_run": unserved.may_have_run}
+        _LOG.info("not served", extra={**self._call.log_fields(), **fields})
+
     def _free_results(self) -> None:
         if self._has_results:
             results, self._results, self._has_results = self._results, StageResults(), False
@@ -338,8 +347,10 @@
             extra={
                 **call.log_fields(),
                 "outcome": self.outcome,
+                "reason": self._detail,
                 "seconds": round(now - call.arrived_at, 3),
                 "aim_seconds": call.route.aim_seconds,
+                "staged_seconds": round(self._staged_seconds, 3),
                 "offers": self._offers,
                 "last_event": self._last_event,
             },
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -114,7 +114,9 @@
 
     def _find_owner(self, service: str) -> str:
         now = asyncio.get_running_loop().time()
-        addresses = {entry.address for entry in self._view.entries} | {self._address}
+        # An entry that control does not list, because it stops or has just started, owns
+        # nothing: two owners of a pool would send their calls to the same targets.
+        addresses = {entry.address for entry in self._view.entries} or {self._address}
         sound = {name for name in addresses if self._suspects.get(name, 0.0) <= now}
         ranked = sound or {self._address}
         return max(ranked, key=lambda address: _weigh(service, address))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -28,9 +28,9 @@
 
 #: Times the expected time of a call after which it is given up: targets may
 #: turn several times slower without being lost.
-CALL_PATIENCE: Final = 3.0
+CALL_PATIENCE: Final = 2.5
 #: Seconds added to that, for a call that waits behind another box's.
-CALL_SLACK_SECONDS: Final = 0.6
+CALL_SLACK_SECONDS: Final = 0.4
 #: Seconds for which a connection may take.
 CONNECT_SECONDS: Final = 0.25
 #: Calls that one piece may be in before it is given up.
@@ -39,6 +39,10 @@
 FIRST_REST_SECONDS: Final = 0.5
 #: Longest rest.
 LONGEST_REST_SECONDS: Final = 8.0
+#: Times the expected time of a call from which on a target counts as slow.
+SLOW_PACE: Final = 2.2
+#: Seconds for which a slow target is left alone while others work at their usual pace.
+SLOW_REST_SECONDS: Final = 2.0
 #: Seconds for which a target that was full is left alone.
 FULL_REST_SECONDS: Final = 0.15
 #: Seconds over which results that were given up are collected into one call.
@@ -72,6 +76,12 @@
         """Tell whether it is not left alone after failures."""
         return now >= self.rests_until
 
+    def note_pace(self, pace: float, now: float) -> None:
+        """Note a call that took ``pace`` times as long as expected."""
+        self.failures = 0
+        if pace > SLOW_PACE:
+            self.rests_until = now + SLOW_REST_SECONDS
+
     def note_failure(self, now: float) -> None:
         """Leave it alone for a while."""
         rest = min(LONGEST_REST_SECONDS, FIRST_REST_SECONDS * 2**self.failures)
@@ -164,6 +174,10 @@
         if service is None or service.pool is None:
             return
         now = self._now()
+        if not any(maker.works(now) for maker in self._makers.values()):
+            # All are slow or failing, so the fault is probably not theirs.
+            for maker in self._makers.values():
+                maker.rests_until = min(maker.rests_until, now + FULL_REST_SECONDS)
         free = [maker for maker in self._makers.values() if maker.is_free(now)]
         for maker in sorted(free, key=lambda maker: (maker.failures, maker.name)):
             if not len(self._queue):
@@ -222,7 +236,7 @@
             pool = self._targets.pool(service, maker.name, maker.address)
             replies = await self._exchange(pool, call)
             made = self._settle(call, replies)
-            maker.failures = 0
+            maker.note_pace((self._now() - began_at) / call.seconds, self._now())
         except NotSentError as error:
             self._note_failed(call, str(error), has_run=False)
         except (BrokenAnswerError, BadRequestError, TimeoutError) as error:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -6,6 +6,7 @@
 
 from damsonlane.cluster import PackedDocument
 from damsonlane.codec import encode_bytes
+from damsonlane.membership import BoxRecord
 from damsonlane.routes import RoutingDocument
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
@@ -96,6 +97,18 @@
 )
 
 
+#: An entry at another address.
+OTHER_ENTRY = BoxRecord(
+    box="entry-2",
+    incarnation="i",
+    started_at=0.0,
+    data_centre="gulberg",
+    address="127.0.0.1:8",
+    standing="live",
+    via="control-1",
+)
+
+
 def answer_in_turn(answers: list[Answer]) -> Answer:
     """Return an answer that is each of some in turn; the last one stays."""
 
@@ -257,6 +270,24 @@
         self.assertEqual(response.status, 503)
         self.assertEqual(desk.requests, [])
 
+    async def test_an_entry_that_control_does_not_list_owns_no_pool(self) -> None:
+        entry = await self.open(StandIn("t1", answer_well))
+        self.assertEqual(entry.pools._find_owner("pool"), "127.0.0.1:9")
+        entry.view.put_entries((OTHER_ENTRY,))
+        self.assertEqual(entry.pools._find_owner("pool"), OTHER_ENTRY.address)
+        entry.view.put_entries((replace(OTHER_ENTRY, standing="leaving"),))
+        self.assertEqual(entry.pools._find_owner("pool"), "127.0.0.1:9")
+
+    async def test_a_slow_pool_target_is_left_alone_while_others_work(self) -> None:
+        slow = StandIn("p1", make_pieces(lambda: slow.address, seconds=0.4), "pool")
+        quick = StandIn("p2", make_pieces(lambda: quick.address), "pool")
+        entry = await self.open(StandIn("t1", answer_well), slow, quick)
+        headers = "Damsonlane-Pieces: 1,0\r\nDamsonlane-Material-Key: m\r\n"
+        for _ in range(12):
+            await entry.call("/staged/a", headers=headers)
+        calls = [request for request in slow.requests if not request.path.endswith("/free")]
+        self.assertLessEqual(len(calls), 1)
+
     # Documents.
 
     async def test_an_older_document_never_replaces_a_newer_one(self) -> None:
