A broken stream has its stages made again however late

The caller got a cut stream with time and targets left.

Ruled out: the budget (no line of it), the target (another was free).

Change: a request whose answer has begun has until its deadline in the queues of pools. "accepted" and "stage made" are logged.

Before: the test fails with an aim in the past. After: it passes, the stream comes whole.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -25,6 +25,8 @@
     arrived_at: float
     #: When its final answer must be on its way.
     due_at: float
+    #: Whether its answer has begun and is to be taken up elsewhere.
+    is_begun: bool = False
 
     @property
     def aim_at(self) -> float:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
@@ -101,6 +101,7 @@
     async def _pass(self, call: Call, reply: Reply) -> None:
         parts = self._parts
         passage = Passage(call, reply, parts.attempts, parts.stages, parts.dialect, parts.entries)
+        _LOG.info("accepted", extra=_describe(call))
         try:
             await passage.run()
         finally:
@@ -163,6 +164,18 @@
         )
 
 
+def _describe(call: Call) -> dict[str, object]:
+    """Return what decides how a request is treated."""
+    return {
+        **call.log_fields(),
+        "organisation": call.organisation.name if call.organisation is not None else "",
+        "service": call.service.name,
+        "rank": call.rank,
+        "left_ms": int(1000 * (call.due_at - call.arrived_at)),
+        "pieces": call.request.pieces,
+    }
+
+
 def _choose_service(table: RouteTable, route: Route, request_id: str) -> Service:
     """Choose one of a route's services by weight; the same for each try of a request."""
     total = sum(share.weight for share in route.services)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -130,7 +130,8 @@
         """Send the request to one target; return None once the caller has its answer."""
         if not self._has_results:
             home = self._attempts.likely_home(self._call)
-            self._results = await self._stages.make(self._call, home)
+            is_begun = self._reply.has_begun
+            self._results = await self._stages.make(self._call, home, is_begun=is_begun)
             self._has_results = True
             self._staged_seconds = asyncio.get_running_loop().time() - self._call.arrived_at
         chosen = self._attempts.choose(self._call, self._tried)
@@ -293,6 +294,7 @@
     def _end_unserved(self, unserved: _Unserved) -> None:
         if self._reply.has_begun:
             self.outcome = "cut"
+            self._detail = unserved.detail
             self._reply.cut()
         elif unserved.response is not None:
             self.outcome = "target-failed"
@@ -305,6 +307,7 @@
     def _end_late(self) -> None:
         if self._reply.has_begun:
             self.outcome = "cut"
+            self._detail = "the deadline came in the middle of the answer"
             self._reply.cut()
             return
         # Sent and not answered means that it may have run.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -4,12 +4,12 @@
 import contextlib
 import logging
 from collections import Counter
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, replace
 from typing import Final
 
 from damsonlane.errors import DamsonlaneError
-from damsonlane.pools import PieceOrder, PieceResult, StagePlan, StageStart
+from damsonlane.pools import PieceFault, PieceOrder, PieceResult, StagePlan, StageStart
 from damsonlane.routes import Stage
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._pool_client import PoolClient
@@ -31,6 +31,14 @@
 RETRY_SECONDS: Final = 0.5
 
 
+#: What the faults of pieces mean, for a person.
+_FAULTS: Final[Mapping[PieceFault, str]] = {
+    "late": "with the queue there it would miss its aim or its deadline",
+    "lost-input": "the result of an earlier stage is lost",
+    "failed": "no target made it",
+}
+
+
 class StageError(DamsonlaneError):
     """The stages of a request could not be made; it has not run.
 
@@ -69,12 +77,14 @@
         self._client: Final = client
         self._locate: Final = locate
 
-    async def make(self, call: Call, home: str) -> StageResults:
+    async def make(self, call: Call, home: str, *, is_begun: bool = False) -> StageResults:
         """Return the results of all stages of a request.
 
         Args:
             call: the request.
             home: data centre in which its last step will probably run.
+            is_begun: whether its answer has begun, so that it is resumed rather
+                than refused, however late.
 
         Raises:
             StageError: a piece was too late or could not be made.
@@ -86,7 +96,7 @@
             raise StageError(f"{len(pieces)} numbers of pieces for {len(call.route.stages)} stages")
         for _ in range(MOST_PLANS):
             with contextlib.suppress(_LostInputError):
-                return await self._make_once(call, home)
+                return await self._make_once(replace(call, is_begun=is_begun), home)
             _LOG.warning("stage result lost", extra=call.log_fields())
         raise StageError("results of its stages were lost repeatedly")
 
@@ -139,12 +149,14 @@
                     self._raise_fault(start, result)
         finally:
             self._note_rest(futures, start, held)
-        _LOG.debug(
+        _LOG.info(
             "stage made",
             extra={
                 **call.log_fields(),
                 "stage": start.index,
+                "service": start.stage.service,
                 "pieces": start.pieces,
+                "home": where,
                 "seconds": round(began_at - call.remaining(), 3),
             },
         )
@@ -166,7 +178,8 @@
     def _raise_fault(self, start: StageStart, result: PieceResult) -> None:
         if result.fault == "lost-input":
             raise _LostInputError
-        detail = f"stage {start.index} of service {start.stage.service}: {result.fault}"
+        reason = _FAULTS[result.fault] if result.fault is not None else "no result"
+        detail = f"stage {start.index} of service {start.stage.service}: {reason}"
         raise StageError(detail, RETRY_SECONDS + result.wait_seconds)
 
     def _find_home(self, call: Call, plan: StagePlan, start: StageStart, home: str) -> str:
@@ -189,6 +202,7 @@
         self, call: Call, plan: StagePlan, start: StageStart, piece: int, home: str
     ) -> PieceOrder:
         chain = plan.depth_after(start.index)
+        aim_at = call.due_at if call.is_begun else call.aim_at
         later = sum(_expect_seconds(call, stage) for stage in chain)
         waits = sum(self._client.wait_seconds(stage.service) for stage in chain)
         now = asyncio.get_running_loop().time()
@@ -200,7 +214,7 @@
             material_key=call.request.material_key if not start.stage.after else "",
             inputs=start.inputs,
             left_seconds=call.due_at - now - later - FIRST_TOKEN_SECONDS,
-            aim_left_seconds=call.aim_at - now - later - waits - FIRST_TOKEN_SECONDS,
+            aim_left_seconds=aim_at - now - later - waits - FIRST_TOKEN_SECONDS,
             rank=call.rank,
             result_bytes=start.stage.result_bytes,
             home=home,
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -54,6 +54,14 @@
         replace(ROUTE, name="chat", prefix="/chat/", repeat="stream", is_resumable=True),
         replace(ROUTE, name="draft", prefix="/draft/", repeat="stream", most_targets=1),
         replace(ROUTE, name="open", prefix="/open/", is_public=True),
+        replace(
+            ROUTE,
+            name="staged chat",
+            prefix="/staged-chat/",
+            repeat="stream",
+            is_resumable=True,
+            stages=(Stage(service="pool"),),
+        ),
         replace(
             ROUTE,
             name="staged",
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import unittest
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
+from unittest import mock
 
 from damsonlane.cluster import PackedDocument
 from damsonlane.codec import encode_bytes
 from damsonlane.membership import BoxRecord
+from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane.routes import RoutingDocument
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
@@ -261,6 +264,26 @@
         freed = [request.body for request in pool.requests if request.path.endswith("/free")]
         self.assertEqual(b"".join(freed).count(pool.address.encode()), 3)
 
+    async def test_a_broken_stream_has_its_stages_made_again_however_late(self) -> None:
+        answer = answer_in_turn([stream_events(1, 2, is_cut=True), stream_events(1, 4)])
+        pool = StandIn("p1", make_pieces(lambda: pool.address), "pool")
+        entry = await self.open(StandIn("t1", answer), StandIn("t2", answer), pool)
+        ordered: list[float] = []
+        place = entry.pools.order
+
+        def note(service: str, orders: Sequence[PieceOrder]) -> "list[asyncio.Future[PieceResult]]":
+            ordered.extend(order.aim_left_seconds for order in orders)
+            return place(service, orders)
+
+        with mock.patch.object(entry.pools, "order", note):
+            headers = "Damsonlane-Pieces: 1\r\nDamsonlane-Material-Key: m\r\n"
+            response = await entry.call("/staged-chat/a", headers=headers)
+        self.assertTrue(response.is_whole())
+        self.assertEqual(response.data.count(b"data: token"), 4)
+        # The first order keeps the aim of 0.2 s; the second has until the deadline.
+        self.assertLess(ordered[0], 0.0)
+        self.assertGreater(ordered[1], 0.5)
+
     async def test_a_request_whose_stages_fail_is_refused_and_has_not_run(self) -> None:
         desk = StandIn("t1", answer_well)
         pool = StandIn("p1", answer_with(500, has_run=True), "pool")
