Settings are looked at without a signal; streams that entries left are no failures

Ruled out: a lost update (the entry followed another replica already).

Change: one look at the settings in three seconds and at SIGHUP, handed on only when they differ; seeds reach the keeper of the group; a closed stream is a call fault.

--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
@@ -10,6 +10,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.protocol import H2Protocol
+from h2.exceptions import StreamClosedError
 
 from damsonlane.cluster import Command, Reply
 from damsonlane.errors import UnavailableError
@@ -40,11 +41,12 @@
 TOKEN_FIELD: Final = "damsonlane-token"
 
 #: What a broken call raises.  A stream that we leave before its end is a
-#: `ProtocolError` to the library.
+#: `ProtocolError` to the library, and one that the other side left is closed.
 CALL_FAULTS: Final = (
     GRPCError,
     StreamTerminatedError,
     ProtocolError,
+    StreamClosedError,
     OSError,
     asyncio.TimeoutError,
 )
--- a/packages/damsonlaned/src/damsonlaned/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/_process.py
@@ -1,6 +1,7 @@
 """One process: settings, role, calls between boxes, and a clean stop."""
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
@@ -27,6 +28,9 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+#: Seconds between looks at the settings, which may change without a signal.
+LOOK_SECONDS: Final = 3.0
+
 #: Reads the settings of the box anew.
 Reload = Callable[[], BoxSettings]
 
@@ -120,30 +124,54 @@
     await server.wait_closed()
 
 
-async def wait_for_stop(on_reload: Callable[[], None]) -> None:
-    """Wait for SIGTERM or SIGINT; SIGHUP calls ``on_reload``."""
+class SettingsWatch:
+    """Notices that the settings of the box have changed, by SIGHUP or by looking.
+
+    Args:
+        settings: those that it started with.
+        reload: reads them anew; None where that changes nothing.
+        take_over: called with newer settings.
+    """
+
+    def __init__(
+        self,
+        settings: BoxSettings,
+        reload: Reload | None,
+        take_over: Callable[[BoxSettings], None],
+    ) -> None:
+        self._settings = settings
+        self._reload: Final = reload
+        self._take_over: Final = take_over
+
+    def look(self) -> None:
+        """Read the settings and hand them on if they differ from those known."""
+        if self._reload is None:
+            return
+        try:
+            newer = self._reload()
+        except SettingsError as error:
+            _LOG.error("settings not reloaded", extra={"fault": str(error)})
+            return
+        if newer != self._settings:
+            self._settings = newer
+            _LOG.info("settings reloaded", extra={"control": newer.control})
+            self._take_over(newer)
+
+
+async def wait_for_stop(watch: SettingsWatch) -> None:
+    """Wait for SIGTERM or SIGINT, looking at the settings now and then and at SIGHUP."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, on_reload)
-    await stopped.wait()
+    loop.add_signal_handler(signal.SIGHUP, watch.look)
+    while not stopped.is_set():
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(stopped.wait(), LOOK_SECONDS)
+        watch.look()
     _LOG.info("stopping")
 
 
-def read_again(reload: Reload | None) -> BoxSettings | None:
-    """Return the settings as they stand now, or None when they can't be had or read."""
-    if reload is None:
-        return None
-    try:
-        settings = reload()
-    except SettingsError as error:
-        _LOG.error("settings not reloaded", extra={"fault": str(error)})
-        return None
-    _LOG.info("settings reloaded", extra={"control": settings.control})
-    return settings
-
-
 def describe_failure(error: DamsonlaneError) -> str:
     """Return a failure as the lines an operator reads."""
     return "\n".join(f"damsonlaned: {line}" for line in str(error).splitlines())
--- a/packages/damsonlaned/src/damsonlaned/control/_following.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Final
@@ -10,10 +11,12 @@
 from grpclib.server import Stream
 
 from damsonlane.membership import BoxRecord
-from damsonlane_rpc import FOLLOW, FollowReport, FollowUpdate
+from damsonlane_rpc import CALL_FAULTS, FOLLOW, FollowReport, FollowUpdate
 from damsonlaned.control._node import ControlNode
 from damsonlaned.tasks import start_task
 
+_LOG: Final = logging.getLogger(__name__)
+
 #: Seconds between messages that only say how fresh this replica is.  An entry
 #: must notice a replica that lost touch well inside the two seconds in which a
 #: document has to be in force.
@@ -59,7 +62,11 @@
         while True:
             update = self._make_update(told)
             told = _note_told(told, update)
-            await stream.send_message(update)
+            try:
+                await stream.send_message(update)
+            except CALL_FAULTS as error:
+                _LOG.info("entry left", extra={"entry": report.box.box, "fault": str(error)})
+                return
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._node.watchers.wait(), FRESHNESS_SECONDS)
 
--- a/packages/damsonlaned/src/damsonlaned/control/_group.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_group.py
@@ -69,6 +69,7 @@
         self._members_client: Final = client
         self._own_address: Final = node.settings.internal_address
         self._asking: Final = ControlClient((), context=context)
+        self._seeds = founding.seeds
         self._task: asyncio.Task[None] | None = None
         self._started_at = node.now()
         self._led_at = node.now()
@@ -85,6 +86,10 @@
                 await self._task
         self._asking.close()
 
+    def replace_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take over the seeds that the settings now name."""
+        self._seeds = seeds
+
     def takes_orders(self) -> bool:
         """Tell whether what is accepted now would bear the loss of as many boxes as it should.
 
@@ -171,7 +176,7 @@
             return None
 
     def _known_addresses(self) -> list[str]:
-        known = set(self._founding.seeds)
+        known = {*self._founding.seeds, *self._seeds}
         if self._node.replica is not None:
             known.update(member.address for member in self._node.replica.members.everyone())
         known.discard(self._own_address)
--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -9,8 +9,8 @@
 from damsonlaned._process import (
     Keys,
     Reload,
+    SettingsWatch,
     close_server,
-    read_again,
     serve_boxes,
     wait_for_stop,
 )
@@ -45,10 +45,10 @@
         metrics.commit.set({}, replica.commit if replica else 0)
         metrics.is_leader.set({}, 1 if replica and replica.is_leader else 0)
 
-    def take_over() -> None:
-        newer = read_again(reload)
-        if newer is not None:
-            client.learn(newer.control)
+    def take_over(newer: BoxSettings) -> None:
+        client.learn(newer.control)
+        if group is not None and newer.founding is not None:
+            group.replace_seeds(newer.founding.seeds)
 
     admin = Admin(settings.admin_address, metrics, node.is_current, refresh)
     client = ControlClient(_list_control(settings), context=keys.client)
@@ -66,7 +66,7 @@
             registry = _make_registry(settings.gateway, node, group, client)
             await registry.start()
     _LOG.info("started", extra={"replica": node.identity.replica})
-    stop = asyncio.create_task(wait_for_stop(take_over))
+    stop = asyncio.create_task(wait_for_stop(SettingsWatch(settings, reload, take_over)))
     await asyncio.wait({stop, node.failure}, return_when=asyncio.FIRST_COMPLETED)
     if registry is not None:
         await registry.stop()
--- a/packages/damsonlaned/src/damsonlaned/entry/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_process.py
@@ -4,7 +4,13 @@
 from typing import Final
 
 from damsonlane.settings import BoxSettings
-from damsonlaned._process import Keys, close_server, serve_boxes, wait_for_stop
+from damsonlaned._process import (
+    Keys,
+    SettingsWatch,
+    close_server,
+    serve_boxes,
+    wait_for_stop,
+)
 from damsonlaned.entry._node import EntryNode
 
 _LOG: Final = logging.getLogger(__name__)
@@ -16,7 +22,7 @@
     server = await serve_boxes(settings, node.peers.service(), keys)
     await node.start()
     _LOG.info("started")
-    await wait_for_stop(lambda: _LOG.info("nothing to reload"))
+    await wait_for_stop(SettingsWatch(settings, None, lambda newer: None))
     await node.stop()
     await close_server(server)
     _LOG.info("stopped")
--- a/packages/damsonlaned/src/damsonlaned/gateway/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_process.py
@@ -8,8 +8,8 @@
 from damsonlaned._process import (
     Keys,
     Reload,
+    SettingsWatch,
     close_server,
-    read_again,
     serve_boxes,
     wait_for_stop,
 )
@@ -24,15 +24,11 @@
     """Run the entry until it is told to stop."""
     node = GatewayNode(settings, gateway)
 
-    def take_over() -> None:
-        newer = read_again(reload)
-        if newer is not None:
-            node.replace_seeds(newer.control)
-
+    watch = SettingsWatch(settings, reload, lambda newer: node.replace_seeds(newer.control))
     server = await serve_boxes(settings, Service(dict(node.handlers())), keys)
     await node.start()
     _LOG.info("started")
-    await wait_for_stop(take_over)
+    await wait_for_stop(watch)
     await node.stop()
     await close_server(server)
     _LOG.info("stopped")
