A small system that serves routes, shown by make demo

Ruled out: another fleet class for pipelines and routes together (their settings share a third).

Change: targets that register themselves, three control replicas that found their group, two entries; the demonstration loses a control box, a target, an engine and an entry and checks what callers get. It is a test too.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 
 demo: $(VENV)/made
 	$(RUN) -m damsonlane_bench.demo
+	$(RUN) -m damsonlane_bench.routes
 
 test: $(VENV)/made
 	HYPOTHESIS_STORAGE_DIRECTORY=$(VENV)/hypothesis $(RUN) tools/run_tests.py
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
@@ -0,0 +1,167 @@
+"""A target that sends heartbeats, says when it leaves, and counts what it ran."""
+
+import asyncio
+import json
+import logging
+import secrets
+from dataclasses import replace
+from typing import Final, Literal
+
+from damsonlane.codec import encode_bytes
+from damsonlane.targets import TargetRecord
+from damsonlaned.http import (
+    BrokenAnswerError,
+    ConnectionPool,
+    HttpHead,
+    HttpRequest,
+    HttpResponse,
+    NotSentError,
+    Reply,
+    WebListener,
+)
+
+_LOG: Final = logging.getLogger(__name__)
+
+#: What a target does: one answer, a stream of events, or pieces of stages.
+Kind = Literal["plain", "engine", "pool"]
+
+#: Seconds between heartbeats.
+HEARTBEAT_SECONDS: Final = 0.5
+#: Seconds for which one heartbeat may take.
+_CALL_SECONDS: Final = 1.0
+#: Seconds of work of a plain request, and of a call to a pool.
+_WORK_SECONDS: Final = 0.02
+#: Events of a stream, and the seconds between them.
+EVENTS: Final = 20
+_EVENT_SECONDS: Final = 0.05
+#: Seconds for which a leaving target goes on serving.
+_LEAVING_SECONDS: Final = 1.5
+
+
+class RegisteredTarget:
+    """One stand-in.
+
+    Args:
+        service: its service.
+        kind: what it does.
+        address: where it listens.
+        registries: addresses of control that take heartbeats.
+    """
+
+    def __init__(self, service: str, kind: Kind, address: str, registries: list[str]) -> None:
+        self._kind: Final = kind
+        self._registries = registries
+        self._record = TargetRecord(
+            target=f"{service}-{secrets.token_hex(4)}",
+            service=service,
+            address=address,
+            data_centre="fukuoka-a",
+            slots=4,
+            standing="live",
+            sequence=0,
+        )
+        self._listener: Final = WebListener(address, self._serve, render_refusal=_render)
+        self._beating: asyncio.Task[None] | None = None
+        #: Ids of the requests that ran here, in order.
+        self.ran: list[str] = []
+
+    async def start(self) -> None:
+        """Listen and send heartbeats."""
+        await self._listener.start()
+        self._beating = asyncio.create_task(self._beat())
+
+    async def leave(self) -> None:
+        """Say that it leaves, serve on for a while, and stop."""
+        if self._beating is not None:
+            self._beating.cancel()
+        self._record = self._record.with_standing("leaving")
+        await self._say("PUT")
+        await asyncio.sleep(_LEAVING_SECONDS)
+        await self._say("DELETE")
+        await self._listener.stop()
+
+    async def _beat(self) -> None:
+        while True:
+            await self._say("PUT")
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def _say(self, method: str) -> None:
+        """Send the record to the first registry that takes it."""
+        self._record = replace(self._record, sequence=self._record.sequence + 1)
+        request = HttpRequest(
+            method=method,
+            target=f"/v1/targets/{self._record.target}",
+            headers=((b"Host", b"control"),),
+            body=encode_bytes(self._record, TargetRecord) if method == "PUT" else b"",
+        )
+        for address in self._registries:
+            if await self._call(address, request):
+                return
+        _LOG.warning("no registry took the heartbeat", extra={"target": self._record.target})
+
+    async def _call(self, address: str, request: HttpRequest) -> bool:
+        pool = ConnectionPool(address, 1)
+        try:
+            async with asyncio.timeout(_CALL_SECONDS):
+                exchange = await pool.send(request, _CALL_SECONDS)
+                try:
+                    head = await exchange.read_head()
+                    await exchange.body.read_whole()
+                finally:
+                    exchange.finish()
+        except (NotSentError, BrokenAnswerError, TimeoutError):
+            return False
+        finally:
+            pool.close()
+        return head.status == 200
+
+    # Requests.
+
+    async def _serve(self, request: HttpRequest, reply: Reply) -> None:
+        if request.path == "/ran":
+            reply.send_whole(HttpResponse(status=200, body=json.dumps(self.ran).encode()))
+        elif self._kind == "pool":
+            await self._make_pieces(request, reply)
+        elif request.find(b"damsonlane-target") != self._record.target:
+            reply.send_whole(HttpResponse(status=421))
+        elif self._kind == "engine":
+            await self._stream(request, reply)
+        else:
+            await asyncio.sleep(_WORK_SECONDS)
+            self._note(request)
+            reply.send_whole(HttpResponse(status=200, headers=self._headers(request), body=b"ok"))
+
+    async def _make_pieces(self, request: HttpRequest, reply: Reply) -> None:
+        if request.path == "/v1/pieces/free":
+            reply.send_whole(HttpResponse(status=200))
+            return
+        await asyncio.sleep(_WORK_SECONDS)
+        pieces = [
+            {"handle": f"{self._record.address}/{secrets.token_hex(6)}"}
+            for _ in json.loads(request.body)["pieces"]
+        ]
+        reply.send_whole(HttpResponse(status=200, body=json.dumps({"pieces": pieces}).encode()))
+
+    async def _stream(self, request: HttpRequest, reply: Reply) -> None:
+        self._note(request)
+        headers = (*self._headers(request), (b"Content-Type", b"text/event-stream"))
+        reply.start(HttpHead(status=200, headers=headers))
+        first = int(request.find(b"last-event-id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(_EVENT_SECONDS)
+            await reply.send(f"id: {number}\ndata: token {number}\n\n".encode())
+        reply.finish()
+
+    def _note(self, request: HttpRequest) -> None:
+        self.ran.append(request.find(b"damsonlane-request-id") or "")
+
+    def _headers(self, request: HttpRequest) -> tuple[tuple[bytes, bytes], ...]:
+        request_id = request.find(b"damsonlane-request-id") or ""
+        return (
+            (b"Damsonlane-Request-Id", request_id.encode()),
+            (b"Served-By", self._record.target.encode()),
+        )
+
+
+def _render(status: int, detail: str) -> HttpResponse:
+    return HttpResponse(status=status, body=detail.encode())
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -0,0 +1,345 @@
+"""A small system that serves routes, and its demonstration."""
+
+import http.client
+import json
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from threading import Thread
+from typing import Any, Final
+
+from damsonlane_bench.fleet import Process, find_program, send, take_address, wait_until
+from damsonlane_bench.registered import Kind
+from damsonlane_bench.registered._target import EVENTS
+
+_KEY: Final = "florists-key"
+#: Seconds for which a caller waits.
+_CALLER_SECONDS: Final = 20.0
+#: Targets: name, service and kind.
+_TARGETS: Final[tuple[tuple[str, str, Kind], ...]] = (
+    ("desk-1", "desk", "plain"),
+    ("desk-2", "desk", "plain"),
+    ("model-1", "model", "engine"),
+    ("model-2", "model", "engine"),
+    ("encode-1", "encode", "pool"),
+    ("encode-2", "encode", "pool"),
+)
+
+
+class RoutesFleet:
+    """Three control replicas, two entries and six targets; use as a context manager."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder: Final = folder
+        self.controls: Final = [f"control-{number}" for number in (1, 2, 3)]
+        self.entries: Final = ["entry-1", "entry-2"]
+        self.processes: Final[dict[str, Process]] = {}
+        self.addresses: Final = {
+            f"{name}/{purpose}": take_address()
+            for name in (*self.controls, *self.entries, *(name for name, _, _ in _TARGETS))
+            for purpose in ("internal", "admin", "front", "ready")
+        }
+
+    def __enter__(self) -> "RoutesFleet":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes.values():
+            if process.is_running():
+                process.kill()
+
+    def start(self, name: str, *, is_first_start: bool = False) -> None:
+        """Start a box."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self._make_settings(name, is_first_start)))
+        command = [find_program("damsonlaned"), f"--settings={path}"]
+        self.processes[name] = Process(name, command, self.folder / f"{name}.log")
+
+    def start_target(self, name: str, service: str, kind: Kind) -> None:
+        """Start a target."""
+        registries = ";".join(self.addresses[f"{control}/front"] for control in self.controls)
+        command = [
+            *(sys.executable, "-m", "damsonlane_bench.registered"),
+            f"--service={service}",
+            f"--kind={kind}",
+            f"--address={self.addresses[f'{name}/front']}",
+            f"--registries={registries}",
+        ]
+        self.processes[name] = Process(name, command, self.folder / f"{name}.log")
+
+    def put_document(self, version: int, **changes: Any) -> None:
+        """Send a routing document until a control box takes it."""
+        text = json.dumps({**make_document(), "version": version, **changes})
+        wait_until(lambda: self._put(text) == 200, f"version {version} is taken")
+
+    def read_version(self, control: str) -> int:
+        """Return the version that a control box reads back, 0 when it can't say."""
+        response = send("GET", f"http://{self.addresses[f'{control}/front']}/v1/routes")
+        return int(response.body.get("version", 0)) if response.status == 200 else 0
+
+    def is_ready(self, entry: str) -> bool:
+        """Tell whether an entry takes requests."""
+        try:
+            return send("GET", f"http://{self.addresses[f'{entry}/ready']}/readyz").status == 200
+        except OSError:
+            return False
+
+    def call(self, entry: str, path: str, request_id: str, **headers: str) -> tuple[int, bytes]:
+        """Return status and body of a request; an answer that breaks off has status 0."""
+        connection = http.client.HTTPConnection(
+            self.addresses[f"{entry}/front"], timeout=_CALLER_SECONDS
+        )
+        sent = {
+            "Host": "shop.example",
+            "Authorization": f"Bearer {_KEY}",
+            "Damsonlane-Request-Id": request_id,
+            "Damsonlane-Deadline-Ms": "8000",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        try:
+            connection.request("GET", path, headers=sent)
+            response = connection.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+        finally:
+            connection.close()
+
+    def read_ran(self, target: str) -> list[str]:
+        """Return the ids of the requests that a target ran."""
+        connection = http.client.HTTPConnection(
+            self.addresses[f"{target}/front"], timeout=_CALLER_SECONDS
+        )
+        connection.request("GET", "/ran")
+        ran = json.loads(connection.getresponse().read())
+        connection.close()
+        return [str(name) for name in ran]
+
+    def _put(self, text: str) -> int:
+        for control in self.controls:
+            connection = http.client.HTTPConnection(
+                self.addresses[f"{control}/front"], timeout=_CALLER_SECONDS
+            )
+            try:
+                connection.request("PUT", "/v1/routes", body=text.encode())
+                return connection.getresponse().status
+            except OSError:
+                continue
+            finally:
+                connection.close()
+        return 0
+
+    def _make_settings(self, name: str, is_first_start: bool) -> dict[str, Any]:
+        seeds = [self.addresses[f"{control}/internal"] for control in self.controls]
+        is_control = name in self.controls
+        gateway: dict[str, Any] = {"dialect": "damsonlane", "heartbeat_seconds": 0.5}
+        if is_control:
+            gateway["registry_address"] = self.addresses[f"{name}/front"]
+        else:
+            gateway["ready_address"] = self.addresses[f"{name}/ready"]
+        settings: dict[str, Any] = {
+            "name": name,
+            "data_centre": "fukuoka-a",
+            "role": "control" if is_control else "entry",
+            "data_folder": str(self.folder / name),
+            "internal_address": self.addresses[f"{name}/internal"],
+            "admin_address": self.addresses[f"{name}/admin"],
+            "control": seeds,
+            "election_seconds": 0.4,
+            "gateway": gateway,
+        }
+        if is_control:
+            settings["founding"] = {"seeds": seeds, "is_first_start": is_first_start}
+        else:
+            settings["caller_address"] = self.addresses[f"{name}/front"]
+        return settings
+
+
+def make_document() -> dict[str, Any]:
+    """Return the routing document of the demonstration, without its version."""
+
+    def route(name: str, service: str, repeat: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": "shop.example",
+            "prefix": f"/{name}/",
+            "repeat": repeat,
+            "timeout_seconds": 10.0,
+            "aim_seconds": 1.0,
+            "priority": 0,
+            "services": [{"service": service, "weight": 1.0}],
+            **more,
+        }
+
+    pool = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 8,
+        "call_seconds": 0.02,
+        "piece_seconds": 0.001,
+        "room_bytes": 1_000_000,
+        "keep_seconds": 4.0,
+    }
+    stages = [{"service": "encode"}, {"service": "encode", "after": [0]}]
+    return {
+        "routes": [
+            route("ping", "desk", "safe", most_targets=2),
+            route("refund", "desk", "once"),
+            route("chat", "model", "stream", is_resumable=True, most_targets=2, stages=stages),
+        ],
+        "services": [
+            {"name": "desk", "most_connections": 50},
+            {
+                "name": "model",
+                "most_connections": 50,
+                "engine": {"slots": 8, "cache_tokens": 90_000},
+            },
+            {"name": "encode", "most_connections": 50, "pool": pool},
+        ],
+        "organisations": [{"name": "florists", "keys": [_KEY]}],
+    }
+
+
+class RoutesDemonstration:
+    """Runs the steps and remembers which did not hold."""
+
+    def __init__(self, fleet: RoutesFleet) -> None:
+        self._fleet: Final = fleet
+        self.faults: list[str] = []
+
+    def run(self) -> None:
+        """Run all steps."""
+        self._start()
+        self._answer()
+        self._lose_a_control_box()
+        self._let_a_target_leave()
+        self._lose_an_engine()
+        self._stop_an_entry()
+
+    def _start(self) -> None:
+        fleet = self._fleet
+        print("Starting 3 control replicas, 2 entries and 6 targets that register themselves ...")
+        for control in fleet.controls:
+            fleet.start(control, is_first_start=True)
+        for entry in fleet.entries:
+            fleet.start(entry)
+        for name, service, kind in _TARGETS:
+            fleet.start_target(name, service, kind)
+        fleet.put_document(1)
+        for entry in fleet.entries:
+            wait_until(lambda entry=entry: fleet.is_ready(entry), f"{entry} is ready")  # type: ignore[misc]
+        wait_until(lambda: self._is_served("ping"), "the plain targets are known")
+        wait_until(lambda: self._is_served("chat"), "the engines and pools are known")
+
+    def _is_served(self, route: str) -> bool:
+        return all(
+            self._call(entry, route, f"probe-{route}")[0] == 200 for entry in self._fleet.entries
+        )
+
+    def _call(self, entry: str, route: str, request_id: str) -> tuple[int, bytes]:
+        headers = {}
+        if route == "chat":
+            headers = {"Damsonlane_Pieces": "2,3", "Damsonlane_Material_Key": "demo"}
+        return self._fleet.call(entry, f"/{route}/a", request_id, **headers)
+
+    def _answer(self) -> None:
+        status, body = self._call("entry-1", "refund", "refund-1")
+        self._check(status == 200, f"a refund is confirmed: {body.decode()}")
+        status, body = self._call("entry-2", "chat", "chat-1")
+        self._check(_is_whole_stream(status, body), f"a stream of {EVENTS} events comes whole")
+        status, body = self._fleet.call("entry-1", "/nowhere/a", "lost-1")
+        self._check(status == 404, f"an unknown path is refused: {body.decode()}")
+
+    def _lose_a_control_box(self) -> None:
+        fleet = self._fleet
+        fleet.processes["control-1"].kill()
+        fleet.put_document(2)
+        for control in ("control-2", "control-3"):
+            wait_until(lambda control=control: fleet.read_version(control) == 2, "2 is read back")  # type: ignore[misc]
+        status, _ = self._call("entry-1", "ping", "ping-1")
+        self._check(status == 200, "a control box is lost: changes and requests go on")
+        fleet.start("control-1")
+
+    def _let_a_target_leave(self) -> None:
+        fleet = self._fleet
+        before = len(fleet.read_ran("desk-2"))
+        fleet.processes["desk-1"].terminate()
+        answers = [self._call("entry-1", "refund", f"leaving-{number}")[0] for number in range(40)]
+        self._check(answers == [200] * 40, "a target leaves: all refunds are confirmed")
+        self._check(len(fleet.read_ran("desk-2")) > before, "the other target serves them")
+        fleet.processes["desk-1"].wait()
+
+    def _lose_an_engine(self) -> None:
+        fleet = self._fleet
+        results: list[tuple[int, bytes]] = []
+        caller = _start_thread(lambda: results.append(self._call("entry-2", "chat", "chat-2")))
+        wait_until(
+            lambda: any("chat-2" in self._ran(name) for name in ("model-1", "model-2")), "it runs"
+        )
+        holder = next(name for name in ("model-1", "model-2") if "chat-2" in self._ran(name))
+        fleet.processes[holder].kill()
+        caller.join()
+        status, body = results[0]
+        self._check(_is_whole_stream(status, body), "an engine dies: its stream is resumed")
+
+    def _wait_for_holder(self, request_id: str) -> str:
+        """Wait until an engine runs a request and return its name."""
+        engines = [name for name, _, kind in _TARGETS if kind == "engine"]
+        wait_until(
+            lambda: any(request_id in self._ran(name) for name in engines), f"{request_id} runs"
+        )
+        return next(name for name in engines if request_id in self._ran(name))
+
+    def _ran(self, target: str) -> list[str]:
+        try:
+            return self._fleet.read_ran(target)
+        except OSError:
+            return []
+
+    def _stop_an_entry(self) -> None:
+        fleet = self._fleet
+        results: list[tuple[int, bytes]] = []
+        caller = _start_thread(lambda: results.append(self._call("entry-1", "chat", "chat-3")))
+        wait_until(
+            lambda: any("chat-3" in self._ran(name) for name in ("model-1", "model-2")), "it runs"
+        )
+        fleet.processes["entry-1"].terminate()
+        wait_until(lambda: not fleet.is_ready("entry-1"), "entry-1 says that it takes no more")
+        caller.join()
+        status, body = results[0]
+        self._check(_is_whole_stream(status, body), "an entry stops: the stream in it comes whole")
+        code = fleet.processes["entry-1"].wait()
+        self._check(code == 0, f"entry-1 stopped with code {code}")
+
+    def _check(self, holds: bool, what: str) -> None:
+        print(f"{'ok ' if holds else 'BAD'} {what}")
+        if not holds:
+            self.faults.append(what)
+
+
+def _is_whole_stream(status: int, body: bytes) -> bool:
+    """Tell whether a stream holds each event once, in order."""
+    expected = "".join(f"id: {number}\ndata: token {number}\n\n" for number in range(1, EVENTS + 1))
+    return status == 200 and body.decode() == expected
+
+
+def _start_thread(work: Callable[[], object]) -> Thread:
+    thread = Thread(target=work)
+    thread.start()
+    return thread
+
+
+def main() -> int:
+    """Run the demonstration; the exit code tells whether all of it held."""
+    began_at = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder, RoutesFleet(Path(folder)) as fleet:
+        demonstration = RoutesDemonstration(fleet)
+        demonstration.run()
+    print(f"{time.monotonic() - began_at:.1f} s in all; {len(demonstration.faults)} faults")
+    return 1 if demonstration.faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_routes.py
@@ -0,0 +1,19 @@
+"""Routes, registered targets and stage pools with real processes."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from damsonlane_bench.routes import RoutesDemonstration, RoutesFleet
+
+
+class RoutesTest(unittest.TestCase):
+    def test_demonstration_holds(self) -> None:
+        with tempfile.TemporaryDirectory() as folder, RoutesFleet(Path(folder)) as fleet:
+            demonstration = RoutesDemonstration(fleet)
+            demonstration.run()
+        self.assertEqual(demonstration.faults, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
