The test of ranks follows their weight

Found by the whole suite.

Ruled out: a fault of the queue (the order is the one wanted).

Change: the test reckons with the weight by its name; it checks the same order on both sides of it, as strictly.

--- a/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from damsonlane.pools import Offer, PieceOrder, PieceQueue, ResultRoom, StagePlan, WaitingPiece
+from damsonlane.pools._queue import SECONDS_PER_RANK
 from damsonlane.pools._room import FULL_SECONDS
 from damsonlane.routes import Stage
 
@@ -118,9 +119,10 @@
         self.assertEqual(select(self.queue), [2, 1])
 
     def test_rank_counts_as_time(self) -> None:
-        self.queue.add(make_piece(1, aim_at=1.0, rank=2))
-        self.queue.add(make_piece(2, aim_at=1.3, rank=0))
-        self.queue.add(make_piece(3, aim_at=3.0, rank=0))
+        behind = 1.0 + 2 * SECONDS_PER_RANK
+        self.queue.add(make_piece(1, aim_at=1.0, rank=2, due_at=99.0))
+        self.queue.add(make_piece(2, aim_at=behind - 0.1, due_at=99.0))
+        self.queue.add(make_piece(3, aim_at=behind + 0.1, due_at=99.0))
         self.assertEqual(select(self.queue), [2, 1, 3])
 
     def test_late_pieces_are_dropped_before_they_cost(self) -> None:
