Two streams that could wait for ever

An entry passes over what a stale replica tells it while it holds nothing; the replica tells each thing once, so when it turned fresh on the same stream the entry stayed without a document, not ready. And a stream to the owner of a pool that had answered nothing yet was left quietly, where the library waits for the first answer: with a frozen owner for ever, so its orders were never placed elsewhere.

Ruled out: the choice of the next owner (it was never reached).

Change: what was passed over is kept until the replica is fresh; links to owners and replicas leave by raising.

--- a/packages/damsonlaned/src/damsonlaned/control/_links.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_links.py
@@ -60,7 +60,13 @@
                 ended = asyncio.create_task(stream.recv_message())
                 sending = asyncio.create_task(self._send_queued(stream))
                 try:
-                    await asyncio.wait({ended, sending}, return_when=asyncio.FIRST_COMPLETED)
+                    done, _ = await asyncio.wait(
+                        {ended, sending}, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    for task in done:
+                        # A fault must leave by raising: at a quiet end the library
+                        # waits for an answer, which a frozen replica never gives.
+                        task.result()
                 finally:
                     ended.cancel()
                     sending.cancel()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_link.py
@@ -56,6 +56,7 @@
         self._addresses: list[str] = list(settings.control)
         self._started_at: Final = time.time()
         self._is_leaving = False
+        self._held: list[FollowUpdate] = []
         self._report_due: Final = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         #: When the view was last known to be fresh, by the loop's clock.
@@ -118,6 +119,7 @@
 
     async def _take_updates(self, stream: Stream[FollowReport, FollowUpdate], address: str) -> None:
         loop = asyncio.get_running_loop()
+        self._held = []
         began_at = loop.time()
         fresh_here = False
         while True:
@@ -139,9 +141,18 @@
                 return
 
     def _take(self, update: FollowUpdate, *, is_fresh: bool) -> None:
-        """Take what is newer; an entry that holds nothing takes only what is fresh."""
+        """Take what is newer; an entry that holds nothing takes only what is fresh.
+
+        What came before is kept until then: a replica tells each thing once.
+        """
+        self._held.append(update)
         if self._view.table is None and not is_fresh:
             return
+        held, self._held = self._held, []
+        for earlier in held:
+            self._put(earlier)
+
+    def _put(self, update: FollowUpdate) -> None:
         if update.targets is not None:
             self._view.put_targets(update.targets)
         if update.entries is not None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -236,8 +236,10 @@
                 ]
                 try:
                     done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-                    faults = [task.exception() for task in done if task.exception() is not None]
-                    fault = str(faults[0]) if faults else fault
+                    for task in done:
+                        # A fault must leave by raising: at a quiet end the library
+                        # waits for an answer, which a frozen owner never gives.
+                        task.result()
                 finally:
                     for task in tasks:
                         task.cancel()
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -0,0 +1,264 @@
+"""Streams between boxes: following control, and ordering from the owner of a pool."""
+
+import asyncio
+import socket
+import unittest
+from collections.abc import Callable
+from dataclasses import replace
+from unittest import mock
+
+from grpclib.server import Server, Stream
+
+from damsonlane.cluster import PackedDocument
+from damsonlane.codec import encode_bytes
+from damsonlane.ledger import Holder
+from damsonlane.membership import BoxRecord
+from damsonlane.pools import PieceOrder
+from damsonlane.routes import RoutingDocument
+from damsonlane.settings import BoxSettings, Gateway
+from damsonlane_rpc import (
+    FOLLOW,
+    POOL,
+    DataclassCodec,
+    FollowReport,
+    FollowUpdate,
+    PoolOrders,
+    PoolResults,
+    Service,
+)
+from damsonlaned.dialects import NativeDialect
+from damsonlaned.gateway._link import FleetLink
+from damsonlaned.gateway._pool_service import PoolService
+from damsonlaned.gateway._view import FleetView
+from damsonlaned.gateway.tests.harness import (
+    DOCUMENT,
+    PATIENCE,
+    Entry,
+    StandIn,
+    answer_well,
+    make_pieces,
+)
+
+
+def find_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def pack(version: int) -> PackedDocument:
+    text = encode_bytes(replace(DOCUMENT, version=version), RoutingDocument)
+    return PackedDocument.pack(version, text)
+
+
+async def serve(test: unittest.IsolatedAsyncioTestCase, address: str, service: Service) -> None:
+    server = Server([service], codec=DataclassCodec())
+    host, _, port = address.rpartition(":")
+    await server.start(host, int(port))
+
+    async def stop() -> None:
+        server.close()
+        await server.wait_closed()
+
+    test.addAsyncCleanup(stop)
+
+
+async def wait(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(PATIENCE):
+        while not holds():
+            await asyncio.sleep(0.02)
+
+
+class Control:
+    """Stands in for a control replica that says how fresh it is and what it holds."""
+
+    def __init__(self) -> None:
+        self.address = find_address()
+        self.version = 0
+        self.state_age: float | None = 0.0
+        self.is_silent = False
+        self.followers = 0
+
+    def service(self) -> Service:
+        return Service({FOLLOW.path: FOLLOW.handler(self._follow)})
+
+    async def _follow(self, stream: Stream[FollowReport, FollowUpdate]) -> None:
+        report = await stream.recv_message()
+        assert report is not None
+        self.followers += 1
+        told = report.box.version
+        try:
+            while True:
+                if not self.is_silent:
+                    document = pack(self.version) if self.version > told else None
+                    told = max(told, self.version)
+                    await stream.send_message(
+                        FollowUpdate(state_age=self.state_age, document=document)
+                    )
+                await asyncio.sleep(0.05)
+        finally:
+            self.followers -= 1
+
+
+class FleetLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.first, self.second = Control(), Control()
+        for control in (self.first, self.second):
+            await serve(self, control.address, control.service())
+        settings = BoxSettings(
+            name="entry-1",
+            data_centre="dha",
+            role="entry",
+            data_folder="/tmp/none",
+            internal_address="127.0.0.1:1",
+            admin_address="127.0.0.1:2",
+            control=(self.first.address, self.second.address),
+            gateway=Gateway(dialect="damsonlane", apply_seconds=1.0),
+        )
+        self.view = FleetView(NativeDialect())
+        self.link = FleetLink(settings, Holder(box="entry-1", incarnation="i"), self.view)
+        self.addAsyncCleanup(self.link.stop)
+
+    async def test_it_leaves_a_replica_that_is_not_fresh(self) -> None:
+        self.first.state_age = None
+        self.first.version = 3
+        self.second.version = 2
+        self.link.start()
+        await wait(lambda: self.second.followers == 1)
+        await wait(lambda: self.view.version() == 2)
+        # The first is fresh now, and the second falls behind a cut.
+        self.first.state_age = 0.0
+        self.second.state_age = 9.0
+        await wait(lambda: self.first.followers == 1)
+        await wait(lambda: self.view.version() == 3)
+
+    async def test_it_leaves_a_replica_that_falls_silent(self) -> None:
+        self.first.version = self.second.version = 2
+        self.link.start()
+        await wait(lambda: self.view.version() == 2)
+        followed, other = (
+            (self.first, self.second) if self.first.followers else (self.second, self.first)
+        )
+        followed.is_silent = True
+        other.version = 3
+        await wait(lambda: self.view.version() == 3)
+
+    async def test_a_starting_entry_takes_nothing_from_a_stale_replica(self) -> None:
+        for control in (self.first, self.second):
+            control.version = 2
+            control.state_age = 5.0
+        self.link.start()
+        await asyncio.sleep(0.6)
+        self.assertIsNone(self.view.table)
+        self.second.state_age = 0.0
+        await wait(lambda: self.view.version() == 2)
+
+    async def test_a_version_never_goes_back(self) -> None:
+        self.first.version = self.second.version = 5
+        self.link.start()
+        await wait(lambda: self.view.version() == 5)
+        self.first.version = self.second.version = 4
+        self.first.is_silent = self.second.is_silent = True
+        await asyncio.sleep(0.6)
+        self.first.is_silent = self.second.is_silent = False
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.view.version(), 5)
+
+
+ORDER = PieceOrder(
+    number=0,
+    request="r1",
+    stage=0,
+    piece=0,
+    material_key="m",
+    inputs=(),
+    left_seconds=15.0,
+    aim_left_seconds=10.0,
+    rank=0,
+    result_bytes=10,
+)
+
+
+def make_record(address: str, standing: str = "live") -> BoxRecord:
+    return BoxRecord(
+        box=address,
+        incarnation="i",
+        started_at=0.0,
+        data_centre="dha",
+        address=address,
+        standing="live" if standing == "live" else "leaving",
+        via="control-1",
+    )
+
+
+class PoolLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.pool = StandIn("p1", make_pieces(lambda: self.pool.address), "pool")
+        record = await self.pool.start()
+        self.addAsyncCleanup(self.pool.stop)
+        desk = StandIn("t1", answer_well)
+        desk_record = await desk.start()
+        self.addAsyncCleanup(desk.stop)
+        self.orderer, self.owner = Entry(), Entry()
+        for entry in (self.orderer, self.owner):
+            await entry.start(record, desk_record)
+            self.addAsyncCleanup(entry.stop)
+            self.addAsyncCleanup(entry.pools.stop)
+        self.address = find_address()
+
+    def order(self, count: int) -> "list[asyncio.Future[object]]":
+        orders = [replace(ORDER, piece=piece) for piece in range(count)]
+        return list(self.orderer.pools.order("pool", orders))  # type: ignore[arg-type]
+
+    async def test_pieces_of_another_entry_are_made_by_the_owner(self) -> None:
+        service = PoolService(self.owner.owners)
+        await serve(self, self.address, Service(dict(service.handlers())))
+        self.orderer.view.put_entries((make_record(self.address),))
+        async with asyncio.timeout(PATIENCE):
+            results = await asyncio.gather(*self.order(6))
+        self.assertEqual(len({result.handle for result in results}), 6)  # type: ignore[attr-defined]
+        # A call takes four pieces, so six of them take two calls and not six.
+        self.assertEqual(len(self.pool.requests), 2)
+
+    async def test_an_owner_that_is_gone_costs_a_second_order(self) -> None:
+        self.orderer.view.put_entries((make_record(self.address), make_record("127.0.0.1:9")))
+        with mock.patch.object(self.orderer.pools, "_find_owner", self._find_gone_owner_first()):
+            async with asyncio.timeout(PATIENCE):
+                results = await asyncio.gather(*self.order(2))
+        self.assertTrue(all(result.handle for result in results))  # type: ignore[attr-defined]
+
+    async def test_an_owner_that_falls_silent_is_left(self) -> None:
+        async def swallow(stream: Stream[PoolOrders, PoolResults]) -> None:
+            async for _ in stream:
+                pass
+
+        await serve(self, self.address, Service({POOL.path: POOL.handler(swallow)}))
+        self.orderer.view.put_entries((make_record(self.address), make_record("127.0.0.1:9")))
+        with mock.patch.object(self.orderer.pools, "_find_owner", self._find_gone_owner_first()):
+            async with asyncio.timeout(PATIENCE):
+                results = await asyncio.gather(*self.order(2))
+        self.assertTrue(all(result.handle for result in results))  # type: ignore[attr-defined]
+
+    async def test_a_withdrawn_piece_is_not_made(self) -> None:
+        self.orderer.view.put_entries(())
+        futures = self.order(1)
+        busy = self.order(1)
+        for future in busy:
+            future.cancel()
+        async with asyncio.timeout(PATIENCE):
+            await asyncio.gather(*futures)
+            await asyncio.sleep(0.3)
+        self.assertEqual(len(self.pool.requests), 1)
+
+    def _find_gone_owner_first(self) -> Callable[[str], str]:
+        """Return a choice of owners that takes the one under test until it is suspected."""
+
+        def find(service: str) -> str:
+            is_suspect = self.address in self.orderer.pools._suspects
+            return "127.0.0.1:9" if is_suspect else self.address
+
+        return find
+
+
+if __name__ == "__main__":
+    unittest.main()
