A replica never calls its state newer than it is

Cause: found by reading. A follower's age was the time since it heard its leader plus what the leader had told, but also messages that it could not follow, or whose commit it did not hold, counted as hearing; and a replica that was frozen reckoned with the clock of its last tick.

Ruled out: the leader's own reckoning (its test passed before).

Change: the moment up to which the state is new is noted with a message that brings it up to the leader's commit; the age is asked for at a moment.

Before (the old code with the new tests, less the moment as an argument): five of eight failed, the message that can't be followed and the commit not held among them, three for want of the moment. After: 8 of 8, and the 15 tests of group and registry.

--- a/packages/damsonlane/src/damsonlane/agreement/_replica.py
+++ b/packages/damsonlane/src/damsonlane/agreement/_replica.py
@@ -83,7 +83,7 @@
         self._entries_per_message = entries_per_message
         self._now = now
         self._heard_leader_at = float("-inf")
-        self._told_quorum_age: float | None = None
+        self._as_new_as = float("-inf")
         self._election_due = 0.0
         self._heartbeat_due = 0.0
         self._quorum_due = 0.0
@@ -133,23 +133,19 @@
         progress = self._followers.find(replica)
         return progress.match if progress else 0
 
-    def state_age(self) -> float:
-        """Return how old the committed state here may be, in seconds.
+    def state_age(self, now: float) -> float:
+        """Return how old the committed state here may be at a moment, in seconds.
 
         Whatever was acknowledged longer ago than this is in it.  At the leader
         it is the time since a quorum was last heard; a follower adds the time
-        since the leader told it.  Infinite when neither is known.
+        since the leader told it, in a message with which it caught up.  Infinite
+        when neither is known.
         """
         if self.is_leader:
             if self._log.term_at(self.commit) != self.term:
                 return float("inf")
-            return self._quorum_age()
-        if self.leader == "" or self._told_quorum_age is None:
-            return float("inf")
-        return self._now - self._heard_leader_at + self._told_quorum_age
-
-    def _quorum_age(self) -> float:
-        return self._now - self._followers.quorum_heard_at(self.members, self.name, self._now)
+            return now - self._followers.quorum_heard_at(self.members, self.name, self._now)
+        return now - self._as_new_as if self.leader else float("inf")
 
     def silence_of(self, replica: str) -> float:
         """Return the seconds since a member was last heard (leader only)."""
@@ -337,7 +333,7 @@
             self._outbox.has_new_hard_state = True
         self.standing = "follower"
         self.leader = leader
-        self._told_quorum_age = None
+        self._as_new_as = float("-inf")
         self._outbox.failed.extend(self._reads.take_all())
         self._reset_election()
 
@@ -429,7 +425,8 @@
         match = max(request.previous_index + len(request.entries), first_kept)
         self._raise_commit(min(request.commit, match))
         # Only a replica that holds all the leader has committed is as new as the leader.
-        self._told_quorum_age = request.quorum_age if self.commit >= request.commit else None
+        if request.quorum_age is not None and self.commit >= request.commit:
+            self._as_new_as = self._now - request.quorum_age
         self._reply_append(sender, request.round, is_success=True, match=match)
 
     def _store(self, entries: Sequence[LogEntry]) -> None:
@@ -530,7 +527,7 @@
         self._outbox.send(replica, request)
 
     def _tell_quorum_age(self) -> float | None:
-        age = self.state_age()
+        age = self.state_age(self._now)
         return age if age < float("inf") else None
 
     def _send_snapshot(self, replica: str, progress: Progress) -> None:
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -200,7 +200,7 @@
         """Return how old the state here may be, in seconds; None when that is unknown."""
         if self.replica is None:
             return None
-        age = self.replica.state_age()
+        age = self.replica.state_age(self.now())
         return age if age < float("inf") else None
 
     def is_current(self) -> bool:
