Targets of a pool and calls to them have modules of their own

Cause: gateway/_pool_owner.py held four jobs in 414 lines: the queue, the targets and how they did, the calls over HTTP, and their limits. Ruled out: a module for results that were given up. Its log line would change its logger, which readers of the logs see; the owner keeps it. Change: _makers.py knows the targets (Maker, Makers), _pool_calls.py makes the calls (PoolCalls, BatchCall; the name Call stays with the caller's request). The owner keeps the queue and what is told to entries. No constant, log line or order of calls is changed. Ran 75 tests of the gateway, http, registry, pools, adapter and process: 74 pass. test_rank_counts_as_time of the pools fails, and fails in the same way without this change. mypy and ruff find nothing. Conclusion: each file has one job; the failing test is left to its owner.

--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
@@ -0,0 +1,144 @@
+"""The targets of one stage pool, as the owner of the pool knows them."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from damsonlane.pools import Offer, ResultRoom
+from damsonlane.routes import PoolTraits
+from damsonlane.targets import TargetRecord
+
+#: Seconds for which a target is left alone after a failed call; doubled each time.
+FIRST_REST_SECONDS: Final = 0.5
+#: Longest rest.
+LONGEST_REST_SECONDS: Final = 8.0
+#: Times the expected time of a call from which on a target counts as slow.
+SLOW_PACE: Final = 2.2
+#: Seconds for which a slow target is left alone while others work at their usual pace.
+SLOW_REST_SECONDS: Final = 2.0
+#: Seconds for which a target that was full is left alone.
+FULL_REST_SECONDS: Final = 0.15
+
+
+class Maker:
+    """One target of the pool; mutable, owned by the owner.
+
+    Args:
+        record: what is registered of the target.
+        traits: what the document says of the pool.
+    """
+
+    def __init__(self, record: TargetRecord, traits: PoolTraits) -> None:
+        self.name: Final = record.target
+        self.address: Final = record.address
+        self.data_centre: Final = record.data_centre
+        self.room: Final = ResultRoom(traits.room_bytes, traits.keep_seconds)
+        #: Calls in a row that failed.
+        self.failures = 0
+        #: When it may be sent a call again.
+        self.rests_until = 0.0
+        self._is_busy = False
+        #: When its call should end, while it is busy.
+        self._free_at = 0.0
+
+    def is_free(self, now: float) -> bool:
+        """Tell whether it may be sent a call."""
+        return not self._is_busy and self.works(now)
+
+    def works(self, now: float) -> bool:
+        """Tell whether it is not left alone after failures."""
+        return now >= self.rests_until
+
+    def wait_seconds(self, now: float) -> float:
+        """Return the seconds until its call should end; 0 without a call."""
+        return max(0.0, self._free_at - now) if self._is_busy else 0.0
+
+    def note_call(self, announced: int, free_at: float) -> None:
+        """Note a call that begins now.
+
+        Args:
+            announced: bytes of the results that it will leave there.
+            free_at: when it should end.
+        """
+        self.room.announce(announced)
+        self._is_busy = True
+        self._free_at = free_at
+
+    def note_end(self, announced: int, made: dict[str, int], now: float) -> None:
+        """Note the end of a call, with the sizes of its results by handle."""
+        self._is_busy = False
+        self.room.settle(announced, made, now)
+
+    def note_pace(self, pace: float, now: float) -> None:
+        """Note a call that took ``pace`` times as long as expected."""
+        self.failures = 0
+        if pace > SLOW_PACE:
+            self.rests_until = now + SLOW_REST_SECONDS
+
+    def note_failure(self, now: float) -> None:
+        """Leave it alone for a while."""
+        rest = min(LONGEST_REST_SECONDS, FIRST_REST_SECONDS * 2**self.failures)
+        self.failures += 1
+        self.rests_until = now + rest
+
+    def note_full(self, now: float) -> None:
+        """Leave it alone until calls of other boxes are through."""
+        self.rests_until = now + FULL_REST_SECONDS
+
+
+class Makers:
+    """All targets of the pool."""
+
+    def __init__(self) -> None:
+        self._makers: dict[str, Maker] = {}
+
+    def update(self, records: Sequence[TargetRecord], traits: PoolTraits) -> None:
+        """Follow the registered targets; those that stay are known as before."""
+        present = {record.target: record for record in records if record.standing != "leaving"}
+        for gone in set(self._makers) - set(present):
+            del self._makers[gone]
+        for name, record in present.items():
+            if name not in self._makers:
+                self._makers[name] = Maker(record, traits)
+
+    def everyone(self) -> tuple[Maker, ...]:
+        """Return all targets, the one known longest first."""
+        return tuple(self._makers.values())
+
+    def free(self, now: float) -> list[Maker]:
+        """Return those that may be sent a call, the most reliable first."""
+        free = [maker for maker in self._makers.values() if maker.is_free(now)]
+        return sorted(free, key=lambda maker: (maker.failures, maker.name))
+
+    def shorten_rests(self, now: float) -> None:
+        """Let all work again soon if all rest, since the fault is probably not theirs then."""
+        if any(maker.works(now) for maker in self._makers.values()):
+            return
+        for maker in self._makers.values():
+            maker.rests_until = min(maker.rests_until, now + FULL_REST_SECONDS)
+
+    def look_seconds(self, now: float) -> float:
+        """Return the seconds after which to look again for one that may be sent a call."""
+        rests = [maker.rests_until - now for maker in self._makers.values()]
+        return min([*(rest for rest in rests if rest > 0), FULL_REST_SECONDS])
+
+    def make_offer(self, maker: Maker, traits: PoolTraits, now: float) -> Offer:
+        """Return what a target, among the others, can take from the queue."""
+        working = [other for other in self._makers.values() if other.works(now)]
+        return Offer(
+            data_centre=maker.data_centre,
+            room=maker.room.free_bytes(now),
+            free_in=_find_waits(working, now),
+            targets=len(working),
+            batch=traits.batch,
+            call_seconds=traits.call_seconds,
+            piece_seconds=traits.piece_seconds,
+        )
+
+
+def _find_waits(makers: Sequence[Maker], now: float) -> dict[str, float]:
+    """Return for each data centre the seconds until one of its targets is free."""
+    waits: dict[str, float] = {}
+    for maker in makers:
+        wait = maker.wait_seconds(now)
+        waits[maker.data_centre] = min(waits.get(maker.data_centre, wait), wait)
+    return waits
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
@@ -0,0 +1,105 @@
+"""The calls to the targets of a stage pool: making pieces and giving results up."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from typing import Final
+
+from damsonlane.pools import WaitingPiece
+from damsonlaned.dialects import Dialect, MadePiece
+from damsonlaned.gateway._makers import Maker
+from damsonlaned.http import BrokenAnswerError, ConnectionPool, HttpHead, HttpRequest
+
+#: Times the expected time of a call after which it is given up: targets may
+#: turn several times slower without being lost.
+CALL_PATIENCE: Final = 2.5
+#: Seconds added to that, for a call that waits behind another box's.
+CALL_SLACK_SECONDS: Final = 0.4
+#: Seconds for which a connection may take.
+CONNECT_SECONDS: Final = 0.25
+#: Seconds for which a call that gives results up may take.
+FREE_CALL_SECONDS: Final = 0.6
+
+
+class TargetFullError(Exception):
+    """The target's queue is full, by calls of another box."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class BatchCall:
+    """One call that makes pieces."""
+
+    #: Where they are made.
+    maker: Maker
+    #: The pieces.
+    batch: tuple[WaitingPiece, ...]
+    #: Bytes of the results that it will leave there.
+    announced: int
+    #: Room for results before the call, as this box knew it.
+    free_bytes: int
+    #: Time that it should take.
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Answer:
+    """A whole answer of a target."""
+
+    head: HttpHead
+    body: bytes
+
+
+class PoolCalls:
+    """Calls targets of pools over given connections.
+
+    Args:
+        dialect: how they are spoken to.
+    """
+
+    def __init__(self, dialect: Dialect) -> None:
+        self._dialect: Final = dialect
+
+    async def make(self, connections: ConnectionPool, call: BatchCall) -> tuple[MadePiece, ...]:
+        """Return what became of each piece of a batch.
+
+        Raises:
+            NotSentError: the call was not sent.
+            TargetFullError: the target turned it away.
+            BrokenAnswerError: it was sent and no proper answer came.
+            BadRequestError: the answer can't be understood.
+            TimeoutError: it took too long.
+        """
+        now = asyncio.get_running_loop().time()
+        orders = [
+            replace(piece.order, left_seconds=max(0.0, piece.due_at - now)) for piece in call.batch
+        ]
+        request = self._dialect.make_pool_call(call.maker.name, orders)
+        async with asyncio.timeout(CALL_PATIENCE * call.seconds + CALL_SLACK_SECONDS):
+            answer = await _exchange(connections, request)
+        if answer.head.status == 200:
+            return self._dialect.read_pool_reply(answer.body, len(call.batch))
+        if self._dialect.read_signs(answer.head).has_not_run:
+            raise TargetFullError
+        raise BrokenAnswerError(f"the pool target answered {answer.head.status}")
+
+    async def free(self, connections: ConnectionPool, handles: Sequence[str]) -> None:
+        """Give results up, whatever the target answers.
+
+        Raises:
+            NotSentError: the call was not sent.
+            BrokenAnswerError: it was sent and no answer came.
+            TimeoutError: it took too long.
+        """
+        async with asyncio.timeout(FREE_CALL_SECONDS):
+            await _exchange(connections, self._dialect.make_free_call(handles))
+
+
+async def _exchange(connections: ConnectionPool, request: HttpRequest) -> _Answer:
+    """Send a request and read its answer to the end."""
+    exchange = await connections.send(request, CONNECT_SECONDS)
+    try:
+        head = await exchange.read_head()
+        body = await exchange.body.read_whole()
+    finally:
+        exchange.finish()
+    return _Answer(head=head, body=body)
