Both dialects write JSON requests and replies by one base

Cause: the product's dialect and the platform's each had the same _post, the same reading of a handle, the same count of pieces and the same JSON answer; _header_dialect.py took keep_end_to_end from a private module of http. Ruled out: a shared make_free_call. Both bodies name handles alike only by chance; what bodies hold stays with each dialect. Change: HeaderDialect has _post, _accept, _check_count and read_maker; the names of headers and paths are in _names.py; http exports keep_end_to_end. What both dialects write for pool calls, freed results and heartbeats, and their errors, was printed before and after and is the same. Conclusion: a further dialect writes only its names and bodies.

--- a/packages/damsonlaned/src/damsonlaned/dialects/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/__init__.py
@@ -4,8 +4,9 @@
 added by a module that registers it with `dialect`.
 """
 
-from damsonlaned.dialects._header_dialect import HeaderDialect, HeaderNames, PathNames
+from damsonlaned.dialects._header_dialect import HeaderDialect
 from damsonlaned.dialects._interface import DIALECTS, Dialect, dialect
+from damsonlaned.dialects._names import HeaderNames, PathNames
 from damsonlaned.dialects._native import NativeDialect
 from damsonlaned.dialects._types import (
     AnswerSigns,
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -2,12 +2,14 @@
 
 import json
 from abc import abstractmethod
-from dataclasses import dataclass, fields
+from collections.abc import Mapping
+from dataclasses import fields
 from typing import Final
 
 from damsonlane.routing import LoadReport
 from damsonlane.targets import TargetRecord
 from damsonlaned.dialects._interface import Dialect
+from damsonlaned.dialects._names import HeaderNames, PathNames
 from damsonlaned.dialects._types import (
     AnswerSigns,
     Attempt,
@@ -21,73 +23,27 @@
     ReadDocument,
     Refusal,
 )
-from damsonlaned.http import HeaderList, HttpHead, HttpRequest, HttpResponse
-from damsonlaned.http._messages import keep_end_to_end
+from damsonlaned.http import HeaderList, HttpHead, HttpRequest, HttpResponse, keep_end_to_end
 
 #: Longest deadline that is taken at its word, in seconds; a day.
 _LONGEST_DEADLINE: Final = 86_400.0
 #: Most pieces that one stage of one request may have.
 _MOST_PIECES: Final = 10_000
-
-
-@dataclass(frozen=True, kw_only=True)
-class HeaderNames:
-    """Names of headers, as they are written."""
-
-    #: Id of a request, given by the caller.
-    request_id: str
-    #: Milliseconds that the receiver has.
-    deadline_ms: str
-    #: Key of the caller's organisation.
-    key: str
-    #: Name of the caller's organisation, for targets.
-    organisation: str
-    #: Name of the target that is meant.
-    target: str
-    #: Present when a target promises that it has not run the request.
-    not_run: str
-    #: A target's requests at work, waiting, and slots.
-    load: str
-    #: Urgency at the target.
-    urgency: str
-    #: Shared parts of the prompt.
-    prefix: str
-    #: Tokens in and out.
-    tokens: str
-    #: Number of pieces of each stage.
-    pieces: str
-    #: Key of the material for the stages.
-    material_key: str
-    #: Handles of stage results.
-    inputs: str
-    #: Id of the last event that the caller has.
-    last_event: str
-    #: What stands before the key in its header, with a blank; may be empty.
-    key_scheme: str = ""
-    #: Further names that only we may set.
-    reserved: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, kw_only=True)
-class PathNames:
-    """Paths of calls."""
-
-    #: Asks an entry whether it takes requests.
-    ready: str
-    #: Heartbeats and departures; the target's name follows.
-    targets: str
-    #: The routing document.
-    document: str
-    #: Makes pieces at a pool target.
-    make_pieces: str
-    #: Gives results up.
-    free_results: str
+#: Type of the bodies that this box writes to targets.
+_JSON: Final = (b"Content-Type", b"application/json")
+#: Host that our own requests name.
+_HOST: Final = (b"Host", b"damsonlane")
 
 
 class HeaderDialect(Dialect):
-    """Reads and writes headers under the names that a subclass gives."""
+    """Reads and writes headers under the names that a subclass gives.
+
+    What bodies hold is left to the subclass.
+    """
 
+    #: Names of the headers.
     headers: HeaderNames
+    #: Paths of the calls.
     paths: PathNames
 
     def __init__(self) -> None:
@@ -182,6 +138,12 @@
             is_stream=kind.startswith("text/event-stream"),
         )
 
+    # Stage pools.
+
+    def read_maker(self, handle: str) -> str:
+        """Return the address of the target that holds a result; a handle begins with it."""
+        return handle.partition("/")[0]
+
     # Control.
 
     def read_control_call(self, request: HttpRequest) -> ControlCall | None:
@@ -208,6 +170,33 @@
             BadRequestError: the body can't be understood.
         """
 
+    # JSON bodies.
+
+    def _post(
+        self, path: str, value: Mapping[str, object], target: str | None = None
+    ) -> HttpRequest:
+        """Return a request of our own; ``target`` names the one that is meant."""
+        named: HeaderList = ()
+        if target is not None:
+            named = ((self.headers.target.encode(), target.encode()),)
+        return HttpRequest(
+            method="POST",
+            target=path,
+            headers=(_HOST, _JSON, *named),
+            body=json.dumps(value).encode(),
+        )
+
+    @staticmethod
+    def _accept(value: Mapping[str, object]) -> HttpResponse:
+        """Return an answer that says yes."""
+        return HttpResponse(status=200, headers=(_JSON,), body=json.dumps(value).encode())
+
+    @staticmethod
+    def _check_count(made: int, ordered: int) -> None:
+        """Refuse a reply that has fewer or more pieces than were ordered."""
+        if made != ordered:
+            raise BadRequestError(f"the reply has {made} pieces, not {ordered}")
+
     # Headers.
 
     def _find(self, request: HttpRequest, field: str) -> str | None:
--- a/packages/damsonlaned/src/damsonlaned/dialects/_native.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_native.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Sequence
-from typing import Any, Final, final
+from typing import Any, final
 
 from pydantic import ValidationError
 
@@ -12,13 +12,12 @@
 from damsonlane.pools import PieceOrder
 from damsonlane.routes import RoutingDocument
 from damsonlane.targets import TargetRecord
-from damsonlaned.dialects._header_dialect import HeaderDialect, HeaderNames, PathNames
+from damsonlaned.dialects._header_dialect import HeaderDialect
 from damsonlaned.dialects._interface import dialect
+from damsonlaned.dialects._names import HeaderNames, PathNames
 from damsonlaned.dialects._types import BadRequestError, MadePiece
 from damsonlaned.http import HttpRequest, HttpResponse
 
-_JSON: Final = ((b"Content-Type", b"application/json"),)
-
 
 @final
 @dialect("damsonlane")
@@ -63,7 +62,7 @@
             }
             for order in orders
         ]
-        return _post(self.paths.make_pieces, {"pieces": pieces}, self.headers.target, target)
+        return self._post(self.paths.make_pieces, {"pieces": pieces}, target)
 
     def read_pool_reply(self, body: bytes, count: int) -> tuple[MadePiece, ...]:
         """Return what became of each piece, in the order of the call."""
@@ -75,17 +74,12 @@
             )
         except (ValueError, KeyError, TypeError, AttributeError):
             raise BadRequestError("the reply holds no pieces") from None
-        if len(made) != count:
-            raise BadRequestError(f"the reply has {len(made)} pieces, not {count}")
+        self._check_count(len(made), count)
         return made
 
     def make_free_call(self, handles: Sequence[str]) -> HttpRequest:
         """Return the call that gives results up."""
-        return _post(self.paths.free_results, {"handles": list(handles)})
-
-    def read_maker(self, handle: str) -> str:
-        """Return the address of the target that holds a result."""
-        return handle.partition("/")[0]
+        return self._post(self.paths.free_results, {"handles": list(handles)})
 
     def read_heartbeat(self, target: str, body: bytes) -> TargetRecord:
         """Return what a target says of itself."""
@@ -99,8 +93,7 @@
 
     def render_heartbeat_reply(self, address: str) -> HttpResponse:
         """Return the acknowledgement of a heartbeat."""
-        body = json.dumps({"next_address": address} if address else {}).encode()
-        return HttpResponse(status=200, headers=_JSON, body=body)
+        return self._accept({"next_address": address} if address else {})
 
     def read_document(self, text: bytes) -> RoutingDocument:
         """Return the routing document in a text, unchecked."""
@@ -113,9 +106,3 @@
 def _make_finding(item: dict[str, Any]) -> Finding:
     path = "".join(f"/{part}" for part in item["loc"])
     return Finding(place=Place(path=path), message=str(item["msg"]))
-
-
-def _post(path: str, value: dict[str, Any], name: str = "", target: str = "") -> HttpRequest:
-    named = ((name.encode(), target.encode()),) if name else ()
-    headers = ((b"Host", b"damsonlane"), *_JSON, *named)
-    return HttpRequest(method="POST", target=path, headers=headers, body=json.dumps(value).encode())
--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -11,7 +11,13 @@
     TargetConnection,
 )
 from damsonlaned.http._errors import BrokenAnswerError, CallerGoneError, NotSentError
-from damsonlaned.http._messages import HeaderList, HttpHead, HttpRequest, HttpResponse
+from damsonlaned.http._messages import (
+    HeaderList,
+    HttpHead,
+    HttpRequest,
+    HttpResponse,
+    keep_end_to_end,
+)
 from damsonlaned.http._server import Handler, ListenerLimits, Reply, WebListener
 from damsonlaned.http._wire import Wire
 
@@ -33,4 +39,5 @@
     "TargetConnection",
     "WebListener",
     "Wire",
+    "keep_end_to_end",
 ]
