The http package offers only what others use

Cause: AnswerBody, ConnectTimeoutError, Handler, TargetConnection and Wire stood in its __all__ and nobody imported them; nobody called HttpResponse.with_header or caught ConnectTimeoutError apart. Ruled out: ConnectionPool.open_connections, which a test reads. Change: those names and the two leftovers are gone; a connection that is not answered in time raises NotSentError with the same text. Before and after: 18 names exported, now 13.

--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -3,13 +3,7 @@
 docs/gateway.md says why the threads of cheroot and urllib3 did not fit here.
 """
 
-from damsonlaned.http._client import (
-    AnswerBody,
-    ConnectionPool,
-    ConnectTimeoutError,
-    SentExchange,
-    TargetConnection,
-)
+from damsonlaned.http._client import ConnectionPool, SentExchange
 from damsonlaned.http._errors import BrokenAnswerError, CallerGoneError, NotSentError
 from damsonlaned.http._messages import (
     HeaderList,
@@ -18,16 +12,12 @@
     HttpResponse,
     keep_end_to_end,
 )
-from damsonlaned.http._server import Handler, ListenerLimits, Reply, WebListener
-from damsonlaned.http._wire import Wire
+from damsonlaned.http._server import ListenerLimits, Reply, WebListener
 
 __all__ = [
-    "AnswerBody",
     "BrokenAnswerError",
     "CallerGoneError",
-    "ConnectTimeoutError",
     "ConnectionPool",
-    "Handler",
     "HeaderList",
     "HttpHead",
     "HttpRequest",
@@ -36,8 +26,6 @@
     "NotSentError",
     "Reply",
     "SentExchange",
-    "TargetConnection",
     "WebListener",
-    "Wire",
     "keep_end_to_end",
 ]
--- a/packages/damsonlaned/src/damsonlaned/http/_client.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_client.py
@@ -25,10 +25,6 @@
 _IDLE_KEPT: Final = 16
 
 
-class ConnectTimeoutError(NotSentError):
-    """The target's box did not answer the connection."""
-
-
 class AnswerBody:
     """The body of an answer, part by part; ``is_whole`` once its end was seen."""
 
@@ -300,7 +296,7 @@
             async with asyncio.timeout(seconds):
                 transport, wire = await loop.create_connection(Wire, host, port)
         except TimeoutError:
-            raise ConnectTimeoutError(f"{host}:{port} did not answer in time") from None
+            raise NotSentError(f"{host}:{port} did not answer in time") from None
         except OSError as error:
             raise NotSentError(f"{host}:{port}: {error.strerror or error}") from None
         connection = transport.get_extra_info("socket")
--- a/packages/damsonlaned/src/damsonlaned/http/_messages.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_messages.py
@@ -1,6 +1,6 @@
 """Requests and answers as data."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 #: Headers in the order and spelling in which they travel.
@@ -68,10 +68,6 @@
     #: The body.
     body: bytes = b""
 
-    def with_header(self, name: bytes, value: bytes) -> "HttpResponse":
-        """Return the answer with one more header."""
-        return replace(self, headers=(*self.headers, (name, value)))
-
 
 def keep_end_to_end(headers: HeaderList) -> HeaderList:
     """Return the headers that travel beyond one connection.
