The link to control names when its replica was last fresh

Cause: FleetLink.fresh_at was written and never read, and the local began_at was moved at each fresh message, so it named no beginning. Ruled out: nothing else reads either. Change: the attribute is gone, the local is fresh_at, the flag was_fresh.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_link.py
@@ -58,8 +58,6 @@
         self._is_leaving = False
         self._report_due: Final = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
-        #: When the view was last known to be fresh, by the loop's clock.
-        self.fresh_at = float("-inf")
 
     def start(self) -> None:
         """Start following."""
@@ -118,8 +116,8 @@
 
     async def _take_updates(self, stream: Stream[FollowReport, FollowUpdate], address: str) -> None:
         loop = asyncio.get_running_loop()
-        began_at = loop.time()
-        fresh_here = False
+        fresh_at = loop.time()
+        was_fresh = False
         while True:
             update = await asyncio.wait_for(stream.recv_message(), self._patience)
             if update is None:
@@ -129,13 +127,12 @@
             if update.control:
                 self._learn(update.control)
             if age is not None and age <= self._patience:
-                if not fresh_here:
+                if not was_fresh:
                     _LOG.info("following control", extra={"address": address, "age": age})
-                fresh_here = True
-                began_at = now
-                self.fresh_at = now - age
+                was_fresh = True
+                fresh_at = now
             self._take(update, is_fresh=age is not None and age <= FIRST_STATE_AGE)
-            if now - began_at > self._patience:
+            if now - fresh_at > self._patience:
                 return
 
     def _take(self, update: FollowUpdate, *, is_fresh: bool) -> None:
