The passage hands tries and the final answer to modules of their own

Cause: gateway/_passage.py held three jobs in 360 lines: moving a request on, reckoning whether another target may have it, and writing its one answer. Ruled out: moving the passing of event streams too; it needs the attempts, the answer and the results, so it would hold the whole passage. Change: _tries.py (Tries) counts offers and says how long a target may be silent and whether another may follow; _final_answer.py (FinalAnswer) writes the answer and keeps how it ended. Log lines stay with the passage. Before and after: _passage.py 360 lines, now 303.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -11,8 +11,10 @@
 from damsonlaned.gateway._attempts import Attempts, Opened
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._events import EventSplitter, EventTooLargeError
+from damsonlaned.gateway._final_answer import FinalAnswer
 from damsonlaned.gateway._stages import StageError, StageResults, StageRunner
 from damsonlaned.gateway._targets import Chosen
+from damsonlaned.gateway._tries import Tries
 from damsonlaned.http import (
     BrokenAnswerError,
     CallerGoneError,
@@ -23,19 +25,8 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Share of the time left that one attempt gets where another may follow.
-ATTEMPT_SHARE: Final = 0.5
-#: Least time for one attempt, in seconds.
-LEAST_ATTEMPT_SECONDS: Final = 0.08
-#: Targets that one request is offered to while none has run it.
-MOST_OFFERS: Final = 3
 #: Seconds after which a caller that met a full service should come back.
 FULL_RETRY_SECONDS: Final = 0.5
-#: Seconds of silence in an event stream after which it is taken up elsewhere,
-#: as a multiple of the longest pause in aim.
-PAUSES_TO_RESUME: Final = 3.0
-#: Longest pause assumed where a route names none, in seconds.
-UNTOLD_PAUSE_SECONDS: Final = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -74,22 +65,20 @@
         entries: Callable[[], int],
     ) -> None:
         self._call: Final = call
-        self._reply: Final = reply
         self._attempts: Final = attempts
         self._stages: Final = stages
-        self._dialect: Final = dialect
         self._entries: Final = entries
         self._results = StageResults()
         self._has_results = False
         self._staged_seconds = 0.0
-        self._may_have_run = False
-        self._ran_on = 0
-        self._offers = 0
-        self._tried: set[str] = set()
         self._last_event: str | None = None
-        self._detail = ""
-        #: How it ended, for logs and metrics.
-        self.outcome = "gone"
+        self._tries: Final = Tries(call)
+        self._answer: Final = FinalAnswer(call.request.request_id, reply, dialect)
+
+    @property
+    def outcome(self) -> str:
+        """How it ended, for logs and metrics."""
+        return self._answer.outcome
 
     async def run(self) -> None:
         """Serve the request, or refuse it truly."""
@@ -101,10 +90,10 @@
         except StageError as error:
             self._refuse(503, str(error), retry_after_seconds=error.retry_seconds)
         except asyncio.CancelledError:
-            self.outcome = "caller-gone"
+            self._answer.outcome = "caller-gone"
             raise
         except CallerGoneError:
-            self.outcome = "caller-gone"
+            self._answer.outcome = "caller-gone"
         finally:
             self._free_results()
             self._log_end()
@@ -117,12 +106,10 @@
             if unserved is None:
                 return
             self._log_unserved(unserved)
-            self._may_have_run = self._may_have_run or unserved.may_have_run
-            if unserved.may_have_run:
-                self._ran_on += 1
+            self._tries.note_unserved(may_have_run=unserved.may_have_run)
             if unserved.needs_inputs:
                 self._free_results()
-            if not self._may_try_again(unserved):
+            if not self._may_try_again():
                 self._end_unserved(unserved)
                 return
 
@@ -130,17 +117,16 @@
         """Send the request to one target; return None once the caller has its answer."""
         if not self._has_results:
             home = self._attempts.likely_home(self._call)
-            is_begun = self._reply.has_begun
+            is_begun = self._answer.has_begun()
             self._results = await self._stages.make(self._call, home, is_begun=is_begun)
             self._has_results = True
             self._staged_seconds = asyncio.get_running_loop().time() - self._call.arrived_at
-        chosen = self._attempts.choose(self._call, self._tried)
+        chosen = self._attempts.choose(self._call, self._tries.tried)
         if chosen is None:
             return _Unserved(detail="the service has no target", may_have_run=False)
-        if self._offers == 0:
+        if self._tries.offers == 0:
             self._attempts.count_first(self._call)
-        self._offers += 1
-        self._tried.add(chosen.target)
+        self._tries.note_offer(chosen.target)
         return await self._send(chosen)
 
     async def _send(self, chosen: Chosen) -> _Unserved | None:
@@ -166,7 +152,7 @@
         """
         inputs = self._results.inputs
         try:
-            async with asyncio.timeout(self._attempt_seconds()):
+            async with asyncio.timeout(self._tries.silence_seconds()):
                 return await self._attempts.open(self._call, chosen, inputs, self._last_event)
         except (NotSentError, BrokenAnswerError, TimeoutError):
             self._attempts.finish_unopened(chosen, "bad")
@@ -176,13 +162,11 @@
             self._attempts.finish_unopened(chosen, "neutral")
             raise
 
-    def _attempt_seconds(self) -> float:
-        """Return how long a target may be silent before its answer begins."""
-        remaining = self._call.remaining()
-        if self._may_run_again() and self._ran_on + 1 < self._call.route.most_targets:
-            return max(LEAST_ATTEMPT_SECONDS, ATTEMPT_SHARE * remaining)
-        # One second more than there is: the deadline itself ends the request.
-        return remaining + 1.0
+    def _may_try_again(self) -> bool:
+        """Tell whether the request may be sent to another target, and pay for it."""
+        if not self._tries.may_go_on(has_begun=self._answer.has_begun()):
+            return False
+        return self._attempts.may_repeat(self._call, self._entries())
 
     # Whole answers.
 
@@ -204,15 +188,14 @@
                 may_have_run=False,
                 needs_inputs=head.status == 409,
             )
-        if head.status >= 500 or self._reply.has_begun:
+        if head.status >= 500 or self._answer.has_begun():
             return _Unserved(
                 detail=f"the target failed with {head.status}",
                 may_have_run=True,
                 response=response,
             )
         self._free_results()
-        self._reply.send_whole(response)
-        self.outcome = "answered"
+        self._answer.send_whole(response)
         return None
 
     # Event streams.
@@ -227,11 +210,10 @@
                     await self._pass_event(opened, event.data, event.identity)
             if splitter.rest():
                 raise BrokenAnswerError("the stream ended inside an event")
-            if not self._reply.has_begun:
-                self._reply.start(opened.head)
-            self._reply.finish()
+            if not self._answer.has_begun():
+                self._answer.start(opened.head)
+            self._answer.finish()
             health = "good"
-            self.outcome = "answered"
             return None
         except (BrokenAnswerError, EventTooLargeError) as error:
             health = "bad"
@@ -240,11 +222,11 @@
             self._attempts.finish(opened, health)
 
     async def _pass_event(self, opened: Opened, data: bytes, identity: str | None) -> None:
-        if not self._reply.has_begun:
+        if not self._answer.has_begun():
             # The first event says that the target has read its inputs.
             self._free_results()
-            self._reply.start(opened.head)
-        await self._reply.send(data)
+            self._answer.start(opened.head)
+        await self._answer.send(data)
         if identity is not None:
             self._last_event = identity
 
@@ -253,7 +235,8 @@
         parts = opened.exchange.body.parts()
         while True:
             try:
-                async with asyncio.timeout(self._pause_seconds()):
+                pause = self._tries.pause_seconds(has_begun=self._answer.has_begun())
+                async with asyncio.timeout(pause):
                     part = await anext(parts)
             except StopAsyncIteration:
                 return
@@ -261,77 +244,37 @@
                 raise BrokenAnswerError("the stream fell silent") from None
             yield part
 
-    def _pause_seconds(self) -> float:
-        """Return for how long a stream may be silent."""
-        route = self._call.route
-        remaining = self._call.remaining()
-        if not route.is_resumable or self._ran_on + 1 >= route.most_targets:
-            return remaining + 1.0
-        pause = route.pause_seconds or UNTOLD_PAUSE_SECONDS
-        first = route.aim_seconds if not self._reply.has_begun else 0.0
-        return PAUSES_TO_RESUME * pause + first
-
-    # Deciding.
-
-    def _may_run_again(self) -> bool:
-        return self._call.route.is_repeatable()
-
-    def _may_try_again(self, unserved: _Unserved) -> bool:
-        """Tell whether the request may be sent to another target, and pay for it."""
-        route = self._call.route
-        if self._call.remaining() < LEAST_ATTEMPT_SECONDS or self._offers == 0:
-            return False
-        if self._reply.has_begun and not route.is_resumable:
-            return False
-        if self._may_have_run and not self._may_run_again():
-            return False
-        if self._ran_on >= max(1, route.most_targets) or self._offers >= MOST_OFFERS:
-            return False
-        return self._attempts.may_repeat(self._call, self._entries())
-
     # Endings.
 
     def _end_unserved(self, unserved: _Unserved) -> None:
-        if self._reply.has_begun:
-            self.outcome = "cut"
-            self._detail = unserved.detail
-            self._reply.cut()
+        if self._answer.has_begun():
+            self._answer.cut(unserved.detail)
         elif unserved.response is not None:
-            self.outcome = "target-failed"
-            self._reply.send_whole(unserved.response)
-        elif self._may_have_run:
+            self._answer.send_failure(unserved.response)
+        elif self._tries.may_have_run:
             self._refuse(502, unserved.detail)
         else:
             self._refuse(503, unserved.detail, retry_after_seconds=FULL_RETRY_SECONDS)
 
     def _end_late(self) -> None:
-        if self._reply.has_begun:
-            self.outcome = "cut"
-            self._detail = "the deadline came in the middle of the answer"
-            self._reply.cut()
-            return
-        # Sent and not answered means that it may have run.
-        if self._offers > 0:
-            self._may_have_run = True
+        if self._answer.has_begun():
+            self._answer.cut("the deadline came in the middle of the answer")
+        elif self._tries.offers > 0:
+            # Sent and not answered means that it may have run.
+            self._tries.may_have_run = True
             self._refuse(504, "no answer before the deadline")
         else:
             self._refuse(503, "its stages were not made before the deadline")
 
     def _refuse(self, status: int, detail: str, retry_after_seconds: float | None = None) -> None:
-        if self._reply.has_begun:
-            self.outcome = "cut"
-            self._reply.cut()
-            return
-        self.outcome = f"refused-{status}"
-        self._detail = detail
-        refusal = Refusal(
-            status=status,
-            detail=detail,
-            may_have_run=self._may_have_run,
-            retry_after_seconds=retry_after_seconds,
+        self._answer.refuse(
+            Refusal(
+                status=status,
+                detail=detail,
+                may_have_run=self._tries.may_have_run,
+                retry_after_seconds=retry_after_seconds,
+            )
         )
-        request_id = self._call.request.request_id
-        self._reply.send_whole(self._dialect.render_refusal(refusal, request_id))
 
     def _log_unserved(self, unserved: _Unserved) -> None:
         fields = {"reason": unserved.detail, "may_have_run": unserved.may_have_run}
@@ -350,11 +293,11 @@
             extra={
                 **call.log_fields(),
                 "outcome": self.outcome,
-                "reason": self._detail,
+                "reason": self._answer.detail,
                 "seconds": round(now - call.arrived_at, 3),
                 "aim_seconds": call.route.aim_seconds,
                 "staged_seconds": round(self._staged_seconds, 3),
-                "offers": self._offers,
+                "offers": self._tries.offers,
                 "last_event": self._last_event,
             },
         )
