One try at the stages of a request is one object

Cause: in gateway/_stages.py five parameters went through every step, results were bare pairs, and _make_stage waited, counted and logged in 40 lines. Ruled out: ordering by index before a result is noted; the order stays. Change: _stage_work.py has StageWork (request, plan, home, results), StageResults and HeldResult; waiting for the pieces is _take_results. Of 75 tests 74 pass; test_rank_counts_as_time fails as before. mypy and ruff find nothing.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -12,7 +12,8 @@
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._events import EventSplitter, EventTooLargeError
 from damsonlaned.gateway._final_answer import FinalAnswer
-from damsonlaned.gateway._stages import StageError, StageResults, StageRunner
+from damsonlaned.gateway._stage_work import StageResults
+from damsonlaned.gateway._stages import StageError, StageRunner
 from damsonlaned.gateway._targets import Chosen
 from damsonlaned.gateway._tries import Tries
 from damsonlaned.http import (
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -5,14 +5,15 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, replace
-from typing import Final
+from dataclasses import replace
+from typing import Final, NoReturn
 
 from damsonlane.errors import DamsonlaneError
 from damsonlane.pools import PieceFault, PieceOrder, PieceResult, StagePlan, StageStart
 from damsonlane.routes import Stage
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._pool_client import PoolClient
+from damsonlaned.gateway._stage_work import StageResults, StageWork
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -23,14 +24,10 @@
 USUAL_BATCH_SHARE: Final = 0.6
 #: Times that a request's stages are begun again after an input was lost.
 MOST_PLANS: Final = 2
-
-
 #: Bytes that a stage must move before it matters in which data centre it runs.
 HOME_BYTES: Final = 100_000
 #: Seconds after which a caller whose stages failed should come back, at the least.
 RETRY_SECONDS: Final = 0.5
-
-
 #: What the faults of pieces mean, for a person.
 _FAULTS: Final[Mapping[PieceFault, str]] = {
     "late": "with the queue there it would miss its aim or its deadline",
@@ -55,16 +52,6 @@
     """A result was gone before it was used."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class StageResults:
-    """Results that the last step needs, and all that must be given up after it."""
-
-    #: Handles for the last step.
-    inputs: tuple[str, ...] = ()
-    #: Handles with the service that made each.
-    held: tuple[tuple[str, str], ...] = ()
-
-
 class StageRunner:
     """Makes stages by way of the pools' owners.
 
@@ -103,52 +90,38 @@
     def free(self, results: StageResults) -> None:
         """Give results up."""
         by_service: dict[str, list[str]] = {}
-        for service, handle in results.held:
-            by_service.setdefault(service, []).append(handle)
+        for result in results.held:
+            by_service.setdefault(result.service, []).append(result.handle)
         for service, handles in by_service.items():
             self._client.free(service, handles)
 
     async def _make_once(self, call: Call, home: str) -> StageResults:
         plan = StagePlan(call.route.stages, call.request.pieces)
-        held: dict[str, str] = {}
+        work = StageWork(call=call, plan=plan, home=home)
         tasks: set[asyncio.Task[int]] = set()
         try:
             while not plan.is_done():
                 for start in plan.take_ready():
-                    tasks.add(
-                        asyncio.ensure_future(self._make_stage(call, plan, start, held, home))
-                    )
+                    tasks.add(asyncio.ensure_future(self._make_stage(work, start)))
                 done, tasks = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
                 for task in done:
-                    self._give_up_spent(plan, task.result(), held)
+                    self.free(work.take_spent(task.result()))
         except BaseException:
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            self.free(_collect(held, ()))
+            self.free(work.collect())
             raise
-        return _collect(held, plan.final_inputs())
+        return replace(work.collect(), inputs=plan.final_inputs())
 
-    async def _make_stage(
-        self, call: Call, plan: StagePlan, start: StageStart, held: dict[str, str], home: str
-    ) -> int:
+    async def _make_stage(self, work: StageWork, start: StageStart) -> int:
         """Make one stage and return its index."""
-        where = self._find_home(call, plan, start, home)
-        orders = [
-            self._make_order(call, plan, start, piece, where) for piece in range(start.pieces)
-        ]
+        call = work.call
+        home = self._find_home(work, start)
+        orders = [self._make_order(work, start, piece, home) for piece in range(start.pieces)]
         futures = self._client.order(start.stage.service, orders)
         began_at = call.remaining()
-        try:
-            for piece, future in enumerate(futures):
-                result = await future
-                if result.handle:
-                    plan.note(start.index, piece, result.handle)
-                    held[result.handle] = start.stage.service
-                else:
-                    self._raise_fault(start, result)
-        finally:
-            self._note_rest(futures, start, held)
+        await self._take_results(work, start, futures)
         _LOG.info(
             "stage made",
             extra={
@@ -156,52 +129,58 @@
                 "stage": start.index,
                 "service": start.stage.service,
                 "pieces": start.pieces,
-                "home": where,
+                "home": home,
                 "seconds": round(began_at - call.remaining(), 3),
             },
         )
         return start.index
 
+    async def _take_results(
+        self, work: StageWork, start: StageStart, futures: "Sequence[asyncio.Future[PieceResult]]"
+    ) -> None:
+        """Wait for all pieces of a stage, or for the first that is not made."""
+        try:
+            for piece, future in enumerate(futures):
+                result = await future
+                if not result.handle:
+                    self._raise_fault(start, result)
+                work.note(start, piece, result.handle)
+        finally:
+            self._note_rest(work, start, futures)
+
     def _note_rest(
-        self,
-        futures: "Sequence[asyncio.Future[PieceResult]]",
-        start: StageStart,
-        held: dict[str, str],
+        self, work: StageWork, start: StageStart, futures: "Sequence[asyncio.Future[PieceResult]]"
     ) -> None:
         """Withdraw the pieces not made yet, and keep account of those made meanwhile."""
         for future in futures:
             if not future.done():
                 future.cancel()
             elif not future.cancelled() and future.result().handle:
-                held[future.result().handle] = start.stage.service
+                work.held[future.result().handle] = start.stage.service
 
-    def _raise_fault(self, start: StageStart, result: PieceResult) -> None:
+    def _raise_fault(self, start: StageStart, result: PieceResult) -> NoReturn:
         if result.fault == "lost-input":
             raise _LostInputError
         reason = _FAULTS[result.fault] if result.fault is not None else "no result"
         detail = f"stage {start.index} of service {start.stage.service}: {reason}"
         raise StageError(detail, RETRY_SECONDS + result.wait_seconds)
 
-    def _find_home(self, call: Call, plan: StagePlan, start: StageStart, home: str) -> str:
+    def _find_home(self, work: StageWork, start: StageStart) -> str:
         """Return the data centre in which a stage should run, or an empty string."""
         if start.inputs:
-            moved = start.pieces * sum(
-                call.request.pieces[earlier] * call.route.stages[earlier].result_bytes
-                for earlier in start.stage.after
-            )
+            moved = start.pieces * _count_input_bytes(work.call, start)
             return self._most_common_place(start.inputs) if moved >= HOME_BYTES else ""
-        if plan.depth_after(start.index):
+        if work.plan.depth_after(start.index):
             return ""
-        return home if start.pieces * start.stage.result_bytes >= HOME_BYTES else ""
+        return work.home if start.pieces * start.stage.result_bytes >= HOME_BYTES else ""
 
     def _most_common_place(self, handles: Sequence[str]) -> str:
         places = Counter(self._locate(handle) for handle in handles)
         return places.most_common(1)[0][0]
 
-    def _make_order(
-        self, call: Call, plan: StagePlan, start: StageStart, piece: int, home: str
-    ) -> PieceOrder:
-        chain = plan.depth_after(start.index)
+    def _make_order(self, work: StageWork, start: StageStart, piece: int, home: str) -> PieceOrder:
+        call = work.call
+        chain = work.plan.depth_after(start.index)
         aim_at = call.due_at if call.is_begun else call.aim_at
         later = sum(_expect_seconds(call, stage) for stage in chain)
         waits = sum(self._client.wait_seconds(stage.service) for stage in chain)
@@ -220,14 +199,12 @@
             home=home,
         )
 
-    def _give_up_spent(self, plan: StagePlan, stage: int, held: dict[str, str]) -> None:
-        spent = {handle: held.pop(handle) for handle in plan.spent_inputs(stage) if handle in held}
-        self.free(_collect(spent, ()))
-
 
-def _collect(held: dict[str, str], inputs: tuple[str, ...]) -> StageResults:
-    return StageResults(
-        inputs=inputs, held=tuple((service, handle) for handle, service in held.items())
+def _count_input_bytes(call: Call, start: StageStart) -> int:
+    """Return the size of what one piece of a stage reads."""
+    return sum(
+        call.request.pieces[earlier] * call.route.stages[earlier].result_bytes
+        for earlier in start.stage.after
     )
 
 
