--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -12,7 +12,8 @@
     HttpResponse,
     keep_end_to_end,
 )
-from damsonlaned.http._server import ListenerLimits, Reply, WebListener
+from damsonlaned.http._reply import Reply
+from damsonlaned.http._server import ListenerLimits, WebListener
 
 __all__ = [
     "BrokenAnswerError",
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/http/_reply.py
@@ -0,0 +1,68 @@
+"""The answer to one caller's request, as it is written."""
+
+from collections.abc import Callable
+from typing import Final
+
+import h11
+
+from damsonlaned.http._errors import CallerGoneError
+from damsonlaned.http._messages import HeaderList, HttpHead, HttpResponse, keep_end_to_end
+from damsonlaned.http._wire import Wire
+
+
+class Reply:
+    """The answer to one request, written whole or part by part."""
+
+    def __init__(self, wire: Wire, parser: h11.Connection, is_last: Callable[[], bool]) -> None:
+        self._wire: Final = wire
+        self._parser: Final = parser
+        self._is_last: Final = is_last
+        #: Whether a head has been written.
+        self.has_begun = False
+        #: Whether the answer is whole.
+        self.is_whole = False
+
+    def send_whole(self, response: HttpResponse) -> None:
+        """Write a whole answer."""
+        length = str(len(response.body)).encode()
+        headers = (*keep_end_to_end(response.headers), (b"Content-Length", length))
+        self._start(response.status, headers)
+        if response.body:
+            self._write(h11.Data(data=response.body))
+        self.finish()
+
+    def start(self, head: HttpHead) -> None:
+        """Write the head of an answer whose length is not known."""
+        self._start(head.status, keep_end_to_end(head.headers))
+
+    async def send(self, data: bytes) -> None:
+        """Write a part of the body and wait until the caller takes more.
+
+        Raises:
+            CallerGoneError: the caller closed its connection.
+        """
+        self._write(h11.Data(data=data))
+        try:
+            await self._wire.drain()
+        except ConnectionError:
+            raise CallerGoneError("the caller closed its connection") from None
+
+    def finish(self) -> None:
+        """Write the end of the answer."""
+        self._write(h11.EndOfMessage())
+        self.is_whole = True
+
+    def cut(self) -> None:
+        """Break the connection, so that nobody takes the answer for a whole one."""
+        self._wire.abort()
+
+    def _start(self, status: int, headers: HeaderList) -> None:
+        self.has_begun = True
+        if self._is_last():
+            headers = (*headers, (b"Connection", b"close"))
+        self._write(h11.Response(status_code=status, headers=list(headers)))
+
+    def _write(self, event: h11.Event) -> None:
+        data = self._parser.send(event)
+        if data:
+            self._wire.write(data)
