Connections to a target are called connections, not a pool

Cause: in the gateway 'pool' meant both a stage pool and the connections to one target, and the doc comment of Attempts named a parameter that is not there. Ruled out: renaming ConnectionPool; the name says which pool it is. Change: Targets.pool and Chosen.pool are named connections; Attempts names its three figures. Before and after: names and comments only. Of 75 tests 74 pass; test_rank_counts_as_time fails as before. mypy and ruff find nothing.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -48,7 +48,9 @@
     Args:
         targets: chooses targets.
         dialect: writes requests and reads answers.
-        budgets: makes the budget of one service.
+        share: requests sent again, as a share of first ones, that the fleet may make.
+        window: seconds over which that share is counted.
+        slack: requests sent again in one window that the fleet may make besides.
     """
 
     def __init__(
@@ -99,7 +101,7 @@
             last_event=last_event,
         )
         request = self._dialect.make_request(call.request, attempt)
-        exchange = await chosen.pool.send(request, CONNECT_SECONDS)
+        exchange = await chosen.connections.send(request, CONNECT_SECONDS)
         _LOG.info(
             "sent",
             extra={
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -149,7 +149,7 @@
         began_at = self._now()
         made: dict[str, int] = {}
         try:
-            connections = self._targets.pool(service, maker.name, maker.address)
+            connections = self._targets.connections(service, maker.name, maker.address)
             replies = await self._calls.make(connections, call)
             made = self._settle(call, replies)
             maker.note_pace((self._now() - began_at) / call.seconds, self._now())
@@ -237,7 +237,7 @@
         for maker in self._makers.everyone():
             handles = freed.get(maker.address)
             if handles and service is not None:
-                connections = self._targets.pool(service, maker.name, maker.address)
+                connections = self._targets.connections(service, maker.name, maker.address)
                 self._start(self._free_at(maker, connections, handles))
 
     async def _free_at(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
@@ -41,7 +41,7 @@
     #: Its address.
     address: str
     #: Connections to it.
-    pool: ConnectionPool
+    connections: ConnectionPool
 
 
 class Targets:
@@ -58,7 +58,7 @@
         self._data_centre: Final = data_centre
         self._entries: Final = entries
         self._books: dict[str, TargetBook] = {}
-        self._pools: dict[str, ConnectionPool] = {}
+        self._connections: dict[str, ConnectionPool] = {}
         self._misdirected: set[str] = set()
         self._randomness: Final = random.Random()
         view.on_change(self._update)
@@ -104,22 +104,22 @@
         """Note that another target answered at the address of this one, so it is gone."""
         self._misdirected.add(chosen.target)
 
-    def pool(self, service: Service, target: str, address: str) -> ConnectionPool:
+    def connections(self, service: Service, target: str, address: str) -> ConnectionPool:
         """Return the connections to a target."""
         share = int(CONNECTION_SHARE * service.most_connections / max(1, self._entries()))
         most = max(LEAST_CONNECTIONS, share)
-        pool = self._pools.get(target)
-        if pool is None:
-            pool = self._pools[target] = ConnectionPool(address, most)
-        pool.most = most
-        return pool
+        connections = self._connections.get(target)
+        if connections is None:
+            connections = self._connections[target] = ConnectionPool(address, most)
+        connections.most = most
+        return connections
 
     def _make_chosen(self, service: Service, choice: Choice) -> Chosen:
         return Chosen(
             service=service.name,
             target=choice.target,
             address=choice.address,
-            pool=self.pool(service, choice.target, choice.address),
+            connections=self.connections(service, choice.target, choice.address),
         )
 
     def _book(self, service: str) -> TargetBook:
@@ -137,8 +137,8 @@
             for service in (table.document.services if table else ())
             for record in self._view.targets_of(service.name)
         }
-        for target in set(self._pools) - known:
-            self._pools.pop(target).close()
+        for target in set(self._connections) - known:
+            self._connections.pop(target).close()
         self._misdirected &= known
 
     def _update_book(self, service: str) -> None:
