One function turns pydantic's faults into findings

Cause: the product's dialect, the platform's document and its settings file had the same _make_finding three times. Ruled out: the one of damsonlane.settings, which looks up lines and names enums. Change: damsonlane.findings.list_findings.

--- a/packages/damsonlane/src/damsonlane/findings/__init__.py
+++ b/packages/damsonlane/src/damsonlane/findings/__init__.py
@@ -1,5 +1,6 @@
 """Findings: faults in what someone wrote, each with its place."""
 
 from damsonlane.findings._finding import Finding, Place
+from damsonlane.findings._validation import list_findings
 
-__all__ = ["Finding", "Place"]
+__all__ = ["Finding", "Place", "list_findings"]
--- a/packages/damsonlaned/src/damsonlaned/dialects/_native.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_native.py
@@ -2,13 +2,13 @@
 
 import json
 from collections.abc import Sequence
-from typing import Any, final
+from typing import final
 
 from pydantic import ValidationError
 
 from damsonlane.codec import decode_bytes
 from damsonlane.errors import SettingsError
-from damsonlane.findings import Finding, Place
+from damsonlane.findings import list_findings
 from damsonlane.pools import PieceOrder
 from damsonlane.routes import RoutingDocument
 from damsonlane.targets import TargetRecord
@@ -100,9 +100,4 @@
         try:
             return decode_bytes(text, RoutingDocument)
         except ValidationError as error:
-            raise SettingsError([_make_finding(dict(item)) for item in error.errors()]) from None
-
-
-def _make_finding(item: dict[str, Any]) -> Finding:
-    path = "".join(f"/{part}" for part in item["loc"])
-    return Finding(place=Place(path=path), message=str(item["msg"]))
+            raise SettingsError(list_findings(error)) from None
