--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -3,25 +3,22 @@
 docs/gateway.md says why the threads of cheroot and urllib3 did not fit here.
 """
 
-from damsonlaned.http._client import (
-    AnswerBody,
-    ConnectionPool,
-    ConnectTimeoutError,
-    SentExchange,
-    TargetConnection,
-)
+from damsonlaned.http._client import ConnectionPool, SentExchange
 from damsonlaned.http._errors import BrokenAnswerError, CallerGoneError, NotSentError
-from damsonlaned.http._messages import HeaderList, HttpHead, HttpRequest, HttpResponse
-from damsonlaned.http._server import Handler, ListenerLimits, Reply, WebListener
-from damsonlaned.http._wire import Wire
+from damsonlaned.http._messages import (
+    HeaderList,
+    HttpHead,
+    HttpRequest,
+    HttpResponse,
+    keep_end_to_end,
+)
+from damsonlaned.http._reply import Reply
+from damsonlaned.http._server import ListenerLimits, WebListener
 
 __all__ = [
-    "AnswerBody",
     "BrokenAnswerError",
     "CallerGoneError",
-    "ConnectTimeoutError",
     "ConnectionPool",
-    "Handler",
     "HeaderList",
     "HttpHead",
     "HttpRequest",
@@ -30,7 +27,6 @@
     "NotSentError",
     "Reply",
     "SentExchange",
-    "TargetConnection",
     "WebListener",
-    "Wire",
+    "keep_end_to_end",
 ]
