Entries that serve routes use the boxes' keys; a stale replica is left sooner

Cause: found by reading: with tls in the box settings an entry that serves routes spoke in the clear to control and to owners, so it reached nobody. And an entry gave a replica that was never fresh 0.8 s before it tried another; with two of five cut off, the third try came after the two seconds in which a document must be in force.

Ruled out: a shorter connect time (a key exchange on a busy machine takes longer).

Change: the TLS context goes to both kinds of links, and the demonstration of routes runs with keys; a replica that is not fresh at all is left after 0.2 s.

Before: no test with keys.

--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -1,5 +1,6 @@
 """A small system that serves routes, and its demonstration."""
 
+import dataclasses
 import http.client
 import json
 import sys
@@ -10,7 +11,7 @@
 from threading import Thread
 from typing import Any, Final
 
-from damsonlane_bench.fleet import Process, find_program, send, take_address, wait_until
+from damsonlane_bench.fleet import KeyMaker, Process, find_program, send, take_address, wait_until
 from damsonlane_bench.registered import Kind
 from damsonlane_bench.registered._target import EVENTS
 
@@ -33,6 +34,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder: Final = folder
+        self._keys: Final = KeyMaker(folder / "keys")
         self.controls: Final = [f"control-{number}" for number in (1, 2, 3)]
         self.entries: Final = ["entry-1", "entry-2"]
         self.processes: Final[dict[str, Process]] = {}
@@ -149,6 +151,7 @@
             "control": seeds,
             "election_seconds": 0.4,
             "gateway": gateway,
+            "tls": dataclasses.asdict(self._keys.sign(name)),
         }
         if is_control:
             settings["founding"] = {"seeds": seeds, "is_first_start": is_first_start}
--- a/packages/damsonlaned/src/damsonlaned/gateway/_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_link.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import random
+import ssl
 import time
 from typing import Final
 
@@ -30,6 +31,9 @@
 #: that says nothing, or nothing fresh, is left for another: the rest is for
 #: reaching that one.
 PATIENCE_SHARE: Final = 0.4
+#: Seconds after which a replica that was not fresh at all on a stream is left:
+#: with two of five cut off, the second or third choice must still come in time.
+FIRST_PATIENCE_SECONDS: Final = 0.2
 #: Seconds between attempts.
 PAUSE_SECONDS: Final = 0.05
 #: State older than this many seconds is not taken by an entry that holds none.
@@ -45,13 +49,21 @@
         settings: settings of the box.
         holder: this process.
         view: what is kept current.
+        context: TLS context towards other boxes, or None.
     """
 
-    def __init__(self, settings: BoxSettings, holder: Holder, view: FleetView) -> None:
+    def __init__(
+        self,
+        settings: BoxSettings,
+        holder: Holder,
+        view: FleetView,
+        context: ssl.SSLContext | None,
+    ) -> None:
         gateway = settings.gateway
         self._settings: Final = settings
         self._holder: Final = holder
         self._view: Final = view
+        self._context: Final = context
         self._patience: Final = PATIENCE_SHARE * (gateway.apply_seconds if gateway else 2.0)
         self._addresses: list[str] = list(settings.control)
         self._started_at: Final = time.time()
@@ -102,7 +114,7 @@
 
     async def _follow(self, address: str) -> None:
         """Follow a replica until it is not fresh any more."""
-        channel = open_channel(address, None)
+        channel = open_channel(address, self._context)
         try:
             async with FOLLOW.stream(channel).open() as stream:
                 await stream.send_message(self._report())
@@ -134,7 +146,7 @@
                 was_fresh = True
                 fresh_at = now
             self._take(update, is_fresh=age is not None and age <= FIRST_STATE_AGE)
-            if now - fresh_at > self._patience:
+            if now - fresh_at > (self._patience if was_fresh else FIRST_PATIENCE_SECONDS):
                 return
 
     def _take(self, update: FollowUpdate, *, is_fresh: bool) -> None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import secrets
+import ssl
 from collections.abc import Mapping
 from typing import Final
 
@@ -40,18 +41,21 @@
     Args:
         settings: settings of the box, with those of its gateway.
         gateway: the latter.
+        context: TLS context towards other boxes, or None.
     """
 
-    def __init__(self, settings: BoxSettings, gateway: Gateway) -> None:
+    def __init__(
+        self, settings: BoxSettings, gateway: Gateway, context: ssl.SSLContext | None
+    ) -> None:
         self._gateway: Final = gateway
         self._dialect: Final = DIALECTS[gateway.dialect]
         self._metrics: Final = Metrics()
         self._view: Final = FleetView(self._dialect)
         holder = Holder(box=settings.name, incarnation=secrets.token_hex(6))
-        self._link: Final = FleetLink(settings, holder, self._view)
+        self._link: Final = FleetLink(settings, holder, self._view, context)
         targets = Targets(self._view, settings.data_centre, self._count_entries)
         owners = PoolOwners(self._view, targets, self._dialect)
-        self._pools: Final = PoolClient(self._view, owners, settings.internal_address)
+        self._pools: Final = PoolClient(self._view, owners, settings.internal_address, context)
         self._pool_service: Final = PoolService(owners)
         attempts = Attempts(
             targets,
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -4,6 +4,7 @@
 import hashlib
 import itertools
 import logging
+import ssl
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from functools import partial
@@ -59,12 +60,20 @@
         view: lists the entries.
         owners: the pools that this entry owns.
         address: internal address of this entry.
+        context: TLS context towards other boxes, or None.
     """
 
-    def __init__(self, view: FleetView, owners: PoolOwners, address: str) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        owners: PoolOwners,
+        address: str,
+        context: ssl.SSLContext | None,
+    ) -> None:
         self._view: Final = view
         self._owners: Final = owners
         self._address: Final = address
+        self._context: Final = context
         self._numbers: Final = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         self._links: dict[str, _OwnerLink] = {}
@@ -134,7 +143,7 @@
 
     def _link(self, owner: str) -> "_OwnerLink":
         if owner not in self._links:
-            self._links[owner] = _OwnerLink(owner, self)
+            self._links[owner] = _OwnerLink(owner, self, self._context)
         return self._links[owner]
 
     # What links tell.
@@ -195,8 +204,9 @@
 class _OwnerLink:
     """A stream to one owner."""
 
-    def __init__(self, owner: str, client: PoolClient) -> None:
+    def __init__(self, owner: str, client: PoolClient, context: ssl.SSLContext | None) -> None:
         self._owner: Final = owner
+        self._context: Final = context
         self._client: Final = client
         self._outgoing: list[PoolOrders] = []
         self._has_more: Final = asyncio.Event()
@@ -224,7 +234,7 @@
         await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
-        channel = open_channel(self._owner, None)
+        channel = open_channel(self._owner, self._context)
         fault = "the stream ended"
         try:
             async with POOL.stream(channel).open() as stream:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_process.py
@@ -22,7 +22,7 @@
     settings: BoxSettings, gateway: Gateway, keys: Keys, reload: Reload | None
 ) -> None:
     """Run the entry until it is told to stop."""
-    node = GatewayNode(settings, gateway)
+    node = GatewayNode(settings, gateway, keys.client)
 
     watch = SettingsWatch(settings, reload, lambda newer: node.replace_seeds(newer.control))
     server = await serve_boxes(settings, Service(dict(node.handlers())), keys)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -231,7 +231,7 @@
         self.view = FleetView(dialect)
         targets = Targets(self.view, "gulberg", lambda: 1)
         self.owners = PoolOwners(self.view, targets, dialect)
-        self.pools = PoolClient(self.view, self.owners, "127.0.0.1:9")
+        self.pools = PoolClient(self.view, self.owners, "127.0.0.1:9", None)
         self.attempts = Attempts(targets, dialect, 0.2, 10.0, slack)
         self.callers = CallerService(
             GatewayParts(
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -116,7 +116,7 @@
             gateway=Gateway(dialect="damsonlane", apply_seconds=1.0),
         )
         self.view = FleetView(NativeDialect())
-        self.link = FleetLink(settings, Holder(box="entry-1", incarnation="i"), self.view)
+        self.link = FleetLink(settings, Holder(box="entry-1", incarnation="i"), self.view, None)
         self.addAsyncCleanup(self.link.stop)
 
     async def test_it_leaves_a_replica_that_is_not_fresh(self) -> None:
