The stream to a pool's owner has a module of its own

Cause: gateway/_pool_client.py held the orders of this entry and the streams to other entries, which called back into a class written after them. Ruled out: moving the log line of a lost owner; it stays with the client. Change: _owner_link.py (OwnerLink) is told two functions instead of the client; waiting for the first of its tasks to end is _exchange. Of 75 tests 74 pass; test_rank_counts_as_time fails as before. mypy and ruff find nothing.

--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
@@ -0,0 +1,113 @@
+"""The stream from one entry to the owner of pools at another."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from grpclib.client import Stream
+
+from damsonlane.pools import PieceResult
+from damsonlane_rpc import CALL_FAULTS, POOL, PoolOrders, PoolResults, open_channel
+from damsonlaned.tasks import start_task
+
+#: Seconds without word from an owner, while results are due, after which its
+#: orders go to another one.
+SILENCE_SECONDS: Final = 0.8
+
+#: Why a stream is lost that nothing broke.
+_ENDED: Final = "the stream ended"
+
+#: Takes results that came.
+Take = Callable[[Sequence[PieceResult]], None]
+#: Takes the owner's address, the numbers of the orders that are due, and why it is lost.
+Lose = Callable[[str, Sequence[int], str], None]
+
+
+class OwnerLink:
+    """A stream to one owner, open until it breaks or the owner falls silent.
+
+    Args:
+        owner: internal address of the owner.
+        take: called with results.
+        lose: called once the stream has ended.
+    """
+
+    def __init__(self, owner: str, take: Take, lose: Lose) -> None:
+        self._owner: Final = owner
+        self._take: Final = take
+        self._lose: Final = lose
+        self._outgoing: list[PoolOrders] = []
+        self._has_more: Final = asyncio.Event()
+        self._due: set[int] = set()
+        self._heard_at = asyncio.get_running_loop().time()
+        self._task: Final = start_task(self._run(), "stream to a pool owner")
+
+    def send(self, message: PoolOrders) -> None:
+        """Queue a message."""
+        if not self._due:
+            self._heard_at = asyncio.get_running_loop().time()
+        self._due.update(order.number for order in message.orders)
+        self._outgoing.append(message)
+        self._has_more.set()
+
+    def withdraw(self, service: str, number: int) -> None:
+        """Withdraw an order if it was placed here."""
+        if number in self._due:
+            self._due.discard(number)
+            self.send(PoolOrders(service=service, withdrawn=(number,)))
+
+    async def stop(self) -> None:
+        """Close the stream."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        channel = open_channel(self._owner, None)
+        fault = _ENDED
+        try:
+            async with POOL.stream(channel).open() as stream:
+                await stream.send_request()
+                fault = await self._exchange(stream)
+        except CALL_FAULTS as error:
+            fault = str(error) or type(error).__name__
+        finally:
+            channel.close()
+            self._lose(self._owner, tuple(self._due), fault)
+
+    async def _exchange(self, stream: Stream[PoolOrders, PoolResults]) -> str:
+        """Send and receive until one of them ends; return why."""
+        tasks = [
+            asyncio.create_task(self._receive(stream)),
+            asyncio.create_task(self._transmit(stream)),
+            asyncio.create_task(self._watch()),
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            faults = [task.exception() for task in done if task.exception() is not None]
+            return str(faults[0]) if faults else _ENDED
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _receive(self, stream: Stream[PoolOrders, PoolResults]) -> None:
+        while (message := await stream.recv_message()) is not None:
+            self._heard_at = asyncio.get_running_loop().time()
+            self._due.difference_update(result.number for result in message.results)
+            self._take(message.results)
+
+    async def _transmit(self, stream: Stream[PoolOrders, PoolResults]) -> None:
+        while True:
+            await self._has_more.wait()
+            self._has_more.clear()
+            outgoing, self._outgoing = self._outgoing, []
+            for message in outgoing:
+                await stream.send_message(message)
+
+    async def _watch(self) -> None:
+        """End when the owner falls silent while results are due."""
+        while True:
+            await asyncio.sleep(SILENCE_SECONDS / 4)
+            now = asyncio.get_running_loop().time()
+            if self._due and now - self._heard_at > SILENCE_SECONDS:
+                raise TimeoutError("the owner fell silent")
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -9,19 +9,14 @@
 from functools import partial
 from typing import Final
 
-from grpclib.client import Stream
-
 from damsonlane.pools import PieceOrder, PieceResult
-from damsonlane_rpc import CALL_FAULTS, POOL, PoolOrders, PoolResults, open_channel
+from damsonlane_rpc import PoolOrders
+from damsonlaned.gateway._owner_link import OwnerLink
 from damsonlaned.gateway._pool_service import PoolOwners
 from damsonlaned.gateway._view import FleetView
-from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Seconds without word from an owner, while results are due, after which its
-#: orders go to another one.
-SILENCE_SECONDS: Final = 0.8
 #: Seconds for which an owner that failed is passed over.
 SUSPECT_SECONDS: Final = 3.0
 #: Withdrawn orders that are remembered, so that a result that comes all the same is freed.
@@ -67,7 +62,7 @@
         self._address: Final = address
         self._numbers: Final = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
-        self._links: dict[str, _OwnerLink] = {}
+        self._links: dict[str, OwnerLink] = {}
         self._suspects: dict[str, float] = {}
         self._withdrawn: dict[int, str] = {}
         self._waits: dict[str, _Wait] = {}
@@ -132,9 +127,9 @@
         else:
             self._link(owner).send(PoolOrders(service=service, orders=orders))
 
-    def _link(self, owner: str) -> "_OwnerLink":
+    def _link(self, owner: str) -> OwnerLink:
         if owner not in self._links:
-            self._links[owner] = _OwnerLink(owner, self)
+            self._links[owner] = OwnerLink(owner, self.take, self.lose_owner)
         return self._links[owner]
 
     # What links tell.
@@ -192,85 +187,6 @@
             self._owners.get(service).withdraw(_SELF, (number,))
 
 
-class _OwnerLink:
-    """A stream to one owner."""
-
-    def __init__(self, owner: str, client: PoolClient) -> None:
-        self._owner: Final = owner
-        self._client: Final = client
-        self._outgoing: list[PoolOrders] = []
-        self._has_more: Final = asyncio.Event()
-        self._due: set[int] = set()
-        self._heard_at = asyncio.get_running_loop().time()
-        self._task: Final = start_task(self._run(), "stream to a pool owner")
-
-    def send(self, message: PoolOrders) -> None:
-        """Queue a message."""
-        if not self._due:
-            self._heard_at = asyncio.get_running_loop().time()
-        self._due.update(order.number for order in message.orders)
-        self._outgoing.append(message)
-        self._has_more.set()
-
-    def withdraw(self, service: str, number: int) -> None:
-        """Withdraw an order if it was placed here."""
-        if number in self._due:
-            self._due.discard(number)
-            self.send(PoolOrders(service=service, withdrawn=(number,)))
-
-    async def stop(self) -> None:
-        """Close the stream."""
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
-
-    async def _run(self) -> None:
-        channel = open_channel(self._owner, None)
-        fault = "the stream ended"
-        try:
-            async with POOL.stream(channel).open() as stream:
-                await stream.send_request()
-                tasks = [
-                    asyncio.create_task(self._receive(stream)),
-                    asyncio.create_task(self._transmit(stream)),
-                    asyncio.create_task(self._watch()),
-                ]
-                try:
-                    done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-                    faults = [task.exception() for task in done if task.exception() is not None]
-                    fault = str(faults[0]) if faults else fault
-                finally:
-                    for task in tasks:
-                        task.cancel()
-                    await asyncio.gather(*tasks, return_exceptions=True)
-        except CALL_FAULTS as error:
-            fault = str(error) or type(error).__name__
-        finally:
-            channel.close()
-            self._client.lose_owner(self._owner, tuple(self._due), fault)
-
-    async def _receive(self, stream: Stream[PoolOrders, PoolResults]) -> None:
-        while (message := await stream.recv_message()) is not None:
-            self._heard_at = asyncio.get_running_loop().time()
-            self._due.difference_update(result.number for result in message.results)
-            self._client.take(message.results)
-
-    async def _transmit(self, stream: Stream[PoolOrders, PoolResults]) -> None:
-        while True:
-            await self._has_more.wait()
-            self._has_more.clear()
-            outgoing, self._outgoing = self._outgoing, []
-            for message in outgoing:
-                await stream.send_message(message)
-
-    async def _watch(self) -> None:
-        """End when the owner falls silent while results are due."""
-        while True:
-            await asyncio.sleep(SILENCE_SECONDS / 4)
-            now = asyncio.get_running_loop().time()
-            if self._due and now - self._heard_at > SILENCE_SECONDS:
-                raise TimeoutError("the owner fell silent")
-
-
 def _weigh(service: str, address: str) -> bytes:
     return hashlib.blake2b(f"{service}\0{address}".encode(), digest_size=8).digest()
 
