Private data classes say what their fields hold

Cause: _Pending, _Wait, _Answer, _Told and _Waiter had bare fields; the ranks of routes stood at the end of gateway/_call.py, after their use; PoolClient.order numbered, kept and placed in one loop. Ruled out: the platform's private types, whose fields are named on the product's own ones. Change: a sentence a field; constants stand first and are Final; numbering and keeping an order is _note_order. Before and after: no behaviour.

--- a/packages/damsonlaned/src/damsonlaned/control/_following.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_following.py
@@ -27,9 +27,13 @@
 class _Told:
     """What an entry has been told."""
 
+    #: Version of the newest document that it has.
     document_version: int
+    #: Revision of the registry of targets that it has.
     targets_revision: int
+    #: Entries as it was told last; None before that.
     entries: tuple[BoxRecord, ...] | None = None
+    #: Addresses of the control replicas as it was told last; None before that.
     control: tuple[str, ...] | None = None
 
 
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -62,7 +62,9 @@
 class _Waiter:
     """A caller that waits for an entry to be applied."""
 
+    #: Term in which the entry was proposed.
     term: int
+    #: Takes the reply.
     future: "asyncio.Future[Reply]"
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -2,10 +2,14 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import Final
 
 from damsonlane.routes import Organisation, Route, RouteTable, Service
 from damsonlaned.dialects import CallerRequest
 
+#: Ranks that routes use; a rank of organisations is worth as many.
+_RANKS_OF_ROUTES: Final = 4
+
 
 @dataclass(frozen=True, kw_only=True)
 class Call:
@@ -50,7 +54,3 @@
             "route": self.route.name,
             "version": self.table.version,
         }
-
-
-#: Ranks that routes use; a rank of organisations is worth as many.
-_RANKS_OF_ROUTES = 4
--- a/packages/damsonlaned/src/damsonlaned/gateway/_events.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_events.py
@@ -1,9 +1,10 @@
 """Splitting an event stream into whole events (WHATWG HTML, server-sent events)."""
 
 from dataclasses import dataclass
+from typing import Final
 
 #: Bytes of one event that may wait for its end.
-LARGEST_EVENT = 1024 * 1024
+LARGEST_EVENT: Final = 1024 * 1024
 
 
 class EventTooLargeError(ValueError):
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
@@ -45,7 +45,9 @@
 class _Answer:
     """A whole answer of a target."""
 
+    #: Status and headers.
     head: HttpHead
+    #: The body.
     body: bytes
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -29,9 +29,13 @@
 class _Pending:
     """An order whose result is due."""
 
+    #: Service whose targets make the piece.
     service: str
+    #: The order as it was placed first, with its number.
     order: PieceOrder
+    #: When that was, by the loop's clock.
     placed_at: float
+    #: Takes the result.
     future: "asyncio.Future[PieceResult]"
 
 
@@ -39,7 +43,9 @@
 class _Wait:
     """What an owner said of its queue."""
 
+    #: Seconds that a piece would have waited for its turn.
     seconds: float
+    #: When it said so, by the loop's clock.
     heard_at: float
 
 
@@ -75,22 +81,9 @@
         Returns:
             A future for each piece, in order.  Cancelling one withdraws its order.
         """
-        loop = asyncio.get_running_loop()
-        futures: list[asyncio.Future[PieceResult]] = []
-        placed: list[_Pending] = []
-        for order in orders:
-            number = next(self._numbers)
-            future: asyncio.Future[PieceResult] = loop.create_future()
-            future.add_done_callback(partial(self._withdraw, number))
-            numbered = replace(order, number=number)
-            pending = _Pending(
-                service=service, order=numbered, placed_at=loop.time(), future=future
-            )
-            self._pending[number] = pending
-            placed.append(pending)
-            futures.append(future)
+        placed = [self._note_order(service, order) for order in orders]
         self._place(service, placed)
-        return futures
+        return [pending.future for pending in placed]
 
     def free(self, service: str, handles: Sequence[str]) -> None:
         """Give results up."""
@@ -105,6 +98,21 @@
         links = [link.stop() for link in self._links.values()]
         await asyncio.gather(*links, return_exceptions=True)
 
+    def _note_order(self, service: str, order: PieceOrder) -> _Pending:
+        """Give an order its number and keep it until its result comes."""
+        loop = asyncio.get_running_loop()
+        number = next(self._numbers)
+        future: asyncio.Future[PieceResult] = loop.create_future()
+        future.add_done_callback(partial(self._withdraw, number))
+        pending = _Pending(
+            service=service,
+            order=replace(order, number=number),
+            placed_at=loop.time(),
+            future=future,
+        )
+        self._pending[number] = pending
+        return pending
+
     # Owners.
 
     def _find_owner(self, service: str) -> str:
