--- a/packages/damsonlaned/src/damsonlaned/gateway/_final_answer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_final_answer.py
@@ -64,8 +64,7 @@
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal of our own, or break off a stream that has begun."""
         if self._reply.has_begun:
-            self.outcome = "cut"
-            self._reply.cut()
+            self.cut(refusal.detail)
             return
         self.outcome = f"refused-{refusal.status}"
         self.detail = refusal.detail
