The pipelines' entry refuses requests whose end is in doubt

Ruled out: another server for the pipelines (cheroot stays, by the house style).

Change: a strict header reader, a bound of 16,384 bytes for heads (431), and "Connection: close" with every refusal of bytes.

--- a/packages/damsonlaned/src/damsonlaned/servers.py
+++ b/packages/damsonlaned/src/damsonlaned/servers.py
@@ -1,5 +1,6 @@
 """HTTP servers by cheroot."""
 
+import contextlib
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any, Final
@@ -22,6 +23,11 @@
     }
 )
 _REPEATED: Final = b"Damsonlane-Repeated-Header"
+_LENGTH: Final = b"Content-Length"
+#: Largest head of a request, in bytes; as for entries that serve routes.
+_HEADER_BYTES: Final = 16_384
+#: How the library begins to say that a head is too large.
+_HEADERS_TOO_LARGE: Final = "The headers sent"
 #: Seconds for which an idle connection is kept.
 _IDLE_SECONDS: Final = 10
 #: Connections that may wait for a thread or be accepted.
@@ -41,13 +47,44 @@
         super().__setitem__(name, value)
 
 
+class _StrictHeaderReader(cheroot_server.HeaderReader):
+    """Reads headers, and refuses a request whose end is in doubt.
+
+    cheroot takes the last of two lengths, and chunks although a length is there.
+    """
+
+    def __call__(self, rfile: Any, hdict: Any = None) -> Any:
+        headers = super().__call__(rfile, hdict)
+        if headers.get(_REPEATED) == _LENGTH:
+            raise ValueError("a request has one length")
+        if _LENGTH in headers and b"Transfer-Encoding" in headers:
+            raise ValueError("a request has a length or chunks, not both")
+        return headers
+
+
 class _Request(cheroot_server.HTTPRequest):
     """A request that notices repeated headers."""
 
+    header_reader = _StrictHeaderReader()
+
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self.inheaders = _Headers()
 
+    def simple_response(self, status: Any, msg: str = "") -> None:
+        """Answer bytes that are no proper request, and say that the connection closes."""
+        if msg.startswith(_HEADERS_TOO_LARGE):
+            status = "431 Request Header Fields Too Large"
+        self.close_connection = True
+        body = msg.encode("latin-1", "replace")
+        head = (
+            f"{self.server.protocol} {status}\r\nContent-Length: {len(body)}\r\n"
+            "Content-Type: text/plain\r\nConnection: close\r\n\r\n"
+        )
+        # A caller that is gone needs no answer.
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(head.encode("latin-1") + body)
+
 
 class _Connection(cheroot_server.HTTPConnection):
     """A connection whose requests notice repeated headers."""
@@ -60,6 +97,7 @@
 
     ConnectionClass = _Connection
     keep_alive_conn_limit = _IDLE_CONNECTIONS
+    max_request_header_size = _HEADER_BYTES
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Drop cheroot's own messages: broken connections of callers are not ours to report."""
