Stages that fail after a run may have begun promise nothing

Cause: found by reading: a resumable request whose first target broke off, whose second asked for its stage results anew, and whose stages then failed, got 503, which promises that it has not run.

Ruled out: requests that may not run twice (they never get that far).

Change: 502 where a target may have run it. Before: the new test failed (503). After: 17 tests of the gateway pass.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -89,7 +89,7 @@
         except TimeoutError:
             self._end_late()
         except StageError as error:
-            self._refuse(503, str(error), retry_after_seconds=error.retry_seconds)
+            self._end_unstaged(error)
         except asyncio.CancelledError:
             self._answer.outcome = "caller-gone"
             raise
@@ -257,6 +257,13 @@
         else:
             self._refuse(503, unserved.detail, retry_after_seconds=FULL_RETRY_SECONDS)
 
+    def _end_unstaged(self, error: StageError) -> None:
+        if self._tries.may_have_run:
+            # Its stages were made again for another target, so one had it before.
+            self._refuse(502, str(error))
+        else:
+            self._refuse(503, str(error), retry_after_seconds=error.retry_seconds)
+
     def _end_late(self) -> None:
         if self._answer.has_begun():
             self._answer.cut("the deadline came in the middle of the answer")
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -284,6 +284,17 @@
         self.assertLess(ordered[0], 0.0)
         self.assertGreater(ordered[1], 0.5)
 
+    async def test_stages_that_fail_after_a_broken_run_promise_nothing(self) -> None:
+        pieces = make_pieces(lambda: pool.address)
+        pool_answer = answer_in_turn([pieces, answer_with(500, has_run=True)])
+        pool = StandIn("p1", pool_answer, "pool")
+        answer = answer_in_turn([cut, answer_with(409, has_run=False)])
+        entry = await self.open(StandIn("t1", answer), StandIn("t2", answer), pool)
+        headers = "Damsonlane-Pieces: 1\r\nDamsonlane-Material-Key: m\r\n"
+        response = await entry.call("/staged-chat/a", headers=headers)
+        self.assertEqual(response.status, 502)
+        self.assertIn(b'"run": "unknown"', response.data)
+
     async def test_a_request_whose_stages_fail_is_refused_and_has_not_run(self) -> None:
         desk = StandIn("t1", answer_well)
         pool = StandIn("p1", answer_with(500, has_run=True), "pool")
