A link that is closed ends although its stream breaks at that moment

Ruled out: load by itself (longer election and waiting times hung as well).

Change: links to replicas and to control are told that they are closed, besides being cancelled.

--- a/packages/damsonlaned/src/damsonlaned/control/_links.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_links.py
@@ -28,6 +28,7 @@
         self._context: Final = context
         self._queue: deque[Envelope] = deque(maxlen=QUEUE_LENGTH)
         self._has_more = asyncio.Event()
+        self._is_closed = False
         self._task = start_task(self._run(), "stream to a replica")
 
     def send(self, envelope: Envelope) -> None:
@@ -37,12 +38,15 @@
 
     async def close(self) -> None:
         """Stop sending."""
+        # The library may turn a cancellation into the fault of a stream that breaks
+        # at the same moment, so the task is told in another way too.
+        self._is_closed = True
         self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
 
     async def _run(self) -> None:
-        while True:
+        while not self._is_closed:
             try:
                 await self._stream()
             except CALL_FAULTS:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_link.py
@@ -68,6 +68,7 @@
         self._addresses: list[str] = list(settings.control)
         self._started_at: Final = time.time()
         self._is_leaving = False
+        self._is_stopped = False
         self._held: list[FollowUpdate] = []
         self._report_due: Final = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -78,6 +79,9 @@
 
     async def stop(self) -> None:
         """Stop following."""
+        # The library may turn a cancellation into the fault of a stream that breaks
+        # at the same moment, so the task is told in another way too.
+        self._is_stopped = True
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -93,7 +97,7 @@
 
     async def _run(self) -> None:
         last = ""
-        while True:
+        while not self._is_stopped:
             address = self._choose(last)
             last = address
             try:
