--- a/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
@@ -60,6 +60,8 @@
     def __init__(self, parts: GatewayParts) -> None:
         self._parts: Final = parts
         self._in_flight = 0
+        #: Whether new requests are refused, because the process ends before they could.
+        self.refuses_new = False
 
     def in_flight(self) -> int:
         """Return the requests under way."""
@@ -117,6 +119,11 @@
             raise _RefusedError(Refusal(status=400, detail=str(error))) from None
 
     def _admit(self, request: CallerRequest) -> Call:
+        if self.refuses_new:
+            detail = "this entry is stopping"
+            raise _RefusedError(
+                Refusal(status=503, detail=detail, retry_after_seconds=START_RETRY_SECONDS)
+            )
         table = self._parts.view.table
         if table is None:
             detail = "this entry knows no routes yet"
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -124,6 +124,7 @@
         while loop.time() < ends_at:
             is_due = loop.time() - began_at >= STILL_TAKEN_SECONDS
             if is_due:
+                self._callers.refuses_new = True
                 self._listener.close_idle()
             if is_due and self._callers.in_flight() == 0 and self._listener.busy() == 0:
                 break
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -183,6 +183,15 @@
         self.assertEqual(response.status, 503)
         self.assertIn(b"Retry-After", response.data)
 
+    async def test_an_entry_about_to_end_takes_nothing_that_it_could_not_finish(self) -> None:
+        target = StandIn("t1", answer_well)
+        entry = await self.open(target)
+        entry.callers.refuses_new = True
+        response = await entry.call("/ping/a")
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"Retry-After", response.data)
+        self.assertEqual(target.requests, [])
+
     async def test_a_caller_that_leaves_frees_the_target(self) -> None:
         target = StandIn("t1", hang)
         entry = await self.open(target)
