A connection that is closed at once is a call fault

Ruled out: the refusal of peers without a key (it was refused).

Change: a closing connection raises ConnectionResetError. After: the test passes (one run). No test that fails first.

--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
@@ -74,6 +74,8 @@
 
     async def _create_connection(self) -> H2Protocol:
         protocol = await asyncio.wait_for(super()._create_connection(), CONNECT_SECONDS)
+        if protocol.connection.is_closing():
+            raise ConnectionResetError("the other side closed the connection at once")
         transport = protocol.connection._transport
         connection = transport.get_extra_info("socket")
         if connection is not None:
