Pieces that can be in aim go before all that can't

Late answers are worth a fraction, and each one made the next ones late.

Ruled out: the weight of a rank (the order within what can be in aim is as it was).

Change: three classes in the queue of a pool: in aim, late and begun, late and not begun; within each by due time and rank as before.

One test added, which fails without the change.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -10,9 +10,6 @@
 #: are more than the spread of aims (1.6 to 3.6 s), so under load the least urgent
 #: requests are refused first; 0.4 s served less on all days of high load (policy.md).
 SECONDS_PER_RANK: Final = 1.5
-#: Seconds by which a piece of a begun request that misses its aim is put back.
-#: Its earlier stages are paid for, so it is finished all the same.
-SECONDS_FOR_MISSED_AIM: Final = 1.0
 #: Full calls that a piece must still have time for, so that it waits for a
 #: target beside its inputs rather than have them sent to another data centre.
 CALLS_TO_WAIT: Final = 3.0
@@ -173,11 +170,15 @@
     return piece.aim_at < now + CALLS_TO_WAIT * offer.full_seconds
 
 
-def _urgency(piece: WaitingPiece, soonest: float) -> float:
-    """Return when a piece is due, by its request's aim and rank."""
+def _urgency(piece: WaitingPiece, soonest: float) -> tuple[int, float]:
+    """Return the class of a piece, 0 first, and when it is due by its request's aim and rank.
+
+    What can still be in aim goes before what can't: a late answer is worth a
+    fraction, and finishing it first would make the next ones late as well.
+    Among the late ones, those that are begun go first, since their earlier
+    stages are paid for.
+    """
     due = piece.aim_at + piece.order.rank * SECONDS_PER_RANK
     if piece.aim_at >= soonest:
-        return due
-    if piece.is_first:
-        return float("inf")
-    return due + SECONDS_FOR_MISSED_AIM
+        return (0, due)
+    return (2, due) if piece.is_first else (1, due)
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
@@ -118,6 +118,13 @@
         self.queue.add(make_piece(2, aim_at=4.0))
         self.assertEqual(select(self.queue), [2, 1])
 
+    def test_a_late_piece_lets_all_go_first_that_can_be_in_aim(self) -> None:
+        begun = replace(ORDER, number=1, inputs=("h",))
+        self.queue.add(WaitingPiece(order=begun, sender="e1", due_at=99.0, aim_at=0.1))
+        self.queue.add(make_piece(2, aim_at=90.0, due_at=99.0, rank=9))
+        self.queue.add(make_piece(3, aim_at=0.05, due_at=99.0))
+        self.assertEqual(select(self.queue), [2, 1, 3])
+
     def test_rank_counts_as_time(self) -> None:
         behind = 1.0 + 2 * SECONDS_PER_RANK
         self.queue.add(make_piece(1, aim_at=1.0, rank=2, due_at=99.0))
