Stages of a request go together, late, and only as long as they matter

Room was held by results whose siblings were made by another call, by first stages that only the last step needs and that were made two seconds early, and by requests that were late already; and the forecast counted all the late pieces, so new requests were refused at the first pool.

Change, four parts of one matter: the pieces of one stage run in one call unless they can't or have no time to wait; a stage with time to spare starts when the longest way to the last step is as short as its own; begun and late pieces are dropped once others fill the targets; forecasts count only what can be in aim. Of what runs at once, a target takes what belongs beside it. Entries log when the first event came.

--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -32,6 +32,8 @@
     rank: int
     #: Approximate size of the result.
     result_bytes: int
+    #: Whether other stages of its request are made or under way.
+    is_begun: bool = False
     #: Data centre in which it should run, since its inputs or the user of its
     #: result are there; empty when little would have to travel.
     home: str = ""
--- a/packages/damsonlane/src/damsonlane/pools/_plan.py
+++ b/packages/damsonlane/src/damsonlane/pools/_plan.py
@@ -1,10 +1,14 @@
 """The stages of one request: which may start, and which results the last step needs."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import Final
 
 from damsonlane.routes import Stage
 
+#: Seconds by which a stage is started before it must be, since queues grow meanwhile.
+START_MARGIN_SECONDS: Final = 0.1
+
 
 @dataclass(frozen=True, kw_only=True)
 class StageStart:
@@ -34,12 +38,31 @@
         self._handles: dict[int, dict[int, str]] = {index: {} for index in range(len(stages))}
         self._started: set[int] = set()
 
-    def take_ready(self) -> tuple[StageStart, ...]:
-        """Return the stages that may start now and were not returned before."""
+    def take_ready(
+        self, expect_seconds: Callable[[Stage], float] = lambda _: 0.0
+    ) -> tuple[StageStart, ...]:
+        """Return the stages that should start now and were not returned before.
+
+        A stage that would be done long before another way to the last step is
+        left for later: its results would only take room at their makers.
+
+        Args:
+            expect_seconds: returns how long a stage will take, its queue included.
+        """
+        longest = max(
+            (
+                self._path_seconds(index, expect_seconds)
+                for index in range(len(self._stages))
+                if not self._is_made(index)
+            ),
+            default=0.0,
+        )
         ready = [
             index
             for index in range(len(self._stages))
-            if index not in self._started and self._may_start(index)
+            if index not in self._started
+            and self._may_start(index)
+            and self._path_seconds(index, expect_seconds) + START_MARGIN_SECONDS >= longest
         ]
         self._started.update(ready)
         return tuple(self._make_start(index) for index in ready)
@@ -80,6 +103,10 @@
         ]
         return max(chains, key=len, default=())
 
+    def _path_seconds(self, index: int, expect_seconds: Callable[[Stage], float]) -> float:
+        """Return the time from the start of a stage to the last step."""
+        return sum(map(expect_seconds, (self._stages[index], *self.depth_after(index))))
+
     def _may_start(self, index: int) -> bool:
         is_wanted = self._pieces[index] > 0
         return is_wanted and all(self._is_made(earlier) for earlier in self._stages[index].after)
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -13,6 +13,9 @@
 #: Full calls that a piece must still have time for, so that it waits for a
 #: target beside its inputs rather than have them sent to another data centre.
 CALLS_TO_WAIT: Final = 3.0
+#: Full calls that a stage must still have time for, so that its pieces wait for
+#: a call that takes them all.
+CALLS_TO_WAIT_FOR_ROOM: Final = 2.0
 #: Longest wait for such a target, in seconds.  Inputs take room at their makers
 #: meanwhile, which binds the pool before this one when traffic is high.
 HOME_WAIT_SECONDS: Final = 0.2
@@ -41,7 +44,12 @@
     @property
     def is_first(self) -> bool:
         """Whether nothing has been done for its request yet."""
-        return not self.order.inputs and self.attempts == 0
+        return not (self.order.inputs or self.order.is_begun or self.attempts)
+
+    @property
+    def group(self) -> tuple[str, str, int]:
+        """Sender, request and stage; the pieces of one group are needed together."""
+        return (self.sender, self.order.request, self.order.stage)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -101,9 +109,14 @@
         for identity in [key for key in self._waiting if key[0] == sender]:
             del self._waiting[identity]
 
-    def forecast(self, offer: Offer) -> float:
-        """Return the seconds until a piece that comes now would begin, by the pieces waiting."""
-        return len(self._waiting) / offer.batch * offer.full_seconds / max(1, offer.targets)
+    def forecast(self, now: float, offer: Offer) -> float:
+        """Return the seconds until a piece that comes now would begin.
+
+        Only pieces that can still be in aim count: the others let it go first.
+        """
+        soonest = now + offer.call_seconds + offer.piece_seconds
+        ahead = sum(piece.aim_at >= soonest for piece in self._waiting.values())
+        return ahead / offer.batch * offer.full_seconds / max(1, offer.targets)
 
     def select(self, now: float, offer: Offer) -> Selection:
         """Take out the pieces for one call, and those that are too late."""
@@ -120,20 +133,23 @@
     def _find_hopeless(
         self, ordered: list[WaitingPiece], now: float, offer: Offer
     ) -> list[WaitingPiece]:
-        """Return the pieces whose request is not begun and would miss its aim in this queue.
+        """Return the pieces whose request would miss its aim in this queue.
 
-        They are told so while their callers can still come back.  While there
-        are fewer pieces than the targets take at once, nothing is hopeless: a
-        late answer is better than none.
+        Those of requests that are not begun are told so while their callers can
+        still come back.  A begun one is finished unless the others fill the
+        targets: a late answer is worth little, and its results take the room of
+        answers that are in time.  While there are fewer pieces than the targets
+        take at once, nothing is hopeless.
         """
         at_once = offer.batch * max(1, offer.targets)
         hopeless: list[WaitingPiece] = []
         for place, piece in enumerate(ordered):
             ahead = place - len(hopeless)
-            if ahead < at_once or not piece.is_first:
+            if ahead < at_once:
                 continue
             begins_at = now + (ahead // at_once) * offer.full_seconds
-            if begins_at + offer.full_seconds > piece.aim_at:
+            ends_at = begins_at + (offer.full_seconds if piece.is_first else 0.0)
+            if ends_at > piece.aim_at:
                 hopeless.append(piece)
         return hopeless
 
@@ -145,21 +161,68 @@
 def _fill(
     ordered: list[WaitingPiece], passed_over: list[WaitingPiece], now: float, offer: Offer
 ) -> list[WaitingPiece]:
-    """Return the pieces of one call, within its size and the room for its results."""
+    """Return the pieces of one call, within its size and the room for its results.
+
+    The pieces of one stage of a request go together: made by different calls,
+    the first ones would take room at their makers until the last is made.
+    """
     left_out = {piece.identity for piece in passed_over}
+    fitting = [
+        piece
+        for piece in ordered
+        if piece.identity not in left_out and _may_run_at(piece, now, offer)
+    ]
     batch: list[WaitingPiece] = []
     room = offer.room
-    for piece in ordered:
-        if len(batch) == offer.batch:
-            break
-        if piece.identity in left_out or not _may_run_at(piece, now, offer):
+    for group in _group(_put_near_first(fitting, offer)):
+        taken = _take(group, offer.batch - len(batch), room)
+        if len(taken) < len(group) and not _may_split(group, now, offer):
             continue
-        if piece.order.result_bytes <= room:
-            room -= piece.order.result_bytes
-            batch.append(piece)
+        room -= sum(piece.order.result_bytes for piece in taken)
+        batch.extend(taken)
     return batch
 
 
+def _put_near_first(pieces: list[WaitingPiece], offer: Offer) -> list[WaitingPiece]:
+    """Return pieces with those first, of as many as run at once, that belong to this data centre.
+
+    Whatever runs at once begins at about the same time, so the order among
+    them decides only where each one runs.
+    """
+    at_once = offer.batch * max(1, offer.targets)
+    placed = enumerate(pieces)
+    ranked = sorted(
+        placed, key=lambda item: (item[0] // at_once, item[1].order.home != offer.data_centre)
+    )
+    return [piece for _, piece in ranked]
+
+
+def _group(pieces: list[WaitingPiece]) -> list[list[WaitingPiece]]:
+    """Return pieces by stage and request, each group at the place of its first piece."""
+    groups: dict[tuple[str, str, int], list[WaitingPiece]] = {}
+    for piece in pieces:
+        groups.setdefault(piece.group, []).append(piece)
+    return list(groups.values())
+
+
+def _take(group: list[WaitingPiece], most: int, room: int) -> list[WaitingPiece]:
+    """Return the first pieces of a group that fit a number and a room."""
+    taken: list[WaitingPiece] = []
+    for piece in group[:most]:
+        room -= piece.order.result_bytes
+        if room < 0:
+            break
+        taken.append(piece)
+    return taken
+
+
+def _may_split(group: list[WaitingPiece], now: float, offer: Offer) -> bool:
+    """Tell whether a group may run in several calls: if it must, or has no time to wait."""
+    is_too_large = len(group) > offer.batch
+    is_short_of_time = group[0].aim_at < now + CALLS_TO_WAIT_FOR_ROOM * offer.full_seconds
+    return is_too_large or is_short_of_time
+
+
 def _may_run_at(piece: WaitingPiece, now: float, offer: Offer) -> bool:
     """Tell whether a piece may run away from its inputs: only where waiting would cost more."""
     home = piece.order.home
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
@@ -25,7 +25,7 @@
 def make_piece(
     number: int, *, aim_at: float = 1.0, due_at: float = 5.0, rank: int = 0
 ) -> WaitingPiece:
-    order = replace(ORDER, number=number, rank=rank)
+    order = replace(ORDER, number=number, request=f"r{number}", rank=rank)
     return WaitingPiece(order=order, sender="e1", due_at=due_at, aim_at=aim_at)
 
 
@@ -97,6 +97,29 @@
         plan.note(2, 0, "c")
         self.assertEqual(plan.spent_inputs(2), ("a",))
 
+    def test_a_stage_with_time_to_spare_starts_when_the_longest_way_is_as_short(self) -> None:
+        plan = StagePlan(self.stages, (1, 1, 1, 1))
+        seconds = {"a": 0.4, "b": 0.5, "c": 0.4}
+
+        def take() -> list[int]:
+            started = plan.take_ready(lambda stage: seconds[stage.service])
+            return [start.index for start in started]
+
+        self.assertEqual(take(), [1])
+        plan.note(1, 0, "h1")
+        self.assertEqual(take(), [2])
+        plan.note(2, 0, "h2")
+        self.assertEqual(take(), [0, 3])
+
+    def test_a_queue_brings_a_stage_forward(self) -> None:
+        plan = StagePlan(self.stages, (1, 1, 1, 1))
+        seconds = {"a": 1.0, "b": 0.5, "c": 0.4}
+        started = plan.take_ready(lambda stage: seconds[stage.service])
+        self.assertEqual([start.index for start in started], [1])
+        plan.note(1, 0, "h1")
+        started = plan.take_ready(lambda stage: seconds[stage.service])
+        self.assertEqual([start.index for start in started], [0, 2])
+
     def test_the_chain_that_follows_is_known(self) -> None:
         plan = StagePlan(self.stages, (1, 1, 1, 1))
         self.assertEqual([stage.service for stage in plan.depth_after(1)], ["b", "c"])
@@ -146,6 +169,25 @@
         self.assertEqual([piece.order.number for piece in selection.batch], [0, 1])
         self.assertEqual([piece.order.number for piece in selection.late], [4])
 
+    def test_what_is_begun_and_late_is_dropped_when_others_fill_the_targets(self) -> None:
+        for number in range(2):
+            self.queue.add(make_piece(number, aim_at=9.0, due_at=20.0))
+        begun = replace(ORDER, number=9, inputs=("h",))
+        self.queue.add(WaitingPiece(order=begun, sender="e1", due_at=20.0, aim_at=0.1))
+        selection = self.queue.select(0.0, replace(OFFER, batch=2))
+        self.assertEqual([piece.order.number for piece in selection.batch], [0, 1])
+        self.assertEqual([piece.order.number for piece in selection.late], [9])
+
+    def test_a_request_whose_other_stages_are_made_is_not_refused_for_its_aim(self) -> None:
+        for number in range(4):
+            self.queue.add(make_piece(number, aim_at=9.0, due_at=20.0))
+        for number, is_begun in ((8, True), (9, False)):
+            order = replace(ORDER, number=number, request=f"r{number}", is_begun=is_begun)
+            self.queue.add(WaitingPiece(order=order, sender="e1", due_at=20.0, aim_at=0.5))
+        selection = self.queue.select(0.0, replace(OFFER, batch=1, call_seconds=0.4))
+        self.assertEqual([piece.order.number for piece in selection.late], [9])
+        self.assertEqual([piece.order.number for piece in selection.batch], [8])
+
     def test_what_is_begun_is_finished_though_late(self) -> None:
         for number in range(4):
             self.queue.add(make_piece(number, aim_at=0.1))
@@ -171,12 +213,43 @@
                 queue.add(WaitingPiece(order=order, sender="e1", due_at=20.0, aim_at=aim_at))
                 self.assertEqual(bool(select(queue)), runs)
 
+    def test_pieces_of_one_stage_go_together(self) -> None:
+        cases = (
+            ("the second stage does not fit whole", 5, 1000, 9.0, [1, 2, 3]),
+            ("both fit", 6, 1000, 9.0, [1, 2, 3, 4, 5, 6]),
+            ("no room for the second one", 9, 55, 9.0, [1, 2, 3]),
+            ("no time to wait", 5, 1000, 0.4, [1, 2, 3, 4, 5]),
+            ("too large for any call", 2, 1000, 9.0, [1, 2]),
+        )
+        for name, limit, room, aim_at, expected in cases:
+            with self.subTest(name):
+                queue = PieceQueue()
+                for number in range(1, 7):
+                    order = replace(ORDER, number=number, request="ab"[number > 3])
+                    queue.add(WaitingPiece(order=order, sender="e1", due_at=20.0, aim_at=aim_at))
+                self.assertEqual(select(queue, limit=limit, room=room), expected)
+
+    def test_of_what_runs_at_once_a_target_takes_what_belongs_beside_it(self) -> None:
+        for number, home in ((1, "johar"), (2, "dha"), (3, "johar"), (4, "dha")):
+            order = replace(ORDER, number=number, request=f"r{number}", home=home)
+            self.queue.add(WaitingPiece(order=order, sender="e1", due_at=20.0, aim_at=0.5))
+        offer = replace(OFFER, batch=1, targets=2, free_in={"dha": 0.0, "johar": 0.3})
+        taken = [
+            piece.order.number for _ in range(3) for piece in self.queue.select(0.0, offer).batch
+        ]
+        self.assertEqual(taken, [2, 1, 4])
+
+    def test_the_forecast_leaves_out_what_is_late(self) -> None:
+        for number in range(20):
+            self.queue.add(make_piece(number, aim_at=0.1 if number < 10 else 9.0))
+        self.assertAlmostEqual(self.queue.forecast(0.0, OFFER), 0.3)
+
     def test_the_forecast_grows_with_the_pieces_waiting(self) -> None:
-        self.assertEqual(self.queue.forecast(OFFER), 0.0)
+        self.assertEqual(self.queue.forecast(0.0, OFFER), 0.0)
         for number in range(20):
             self.queue.add(make_piece(number))
-        self.assertAlmostEqual(self.queue.forecast(OFFER), 0.6)
-        self.assertAlmostEqual(self.queue.forecast(replace(OFFER, targets=2)), 0.3)
+        self.assertAlmostEqual(self.queue.forecast(0.0, OFFER), 0.6)
+        self.assertAlmostEqual(self.queue.forecast(0.0, replace(OFFER, targets=2)), 0.3)
 
     def test_a_batch_fits_the_room(self) -> None:
         for number in range(4):
--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -72,6 +72,7 @@
         self._results = StageResults()
         self._has_results = False
         self._staged_seconds = 0.0
+        self._first_seconds: float | None = None
         self._last_event: str | None = None
         self._tries: Final = Tries(call)
         self._answer: Final = FinalAnswer(call.request.request_id, reply, dialect)
@@ -121,7 +122,7 @@
             is_begun = self._answer.has_begun()
             self._results = await self._stages.make(self._call, home, is_begun=is_begun)
             self._has_results = True
-            self._staged_seconds = asyncio.get_running_loop().time() - self._call.arrived_at
+            self._staged_seconds = self._age()
         chosen = self._attempts.choose(self._call, self._tries.tried)
         if chosen is None:
             return _Unserved(detail="the service has no target", may_have_run=False)
@@ -227,6 +228,7 @@
             # The first event says that the target has read its inputs.
             self._free_results()
             self._answer.start(opened.head)
+            self._first_seconds = self._age()
         await self._answer.send(data)
         if identity is not None:
             self._last_event = identity
@@ -293,18 +295,23 @@
             results, self._results, self._has_results = self._results, StageResults(), False
             self._stages.free(results)
 
+    def _age(self) -> float:
+        """Return the seconds since the request arrived."""
+        return asyncio.get_running_loop().time() - self._call.arrived_at
+
     def _log_end(self) -> None:
         call = self._call
-        now = asyncio.get_running_loop().time()
+        first = self._first_seconds
         _LOG.info(
             "ended",
             extra={
                 **call.log_fields(),
                 "outcome": self.outcome,
                 "reason": self._answer.detail,
-                "seconds": round(now - call.arrived_at, 3),
+                "seconds": round(self._age(), 3),
                 "aim_seconds": call.route.aim_seconds,
                 "staged_seconds": round(self._staged_seconds, 3),
+                "first_event_seconds": round(first, 3) if first is not None else None,
                 "offers": self._tries.offers,
                 "last_event": self._last_event,
             },
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -140,8 +140,8 @@
         makers = self._makers.everyone()
         if service is None or service.pool is None or not makers:
             return 0.0
-        offer = self._makers.make_offer(makers[0], service.pool, self._now())
-        return self._queue.forecast(offer)
+        now = self._now()
+        return self._queue.forecast(now, self._makers.make_offer(makers[0], service.pool, now))
 
     async def _run(self, service: Service, call: BatchCall) -> None:
         """Send a call, hand out what it made and look for the next one."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
+from functools import partial
 from typing import Final, NoReturn
 
 from damsonlane.errors import DamsonlaneError
@@ -101,7 +102,7 @@
         tasks: set[asyncio.Task[int]] = set()
         try:
             while not plan.is_done():
-                for start in plan.take_ready():
+                for start in plan.take_ready(partial(self._expect_with_queue, call)):
                     tasks.add(asyncio.ensure_future(self._make_stage(work, start)))
                 done, tasks = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
                 for task in done:
@@ -165,6 +166,10 @@
         detail = f"stage {start.index} of service {start.stage.service}: {reason}"
         raise StageError(detail, RETRY_SECONDS + result.wait_seconds)
 
+    def _expect_with_queue(self, call: Call, stage: Stage) -> float:
+        """Return the time that a stage will take, with the queue that was last heard of."""
+        return _expect_seconds(call, stage) + self._client.wait_seconds(stage.service)
+
     def _find_home(self, work: StageWork, start: StageStart) -> str:
         """Return the data centre in which a stage should run, or an empty string."""
         if start.inputs:
@@ -196,6 +201,7 @@
             aim_left_seconds=aim_at - now - later - waits - FIRST_TOKEN_SECONDS,
             rank=call.rank,
             result_bytes=start.stage.result_bytes,
+            is_begun=bool(work.held),
             home=home,
         )
 
