Waits in a pool are forecast by rank

Change: the owner of a pool says with each result how long a piece like it would wait, counting only what goes before it; entries keep that by rank.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -109,13 +109,15 @@
         for identity in [key for key in self._waiting if key[0] == sender]:
             del self._waiting[identity]
 
-    def forecast(self, now: float, offer: Offer) -> float:
-        """Return the seconds until a piece that comes now would begin.
+    def forecast(self, now: float, offer: Offer, like: PieceOrder) -> float:
+        """Return the seconds until a piece like another one would begin if it came now.
 
-        Only pieces that can still be in aim count: the others let it go first.
+        Only pieces that go before it count: not the late ones, nor those that
+        are less urgent.
         """
         soonest = now + offer.call_seconds + offer.piece_seconds
-        ahead = sum(piece.aim_at >= soonest for piece in self._waiting.values())
+        due = now + like.aim_left_seconds + like.rank * SECONDS_PER_RANK
+        ahead = sum(_urgency(piece, soonest) <= (0, due) for piece in self._waiting.values())
         return ahead / offer.batch * offer.full_seconds / max(1, offer.targets)
 
     def select(self, now: float, offer: Offer) -> Selection:
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
@@ -22,6 +22,10 @@
 )
 
 
+#: A piece that is due after all others.
+LIKE = replace(ORDER, aim_left_seconds=10.0)
+
+
 def make_piece(
     number: int, *, aim_at: float = 1.0, due_at: float = 5.0, rank: int = 0
 ) -> WaitingPiece:
@@ -242,14 +246,23 @@
     def test_the_forecast_leaves_out_what_is_late(self) -> None:
         for number in range(20):
             self.queue.add(make_piece(number, aim_at=0.1 if number < 10 else 9.0))
-        self.assertAlmostEqual(self.queue.forecast(0.0, OFFER), 0.3)
+        self.assertAlmostEqual(self.queue.forecast(0.0, OFFER, LIKE), 0.3)
+
+    def test_the_forecast_leaves_out_what_is_less_urgent(self) -> None:
+        for number in range(20):
+            self.queue.add(make_piece(number, aim_at=2.0, rank=0 if number < 5 else 3))
+        cases = ((0, 1.0, 0.0), (0, 3.0, 0.15), (3, 1.0, 0.15), (3, 3.0, 0.6))
+        for rank, aim_left, seconds in cases:
+            with self.subTest(rank=rank, aim_left=aim_left):
+                like = replace(ORDER, rank=rank, aim_left_seconds=aim_left)
+                self.assertAlmostEqual(self.queue.forecast(0.0, OFFER, like), seconds)
 
     def test_the_forecast_grows_with_the_pieces_waiting(self) -> None:
-        self.assertEqual(self.queue.forecast(0.0, OFFER), 0.0)
+        self.assertEqual(self.queue.forecast(0.0, OFFER, LIKE), 0.0)
         for number in range(20):
             self.queue.add(make_piece(number))
-        self.assertAlmostEqual(self.queue.forecast(0.0, OFFER), 0.6)
-        self.assertAlmostEqual(self.queue.forecast(0.0, replace(OFFER, targets=2)), 0.3)
+        self.assertAlmostEqual(self.queue.forecast(0.0, OFFER, LIKE), 0.6)
+        self.assertAlmostEqual(self.queue.forecast(0.0, replace(OFFER, targets=2), LIKE), 0.3)
 
     def test_a_batch_fits_the_room(self) -> None:
         for number in range(4):
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -80,7 +80,7 @@
         self._links: dict[str, OwnerLink] = {}
         self._suspects: dict[str, float] = {}
         self._withdrawn: dict[int, str] = {}
-        self._waits: dict[str, _Wait] = {}
+        self._waits: dict[tuple[str, int], _Wait] = {}
 
     def order(
         self, service: str, orders: Sequence[PieceOrder]
@@ -163,9 +163,9 @@
             if service and result.handle:
                 self.free(service, (result.handle,))
 
-    def wait_seconds(self, service: str) -> float:
-        """Return how long a piece would wait for its turn in a pool, as last heard."""
-        known = self._waits.get(service)
+    def wait_seconds(self, service: str, rank: int) -> float:
+        """Return how long a piece of a rank would wait for its turn in a pool, as last heard."""
+        known = self._waits.get((service, rank))
         if known is None:
             return 0.0
         age = asyncio.get_running_loop().time() - known.heard_at
@@ -175,7 +175,9 @@
         pending = self._pending.get(result.number)
         if pending is not None:
             now = asyncio.get_running_loop().time()
-            self._waits[pending.service] = _Wait(seconds=result.wait_seconds, heard_at=now)
+            self._waits[(pending.service, pending.order.rank)] = _Wait(
+                seconds=result.wait_seconds, heard_at=now
+            )
 
     def lose_owner(self, owner: str, numbers: Sequence[int], fault: str) -> None:
         """Order again elsewhere what an owner did not deliver."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Final
 
 from damsonlane.errors import DamsonlaneError
@@ -29,10 +29,22 @@
 MOST_ATTEMPTS: Final = 3
 #: Seconds over which results that were given up are collected into one call.
 FREE_SECONDS: Final = 0.005
+#: Seconds for which one forecast of a rank's wait serves.
+FORECAST_SECONDS: Final = 0.05
 #: Takes results back to the entry that ordered them.
 Deliver = Callable[[Sequence[PieceResult]], None]
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Forecast:
+    """How long pieces of one rank wait."""
+
+    #: Seconds until such a piece would begin.
+    seconds: float
+    #: When that was reckoned, by the loop's clock.
+    made_at: float
+
+
 class PoolOwner:
     """Orders pieces of one service's targets.
 
@@ -55,6 +67,7 @@
         self._queue: Final = PieceQueue()
         self._deliver: dict[str, Deliver] = {}
         self._makers: Final = Makers()
+        self._forecasts: dict[int, _Forecast] = {}
         self._freed: dict[str, list[str]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
@@ -134,14 +147,26 @@
         maker.note_call(call.announced, now + call.seconds)
         return call
 
-    def _forecast(self) -> float:
-        """Return the seconds that a piece which came now would wait for its turn."""
+    def _forecast(self, like: PieceOrder) -> float:
+        """Return the seconds that a piece like another would wait for its turn.
+
+        One reckoning serves all pieces of a rank for a moment: it looks at the whole queue.
+        """
+        now = self._now()
+        known = self._forecasts.get(like.rank)
+        if known is None or now - known.made_at > FORECAST_SECONDS:
+            known = _Forecast(seconds=self._reckon_wait(like), made_at=now)
+            self._forecasts[like.rank] = known
+        return known.seconds
+
+    def _reckon_wait(self, like: PieceOrder) -> float:
         service = self._find_service()
         makers = self._makers.everyone()
         if service is None or service.pool is None or not makers:
             return 0.0
         now = self._now()
-        return self._queue.forecast(now, self._makers.make_offer(makers[0], service.pool, now))
+        offer = self._makers.make_offer(makers[0], service.pool, now)
+        return self._queue.forecast(now, offer, like)
 
     async def _run(self, service: Service, call: BatchCall) -> None:
         """Send a call, hand out what it made and look for the next one."""
@@ -223,7 +248,7 @@
                 number=piece.order.number,
                 handle=handle,
                 fault=fault,
-                wait_seconds=round(self._forecast(), 3),
+                wait_seconds=round(self._forecast(piece.order), 3),
             )
             deliver((result,))
         elif handle:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -168,7 +168,8 @@
 
     def _expect_with_queue(self, call: Call, stage: Stage) -> float:
         """Return the time that a stage will take, with the queue that was last heard of."""
-        return _expect_seconds(call, stage) + self._client.wait_seconds(stage.service)
+        wait = self._client.wait_seconds(stage.service, call.rank)
+        return _expect_seconds(call, stage) + wait
 
     def _find_home(self, work: StageWork, start: StageStart) -> str:
         """Return the data centre in which a stage should run, or an empty string."""
@@ -188,7 +189,7 @@
         chain = work.plan.depth_after(start.index)
         aim_at = call.due_at if call.is_begun else call.aim_at
         later = sum(_expect_seconds(call, stage) for stage in chain)
-        waits = sum(self._client.wait_seconds(stage.service) for stage in chain)
+        waits = sum(self._client.wait_seconds(stage.service, call.rank) for stage in chain)
         now = asyncio.get_running_loop().time()
         return PieceOrder(
             number=0,
