First events are forecast by prompt; begun requests are given up only early

Cause: each request kept 0.35 s for its first event after its stages, prompts of 700 tokens like those of 9,000 (measured on: medians 0.10, 0.14 and 0.34 s). And begun requests were given up when their callers had waited half of their time, which costs as much as serving them would have earned.

Ruled out: reading the pace from the document (it does not tell it).

Change: the time kept is a base and a pace per token, which follows a quantile of what the entry measures; a begun request is given up in a pool's queue only within 0.45 of its time, and served late after that.

--- a/packages/damsonlane/src/damsonlane/admission/__init__.py
+++ b/packages/damsonlane/src/damsonlane/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission: who may enter, decided at once and without a queue."""
 
+from damsonlane.admission._first_event import FirstEventForecast
 from damsonlane.admission._forecast import (
     ADMISSION_SHARE,
     STAGE_SHARE,
@@ -11,6 +12,7 @@
 __all__ = [
     "ADMISSION_SHARE",
     "STAGE_SHARE",
+    "FirstEventForecast",
     "Gate",
     "ServiceMeter",
     "Visitor",
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/admission/tests/test_first_event.py
@@ -0,0 +1,42 @@
+"""The forecast of first events."""
+
+import random
+import unittest
+
+from damsonlane.admission import FirstEventForecast
+from damsonlane.admission._first_event import BASE_SECONDS, PACE_RANGE, QUANTILE
+
+
+class FirstEventForecastTest(unittest.TestCase):
+    def test_longer_prompts_take_longer(self) -> None:
+        forecast = FirstEventForecast()
+        self.assertEqual(forecast.seconds(0), BASE_SECONDS)
+        self.assertLess(forecast.seconds(700), forecast.seconds(9_000))
+
+    def test_it_follows_the_quantile_of_what_was_measured(self) -> None:
+        randomness = random.Random(1)
+        for pace in (20e-6, 200e-6):
+            with self.subTest(pace=pace):
+                forecast = FirstEventForecast()
+                samples = [BASE_SECONDS + 1_000 * pace * randomness.random() for _ in range(2_000)]
+                for sample in samples:
+                    forecast.note(1_000, sample)
+                within = sum(sample <= forecast.seconds(1_000) for sample in samples)
+                self.assertAlmostEqual(within / len(samples), QUANTILE, delta=0.12)
+
+    def test_it_stays_within_bounds(self) -> None:
+        forecast = FirstEventForecast()
+        for seconds, bound in ((99.0, PACE_RANGE[1]), (0.0, PACE_RANGE[0])):
+            for _ in range(1_000):
+                forecast.note(1_000, seconds)
+            self.assertAlmostEqual(forecast.seconds(1_000), BASE_SECONDS + 1_000 * bound)
+
+    def test_short_prompts_say_nothing(self) -> None:
+        forecast = FirstEventForecast()
+        before = forecast.seconds(1_000)
+        forecast.note(10, 5.0)
+        self.assertEqual(forecast.seconds(1_000), before)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -28,6 +28,9 @@
     left_seconds: float
     #: Seconds within which the result keeps the request in aim; may be negative.
     aim_left_seconds: float
+    #: Seconds within which the request may still be given up; after that its
+    #: caller has waited so long that a late answer is better than none.
+    give_up_left_seconds: float
     #: Urgency; 0 comes first.
     rank: int
     #: Approximate size of the result.
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -33,6 +33,8 @@
     due_at: float
     #: When its result must be there to keep its request in aim.
     aim_at: float
+    #: Until when its request may be given up.
+    give_up_until: float = float("inf")
     #: How often it was sent to a target already.
     attempts: int = 0
 
@@ -138,20 +140,19 @@
         """Return the pieces whose request would miss its aim in this queue.
 
         Those of requests that are not begun are told so while their callers can
-        still come back.  A begun one is finished unless the others fill the
-        targets: a late answer is worth little, and its results take the room of
-        answers that are in time.  While there are fewer pieces than the targets
-        take at once, nothing is hopeless.
+        still come back.  A begun one is given up as well, since its results take
+        the room of answers that are in time, but not once its caller has waited
+        for long.  While there are fewer pieces than the targets take at once,
+        nothing is hopeless.
         """
         at_once = offer.batch * max(1, offer.targets)
         hopeless: list[WaitingPiece] = []
         for place, piece in enumerate(ordered):
             ahead = place - len(hopeless)
-            if ahead < at_once:
+            if ahead < at_once or not (piece.is_first or now < piece.give_up_until):
                 continue
             begins_at = now + (ahead // at_once) * offer.full_seconds
-            ends_at = begins_at + (offer.full_seconds if piece.is_first else 0.0)
-            if ends_at > piece.aim_at:
+            if begins_at + offer.full_seconds > piece.aim_at:
                 hopeless.append(piece)
         return hopeless
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -229,6 +229,9 @@
             self._free_results()
             self._answer.start(opened.head)
             self._first_seconds = self._age()
+            if self._tries.offers == 1:
+                seconds = self._first_seconds - self._staged_seconds
+                self._stages.note_first_event(self._call, seconds)
         await self._answer.send(data)
         if identity is not None:
             self._last_event = identity
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -217,4 +217,5 @@
         pending.order,
         left_seconds=pending.order.left_seconds - passed,
         aim_left_seconds=pending.order.aim_left_seconds - passed,
+        give_up_left_seconds=pending.order.give_up_left_seconds - passed,
     )
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -95,6 +95,7 @@
                     sender=sender,
                     due_at=now + order.left_seconds,
                     aim_at=now + order.aim_left_seconds,
+                    give_up_until=now + order.give_up_left_seconds,
                 )
             )
         self._pump()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -9,6 +9,7 @@
 from functools import partial
 from typing import Final, NoReturn
 
+from damsonlane.admission import FirstEventForecast
 from damsonlane.errors import DamsonlaneError
 from damsonlane.pools import PieceFault, PieceOrder, PieceResult, StagePlan, StageStart
 from damsonlane.routes import Stage
@@ -18,9 +19,9 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Seconds that a request is reckoned to need after its last stage until its
-#: first token: about 64 ms of the engine's own and the reading of a long prompt.
-FIRST_TOKEN_SECONDS: Final = 0.35
+#: Share of its time after which a request whose stages are begun is served
+#: however late: its caller has waited too long to try again with success.
+GIVE_UP_SHARE: Final = 0.45
 #: Share of a full batch that a call is reckoned to hold.
 USUAL_BATCH_SHARE: Final = 0.6
 #: Times that a request's stages are begun again after an input was lost.
@@ -64,6 +65,7 @@
     def __init__(self, client: PoolClient, locate: Callable[[str], str]) -> None:
         self._client: Final = client
         self._locate: Final = locate
+        self._first_events: Final[dict[str, FirstEventForecast]] = {}
 
     async def make(self, call: Call, home: str, *, is_begun: bool = False) -> StageResults:
         """Return the results of all stages of a request.
@@ -88,6 +90,10 @@
             _LOG.warning("stage result lost", extra=call.log_fields())
         raise StageError("results of its stages were lost repeatedly")
 
+    def note_first_event(self, call: Call, seconds: float) -> None:
+        """Learn from the first event of an answer, some seconds after its request was sent."""
+        self._first_event(call).note(call.request.tokens_in, seconds)
+
     def free(self, results: StageResults) -> None:
         """Give results up."""
         by_service: dict[str, list[str]] = {}
@@ -171,6 +177,9 @@
         wait = self._client.wait_seconds(stage.service, call.rank)
         return _expect_seconds(call, stage) + wait
 
+    def _first_event(self, call: Call) -> FirstEventForecast:
+        return self._first_events.setdefault(call.service.name, FirstEventForecast())
+
     def _find_home(self, work: StageWork, start: StageStart) -> str:
         """Return the data centre in which a stage should run, or an empty string."""
         if start.inputs:
@@ -190,6 +199,7 @@
         aim_at = call.due_at if call.is_begun else call.aim_at
         later = sum(_expect_seconds(call, stage) for stage in chain)
         waits = sum(self._client.wait_seconds(stage.service, call.rank) for stage in chain)
+        first_event = self._first_event(call).seconds(call.request.tokens_in)
         now = asyncio.get_running_loop().time()
         return PieceOrder(
             number=0,
@@ -198,8 +208,9 @@
             piece=piece,
             material_key=call.request.material_key if not start.stage.after else "",
             inputs=start.inputs,
-            left_seconds=call.due_at - now - later - FIRST_TOKEN_SECONDS,
-            aim_left_seconds=aim_at - now - later - waits - FIRST_TOKEN_SECONDS,
+            left_seconds=call.due_at - now - later - first_event,
+            aim_left_seconds=aim_at - now - later - waits - first_event,
+            give_up_left_seconds=_give_up_at(call) - now,
             rank=call.rank,
             result_bytes=start.stage.result_bytes,
             is_begun=bool(work.held),
@@ -207,6 +218,13 @@
         )
 
 
+def _give_up_at(call: Call) -> float:
+    """Return until when a request may be given up; one whose answer has begun may not."""
+    if call.is_begun:
+        return call.arrived_at
+    return call.arrived_at + GIVE_UP_SHARE * (call.due_at - call.arrived_at)
+
+
 def _count_input_bytes(call: Call, start: StageStart) -> int:
     """Return the size of what one piece of a stage reads."""
     return sum(
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -174,6 +174,7 @@
     inputs=(),
     left_seconds=15.0,
     aim_left_seconds=10.0,
+    give_up_left_seconds=1.0,
     rank=0,
     result_bytes=10,
 )
