Forecasts grow with more urgent work; entries that start say when they serve

Cause: (1) a less urgent request was begun because the queue was short, and then put back by more urgent ones that came meanwhile; (2) the time kept for first events was that of four in five, so requests were refused that would have been in aim, and the longest prompts counted as late on arrival; (3) after a power loss of all boxes 122 callers of entries that had no routes yet were told to come back after 0.5 s and were refused again: an entry needs 0.9 s, most of it the election.

Ruled out: for (3) a shorter wait for a first replica (0.1 s to gain at most).

Change: the owner of a pool keeps the rate at which pieces of each rank were taken of late, and lets less urgent ones wait that much longer in its forecasts; the median of first events is kept, at most 0.4 of the aim; Retry-After of a starting entry is the time until it will probably serve.

Tests: three added.

--- a/packages/damsonlane/src/damsonlane/admission/tests/test_first_event.py
+++ b/packages/damsonlane/src/damsonlane/admission/tests/test_first_event.py
@@ -4,14 +4,17 @@
 import unittest
 
 from damsonlane.admission import FirstEventForecast
-from damsonlane.admission._first_event import BASE_SECONDS, PACE_RANGE, QUANTILE
+from damsonlane.admission._first_event import BASE_SECONDS, LARGEST_SHARE, PACE_RANGE, QUANTILE
+
+#: An aim that binds no forecast, in seconds.
+LONG = 60.0
 
 
 class FirstEventForecastTest(unittest.TestCase):
     def test_longer_prompts_take_longer(self) -> None:
         forecast = FirstEventForecast()
-        self.assertEqual(forecast.seconds(0), BASE_SECONDS)
-        self.assertLess(forecast.seconds(700), forecast.seconds(9_000))
+        self.assertEqual(forecast.seconds(0, LONG), BASE_SECONDS)
+        self.assertLess(forecast.seconds(700, LONG), forecast.seconds(9_000, LONG))
 
     def test_it_follows_the_quantile_of_what_was_measured(self) -> None:
         randomness = random.Random(1)
@@ -21,7 +24,7 @@
                 samples = [BASE_SECONDS + 1_000 * pace * randomness.random() for _ in range(2_000)]
                 for sample in samples:
                     forecast.note(1_000, sample)
-                within = sum(sample <= forecast.seconds(1_000) for sample in samples)
+                within = sum(sample <= forecast.seconds(1_000, LONG) for sample in samples)
                 self.assertAlmostEqual(within / len(samples), QUANTILE, delta=0.12)
 
     def test_it_stays_within_bounds(self) -> None:
@@ -29,13 +32,18 @@
         for seconds, bound in ((99.0, PACE_RANGE[1]), (0.0, PACE_RANGE[0])):
             for _ in range(1_000):
                 forecast.note(1_000, seconds)
-            self.assertAlmostEqual(forecast.seconds(1_000), BASE_SECONDS + 1_000 * bound)
+            self.assertAlmostEqual(forecast.seconds(1_000, LONG), BASE_SECONDS + 1_000 * bound)
+
+    def test_the_longest_prompt_keeps_most_of_its_aim_for_its_stages(self) -> None:
+        forecast = FirstEventForecast()
+        self.assertEqual(forecast.seconds(9_000_000, 2.0), LARGEST_SHARE * 2.0)
+        self.assertEqual(forecast.seconds(0, 0.1), LARGEST_SHARE * 0.1)
 
     def test_short_prompts_say_nothing(self) -> None:
         forecast = FirstEventForecast()
-        before = forecast.seconds(1_000)
+        before = forecast.seconds(1_000, LONG)
         forecast.note(10, 5.0)
-        self.assertEqual(forecast.seconds(1_000), before)
+        self.assertEqual(forecast.seconds(1_000, LONG), before)
 
 
 if __name__ == "__main__":
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from damsonlane.pools._pieces import PieceOrder
+from damsonlane.pools._taken import TakenWork
 
 #: Seconds by which one step of rank puts a piece back behind another.  Two steps
 #: are more than the spread of aims (1.6 to 3.6 s), so under load the least urgent
@@ -13,6 +14,9 @@
 #: Full calls that a piece must still have time for, so that it waits for a
 #: target beside its inputs rather than have them sent to another data centre.
 CALLS_TO_WAIT: Final = 3.0
+#: Largest share of a pool that is reckoned to go to more urgent pieces: they come
+#: in waves of a few seconds, so a less urgent one is never told to wait for ever.
+MOST_TAKEN_SHARE: Final = 0.7
 #: Full calls that a stage must still have time for, so that its pieces wait for
 #: a call that takes them all.
 CALLS_TO_WAIT_FOR_ROOM: Final = 2.0
@@ -78,6 +82,11 @@
         """Time of a call with as many pieces as it may have."""
         return self.call_seconds + self.batch * self.piece_seconds
 
+    @property
+    def pieces_per_second(self) -> float:
+        """Most pieces that the pool makes in a second."""
+        return self.batch * max(1, self.targets) / self.full_seconds
+
 
 @dataclass(frozen=True, kw_only=True)
 class Selection:
@@ -94,6 +103,7 @@
 
     def __init__(self) -> None:
         self._waiting: dict[tuple[str, int], WaitingPiece] = {}
+        self._taken: Final = TakenWork()
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -120,7 +130,7 @@
         soonest = now + offer.call_seconds + offer.piece_seconds
         due = now + like.aim_left_seconds + like.rank * SECONDS_PER_RANK
         ahead = sum(_urgency(piece, soonest) <= (0, due) for piece in self._waiting.values())
-        return ahead / offer.batch * offer.full_seconds / max(1, offer.targets)
+        return ahead / offer.pieces_per_second * self._stretch(like.rank, now, offer)
 
     def select(self, now: float, offer: Offer) -> Selection:
         """Take out the pieces for one call, and those that are too late."""
@@ -132,6 +142,8 @@
         self._remove(hopeless)
         batch = _fill(ordered, hopeless, now, offer)
         self._remove(batch)
+        for piece in batch:
+            self._taken.note(piece.order.rank, now)
         return Selection(batch=tuple(batch), late=(*late, *hopeless))
 
     def _find_hopeless(
@@ -151,11 +163,20 @@
             ahead = place - len(hopeless)
             if ahead < at_once or not (piece.is_first or now < piece.give_up_until):
                 continue
-            begins_at = now + (ahead // at_once) * offer.full_seconds
+            rounds = ahead // at_once * self._stretch(piece.order.rank, now, offer)
+            begins_at = now + rounds * offer.full_seconds
             if begins_at + offer.full_seconds > piece.aim_at:
                 hopeless.append(piece)
         return hopeless
 
+    def _stretch(self, rank: int, now: float, offer: Offer) -> float:
+        """Return how many times longer pieces of a rank wait, since more urgent ones still come.
+
+        What came lately is reckoned to go on: its share of the pool is not there for others.
+        """
+        share = self._taken.rate_before(rank, now) / offer.pieces_per_second
+        return 1.0 / (1.0 - min(MOST_TAKEN_SHARE, share))
+
     def _remove(self, pieces: list[WaitingPiece]) -> None:
         for piece in pieces:
             del self._waiting[piece.identity]
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/pools/_taken.py
@@ -0,0 +1,31 @@
+"""How much of a pool's work went to each rank lately."""
+
+import math
+from typing import Final
+
+#: Seconds over which work is remembered: about four full calls of the first users'
+#: pools, so that one batch is no trend and a wave is noticed while it rises.
+MEMORY_SECONDS: Final = 1.5
+
+
+class TakenWork:
+    """Rates at which pieces of each rank were taken from the queue, fading with time."""
+
+    def __init__(self) -> None:
+        self._rates: dict[int, float] = {}
+        self._noted_at = 0.0
+
+    def note(self, rank: int, now: float) -> None:
+        """Note that a piece of a rank was taken."""
+        self._fade(now)
+        self._rates[rank] = self._rates.get(rank, 0.0) + 1.0 / MEMORY_SECONDS
+
+    def rate_before(self, rank: int, now: float) -> float:
+        """Return the pieces a second that were more urgent than a rank."""
+        self._fade(now)
+        return sum(rate for other, rate in self._rates.items() if other < rank)
+
+    def _fade(self, now: float) -> None:
+        left = math.exp(-max(0.0, now - self._noted_at) / MEMORY_SECONDS)
+        self._noted_at = now
+        self._rates = {rank: rate * left for rank, rate in self._rates.items()}
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
@@ -248,6 +248,19 @@
         ]
         self.assertEqual(taken, [2, 1, 4])
 
+    def test_the_forecast_grows_with_what_more_urgent_pieces_took_lately(self) -> None:
+        offer = replace(OFFER, batch=100)
+        for number in range(100):
+            self.queue.add(make_piece(number, aim_at=9.0, due_at=20.0))
+        self.assertEqual(len(self.queue.select(0.0, offer).batch), 100)
+        for number in range(100, 120):
+            self.queue.add(make_piece(number, aim_at=9.0, due_at=20.0, rank=1))
+        usual = self.queue.forecast(0.0, offer, replace(LIKE, rank=0, aim_left_seconds=19.0))
+        after = self.queue.forecast(0.0, offer, replace(LIKE, rank=2, aim_left_seconds=19.0))
+        later = self.queue.forecast(60.0, offer, replace(LIKE, rank=2, aim_left_seconds=19.0))
+        self.assertGreater(after, 1.5 * usual)
+        self.assertEqual(later, 0.0)
+
     def test_the_forecast_leaves_out_what_is_late(self) -> None:
         for number in range(20):
             self.queue.add(make_piece(number, aim_at=0.1 if number < 10 else 9.0))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
@@ -22,8 +22,11 @@
 #: Seconds by which a final answer leaves before the caller's deadline or the
 #: route's time-out, so that it is there in time.
 ANSWER_MARGIN_SECONDS: Final = 0.02
-#: Seconds after which a caller of an entry that knows no routes should come back.
-START_RETRY_SECONDS: Final = 0.5
+#: Seconds from the start of an entry until it usually knows its routes: 0.9 s after a
+#: power loss of all boxes, most of it the election of a control leader.
+USUAL_START_SECONDS: Final = 1.1
+#: Least seconds after which a caller of an entry that starts or stops should come back.
+START_RETRY_SECONDS: Final = 0.2
 #: Steps into which the weights of a route's services are divided.
 _WEIGHT_STEPS: Final = 10_000
 
@@ -60,6 +63,7 @@
     def __init__(self, parts: GatewayParts) -> None:
         self._parts: Final = parts
         self._in_flight = 0
+        self._started_at: Final = asyncio.get_running_loop().time()
         #: Whether new requests are refused, because the process ends before they could.
         self.refuses_new = False
 
@@ -128,7 +132,7 @@
         if table is None:
             detail = "this entry knows no routes yet"
             raise _RefusedError(
-                Refusal(status=503, detail=detail, retry_after_seconds=START_RETRY_SECONDS)
+                Refusal(status=503, detail=detail, retry_after_seconds=self._start_seconds_left())
             )
         route = table.find_route(request.host, request.http.path)
         if route is None:
@@ -148,6 +152,11 @@
             due_at=arrived_at + seconds - ANSWER_MARGIN_SECONDS,
         )
 
+    def _start_seconds_left(self) -> float:
+        """Return the seconds until this entry will probably know its routes."""
+        age = asyncio.get_running_loop().time() - self._started_at
+        return max(START_RETRY_SECONDS, USUAL_START_SECONDS - age)
+
     def _find_organisation(
         self, table: RouteTable, route: Route, request: CallerRequest
     ) -> Organisation | None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -199,7 +199,9 @@
         aim_at = call.due_at if call.is_begun else call.aim_at
         later = sum(_expect_seconds(call, stage) for stage in chain)
         waits = sum(self._client.wait_seconds(stage.service, call.rank) for stage in chain)
-        first_event = self._first_event(call).seconds(call.request.tokens_in)
+        first_event = self._first_event(call).seconds(
+            call.request.tokens_in, call.route.aim_seconds
+        )
         now = asyncio.get_running_loop().time()
         return PieceOrder(
             number=0,
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, replace
 from unittest import mock
 
-from damsonlane.admission._first_event import BASE_SECONDS
 from damsonlane.cluster import PackedDocument
 from damsonlane.codec import encode_bytes
 from damsonlane.membership import BoxRecord
 from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane.routes import RoutingDocument
+from damsonlaned.gateway._callers import START_RETRY_SECONDS, USUAL_START_SECONDS
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
     PATIENCE,
@@ -184,6 +184,24 @@
         self.assertEqual(response.status, 503)
         self.assertIn(b"Retry-After", response.data)
 
+    async def test_an_entry_that_starts_says_when_it_will_know_its_routes(self) -> None:
+        entry = Entry()
+        await entry._listener.start()
+        self.addAsyncCleanup(entry.stop)
+        now = asyncio.get_running_loop().time()
+        for age, least, most in (
+            # Started in the future, so that a slow machine changes nothing.
+            (-60.0, 30.0, 60.0 + USUAL_START_SECONDS),
+            (USUAL_START_SECONDS, START_RETRY_SECONDS, START_RETRY_SECONDS),
+            (60.0, START_RETRY_SECONDS, START_RETRY_SECONDS),
+        ):
+            with self.subTest(age=age):
+                entry.callers._started_at = now - age  # type: ignore[misc]
+                response = await entry.call("/ping/a")
+                told = response.data.partition(b"Retry-After: ")[2].partition(b"\r\n")[0]
+                self.assertGreaterEqual(float(told), least)
+                self.assertLessEqual(float(told), most)
+
     async def test_an_entry_about_to_end_takes_nothing_that_it_could_not_finish(self) -> None:
         target = StandIn("t1", answer_well)
         entry = await self.open(target)
