Idle targets split stages; inputs are given up early only where others wait

Ruled out: the engines (their part of the late ones was as usual).

Change: a target that could take nothing whole takes a part of the most urgent stage; inputs are given up early only where a queue waits for their room, and a piece that fails is tried again with its inputs first.

Tests: test_stages knows both ways of failing; those of the queue are as they were.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -198,12 +198,16 @@
     ]
     batch: list[WaitingPiece] = []
     room = offer.room
-    for group in _group(_put_near_first(fitting, offer)):
+    groups = _group(_put_near_first(fitting, offer))
+    for group in groups:
         taken = _take(group, offer.batch - len(batch), room)
         if len(taken) < len(group) and not _may_split(group, now, offer):
             continue
         room -= sum(piece.order.result_bytes for piece in taken)
         batch.extend(taken)
+    if not batch and groups:
+        # A part of the most urgent stage is better than a target that stands idle.
+        return _take(groups[0], offer.batch, room)
     return batch
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -195,6 +195,14 @@
         age = asyncio.get_running_loop().time() - known.heard_at
         return max(0.0, known.seconds - age)
 
+    def has_queue(self, service: str) -> bool:
+        """Tell whether pieces of any rank wait for their turn in a pool, as last heard."""
+        return any(
+            self.wait_seconds(service, rank) > 0.0
+            for known, rank in self._waits
+            if known == service
+        )
+
     def _note_wait(self, result: PieceResult) -> None:
         pending = self._pending.get(result.number)
         if pending is not None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -78,7 +78,6 @@
         self._calls: Final = PoolCalls(dialect)
         self._queue: Final = PieceQueue()
         self._receivers: dict[str, OrderReceiver] = {}
-        self._read: set[tuple[str, int]] = set()
         self._makers: Final = Makers()
         self._forecasts: dict[int, _Forecast] = {}
         self._freed: dict[str, list[str]] = {}
@@ -208,7 +207,6 @@
         finally:
             for timer in reading:
                 timer.cancel()
-            self._read.difference_update(piece.identity for piece in call.batch)
             maker.note_end(call.announced, made, self._now())
         self._log_end(call, len(made), self._now() - began_at)
         self._pump()
@@ -218,7 +216,6 @@
         by_sender: dict[str, list[int]] = {}
         for piece in call.batch:
             if piece.order.inputs:
-                self._read.add(piece.identity)
                 by_sender.setdefault(piece.sender, []).append(piece.order.number)
         for sender, numbers in by_sender.items():
             if sender in self._receivers:
@@ -268,10 +265,7 @@
     def _requeue(self, pieces: Sequence[WaitingPiece], *, has_run: bool) -> None:
         for piece in pieces:
             attempts = piece.attempts + (1 if has_run else 0)
-            if piece.identity in self._read:
-                # Its inputs were given up, so another target could not make it.
-                self._answer(piece, fault="lost-input")
-            elif attempts >= MOST_ATTEMPTS or piece.sender not in self._receivers:
+            if attempts >= MOST_ATTEMPTS or piece.sender not in self._receivers:
                 self._answer(piece, fault="failed")
             else:
                 self._queue.add(replace(piece, attempts=attempts))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -148,9 +148,15 @@
         return start.index
 
     def _note_read(self, work: StageWork, start: StageStart, piece: int) -> None:
-        """Give up inputs as soon as every piece that needs them has read them."""
+        """Give up inputs that every piece has read, if others wait for their room.
+
+        Where nobody waits they are kept until the pieces are made, since a piece
+        that fails may be made again with them.
+        """
         work.plan.note_read(start.index, piece)
-        self.free(work.take_spent(start.index))
+        stages = work.call.route.stages
+        if any(self._client.has_queue(stages[earlier].service) for earlier in start.stage.after):
+            self.free(work.take_spent(start.index))
 
     async def _take_results(
         self, work: StageWork, start: StageStart, futures: "Sequence[asyncio.Future[PieceResult]]"
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_stages.py
@@ -9,6 +9,7 @@
 
 from damsonlane.routes import RoutingDocument
 from damsonlaned.gateway import _pool_owner
+from damsonlaned.gateway._pool_client import PoolClient
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
     PATIENCE,
@@ -19,7 +20,7 @@
     cut,
     make_pieces,
 )
-from damsonlaned.http import HttpRequest, Reply
+from damsonlaned.http import HttpRequest, HttpResponse, Reply
 
 #: Of the only request in these tests, which has two stages of one piece each.
 HEADERS = "Damsonlane-Pieces: 1,1\r\nDamsonlane-Material-Key: m\r\n"
@@ -50,6 +51,12 @@
     freed: tuple[str, ...] = ()
 
 
+async def lose_inputs(request: HttpRequest, reply: Reply) -> None:
+    """Answer that the inputs of every piece are gone."""
+    pieces = [{"fault": "lost-input"} for _ in json.loads(request.body)["pieces"]]
+    reply.send_whole(HttpResponse(status=200, body=json.dumps({"pieces": pieces}).encode()))
+
+
 class Pool:
     """A pool target that notes its calls and answers those of the second stage as told.
 
@@ -64,6 +71,10 @@
         self.target = StandIn("p1", self._answer, "pool")
         self.make = make_pieces(lambda: self.target.address)
 
+    def stages(self) -> list[int]:
+        """Return the stages of the calls that make pieces."""
+        return [call.stage for call in self.seen if call.stage is not None]
+
     async def make_once_freed(self, request: HttpRequest, reply: Reply) -> None:
         """Make the pieces, but only once results were given up."""
         await self.freed.wait()
@@ -97,7 +108,10 @@
         self.addCleanup(patch.stop)
         self.desk = StandIn("t1", answer_well)
 
-    async def call(self, pool: Pool) -> int:
+    async def call(self, pool: Pool, *, has_queue: bool = True) -> int:
+        patch = mock.patch.object(PoolClient, "has_queue", return_value=has_queue)
+        patch.start()
+        self.addCleanup(patch.stop)
         records = [await self.desk.start(), await pool.target.start()]
         entry = Entry(make_document())
         await entry.start(*records)
@@ -125,10 +139,18 @@
         self,
     ) -> None:
         pool = Pool()
-        pool._second = [pool.cut_once_freed, pool.make]
+        pool._second = [pool.cut_once_freed, lose_inputs, pool.make]
         self.assertEqual(await self.call(pool), 200)
-        stages = [call.stage for call in pool.seen if call.stage is not None]
-        self.assertEqual(stages, [0, 1, 0, 1])
+        self.assertEqual(pool.stages(), [0, 1, 1, 0, 1])
+        self.assertEqual(len(self.desk.requests), 1)
+
+    async def test_inputs_are_kept_for_another_try_where_nobody_waits_for_their_room(
+        self,
+    ) -> None:
+        pool = Pool()
+        pool._second = [cut, pool.make]
+        self.assertEqual(await self.call(pool, has_queue=False), 200)
+        self.assertEqual(pool.stages(), [0, 1, 1])
         self.assertEqual(len(self.desk.requests), 1)
 
 
