--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -42,6 +42,16 @@
     on_read: Callable[[], None]
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Suspicion:
+    """An owner whose stream was lost."""
+
+    #: Until when it is passed over, by the loop's clock.
+    until: float
+    #: Its incarnation at that time; another one is not suspected.
+    incarnation: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Wait:
     """What an owner said of its queue."""
@@ -80,7 +90,7 @@
         self._numbers: Final = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         self._links: dict[str, OwnerLink] = {}
-        self._suspects: dict[str, float] = {}
+        self._suspects: dict[str, _Suspicion] = {}
         self._withdrawn: dict[int, str] = {}
         self._waits: dict[tuple[str, int], _Wait] = {}
 
@@ -144,10 +154,26 @@
         # An entry that control does not list, because it stops or has just started, owns
         # nothing: two owners of a pool would send their calls to the same targets.
         addresses = {entry.address for entry in self._view.entries} or {self._address}
-        sound = {name for name in addresses if self._suspects.get(name, 0.0) <= now}
+        sound = {name for name in addresses if not self._is_suspect(name, now)}
         ranked = sound or {self._address}
         return max(ranked, key=lambda address: _weigh(service, address))
 
+    def _is_suspect(self, address: str, now: float) -> bool:
+        """Tell whether an owner is passed over.
+
+        One that has started again is not: entries that had no stream to it would
+        choose it already, and two owners of a pool hold each other's calls up.
+        """
+        suspicion = self._suspects.get(address)
+        if suspicion is None or suspicion.until <= now:
+            return False
+        return suspicion.incarnation == self._find_incarnation(address)
+
+    def _find_incarnation(self, address: str) -> str:
+        """Return the incarnation of an entry that is listed, or an empty string."""
+        listed = [entry for entry in self._view.entries if entry.address == address]
+        return listed[0].incarnation if listed else ""
+
     def _place(self, service: str, placed: Sequence[_Pending]) -> None:
         owner = self._find_owner(service)
         now = asyncio.get_running_loop().time()
@@ -217,7 +243,9 @@
         if link is None:
             return
         now = asyncio.get_running_loop().time()
-        self._suspects[owner] = now + SUSPECT_SECONDS
+        self._suspects[owner] = _Suspicion(
+            until=now + SUSPECT_SECONDS, incarnation=self._find_incarnation(owner)
+        )
         lost = [self._pending[number] for number in numbers if number in self._pending]
         _LOG.warning("lost pool owner", extra={"owner": owner, "fault": fault, "orders": len(lost)})
         for service in {pending.service for pending in lost}:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -27,6 +27,7 @@
     Service,
 )
 from damsonlaned.dialects import NativeDialect
+from damsonlaned.gateway import _pool_client
 from damsonlaned.gateway._link import FleetLink
 from damsonlaned.gateway._pool_service import PoolService
 from damsonlaned.gateway._view import FleetView
@@ -240,6 +241,27 @@
                 results = await asyncio.gather(*self.order(2))
         self.assertTrue(all(result.handle for result in results))  # type: ignore[attr-defined]
 
+    async def test_an_owner_that_has_started_again_is_not_passed_over(self) -> None:
+        other = make_record("127.0.0.1:9")
+        first = make_record(self.address)
+        cases = (
+            ("it is listed still", (first, other), (first, other), "127.0.0.1:9"),
+            ("it started again", (first, other), (replace(first, incarnation="j"), other), None),
+            ("it had left the list", (other,), (replace(first, incarnation="j"), other), None),
+        )
+        for name, before, after, owner in cases:
+            with self.subTest(name):
+                pools = Entry().pools
+                pools._view.put_entries(before)
+                pools._links[self.address] = mock.Mock()
+                with mock.patch.object(_pool_client, "_weigh", self._weigh_owner_most):
+                    pools.lose_owner(self.address, (), "the stream ended")
+                    pools._view.put_entries(after)
+                    self.assertEqual(pools._find_owner("pool"), owner or self.address)
+
+    def _weigh_owner_most(self, _service: str, address: str) -> bytes:
+        return b"1" if address == self.address else b"0"
+
     async def test_a_withdrawn_piece_is_not_made(self) -> None:
         self.orderer.view.put_entries(())
         futures = self.order(1)
