Choosing a batch is a module of its own

Ruled out: a class for the filling: it keeps nothing between calls.

Change: _waiting.py has the piece and the target's offer, _urgency.py who goes first, _batch.py how a call is filled, _queue.py the queue. No rule and no figure changed.

--- a/packages/damsonlane/src/damsonlane/pools/__init__.py
+++ b/packages/damsonlane/src/damsonlane/pools/__init__.py
@@ -2,8 +2,9 @@
 
 from damsonlane.pools._pieces import PieceFault, PieceOrder, PieceResult
 from damsonlane.pools._plan import StagePlan, StageStart
-from damsonlane.pools._queue import Offer, PieceQueue, Selection, WaitingPiece
+from damsonlane.pools._queue import PieceQueue, Selection
 from damsonlane.pools._room import ResultRoom
+from damsonlane.pools._waiting import Offer, WaitingPiece
 
 __all__ = [
     "Offer",
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/pools/_batch.py
@@ -0,0 +1,94 @@
+"""Choosing the pieces of one call from those that wait."""
+
+from typing import Final
+
+from damsonlane.pools._waiting import Offer, WaitingPiece
+
+#: Full calls that a piece must still have time for, so that it waits for a
+#: target beside its inputs rather than have them sent to another data centre.
+CALLS_TO_WAIT: Final = 3.0
+#: Longest wait for such a target, in seconds.  Inputs take room at their makers
+#: meanwhile, which binds the pool before this one when traffic is high.
+HOME_WAIT_SECONDS: Final = 0.2
+#: Full calls that a stage must still have time for, so that its pieces wait for
+#: a call that takes them all.
+CALLS_TO_WAIT_FOR_ROOM: Final = 2.0
+
+
+def fill_batch(
+    ordered: list[WaitingPiece], passed_over: list[WaitingPiece], now: float, offer: Offer
+) -> list[WaitingPiece]:
+    """Return the pieces of one call, within its size and the room for its results.
+
+    The pieces of one stage of a request go together: made by different calls,
+    the first ones would take room at their makers until the last is made.
+    """
+    left_out = {piece.identity for piece in passed_over}
+    fitting = [
+        piece
+        for piece in ordered
+        if piece.identity not in left_out and _may_run_at(piece, now, offer)
+    ]
+    batch: list[WaitingPiece] = []
+    room = offer.room
+    groups = _group(_put_near_first(fitting, offer))
+    for group in groups:
+        taken = _take(group, offer.batch - len(batch), room)
+        if len(taken) < len(group) and not _may_split(group, now, offer):
+            continue
+        room -= sum(piece.order.result_bytes for piece in taken)
+        batch.extend(taken)
+    if not batch and groups:
+        # A part of the most urgent stage is better than a target that stands idle.
+        return _take(groups[0], offer.batch, room)
+    return batch
+
+
+def _put_near_first(pieces: list[WaitingPiece], offer: Offer) -> list[WaitingPiece]:
+    """Return pieces with those first, of as many as run at once, that belong to this data centre.
+
+    Whatever runs at once begins at about the same time, so the order among
+    them decides only where each one runs.
+    """
+    at_once = offer.batch * max(1, offer.targets)
+    placed = enumerate(pieces)
+    ranked = sorted(
+        placed, key=lambda item: (item[0] // at_once, item[1].order.home != offer.data_centre)
+    )
+    return [piece for _, piece in ranked]
+
+
+def _group(pieces: list[WaitingPiece]) -> list[list[WaitingPiece]]:
+    """Return pieces by stage and request, each group at the place of its first piece."""
+    groups: dict[tuple[str, str, int], list[WaitingPiece]] = {}
+    for piece in pieces:
+        groups.setdefault(piece.group, []).append(piece)
+    return list(groups.values())
+
+
+def _take(group: list[WaitingPiece], most: int, room: int) -> list[WaitingPiece]:
+    """Return the first pieces of a group that fit a number and a room."""
+    taken: list[WaitingPiece] = []
+    for piece in group[:most]:
+        room -= piece.order.result_bytes
+        if room < 0:
+            break
+        taken.append(piece)
+    return taken
+
+
+def _may_split(group: list[WaitingPiece], now: float, offer: Offer) -> bool:
+    """Tell whether a group may run in several calls: if it must, or has no time to wait."""
+    is_too_large = len(group) > offer.batch
+    is_short_of_time = group[0].aim_at < now + CALLS_TO_WAIT_FOR_ROOM * offer.full_seconds
+    return is_too_large or is_short_of_time
+
+
+def _may_run_at(piece: WaitingPiece, now: float, offer: Offer) -> bool:
+    """Tell whether a piece may run away from its inputs: only where waiting would cost more."""
+    home = piece.order.home
+    if home in ("", offer.data_centre) or home not in offer.free_in:
+        return True
+    if offer.free_in[home] > HOME_WAIT_SECONDS:
+        return True
+    return piece.aim_at < now + CALLS_TO_WAIT * offer.full_seconds
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/pools/_waiting.py
@@ -0,0 +1,69 @@
+"""What waits in the queue of a pool, and what a target offers it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from damsonlane.pools._pieces import PieceOrder
+
+
+@dataclass(frozen=True, kw_only=True)
+class WaitingPiece:
+    """A piece in the queue."""
+
+    #: The order.
+    order: PieceOrder
+    #: Who ordered it; results go back there.
+    sender: str
+    #: When nobody waits for it any more, by the monotonic clock.
+    due_at: float
+    #: When its result must be there to keep its request in aim.
+    aim_at: float
+    #: Until when its request may be given up.
+    give_up_until: float = float("inf")
+    #: How often it was sent to a target already.
+    attempts: int = 0
+
+    @property
+    def identity(self) -> tuple[str, int]:
+        """Sender and number of the order."""
+        return (self.sender, self.order.number)
+
+    @property
+    def is_first(self) -> bool:
+        """Whether nothing has been done for its request yet."""
+        return not (self.order.inputs or self.order.is_begun or self.attempts)
+
+    @property
+    def group(self) -> tuple[str, str, int]:
+        """Sender, request and stage; the pieces of one group are needed together."""
+        return (self.sender, self.order.request, self.order.stage)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Offer:
+    """A target that could take a call, and the pool it belongs to."""
+
+    #: Its data centre.
+    data_centre: str
+    #: Bytes free for results there.
+    room: int
+    #: Seconds until a target is free in each data centre that has one that works.
+    free_in: Mapping[str, float]
+    #: Targets of the pool that work.
+    targets: int
+    #: Most pieces in one call.
+    batch: int
+    #: Time of a call besides its pieces, in seconds.
+    call_seconds: float
+    #: Time of one piece, in seconds.
+    piece_seconds: float
+
+    @property
+    def full_seconds(self) -> float:
+        """Time of a call with as many pieces as it may have."""
+        return self.call_seconds + self.batch * self.piece_seconds
+
+    @property
+    def pieces_per_second(self) -> float:
+        """Most pieces that the pool makes in a second."""
+        return self.batch * max(1, self.targets) / self.full_seconds
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 
 from damsonlane.pools import Offer, PieceOrder, PieceQueue, ResultRoom, StagePlan, WaitingPiece
-from damsonlane.pools._queue import SECONDS_PER_RANK
 from damsonlane.pools._room import FULL_SECONDS
+from damsonlane.pools._urgency import SECONDS_PER_RANK
 from damsonlane.routes import Stage
 
 ORDER = PieceOrder(
