The queue tells once what runs at once and what can be in time

Cause: the number of pieces that a pool takes at once, and the earliest time at which a result can be there, were each written out two or three times; the filling of a call read a list of pieces to pass over that had left the queue already.

Ruled out: adding up the time of a call first: sums would round differently.

Change: the offer tells both; the queue hands on only what still waits; taking the groups that fit is a function apart from the fall back to a part of the first one. The order of decisions is as it was.

--- a/packages/damsonlane/src/damsonlane/pools/_batch.py
+++ b/packages/damsonlane/src/damsonlane/pools/_batch.py
@@ -15,32 +15,37 @@
 CALLS_TO_WAIT_FOR_ROOM: Final = 2.0
 
 
-def fill_batch(
-    ordered: list[WaitingPiece], passed_over: list[WaitingPiece], now: float, offer: Offer
-) -> list[WaitingPiece]:
+def fill_batch(ordered: list[WaitingPiece], now: float, offer: Offer) -> list[WaitingPiece]:
     """Return the pieces of one call, within its size and the room for its results.
 
+    Args:
+        ordered: the pieces that may run, most urgent first.
+        now: the time by the monotonic clock.
+        offer: the target that takes the call.
+    """
+    fitting = [piece for piece in ordered if _may_run_at(piece, now, offer)]
+    groups = _group(_put_near_first(fitting, offer))
+    batch = _take_groups(groups, now, offer)
+    if not batch and groups:
+        # A part of the most urgent stage is better than a target that stands idle.
+        return _take(groups[0], offer.batch, offer.room)
+    return batch
+
+
+def _take_groups(groups: list[list[WaitingPiece]], now: float, offer: Offer) -> list[WaitingPiece]:
+    """Return the pieces of all groups that fit whole, and parts of those that may be split.
+
     The pieces of one stage of a request go together: made by different calls,
     the first ones would take room at their makers until the last is made.
     """
-    left_out = {piece.identity for piece in passed_over}
-    fitting = [
-        piece
-        for piece in ordered
-        if piece.identity not in left_out and _may_run_at(piece, now, offer)
-    ]
     batch: list[WaitingPiece] = []
     room = offer.room
-    groups = _group(_put_near_first(fitting, offer))
     for group in groups:
         taken = _take(group, offer.batch - len(batch), room)
         if len(taken) < len(group) and not _may_split(group, now, offer):
             continue
         room -= sum(piece.order.result_bytes for piece in taken)
         batch.extend(taken)
-    if not batch and groups:
-        # A part of the most urgent stage is better than a target that stands idle.
-        return _take(groups[0], offer.batch, room)
     return batch
 
 
@@ -50,10 +55,10 @@
     Whatever runs at once begins at about the same time, so the order among
     them decides only where each one runs.
     """
-    at_once = offer.batch * max(1, offer.targets)
-    placed = enumerate(pieces)
+    at_once = offer.pieces_at_once
     ranked = sorted(
-        placed, key=lambda item: (item[0] // at_once, item[1].order.home != offer.data_centre)
+        enumerate(pieces),
+        key=lambda item: (item[0] // at_once, item[1].order.home != offer.data_centre),
     )
     return [piece for _, piece in ranked]
 
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -53,20 +53,21 @@
         Only pieces that go before it count: not the late ones, nor those that
         are less urgent.
         """
-        soonest = now + offer.call_seconds + offer.piece_seconds
+        soonest = offer.soonest(now)
         due = now + like.aim_left_seconds + like.rank * SECONDS_PER_RANK
         ahead = sum(rate_urgency(piece, soonest) <= (0, due) for piece in self._waiting.values())
         return ahead / offer.pieces_per_second * self._stretch(like.rank, now, offer)
 
     def select(self, now: float, offer: Offer) -> Selection:
         """Take out the pieces for one call, and those that are too late."""
-        soonest = now + offer.call_seconds + offer.piece_seconds
+        soonest = offer.soonest(now)
         late = [piece for piece in self._waiting.values() if piece.due_at < soonest]
         self._remove(late)
         ordered = sorted(self._waiting.values(), key=lambda piece: rate_urgency(piece, soonest))
         hopeless = self._find_hopeless(ordered, now, offer)
         self._remove(hopeless)
-        batch = fill_batch(ordered, hopeless, now, offer)
+        hopeful = [piece for piece in ordered if piece.identity in self._waiting]
+        batch = fill_batch(hopeful, now, offer)
         self._remove(batch)
         for piece in batch:
             self._taken.note(piece.order.rank, now)
@@ -83,7 +84,7 @@
         for long.  While there are fewer pieces than the targets take at once,
         nothing is hopeless.
         """
-        at_once = offer.batch * max(1, offer.targets)
+        at_once = offer.pieces_at_once
         hopeless: list[WaitingPiece] = []
         for place, piece in enumerate(ordered):
             ahead = place - len(hopeless)
--- a/packages/damsonlane/src/damsonlane/pools/_waiting.py
+++ b/packages/damsonlane/src/damsonlane/pools/_waiting.py
@@ -63,7 +63,16 @@
         """Time of a call with as many pieces as it may have."""
         return self.call_seconds + self.batch * self.piece_seconds
 
+    @property
+    def pieces_at_once(self) -> int:
+        """Most pieces that the targets of the pool take at the same time."""
+        return self.batch * max(1, self.targets)
+
     @property
     def pieces_per_second(self) -> float:
         """Most pieces that the pool makes in a second."""
-        return self.batch * max(1, self.targets) / self.full_seconds
+        return self.pieces_at_once / self.full_seconds
+
+    def soonest(self, now: float) -> float:
+        """Return when a piece that is sent now could be made, alone in its call."""
+        return now + self.call_seconds + self.piece_seconds
