Forecasts of waits are a small class

Cause: the owner of a pool kept forecasts by rank, their age and the reckoning between the choice of a batch and its sending, so the way of a call was broken in the middle.

Ruled out: the reckoning itself in the new class: it needs the queue, the targets and the document, which the owner has.

Change: WaitForecasts in _wait_forecasts.py keeps one forecast for each rank and asks the owner for a new one when it is old.

Tests: those of pools, admission, routing, gateway and registry, ruff and mypy are green before and after.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Coroutine, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final, Protocol
 
 from damsonlane.errors import DamsonlaneError
@@ -20,6 +20,7 @@
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
+from damsonlaned.gateway._wait_forecasts import WaitForecasts
 from damsonlaned.http import BrokenAnswerError, ConnectionPool, NotSentError
 from damsonlaned.tasks import start_task
 
@@ -29,8 +30,6 @@
 MOST_ATTEMPTS: Final = 3
 #: Seconds over which results that were given up are collected into one call.
 FREE_SECONDS: Final = 0.005
-#: Seconds for which one forecast of a rank's wait serves.
-FORECAST_SECONDS: Final = 0.05
 #: Seconds after the sending of a call until its inputs count as read.  A full call of
 #: the first users' pools reads 4 MB, 4 ms on their links; the rest is for a target that
 #: is slow to begin.  Results read too early cost their request its stages anew.
@@ -47,16 +46,6 @@
         """Take the numbers of orders whose inputs were read."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Forecast:
-    """How long pieces of one rank wait."""
-
-    #: Seconds until such a piece would begin.
-    seconds: float
-    #: When that was reckoned, by the loop's clock.
-    made_at: float
-
-
 class PoolOwner:
     """Orders pieces of one service's targets.
 
@@ -79,7 +68,7 @@
         self._queue: Final = PieceQueue()
         self._receivers: dict[str, OrderReceiver] = {}
         self._makers: Final = Makers()
-        self._forecasts: dict[int, _Forecast] = {}
+        self._waits: Final = WaitForecasts(self._reckon_wait)
         self._freed: dict[str, list[str]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
@@ -160,19 +149,8 @@
         maker.note_call(call.announced, now + call.seconds)
         return call
 
-    def _forecast(self, like: PieceOrder) -> float:
-        """Return the seconds that a piece like another would wait for its turn.
-
-        One reckoning serves all pieces of a rank for a moment: it looks at the whole queue.
-        """
-        now = self._now()
-        known = self._forecasts.get(like.rank)
-        if known is None or now - known.made_at > FORECAST_SECONDS:
-            known = _Forecast(seconds=self._reckon_wait(like), made_at=now)
-            self._forecasts[like.rank] = known
-        return known.seconds
-
     def _reckon_wait(self, like: PieceOrder) -> float:
+        """Return the seconds that a piece like another would wait for its turn."""
         service = self._find_service()
         makers = self._makers.everyone()
         if service is None or service.pool is None or not makers:
@@ -279,7 +257,7 @@
                 number=piece.order.number,
                 handle=handle,
                 fault=fault,
-                wait_seconds=round(self._forecast(piece.order), 3),
+                wait_seconds=round(self._waits.seconds(piece.order, self._now()), 3),
             )
             receiver.take((result,))
         elif handle:
