The owner of a pool: its receivers and its timer apart, a short way of a call

Cause: _run was 32 lines with a function inside, a list of timers and four ways to fail; the entries to answer were a bare dictionary that four functions looked into.

Ruled out: a module for the timer: nothing else starts one, and its time stands here.

Change: OrderReceivers in _order_receivers.py answers senders; _ReadTimer waits until the inputs of a call count as read; _make sends a call and sorts its faults, _run keeps the account of it. What is noted, told and logged, and in which order, is as it was.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -2,21 +2,17 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import replace
-from typing import Final, Protocol
+from functools import partial
+from typing import Final
 
 from damsonlane.errors import DamsonlaneError
-from damsonlane.pools import (
-    PieceFault,
-    PieceOrder,
-    PieceQueue,
-    PieceResult,
-    WaitingPiece,
-)
+from damsonlane.pools import PieceFault, PieceOrder, PieceQueue, PieceResult, WaitingPiece
 from damsonlane.routes import PoolTraits, Service
 from damsonlaned.dialects import BadRequestError, Dialect, MadePiece
 from damsonlaned.gateway._makers import Maker, Makers
+from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
@@ -36,16 +32,6 @@
 READ_SECONDS: Final = 0.1
 
 
-class OrderReceiver(Protocol):
-    """Takes back to an entry what became of its orders."""
-
-    def take(self, results: Sequence[PieceResult]) -> None:
-        """Take results."""
-
-    def take_read(self, numbers: Sequence[int]) -> None:
-        """Take the numbers of orders whose inputs were read."""
-
-
 class PoolOwner:
     """Orders pieces of one service's targets.
 
@@ -66,7 +52,7 @@
         self._dialect: Final = dialect
         self._calls: Final = PoolCalls(dialect)
         self._queue: Final = PieceQueue()
-        self._receivers: dict[str, OrderReceiver] = {}
+        self._receivers: Final = OrderReceivers()
         self._makers: Final = Makers()
         self._waits: Final = WaitForecasts(self._reckon_wait)
         self._freed: dict[str, list[str]] = {}
@@ -79,11 +65,11 @@
 
     def attach(self, sender: str, receiver: OrderReceiver) -> None:
         """Take orders of a sender from now on."""
-        self._receivers[sender] = receiver
+        self._receivers.attach(sender, receiver)
 
     def detach(self, sender: str) -> None:
         """Drop what a sender that is gone has waiting."""
-        self._receivers.pop(sender, None)
+        self._receivers.detach(sender)
         self._queue.withdraw_all(sender)
 
     def order(self, sender: str, orders: Sequence[PieceOrder]) -> None:
@@ -161,20 +147,29 @@
 
     async def _run(self, service: Service, call: BatchCall) -> None:
         """Send a call, hand out what it made and look for the next one."""
-        maker = call.maker
         began_at = self._now()
         made: dict[str, int] = {}
-        reading: list[asyncio.TimerHandle] = []
-
-        def start_reading() -> None:
-            loop = asyncio.get_running_loop()
-            reading.append(loop.call_later(READ_SECONDS, self._tell_read, call))
+        reading = _ReadTimer(partial(self._receivers.tell_read, call.batch))
+        try:
+            made = await self._make(service, call, reading)
+        finally:
+            reading.cancel()
+            call.maker.note_end(call.announced, made, self._now())
+        self._log_end(call, len(made), self._now() - began_at)
+        self._pump()
 
+    async def _make(
+        self, service: Service, call: BatchCall, reading: "_ReadTimer"
+    ) -> dict[str, int]:
+        """Have a batch made; return the sizes of its results by handle, none if it failed."""
+        maker = call.maker
+        began_at = self._now()
         try:
             connections = self._targets.connections(service, maker.name, maker.address)
-            replies = await self._calls.make(connections, call, start_reading)
+            replies = await self._calls.make(connections, call, reading.start)
             made = self._settle(call, replies)
             maker.note_pace((self._now() - began_at) / call.seconds, self._now())
+            return made
         except NotSentError as error:
             self._note_failed(call, str(error), has_run=False)
         except (BrokenAnswerError, BadRequestError, TimeoutError) as error:
@@ -182,22 +177,7 @@
         except TargetFullError:
             maker.note_full(self._now())
             self._requeue(call.batch, has_run=False)
-        finally:
-            for timer in reading:
-                timer.cancel()
-            maker.note_end(call.announced, made, self._now())
-        self._log_end(call, len(made), self._now() - began_at)
-        self._pump()
-
-    def _tell_read(self, call: BatchCall) -> None:
-        """Tell the entries whose inputs were read, so that they give them up."""
-        by_sender: dict[str, list[int]] = {}
-        for piece in call.batch:
-            if piece.order.inputs:
-                by_sender.setdefault(piece.sender, []).append(piece.order.number)
-        for sender, numbers in by_sender.items():
-            if sender in self._receivers:
-                self._receivers[sender].take_read(numbers)
+        return {}
 
     def _log_end(self, call: BatchCall, made: int, seconds: float) -> None:
         _LOG.info(
@@ -243,7 +223,7 @@
     def _requeue(self, pieces: Sequence[WaitingPiece], *, has_run: bool) -> None:
         for piece in pieces:
             attempts = piece.attempts + (1 if has_run else 0)
-            if attempts >= MOST_ATTEMPTS or piece.sender not in self._receivers:
+            if attempts >= MOST_ATTEMPTS or not self._receivers.knows(piece.sender):
                 self._answer(piece, fault="failed")
             else:
                 self._queue.add(replace(piece, attempts=attempts))
@@ -251,15 +231,15 @@
     def _answer(
         self, piece: WaitingPiece, *, handle: str = "", fault: PieceFault | None = None
     ) -> None:
-        receiver = self._receivers.get(piece.sender)
-        if receiver is not None:
+        """Tell an entry what became of a piece; give its result up if the entry is gone."""
+        if self._receivers.knows(piece.sender):
             result = PieceResult(
                 number=piece.order.number,
                 handle=handle,
                 fault=fault,
                 wait_seconds=round(self._waits.seconds(piece.order, self._now()), 3),
             )
-            receiver.take((result,))
+            self._receivers.give(piece.sender, result)
         elif handle:
             self.free((handle,))
 
@@ -315,3 +295,24 @@
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
+
+
+class _ReadTimer:
+    """Tells that the inputs of a call were read, unless the call ends before.
+
+    Args:
+        tell: tells the entries that ordered the pieces of the call.
+    """
+
+    def __init__(self, tell: Callable[[], None]) -> None:
+        self._tell: Final = tell
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin to wait, once the call was sent."""
+        self._timer = asyncio.get_running_loop().call_later(READ_SECONDS, self._tell)
+
+    def cancel(self) -> None:
+        """Tell nothing any more."""
+        if self._timer is not None:
+            self._timer.cancel()
