Which targets were heard is a small class

Cause: the registry kept three fields for it, among calls, documents and refusals: the times, the names not yet told to the leader, and when its own lead began. Each was set in two or three functions, and the tests set two of them by hand.

Ruled out: telling the leader from the new class: it would need the client, the node and the leader, and then be a second registry.

Change: HeardTargets in _heard.py notes, forgets and judges; lead and follow say what a look means at either role. The registry asks and calls. In the tests, what two of them set by hand has a name; no assertion changed.

--- a/packages/damsonlaned/src/damsonlaned/control/_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_registry.py
@@ -14,6 +14,7 @@
 from damsonlane.targets import RegisterTarget, RemoveTarget, SilenceTargets, TargetRecord
 from damsonlane_rpc import HEARD, ControlClient, Done, HeardReply, HeardRequest, NotLeader
 from damsonlaned.control._group import GroupKeeper
+from damsonlaned.control._heard import HeardTargets
 from damsonlaned.control._leader import Leader
 from damsonlaned.control._node import ControlNode
 from damsonlaned.dialects import (
@@ -65,11 +66,8 @@
         self._leader: Final = Leader(node, group, client)
         self._dialect: Final = dialect
         self._port: Final = address.rpartition(":")[2]
-        self._silent_seconds: Final = SILENT_HEARTBEATS * heartbeat_seconds
         self._client: Final = client
-        self._heard: dict[str, float] = {}
-        self._heard_since: set[str] = set()
-        self._led_since: float | None = None
+        self._heard: Final = HeardTargets(SILENT_HEARTBEATS * heartbeat_seconds)
         self._looking: asyncio.Task[None] | None = None
         self._listener: Final = WebListener(
             address, self._serve, render_refusal=self._render_bad_bytes
@@ -120,7 +118,7 @@
             return self._refuse(503, str(error), retry_after_seconds=RETRY_SECONDS)
 
     async def _take_heartbeat(self, record: TargetRecord) -> HttpResponse:
-        self._note_heard(record.target)
+        self._heard.note(record.target, self._node.now())
         known = self._node.state.targets.find(record.target)
         if known is None or self._says_something_new(record, known):
             await self._leader.submit(RegisterTarget(record=record))
@@ -152,8 +150,7 @@
         if not self._node.state.targets.is_gone(target):
             await self._leader.submit(RemoveTarget(target=target))
             _LOG.info("target gone", extra={"target": target})
-        self._heard.pop(target, None)
-        self._heard_since.discard(target)
+        self._heard.forget(target)
         return HttpResponse(status=200)
 
     async def _take_document(self, text: bytes) -> HttpResponse:
@@ -183,6 +180,7 @@
     # Silent targets.
 
     async def _look(self) -> None:
+        """Note silent targets where this replica leads, and tell the leader otherwise."""
         while True:
             await asyncio.sleep(LOOK_SECONDS)
             try:
@@ -193,22 +191,18 @@
             except UnavailableError as error:
                 _LOG.info("targets heard or silent not noted", extra={"fault": str(error)})
 
-    def _note_heard(self, target: str) -> None:
-        self._heard[target] = self._node.now()
-        self._heard_since.add(target)
-
     async def _tell_leader(self) -> None:
         """Tell the leader which targets were heard here since the last look.
 
         A target keeps to the replica that answers it, so one that never turns to
         the leader would count as silent there.
         """
-        self._led_since = None
-        heard, self._heard_since = self._heard_since, set()
+        heard = self._heard.follow()
         if heard:
-            await self._client.tell_heard(sorted(heard), TELL_SECONDS)
+            await self._client.tell_heard(heard, TELL_SECONDS)
 
     async def _take_heard(self, stream: Stream[HeardRequest, HeardReply]) -> None:
+        """Note, at the leader, the targets that another replica heard."""
         request = await stream.recv_message()
         if request is None:
             return
@@ -217,28 +211,22 @@
             await stream.send_message(HeardReply(outcome=outcome))
             return
         for target in request.targets:
-            self._note_heard(target)
+            self._heard.note(target, self._node.now())
         await stream.send_message(HeardReply(outcome=Done()))
 
     async def _silence(self) -> None:
         """Note, at the leader, the targets that were not heard for long."""
         now = self._node.now()
-        self._heard_since.clear()
-        if self._led_since is None:
-            self._led_since = now
+        self._heard.lead(now)
         names = tuple(
             record.target
             for record in self._node.state.targets.records()
-            if record.standing == "live" and self._is_silent(record.target, now)
+            if record.standing == "live" and self._heard.is_silent(record.target, now)
         )
         if names:
             await self._leader.submit(SilenceTargets(targets=names))
             _LOG.warning("targets silent", extra={"targets": names})
 
-    def _is_silent(self, target: str, now: float) -> bool:
-        since = max(self._heard.get(target, 0.0), self._led_since or now)
-        return now - since > self._silent_seconds
-
     # Refusals.
 
     def _refuse(
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
@@ -122,6 +122,12 @@
         assert looking is not None
         looking.cancel()
 
+    def be_silent_for_a_minute(self, target: str) -> None:
+        """Have a target heard last a minute ago, by a leader that led already then."""
+        ago = self.node.now() - 60
+        self.registry._heard.note(target, ago)
+        self.registry._heard._led_since = ago
+
     def depose(self) -> None:
         replica = self.node.replica
         assert replica is not None
@@ -188,7 +194,7 @@
     async def test_silent_targets_become_the_last_choice_until_heard(self) -> None:
         await self.beat()
         await self.registry._silence()
-        self.registry._led_since = self.registry._heard["t1"] = self.node.now() - 60
+        self.be_silent_for_a_minute("t1")
         await self.registry._silence()
         record = self.node.state.targets.find("t1")
         self.assertEqual(record.standing if record else "", "silent")
@@ -198,9 +204,8 @@
 
     async def test_targets_heard_by_another_replica_are_not_silent(self) -> None:
         self.stop_looking()
-        self.registry._led_since = self.node.now() - 60
         await self.beat()
-        self.registry._heard["t1"] = self.node.now() - 60
+        self.be_silent_for_a_minute("t1")
         channel = await self.serve_other_replicas()
         reply = await HEARD.unary(channel)(HeardRequest(targets=("t1",)), timeout=PATIENCE)
         self.assertIsInstance(reply.outcome, Done)
