The pool target of the stage tests is told how to answer

Cause: Pool took its answers as arguments that no test gave, and each test set its inner list from outside, since two of the answers are its own methods.

Ruled out: answers by name: a method as a value says the same.

Change: answer_second_stage tells it; which answer comes next is a function apart. No assertion changed.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_stages.py
@@ -58,19 +58,19 @@
 
 
 class Pool:
-    """A pool target that notes its calls and answers those of the second stage as told.
+    """A pool target that notes its calls and makes pieces, or answers as told."""
 
-    Args:
-        second: how it answers the calls of the second stage, in turn; the last one stays.
-    """
-
-    def __init__(self, *second: Answer) -> None:
-        self._second = list(second)
+    def __init__(self) -> None:
+        self._second: list[Answer] = []
         self.seen: list[Seen] = []
         self.freed = asyncio.Event()
         self.target = StandIn("p1", self._answer, "pool")
         self.make = make_pieces(lambda: self.target.address)
 
+    def answer_second_stage(self, *answers: Answer) -> None:
+        """Answer the calls of the second stage as given, in turn; the last one stays."""
+        self._second = list(answers)
+
     def stages(self) -> list[int]:
         """Return the stages of the calls that make pieces."""
         return [call.stage for call in self.seen if call.stage is not None]
@@ -94,12 +94,13 @@
             return
         stage = body["pieces"][0]["stage"]
         self.seen.append(Seen(stage=stage))
-        if stage == 0:
-            await self.make(request, reply)
-            return
-        answer = self._second.pop(0) if len(self._second) > 1 else self._second[0]
+        answer = self.make if stage == 0 else self._next_answer()
         await answer(request, reply)
 
+    def _next_answer(self) -> Answer:
+        """Return how the next call of the second stage is answered."""
+        return self._second.pop(0) if len(self._second) > 1 else self._second[0]
+
 
 class EarlyFreeTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -127,7 +128,7 @@
 
     async def test_inputs_are_given_up_while_the_pieces_that_read_them_are_made(self) -> None:
         pool = Pool()
-        pool._second = [pool.make_once_freed]
+        pool.answer_second_stage(pool.make_once_freed)
         self.assertEqual(await self.call(pool), 200)
         self.assertEqual([call.stage for call in pool.seen[:3]], [0, 1, None])
         self.assertTrue(pool.seen[2].freed[0].endswith("r1-0-0"))
@@ -139,7 +140,7 @@
         self,
     ) -> None:
         pool = Pool()
-        pool._second = [pool.cut_once_freed, lose_inputs, pool.make]
+        pool.answer_second_stage(pool.cut_once_freed, lose_inputs, pool.make)
         self.assertEqual(await self.call(pool), 200)
         self.assertEqual(pool.stages(), [0, 1, 1, 0, 1])
         self.assertEqual(len(self.desk.requests), 1)
@@ -148,7 +149,7 @@
         self,
     ) -> None:
         pool = Pool()
-        pool._second = [cut, pool.make]
+        pool.answer_second_stage(cut, pool.make)
         self.assertEqual(await self.call(pool, has_queue=False), 200)
         self.assertEqual(pool.stages(), [0, 1, 1])
         self.assertEqual(len(self.desk.requests), 1)
