The owner of a pool collects freed results by a class of its own

Cause: what is given up was collected in one function, swapped out in another far below, and the figures of a call were reckoned in the middle of choosing it.

Ruled out: the calls that free results in the new class: it would need the targets, the service and the owner's tasks.

Change: FreedResults in _freed_results.py collects for the same 5 ms; BatchCall.plan reckons what a call announces and how long it should take.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
-from typing import Final
+from typing import Final, Self
 
 from damsonlane.pools import WaitingPiece
+from damsonlane.routes import PoolTraits
 from damsonlaned.dialects import Dialect, MadePiece
 from damsonlaned.gateway._makers import Maker
 from damsonlaned.http import BrokenAnswerError, ConnectionPool, HttpHead, HttpRequest
@@ -40,6 +41,19 @@
     #: Time that it should take.
     seconds: float
 
+    @classmethod
+    def plan(
+        cls, maker: Maker, batch: tuple[WaitingPiece, ...], traits: PoolTraits, now: float
+    ) -> Self:
+        """Return the call that has a batch made by a target of a pool with some traits."""
+        return cls(
+            maker=maker,
+            batch=batch,
+            announced=sum(piece.order.result_bytes for piece in batch),
+            free_bytes=maker.room.free_bytes(now),
+            seconds=traits.call_seconds + len(batch) * traits.piece_seconds,
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class _Answer:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import replace
 from functools import partial
 from typing import Final
@@ -11,6 +11,7 @@
 from damsonlane.pools import PieceFault, PieceOrder, PieceQueue, PieceResult, WaitingPiece
 from damsonlane.routes import PoolTraits, Service
 from damsonlaned.dialects import BadRequestError, Dialect, MadePiece
+from damsonlaned.gateway._freed_results import FreedResults
 from damsonlaned.gateway._makers import Maker, Makers
 from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
@@ -24,8 +25,6 @@
 
 #: Calls that one piece may be in before it is given up.
 MOST_ATTEMPTS: Final = 3
-#: Seconds over which results that were given up are collected into one call.
-FREE_SECONDS: Final = 0.005
 #: Seconds after the sending of a call until its inputs count as read.  A full call of
 #: the first users' pools reads 4 MB, 4 ms on their links; the rest is for a target that
 #: is slow to begin.  Results read too early cost their request its stages anew.
@@ -49,13 +48,12 @@
         self._service: Final = service
         self._view: Final = view
         self._targets: Final = targets
-        self._dialect: Final = dialect
         self._calls: Final = PoolCalls(dialect)
         self._queue: Final = PieceQueue()
         self._receivers: Final = OrderReceivers()
         self._makers: Final = Makers()
         self._waits: Final = WaitForecasts(self._reckon_wait)
-        self._freed: dict[str, list[str]] = {}
+        self._freed: Final = FreedResults(dialect.read_maker, self._free_collected)
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
         view.on_change(self._follow_targets)
@@ -94,11 +92,7 @@
 
     def free(self, handles: Sequence[str]) -> None:
         """Give results up at their makers."""
-        for handle in handles:
-            address = self._dialect.read_maker(handle)
-            if not self._freed:
-                asyncio.get_running_loop().call_later(FREE_SECONDS, self._send_freed)
-            self._freed.setdefault(address, []).append(handle)
+        self._freed.add(handles)
 
     # Sending calls.
 
@@ -125,13 +119,7 @@
             self._answer(piece, fault="late")
         if not selection.batch:
             return None
-        call = BatchCall(
-            maker=maker,
-            batch=selection.batch,
-            announced=sum(piece.order.result_bytes for piece in selection.batch),
-            free_bytes=maker.room.free_bytes(now),
-            seconds=traits.call_seconds + len(selection.batch) * traits.piece_seconds,
-        )
+        call = BatchCall.plan(maker, selection.batch, traits, now)
         maker.note_call(call.announced, now + call.seconds)
         return call
 
@@ -245,8 +233,8 @@
 
     # Results that were given up.
 
-    def _send_freed(self) -> None:
-        freed, self._freed = self._freed, {}
+    def _free_collected(self, freed: Mapping[str, Sequence[str]]) -> None:
+        """Free results, by the address of their maker."""
         service = self._find_service()
         for maker in self._makers.everyone():
             handles = freed.get(maker.address)
