Times of stages have names that differ

Cause: take_ready reckoned the longest way inside its list of conditions; StageOrders had expect_seconds and _expect_seconds, one with the queue and one without, and _first_event returned no event.

Ruled out: reckoning the way of each stage once: the forecast may move between two looks.

Change: the longest way is a function; _usual_seconds is what the document tells, without a queue; _find_forecast finds the forecast of a service.

Tests: those of pools, admission, routing, gateway and registry, ruff and mypy are green before and after.

--- a/packages/damsonlane/src/damsonlane/pools/_plan.py
+++ b/packages/damsonlane/src/damsonlane/pools/_plan.py
@@ -50,14 +50,7 @@
         Args:
             expect_seconds: returns how long a stage will take, its queue included.
         """
-        longest = max(
-            (
-                self._path_seconds(index, expect_seconds)
-                for index in range(len(self._stages))
-                if not self._is_made(index)
-            ),
-            default=0.0,
-        )
+        longest = self._longest_seconds(expect_seconds)
         ready = [
             index
             for index in range(len(self._stages))
@@ -108,6 +101,11 @@
         ]
         return max(chains, key=len, default=())
 
+    def _longest_seconds(self, expect_seconds: Callable[[Stage], float]) -> float:
+        """Return the time from the start of a stage to the last step, the longest of those left."""
+        left = (index for index in range(len(self._stages)) if not self._is_made(index))
+        return max((self._path_seconds(index, expect_seconds) for index in left), default=0.0)
+
     def _path_seconds(self, index: int, expect_seconds: Callable[[Stage], float]) -> float:
         """Return the time from the start of a stage to the last step."""
         return sum(map(expect_seconds, (self._stages[index], *self.depth_after(index))))
@@ -120,10 +118,12 @@
         return len(self._handles[index]) >= self._pieces[index]
 
     def _is_spent(self, index: int) -> bool:
+        """Tell whether every stage that needs the results of one has read them."""
         users = [number for number, stage in enumerate(self._stages) if index in stage.after]
         return all(self._has_read(user) for user in users)
 
     def _has_read(self, index: int) -> bool:
+        """Tell whether every piece of a stage has read its inputs, made or not."""
         return len(self._read[index] | set(self._handles[index])) >= self._pieces[index]
 
     def _make_start(self, index: int) -> StageStart:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
@@ -53,12 +53,12 @@
 
     def note_first_event(self, call: Call, seconds: float) -> None:
         """Learn from the first event of an answer, some seconds after its request was sent."""
-        self._first_event(call).note(call.request.tokens_in, seconds)
+        self._find_forecast(call).note(call.request.tokens_in, seconds)
 
     def expect_seconds(self, call: Call, stage: Stage) -> float:
         """Return the time that a stage will take, with the queue that was last heard of."""
         wait = self._client.wait_seconds(stage.service, call.rank)
-        return _expect_seconds(call, stage) + wait
+        return _usual_seconds(call, stage) + wait
 
     def find_home(self, work: StageWork, start: StageStart) -> str:
         """Return the data centre in which a stage should run, or an empty string."""
@@ -104,18 +104,19 @@
         call = work.call
         chain = work.plan.depth_after(start.index)
         return _TimeAfter(
-            stages=sum(_expect_seconds(call, stage) for stage in chain),
+            stages=sum(_usual_seconds(call, stage) for stage in chain),
             queues=sum(self._client.wait_seconds(stage.service, call.rank) for stage in chain),
-            first_event=self._first_event(call).seconds(
+            first_event=self._find_forecast(call).seconds(
                 call.request.tokens_in, call.route.aim_seconds
             ),
         )
 
-    def _first_event(self, call: Call) -> FirstEventForecast:
+    def _find_forecast(self, call: Call) -> FirstEventForecast:
         """Return the forecast of first events for the service of a request."""
         return self._first_events.setdefault(call.service.name, FirstEventForecast())
 
     def _most_common_place(self, handles: Sequence[str]) -> str:
+        """Return the data centre in which most of some results lie."""
         places = Counter(self._locate(handle) for handle in handles)
         return places.most_common(1)[0][0]
 
@@ -140,7 +141,7 @@
     )
 
 
-def _expect_seconds(call: Call, stage: Stage) -> float:
+def _usual_seconds(call: Call, stage: Stage) -> float:
     """Return the time that a stage usually takes, as the document tells it."""
     service = call.table.service(stage.service)
     if service is None or service.pool is None:
