What owners said of their queues is a small class

Cause: PoolClient kept the waits by pool and rank beside its orders, links and suspects, and two questions of the stages stood among what links tell.

Ruled out: the stages asking the new class: the client hears the results and is the only part of the entry that they know.

Change: HeardWaits in _heard_waits.py keeps them; the client asks it, and the questions stand among those of the stages.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -12,6 +12,7 @@
 
 from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane_rpc import PoolOrders
+from damsonlaned.gateway._heard_waits import HeardWaits
 from damsonlaned.gateway._owner_link import OwnerLink
 from damsonlaned.gateway._pool_service import PoolOwners
 from damsonlaned.gateway._view import FleetView
@@ -42,16 +43,6 @@
     on_read: Callable[[], None]
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Wait:
-    """What an owner said of its queue."""
-
-    #: Seconds that a piece would have waited for its turn.
-    seconds: float
-    #: When it said so, by the loop's clock.
-    heard_at: float
-
-
 class PoolClient:
     """Orders pieces for the requests of this entry.
 
@@ -82,7 +73,7 @@
         self._links: dict[str, OwnerLink] = {}
         self._suspects: dict[str, float] = {}
         self._withdrawn: dict[int, str] = {}
-        self._waits: dict[tuple[str, int], _Wait] = {}
+        self._waits: Final = HeardWaits()
 
     def order(
         self,
@@ -116,6 +107,14 @@
         else:
             self._link(owner).send(PoolOrders(service=service, freed=tuple(handles)))
 
+    def wait_seconds(self, service: str, rank: int) -> float:
+        """Return how long a piece of a rank would wait for its turn in a pool, as last heard."""
+        return self._waits.seconds(service, rank, asyncio.get_running_loop().time())
+
+    def has_queue(self, service: str) -> bool:
+        """Tell whether pieces of any rank wait for their turn in a pool, as last heard."""
+        return self._waits.has_queue(service, asyncio.get_running_loop().time())
+
     async def stop(self) -> None:
         """Close the streams to other entries."""
         links = [link.stop() for link in self._links.values()]
@@ -187,30 +186,6 @@
             if pending is not None:
                 pending.on_read()
 
-    def wait_seconds(self, service: str, rank: int) -> float:
-        """Return how long a piece of a rank would wait for its turn in a pool, as last heard."""
-        known = self._waits.get((service, rank))
-        if known is None:
-            return 0.0
-        age = asyncio.get_running_loop().time() - known.heard_at
-        return max(0.0, known.seconds - age)
-
-    def has_queue(self, service: str) -> bool:
-        """Tell whether pieces of any rank wait for their turn in a pool, as last heard."""
-        return any(
-            self.wait_seconds(service, rank) > 0.0
-            for known, rank in self._waits
-            if known == service
-        )
-
-    def _note_wait(self, result: PieceResult) -> None:
-        pending = self._pending.get(result.number)
-        if pending is not None:
-            now = asyncio.get_running_loop().time()
-            self._waits[(pending.service, pending.order.rank)] = _Wait(
-                seconds=result.wait_seconds, heard_at=now
-            )
-
     def lose_owner(self, owner: str, numbers: Sequence[int], fault: str) -> None:
         """Order again elsewhere what an owner did not deliver."""
         link = self._links.pop(owner, None)
@@ -223,6 +198,13 @@
         for service in {pending.service for pending in lost}:
             self._place(service, [item for item in lost if item.service == service])
 
+    def _note_wait(self, result: PieceResult) -> None:
+        """Note what an owner said of its queue, if the piece is still waited for."""
+        pending = self._pending.get(result.number)
+        if pending is not None:
+            now = asyncio.get_running_loop().time()
+            self._waits.note(pending.service, pending.order.rank, result.wait_seconds, now)
+
     def _withdraw(self, number: int, done: "asyncio.Future[PieceResult]") -> None:
         pending = self._pending.pop(number, None)
         if pending is None or not done.cancelled():
