Times of a request and what an attempt says have modules

Cause: Passage kept the times of stages and first event between the results and the tries, and _pass_whole both read an answer and judged it, in 27 lines.

Ruled out: a module for event streams: passing them on touches the answer, the results and the tries at every event.

Change: RequestTimes in _request_times.py notes the times and gives their two fields of the log line, at their old place; Unserved has a module; judging a whole answer is a function apart.

Tests: those of pools, admission, routing, gateway and registry, ruff and mypy are green before and after.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.routing import Health
@@ -12,10 +11,12 @@
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._events import EventSplitter, EventTooLargeError
 from damsonlaned.gateway._final_answer import FinalAnswer
+from damsonlaned.gateway._request_times import RequestTimes
 from damsonlaned.gateway._stage_work import StageResults
 from damsonlaned.gateway._stages import StageError, StageRunner
 from damsonlaned.gateway._targets import Chosen
 from damsonlaned.gateway._tries import Tries
+from damsonlaned.gateway._unserved import Unserved
 from damsonlaned.http import (
     BrokenAnswerError,
     CallerGoneError,
@@ -30,20 +31,6 @@
 FULL_RETRY_SECONDS: Final = 0.5
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Unserved:
-    """An attempt that gave the caller nothing."""
-
-    #: What went wrong.
-    detail: str
-    #: Whether the request may have run there.
-    may_have_run: bool
-    #: A whole answer of the target that says so, or None.
-    response: HttpResponse | None = None
-    #: Whether its stage results must be made again.
-    needs_inputs: bool = False
-
-
 class Passage:
     """Takes one request to its final answer.
 
@@ -71,9 +58,8 @@
         self._entries: Final = entries
         self._results = StageResults()
         self._has_results = False
-        self._staged_seconds = 0.0
-        self._first_seconds: float | None = None
         self._last_event: str | None = None
+        self._times: Final = RequestTimes(call.arrived_at)
         self._tries: Final = Tries(call)
         self._answer: Final = FinalAnswer(call.request.request_id, reply, dialect)
 
@@ -115,31 +101,31 @@
                 self._end_unserved(unserved)
                 return
 
-    async def _try_once(self) -> _Unserved | None:
+    async def _try_once(self) -> Unserved | None:
         """Send the request to one target; return None once the caller has its answer."""
         if not self._has_results:
             home = self._attempts.likely_home(self._call)
             is_begun = self._answer.has_begun()
             self._results = await self._stages.make(self._call, home, is_begun=is_begun)
             self._has_results = True
-            self._staged_seconds = self._age()
+            self._times.note_staged()
         chosen = self._attempts.choose(self._call, self._tries.tried)
         if chosen is None:
-            return _Unserved(detail="the service has no target", may_have_run=False)
+            return Unserved(detail="the service has no target", may_have_run=False)
         if self._tries.offers == 0:
             self._attempts.count_first(self._call)
         self._tries.note_offer(chosen.target)
         return await self._send(chosen)
 
-    async def _send(self, chosen: Chosen) -> _Unserved | None:
+    async def _send(self, chosen: Chosen) -> Unserved | None:
         try:
             opened = await self._open(chosen)
         except NotSentError as error:
-            return _Unserved(detail=str(error), may_have_run=False)
+            return Unserved(detail=str(error), may_have_run=False)
         except BrokenAnswerError as error:
-            return _Unserved(detail=str(error), may_have_run=True)
+            return Unserved(detail=str(error), may_have_run=True)
         except TimeoutError:
-            return _Unserved(detail="the target did not answer in time", may_have_run=True)
+            return Unserved(detail="the target did not answer in time", may_have_run=True)
         if opened.signs.is_stream and opened.head.status == 200:
             return await self._pass_stream(opened)
         return await self._pass_whole(opened)
@@ -172,37 +158,43 @@
 
     # Whole answers.
 
-    async def _pass_whole(self, opened: Opened) -> _Unserved | None:
+    async def _pass_whole(self, opened: Opened) -> Unserved | None:
         health: Health = "neutral"
         try:
             body = await opened.exchange.body.read_whole()
             health = "good" if opened.head.status < 500 else "bad"
         except BrokenAnswerError as error:
             health = "bad"
-            return _Unserved(detail=str(error), may_have_run=not opened.signs.has_not_run)
+            return Unserved(detail=str(error), may_have_run=not opened.signs.has_not_run)
         finally:
             self._attempts.finish(opened, health)
         head = opened.head
         response = HttpResponse(status=head.status, headers=head.headers, body=body)
+        unserved = self._find_failure(opened, response)
+        if unserved is None:
+            self._free_results()
+            self._answer.send_whole(response)
+        return unserved
+
+    def _find_failure(self, opened: Opened, response: HttpResponse) -> Unserved | None:
+        """Return why a whole answer doesn't serve the caller, or None if it does."""
         if opened.signs.has_not_run:
-            return _Unserved(
-                detail=f"the target turned it away with {head.status}",
+            return Unserved(
+                detail=f"the target turned it away with {response.status}",
                 may_have_run=False,
-                needs_inputs=head.status == 409,
+                needs_inputs=response.status == 409,
             )
-        if head.status >= 500 or self._answer.has_begun():
-            return _Unserved(
-                detail=f"the target failed with {head.status}",
+        if response.status >= 500 or self._answer.has_begun():
+            return Unserved(
+                detail=f"the target failed with {response.status}",
                 may_have_run=True,
                 response=response,
             )
-        self._free_results()
-        self._answer.send_whole(response)
         return None
 
     # Event streams.
 
-    async def _pass_stream(self, opened: Opened) -> _Unserved | None:
+    async def _pass_stream(self, opened: Opened) -> Unserved | None:
         """Pass whole events on as they come; return None once the stream is whole."""
         splitter = EventSplitter()
         health: Health = "neutral"
@@ -219,7 +211,7 @@
             return None
         except (BrokenAnswerError, EventTooLargeError) as error:
             health = "bad"
-            return _Unserved(detail=str(error), may_have_run=True)
+            return Unserved(detail=str(error), may_have_run=True)
         finally:
             self._attempts.finish(opened, health)
 
@@ -228,9 +220,8 @@
             # The first event says that the target has read its inputs.
             self._free_results()
             self._answer.start(opened.head)
-            self._first_seconds = self._age()
+            seconds = self._times.note_first_event()
             if self._tries.offers == 1:
-                seconds = self._first_seconds - self._staged_seconds
                 self._stages.note_first_event(self._call, seconds)
         await self._answer.send(data)
         if identity is not None:
@@ -252,7 +243,7 @@
 
     # Endings.
 
-    def _end_unserved(self, unserved: _Unserved) -> None:
+    def _end_unserved(self, unserved: Unserved) -> None:
         if self._answer.has_begun():
             self._answer.cut(unserved.detail)
         elif unserved.response is not None:
@@ -289,7 +280,7 @@
             )
         )
 
-    def _log_unserved(self, unserved: _Unserved) -> None:
+    def _log_unserved(self, unserved: Unserved) -> None:
         fields = {"reason": unserved.detail, "may_have_run": unserved.may_have_run}
         _LOG.info("not served", extra={**self._call.log_fields(), **fields})
 
@@ -298,23 +289,17 @@
             results, self._results, self._has_results = self._results, StageResults(), False
             self._stages.free(results)
 
-    def _age(self) -> float:
-        """Return the seconds since the request arrived."""
-        return asyncio.get_running_loop().time() - self._call.arrived_at
-
     def _log_end(self) -> None:
         call = self._call
-        first = self._first_seconds
         _LOG.info(
             "ended",
             extra={
                 **call.log_fields(),
                 "outcome": self.outcome,
                 "reason": self._answer.detail,
-                "seconds": round(self._age(), 3),
+                "seconds": round(self._times.age(), 3),
                 "aim_seconds": call.route.aim_seconds,
-                "staged_seconds": round(self._staged_seconds, 3),
-                "first_event_seconds": round(first, 3) if first is not None else None,
+                **self._times.log_fields(),
                 "offers": self._tries.offers,
                 "last_event": self._last_event,
             },
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_times.py
@@ -0,0 +1,38 @@
+"""When a request had its stages and the first event of its answer."""
+
+import asyncio
+from typing import Final
+
+
+class RequestTimes:
+    """Times of one request, in seconds since it arrived.
+
+    Args:
+        arrived_at: when it had arrived, by the loop's clock.
+    """
+
+    def __init__(self, arrived_at: float) -> None:
+        self._arrived_at: Final = arrived_at
+        self._staged_seconds = 0.0
+        self._first_seconds: float | None = None
+
+    def age(self) -> float:
+        """Return the seconds since the request arrived."""
+        return asyncio.get_running_loop().time() - self._arrived_at
+
+    def note_staged(self) -> None:
+        """Note that its stages are made."""
+        self._staged_seconds = self.age()
+
+    def note_first_event(self) -> float:
+        """Note the first event of its answer and return the seconds since its stages were made."""
+        self._first_seconds = self.age()
+        return self._first_seconds - self._staged_seconds
+
+    def log_fields(self) -> dict[str, object]:
+        """Return what the log line about its end holds of them."""
+        first = self._first_seconds
+        return {
+            "staged_seconds": round(self._staged_seconds, 3),
+            "first_event_seconds": round(first, 3) if first is not None else None,
+        }
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_unserved.py
@@ -0,0 +1,19 @@
+"""What an attempt at a target says when it gave the caller nothing."""
+
+from dataclasses import dataclass
+
+from damsonlaned.http import HttpResponse
+
+
+@dataclass(frozen=True, kw_only=True)
+class Unserved:
+    """An attempt that gave the caller nothing."""
+
+    #: What went wrong.
+    detail: str
+    #: Whether the request may have run there.
+    may_have_run: bool
+    #: A whole answer of the target that says so, or None.
+    response: HttpResponse | None = None
+    #: Whether its stage results must be made again.
+    needs_inputs: bool = False
