Comments say what the code does now

Cause: the forecast of first events was said to take larger steps up than down, which held for the quantile before the median; is_begun was said to count stages under way, which it doesn't; several functions of the pools had no word on what they are for.

Ruled out: changing the code to what the comments said.

Change: comments, and one doubled name of the fleet in the demonstration.

Tests: those of pools, admission, routing, gateway and registry, ruff and mypy are green before and after.

--- a/packages/damsonlane/src/damsonlane/admission/_first_event.py
+++ b/packages/damsonlane/src/damsonlane/admission/_first_event.py
@@ -26,9 +26,9 @@
 class FirstEventForecast:
     """Forecasts first events of one service by the length of the prompt.
 
-    The pace follows a quantile of what was measured: it moves up by a larger
-    step for each event that came later than forecast than it moves down for
-    each that came sooner.
+    The pace follows a quantile of what was measured: it moves up for each event
+    that came later than forecast and down for each that came sooner, by steps
+    whose proportion is that of the quantile to the rest.
     """
 
     def __init__(self) -> None:
@@ -53,4 +53,5 @@
         self._pace = min(high, max(low, self._pace * factor))
 
     def _expect(self, tokens: int) -> float:
+        """Return the time that a prompt takes, whatever the aim."""
         return BASE_SECONDS + tokens * self._pace
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -35,7 +35,7 @@
     rank: int
     #: Approximate size of the result.
     result_bytes: int
-    #: Whether other stages of its request are made or under way.
+    #: Whether the answer to its request has begun, or results of other stages are held.
     is_begun: bool = False
     #: Data centre in which it should run, since its inputs or the user of its
     #: result are there; empty when little would have to travel.
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -294,7 +294,7 @@
         self._check(is_whole, "an engine dies: its stream is resumed")
         if not is_whole:
             print(f"   status {status}, {len(body)} bytes; what the boxes logged of it:")
-            print(*self._fleet.read_log_lines("chat-2"), sep="\n")
+            print(*fleet.read_log_lines("chat-2"), sep="\n")
 
     def _wait_for_holder(self, request_id: str) -> str:
         """Wait until an engine runs a request and return its name."""
--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -99,6 +99,7 @@
 def _make_registry(
     gateway: Gateway | None, node: ControlNode, group: GroupKeeper | None, client: ControlClient
 ) -> Registry | None:
+    """Return the registry, or None at a box that has no address for it."""
     if group is None or gateway is None or not gateway.registry_address:
         return None
     return Registry(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -139,6 +139,7 @@
     # Owners.
 
     def _find_owner(self, service: str) -> str:
+        """Return the address of the entry that owns a pool."""
         now = asyncio.get_running_loop().time()
         # An entry that control does not list, because it stops or has just started, owns
         # nothing: two owners of a pool would send their calls to the same targets.
@@ -148,6 +149,7 @@
         return max(ranked, key=lambda address: _weigh(service, address))
 
     def _place(self, service: str, placed: Sequence[_Pending]) -> None:
+        """Send orders to the owner of their pool, with the time that they have left."""
         owner = self._find_owner(service)
         now = asyncio.get_running_loop().time()
         orders = tuple(_age(pending, now) for pending in placed)
@@ -206,6 +208,7 @@
             self._waits.note(pending.service, pending.order.rank, result.wait_seconds, now)
 
     def _withdraw(self, number: int, done: "asyncio.Future[PieceResult]") -> None:
+        """Withdraw an order whose future was cancelled before its result came."""
         pending = self._pending.pop(number, None)
         if pending is None or not done.cancelled():
             return
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -191,6 +191,7 @@
         return made
 
     def _note_failed(self, call: BatchCall, fault: str, *, has_run: bool) -> None:
+        """Note a call without an answer, and queue its pieces again."""
         call.maker.note_failure(self._now())
         _LOG.warning(
             "batch failed",
@@ -199,6 +200,7 @@
         self._requeue(call.batch, has_run=has_run)
 
     def _requeue(self, pieces: Sequence[WaitingPiece], *, has_run: bool) -> None:
+        """Queue pieces again, but those that were in too many calls or whose sender is gone."""
         for piece in pieces:
             attempts = piece.attempts + (1 if has_run else 0)
             if attempts >= MOST_ATTEMPTS or not self._receivers.knows(piece.sender):
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -93,6 +93,7 @@
             self._client.free(service, handles)
 
     async def _make_once(self, call: Call, home: str) -> StageResults:
+        """Make all stages in one try; give up what was made if it fails."""
         plan = StagePlan(call.route.stages, call.request.pieces)
         work = StageWork(call=call, plan=plan, home=home)
         tasks: set[asyncio.Task[int]] = set()
@@ -168,6 +169,7 @@
                 work.held[future.result().handle] = start.stage.service
 
     def _raise_fault(self, start: StageStart, result: PieceResult) -> NoReturn:
+        """Say why a piece was not made, and when the caller should come back."""
         if result.fault == "lost-input":
             raise _LostInputError
         reason = _FAULTS[result.fault] if result.fault is not None else "no result"
