--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -2,24 +2,22 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine, Sequence
-from dataclasses import dataclass, replace
-from typing import Final, Protocol
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from dataclasses import replace
+from functools import partial
+from typing import Final
 
 from damsonlane.errors import DamsonlaneError
-from damsonlane.pools import (
-    PieceFault,
-    PieceOrder,
-    PieceQueue,
-    PieceResult,
-    WaitingPiece,
-)
+from damsonlane.pools import PieceFault, PieceOrder, PieceQueue, PieceResult, WaitingPiece
 from damsonlane.routes import PoolTraits, Service
 from damsonlaned.dialects import BadRequestError, Dialect, MadePiece
+from damsonlaned.gateway._freed_results import FreedResults
 from damsonlaned.gateway._makers import Maker, Makers
+from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
+from damsonlaned.gateway._wait_forecasts import WaitForecasts
 from damsonlaned.http import BrokenAnswerError, ConnectionPool, NotSentError
 from damsonlaned.tasks import start_task
 
@@ -27,36 +25,12 @@
 
 #: Calls that one piece may be in before it is given up.
 MOST_ATTEMPTS: Final = 3
-#: Seconds over which results that were given up are collected into one call.
-FREE_SECONDS: Final = 0.005
-#: Seconds for which one forecast of a rank's wait serves.
-FORECAST_SECONDS: Final = 0.05
 #: Seconds after the sending of a call until its inputs count as read.  A full call of
 #: the first users' pools reads 4 MB, 4 ms on their links; the rest is for a target that
 #: is slow to begin.  Results read too early cost their request its stages anew.
 READ_SECONDS: Final = 0.1
 
 
-class OrderReceiver(Protocol):
-    """Takes back to an entry what became of its orders."""
-
-    def take(self, results: Sequence[PieceResult]) -> None:
-        """Take results."""
-
-    def take_read(self, numbers: Sequence[int]) -> None:
-        """Take the numbers of orders whose inputs were read."""
-
-
-@dataclass(frozen=True, kw_only=True)
-class _Forecast:
-    """How long pieces of one rank wait."""
-
-    #: Seconds until such a piece would begin.
-    seconds: float
-    #: When that was reckoned, by the loop's clock.
-    made_at: float
-
-
 class PoolOwner:
     """Orders pieces of one service's targets.
 
@@ -74,13 +48,12 @@
         self._service: Final = service
         self._view: Final = view
         self._targets: Final = targets
-        self._dialect: Final = dialect
         self._calls: Final = PoolCalls(dialect)
         self._queue: Final = PieceQueue()
-        self._receivers: dict[str, OrderReceiver] = {}
+        self._receivers: Final = OrderReceivers()
         self._makers: Final = Makers()
-        self._forecasts: dict[int, _Forecast] = {}
-        self._freed: dict[str, list[str]] = {}
+        self._waits: Final = WaitForecasts(self._reckon_wait)
+        self._freed: Final = FreedResults(dialect.read_maker, self._free_collected)
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
         view.on_change(self._follow_targets)
@@ -90,11 +63,11 @@
 
     def attach(self, sender: str, receiver: OrderReceiver) -> None:
         """Take orders of a sender from now on."""
-        self._receivers[sender] = receiver
+        self._receivers.attach(sender, receiver)
 
     def detach(self, sender: str) -> None:
         """Drop what a sender that is gone has waiting."""
-        self._receivers.pop(sender, None)
+        self._receivers.detach(sender)
         self._queue.withdraw_all(sender)
 
     def order(self, sender: str, orders: Sequence[PieceOrder]) -> None:
@@ -119,11 +92,7 @@
 
     def free(self, handles: Sequence[str]) -> None:
         """Give results up at their makers."""
-        for handle in handles:
-            address = self._dialect.read_maker(handle)
-            if not self._freed:
-                asyncio.get_running_loop().call_later(FREE_SECONDS, self._send_freed)
-            self._freed.setdefault(address, []).append(handle)
+        self._freed.add(handles)
 
     # Sending calls.
 
@@ -150,53 +119,35 @@
             self._answer(piece, fault="late")
         if not selection.batch:
             return None
-        call = BatchCall(
-            maker=maker,
-            batch=selection.batch,
-            announced=sum(piece.order.result_bytes for piece in selection.batch),
-            free_bytes=maker.room.free_bytes(now),
-            seconds=traits.call_seconds + len(selection.batch) * traits.piece_seconds,
-        )
+        call = BatchCall.plan(maker, selection.batch, traits, now)
         maker.note_call(call.announced, now + call.seconds)
         return call
 
-    def _forecast(self, like: PieceOrder) -> float:
-        """Return the seconds that a piece like another would wait for its turn.
-
-        One reckoning serves all pieces of a rank for a moment: it looks at the whole queue.
-        """
-        now = self._now()
-        known = self._forecasts.get(like.rank)
-        if known is None or now - known.made_at > FORECAST_SECONDS:
-            known = _Forecast(seconds=self._reckon_wait(like), made_at=now)
-            self._forecasts[like.rank] = known
-        return known.seconds
-
-    def _reckon_wait(self, like: PieceOrder) -> float:
-        service = self._find_service()
-        makers = self._makers.everyone()
-        if service is None or service.pool is None or not makers:
-            return 0.0
-        now = self._now()
-        offer = self._makers.make_offer(makers[0], service.pool, now)
-        return self._queue.forecast(now, offer, like)
-
     async def _run(self, service: Service, call: BatchCall) -> None:
         """Send a call, hand out what it made and look for the next one."""
-        maker = call.maker
         began_at = self._now()
         made: dict[str, int] = {}
-        reading: list[asyncio.TimerHandle] = []
-
-        def start_reading() -> None:
-            loop = asyncio.get_running_loop()
-            reading.append(loop.call_later(READ_SECONDS, self._tell_read, call))
+        reading = _ReadTimer(partial(self._receivers.tell_read, call.batch))
+        try:
+            made = await self._make(service, call, reading)
+        finally:
+            reading.cancel()
+            call.maker.note_end(call.announced, made, self._now())
+        self._log_end(call, len(made), self._now() - began_at)
+        self._pump()
 
+    async def _make(
+        self, service: Service, call: BatchCall, reading: "_ReadTimer"
+    ) -> dict[str, int]:
+        """Have a batch made; return the sizes of its results by handle, none if it failed."""
+        maker = call.maker
+        began_at = self._now()
         try:
             connections = self._targets.connections(service, maker.name, maker.address)
-            replies = await self._calls.make(connections, call, start_reading)
+            replies = await self._calls.make(connections, call, reading.start)
             made = self._settle(call, replies)
             maker.note_pace((self._now() - began_at) / call.seconds, self._now())
+            return made
         except NotSentError as error:
             self._note_failed(call, str(error), has_run=False)
         except (BrokenAnswerError, BadRequestError, TimeoutError) as error:
@@ -204,22 +155,7 @@
         except TargetFullError:
             maker.note_full(self._now())
             self._requeue(call.batch, has_run=False)
-        finally:
-            for timer in reading:
-                timer.cancel()
-            maker.note_end(call.announced, made, self._now())
-        self._log_end(call, len(made), self._now() - began_at)
-        self._pump()
-
-    def _tell_read(self, call: BatchCall) -> None:
-        """Tell the entries whose inputs were read, so that they give them up."""
-        by_sender: dict[str, list[int]] = {}
-        for piece in call.batch:
-            if piece.order.inputs:
-                by_sender.setdefault(piece.sender, []).append(piece.order.number)
-        for sender, numbers in by_sender.items():
-            if sender in self._receivers:
-                self._receivers[sender].take_read(numbers)
+        return {}
 
     def _log_end(self, call: BatchCall, made: int, seconds: float) -> None:
         _LOG.info(
@@ -255,6 +191,7 @@
         return made
 
     def _note_failed(self, call: BatchCall, fault: str, *, has_run: bool) -> None:
+        """Note a call without an answer, and queue its pieces again."""
         call.maker.note_failure(self._now())
         _LOG.warning(
             "batch failed",
@@ -263,9 +200,10 @@
         self._requeue(call.batch, has_run=has_run)
 
     def _requeue(self, pieces: Sequence[WaitingPiece], *, has_run: bool) -> None:
+        """Queue pieces again, but those that were in too many calls or whose sender is gone."""
         for piece in pieces:
             attempts = piece.attempts + (1 if has_run else 0)
-            if attempts >= MOST_ATTEMPTS or piece.sender not in self._receivers:
+            if attempts >= MOST_ATTEMPTS or not self._receivers.knows(piece.sender):
                 self._answer(piece, fault="failed")
             else:
                 self._queue.add(replace(piece, attempts=attempts))
@@ -273,22 +211,32 @@
     def _answer(
         self, piece: WaitingPiece, *, handle: str = "", fault: PieceFault | None = None
     ) -> None:
-        receiver = self._receivers.get(piece.sender)
-        if receiver is not None:
+        """Tell an entry what became of a piece; give its result up if the entry is gone."""
+        if self._receivers.knows(piece.sender):
             result = PieceResult(
                 number=piece.order.number,
                 handle=handle,
                 fault=fault,
-                wait_seconds=round(self._forecast(piece.order), 3),
+                wait_seconds=round(self._waits.seconds(piece.order, self._now()), 3),
             )
-            receiver.take((result,))
+            self._receivers.give(piece.sender, result)
         elif handle:
             self.free((handle,))
 
+    def _reckon_wait(self, like: PieceOrder) -> float:
+        """Return the seconds that a piece like another would wait for its turn."""
+        service = self._find_service()
+        makers = self._makers.everyone()
+        if service is None or service.pool is None or not makers:
+            return 0.0
+        now = self._now()
+        offer = self._makers.make_offer(makers[0], service.pool, now)
+        return self._queue.forecast(now, offer, like)
+
     # Results that were given up.
 
-    def _send_freed(self) -> None:
-        freed, self._freed = self._freed, {}
+    def _free_collected(self, freed: Mapping[str, Sequence[str]]) -> None:
+        """Free results, by the address of their maker."""
         service = self._find_service()
         for maker in self._makers.everyone():
             handles = freed.get(maker.address)
@@ -337,3 +285,24 @@
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
+
+
+class _ReadTimer:
+    """Tells that the inputs of a call were read, unless the call ends before.
+
+    Args:
+        tell: tells the entries that ordered the pieces of the call.
+    """
+
+    def __init__(self, tell: Callable[[], None]) -> None:
+        self._tell: Final = tell
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin to wait, once the call was sent."""
+        self._timer = asyncio.get_running_loop().call_later(READ_SECONDS, self._tell)
+
+    def cancel(self) -> None:
+        """Tell nothing any more."""
+        if self._timer is not None:
+            self._timer.cancel()
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -6,11 +6,13 @@
 from dataclasses import dataclass, replace
 from unittest import mock
 
+from damsonlane.admission._first_event import LARGEST_SHARE
 from damsonlane.cluster import PackedDocument
 from damsonlane.codec import encode_bytes
 from damsonlane.membership import BoxRecord
 from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane.routes import RoutingDocument
+from damsonlaned.gateway import _attempts
 from damsonlaned.gateway._callers import START_RETRY_SECONDS, USUAL_START_SECONDS
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
@@ -238,8 +240,10 @@
     async def test_repeats_stop_when_their_budget_is_spent(self) -> None:
         targets = [StandIn("t1", cut), StandIn("t2", cut)]
         entry = await self.open(*targets, slack=0.0)
-        for _ in range(10):
-            await entry.call("/ping/a")
+        # A connection that a busy machine makes late would spend the repeat unseen.
+        with mock.patch.object(_attempts, "CONNECT_SECONDS", PATIENCE):
+            for _ in range(10):
+                await entry.call("/ping/a")
         # Ten first sends allow one repeat: seven tenths of a fifth of them.
         self.assertEqual(sum(len(target.requests) for target in targets), 11)
 
@@ -311,7 +315,7 @@
         self.assertTrue(response.is_whole())
         self.assertEqual(response.data.count(b"data: token"), 4)
         # The first order keeps the aim of 0.2 s; the second has until the deadline.
-        self.assertLess(ordered[0], 0.2)
+        self.assertLessEqual(ordered[0], 0.2 * (1 - LARGEST_SHARE))
         self.assertGreater(ordered[1], 0.5)
 
     async def test_stages_that_fail_after_a_broken_run_promise_nothing(self) -> None:
