An owner of a pool hands over what waits; owners are those that joined first

An entry that stopped went on working off its queue beside the new owner (88 pieces waiting there at 9.5 s), their calls waited behind each other at the targets, and inputs were given up 0.1 s after a call was sent, before its turn. Each restart moved a pool twice: away and, once the entry was back, home again. Change: an entry that owns a pool no more returns what waits, and who ordered it orders at the new owner. Owners are chosen among the half of the entries that joined first, by a place that the replicated list gives, so a restarted entry takes nothing back. Inputs count as read early only at a target whose last call took its usual time. Pieces without room are no failed attempts.

--- a/packages/damsonlane/src/damsonlane/membership/__init__.py
+++ b/packages/damsonlane/src/damsonlane/membership/__init__.py
@@ -8,5 +8,14 @@
     Membership,
     NoteBox,
 )
+from damsonlane.membership._owners import choose_owner
 
-__all__ = ["BoxNoted", "BoxRecord", "BoxStanding", "LoseBox", "Membership", "NoteBox"]
+__all__ = [
+    "BoxNoted",
+    "BoxRecord",
+    "BoxStanding",
+    "LoseBox",
+    "Membership",
+    "NoteBox",
+    "choose_owner",
+]
--- a/packages/damsonlane/src/damsonlane/membership/_boxes.py
+++ b/packages/damsonlane/src/damsonlane/membership/_boxes.py
@@ -26,6 +26,12 @@
     standing: BoxStanding
     #: Control replica that hears it.
     via: str
+    #: Its place in the order in which incarnations joined, given by the replicated list.
+    place: int = 0
+
+    def says_as(self, other: "BoxRecord") -> bool:
+        """Tell whether a box said the same in another record, wherever either was put."""
+        return replace(self, place=0) == replace(other, place=0)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -81,12 +87,15 @@
         """Take a record unless it is of an earlier incarnation than the known one."""
         record = command.record
         known = self._records.get(record.box)
-        if known == record or (known is not None and _is_older(record, known)):
+        if known is not None and (known.says_as(record) or _is_older(record, known)):
             return BoxNoted(is_changed=False)
         if known is not None and known.incarnation == record.incarnation:
             # A late message must not make a leaving box live again.
             is_leaving = "leaving" in (known.standing, record.standing)
-            record = replace(record, standing="leaving" if is_leaving else "live")
+            standing: BoxStanding = "leaving" if is_leaving else "live"
+            record = replace(record, standing=standing, place=known.place)
+        else:
+            record = replace(record, place=self._next_place())
         self._records[record.box] = record
         return BoxNoted(is_changed=True)
 
@@ -98,6 +107,10 @@
         del self._records[command.box]
         return BoxNoted(is_changed=True)
 
+    def _next_place(self) -> int:
+        """Return the place of an incarnation that joins now: after all that are there."""
+        return 1 + max((record.place for record in self._records.values()), default=0)
+
 
 def _is_older(record: BoxRecord, known: BoxRecord) -> bool:
     return record.incarnation != known.incarnation and record.started_at <= known.started_at
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -54,3 +54,6 @@
     fault: PieceFault | None = None
     #: Seconds that a piece which came now would wait for its turn.
     wait_seconds: float = 0.0
+    #: Whether nothing became of it because the pool has another owner now, which
+    #: should be asked instead.
+    is_returned: bool = False
--- a/packages/damsonlaned/src/damsonlaned/control/_keeper.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_keeper.py
@@ -67,7 +67,7 @@
                         via=self._node.identity.replica,
                     )
                 )
-            elif known != self._record(report):
+            elif known is None or not known.says_as(self._record(report)):
                 commands.append(NoteBox(record=self._record(report)))
         return commands
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
@@ -13,6 +13,9 @@
 LONGEST_REST_SECONDS: Final = 8.0
 #: Times the expected time of a call from which on a target counts as slow.
 SLOW_PACE: Final = 2.2
+#: Times the expected time of a call up to which a target is prompt: it worked on
+#: the call as soon as it had it, without one of another box before.
+PROMPT_PACE: Final = 1.3
 #: Seconds for which a slow target is left alone while others work at their usual pace.
 SLOW_REST_SECONDS: Final = 2.0
 #: Seconds for which a target that was full is left alone.
@@ -36,6 +39,9 @@
         self.failures = 0
         #: When it may be sent a call again.
         self.rests_until = 0.0
+        #: Whether its last call took its usual time, so that it probably begins the
+        #: next one at once as well.
+        self.is_prompt = False
         self._is_busy = False
         #: When its call should end, while it is busy.
         self._free_at = 0.0
@@ -71,6 +77,7 @@
     def note_pace(self, pace: float, now: float) -> None:
         """Note a call that took ``pace`` times as long as expected."""
         self.failures = 0
+        self.is_prompt = pace <= PROMPT_PACE
         if pace > SLOW_PACE:
             self.rests_until = now + SLOW_REST_SECONDS
 
@@ -78,10 +85,12 @@
         """Leave it alone for a while."""
         rest = min(LONGEST_REST_SECONDS, FIRST_REST_SECONDS * 2**self.failures)
         self.failures += 1
+        self.is_prompt = False
         self.rests_until = now + rest
 
     def note_full(self, now: float) -> None:
         """Leave it alone until calls of other boxes are through."""
+        self.is_prompt = False
         self.rests_until = now + FULL_REST_SECONDS
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -1,7 +1,6 @@
 """Ordering pieces from the owner of a pool, wherever it is."""
 
 import asyncio
-import hashlib
 import itertools
 import logging
 import ssl
@@ -10,6 +9,7 @@
 from functools import partial
 from typing import Final
 
+from damsonlane.membership import choose_owner
 from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane_rpc import PoolOrders
 from damsonlaned.gateway._heard_waits import HeardWaits
@@ -23,6 +23,9 @@
 SUSPECT_SECONDS: Final = 3.0
 #: Withdrawn orders that are remembered, so that a result that comes all the same is freed.
 MOST_WITHDRAWN: Final = 4_096
+#: Seconds after which all entries have heard of a change in their list: control tells
+#: them at once, but for one that is just moving to another replica.
+HEARD_LATER_SECONDS: Final = 0.3
 #: Name under which this entry orders from itself.
 _SELF: Final = "self"
 
@@ -84,6 +87,7 @@
         self._suspects: dict[str, _Suspicion] = {}
         self._withdrawn: dict[int, str] = {}
         self._waits: Final = HeardWaits()
+        view.on_entries(self._follow_entries)
 
     def order(
         self,
@@ -153,10 +157,9 @@
         now = asyncio.get_running_loop().time()
         # An entry that control does not list, because it stops or has just started, owns
         # nothing: two owners of a pool would send their calls to the same targets.
-        addresses = {entry.address for entry in self._view.entries} or {self._address}
-        sound = {name for name in addresses if not self._is_suspect(name, now)}
-        ranked = sound or {self._address}
-        return max(ranked, key=lambda address: _weigh(service, address))
+        suspects = {address for address in self._suspects if self._is_suspect(address, now)}
+        owner = choose_owner(service, self._view.entries, suspects)
+        return owner.address if owner is not None else self._address
 
     def _is_suspect(self, address: str, now: float) -> bool:
         """Tell whether an owner is passed over.
@@ -174,6 +177,20 @@
         listed = [entry for entry in self._view.entries if entry.address == address]
         return listed[0].incarnation if listed else ""
 
+    def _follow_entries(self) -> None:
+        """Hand over the pools that another entry owns now.
+
+        It is looked at twice, since other entries hear of it a little later and
+        may order here until then.
+        """
+        self._hand_over()
+        asyncio.get_running_loop().call_later(HEARD_LATER_SECONDS, self._hand_over)
+
+    def _hand_over(self) -> None:
+        for service in self._owners.services():
+            if self._find_owner(service) != self._address:
+                self._owners.get(service).hand_over()
+
     def _place(self, service: str, placed: Sequence[_Pending]) -> None:
         """Send orders to the owner of their pool, with the time that they have left."""
         owner = self._find_owner(service)
@@ -198,6 +215,9 @@
     def take(self, results: Sequence[PieceResult]) -> None:
         """Take results; those that nobody waits for any more are freed."""
         for result in results:
+            if result.is_returned:
+                self._place_again(result.number)
+                continue
             self._note_wait(result)
             pending = self._pending.pop(result.number, None)
             if pending is not None and not pending.future.done():
@@ -207,6 +227,12 @@
             if service and result.handle:
                 self.free(service, (result.handle,))
 
+    def _place_again(self, number: int) -> None:
+        """Order elsewhere what an owner returned."""
+        pending = self._pending.get(number)
+        if pending is not None:
+            self._place(pending.service, [pending])
+
     def take_read(self, numbers: Sequence[int]) -> None:
         """Take the numbers of orders whose inputs were read."""
         for number in numbers:
@@ -251,10 +277,6 @@
             self._owners.get(service).withdraw(_SELF, (number,))
 
 
-def _weigh(service: str, address: str) -> bytes:
-    return hashlib.blake2b(f"{service}\0{address}".encode(), digest_size=8).digest()
-
-
 def _age(pending: _Pending, now: float) -> PieceOrder:
     """Return an order as it stands now, some time after it was placed first."""
     passed = now - pending.placed_at
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Mapping, Sequence
+from collections.abc import Coroutine, Mapping, Sequence
 from dataclasses import replace
 from functools import partial
 from typing import Final
@@ -15,6 +15,7 @@
 from damsonlaned.gateway._makers import Maker, Makers
 from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
+from damsonlaned.gateway._read_timer import ReadTimer
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.gateway._wait_forecasts import WaitForecasts
@@ -25,10 +26,6 @@
 
 #: Calls that one piece may be in before it is given up.
 MOST_ATTEMPTS: Final = 3
-#: Seconds after the sending of a call until its inputs count as read.  A full call of
-#: the first users' pools reads 4 MB, 4 ms on their links; the rest is for a target that
-#: is slow to begin.  Results read too early cost their request its stages anew.
-READ_SECONDS: Final = 0.1
 
 
 class PoolOwner:
@@ -90,6 +87,20 @@
         for number in numbers:
             self._queue.withdraw(sender, number)
 
+    def hand_over(self) -> None:
+        """Return what waits to who ordered it, since the pool has another owner now.
+
+        Calls under way end here; their results are handed out as ever.
+        """
+        returned = self._queue.take_all()
+        for piece in returned:
+            if self._receivers.knows(piece.sender):
+                result = PieceResult(number=piece.order.number, is_returned=True)
+                self._receivers.give(piece.sender, result)
+        if returned:
+            fields = {"service": self._service, "pieces": len(returned)}
+            _LOG.info("pool handed over", extra=fields)
+
     def free(self, handles: Sequence[str]) -> None:
         """Give results up at their makers."""
         self._freed.add(handles)
@@ -127,7 +138,7 @@
         """Send a call, hand out what it made and look for the next one."""
         began_at = self._now()
         made: dict[str, int] = {}
-        reading = _ReadTimer(partial(self._receivers.tell_read, call.batch))
+        reading = ReadTimer(partial(self._receivers.tell_read, call.batch))
         try:
             made = await self._make(service, call, reading)
         finally:
@@ -136,15 +147,14 @@
         self._log_end(call, len(made), self._now() - began_at)
         self._pump()
 
-    async def _make(
-        self, service: Service, call: BatchCall, reading: "_ReadTimer"
-    ) -> dict[str, int]:
+    async def _make(self, service: Service, call: BatchCall, reading: ReadTimer) -> dict[str, int]:
         """Have a batch made; return the sizes of its results by handle, none if it failed."""
         maker = call.maker
         began_at = self._now()
         try:
             connections = self._targets.connections(service, maker.name, maker.address)
-            replies = await self._calls.make(connections, call, reading.start)
+            on_sent = reading.start if maker.is_prompt else _ignore
+            replies = await self._calls.make(connections, call, on_sent)
             made = self._settle(call, replies)
             maker.note_pace((self._now() - began_at) / call.seconds, self._now())
             return made
@@ -176,18 +186,21 @@
     def _settle(self, call: BatchCall, replies: Sequence[MadePiece]) -> dict[str, int]:
         """Hand out what a call made; return the sizes of the results by handle."""
         made: dict[str, int] = {}
-        retried: list[WaitingPiece] = []
+        failed: list[WaitingPiece] = []
+        without_room: list[WaitingPiece] = []
         for piece, reply in zip(call.batch, replies, strict=True):
             if reply.handle:
                 made[reply.handle] = piece.order.result_bytes
                 self._answer(piece, handle=reply.handle)
             elif reply.fault in ("late", "lost-input"):
                 self._answer(piece, fault=reply.fault)
+            elif reply.fault == "no-room":
+                call.maker.room.note_full(self._now())
+                without_room.append(piece)
             else:
-                retried.append(piece)
-                if reply.fault == "no-room":
-                    call.maker.room.note_full(self._now())
-        self._requeue(retried, has_run=True)
+                failed.append(piece)
+        self._requeue(failed, has_run=True)
+        self._requeue(without_room, has_run=False)
         return made
 
     def _note_failed(self, call: BatchCall, fault: str, *, has_run: bool) -> None:
@@ -287,22 +300,5 @@
         return asyncio.get_running_loop().time()
 
 
-class _ReadTimer:
-    """Tells that the inputs of a call were read, unless the call ends before.
-
-    Args:
-        tell: tells the entries that ordered the pieces of the call.
-    """
-
-    def __init__(self, tell: Callable[[], None]) -> None:
-        self._tell: Final = tell
-        self._timer: asyncio.TimerHandle | None = None
-
-    def start(self) -> None:
-        """Begin to wait, once the call was sent."""
-        self._timer = asyncio.get_running_loop().call_later(READ_SECONDS, self._tell)
-
-    def cancel(self) -> None:
-        """Tell nothing any more."""
-        if self._timer is not None:
-            self._timer.cancel()
+def _ignore() -> None:
+    """Do nothing about a call that was sent."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
@@ -35,6 +35,10 @@
             self._owners[service] = PoolOwner(service, self._view, self._targets, self._dialect)
         return self._owners[service]
 
+    def services(self) -> tuple[str, ...]:
+        """Return the services whose pools this entry owns or has owned."""
+        return tuple(self._owners)
+
     def detach(self, sender: str) -> None:
         """Forget a sender at all pools."""
         for owner in self._owners.values():
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -31,6 +31,7 @@
         self.entries: tuple[BoxRecord, ...] = ()
         self._targets: dict[str, TargetRecord] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._entry_listeners: list[Callable[[], None]] = []
 
     def version(self) -> int:
         """Return the version in force, 0 when there is none."""
@@ -40,6 +41,10 @@
         """Call a function after each change of document or targets."""
         self._listeners.append(listener)
 
+    def on_entries(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of the list of entries."""
+        self._entry_listeners.append(listener)
+
     def targets_of(self, service: str) -> tuple[TargetRecord, ...]:
         """Return the records of a service's targets."""
         return tuple(record for record in self._targets.values() if record.service == service)
@@ -92,6 +97,8 @@
     def put_entries(self, entries: tuple[BoxRecord, ...]) -> None:
         """Take over the list of entries."""
         self.entries = tuple(entry for entry in entries if entry.standing == "live")
+        for listener in self._entry_listeners:
+            listener()
 
     def _tell(self) -> None:
         for listener in self._listeners:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -12,7 +12,7 @@
 from damsonlane.cluster import PackedDocument
 from damsonlane.codec import encode_bytes
 from damsonlane.ledger import Holder
-from damsonlane.membership import BoxRecord
+from damsonlane.membership import BoxRecord, _owners
 from damsonlane.pools import PieceOrder
 from damsonlane.routes import RoutingDocument
 from damsonlane.settings import BoxSettings, Gateway
@@ -27,7 +27,6 @@
     Service,
 )
 from damsonlaned.dialects import NativeDialect
-from damsonlaned.gateway import _pool_client
 from damsonlaned.gateway._link import FleetLink
 from damsonlaned.gateway._pool_service import PoolService
 from damsonlaned.gateway._view import FleetView
@@ -254,7 +253,7 @@
                 pools = Entry().pools
                 pools._view.put_entries(before)
                 pools._links[self.address] = mock.Mock()
-                with mock.patch.object(_pool_client, "_weigh", self._weigh_owner_most):
+                with mock.patch.object(_owners, "_weigh", self._weigh_owner_most):
                     pools.lose_owner(self.address, (), "the stream ended")
                     pools._view.put_entries(after)
                     self.assertEqual(pools._find_owner("pool"), owner or self.address)
@@ -262,6 +261,34 @@
     def _weigh_owner_most(self, _service: str, address: str) -> bytes:
         return b"1" if address == self.address else b"0"
 
+    async def test_an_owner_that_is_one_no_more_hands_over_what_waits(self) -> None:
+        service = PoolService(self.owner.owners)
+        await serve(self, self.address, Service(dict(service.handlers())))
+        self.owner.view.put_entries((make_record(self.address),))
+        self.orderer.view.put_entries((make_record(self.address),))
+        self.pool._answer = make_pieces(lambda: self.pool.address, seconds=0.3)
+        # The target takes four pieces in a call, so eight of them wait at the owner.
+        futures = self.order(12)
+        await wait(lambda: len(self.pool.requests) == 1)
+        # The orderer itself owns the pool now.
+        own_address = self.orderer.pools._address
+        with mock.patch.object(self.orderer.pools, "_find_owner", return_value=own_address):
+            self.owner.owners.get("pool").hand_over()
+            async with asyncio.timeout(PATIENCE):
+                results = await asyncio.gather(*futures)
+        self.assertEqual(len({result.handle for result in results}), 12)  # type: ignore[attr-defined]
+
+    async def test_a_changed_list_makes_an_owner_hand_over(self) -> None:
+        cases = (("another one owns it", "127.0.0.1:7", 1), ("it owns it still", "", 0))
+        for name, owner, expected in cases:
+            with self.subTest(name):
+                pools = self.orderer.pools
+                handed_over = mock.Mock()
+                pools._owners.get("pool").hand_over = handed_over  # type: ignore[method-assign]
+                address = owner or pools._address
+                pools._view.put_entries((make_record(address),))
+                self.assertEqual(handed_over.call_count, expected)
+
     async def test_a_withdrawn_piece_is_not_made(self) -> None:
         self.orderer.view.put_entries(())
         futures = self.order(1)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_stages.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from damsonlane.routes import RoutingDocument
-from damsonlaned.gateway import _pool_owner
+from damsonlaned.gateway import _read_timer
 from damsonlaned.gateway._pool_client import PoolClient
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
@@ -104,7 +104,7 @@
 
 class EarlyFreeTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        patch = mock.patch.object(_pool_owner, "READ_SECONDS", 0.0)
+        patch = mock.patch.object(_read_timer, "READ_SECONDS", 0.0)
         patch.start()
         self.addCleanup(patch.stop)
         self.desk = StandIn("t1", answer_well)
