Inputs of the last step are given up once read

Cause: room for results binds the pools. Change: the results that the last step needs are given up 0.05 s after the request was sent, if pieces wait at the pool that holds them; pool calls wait 0.05 s as well, 0.1 s before. If the target fails after that, the stages are made again. Tests: three in test_stages (given up while the prompt is read; a last step that fails then costs the stages anew; kept where nobody waits).

--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Final
 
@@ -84,10 +84,22 @@
         return is_allowed
 
     async def open(
-        self, call: Call, chosen: Chosen, inputs: tuple[str, ...], last_event: str | None
+        self,
+        call: Call,
+        chosen: Chosen,
+        inputs: tuple[str, ...],
+        last_event: str | None,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> Opened:
         """Send a request and read the head of its answer.
 
+        Args:
+            call: the request.
+            chosen: the target that gets it.
+            inputs: handles of the results that it needs.
+            last_event: the last event that the caller has, if its stream goes on.
+            on_sent: called once the request was sent.
+
         Raises:
             NotSentError: it was not sent.
             BrokenAnswerError: it was sent and no answer came.
@@ -102,6 +114,7 @@
         )
         request = self._dialect.make_request(call.request, attempt)
         exchange = await chosen.connections.send(request, CONNECT_SECONDS)
+        on_sent()
         _LOG.info(
             "sent",
             extra={
--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -11,6 +11,7 @@
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._events import EventSplitter, EventTooLargeError
 from damsonlaned.gateway._final_answer import FinalAnswer
+from damsonlaned.gateway._read_timer import ReadTimer
 from damsonlaned.gateway._request_times import RequestTimes
 from damsonlaned.gateway._stage_work import StageResults
 from damsonlaned.gateway._stages import StageError, StageRunner
@@ -138,10 +139,12 @@
             BrokenAnswerError: it was sent and no answer came.
             TimeoutError: the target was silent for too long.
         """
-        inputs = self._results.inputs
+        reading = ReadTimer(self._free_read_results)
         try:
             async with asyncio.timeout(self._tries.silence_seconds()):
-                return await self._attempts.open(self._call, chosen, inputs, self._last_event)
+                return await self._attempts.open(
+                    self._call, chosen, self._results.inputs, self._last_event, reading.start
+                )
         except (NotSentError, BrokenAnswerError, TimeoutError):
             self._attempts.finish_unopened(chosen, "bad")
             raise
@@ -149,6 +152,8 @@
             # The caller left or the deadline came, which says nothing about the target.
             self._attempts.finish_unopened(chosen, "neutral")
             raise
+        finally:
+            reading.cancel()
 
     def _may_try_again(self) -> bool:
         """Tell whether the request may be sent to another target, and pay for it."""
@@ -284,6 +289,15 @@
         fields = {"reason": unserved.detail, "may_have_run": unserved.may_have_run}
         _LOG.info("not served", extra={**self._call.log_fields(), **fields})
 
+    def _free_read_results(self) -> None:
+        """Give up the inputs that the target has read, if others wait for their room.
+
+        Where nobody waits they are kept until the first event, since another target
+        needs them if this one fails.
+        """
+        if self._stages.is_room_wanted(self._results):
+            self._free_results()
+
     def _free_results(self) -> None:
         if self._has_results:
             results, self._results, self._has_results = self._results, StageResults(), False
--- a/packages/damsonlaned/src/damsonlaned/gateway/_read_timer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_read_timer.py
@@ -8,7 +8,7 @@
 #: the first users' pools reads 4 MB, 4 ms on their links; the rest is for the way there
 #: and a target that is slow to begin.  Results given up before they were read cost their
 #: request its stages anew; with 0.1 s the room for results bound the pools (policy.md).
-READ_SECONDS: Final = 0.1
+READ_SECONDS: Final = 0.05
 
 
 class ReadTimer:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -84,6 +84,10 @@
         """Learn from the first event of an answer, some seconds after its request was sent."""
         self._orders.note_first_event(call, seconds)
 
+    def is_room_wanted(self, results: StageResults) -> bool:
+        """Tell whether pieces wait at a pool whose targets hold some of the results."""
+        return any(self._client.has_queue(service) for service in _find_services(results))
+
     def free(self, results: StageResults) -> None:
         """Give results up."""
         by_service: dict[str, list[str]] = {}
@@ -175,3 +179,8 @@
         reason = _FAULTS[result.fault] if result.fault is not None else "no result"
         detail = f"stage {start.index} of service {start.stage.service}: {reason}"
         raise StageError(detail, RETRY_SECONDS + result.wait_seconds)
+
+
+def _find_services(results: StageResults) -> set[str]:
+    """Return the services whose targets hold results."""
+    return {result.service for result in results.held}
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_stages.py
@@ -71,6 +71,10 @@
         """Answer the calls of the second stage as given, in turn; the last one stays."""
         self._second = list(answers)
 
+    def has_freed(self, name: str) -> bool:
+        """Tell whether a result was given up, by the end of its handle."""
+        return any(handle.endswith(name) for call in self.seen for handle in call.freed)
+
     def stages(self) -> list[int]:
         """Return the stages of the calls that make pieces."""
         return [call.stage for call in self.seen if call.stage is not None]
@@ -154,6 +158,43 @@
         self.assertEqual(pool.stages(), [0, 1, 1])
         self.assertEqual(len(self.desk.requests), 1)
 
+    async def test_results_are_given_up_while_the_last_step_reads_its_prompt(self) -> None:
+        pool = Pool()
+        pool.answer_second_stage(pool.make)
+
+        async def answer_once_freed(request: HttpRequest, reply: Reply) -> None:
+            await self.wait_for(lambda: pool.has_freed("r1-1-0"))
+            await answer_well(request, reply)
+
+        self.desk = StandIn("t1", answer_once_freed)
+        self.assertEqual(await self.call(pool), 200)
+        self.assertEqual(pool.stages(), [0, 1])
+
+    async def test_a_last_step_that_fails_after_that_costs_the_stages_anew(self) -> None:
+        pool = Pool()
+        pool.answer_second_stage(pool.make)
+
+        async def cut_once_freed(request: HttpRequest, reply: Reply) -> None:
+            await self.wait_for(lambda: pool.has_freed("r1-1-0"))
+            await (cut if len(self.desk.requests) == 1 else answer_well)(request, reply)
+
+        self.desk = StandIn("t1", cut_once_freed)
+        self.assertEqual(await self.call(pool), 200)
+        self.assertEqual(pool.stages(), [0, 1, 0, 1])
+        self.assertEqual(len(self.desk.requests), 2)
+
+    async def test_results_are_kept_for_another_target_where_nobody_waits(self) -> None:
+        pool = Pool()
+        pool.answer_second_stage(pool.make)
+
+        async def cut_first(request: HttpRequest, reply: Reply) -> None:
+            await (cut if len(self.desk.requests) == 1 else answer_well)(request, reply)
+
+        self.desk = StandIn("t1", cut_first)
+        self.assertEqual(await self.call(pool, has_queue=False), 200)
+        self.assertEqual(pool.stages(), [0, 1])
+        self.assertEqual(len(self.desk.requests), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
