A replica whose disk fails starts again in its process

Read beside it: an identity that could not be written raised an error of the system, which would have ended the task that looks after the group for good. Ruled out: going on with the replica in memory (it believes in entries that no disk holds). Change: the replica falls silent as before; the process closes its ports, looks twice a second whether the disk takes and syncs a small file, and starts the replica from what the disk holds. The same before the first start. Tests: test_process of control (comes back, waits before the start, stops when told, the probe, the identity).

--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -120,6 +120,11 @@
         await self._links.close()
         self._journal.close()
 
+    def fault(self) -> StorageError | None:
+        """Return why the disk failed, or None if it did not."""
+        error = self.failure.exception() if self.failure.done() else None
+        return error if isinstance(error, StorageError) else None
+
     def now(self) -> float:
         """Return the monotonic clock, in seconds."""
         return asyncio.get_running_loop().time()
--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -4,6 +4,7 @@
 import logging
 from typing import Final
 
+from damsonlane.errors import StorageError
 from damsonlane.settings import BoxSettings, Founding, Gateway
 from damsonlane_rpc import ControlClient
 from damsonlaned._process import (
@@ -27,14 +28,55 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+#: Seconds between looks at a disk that failed: half of an election time, since a
+#: replica that comes back has to hear of a leader anyway.
+DISK_LOOK_SECONDS: Final = 0.5
+
 
 async def run_control(
     settings: BoxSettings, folder: DataFolder, keys: Keys, reload: Reload | None
 ) -> None:
     """Run the replica until it is told to stop.
 
+    A disk that fails costs the time until it takes writes again: the replica
+    falls silent as if its process had ended, and starts again from what the
+    disk holds.
+
+    Raises:
+        StorageError: its folder can't be used.
+    """
+    while await _wait_for_disk(settings, folder):
+        fault = await _run_replica(settings, folder, keys, reload)
+        if fault is None:
+            return
+        _LOG.error("disk failed", extra={"fault": str(fault)})
+
+
+async def _wait_for_disk(settings: BoxSettings, folder: DataFolder) -> bool:
+    """Wait until the disk takes writes; return False if told to stop before that."""
+    watch = SettingsWatch(settings, None, lambda _: None)
+    stop = asyncio.create_task(wait_for_stop(watch))
+    try:
+        while not stop.done():
+            try:
+                folder.probe()
+            except StorageError as error:
+                _LOG.warning("disk takes no writes", extra={"fault": str(error)})
+            else:
+                return True
+            await asyncio.wait({stop}, timeout=DISK_LOOK_SECONDS)
+        return False
+    finally:
+        stop.cancel()
+
+
+async def _run_replica(
+    settings: BoxSettings, folder: DataFolder, keys: Keys, reload: Reload | None
+) -> StorageError | None:
+    """Run the replica until it is told to stop or its disk fails; return that fault.
+
     Raises:
-        StorageError: its disk failed.
+        StorageError: its folder can't be used.
     """
     node = ControlNode(settings, folder, keys.client)
     metrics = Metrics()
@@ -80,8 +122,8 @@
     await close_server(server)
     await admin.stop()
     _LOG.info("stopped")
-    if node.failure.done():
-        node.failure.result()
+    stop.cancel()
+    return node.fault()
 
 
 def _list_control(settings: BoxSettings) -> tuple[str, ...]:
--- a/packages/damsonlaned/src/damsonlaned/storage/_folder.py
+++ b/packages/damsonlaned/src/damsonlaned/storage/_folder.py
@@ -6,8 +6,13 @@
 from typing import Final
 
 from damsonlane.errors import StorageError
+from damsonlaned.storage._files import replace_file
 
 _LOCK: Final = "lock"
+_PROBE: Final = "probe"
+#: Bytes of the file that shows whether the disk takes writes: a block of most file
+#: systems, and more than most writes to the journal.
+PROBE_BYTES: Final = 4_096
 
 
 class DataFolder:
@@ -44,6 +49,19 @@
         except OSError as error:
             raise StorageError(f"{self.path}: {error.strerror}") from None
 
+    def probe(self) -> None:
+        """Write and sync a small file, to see whether the disk takes writes.
+
+        Raises:
+            StorageError: it refuses them.
+        """
+        path = self.path / _PROBE
+        try:
+            replace_file(path, bytes(PROBE_BYTES))
+            path.unlink()
+        except OSError as error:
+            raise StorageError(f"{path}: cannot be written: {error.strerror}") from None
+
     def close(self) -> None:
         """Give the folder back."""
         if self._descriptor >= 0:
--- a/packages/damsonlaned/src/damsonlaned/storage/_identity.py
+++ b/packages/damsonlaned/src/damsonlaned/storage/_identity.py
@@ -8,7 +8,7 @@
 from pydantic import ValidationError
 
 from damsonlane.codec import decode_bytes, encode_bytes
-from damsonlane.errors import CorruptionError
+from damsonlane.errors import CorruptionError, StorageError
 from damsonlaned.storage._files import replace_file
 
 _NAME: Final = "identity"
@@ -44,8 +44,16 @@
 
 
 def write_identity(folder: Path, identity: Identity) -> None:
-    """Store the identity of a folder."""
-    replace_file(folder / _NAME, encode_bytes(identity, Identity))
+    """Store the identity of a folder.
+
+    Raises:
+        StorageError: the disk refused.
+    """
+    path = folder / _NAME
+    try:
+        replace_file(path, encode_bytes(identity, Identity))
+    except OSError as error:
+        raise StorageError(f"{path}: cannot be written: {error.strerror}") from None
 
 
 def draw_identity(box: str) -> Identity:
