--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
@@ -55,6 +55,12 @@
         )
 
 
+    def count_away(self) -> int:
+        """Return the pieces that run in another data centre than they should."""
+        homes = [piece.order.home for piece in self.batch if piece.order.home]
+        return sum(home != self.maker.data_centre for home in homes)
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Answer:
     """A whole answer of a target."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -174,6 +174,7 @@
                 "service": self._service,
                 "target": call.maker.name,
                 "pieces": len(call.batch),
+                "away": call.count_away(),
                 "made": made,
                 "announced_bytes": call.announced,
                 "free_bytes": call.free_bytes,
