What waits is judged without a free target

Tests: test_what_is_late_is_told_while_every_target_is_at_work failed before; test_what_is_late_is_told_while_no_target_takes_work.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -66,18 +66,31 @@
 
     def select(self, now: float, offer: Offer) -> Selection:
         """Take out the pieces for one call, and those that are too late."""
-        soonest = offer.soonest(now)
-        late = [piece for piece in self._waiting.values() if piece.due_at < soonest]
-        self._remove(late)
-        ordered = sorted(self._waiting.values(), key=lambda piece: rate_urgency(piece, soonest))
-        hopeless = self._find_hopeless(ordered, now, offer)
-        self._remove(hopeless)
-        hopeful = [piece for piece in ordered if piece.identity in self._waiting]
-        batch = fill_batch(hopeful, now, offer)
+        late = self.take_late(now, offer)
+        batch = fill_batch(self._order(now, offer), now, offer)
         self._remove(batch)
         for piece in batch:
             self._taken.note(piece.order.rank, now)
-        return Selection(batch=tuple(batch), late=(*late, *hopeless))
+        return Selection(batch=tuple(batch), late=late)
+
+    def take_late(self, now: float, offer: Offer) -> tuple[WaitingPiece, ...]:
+        """Take out the pieces whose time has run out, or will before their turn."""
+        expired = self.take_expired(now, offer)
+        hopeless = self._find_hopeless(self._order(now, offer), now, offer)
+        self._remove(hopeless)
+        return (*expired, *hopeless)
+
+    def take_expired(self, now: float, offer: Offer) -> tuple[WaitingPiece, ...]:
+        """Take out the pieces that nobody waits for any longer than a call takes."""
+        soonest = offer.soonest(now)
+        expired = [piece for piece in self._waiting.values() if piece.due_at < soonest]
+        self._remove(expired)
+        return tuple(expired)
+
+    def _order(self, now: float, offer: Offer) -> list[WaitingPiece]:
+        """Return the waiting pieces, most urgent first."""
+        soonest = offer.soonest(now)
+        return sorted(self._waiting.values(), key=lambda piece: rate_urgency(piece, soonest))
 
     def _find_hopeless(
         self, ordered: list[WaitingPiece], now: float, offer: Offer
@@ -88,15 +101,15 @@
         still come back.  A begun one is given up as well, since its results take
         the room of answers that are in time, but not once its caller has waited
         for long.  While there are fewer pieces than the targets take at once,
-        nothing is hopeless.
+        nothing is hopeless, unless no target works.
         """
-        at_once = offer.pieces_at_once
+        at_once = offer.pieces_at_once if offer.targets else 0
         hopeless: list[WaitingPiece] = []
         for place, piece in enumerate(ordered):
             ahead = place - len(hopeless)
             if ahead < at_once or not (piece.is_first or now < piece.give_up_until):
                 continue
-            rounds = ahead // at_once * self._stretch(piece.order.rank, now, offer)
+            rounds = ahead // offer.pieces_at_once * self._stretch(piece.order.rank, now, offer)
             begins_at = now + rounds * offer.full_seconds
             if begins_at + offer.full_seconds > piece.aim_at:
                 hopeless.append(piece)
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
@@ -197,6 +197,20 @@
                 self.assertEqual([piece.order.number for piece in selection.batch], [0, 1])
                 self.assertEqual([piece.order.number for piece in selection.late], late)
 
+    def test_what_is_late_is_told_while_no_target_takes_work(self) -> None:
+        cases: tuple[tuple[str, int, float, list[int]], ...] = (
+            ("targets work, few wait", 1, 0.25, []),
+            ("none works, no time for a call", 0, 0.25, [1]),
+            ("none works, time for a call", 0, 0.35, []),
+        )
+        for name, targets, aim_at, expected in cases:
+            with self.subTest(name):
+                queue = PieceQueue()
+                queue.add(make_piece(1, aim_at=aim_at))
+                late = queue.take_late(0.0, replace(OFFER, targets=targets, room=0))
+                self.assertEqual([piece.order.number for piece in late], expected)
+                self.assertEqual(len(queue), 1 - len(expected))
+
     def test_a_request_whose_other_stages_are_made_is_not_refused_for_its_aim(self) -> None:
         for number in range(4):
             self.queue.add(make_piece(number, aim_at=9.0, due_at=20.0))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
@@ -134,12 +134,18 @@
         rests = [maker.rests_until - now for maker in self._makers.values()]
         return min([*(rest for rest in rests if rest > 0), FULL_REST_SECONDS])
 
-    def make_offer(self, maker: Maker, traits: PoolTraits, now: float) -> Offer:
-        """Return what a target, among the others, can take from the queue."""
+    def make_offer(self, maker: Maker | None, traits: PoolTraits, now: float) -> Offer:
+        """Return what a target, among the others, can take from the queue.
+
+        Args:
+            maker: the target, or None for what the pool as a whole can do.
+            traits: what the document says of the pool.
+            now: the time by the loop's clock.
+        """
         working = [other for other in self._makers.values() if other.works(now)]
         return Offer(
-            data_centre=maker.data_centre,
-            room=maker.room.free_bytes(now),
+            data_centre=maker.data_centre if maker is not None else "",
+            room=maker.room.free_bytes(now) if maker is not None else 0,
             free_in=_find_waits(working, now),
             targets=len(working),
             batch=traits.batch,
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
@@ -54,7 +54,6 @@
             seconds=traits.call_seconds + len(batch) * traits.piece_seconds,
         )
 
-
     def count_away(self) -> int:
         """Return the pieces that run in another data centre than they should."""
         homes = [piece.order.home for piece in self.batch if piece.order.home]
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -126,14 +126,31 @@
     def _select(self, maker: Maker, traits: PoolTraits, now: float) -> BatchCall | None:
         """Take a batch for a target from the queue; return None when nothing there suits it."""
         selection = self._queue.select(now, self._makers.make_offer(maker, traits, now))
-        for piece in selection.late:
-            self._answer(piece, fault="late")
+        self._refuse(selection.late)
         if not selection.batch:
             return None
         call = BatchCall.plan(maker, selection.batch, traits, now)
         maker.note_call(call.announced, now + call.seconds)
         return call
 
+    def _look(self) -> None:
+        """Tell what can't be in time any more, also while no target is free.
+
+        As long as targets work, what waits is judged whenever one is free: judged
+        more often, more was refused that would have been in time (policy.md).
+        """
+        service = self._find_service()
+        if service is not None and service.pool is not None:
+            now = self._now()
+            offer = self._makers.make_offer(None, service.pool, now)
+            judge = self._queue.take_expired if offer.targets else self._queue.take_late
+            self._refuse(judge(now, offer))
+        self._pump()
+
+    def _refuse(self, late: Sequence[WaitingPiece]) -> None:
+        for piece in late:
+            self._answer(piece, fault="late")
+
     async def _run(self, service: Service, call: BatchCall) -> None:
         """Send a call, hand out what it made and look for the next one."""
         began_at = self._now()
@@ -247,7 +264,7 @@
         if service is None or service.pool is None or not makers:
             return 0.0
         now = self._now()
-        offer = self._makers.make_offer(makers[0], service.pool, now)
+        offer = self._makers.make_offer(None, service.pool, now)
         return self._queue.forecast(now, offer, like)
 
     # Results that were given up.
@@ -289,10 +306,10 @@
         return table.service(self._service) if table is not None else None
 
     def _wake_later(self, now: float) -> None:
-        """Look again when a resting target is due; the end of a call looks by itself."""
+        """Look again when a resting target is due, or what waits may have become late."""
         if self._wake is None or self._wake.cancelled() or self._wake.when() <= now:
             loop = asyncio.get_running_loop()
-            self._wake = loop.call_later(self._makers.look_seconds(now), self._pump)
+            self._wake = loop.call_later(self._makers.look_seconds(now), self._look)
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = start_task(work, "call to a pool target")
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -36,6 +36,7 @@
     Entry,
     StandIn,
     answer_well,
+    hang,
     make_pieces,
 )
 
@@ -278,6 +279,19 @@
                 results = await asyncio.gather(*futures)
         self.assertEqual(len({result.handle for result in results}), 12)  # type: ignore[attr-defined]
 
+    async def test_what_is_late_is_told_while_every_target_is_at_work(self) -> None:
+        self.pool._answer = hang
+        self.orderer.view.put_entries(())
+        self.order(4)
+        await wait(lambda: len(self.pool.requests) == 1)
+        order = replace(ORDER, request="r2", left_seconds=0.2)
+        waiting = self.orderer.pools.order("pool", [order])
+        async with asyncio.timeout(PATIENCE):
+            result = await waiting[0]
+        self.assertEqual(result.fault, "late")
+        # The call of the others is still under way.
+        self.assertFalse(self.pool.gone.is_set())
+
     async def test_a_changed_list_makes_an_owner_hand_over(self) -> None:
         cases = (("another one owns it", "127.0.0.1:7", 1), ("it owns it still", "", 0))
         for name, owner, expected in cases:
