Owners of pools count pieces, calls and what waits

Series: 6 outcomes, 14 of the histogram and 1 a pool owned. Ruled out: labels by target (names change with each start, so series would not be bounded). Tests: test_an_owner_counts_what_becomes_of_pieces.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -54,7 +54,8 @@
         holder = Holder(box=settings.name, incarnation=secrets.token_hex(6))
         self._link: Final = FleetLink(settings, holder, self._view, context)
         targets = Targets(self._view, settings.data_centre, self._count_entries)
-        owners = PoolOwners(self._view, targets, self._dialect)
+        owners = PoolOwners(self._view, targets, self._dialect, self._metrics)
+        self._owners: Final = owners
         self._pools: Final = PoolClient(self._view, owners, settings.internal_address, context)
         self._pool_service: Final = PoolService(owners)
         attempts = Attempts(
@@ -149,3 +150,4 @@
     def _refresh(self) -> None:
         self._metrics.in_flight.set({}, self._callers.in_flight())
         self._metrics.version.set({}, self._view.version())
+        self._owners.count_waiting()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -15,6 +15,7 @@
 from damsonlaned.gateway._makers import Maker, Makers
 from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
+from damsonlaned.gateway._pool_metrics import PoolMetrics
 from damsonlaned.gateway._read_timer import ReadTimer
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
@@ -39,9 +40,18 @@
         view: where its targets stand.
         targets: connections to them.
         dialect: how they are spoken to.
+        metrics: counts what becomes of pieces and calls.
     """
 
-    def __init__(self, service: str, view: FleetView, targets: Targets, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        service: str,
+        view: FleetView,
+        targets: Targets,
+        dialect: Dialect,
+        metrics: PoolMetrics,
+    ) -> None:
+        self._metrics: Final = metrics
         self._service: Final = service
         self._view: Final = view
         self._targets: Final = targets
@@ -93,6 +103,7 @@
         Calls under way end here; their results are handed out as ever.
         """
         returned = self._queue.take_all()
+        self._metrics.note_returned(len(returned))
         for piece in returned:
             if self._receivers.knows(piece.sender):
                 result = PieceResult(number=piece.order.number, is_returned=True)
@@ -101,6 +112,10 @@
             fields = {"service": self._service, "pieces": len(returned)}
             _LOG.info("pool handed over", extra=fields)
 
+    def count_waiting(self) -> int:
+        """Return the number of pieces that wait."""
+        return len(self._queue)
+
     def free(self, handles: Sequence[str]) -> None:
         """Give results up at their makers."""
         self._freed.add(handles)
@@ -161,7 +176,9 @@
         finally:
             reading.cancel()
             call.maker.note_end(call.announced, made, self._now())
-        self._log_end(call, len(made), self._now() - began_at)
+        seconds = self._now() - began_at
+        self._metrics.note_call(seconds)
+        self._log_end(call, len(made), seconds)
         self._pump()
 
     async def _make(self, service: Service, call: BatchCall, reading: ReadTimer) -> dict[str, int]:
@@ -216,6 +233,7 @@
                 without_room.append(piece)
             else:
                 failed.append(piece)
+        self._metrics.note_turned_back(len(without_room))
         if without_room:
             missing = call.free_bytes - sum(made.values())
             size = without_room[0].order.result_bytes
@@ -246,6 +264,7 @@
         self, piece: WaitingPiece, *, handle: str = "", fault: PieceFault | None = None
     ) -> None:
         """Tell an entry what became of a piece; give its result up if the entry is gone."""
+        self._metrics.note_answer(fault)
         if self._receivers.knows(piece.sender):
             result = PieceResult(
                 number=piece.order.number,
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
@@ -11,9 +11,11 @@
 from damsonlane.pools import PieceResult
 from damsonlane_rpc import CALL_FAULTS, POOL, PoolOrders, PoolResults
 from damsonlaned.dialects import Dialect
+from damsonlaned.gateway._pool_metrics import PoolMetrics
 from damsonlaned.gateway._pool_owner import PoolOwner
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
+from damsonlaned.metrics import Metrics
 
 #: Seconds between messages to an entry that waits for results, so that it can
 #: tell a slow pool from an owner that is gone.
@@ -23,7 +25,10 @@
 class PoolOwners:
     """The pools that this entry owns, made when first asked for."""
 
-    def __init__(self, view: FleetView, targets: Targets, dialect: Dialect) -> None:
+    def __init__(
+        self, view: FleetView, targets: Targets, dialect: Dialect, metrics: Metrics
+    ) -> None:
+        self._metrics: Final = metrics
         self._view: Final = view
         self._targets: Final = targets
         self._dialect: Final = dialect
@@ -32,13 +37,21 @@
     def get(self, service: str) -> PoolOwner:
         """Return the owner of a service's pool."""
         if service not in self._owners:
-            self._owners[service] = PoolOwner(service, self._view, self._targets, self._dialect)
+            counted = PoolMetrics(service, self._metrics)
+            self._owners[service] = PoolOwner(
+                service, self._view, self._targets, self._dialect, counted
+            )
         return self._owners[service]
 
     def services(self) -> tuple[str, ...]:
         """Return the services whose pools this entry owns or has owned."""
         return tuple(self._owners)
 
+    def count_waiting(self) -> None:
+        """Set the metrics of what waits."""
+        for service, owner in self._owners.items():
+            self._metrics.pool_waiting.set({"service": service}, owner.count_waiting())
+
     def detach(self, sender: str) -> None:
         """Forget a sender at all pools."""
         for owner in self._owners.values():
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -230,7 +230,8 @@
         dialect = NativeDialect()
         self.view = FleetView(dialect)
         targets = Targets(self.view, "gulberg", lambda: 1)
-        self.owners = PoolOwners(self.view, targets, dialect)
+        self.metrics = Metrics()
+        self.owners = PoolOwners(self.view, targets, dialect, self.metrics)
         self.pools = PoolClient(self.view, self.owners, "127.0.0.1:9", None)
         self.attempts = Attempts(targets, dialect, 0.2, 10.0, slack)
         self.callers = CallerService(
@@ -239,7 +240,7 @@
                 attempts=self.attempts,
                 stages=StageRunner(self.pools, lambda handle: "gulberg"),
                 dialect=dialect,
-                metrics=Metrics(),
+                metrics=self.metrics,
                 entries=lambda: 1,
             )
         )
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from unittest import mock
 
 from grpclib.server import Server, Stream
@@ -222,6 +223,24 @@
         # A call takes four pieces, so six of them take two calls and not six.
         self.assertEqual(len(self.pool.requests), 2)
 
+    def has_metric(self, line: str) -> bool:
+        self.orderer.owners.count_waiting()
+        return line in self.orderer.metrics.render().decode().splitlines()
+
+    async def test_an_owner_counts_what_becomes_of_pieces(self) -> None:
+        self.orderer.view.put_entries(())
+        late = replace(ORDER, request="r2", left_seconds=0.0)
+        async with asyncio.timeout(PATIENCE):
+            await asyncio.gather(*self.order(6), *self.orderer.pools.order("pool", [late]))
+        for line in (
+            'damsonlane_pool_pieces_total{outcome="late",service="pool"} 1',
+            'damsonlane_pool_pieces_total{outcome="made",service="pool"} 6',
+            'damsonlane_pool_call_seconds_count{service="pool"} 2.0',
+            'damsonlane_pool_waiting{service="pool"} 0',
+        ):
+            with self.subTest(line):
+                await wait(partial(self.has_metric, line))
+
     async def test_an_owner_that_is_gone_costs_a_second_order(self) -> None:
         self.orderer.view.put_entries((make_record(self.address), make_record("127.0.0.1:9")))
         with mock.patch.object(self.orderer.pools, "_find_owner", self._find_gone_owner_first()):
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -41,6 +41,22 @@
             "damsonlane_is_leader", "1 while this replica leads.", registry=self.registry
         )
 
+        self.pool_pieces: Final = Counter(
+            "damsonlane_pool_pieces_total",
+            "Pieces of the stage pools that this box owns, by what became of them.",
+            registry=self.registry,
+        )
+        self.pool_call_seconds: Final = Histogram(
+            "damsonlane_pool_call_seconds",
+            "Time of calls to the targets of stage pools that this box owns.",
+            buckets=_BUCKETS,
+            registry=self.registry,
+        )
+        self.pool_waiting: Final = Gauge(
+            "damsonlane_pool_waiting",
+            "Pieces that wait at the stage pools that this box owns.",
+            registry=self.registry,
+        )
         self.messages: Final = Gauge(
             "damsonlane_rpc_messages", "Messages between boxes.", registry=self.registry
         )
