Engines are divided by the length of prompts

Change: prompts of 2,000 tokens or more go to one side of a service's engines, shorter ones to the other, in the proportion of their tokens; each side falls back to the other. The longest pause of each stream stands in the line of its end.

--- a/packages/damsonlane/src/damsonlane/routing/__init__.py
+++ b/packages/damsonlane/src/damsonlane/routing/__init__.py
@@ -8,6 +8,7 @@
     rank_target,
     routing_policy,
 )
+from damsonlane.routing._sides import Place, PromptSides
 from damsonlane.routing._views import Origin, TargetView
 
 __all__ = [
@@ -16,6 +17,8 @@
     "Health",
     "LoadReport",
     "Origin",
+    "Place",
+    "PromptSides",
     "RoutingPolicy",
     "Standing",
     "TargetBook",
--- a/packages/damsonlane/src/damsonlane/routing/_book.py
+++ b/packages/damsonlane/src/damsonlane/routing/_book.py
@@ -114,6 +114,7 @@
         policy: str,
         origin: Origin,
         *,
+        prefer: Collection[str] = (),
         avoid: Collection[str] = (),
         silent: Collection[str] = (),
         leaving: Collection[str] = (),
@@ -125,6 +126,8 @@
         Args:
             policy: name of the routing policy.
             origin: where the choice is made.
+            prefer: targets that are taken where one of them is as good as the
+                others; empty for all.
             avoid: targets that failed this request already; used only if
                 nothing else is left.
             silent: targets that were not heard for long; used only if nothing
@@ -140,7 +143,8 @@
         preferred = _leave_out(usable, {*avoid, *silent}) or _leave_out(usable, avoid) or usable
         if not preferred:
             return None
-        views = [self._records[name].view(name, now) for name in preferred]
+        among = [name for name in preferred if name in prefer] or preferred
+        views = [self._records[name].view(name, now) for name in among]
         chosen = POLICIES[policy].choose(views, origin, randomness)
         record = self._records[chosen.name]
         record.in_flight += 1
--- a/packages/damsonlane/src/damsonlane/routing/tests/test_book.py
+++ b/packages/damsonlane/src/damsonlane/routing/tests/test_book.py
@@ -52,6 +52,22 @@
         self.assertEqual({self._choose(book, avoid=("t0",)) for _ in range(9)}, {"t1"})
         self.assertIsNotNone(self._choose(book, avoid=("t0", "t1")))
 
+    def test_preferred_targets_are_taken_where_they_are_as_good_as_the_others(self) -> None:
+        cases: tuple[tuple[str, dict[str, tuple[str, ...]], set[str]], ...] = (
+            ("as good", {}, {"t0", "t1"}),
+            ("one failed the request", {"avoid": ("t0",)}, {"t1"}),
+            ("both failed the request", {"avoid": ("t0", "t1")}, {"t2", "t3"}),
+            ("both silent", {"silent": ("t0", "t1")}, {"t2", "t3"}),
+            ("both leave", {"leaving": ("t0", "t1")}, {"t2", "t3"}),
+        )
+        for name, options, expected in cases:
+            with self.subTest(name):
+                book = _book()
+                chosen = {
+                    self._choose(book, 0.0, prefer=("t0", "t1"), **options) for _ in range(20)
+                }
+                self.assertEqual(chosen, expected)
+
     def test_a_silent_target_comes_before_one_that_failed_the_request(self) -> None:
         cases = (
             ("t0", ("t1",), {"t2"}),
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -10,7 +10,7 @@
 from damsonlane.routing import Health
 from damsonlaned.dialects import AnswerSigns, Attempt, Dialect
 from damsonlaned.gateway._call import Call
-from damsonlaned.gateway._targets import Chosen, Targets
+from damsonlaned.gateway._targets import Chosen, Prompt, Targets
 from damsonlaned.http import BrokenAnswerError, HttpHead, SentExchange
 
 _LOG: Final = logging.getLogger(__name__)
@@ -65,11 +65,15 @@
 
     def choose(self, call: Call, avoid: Collection[str]) -> Chosen | None:
         """Choose a target for a request."""
-        return self._targets.choose(call.service, _find_affinity(call), avoid)
+        return self._targets.choose(call.service, _find_prompt(call), avoid)
 
     def likely_home(self, call: Call) -> str:
         """Return the data centre of the target that a request will probably go to."""
-        return self._targets.likely_home(call.service, _find_affinity(call))
+        return self._targets.likely_home(call.service, _find_prompt(call))
+
+    def note_arrival(self, call: Call) -> None:
+        """Note a request that arrived."""
+        self._targets.note_prompt(call.service, _find_prompt(call))
 
     def count_first(self, call: Call) -> None:
         """Count the first sending of a request."""
@@ -169,10 +173,11 @@
         return asyncio.get_running_loop().time()
 
 
-def _find_affinity(call: Call) -> str:
-    """Return the last part of the prompt that other requests share, or an empty string."""
-    parts = call.request.prefix[:-1]
-    return parts[-1].identity if parts else ""
+def _find_prompt(call: Call) -> Prompt:
+    """Return what the choice of an engine depends on."""
+    shared = call.request.prefix[:-1]
+    affinity = shared[-1].identity if shared else ""
+    return Prompt(affinity=affinity, tokens=call.request.tokens_in)
 
 
 def _is_unnamed_refusal(signs: AnswerSigns) -> bool:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
@@ -71,6 +71,7 @@
 
     async def run(self) -> None:
         """Serve the request, or refuse it truly."""
+        self._attempts.note_arrival(self._call)
         try:
             async with asyncio.timeout_at(self._call.due_at):
                 await self._serve()
@@ -228,6 +229,7 @@
             seconds = self._times.note_first_event()
             if self._tries.offers == 1:
                 self._stages.note_first_event(self._call, seconds)
+        self._times.note_event()
         await self._answer.send(data)
         if identity is not None:
             self._last_event = identity
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_times.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_times.py
@@ -15,6 +15,8 @@
         self._arrived_at: Final = arrived_at
         self._staged_seconds = 0.0
         self._first_seconds: float | None = None
+        self._event_seconds: float | None = None
+        self._longest_pause: float | None = None
 
     def age(self) -> float:
         """Return the seconds since the request arrived."""
@@ -29,10 +31,21 @@
         self._first_seconds = self.age()
         return self._first_seconds - self._staged_seconds
 
+    def note_event(self) -> None:
+        """Note an event of its answer; the pauses between them count for the caller."""
+        now = self.age()
+        if self._event_seconds is not None:
+            self._longest_pause = max(self._longest_pause or 0.0, now - self._event_seconds)
+        self._event_seconds = now
+
     def log_fields(self) -> dict[str, object]:
         """Return what the log line about its end holds of them."""
-        first = self._first_seconds
         return {
             "staged_seconds": round(self._staged_seconds, 3),
-            "first_event_seconds": round(first, 3) if first is not None else None,
+            "first_event_seconds": _round(self._first_seconds),
+            "longest_pause_seconds": _round(self._longest_pause),
         }
+
+
+def _round(seconds: float | None) -> float | None:
+    return round(seconds, 3) if seconds is not None else None
--- a/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -12,10 +12,13 @@
     Health,
     LoadReport,
     Origin,
+    Place,
+    PromptSides,
     Standing,
     TargetBook,
     rank_target,
 )
+from damsonlane.targets import TargetRecord
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import ConnectionPool
 
@@ -30,6 +33,16 @@
 PLAIN_POLICY: Final = "paced"
 
 
+@dataclass(frozen=True, kw_only=True)
+class Prompt:
+    """What the choice of an engine depends on; empty for other targets."""
+
+    #: The last part of the prompt that other requests share, or an empty string.
+    affinity: str = ""
+    #: Its length in tokens.
+    tokens: int = 0
+
+
 @dataclass(frozen=True, kw_only=True)
 class Chosen:
     """A target that was chosen, with the connections to it."""
@@ -58,19 +71,21 @@
         self._data_centre: Final = data_centre
         self._entries: Final = entries
         self._books: dict[str, TargetBook] = {}
+        self._sides: dict[str, PromptSides] = {}
         self._connections: dict[str, ConnectionPool] = {}
         self._misdirected: set[str] = set()
         self._randomness: Final = random.Random()
         view.on_change(self._update)
 
-    def choose(self, service: Service, affinity: str, avoid: Collection[str]) -> Chosen | None:
+    def choose(self, service: Service, prompt: Prompt, avoid: Collection[str]) -> Chosen | None:
         """Choose a target, or return None when the service has none that may be used."""
         records = self._view.targets_of(service.name)
         leaving = {record.target for record in records if record.standing == "leaving"}
         silent = {record.target for record in records if record.standing == "silent"}
         choice = self._book(service.name).choose(
             ENGINE_POLICY if service.engine is not None else PLAIN_POLICY,
-            Origin(data_centre=self._data_centre, affinity=affinity),
+            Origin(data_centre=self._data_centre, affinity=prompt.affinity),
+            prefer=self._find_side(service, prompt, records),
             avoid=avoid,
             silent=silent,
             leaving=leaving | self._misdirected,
@@ -79,14 +94,38 @@
         )
         return self._make_chosen(service, choice) if choice is not None else None
 
-    def likely_home(self, service: Service, affinity: str) -> str:
+    def likely_home(self, service: Service, prompt: Prompt) -> str:
         """Return the data centre of the target that a prompt's prefix hashes to."""
-        records = [
-            record for record in self._view.targets_of(service.name) if record.standing == "live"
+        records = self._view.targets_of(service.name)
+        side = self._find_side(service, prompt, records)
+        owning = [
+            record
+            for record in records
+            if record.standing == "live" and (record.target in side or not side)
         ]
-        if not records or not affinity:
+        if not owning or not prompt.affinity:
             return ""
-        return min(records, key=lambda record: rank_target(record.target, affinity)).data_centre
+        first = min(owning, key=lambda record: rank_target(record.target, prompt.affinity))
+        return first.data_centre
+
+    def note_prompt(self, service: Service, prompt: Prompt) -> None:
+        """Note a request that arrived, for how engines are divided."""
+        if service.engine is not None:
+            self._sides.setdefault(service.name, PromptSides()).note(prompt.tokens)
+
+    def _find_side(
+        self, service: Service, prompt: Prompt, records: Sequence[TargetRecord]
+    ) -> frozenset[str]:
+        """Return the live engines for a prompt of this length; empty for other services."""
+        if service.engine is None:
+            return frozenset()
+        places = [
+            Place(target=record.target, data_centre=record.data_centre)
+            for record in records
+            if record.standing == "live"
+        ]
+        sides = self._sides.setdefault(service.name, PromptSides())
+        return sides.find_side(prompt.tokens, places)
 
     def finish(
         self,
