--- /dev/null
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_codec.py
@@ -0,0 +1,51 @@
+"""Messages between boxes as bytes."""
+
+import unittest
+
+from damsonlane.pools import PieceOrder
+from damsonlane_rpc import TRAFFIC, DataclassCodec, PoolOrders
+from damsonlane_rpc._codec import COMPRESSED_BYTES
+
+_ORDER = PieceOrder(
+    number=1,
+    request="r1",
+    stage=0,
+    piece=0,
+    material_key="key",
+    inputs=("127.0.0.1:1/h",),
+    left_seconds=5.0,
+    aim_left_seconds=1.0,
+    give_up_left_seconds=2.0,
+    rank=0,
+    result_bytes=10,
+)
+
+
+class DataclassCodecTest(unittest.TestCase):
+    def test_messages_come_back_as_they_were(self) -> None:
+        codec = DataclassCodec()
+        for count in (0, 1, 50):
+            with self.subTest(count=count):
+                message = PoolOrders(service="pool", orders=(_ORDER,) * count)
+                self.assertEqual(
+                    codec.decode(codec.encode(message, PoolOrders), PoolOrders), message
+                )
+
+    def test_only_long_messages_are_compressed(self) -> None:
+        codec = DataclassCodec()
+        cases = (("short", 1, True), ("long", 50, False))
+        for name, count, is_text in cases:
+            with self.subTest(name):
+                data = codec.encode(PoolOrders(service="p", orders=(_ORDER,) * count), PoolOrders)
+                self.assertEqual(data.startswith(b"{"), is_text)
+                self.assertLess(len(data), COMPRESSED_BYTES)
+
+    def test_the_bytes_on_the_wire_are_counted(self) -> None:
+        before = TRAFFIC.bytes_sent
+        message = PoolOrders(service="pool", orders=(_ORDER,) * 50)
+        data = DataclassCodec().encode(message, PoolOrders)
+        self.assertEqual(TRAFFIC.bytes_sent - before, len(data))
+
+
+if __name__ == "__main__":
+    unittest.main()
