--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -1,7 +1,8 @@
 """What this entry knows of the fleet; it only ever moves forward."""
 
 import logging
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from damsonlane.cluster import PackedDocument
@@ -13,6 +14,10 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+#: Targets that are logged one by one.  A list of more comes when an entry starts or was
+#: cut off for long; its lines would take longer to write than the list to read.
+MOST_LINES: Final = 40
+
 
 class FleetView:
     """Document in force, targets and entries, as control last said.
@@ -74,24 +79,14 @@
         if changes.revision < self.targets_revision:
             return
         self.targets_revision = changes.revision
+        news = [record for record in changes.records if self._is_news(record)]
         if changes.is_whole:
             self._targets = {record.target: record for record in changes.records}
         else:
             self._targets.update({record.target: record for record in changes.records})
         for name in changes.gone:
             self._targets.pop(name, None)
-        for record in changes.records:
-            _LOG.info(
-                "target known",
-                extra={
-                    "target": record.target,
-                    "service": record.service,
-                    "standing": record.standing,
-                    "revision": changes.revision,
-                },
-            )
-        if changes.gone:
-            _LOG.info("targets gone", extra={"targets": changes.gone})
+        _log_targets(news, changes)
         self._tell()
 
     def put_entries(self, entries: tuple[BoxRecord, ...]) -> None:
@@ -100,6 +95,32 @@
         for listener in self._entry_listeners:
             listener()
 
+    def _is_news(self, record: TargetRecord) -> bool:
+        """Tell whether a target is new here or stands otherwise than before."""
+        known = self._targets.get(record.target)
+        return known is None or known.standing != record.standing
+
     def _tell(self) -> None:
         for listener in self._listeners:
             listener()
+
+
+def _log_targets(news: Sequence[TargetRecord], changes: TargetChanges) -> None:
+    """Log what is new of targets: a line each, or one line for a long list."""
+    if len(news) > MOST_LINES:
+        counts = Counter(record.standing for record in news)
+        fields = {"standings": dict(counts), "revision": changes.revision}
+        _LOG.info("targets known", extra=fields)
+    else:
+        for record in news:
+            _LOG.info(
+                "target known",
+                extra={
+                    "target": record.target,
+                    "service": record.service,
+                    "standing": record.standing,
+                    "revision": changes.revision,
+                },
+            )
+    if changes.gone:
+        _LOG.info("targets gone", extra={"targets": changes.gone})
