A control box heeds signals through its whole life

A replica that came back after its disk had failed had the settings of the start. Change: signals and changed settings are watched once, for the life of the process; the replica and all that serves beside it is a class, made anew with the settings read last. Tests: test_a_box_heeds_signals_before_its_replica_runs and test_a_replica_comes_back_with_the_settings_read_last failed before.

--- a/packages/damsonlaned/src/damsonlaned/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/_process.py
@@ -139,7 +139,8 @@
         reload: Reload | None,
         take_over: Callable[[BoxSettings], None],
     ) -> None:
-        self._settings = settings
+        #: The newest that were read.
+        self.settings = settings
         self._reload: Final = reload
         self._take_over: Final = take_over
 
@@ -152,8 +153,8 @@
         except SettingsError as error:
             _LOG.error("settings not reloaded", extra={"fault": str(error)})
             return
-        if newer != self._settings:
-            self._settings = newer
+        if newer != self.settings:
+            self.settings = newer
             _LOG.info("settings reloaded", extra={"control": newer.control})
             self._take_over(newer)
 
--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -4,6 +4,9 @@
 import logging
 from typing import Final
 
+from grpclib.const import Handler
+from grpclib.server import Server
+
 from damsonlane.errors import StorageError
 from damsonlane.settings import BoxSettings, Founding, Gateway
 from damsonlane_rpc import ControlClient
@@ -45,85 +48,121 @@
     Raises:
         StorageError: its folder can't be used.
     """
-    while await _wait_for_disk(settings, folder):
-        fault = await _run_replica(settings, folder, keys, reload)
-        if fault is None:
-            return
-        _LOG.error("disk failed", extra={"fault": str(fault)})
+    running: list[_RunningReplica] = []
 
+    def take_over(newer: BoxSettings) -> None:
+        for replica in running:
+            replica.take_over(newer)
 
-async def _wait_for_disk(settings: BoxSettings, folder: DataFolder) -> bool:
-    """Wait until the disk takes writes; return False if told to stop before that."""
-    watch = SettingsWatch(settings, None, lambda _: None)
+    watch = SettingsWatch(settings, reload, take_over)
+    # Signals are taken from here on, whatever the replica and its disk do.
     stop = asyncio.create_task(wait_for_stop(watch))
     try:
-        while not stop.done():
-            try:
-                folder.probe()
-            except StorageError as error:
-                _LOG.warning("disk takes no writes", extra={"fault": str(error)})
-            else:
-                return True
-            await asyncio.wait({stop}, timeout=DISK_LOOK_SECONDS)
-        return False
+        while await _wait_for_disk(folder, stop):
+            replica = _RunningReplica(watch.settings, folder, keys)
+            running[:] = [replica]
+            fault = await replica.run(stop)
+            if fault is None:
+                return
+            _LOG.error("disk failed", extra={"fault": str(fault)})
     finally:
         stop.cancel()
 
 
-async def _run_replica(
-    settings: BoxSettings, folder: DataFolder, keys: Keys, reload: Reload | None
-) -> StorageError | None:
-    """Run the replica until it is told to stop or its disk fails; return that fault.
+async def _wait_for_disk(folder: DataFolder, stop: "asyncio.Task[None]") -> bool:
+    """Wait until the disk takes writes; return False if told to stop before that."""
+    while not stop.done():
+        try:
+            folder.probe()
+        except StorageError as error:
+            _LOG.warning("disk takes no writes", extra={"fault": str(error)})
+        else:
+            return True
+        await asyncio.wait({stop}, timeout=DISK_LOOK_SECONDS)
+    return False
+
+
+class _RunningReplica:
+    """A replica with everything that serves beside it, until it stops or its disk fails.
+
+    Args:
+        settings: settings of the box.
+        folder: its data folder, open.
+        keys: its TLS contexts.
 
     Raises:
-        StorageError: its folder can't be used.
+        StorageError: the folder can't be used.
     """
-    node = ControlNode(settings, folder, keys.client)
-    metrics = Metrics()
 
-    def refresh() -> None:
-        replica = node.replica
-        metrics.version.set({}, node.state.settings.version)
-        metrics.commit.set({}, replica.commit if replica else 0)
-        metrics.is_leader.set({}, 1 if replica and replica.is_leader else 0)
-
-    def take_over(newer: BoxSettings) -> None:
-        client.learn(newer.control)
-        if group is not None and newer.founding is not None:
-            group.replace_seeds(newer.founding.seeds)
-
-    admin = Admin(settings.admin_address, metrics, node.is_current, refresh)
-    client = ControlClient(_list_control(settings), context=keys.client)
-    keeper = Keeper(node, client)
-    group = _make_group(settings, node, client, keys)
-    registry = _make_registry(settings.gateway, node, group, client)
-    handlers = {
-        **FollowingService(node).handlers(),
-        **(group.handlers() if group else {}),
-        **(registry.handlers() if registry else {}),
-    }
-    server = await serve_boxes(settings, ControlService(node).service(handlers), keys)
-    node.start()
-    keeper.start()
-    await admin.start()
-    if group is not None:
-        group.start()
-    if registry is not None:
-        await registry.start()
-    _LOG.info("started", extra={"replica": node.identity.replica})
-    stop = asyncio.create_task(wait_for_stop(SettingsWatch(settings, reload, take_over)))
-    await asyncio.wait({stop, node.failure}, return_when=asyncio.FIRST_COMPLETED)
-    if registry is not None:
-        await registry.stop()
-    if group is not None:
-        await group.stop()
-    await keeper.stop()
-    await node.stop()
-    await close_server(server)
-    await admin.stop()
-    _LOG.info("stopped")
-    stop.cancel()
-    return node.fault()
+    def __init__(self, settings: BoxSettings, folder: DataFolder, keys: Keys) -> None:
+        self._settings: Final = settings
+        self._keys: Final = keys
+        self._metrics: Final = Metrics()
+        self._node: Final = ControlNode(settings, folder, keys.client)
+        self._admin: Final = Admin(
+            settings.admin_address, self._metrics, self._node.is_current, self._refresh
+        )
+        self._client: Final = ControlClient(_list_control(settings), context=keys.client)
+        self._keeper: Final = Keeper(self._node, self._client)
+        self._group: Final = _make_group(settings, self._node, self._client, keys)
+        self._registry: Final = _make_registry(
+            settings.gateway, self._node, self._group, self._client
+        )
+
+    def take_over(self, newer: BoxSettings) -> None:
+        """Learn the addresses that reloaded settings name."""
+        self._client.learn(newer.control)
+        if self._group is not None and newer.founding is not None:
+            self._group.replace_seeds(newer.founding.seeds)
+
+    async def run(self, stop: "asyncio.Task[None]") -> StorageError | None:
+        """Serve until told to stop or the disk fails; return the disk's fault.
+
+        Raises:
+            StorageError: the folder or an address can't be used.
+        """
+        server = await serve_boxes(
+            self._settings, ControlService(self._node).service(self._handlers()), self._keys
+        )
+        await self._start()
+        _LOG.info("started", extra={"replica": self._node.identity.replica})
+        await asyncio.wait({stop, self._node.failure}, return_when=asyncio.FIRST_COMPLETED)
+        await self._stop(server)
+        _LOG.info("stopped")
+        return self._node.fault()
+
+    def _handlers(self) -> dict[str, Handler]:
+        """Return the calls besides those of every replica, by their paths."""
+        return {
+            **FollowingService(self._node).handlers(),
+            **(self._group.handlers() if self._group else {}),
+            **(self._registry.handlers() if self._registry else {}),
+        }
+
+    async def _start(self) -> None:
+        self._node.start()
+        self._keeper.start()
+        await self._admin.start()
+        if self._group is not None:
+            self._group.start()
+        if self._registry is not None:
+            await self._registry.start()
+
+    async def _stop(self, server: Server) -> None:
+        if self._registry is not None:
+            await self._registry.stop()
+        if self._group is not None:
+            await self._group.stop()
+        await self._keeper.stop()
+        await self._node.stop()
+        await close_server(server)
+        await self._admin.stop()
+
+    def _refresh(self) -> None:
+        replica = self._node.replica
+        self._metrics.version.set({}, self._node.state.settings.version)
+        self._metrics.commit.set({}, replica.commit if replica else 0)
+        self._metrics.is_leader.set({}, 1 if replica and replica.is_leader else 0)
 
 
 def _list_control(settings: BoxSettings) -> tuple[str, ...]:
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_process.py
@@ -4,14 +4,15 @@
 import socket
 import tempfile
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from unittest import mock
 
 from damsonlane.errors import StorageError
 from damsonlane.settings import BoxSettings, Founding
-from damsonlaned._process import Keys
-from damsonlaned.control import _process
+from damsonlaned._process import Keys, SettingsWatch
+from damsonlaned.control import ControlNode, _process
 from damsonlaned.control._process import run_control
 from damsonlaned.storage import DataFolder, Journal, draw_identity, write_identity
 
@@ -74,6 +75,27 @@
             await self.wait(lambda: self.said("disk failed") == 1)
         return box
 
+    async def test_a_replica_comes_back_with_the_settings_read_last(self) -> None:
+        probe = mock.Mock(side_effect=StorageError("full"))
+        newer = replace(self.settings, admin_address=find_address())
+        watches: list[SettingsWatch] = []
+
+        def note(watch: SettingsWatch) -> Awaitable[bool]:
+            watches.append(watch)
+            return self.stop.wait()
+
+        self.patch(_process, "wait_for_stop", note)
+        made = mock.Mock(wraps=ControlNode)
+        self.patch(_process, "ControlNode", made)
+        box = await self.fail_disk(probe)
+        watches[0].settings = newer
+        probe.side_effect = None
+        await self.wait(lambda: self.said("started") == 2)
+        self.assertEqual(made.call_args.args[0], newer)
+        self.stop.set()
+        async with asyncio.timeout(PATIENCE):
+            await box
+
     async def test_a_replica_comes_back_in_its_process_once_the_disk_takes_writes(self) -> None:
         probe = mock.Mock(side_effect=StorageError("full"))
         box = await self.fail_disk(probe)
@@ -105,6 +127,19 @@
             await box
         self.assertEqual(self.said("started"), 1)
 
+    async def test_a_box_heeds_signals_before_its_replica_runs(self) -> None:
+        self.patch(DataFolder, "probe", mock.Mock(side_effect=StorageError("full")))
+        waiting = mock.Mock(side_effect=lambda _: self.stop.wait())
+        self.patch(_process, "wait_for_stop", waiting)
+        box = asyncio.create_task(self.run_box())
+        await self.wait(lambda: self.said("disk takes no writes") > 0)
+        self.stop.set()
+        async with asyncio.timeout(PATIENCE):
+            await box
+        # One wait for signals through the whole life of the process: between two,
+        # a signal would reach a handler that nobody heeds.
+        self.assertEqual(waiting.call_count, 1)
+
 
 class ProbeTest(unittest.TestCase):
     def test_a_probe_leaves_nothing_behind(self) -> None:
