Engines are divided only where both kinds of prompt come

Cause: found by reading: a service whose prompts are all short, or of unknown length, had one engine of six for them until 200,000 tokens had passed. Change: the first guess weighs a handful of requests; a kind with under 3 in 100 of the tokens gets no engines of its own; a prompt of unknown length goes anywhere.

--- a/packages/damsonlane/src/damsonlane/routing/_sides.py
+++ b/packages/damsonlane/src/damsonlane/routing/_sides.py
@@ -11,8 +11,11 @@
 LONG_PROMPT_TOKENS: Final = 2_000
 #: Share of the tokens that is reckoned to be in long prompts before any was seen.
 INITIAL_LONG_SHARE: Final = 0.85
-#: Tokens that this first guess weighs, as if they had been seen.
-INITIAL_TOKENS: Final = 200_000.0
+#: Tokens that this first guess weighs, as if they had been seen: a handful of requests,
+#: so that a service whose prompts are all of one kind is soon known as such.
+INITIAL_TOKENS: Final = 10_000.0
+#: Share of the tokens below which a kind of prompt gets no engines of its own.
+LEAST_SHARE: Final = 0.03
 #: Tokens after which what was seen counts half: about ten seconds of one entry of the
 #: first users at high load, longer than a wave of one kind of request.
 MEMORY_TOKENS: Final = 200_000.0
@@ -46,10 +49,12 @@
         self._long = self._long * fading + (tokens if is_long(tokens) else 0)
 
     def find_side(self, tokens: int, places: Sequence[Place]) -> frozenset[str]:
-        """Return the engines for a prompt of a length; all of them if they can't be divided."""
-        if len(places) < 2:
+        """Return the engines for a prompt of a length; all of them if nothing divides them."""
+        long_share = self._long / self._all
+        other_share = 1.0 - long_share if is_long(tokens) else long_share
+        if len(places) < 2 or tokens <= 0 or other_share < LEAST_SHARE:
             return frozenset(place.target for place in places)
-        count = round(self._long / self._all * len(places))
+        count = round(long_share * len(places))
         count = min(len(places) - 1, max(1, count))
         ordered = _order(places)
         side = ordered[:count] if is_long(tokens) else ordered[count:]
