--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_process.py
@@ -127,18 +127,20 @@
             await box
         self.assertEqual(self.said("started"), 1)
 
-    async def test_a_box_heeds_signals_before_its_replica_runs(self) -> None:
-        self.patch(DataFolder, "probe", mock.Mock(side_effect=StorageError("full")))
+    async def test_a_box_heeds_signals_through_its_whole_life(self) -> None:
+        probe = mock.Mock(side_effect=StorageError("full"))
+        self.patch(DataFolder, "probe", probe)
         waiting = mock.Mock(side_effect=lambda _: self.stop.wait())
         self.patch(_process, "wait_for_stop", waiting)
         box = asyncio.create_task(self.run_box())
         await self.wait(lambda: self.said("disk takes no writes") > 0)
+        probe.side_effect = None
+        await self.wait(lambda: self.said("started") == 1)
+        # Between two waits a signal would reach a handler that nobody heeds.
+        self.assertEqual(waiting.call_count, 1)
         self.stop.set()
         async with asyncio.timeout(PATIENCE):
             await box
-        # One wait for signals through the whole life of the process: between two,
-        # a signal would reach a handler that nobody heeds.
-        self.assertEqual(waiting.call_count, 1)
 
 
 class ProbeTest(unittest.TestCase):
