--- a/packages/damsonlane/src/damsonlane/admission/__init__.py
+++ b/packages/damsonlane/src/damsonlane/admission/__init__.py
@@ -7,14 +7,14 @@
     ServiceMeter,
     Work,
 )
-from damsonlane.admission._gate import Gate, Visitor
+from damsonlane.admission._limits import Entrant, InFlightLimits
 
 __all__ = [
     "ADMISSION_SHARE",
     "STAGE_SHARE",
     "FirstEventForecast",
-    "Gate",
+    "InFlightLimits",
     "ServiceMeter",
-    "Visitor",
+    "Entrant",
     "Work",
 ]
--- a/packages/damsonlane/src/damsonlane/admission/_gate.py
+++ b/packages/damsonlane/src/damsonlane/admission/_limits.py
@@ -1,4 +1,4 @@
-"""The gate: how many requests of each organisation may be in flight at once."""
+"""How many requests of each organisation may be in flight at once."""
 
 from dataclasses import dataclass
 from typing import Final
@@ -10,8 +10,8 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Visitor:
-    """Who wants to enter, and under which settings."""
+class Entrant:
+    """A request that asks to be let in, and under which settings."""
 
     #: The organisation.
     organisation: str
@@ -34,7 +34,7 @@
     seen_at: float = 0.0
 
 
-class Gate:
+class InFlightLimits:
     """Shares each lane among organisations by weight and lends what is unused.
 
     An organisation within its share always enters.  Beyond it, it enters
@@ -46,26 +46,26 @@
     def __init__(self) -> None:
         self._lanes: dict[Lane, dict[str, _Usage]] = {}
 
-    def try_enter(self, visitor: Visitor, now: float) -> bool:
+    def try_enter(self, entrant: Entrant, now: float) -> bool:
         """Let a request in, or not; whoever entered must `leave`."""
-        if 0 < visitor.own_limit <= self._own(visitor.organisation):
+        if 0 < entrant.own_limit <= self._own(entrant.organisation):
             return False
-        lane = self._lanes.setdefault(visitor.lane, {})
-        usage = lane.setdefault(visitor.organisation, _Usage())
-        usage.weight = visitor.weight
+        lane = self._lanes.setdefault(entrant.lane, {})
+        usage = lane.setdefault(entrant.organisation, _Usage())
+        usage.weight = entrant.weight
         usage.seen_at = now
         total = sum(other.in_flight for other in lane.values())
-        if usage.in_flight >= self._share(lane, usage, visitor.limit, now):
-            if total >= visitor.limit:
+        if usage.in_flight >= self._share(lane, usage, entrant.limit, now):
+            if total >= entrant.limit:
                 return False
-        elif total >= 2 * visitor.limit:
+        elif total >= 2 * entrant.limit:
             return False
         usage.in_flight += 1
         return True
 
-    def leave(self, visitor: Visitor) -> None:
+    def leave(self, entrant: Entrant) -> None:
         """Let a request out."""
-        self._lanes[visitor.lane][visitor.organisation].in_flight -= 1
+        self._lanes[entrant.lane][entrant.organisation].in_flight -= 1
 
     def in_flight(self) -> int:
         """Return the requests inside, over all lanes."""
--- a/packages/damsonlane/src/damsonlane/admission/tests/test_gate.py
+++ b/packages/damsonlane/src/damsonlane/admission/tests/test_limits.py
@@ -1,50 +1,50 @@
-"""The gate: shares are lent, come back, and never exceed their bounds."""
+"""Limits in flight: shares are lent, come back, and never exceed their bounds."""
 
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from damsonlane.admission import Gate, ServiceMeter, Visitor, Work
+from damsonlane.admission import Entrant, InFlightLimits, ServiceMeter, Work
 
 _WORK = Work(organisation="o", pipeline="p", stage="s")
 
 
-def _visitor(name: str, weight: float = 1.0, limit: int = 12, own_limit: int = 0) -> Visitor:
-    return Visitor(
+def _entrant(name: str, weight: float = 1.0, limit: int = 12, own_limit: int = 0) -> Entrant:
+    return Entrant(
         organisation=name, lane="standard", weight=weight, limit=limit, own_limit=own_limit
     )
 
 
-def _fill(gate: Gate, visitor: Visitor, tries: int, now: float = 0.0) -> int:
-    return sum(gate.try_enter(visitor, now) for _ in range(tries))
+def _fill(limits: InFlightLimits, entrant: Entrant, tries: int, now: float = 0.0) -> int:
+    return sum(limits.try_enter(entrant, now) for _ in range(tries))
 
 
 class GateTest(unittest.TestCase):
     def test_one_alone_is_lent_everything(self) -> None:
-        self.assertEqual(_fill(Gate(), _visitor("a"), 20), 12)
+        self.assertEqual(_fill(InFlightLimits(), _entrant("a"), 20), 12)
 
     def test_a_share_is_back_as_soon_as_it_is_asked_for(self) -> None:
-        gate = Gate()
-        _fill(gate, _visitor("a"), 20)
-        self.assertEqual(_fill(gate, _visitor("b", weight=2.0), 20), 8)
-        self.assertEqual(_fill(gate, _visitor("a"), 20), 0)
+        limits = InFlightLimits()
+        _fill(limits, _entrant("a"), 20)
+        self.assertEqual(_fill(limits, _entrant("b", weight=2.0), 20), 8)
+        self.assertEqual(_fill(limits, _entrant("a"), 20), 0)
 
     def test_lanes_never_wait_for_each_other(self) -> None:
-        gate = Gate()
-        _fill(gate, _visitor("a"), 20)
-        lookup = Visitor(organisation="a", lane="lookup", weight=1, limit=3)
-        self.assertEqual(_fill(gate, lookup, 9), 3)
+        limits = InFlightLimits()
+        _fill(limits, _entrant("a"), 20)
+        lookup = Entrant(organisation="a", lane="lookup", weight=1, limit=3)
+        self.assertEqual(_fill(limits, lookup, 9), 3)
 
     def test_a_fleet_limit_binds_over_all_lanes(self) -> None:
-        self.assertEqual(_fill(Gate(), _visitor("a", own_limit=5), 20), 5)
+        self.assertEqual(_fill(InFlightLimits(), _entrant("a", own_limit=5), 20), 5)
 
     def test_who_leaves_makes_room(self) -> None:
-        gate = Gate()
-        visitor = _visitor("a")
-        _fill(gate, visitor, 20)
-        gate.leave(visitor)
-        self.assertEqual((_fill(gate, visitor, 5), gate.in_flight()), (1, 12))
+        limits = InFlightLimits()
+        entrant = _entrant("a")
+        _fill(limits, entrant, 20)
+        limits.leave(entrant)
+        self.assertEqual((_fill(limits, entrant, 5), limits.in_flight()), (1, 12))
 
     @settings(derandomize=True, database=None, max_examples=200)
     @given(
@@ -52,21 +52,21 @@
     )
     def test_bounds_hold_whatever_comes(self, moves: list[tuple[str, bool, float]]) -> None:
         """Whoever is within its share gets in, and a lane never holds twice its limit."""
-        gate, inside, now = Gate(), {"a": 0, "b": 0, "c": 0}, 0.0
+        limits, inside, now = InFlightLimits(), {"a": 0, "b": 0, "c": 0}, 0.0
         weights = {"a": 1.0, "b": 2.0, "c": 3.0}
         for name, enters, pause in moves:
             now += pause
-            visitor = _visitor(name, weight=weights[name])
+            entrant = _entrant(name, weight=weights[name])
             if not enters:
                 if inside[name]:
-                    gate.leave(visitor)
+                    limits.leave(entrant)
                     inside[name] -= 1
                 continue
-            is_inside = gate.try_enter(visitor, now)
+            is_inside = limits.try_enter(entrant, now)
             if inside[name] < int(12 * weights[name] / 6) and sum(inside.values()) < 24:
                 self.assertTrue(is_inside, "an organisation within its least share was refused")
             inside[name] += is_inside
-            self.assertLessEqual(gate.in_flight(), 24)
+            self.assertLessEqual(limits.in_flight(), 24)
 
 
 class ServiceMeterTest(unittest.TestCase):
--- a/packages/damsonlane/src/damsonlane/ledger/_jobs.py
+++ b/packages/damsonlane/src/damsonlane/ledger/_jobs.py
@@ -49,7 +49,7 @@
     name: JobKey
     #: Digest of the request.
     digest: str
-    #: Token of this claim, drawn anew for each passage of a request.
+    #: Token of this claim, drawn anew for each handling of a request.
     token: str
     #: Wall clock of the entry, in seconds since 1970.
     at: float
--- a/packages/damsonlane/src/damsonlane/ledger/_token.py
+++ b/packages/damsonlane/src/damsonlane/ledger/_token.py
@@ -16,7 +16,7 @@
     incarnation: str
 
     def make_token(self, nonce: str) -> str:
-        """Return a token for one passage of a request through this process."""
+        """Return a token for one handling of a request through this process."""
         return _SEPARATOR.join((self.box, self.incarnation, nonce))
 
 
--- a/packages/damsonlane/src/damsonlane/requests/_parts.py
+++ b/packages/damsonlane/src/damsonlane/requests/_parts.py
@@ -114,7 +114,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Repeat:
-    """The answer kept from an earlier passage of the same job."""
+    """The answer kept from an earlier handling of the same job."""
 
     kind: Literal["repeat"] = "repeat"
     #: The kept answer, as it was encoded then.
--- a/packages/damsonlane/src/damsonlane/requests/_run.py
+++ b/packages/damsonlane/src/damsonlane/requests/_run.py
@@ -1,4 +1,4 @@
-"""The passage of one request through its stages: a state machine."""
+"""The way of one request through its stages: a state machine."""
 
 from collections.abc import Mapping
 from typing import Final
@@ -22,13 +22,13 @@
     StageReport,
 )
 
-#: Seconds before the second look at a job that another passage of it holds.
+#: Seconds before the second look at a job that another handling of it holds.
 FIRST_BUSY_WAIT: Final = 0.05
 #: Factor by which each further wait is longer: every look is a commit of control.
 BUSY_WAIT_GROWTH: Final = 1.5
 #: Longest wait between two looks, in seconds.
 LONGEST_BUSY_WAIT: Final = 0.5
-#: Seconds that a claim may stand unstarted before another passage takes it over.
+#: Seconds that a claim may stand unstarted before another handling takes it over.
 CLAIM_PATIENCE: Final = 0.5
 #: Seconds that are kept back from the ledger for telling the caller.
 ANSWER_RESERVE: Final = 0.02
@@ -51,7 +51,7 @@
 
     Args:
         request: the request.
-        token: token of this passage in the ledger, never used before.
+        token: token of this handling in the ledger, never used before.
         wall_clock: seconds since 1970 at the start, for the ledger's horizon.
         budget: retries allowed to this entry, shared by its requests.
     """
@@ -109,7 +109,7 @@
         return self._take_other(now, reply)
 
     def resume(self, now: float) -> Effect:
-        """Go on after a wait: look again at a job that was held by another passage."""
+        """Go on after a wait: look again at a job that was held by another handling."""
         return self._claim(now)
 
     def take_result(self, now: float, target: str, result: AttemptResult) -> Effect:
@@ -157,7 +157,7 @@
         )
 
     def _take_other(self, now: float, reply: JobReply) -> Effect:
-        """Deal with a job that this passage does not hold."""
+        """Deal with a job that this handling does not hold."""
         if reply.verdict == "mismatch":
             detail = "the key was used before with another request"
             return self._refuse("key-mismatch", detail, "no")
@@ -197,9 +197,9 @@
         return self._refuse("no-quorum", detail, self._unconfirmed_run())
 
     def _unconfirmed_run(self) -> Run:
-        """Say whether the job ran when this passage sent nothing and cannot ask the ledger.
+        """Say whether the job ran when this handling sent nothing and cannot ask the ledger.
 
-        Only the caller knows whether an earlier passage of the key may have run.
+        Only the caller knows whether an earlier handling of the key may have run.
         """
         return "no" if self._request.is_first_send or not self.is_marked else "unknown"
 
--- a/packages/damsonlane/src/damsonlane/requests/tests/machine.py
+++ b/packages/damsonlane/src/damsonlane/requests/tests/machine.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from damsonlane.requests import AskLedger, Send, Wait
-from damsonlane.requests.tests.world import Fault, Passage, World
+from damsonlane.requests.tests.world import Fault, Handling, World
 
 _PICK = st.integers(min_value=0, max_value=1000)
 _LEDGER = st.sampled_from(["commit", "commit", "commit", "commit-and-lose", "doubt", "lose"])
@@ -28,7 +28,7 @@
 
 
 class RequestMachine(RuleBasedStateMachine):
-    """Drives passages; subclasses say which fault is planted."""
+    """Drives handlings; subclasses say which fault is planted."""
 
     fault = Fault.NONE
 
@@ -44,7 +44,7 @@
     def begin(self, organisation: str, key: str, text: str) -> None:
         self.world.begin(organisation, key, text)
 
-    def _waiting(self, effect: type) -> list[Passage]:
+    def _waiting(self, effect: type) -> list[Handling]:
         return [p for p in self.world.open_passages() if isinstance(p.effect, effect)]
 
     @precondition(lambda self: self._waiting(AskLedger))
@@ -80,23 +80,23 @@
     @precondition(lambda self: self.world.open_passages())
     @rule(pick=_PICK)
     def lose_entry(self, pick: int) -> None:
-        """The entry of a passage dies."""
+        """The entry of a handling dies."""
         waiting = self.world.open_passages()
-        self.world.passages.remove(waiting[pick % len(waiting)])
+        self.world.handlings.remove(waiting[pick % len(waiting)])
 
     @precondition(lambda self: self.world.open_passages())
     @rule(pick=_PICK)
     def finish_one(self, pick: int) -> None:
-        """One passage meets no fault until its end."""
+        """One handling meets no fault until its end."""
         waiting = self.world.open_passages()
-        passage = waiting[pick % len(waiting)]
-        while passage.ending is None:
-            if isinstance(passage.effect, AskLedger):
-                self.world.answer_ledger(passage, "commit")
-            elif isinstance(passage.effect, Send):
-                self.world.answer_target(passage, "answered")
+        handling = waiting[pick % len(waiting)]
+        while handling.ending is None:
+            if isinstance(handling.effect, AskLedger):
+                self.world.answer_ledger(handling, "commit")
+            elif isinstance(handling.effect, Send):
+                self.world.answer_target(handling, "answered")
             else:
-                self.world.resume(passage)
+                self.world.resume(handling)
 
 
 def make_machine(planted: Fault) -> type[RequestMachine]:
--- a/packages/damsonlane/src/damsonlane/requests/tests/session.py
+++ b/packages/damsonlane/src/damsonlane/requests/tests/session.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from damsonlane.admission import ADMISSION_SHARE, Gate, ServiceMeter, Visitor, Work
+from damsonlane.admission import ADMISSION_SHARE, Entrant, InFlightLimits, ServiceMeter, Work
 from damsonlane.costs import CostBook, RecordCosts
 from damsonlane.ledger import JobCommand, JobKey, JobReply, Ledger, read_holder
 from damsonlane.requests import (
@@ -84,7 +84,7 @@
     def __init__(self, services: dict[str, list[FakeTarget]]) -> None:
         self.books = {service: TargetBook() for service in services}
         self.meters = {service: ServiceMeter() for service in services}
-        self.gate = Gate()
+        self.limits = InFlightLimits()
         self.budget = RetryBudget()
         self.leaving: set[str] = set()
         self.is_lost = False
@@ -154,26 +154,26 @@
             job=job,
             digest=asked.text,
         )
-        visitor = Visitor(organisation=asked.organisation, lane=asked.lane, weight=1.0, limit=8)
+        entrant = Entrant(organisation=asked.organisation, lane=asked.lane, weight=1.0, limit=8)
         needed = sum(
             entry.meters[stage.service].predict(_work(request, stage.name), now)
             for stage in request.stages
         )
         if needed > ADMISSION_SHARE * asked.deadline:
             self._write(now, asked.entry, "refused at the door", {"request": request.request})
-        elif not entry.gate.try_enter(visitor, now):
+        elif not entry.limits.try_enter(entrant, now):
             self._write(now, asked.entry, "lane full", {"request": request.request})
         else:
             run = RequestRun(
                 request, token=f"{asked.entry}/1/{number}", wall_clock=now, budget=entry.budget
             )
-            passage = _Passage(self, asked.entry, request, visitor, run)
-            passage.carry_out(now, run.begin(now))
+            handling = _Handling(self, asked.entry, request, entrant, run)
+            handling.carry_out(now, run.begin(now))
 
     def _write(self, now: float, entry: str, what: str, more: dict[str, Any]) -> None:
         self.lines.append({"at": round(now, 4), "entry": entry, "what": what, **more})
 
-    # What a passage asks of the session.
+    # What a handling asks of the session.
 
     def schedule(self, entry: str, moment: float, act: Callable[[float], None]) -> None:
         """Act at a moment, unless the entry is lost by then."""
@@ -246,23 +246,23 @@
         if result.is_leaving:
             known.leaving.add(choice.target)
 
-    def end(self, entry: str, passage: "_Passage", now: float, effect: End) -> None:
+    def end(self, entry: str, handling: "_Handling", now: float, effect: End) -> None:
         """Write down an ending and bill it."""
-        self._entries[entry].gate.leave(passage.visitor)
+        self._entries[entry].limits.leave(handling.entrant)
         lines = effect.billed.costs
         self._costs.record(RecordCosts(sender="s", batch=next(self._batches), lines=lines))
         ending = _describe(effect.billed.ending)
-        self._write(now, entry, "ended", {"request": passage.request.request, **ending})
+        self._write(now, entry, "ended", {"request": handling.request.request, **ending})
 
 
-class _Passage:
+class _Handling:
     """One request on its way."""
 
     def __init__(
-        self, session: Session, entry: str, request: Request, visitor: Visitor, run: RequestRun
+        self, session: Session, entry: str, request: Request, entrant: Entrant, run: RequestRun
     ) -> None:
         self.session, self.entry, self.request = session, entry, request
-        self.visitor, self.run = visitor, run
+        self.entrant, self.run = entrant, run
 
     def carry_out(self, now: float, effect: Effect) -> None:
         """Carry out one effect; the next one follows at its moment."""
--- a/packages/damsonlane/src/damsonlane/requests/tests/world.py
+++ b/packages/damsonlane/src/damsonlane/requests/tests/world.py
@@ -106,8 +106,8 @@
 
 
 @dataclass
-class Passage:
-    """One passage of a request through one entry."""
+class Handling:
+    """One handling of a request through one entry."""
 
     number: int
     request: Request
@@ -120,7 +120,7 @@
 class Ran:
     """One execution at a target."""
 
-    passage: int
+    handling: int
     digest: str
     key: str
     stage: str
@@ -128,12 +128,12 @@
 
 @dataclass
 class World:
-    """Everything that passages share."""
+    """Everything that handlings share."""
 
     fault: Fault
     now: float = 100.0
     begun: int = 0
-    passages: list[Passage] = field(default_factory=list)
+    handlings: list[Handling] = field(default_factory=list)
     ran: list[Ran] = field(default_factory=list)
     doubtful: list[JobCommand] = field(default_factory=list)
     outputs: dict[str, str] = field(default_factory=dict)
@@ -165,16 +165,16 @@
         self.keys_seen.add(full_key)
         shape = _RUNS.get(self.fault, RequestRun)
         run = shape(request, token=f"token-{number}", wall_clock=self.now, budget=self.budget)
-        self.passages.append(Passage(number, request, run, run.begin(self.now)))
-        self._note_end(self.passages[-1])
+        self.handlings.append(Handling(number, request, run, run.begin(self.now)))
+        self._note_end(self.handlings[-1])
 
-    def open_passages(self) -> list[Passage]:
-        """Return the passages that have not ended."""
-        return [passage for passage in self.passages if passage.ending is None]
+    def open_passages(self) -> list[Handling]:
+        """Return the handlings that have not ended."""
+        return [handling for handling in self.handlings if handling.ending is None]
 
-    def answer_ledger(self, passage: Passage, how: str) -> None:
-        """Answer a passage that asks the ledger."""
-        effect = passage.effect
+    def answer_ledger(self, handling: Handling, how: str) -> None:
+        """Answer a handling that asks the ledger."""
+        effect = handling.effect
         assert isinstance(effect, AskLedger)
         reply = None
         if how in ("commit", "commit-and-lose"):
@@ -185,8 +185,8 @@
         if shown is None:
             # An entry that hears nothing waits as long as it may.
             self.now += min(effect.seconds, 0.5)
-        passage.effect = passage.run.take_reply(self.now, shown)
-        self._note_end(passage)
+        handling.effect = handling.run.take_reply(self.now, shown)
+        self._note_end(handling)
 
     def commit(self, command: JobCommand) -> JobReply:
         """Apply a command to the ledger."""
@@ -196,23 +196,23 @@
         # Membership may call any holder gone, rightly or wrongly.
         return replace(reply, is_holder_gone=len(self.ran) % 2 == 0)
 
-    def answer_target(self, passage: Passage, how: str) -> None:
-        """Answer a passage that waits for a target."""
-        effect = passage.effect
+    def answer_target(self, handling: Handling, how: str) -> None:
+        """Answer a handling that waits for a target."""
+        effect = handling.effect
         assert isinstance(effect, Send)
         if how not in ("refused", "leaving", "unsent", "lost-before"):
-            self._run(passage, effect)
+            self._run(handling, effect)
         result = self._make_result(effect, how)
         target = "" if how == "unsent" else "target"
-        passage.effect = passage.run.take_result(self.now, target, result)
-        self._note_end(passage)
+        handling.effect = handling.run.take_result(self.now, target, result)
+        self._note_end(handling)
 
-    def resume(self, passage: Passage) -> None:
-        """Let a waiting passage go on."""
-        assert isinstance(passage.effect, Wait)
-        self.now += passage.effect.seconds
-        passage.effect = passage.run.resume(self.now)
-        self._note_end(passage)
+    def resume(self, handling: Handling) -> None:
+        """Let a waiting handling go on."""
+        assert isinstance(handling.effect, Wait)
+        self.now += handling.effect.seconds
+        handling.effect = handling.run.resume(self.now)
+        self._note_end(handling)
 
     def _make_result(self, effect: Send, how: str) -> AttemptResult:
         output = make_output(effect.stage.name, effect.text)
@@ -234,47 +234,47 @@
             case _:
                 return AttemptResult(answers=None, outcome="failed", fault="broke off")
 
-    def _run(self, passage: Passage, effect: Send) -> None:
-        job = passage.request.job
+    def _run(self, handling: Handling, effect: Send) -> None:
+        job = handling.request.job
         key = f"{job.organisation}/{job.key}" if job else ""
-        self.ran.append(Ran(passage.number, passage.request.digest, key, effect.stage.name))
+        self.ran.append(Ran(handling.number, handling.request.digest, key, effect.stage.name))
         if not key:
             return
         runs = Counter((ran.key, ran.stage) for ran in self.ran)
         assert runs[(key, effect.stage.name)] <= 1, f"{key} ran twice at {effect.stage.name}"
-        assert not self._was_refused_as_not_run(passage), "a passage ran after it said 'not run'"
+        assert not self._was_refused_as_not_run(handling), "a handling ran after it said 'not run'"
 
-    def _was_refused_as_not_run(self, passage: Passage) -> bool:
-        return isinstance(passage.ending, Refusal) and passage.ending.run == "no"
+    def _was_refused_as_not_run(self, handling: Handling) -> bool:
+        return isinstance(handling.ending, Refusal) and handling.ending.run == "no"
 
-    def _note_end(self, passage: Passage) -> None:
-        if not isinstance(passage.effect, End):
+    def _note_end(self, handling: Handling) -> None:
+        if not isinstance(handling.effect, End):
             return
-        ending = passage.effect.billed.ending
-        passage.ending = ending
+        ending = handling.effect.billed.ending
+        handling.ending = ending
         if isinstance(ending, Refusal):
             if ending.run == "no":
-                self._check_not_run(passage)
+                self._check_not_run(handling)
         else:
-            self._check_answer(passage, ending)
+            self._check_answer(handling, ending)
 
-    def _check_not_run(self, passage: Passage) -> None:
+    def _check_not_run(self, handling: Handling) -> None:
         """'Not run' speaks of this sending and all earlier ones of the same request."""
-        request = passage.request
+        request = handling.request
         key = f"{request.organisation}/{request.job.key}" if request.job else ""
         for ran in self.ran:
             is_same = ran.key == key and ran.digest == request.digest if key else False
-            mine = ran.passage == passage.number or (is_same and ran.passage < passage.number)
+            mine = ran.handling == handling.number or (is_same and ran.handling < handling.number)
             assert not mine, f"'not run' is false: {ran}"
 
-    def _check_answer(self, passage: Passage, ending: Answer | Repeat) -> None:
+    def _check_answer(self, handling: Handling, ending: Answer | Repeat) -> None:
         answer = decode_answer(ending.answer) if isinstance(ending, Repeat) else ending
-        expected = passage.request.text
+        expected = handling.request.text
         for stage in STAGES:
             expected = make_output(stage, expected)
         assert answer.output == expected, f"{answer.output!r} is not the answer to its request"
-        if passage.request.job is not None:
-            key = f"{passage.request.organisation}/{passage.request.job.key}"
+        if handling.request.job is not None:
+            key = f"{handling.request.organisation}/{handling.request.job.key}"
             first = self.outputs.setdefault(key, answer.request)
             assert first == answer.request, f"{key} got answers of two runs"
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/standin/_texts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/standin/_texts.py
@@ -3,7 +3,7 @@
 import re
 from typing import Final
 
-#: Passages that retrieval finds.
+#: RequestRunner that retrieval finds.
 PASSAGES: Final = (
     "A chargeback must be answered within the days that the card scheme allows.",
     "A statement line shows the day of settlement, not the day of sale.",
--- a/packages/damsonlaned/src/damsonlaned/control/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/control/__init__.py
@@ -1,8 +1,8 @@
 """The control role: agreement between the boxes with disks."""
 
 from damsonlaned.control._following import FollowingService
-from damsonlaned.control._group import GroupKeeper
-from damsonlaned.control._keeper import Keeper
+from damsonlaned.control._group import GroupRepairer
+from damsonlaned.control._membership import MembershipUpdater
 from damsonlaned.control._node import ControlNode
 from damsonlaned.control._registry import Registry
 from damsonlaned.control._service import ControlService
@@ -11,7 +11,7 @@
     "ControlNode",
     "ControlService",
     "FollowingService",
-    "GroupKeeper",
-    "Keeper",
+    "GroupRepairer",
+    "MembershipUpdater",
     "Registry",
 ]
--- a/packages/damsonlaned/src/damsonlaned/control/_group.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_group.py
@@ -48,7 +48,7 @@
 GROWTH_SECONDS: Final = 10.0
 
 
-class GroupKeeper:
+class GroupRepairer:
     """Founds the group, asks for admission to it, and removes members that are gone.
 
     The least of the seeds founds a group of one at the first start of the
--- a/packages/damsonlaned/src/damsonlaned/control/_leader.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_leader.py
@@ -6,7 +6,7 @@
 from damsonlane.cluster import Command, PackedDocument, Reply
 from damsonlane.errors import NotLeaderError, UnavailableError
 from damsonlane_rpc import ControlClient, DocumentQuery, DocumentView, QueryRequest
-from damsonlaned.control._group import GroupKeeper
+from damsonlaned.control._group import GroupRepairer
 from damsonlaned.control._node import ControlNode
 
 _LOG: Final = logging.getLogger(__name__)
@@ -27,7 +27,7 @@
         client: reaches the leader from a replica that does not lead.
     """
 
-    def __init__(self, node: ControlNode, group: GroupKeeper, client: ControlClient) -> None:
+    def __init__(self, node: ControlNode, group: GroupRepairer, client: ControlClient) -> None:
         self._node: Final = node
         self._group: Final = group
         self._client: Final = client
--- a/packages/damsonlaned/src/damsonlaned/control/_keeper.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_membership.py
@@ -20,7 +20,7 @@
 _CALL_SECONDS: Final = 5.0
 
 
-class Keeper:
+class MembershipUpdater:
     """Notes boxes that this replica hears and gives up those it no longer hears.
 
     Only changes are committed: a box that keeps reporting costs the leader
--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -20,8 +20,8 @@
 )
 from damsonlaned.admin import Admin
 from damsonlaned.control._following import FollowingService
-from damsonlaned.control._group import GroupKeeper
-from damsonlaned.control._keeper import Keeper
+from damsonlaned.control._group import GroupRepairer
+from damsonlaned.control._membership import MembershipUpdater
 from damsonlaned.control._node import ControlNode
 from damsonlaned.control._registry import Registry
 from damsonlaned.control._service import ControlService
@@ -103,7 +103,7 @@
             settings.admin_address, self._metrics, self._node.is_current, self._refresh
         )
         self._client: Final = ControlClient(_list_control(settings), context=keys.client)
-        self._keeper: Final = Keeper(self._node, self._client)
+        self._keeper: Final = MembershipUpdater(self._node, self._client)
         self._group: Final = _make_group(settings, self._node, self._client, keys)
         self._registry: Final = _make_registry(
             settings.gateway, self._node, self._group, self._client
@@ -172,13 +172,13 @@
 
 def _make_group(
     settings: BoxSettings, node: ControlNode, client: ControlClient, keys: Keys
-) -> GroupKeeper | None:
+) -> GroupRepairer | None:
     founding: Founding | None = settings.founding
-    return GroupKeeper(node, founding, client, keys.client) if founding is not None else None
+    return GroupRepairer(node, founding, client, keys.client) if founding is not None else None
 
 
 def _make_registry(
-    gateway: Gateway | None, node: ControlNode, group: GroupKeeper | None, client: ControlClient
+    gateway: Gateway | None, node: ControlNode, group: GroupRepairer | None, client: ControlClient
 ) -> Registry | None:
     """Return the registry, or None at a box that has no address for it."""
     if group is None or gateway is None or not gateway.registry_address:
--- a/packages/damsonlaned/src/damsonlaned/control/_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_registry.py
@@ -13,7 +13,7 @@
 from damsonlane.routes import check_document
 from damsonlane.targets import RegisterTarget, RemoveTarget, SilenceTargets, TargetRecord
 from damsonlane_rpc import HEARD, ControlClient, Done, HeardReply, HeardRequest, NotLeader
-from damsonlaned.control._group import GroupKeeper
+from damsonlaned.control._group import GroupRepairer
 from damsonlaned.control._heard import HeardTargets
 from damsonlaned.control._leader import Leader
 from damsonlaned.control._node import ControlNode
@@ -56,7 +56,7 @@
     def __init__(
         self,
         node: ControlNode,
-        group: GroupKeeper,
+        group: GroupRepairer,
         client: ControlClient,
         dialect: Dialect,
         address: str,
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_group.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_group.py
@@ -24,7 +24,7 @@
     NotLeader,
     Service,
 )
-from damsonlaned.control import ControlNode, ControlService, FollowingService, GroupKeeper
+from damsonlaned.control import ControlNode, ControlService, FollowingService, GroupRepairer
 from damsonlaned.storage import DataFolder
 
 #: Seconds after which a test gives up.
@@ -88,7 +88,7 @@
         self.data.open()
         self.node = ControlNode(settings, self.data, None)
         self.client = ControlClient(self.seeds)
-        self.group = GroupKeeper(self.node, founding, self.client, None)
+        self.group = GroupRepairer(self.node, founding, self.client, None)
         handlers = {**self.group.handlers(), **FollowingService(self.node).handlers()}
         self.server = BreakableServer(ControlService(self.node).service(handlers))
         endpoint = Endpoint.parse(self.address)
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
@@ -26,7 +26,7 @@
     Service,
     open_channel,
 )
-from damsonlaned.control import ControlNode, GroupKeeper, Registry
+from damsonlaned.control import ControlNode, GroupRepairer, Registry
 from damsonlaned.dialects import NativeDialect
 from damsonlaned.http import ConnectionPool, HttpRequest
 from damsonlaned.storage import DataFolder
@@ -44,7 +44,7 @@
 
 
 class OpenGroup:
-    """Stands in for the keeper of a group that has its full size, or has not."""
+    """Stands in for what looks after a group that has its full size, or has not."""
 
     def __init__(self) -> None:
         self.is_whole = True
@@ -93,7 +93,7 @@
         self.addCleanup(client.close)
         self.registry = Registry(
             self.node,
-            cast(GroupKeeper, self.group),
+            cast(GroupRepairer, self.group),
             client,
             NativeDialect(),
             "127.0.0.1:0",
--- a/packages/damsonlaned/src/damsonlaned/entry/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_callers.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 from typing import Any, Final, NoReturn
 
-from damsonlane.admission import ADMISSION_SHARE, Gate
+from damsonlane.admission import ADMISSION_SHARE, InFlightLimits
 from damsonlane.requests import (
     Answer,
     Billed,
@@ -18,16 +18,16 @@
     decode_answer,
 )
 from damsonlane.settings import BoxSettings
-from damsonlaned.entry._intake import (
+from damsonlaned.entry._problems import Problem, describe_refusal
+from damsonlaned.entry._rendering import render_answer, render_event, render_last_event
+from damsonlaned.entry._request_reader import (
     PIPELINES,
     Environment,
-    Intake,
     ProblemError,
+    TakenRequest,
     take_request,
 )
-from damsonlaned.entry._passage import Passages
-from damsonlaned.entry._problems import Problem, describe_refusal
-from damsonlaned.entry._rendering import render_answer, render_event, render_last_event
+from damsonlaned.entry._request_runner import RequestRunner
 from damsonlaned.entry._view import SettingsView
 from damsonlaned.metrics import Metrics
 
@@ -45,18 +45,18 @@
     Args:
         settings: settings of the box.
         view: the settings tree in force.
-        passages: runs requests.
+        runner: runs requests.
         metrics: counts endings.
     """
 
     def __init__(
-        self, settings: BoxSettings, view: SettingsView, passages: Passages, metrics: Metrics
+        self, settings: BoxSettings, view: SettingsView, runner: RequestRunner, metrics: Metrics
     ) -> None:
         self._settings: Final = settings
         self._view: Final = view
-        self._passages: Final = passages
+        self._runner: Final = runner
         self._metrics: Final = metrics
-        self._gate: Final = Gate()
+        self._limits_in_flight: Final = InFlightLimits()
         self._gate_lock: Final = threading.Lock()
         self.is_draining = False
 
@@ -67,22 +67,22 @@
         if not path.startswith(PIPELINES):
             return self._answer_plain(path, start)
         try:
-            intake = self._take(environment, arrived_at)
-            self._enter(intake)
+            taken = self._take(environment, arrived_at)
+            self._enter(taken)
         except ProblemError as error:
             return self._answer_problem(error.problem, start)
-        return self._serve(intake, start, arrived_at)
+        return self._serve(taken, start, arrived_at)
 
     def in_flight(self) -> int:
         """Return the requests inside."""
         with self._gate_lock:
-            return self._gate.in_flight()
+            return self._limits_in_flight.in_flight()
 
     def is_ready(self) -> bool:
         """Tell whether a balancer should send requests here."""
         return self._view.is_confirmed and not self.is_draining
 
-    def _take(self, environment: Environment, arrived_at: float) -> Intake:
+    def _take(self, environment: Environment, arrived_at: float) -> TakenRequest:
         if not self._view.is_confirmed:
             detail = "no settings are confirmed here yet"
             problem = Problem(
@@ -98,64 +98,66 @@
             data_centre=self._settings.data_centre,
             body_limit=self._settings.body_limit,
             arrived_at=arrived_at,
-            live_entries=self._passages.live_entries(),
+            live_entries=self._runner.live_entries(),
         )
 
-    def _enter(self, intake: Intake) -> None:
+    def _enter(self, taken: TakenRequest) -> None:
         """Let a request in, or refuse it at once.
 
         Raises:
             ProblemError: its lane is full or its deadline can't be met.
         """
-        request = intake.request
+        request = taken.request
         remaining = request.due_at - time.monotonic()
         allowed = ADMISSION_SHARE * remaining
-        needed = self._passages.forecast(intake)
+        needed = self._runner.forecast(taken)
         if 0 < allowed < needed:
             detail = f"the stages need about {needed:.2f} s of the {remaining:.2f} s left"
-            self._refuse(intake, "deadline", detail, needed - allowed)
+            self._refuse(taken, "deadline", detail, needed - allowed)
         with self._gate_lock:
-            is_inside = self._gate.try_enter(intake.visitor, time.monotonic())
+            is_inside = self._limits_in_flight.try_enter(taken.entrant, time.monotonic())
         if not is_inside:
-            self._refuse(intake, "overloaded", f"lane '{intake.visitor.lane}' is full")
+            self._refuse(taken, "overloaded", f"lane '{taken.entrant.lane}' is full")
 
     def _refuse(
-        self, intake: Intake, reason: Reason, detail: str, retry_after: float = 0.0
+        self, taken: TakenRequest, reason: Reason, detail: str, retry_after: float = 0.0
     ) -> NoReturn:
         refusal = Refusal(
-            request=intake.request.request,
+            request=taken.request.request,
             reason=reason,
             detail=detail,
-            run=intake.run_if_refused(),
+            run=taken.run_if_refused(),
             retry_after=max(FULL_RETRY_SECONDS, retry_after),
         )
-        self._count(intake, refusal, 0.0)
+        self._count(taken, refusal, 0.0)
         raise ProblemError(describe_refusal(refusal))
 
-    def _leave(self, intake: Intake) -> None:
+    def _leave(self, taken: TakenRequest) -> None:
         with self._gate_lock:
-            self._gate.leave(intake.visitor)
+            self._limits_in_flight.leave(taken.entrant)
 
-    def _serve(self, intake: Intake, start: StartResponse, arrived_at: float) -> Iterable[bytes]:
-        passage = self._passages.run(intake)
+    def _serve(
+        self, taken: TakenRequest, start: StartResponse, arrived_at: float
+    ) -> Iterable[bytes]:
+        run = self._runner.run(taken)
         try:
-            first = _advance(passage)
+            first = _advance(run)
         except BaseException:
-            self._leave(intake)
+            self._leave(taken)
             raise
         if isinstance(first, Billed):
-            self._leave(intake)
-            self._count(intake, first.ending, time.monotonic() - arrived_at)
-            if intake.is_streaming and not isinstance(first.ending, Refusal):
+            self._leave(taken)
+            self._count(taken, first.ending, time.monotonic() - arrived_at)
+            if taken.is_streaming and not isinstance(first.ending, Refusal):
                 return self._answer_whole_stream(first.ending, start)
             return self._answer_ending(first.ending, start)
         start("200 OK", self._headers([("Content-Type", "text/event-stream")]))
-        return self._stream(intake, passage, first, arrived_at)
+        return self._stream(taken, run, first, arrived_at)
 
     def _stream(
         self,
-        intake: Intake,
-        passage: Generator[str, None, Billed],
+        taken: TakenRequest,
+        run: Generator[str, None, Billed],
         piece: "str | Billed",
         arrived_at: float,
     ) -> Iterator[bytes]:
@@ -163,12 +165,12 @@
         try:
             while isinstance(piece, str):
                 yield render_event("token", {"text": piece})
-                piece = _advance(passage)
-            self._count(intake, piece.ending, time.monotonic() - arrived_at)
+                piece = _advance(run)
+            self._count(taken, piece.ending, time.monotonic() - arrived_at)
             yield render_last_event(piece.ending)
         finally:
-            passage.close()
-            self._leave(intake)
+            run.close()
+            self._leave(taken)
 
     def _answer_whole_stream(self, ending: Ending, start: StartResponse) -> Iterable[bytes]:
         """Answer a caller that wants a stream with an answer that is there at once."""
@@ -209,9 +211,9 @@
             return [*headers, ("Connection", "close")]
         return headers
 
-    def _count(self, intake: Intake, ending: Ending, seconds: float) -> None:
-        self._passages.count_ending(intake, ending)
-        request = intake.request
+    def _count(self, taken: TakenRequest, ending: Ending, seconds: float) -> None:
+        self._runner.count_ending(taken, ending)
+        request = taken.request
         outcome = ending.reason if isinstance(ending, Refusal) else "answered"
         labels = {
             "organisation": request.organisation,
@@ -234,10 +236,10 @@
         )
 
 
-def _advance(passage: Generator[str, None, Billed]) -> str | Billed:
+def _advance(run: Generator[str, None, Billed]) -> str | Billed:
     """Return the next piece, or the ending once there are no more."""
     try:
-        return next(passage)
+        return next(run)
     except StopIteration as stop:
         ending: Billed = stop.value
         return ending
--- a/packages/damsonlaned/src/damsonlaned/entry/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -9,9 +9,9 @@
 from damsonlaned.entry._callers import CallerApplication
 from damsonlaned.entry._dispatch import Dispatch
 from damsonlaned.entry._leaving import LeavingTargets
-from damsonlaned.entry._passage import Passages
 from damsonlaned.entry._peers import PeerService
 from damsonlaned.entry._platform import PlatformWatch
+from damsonlaned.entry._request_runner import RequestRunner
 from damsonlaned.entry._uplink import Uplink
 from damsonlaned.entry._view import SettingsView
 from damsonlaned.metrics import Metrics
@@ -39,8 +39,8 @@
         self._uplink: Final = Uplink(settings, self._view, leaving, context)
         self._dispatch: Final = Dispatch(settings.data_centre, leaving)
         self._platform: Final = PlatformWatch(settings, self._view, leaving)
-        passages = Passages(self._uplink, self._dispatch)
-        self._callers: Final = CallerApplication(settings, self._view, passages, self._metrics)
+        runner = RequestRunner(self._uplink, self._dispatch)
+        self._callers: Final = CallerApplication(settings, self._view, runner, self._metrics)
         self._server: Final = HttpServer(
             settings.caller_address, self._callers, settings.caller_threads
         )
--- a/packages/damsonlaned/src/damsonlaned/entry/_intake.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_request_reader.py
@@ -11,7 +11,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
-from damsonlane.admission import Visitor
+from damsonlane.admission import Entrant
 from damsonlane.ledger import JobKey
 from damsonlane.requests import Request, Run, StagePlan
 from damsonlane.settings import EffectivePolicy, Pipeline, Tree
@@ -45,13 +45,13 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Intake:
+class TakenRequest:
     """A request that was taken."""
 
     #: The request.
     request: Request
     #: How it enters.
-    visitor: Visitor
+    entrant: Entrant
     #: Whether the caller wants tokens as they come.
     is_streaming: bool
     #: The settings under which it was taken, which hold until its end.
@@ -74,7 +74,7 @@
     body_limit: int,
     arrived_at: float,
     live_entries: int = 1,
-) -> Intake:
+) -> TakenRequest:
     """Check everything that a caller sent.
 
     Args:
@@ -105,7 +105,7 @@
         digest=hashlib.sha256(f"{name}\0{text}".encode()).hexdigest(),
         is_first_send=str(environment.get(RESEND_HEADER, "")).strip().lower() == "no",
     )
-    visitor = Visitor(
+    entrant = Entrant(
         organisation=organisation,
         lane=policy.lane,
         weight=policy.weight,
@@ -113,9 +113,9 @@
         own_limit=math.ceil(policy.fleet_in_flight / live_entries),
     )
     accepted = str(environment.get("HTTP_ACCEPT", ""))
-    return Intake(
+    return TakenRequest(
         request=request,
-        visitor=visitor,
+        entrant=entrant,
         is_streaming="text/event-stream" in accepted,
         settings=settings,
     )
--- a/packages/damsonlaned/src/damsonlaned/entry/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_request_runner.py
@@ -23,13 +23,13 @@
     Wait,
 )
 from damsonlaned.entry._dispatch import Dispatch
-from damsonlaned.entry._intake import Intake
+from damsonlaned.entry._request_reader import TakenRequest
 from damsonlaned.entry._uplink import Uplink
 
 _LOG: Final = logging.getLogger(__name__)
 
 
-class Passages:
+class RequestRunner:
     """Runs requests, each in the thread of its caller."""
 
     def __init__(self, uplink: Uplink, dispatch: Dispatch) -> None:
@@ -41,38 +41,38 @@
         """Return how many entries share the fleet's limits."""
         return self._uplink.settings.live_entries
 
-    def count_ending(self, intake: Intake, ending: Ending) -> None:
+    def count_ending(self, taken: TakenRequest, ending: Ending) -> None:
         """Count how a request ended, for the report on burn."""
-        request = intake.request
+        request = taken.request
         self._uplink.accounts.count_ending(
             request.organisation,
             request.pipeline,
             is_attained=not isinstance(ending, Refusal) and time.monotonic() <= request.due_at,
         )
 
-    def forecast(self, intake: Intake) -> float:
+    def forecast(self, taken: TakenRequest) -> float:
         """Return the predicted seconds of a request."""
-        return self._dispatch.forecast(intake.request, intake.settings)
+        return self._dispatch.forecast(taken.request, taken.settings)
 
-    def run(self, intake: Intake) -> Generator[str, None, Billed]:
+    def run(self, taken: TakenRequest) -> Generator[str, None, Billed]:
         """Run a request, yielding pieces of the last stage's output if it is streamed."""
         run = RequestRun(
-            intake.request,
+            taken.request,
             token=self._uplink.holder.make_token(secrets.token_hex(8)),
             wall_clock=time.time(),
             budget=self._budget,
         )
         effect = run.begin(time.monotonic())
         while not isinstance(effect, End):
-            effect = yield from self._carry_out(run, effect, intake)
+            effect = yield from self._carry_out(run, effect, taken)
         self._uplink.accounts.add_costs(effect.billed.costs)
         return effect.billed
 
     def _carry_out(
-        self, run: RequestRun, effect: Effect, intake: Intake
+        self, run: RequestRun, effect: Effect, taken: TakenRequest
     ) -> Generator[str, None, Effect]:
         if isinstance(effect, Send):
-            return (yield from self._send(run, effect, intake))
+            return (yield from self._send(run, effect, taken))
         if isinstance(effect, AskLedger):
             reply = self._uplink.jobs.ask(effect.command, effect.seconds)
             return run.take_reply(time.monotonic(), reply)
@@ -80,21 +80,23 @@
         time.sleep(effect.seconds)
         return run.resume(time.monotonic())
 
-    def _is_hopeless(self, send: Send, intake: Intake) -> bool:
+    def _is_hopeless(self, send: Send, taken: TakenRequest) -> bool:
         """Tell whether what is left of a request that has run in part can't end in time."""
-        names = [stage.name for stage in intake.request.stages]
+        names = [stage.name for stage in taken.request.stages]
         first = names.index(send.stage.name)
         if first == 0:
             return False
-        needed = self._dispatch.forecast(intake.request, intake.settings, first)
+        needed = self._dispatch.forecast(taken.request, taken.settings, first)
         return needed > STAGE_SHARE * send.seconds
 
-    def _send(self, run: RequestRun, send: Send, intake: Intake) -> Generator[str, None, Effect]:
-        if self._is_hopeless(send, intake):
+    def _send(
+        self, run: RequestRun, send: Send, taken: TakenRequest
+    ) -> Generator[str, None, Effect]:
+        if self._is_hopeless(send, taken):
             return run.give_up(time.monotonic())
         if send.key.number == 1:
             self._budget.count_first(send.stage.retry_share)
-        attempt = self._dispatch.send(send, intake.settings, intake.request.pipeline)
+        attempt = self._dispatch.send(send, taken.settings, taken.request.pipeline)
         is_delivered = False
         while True:
             try:
@@ -102,10 +104,10 @@
             except StopIteration as stop:
                 target, result = stop.value
                 break
-            if send.is_last and intake.is_streaming:
+            if send.is_last and taken.is_streaming:
                 is_delivered = True
                 yield piece
-        _log_attempt(send, intake.request.pipeline, target, result)
+        _log_attempt(send, taken.request.pipeline, target, result)
         result = replace(result, is_delivered=is_delivered)
         return run.take_result(time.monotonic(), target, result)
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
@@ -1,4 +1,4 @@
-"""Taking requests from callers: who they are, where they go, and a passage for each."""
+"""Taking requests from callers: who they are, where they go, and a handler for each."""
 
 import asyncio
 import logging
@@ -11,7 +11,7 @@
 from damsonlaned.dialects import BadRequestError, CallerRequest, Dialect, Refusal
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._call import Call
-from damsonlaned.gateway._passage import Passage
+from damsonlaned.gateway._request_handler import RequestHandler
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import HttpRequest, HttpResponse, ListenerLimits, Reply
@@ -106,12 +106,14 @@
 
     async def _pass(self, call: Call, reply: Reply) -> None:
         parts = self._parts
-        passage = Passage(call, reply, parts.attempts, parts.stages, parts.dialect, parts.entries)
+        handler = RequestHandler(
+            call, reply, parts.attempts, parts.stages, parts.dialect, parts.entries
+        )
         _LOG.info("accepted", extra=_describe(call))
         try:
-            await passage.run()
+            await handler.run()
         finally:
-            labels = {"route": call.route.name, "outcome": passage.outcome}
+            labels = {"route": call.route.name, "outcome": handler.outcome}
             parts.metrics.requests.inc(labels)
             seconds = asyncio.get_running_loop().time() - call.arrived_at
             parts.metrics.seconds.observe({"route": call.route.name}, seconds)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_passage.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -1,4 +1,4 @@
-"""The passage of one request: stages, attempts, and one final answer."""
+"""Handling one request: stages, attempts, and one final answer."""
 
 import asyncio
 import logging
@@ -32,7 +32,7 @@
 FULL_RETRY_SECONDS: Final = 0.5
 
 
-class Passage:
+class RequestHandler:
     """Takes one request to its final answer.
 
     Args:
