--- a/packages/damsonlane_bench/src/damsonlane_bench/fleet/_fleet.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/_fleet.py
@@ -18,7 +18,7 @@
 from damsonlane_bench.fleet._keys import KeyMaker
 from damsonlane_bench.fleet._ports import take_address
 from damsonlane_bench.fleet._processes import Process, find_program
-from damsonlane_bench.fleet._waiting import wait_until
+from damsonlane_bench.fleet._waiting import StuckError, wait_until
 
 #: Seconds that a command may take.
 _COMMAND_SECONDS: Final = 60.0
@@ -144,12 +144,26 @@
     def wait_listening(self, box: Box) -> None:
         """Wait until a box answers on its admin address."""
         url = f"http://{box.admin_address}/livez"
-        wait_until(functools.partial(_answers, url), f"{box.name} listens")
+        self._wait_for_box(box, url, f"{box.name} listens")
 
     def wait_ready(self, box: Box) -> None:
         """Wait until a box says that it is ready."""
         url = f"http://{box.admin_address}/readyz"
-        wait_until(functools.partial(_answers, url), f"{box.name} is ready")
+        self._wait_for_box(box, url, f"{box.name} is ready")
+
+    def _wait_for_box(self, box: Box, url: str, what: str) -> None:
+        """Wait until a box answers well; show the end of its log if it does not.
+
+        Raises:
+            StuckError: its process ended, or it did not answer in time.
+        """
+        process = self.processes[box.name]
+        try:
+            wait_until(lambda: not process.is_running() or _answers(url), what)
+        except StuckError as error:
+            raise StuckError(f"{error}; its log ends: {process.read_log_end()}") from None
+        if not process.is_running():
+            raise StuckError(f"{box.name} ended; its log ends: {process.read_log_end()}")
 
     def wipe(self, name: str) -> None:
         """Empty the data folder of a box that does not run."""
--- a/packages/damsonlane_bench/src/damsonlane_bench/fleet/_processes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/_processes.py
@@ -10,6 +10,8 @@
 
 #: Seconds after which a process that does not stop is killed.
 _STOP_SECONDS: Final = 20.0
+#: Lines of a log that a failed test shows.
+_LOG_LINES: Final = 15
 
 
 def find_program(name: str) -> str:
@@ -35,6 +37,11 @@
         """Tell whether it runs."""
         return self._process.poll() is None
 
+    def read_log_end(self) -> str:
+        """Return the last lines that it wrote."""
+        text = self.log.read_text(encoding="utf-8", errors="replace")
+        return "\n".join(text.splitlines()[-_LOG_LINES:])
+
     def kill(self) -> None:
         """End it at once, as a power cut would."""
         self._process.kill()
