The owner of a pool leaves answers and calls that free results to modules of their own

Change: PieceAnswers (_piece_answers.py) answers orders and counts how; FreeCalls (_free_calls.py) gives results up; what a target had no room for is noted by a function of its own. The line 'results not freed' keeps its logger's name. No change of behaviour.

--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_free_calls.py
@@ -0,0 +1,74 @@
+"""Giving results up at the targets of a pool that made them."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping, Sequence
+from typing import Final
+
+from damsonlane.errors import DamsonlaneError
+from damsonlaned.gateway._freed_results import FreedResults
+from damsonlaned.gateway._makers import Maker, Makers
+from damsonlaned.gateway._pool_calls import PoolCalls
+from damsonlaned.http import ConnectionPool
+from damsonlaned.tasks import start_task
+
+#: Lines of the log keep the name under which operators know them.
+_LOG: Final = logging.getLogger("damsonlaned.gateway._pool_owner")
+
+
+class FreeCalls:
+    """Tells the targets of a pool which of their results were given up.
+
+    Args:
+        read_maker: returns the address of the target that has a result, by its handle.
+        calls: calls to the targets.
+        makers: the targets.
+        reach: returns the connections to a target, or None where there are none.
+        on_room: called when a target has room again.
+    """
+
+    def __init__(
+        self,
+        read_maker: Callable[[str], str],
+        calls: PoolCalls,
+        makers: Makers,
+        reach: Callable[[Maker], ConnectionPool | None],
+        on_room: Callable[[], None],
+    ) -> None:
+        self._calls: Final = calls
+        self._makers: Final = makers
+        self._reach: Final = reach
+        self._on_room: Final = on_room
+        self._freed: Final = FreedResults(read_maker, self._send)
+        self._tasks: Final[set[asyncio.Task[None]]] = set()
+
+    def add(self, handles: Sequence[str]) -> None:
+        """Give results up a moment later, together with others."""
+        self._freed.add(handles)
+
+    def _send(self, freed: Mapping[str, Sequence[str]]) -> None:
+        """Start a call to each target that has some of the results, given by its address."""
+        for maker in self._makers.everyone():
+            handles = freed.get(maker.address)
+            connections = self._reach(maker) if handles else None
+            if handles and connections is not None:
+                self._start(maker, connections, handles)
+
+    def _start(self, maker: Maker, connections: ConnectionPool, handles: Sequence[str]) -> None:
+        task = start_task(self._free_at(maker, connections, handles), "call to a pool target")
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _free_at(
+        self, maker: Maker, connections: ConnectionPool, handles: Sequence[str]
+    ) -> None:
+        try:
+            await self._calls.free(connections, handles)
+        except (DamsonlaneError, TimeoutError) as error:
+            # The target forgets results by itself a few seconds later.
+            _LOG.info("results not freed", extra={"fault": str(error), "count": len(handles)})
+            return
+        # Only now is the room there: a call that came before would be refused it.
+        for handle in handles:
+            maker.room.free(handle)
+        self._on_room()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -2,18 +2,18 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine, Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import replace
 from functools import partial
 from typing import Final
 
-from damsonlane.errors import DamsonlaneError
-from damsonlane.pools import PieceFault, PieceOrder, PieceQueue, PieceResult, WaitingPiece
+from damsonlane.pools import PieceOrder, PieceQueue, WaitingPiece
 from damsonlane.routes import PoolTraits, Service
 from damsonlaned.dialects import BadRequestError, Dialect, MadePiece
-from damsonlaned.gateway._freed_results import FreedResults
+from damsonlaned.gateway._free_calls import FreeCalls
 from damsonlaned.gateway._makers import Maker, Makers
 from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
+from damsonlaned.gateway._piece_answers import PieceAnswers
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
 from damsonlaned.gateway._pool_metrics import PoolMetrics
 from damsonlaned.gateway._read_timer import ReadTimer
@@ -51,16 +51,20 @@
         dialect: Dialect,
         metrics: PoolMetrics,
     ) -> None:
-        self._metrics: Final = metrics
         self._service: Final = service
         self._view: Final = view
         self._targets: Final = targets
+        self._metrics: Final = metrics
         self._calls: Final = PoolCalls(dialect)
         self._queue: Final = PieceQueue()
         self._receivers: Final = OrderReceivers()
         self._makers: Final = Makers()
-        self._waits: Final = WaitForecasts(self._reckon_wait)
-        self._freed: Final = FreedResults(dialect.read_maker, self._free_collected)
+        self._free_calls: Final = FreeCalls(
+            dialect.read_maker, self._calls, self._makers, self._reach, self._pump
+        )
+        self._answers: Final = PieceAnswers(
+            self._receivers, WaitForecasts(self._reckon_wait), metrics, self.free
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
         view.on_change(self._follow_targets)
@@ -103,11 +107,7 @@
         Calls under way end here; their results are handed out as ever.
         """
         returned = self._queue.take_all()
-        self._metrics.note_returned(len(returned))
-        for piece in returned:
-            if self._receivers.knows(piece.sender):
-                result = PieceResult(number=piece.order.number, is_returned=True)
-                self._receivers.give(piece.sender, result)
+        self._answers.give_back(returned)
         if returned:
             fields = {"service": self._service, "pieces": len(returned)}
             _LOG.info("pool handed over", extra=fields)
@@ -118,7 +118,7 @@
 
     def free(self, handles: Sequence[str]) -> None:
         """Give results up at their makers."""
-        self._freed.add(handles)
+        self._free_calls.add(handles)
 
     # Sending calls.
 
@@ -134,7 +134,7 @@
                 return
             call = self._select(maker, service.pool, now)
             if call is not None:
-                self._start(self._run(service, call))
+                self._start(service, call)
         if len(self._queue):
             self._wake_later(now)
 
@@ -148,6 +148,11 @@
         maker.note_call(call.announced, now + call.seconds)
         return call
 
+    def _start(self, service: Service, call: BatchCall) -> None:
+        task = start_task(self._run(service, call), "call to a pool target")
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _look(self) -> None:
         """Tell what can't be in time any more, also while no target is free.
 
@@ -164,7 +169,7 @@
 
     def _refuse(self, late: Sequence[WaitingPiece]) -> None:
         for piece in late:
-            self._answer(piece, fault="late")
+            self._answers.answer(piece, fault="late")
 
     async def _run(self, service: Service, call: BatchCall) -> None:
         """Send a call, hand out what it made and look for the next one."""
@@ -226,22 +231,27 @@
         for piece, reply in zip(call.batch, replies, strict=True):
             if reply.handle:
                 made[reply.handle] = piece.order.result_bytes
-                self._answer(piece, handle=reply.handle)
+                self._answers.answer(piece, handle=reply.handle)
             elif reply.fault in ("late", "lost-input"):
-                self._answer(piece, fault=reply.fault)
+                self._answers.answer(piece, fault=reply.fault)
             elif reply.fault == "no-room":
                 without_room.append(piece)
             else:
                 failed.append(piece)
-        self._metrics.note_turned_back(len(without_room))
-        if without_room:
-            missing = call.free_bytes - sum(made.values())
-            size = without_room[0].order.result_bytes
-            call.maker.room.note_refused(missing, size, self._now())
+        self._note_turned_back(call, without_room, sum(made.values()))
         self._requeue(failed, has_run=True)
         self._requeue(without_room, has_run=False)
         return made
 
+    def _note_turned_back(
+        self, call: BatchCall, pieces: Sequence[WaitingPiece], made_bytes: int
+    ) -> None:
+        """Note pieces that a target had no room for, beside the results that it made."""
+        self._metrics.note_turned_back(len(pieces))
+        if pieces:
+            missing = call.free_bytes - made_bytes
+            call.maker.room.note_refused(missing, pieces[0].order.result_bytes, self._now())
+
     def _note_failed(self, call: BatchCall, fault: str, *, has_run: bool) -> None:
         """Note a call without an answer, and queue its pieces again."""
         call.maker.note_failure(self._now())
@@ -256,26 +266,10 @@
         for piece in pieces:
             attempts = piece.attempts + (1 if has_run else 0)
             if attempts >= MOST_ATTEMPTS or not self._receivers.knows(piece.sender):
-                self._answer(piece, fault="failed")
+                self._answers.answer(piece, fault="failed")
             else:
                 self._queue.add(replace(piece, attempts=attempts))
 
-    def _answer(
-        self, piece: WaitingPiece, *, handle: str = "", fault: PieceFault | None = None
-    ) -> None:
-        """Tell an entry what became of a piece; give its result up if the entry is gone."""
-        self._metrics.note_answer(fault)
-        if self._receivers.knows(piece.sender):
-            result = PieceResult(
-                number=piece.order.number,
-                handle=handle,
-                fault=fault,
-                wait_seconds=round(self._waits.seconds(piece.order, self._now()), 3),
-            )
-            self._receivers.give(piece.sender, result)
-        elif handle:
-            self.free((handle,))
-
     def _reckon_wait(self, like: PieceOrder) -> float:
         """Return the seconds that a piece like another would wait for its turn."""
         service = self._find_service()
@@ -286,31 +280,6 @@
         offer = self._makers.make_offer(None, service.pool, now)
         return self._queue.forecast(now, offer, like)
 
-    # Results that were given up.
-
-    def _free_collected(self, freed: Mapping[str, Sequence[str]]) -> None:
-        """Free results, by the address of their maker."""
-        service = self._find_service()
-        for maker in self._makers.everyone():
-            handles = freed.get(maker.address)
-            if handles and service is not None:
-                connections = self._targets.connections(service, maker.name, maker.address)
-                self._start(self._free_at(maker, connections, handles))
-
-    async def _free_at(
-        self, maker: Maker, connections: ConnectionPool, handles: Sequence[str]
-    ) -> None:
-        try:
-            await self._calls.free(connections, handles)
-        except (DamsonlaneError, TimeoutError) as error:
-            # The target forgets results by itself a few seconds later.
-            _LOG.info("results not freed", extra={"fault": str(error), "count": len(handles)})
-            return
-        # Only now is the room there: a call that came before would be refused it.
-        for handle in handles:
-            maker.room.free(handle)
-        self._pump()
-
     # Targets.
 
     def _follow_targets(self) -> None:
@@ -324,17 +293,19 @@
         table = self._view.table
         return table.service(self._service) if table is not None else None
 
+    def _reach(self, maker: Maker) -> ConnectionPool | None:
+        """Return the connections to a target, or None while the service is not known."""
+        service = self._find_service()
+        if service is None:
+            return None
+        return self._targets.connections(service, maker.name, maker.address)
+
     def _wake_later(self, now: float) -> None:
         """Look again when a resting target is due, or what waits may have become late."""
         if self._wake is None or self._wake.cancelled() or self._wake.when() <= now:
             loop = asyncio.get_running_loop()
             self._wake = loop.call_later(self._makers.look_seconds(now), self._look)
 
-    def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = start_task(work, "call to a pool target")
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
