Tests find free addresses by one module; the control process names its members

Cause: find_address stood in test_links and test_process, find_addresses in test_group, the same steps again in test_registry; test_process stopped its box by the same three lines five times; the control process called its MembershipUpdater a keeper still. Change: damsonlaned.tests.addresses has both functions; stop_box; _membership. Assertions as they were. No change of behaviour.

--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -103,7 +103,7 @@
             settings.admin_address, self._metrics, self._node.is_current, self._refresh
         )
         self._client: Final = ControlClient(_list_control(settings), context=keys.client)
-        self._keeper: Final = MembershipUpdater(self._node, self._client)
+        self._membership: Final = MembershipUpdater(self._node, self._client)
         self._group: Final = _make_group(settings, self._node, self._client, keys)
         self._registry: Final = _make_registry(
             settings.gateway, self._node, self._group, self._client
@@ -141,7 +141,7 @@
 
     async def _start(self) -> None:
         self._node.start()
-        self._keeper.start()
+        self._membership.start()
         await self._admin.start()
         if self._group is not None:
             self._group.start()
@@ -153,7 +153,7 @@
             await self._registry.stop()
         if self._group is not None:
             await self._group.stop()
-        await self._keeper.stop()
+        await self._membership.stop()
         await self._node.stop()
         await close_server(server)
         await self._admin.stop()
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_group.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_group.py
@@ -1,7 +1,6 @@
 """Founding and repair of the control group, with real replicas on loopback ports."""
 
 import asyncio
-import socket
 import tempfile
 import unittest
 from collections.abc import Callable
@@ -26,6 +25,7 @@
 )
 from damsonlaned.control import ControlNode, ControlService, FollowingService, GroupRepairer
 from damsonlaned.storage import DataFolder
+from damsonlaned.tests.addresses import find_addresses
 
 #: Seconds after which a test gives up.
 PATIENCE = 20.0
@@ -33,16 +33,6 @@
 ELECTION_SECONDS = 0.4
 
 
-def find_addresses(count: int) -> list[str]:
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
-    for item in sockets:
-        item.close()
-    return sorted(addresses)
-
-
 class BreakableServer(Server):
     """A server whose connections break when it stops, as those of a process that ends."""
 
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_process.py
@@ -1,7 +1,6 @@
 """The process of a control replica when its disk fails for a while."""
 
 import asyncio
-import socket
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
@@ -15,17 +14,12 @@
 from damsonlaned.control import ControlNode, _process
 from damsonlaned.control._process import run_control
 from damsonlaned.storage import DataFolder, Journal, draw_identity, write_identity
+from damsonlaned.tests.addresses import find_address
 
 #: Seconds after which a test gives up.
 PATIENCE = 20.0
 
 
-def find_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class FailingDiskTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -65,6 +59,11 @@
         with DataFolder(self.settings.data_folder) as folder:
             await run_control(self.settings, folder, Keys(self.settings), None)
 
+    async def stop_box(self, box: "asyncio.Task[None]") -> None:
+        self.stop.set()
+        async with asyncio.timeout(PATIENCE):
+            await box
+
     async def fail_disk(self, probe: mock.Mock) -> "asyncio.Task[None]":
         """Run a box until its disk fails, then answer looks at it; return the box's task."""
         box = asyncio.create_task(self.run_box())
@@ -92,9 +91,7 @@
         probe.side_effect = None
         await self.wait(lambda: self.said("started") == 2)
         self.assertEqual(made.call_args.args[0], newer)
-        self.stop.set()
-        async with asyncio.timeout(PATIENCE):
-            await box
+        await self.stop_box(box)
 
     async def test_a_replica_comes_back_in_its_process_once_the_disk_takes_writes(self) -> None:
         probe = mock.Mock(side_effect=StorageError("full"))
@@ -104,9 +101,7 @@
         probe.side_effect = None
         await self.wait(lambda: self.said("started") == 2)
         self.assertEqual(self.said("group founded"), 1)
-        self.stop.set()
-        async with asyncio.timeout(PATIENCE):
-            await box
+        await self.stop_box(box)
 
     async def test_a_box_starts_once_its_disk_takes_writes(self) -> None:
         probe = mock.Mock(side_effect=StorageError("full"))
@@ -116,15 +111,11 @@
         self.assertEqual(self.said("started"), 0)
         probe.side_effect = None
         await self.wait(lambda: self.said("group founded") == 1)
-        self.stop.set()
-        async with asyncio.timeout(PATIENCE):
-            await box
+        await self.stop_box(box)
 
     async def test_a_box_whose_disk_failed_stops_when_told(self) -> None:
         box = await self.fail_disk(mock.Mock(side_effect=StorageError("full")))
-        self.stop.set()
-        async with asyncio.timeout(PATIENCE):
-            await box
+        await self.stop_box(box)
         self.assertEqual(self.said("started"), 1)
 
     async def test_a_box_heeds_signals_through_its_whole_life(self) -> None:
@@ -138,9 +129,7 @@
         await self.wait(lambda: self.said("started") == 1)
         # Between two waits a signal would reach a handler that nobody heeds.
         self.assertEqual(waiting.call_count, 1)
-        self.stop.set()
-        async with asyncio.timeout(PATIENCE):
-            await box
+        await self.stop_box(box)
 
 
 class ProbeTest(unittest.TestCase):
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 import tempfile
 import unittest
 from collections.abc import Sequence
@@ -30,6 +29,7 @@
 from damsonlaned.dialects import NativeDialect
 from damsonlaned.http import ConnectionPool, HttpRequest
 from damsonlaned.storage import DataFolder
+from damsonlaned.tests.addresses import find_address
 
 PATIENCE = 20.0
 RECORD = TargetRecord(
@@ -137,11 +137,10 @@
     async def serve_other_replicas(self) -> Channel:
         """Serve the calls of other replicas and return a channel to them."""
         server = Server([Service(dict(self.registry.handlers()))], codec=DataclassCodec())
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        await server.start("127.0.0.1", port)
-        channel = open_channel(f"127.0.0.1:{port}", None)
+        address = find_address()
+        host, _, port = address.rpartition(":")
+        await server.start(host, int(port))
+        channel = open_channel(address, None)
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
         self.addCleanup(channel.close)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -1,7 +1,6 @@
 """Streams between boxes: following control, and ordering from the owner of a pool."""
 
 import asyncio
-import socket
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -40,12 +39,7 @@
     hang,
     make_pieces,
 )
-
-
-def find_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+from damsonlaned.tests.addresses import find_address
 
 
 def pack(version: int) -> PackedDocument:
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/tests/addresses.py
@@ -0,0 +1,19 @@
+"""Loopback addresses for the servers of tests."""
+
+import socket
+
+
+def find_address() -> str:
+    """Return an address that nobody listens at."""
+    return find_addresses(1)[0]
+
+
+def find_addresses(count: int) -> list[str]:
+    """Return several of them, in order."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+    for item in sockets:
+        item.close()
+    return sorted(addresses)
