A request's own endings stand in a module of their own

Change: Endings (_endings.py) has them, with the constant that they use; the functions that log stand together. No change of behaviour. Tests: test_gateway, test_stages and test_request_times pass; make check clean.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -6,9 +6,10 @@
 from typing import Final
 
 from damsonlane.routing import Health
-from damsonlaned.dialects import Dialect, Refusal
+from damsonlaned.dialects import Dialect
 from damsonlaned.gateway._attempts import Attempts, Opened
 from damsonlaned.gateway._call import Call
+from damsonlaned.gateway._endings import Endings
 from damsonlaned.gateway._events import EventSplitter, EventTooLargeError
 from damsonlaned.gateway._final_answer import FinalAnswer
 from damsonlaned.gateway._read_timer import ReadTimer
@@ -28,9 +29,6 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Seconds after which a caller that met a full service should come back.
-FULL_RETRY_SECONDS: Final = 0.5
-
 
 class RequestHandler:
     """Takes one request to its final answer.
@@ -63,6 +61,7 @@
         self._times: Final = RequestTimes(call.arrived_at)
         self._tries: Final = Tries(call)
         self._answer: Final = FinalAnswer(call.request.request_id, reply, dialect)
+        self._endings: Final = Endings(self._answer, self._tries)
 
     @property
     def outcome(self) -> str:
@@ -76,9 +75,9 @@
             async with asyncio.timeout_at(self._call.due_at):
                 await self._serve()
         except TimeoutError:
-            self._end_late()
+            self._endings.end_late()
         except StageError as error:
-            self._end_unstaged(error)
+            self._endings.end_unstaged(error)
         except asyncio.CancelledError:
             self._answer.outcome = "caller-gone"
             raise
@@ -100,7 +99,7 @@
             if unserved.needs_inputs:
                 self._free_results()
             if not self._may_try_again():
-                self._end_unserved(unserved)
+                self._endings.end_unserved(unserved)
                 return
 
     async def _try_once(self) -> Unserved | None:
@@ -248,48 +247,7 @@
                 raise BrokenAnswerError("the stream fell silent") from None
             yield part
 
-    # Endings.
-
-    def _end_unserved(self, unserved: Unserved) -> None:
-        if self._answer.has_begun():
-            self._answer.cut(unserved.detail)
-        elif unserved.response is not None:
-            self._answer.send_failure(unserved.response)
-        elif self._tries.may_have_run:
-            self._refuse(502, unserved.detail)
-        else:
-            self._refuse(503, unserved.detail, retry_after_seconds=FULL_RETRY_SECONDS)
-
-    def _end_unstaged(self, error: StageError) -> None:
-        if self._tries.may_have_run:
-            # Its stages were made again for another target, so one had it before.
-            self._refuse(502, str(error))
-        else:
-            self._refuse(503, str(error), retry_after_seconds=error.retry_seconds)
-
-    def _end_late(self) -> None:
-        if self._answer.has_begun():
-            self._answer.cut("the deadline came in the middle of the answer")
-        elif self._tries.offers > 0:
-            # Sent and not answered means that it may have run.
-            self._tries.may_have_run = True
-            self._refuse(504, "no answer before the deadline")
-        else:
-            self._refuse(503, "its stages were not made before the deadline")
-
-    def _refuse(self, status: int, detail: str, retry_after_seconds: float | None = None) -> None:
-        self._answer.refuse(
-            Refusal(
-                status=status,
-                detail=detail,
-                may_have_run=self._tries.may_have_run,
-                retry_after_seconds=retry_after_seconds,
-            )
-        )
-
-    def _log_unserved(self, unserved: Unserved) -> None:
-        fields = {"reason": unserved.detail, "may_have_run": unserved.may_have_run}
-        _LOG.info("not served", extra={**self._call.log_fields(), **fields})
+    # Results of stages, and the log.
 
     def _free_read_results(self) -> None:
         """Give up the inputs that the target has read, if others wait for their room.
@@ -305,6 +263,10 @@
             results, self._results, self._has_results = self._results, StageResults(), False
             self._stages.free(results)
 
+    def _log_unserved(self, unserved: Unserved) -> None:
+        fields = {"reason": unserved.detail, "may_have_run": unserved.may_have_run}
+        _LOG.info("not served", extra={**self._call.log_fields(), **fields})
+
     def _log_end(self) -> None:
         call = self._call
         _LOG.info(
