Which entry owns a pool is chosen in a module of its own

Cause: _pool_client.py had two jobs: orders and their results, and the choice of owners with those that failed lately. Change: OwnerChoice (_owner_choice.py) chooses and suspects; PoolClient asks it by _find_owner as before. test_links sets lists by the public view and finds the suspects at their new place; its assertions are as they were. No change of behaviour.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -9,19 +9,16 @@
 from functools import partial
 from typing import Final
 
-from damsonlane.membership import choose_owner
 from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane_rpc import PoolOrders
 from damsonlaned.gateway._heard_waits import HeardWaits
+from damsonlaned.gateway._owner_choice import OwnerChoice
 from damsonlaned.gateway._owner_link import OwnerLink
 from damsonlaned.gateway._pool_service import PoolOwners
 from damsonlaned.gateway._view import FleetView
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Seconds for which an owner that failed is passed over: longer than control lists a
-#: box that fell silent (6 s), so that one without power is not asked again meanwhile.
-SUSPECT_SECONDS: Final = 7.0
 #: Withdrawn orders that are remembered, so that a result that comes all the same is freed.
 MOST_WITHDRAWN: Final = 4_096
 #: Seconds after which all entries have heard of a change in their list: control tells
@@ -47,16 +44,6 @@
     on_read: Callable[[], None]
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Suspicion:
-    """An owner whose stream was lost."""
-
-    #: Until when it is passed over, by the loop's clock.
-    until: float
-    #: Its incarnation at that time; another one is not suspected.
-    incarnation: str
-
-
 class PoolClient:
     """Orders pieces for the requests of this entry.
 
@@ -78,14 +65,13 @@
         address: str,
         context: ssl.SSLContext | None,
     ) -> None:
-        self._view: Final = view
+        self._choice: Final = OwnerChoice(view, address)
         self._owners: Final = owners
         self._address: Final = address
         self._context: Final = context
         self._numbers: Final = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         self._links: dict[str, OwnerLink] = {}
-        self._suspects: dict[str, _Suspicion] = {}
         self._withdrawn: dict[int, str] = {}
         self._waits: Final = HeardWaits()
         view.on_entries(self._follow_entries)
@@ -155,28 +141,7 @@
 
     def _find_owner(self, service: str) -> str:
         """Return the address of the entry that owns a pool."""
-        now = asyncio.get_running_loop().time()
-        # An entry that control does not list, because it stops or has just started, owns
-        # nothing: two owners of a pool would send their calls to the same targets.
-        suspects = {address for address in self._suspects if self._is_suspect(address, now)}
-        owner = choose_owner(service, self._view.entries, suspects)
-        return owner.address if owner is not None else self._address
-
-    def _is_suspect(self, address: str, now: float) -> bool:
-        """Tell whether an owner is passed over.
-
-        One that has started again is not: entries that had no stream to it would
-        choose it already, and two owners of a pool hold each other's calls up.
-        """
-        suspicion = self._suspects.get(address)
-        if suspicion is None or suspicion.until <= now:
-            return False
-        return suspicion.incarnation == self._find_incarnation(address)
-
-    def _find_incarnation(self, address: str) -> str:
-        """Return the incarnation of an entry that is listed, or an empty string."""
-        listed = [entry for entry in self._view.entries if entry.address == address]
-        return listed[0].incarnation if listed else ""
+        return self._choice.find_owner(service)
 
     def _follow_entries(self) -> None:
         """Hand over the pools that another entry owns now.
@@ -246,10 +211,7 @@
         link = self._links.pop(owner, None)
         if link is None:
             return
-        now = asyncio.get_running_loop().time()
-        self._suspects[owner] = _Suspicion(
-            until=now + SUSPECT_SECONDS, incarnation=self._find_incarnation(owner)
-        )
+        self._choice.suspect(owner)
         lost = [self._pending[number] for number in numbers if number in self._pending]
         _LOG.warning("lost pool owner", extra={"owner": owner, "fault": fault, "orders": len(lost)})
         for service in {pending.service for pending in lost}:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -264,12 +264,13 @@
         )
         for name, before, after, owner in cases:
             with self.subTest(name):
-                pools = Entry().pools
-                pools._view.put_entries(before)
+                entry = Entry()
+                pools = entry.pools
+                entry.view.put_entries(before)
                 pools._links[self.address] = mock.Mock()
                 with mock.patch.object(_owners, "_weigh", self._weigh_owner_most):
                     pools.lose_owner(self.address, (), "the stream ended")
-                    pools._view.put_entries(after)
+                    entry.view.put_entries(after)
                     self.assertEqual(pools._find_owner("pool"), owner or self.address)
 
     def _weigh_owner_most(self, _service: str, address: str) -> bytes:
@@ -313,7 +314,7 @@
                 handed_over = mock.Mock()
                 pools._owners.get("pool").hand_over = handed_over  # type: ignore[method-assign]
                 address = owner or pools._address
-                pools._view.put_entries((make_record(address),))
+                self.orderer.view.put_entries((make_record(address),))
                 self.assertEqual(handed_over.call_count, expected)
 
     async def test_a_withdrawn_piece_is_not_made(self) -> None:
@@ -331,7 +332,7 @@
         """Return a choice of owners that takes the one under test until it is suspected."""
 
         def find(service: str) -> str:
-            is_suspect = self.address in self.orderer.pools._suspects
+            is_suspect = self.address in self.orderer.pools._choice._suspects
             return "127.0.0.1:9" if is_suspect else self.address
 
         return find
