Asking around for the leader is a function of its own

Cause: GroupRepairer._ask asked box after box, followed hints and acted on the answer in one loop. Change: _ask_around asks and returns what was said; _ask acts on it. No change of behaviour. Tests: control test_group and test_process pass; make check clean.

--- a/packages/damsonlaned/src/damsonlaned/control/_group.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_group.py
@@ -149,12 +149,25 @@
     async def _ask(self) -> bool:
         """Ask the leader where this replica stands; tell whether anybody knew a leader."""
         identity = self._node.identity
-        request = JoinRequest(
-            replica=identity.replica, address=self._own_address, cluster=identity.cluster
+        outcome = await self._ask_around(
+            JoinRequest(
+                replica=identity.replica, address=self._own_address, cluster=identity.cluster
+            )
         )
+        if isinstance(outcome, NotAMember) and identity == self._node.identity:
+            self._node.start_anew()
+        return outcome is not None
+
+    async def _ask_around(self, request: JoinRequest) -> Done | NotLeader | NotAMember | None:
+        """Ask the known boxes, and the leaders that they name, until a leader answers.
+
+        Returns:
+            What the leader said; where none answered, what a box said that knows one,
+            or None.
+        """
         addresses = self._known_addresses()
         asked = {self._own_address}
-        knows_group = False
+        hint: NotLeader | None = None
         while addresses:
             address = addresses.pop(0)
             if address in asked:
@@ -163,16 +176,12 @@
             reply = await self._ask_one(address, request)
             if reply is None:
                 continue
-            outcome = reply.outcome
-            if isinstance(outcome, NotLeader):
-                knows_group = knows_group or bool(outcome.leader)
-                if outcome.leader:
-                    addresses.insert(0, outcome.leader)
-                continue
-            if isinstance(outcome, NotAMember) and identity == self._node.identity:
-                self._node.start_anew()
-            return True
-        return knows_group
+            if not isinstance(reply.outcome, NotLeader):
+                return reply.outcome
+            if reply.outcome.leader:
+                hint = reply.outcome
+                addresses.insert(0, hint.leader)
+        return hint
 
     async def _ask_one(self, address: str, request: JoinRequest) -> JoinReply | None:
         try:
