The pools that an entry owns stand in a module of their own

Cause: _pool_service.py had two jobs: the owners of this entry's pools, and the streams of other entries. Change: PoolOwners moves to _pool_owners.py, with its arguments explained; the harness imports it there. No change of behaviour. Tests: gateway test_links, test_gateway and test_stages pass; make check clean.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -17,7 +17,8 @@
 from damsonlaned.gateway._callers import CallerService, GatewayParts
 from damsonlaned.gateway._link import FleetLink
 from damsonlaned.gateway._pool_client import PoolClient
-from damsonlaned.gateway._pool_service import PoolOwners, PoolService
+from damsonlaned.gateway._pool_owners import PoolOwners
+from damsonlaned.gateway._pool_service import PoolService
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -14,7 +14,7 @@
 from damsonlaned.gateway._heard_waits import HeardWaits
 from damsonlaned.gateway._owner_choice import OwnerChoice
 from damsonlaned.gateway._owner_link import OwnerLink
-from damsonlaned.gateway._pool_service import PoolOwners
+from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._view import FleetView
 
 _LOG: Final = logging.getLogger(__name__)
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
@@ -0,0 +1,56 @@
+"""The pools that this entry owns, or has owned."""
+
+from typing import Final
+
+from damsonlaned.dialects import Dialect
+from damsonlaned.gateway._pool_metrics import PoolMetrics
+from damsonlaned.gateway._pool_owner import PoolOwner
+from damsonlaned.gateway._targets import Targets
+from damsonlaned.gateway._view import FleetView
+from damsonlaned.metrics import Metrics
+
+
+class PoolOwners:
+    """Owners of pools, made when first asked for.
+
+    Args:
+        view: where the targets stand.
+        targets: connections to them.
+        dialect: how they are spoken to.
+        metrics: those of the process.
+    """
+
+    def __init__(
+        self, view: FleetView, targets: Targets, dialect: Dialect, metrics: Metrics
+    ) -> None:
+        self._view: Final = view
+        self._targets: Final = targets
+        self._dialect: Final = dialect
+        self._metrics: Final = metrics
+        self._owners: dict[str, PoolOwner] = {}
+
+    def get(self, service: str) -> PoolOwner:
+        """Return the owner of a service's pool."""
+        if service not in self._owners:
+            self._owners[service] = PoolOwner(
+                service,
+                self._view,
+                self._targets,
+                self._dialect,
+                PoolMetrics(service, self._metrics),
+            )
+        return self._owners[service]
+
+    def services(self) -> tuple[str, ...]:
+        """Return the services whose pools this entry owns or has owned."""
+        return tuple(self._owners)
+
+    def count_waiting(self) -> None:
+        """Set the metrics of what waits."""
+        for service, owner in self._owners.items():
+            self._metrics.pool_waiting.set({"service": service}, owner.count_waiting())
+
+    def detach(self, sender: str) -> None:
+        """Forget a sender at all pools."""
+        for owner in self._owners.values():
+            owner.detach(sender)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
@@ -10,56 +10,19 @@
 
 from damsonlane.pools import PieceResult
 from damsonlane_rpc import CALL_FAULTS, POOL, PoolOrders, PoolResults
-from damsonlaned.dialects import Dialect
-from damsonlaned.gateway._pool_metrics import PoolMetrics
-from damsonlaned.gateway._pool_owner import PoolOwner
-from damsonlaned.gateway._targets import Targets
-from damsonlaned.gateway._view import FleetView
-from damsonlaned.metrics import Metrics
+from damsonlaned.gateway._pool_owners import PoolOwners
 
 #: Seconds between messages to an entry that waits for results, so that it can
 #: tell a slow pool from an owner that is gone.
 ALIVE_SECONDS: Final = 0.25
 
 
-class PoolOwners:
-    """The pools that this entry owns, made when first asked for."""
-
-    def __init__(
-        self, view: FleetView, targets: Targets, dialect: Dialect, metrics: Metrics
-    ) -> None:
-        self._metrics: Final = metrics
-        self._view: Final = view
-        self._targets: Final = targets
-        self._dialect: Final = dialect
-        self._owners: dict[str, PoolOwner] = {}
-
-    def get(self, service: str) -> PoolOwner:
-        """Return the owner of a service's pool."""
-        if service not in self._owners:
-            counted = PoolMetrics(service, self._metrics)
-            self._owners[service] = PoolOwner(
-                service, self._view, self._targets, self._dialect, counted
-            )
-        return self._owners[service]
-
-    def services(self) -> tuple[str, ...]:
-        """Return the services whose pools this entry owns or has owned."""
-        return tuple(self._owners)
-
-    def count_waiting(self) -> None:
-        """Set the metrics of what waits."""
-        for service, owner in self._owners.items():
-            self._metrics.pool_waiting.set({"service": service}, owner.count_waiting())
-
-    def detach(self, sender: str) -> None:
-        """Forget a sender at all pools."""
-        for owner in self._owners.values():
-            owner.detach(sender)
-
-
 class PoolService:
-    """Serves the streams of other entries."""
+    """Serves the streams of other entries.
+
+    Args:
+        owners: the pools that this entry owns.
+    """
 
     def __init__(self, owners: PoolOwners) -> None:
         self._owners: Final = owners
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -21,7 +21,7 @@
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._callers import CallerService, GatewayParts
 from damsonlaned.gateway._pool_client import PoolClient
-from damsonlaned.gateway._pool_service import PoolOwners
+from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
