Constants before classes, and functions that take pieces side by side

Cause: the codec's constants stood between two classes; is_long was public and used in its module only; take_all stood between the two functions that withdraw. Change: their order and one name. No change of behaviour.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -42,17 +42,17 @@
         """Drop a piece that nobody wants any more."""
         self._waiting.pop((sender, number), None)
 
+    def withdraw_all(self, sender: str) -> None:
+        """Drop all pieces of a sender that is gone."""
+        for identity in [key for key in self._waiting if key[0] == sender]:
+            del self._waiting[identity]
+
     def take_all(self) -> tuple[WaitingPiece, ...]:
         """Take out all pieces."""
         pieces = tuple(self._waiting.values())
         self._waiting.clear()
         return pieces
 
-    def withdraw_all(self, sender: str) -> None:
-        """Drop all pieces of a sender that is gone."""
-        for identity in [key for key in self._waiting if key[0] == sender]:
-            del self._waiting[identity]
-
     def forecast(self, now: float, offer: Offer, like: PieceOrder) -> float:
         """Return the seconds until a piece like another one would begin if it came now.
 
--- a/packages/damsonlane/src/damsonlane/routing/_sides.py
+++ b/packages/damsonlane/src/damsonlane/routing/_sides.py
@@ -46,22 +46,22 @@
         """Note the prompt of a request."""
         fading = 0.5 ** (tokens / MEMORY_TOKENS)
         self._all = self._all * fading + tokens
-        self._long = self._long * fading + (tokens if is_long(tokens) else 0)
+        self._long = self._long * fading + (tokens if _is_long(tokens) else 0)
 
     def find_side(self, tokens: int, places: Sequence[Place]) -> frozenset[str]:
         """Return the engines for a prompt of a length; all of them if nothing divides them."""
         long_share = self._long / self._all
-        other_share = 1.0 - long_share if is_long(tokens) else long_share
+        other_share = 1.0 - long_share if _is_long(tokens) else long_share
         if len(places) < 2 or tokens <= 0 or other_share < LEAST_SHARE:
             return frozenset(place.target for place in places)
         count = round(long_share * len(places))
         count = min(len(places) - 1, max(1, count))
         ordered = _order(places)
-        side = ordered[:count] if is_long(tokens) else ordered[count:]
+        side = ordered[:count] if _is_long(tokens) else ordered[count:]
         return frozenset(place.target for place in side)
 
 
-def is_long(tokens: int) -> bool:
+def _is_long(tokens: int) -> bool:
     """Tell whether a prompt counts as long."""
     return tokens >= LONG_PROMPT_TOKENS
 
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_codec.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_codec.py
@@ -8,6 +8,14 @@
 
 from damsonlane.codec import decode_bytes, encode_bytes
 
+#: Bytes from which on a message is compressed.  Lists of targets and orders of pieces
+#: repeat their names and shrink to a sixth; below this the saving is less than a packet.
+COMPRESSED_BYTES: Final = 512
+#: Compression level: the least, since a message waits while it is compressed.
+_LEVEL: Final = 1
+#: First byte of what zlib makes; a message in JSON never begins with it.
+_COMPRESSED: Final = b"\x78"
+
 
 @dataclass
 class Traffic:
@@ -23,14 +31,6 @@
     bytes_received: int = 0
 
 
-#: Bytes from which on a message is compressed.  Lists of targets and orders of pieces
-#: repeat their names and shrink to a sixth; below this the saving is less than a packet.
-COMPRESSED_BYTES: Final = 512
-#: Compression level: the least, since a message waits while it is compressed.
-_LEVEL: Final = 1
-#: First byte of what zlib makes; a message in JSON never begins with it.
-_COMPRESSED: Final = b"\x78"
-
 #: Counts of this process, for its metrics.
 TRAFFIC: Final = Traffic()
 
