Test machines name open handlings, and share what picks by a public name

Cause: the request machine's world called handlings passages still; the repair machine imported the private _PICK of another module. Change: open_handlings; PICK, with what it is for. Assertions as they were. No change of behaviour. Tests: agreement test_machine and test_repair and requests test_machine pass, each in a process of its own; make check clean. Not traced; run again alone, both passed.

--- a/packages/damsonlane/src/damsonlane/agreement/tests/machine.py
+++ b/packages/damsonlane/src/damsonlane/agreement/tests/machine.py
@@ -10,7 +10,8 @@
 
 #: Times that a change is sent again after everything healed.
 _MOST_RESENDS = 20
-_PICK = st.integers(min_value=0, max_value=1000)
+#: Picks one of what there is, by the remainder.
+PICK = st.integers(min_value=0, max_value=1000)
 
 
 class GroupMachine(RuleBasedStateMachine):
@@ -44,14 +45,14 @@
     def settle_long(self) -> None:
         self.group.settle(40, until=lambda: self.group.leader() is not None)
 
-    @rule(pick=_PICK, seconds=st.floats(0, 3))
+    @rule(pick=PICK, seconds=st.floats(0, 3))
     def tick(self, pick: int, seconds: float) -> None:
         box = self._box(pick)
         box.clock += seconds
         box.act(lambda replica: replica.tick(box.clock))
 
     @precondition(lambda self: self.group.flying)
-    @rule(pick=_PICK, is_kept=st.booleans())
+    @rule(pick=PICK, is_kept=st.booleans())
     def deliver_one(self, pick: int, is_kept: bool) -> None:
         flying = self.group.flying
         position = pick % len(flying)
@@ -65,7 +66,7 @@
 
     # Operators.
 
-    @rule(is_racing=st.booleans(), pick=_PICK)
+    @rule(is_racing=st.booleans(), pick=PICK)
     def propose(self, is_racing: bool, pick: int) -> None:
         """Propose at the leader, or at any box that still believes it leads."""
         self.changes += 1
@@ -77,13 +78,13 @@
                 self.group.propose(box.name, f"change-{self.changes}", expected)
 
     @precondition(lambda self: self.changes > 0)
-    @rule(pick=_PICK, which=_PICK)
+    @rule(pick=PICK, which=PICK)
     def resend(self, pick: int, which: int) -> None:
         change = f"change-{1 + which % self.changes}"
         for box in self._believers(pick):
             self.group.propose(box.name, change, box.state.settings.version)
 
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def read(self, pick: int) -> None:
         for box in self._believers(pick):
             self.group.read(box.name)
@@ -98,15 +99,15 @@
 
     # Faults.
 
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def crash(self, pick: int) -> None:
         self._box(pick).crash()
 
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def crash_before_sync(self, pick: int) -> None:
         self._box(pick).crashes_next = True
 
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def restart(self, pick: int) -> None:
         down = [box for box in self.group.boxes.values() if box.replica is None]
         if down:
@@ -118,7 +119,7 @@
             if box.replica is None:
                 box.start()
 
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def freeze(self, pick: int) -> None:
         self._box(pick).is_frozen = True
 
@@ -129,11 +130,11 @@
                 box.is_frozen = False
                 box.clock += jump
 
-    @rule(sender=_PICK, receiver=_PICK)
+    @rule(sender=PICK, receiver=PICK)
     def cut_one_way(self, sender: int, receiver: int) -> None:
         self.group.cuts.add((self._box(sender).name, self._box(receiver).name))
 
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def isolate(self, pick: int) -> None:
         """Cut a box off; half of the time it is the leader."""
         leader = self.group.leader()
@@ -145,12 +146,12 @@
     def heal(self) -> None:
         self.group.cuts.clear()
 
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def compact(self, pick: int) -> None:
         self._box(pick).compact()
 
     @precondition(lambda self: self.lost < (self.size - 1) // 2)
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def lose_disk(self, pick: int) -> None:
         """Empty a folder; its box comes back under a new name and waits to be admitted."""
         box = self._box(pick)
@@ -176,7 +177,7 @@
 
     # Sequences that are rare by chance and that the promises must survive.
 
-    @rule(pick=_PICK, reach=st.integers(0, 2), is_member_change=st.booleans())
+    @rule(pick=PICK, reach=st.integers(0, 2), is_member_change=st.booleans())
     def leader_reaches_few(self, pick: int, reach: int, is_member_change: bool) -> None:
         """A leader writes an entry, reaches a few replicas with it and dies."""
         leader = self.group.leader()
@@ -195,7 +196,7 @@
         self.group.flying.clear()
         leader.crash()
 
-    @rule(pick=_PICK, rounds=st.integers(2, 6))
+    @rule(pick=PICK, rounds=st.integers(2, 6))
     def campaign(self, pick: int, rounds: int) -> None:
         """One replica runs for leader; all messages arrive for a few rounds."""
         box = self._box(pick)
@@ -227,7 +228,7 @@
 
     # Changes of the group.
 
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def admit(self, pick: int) -> None:
         for box in self._believers(pick):
             members = self._members(box)
@@ -240,7 +241,7 @@
                     lambda replica, now, m=member: replica.add_learner(now, m),  # type: ignore[misc]
                 )
 
-    @rule(pick=_PICK, which=_PICK)
+    @rule(pick=PICK, which=PICK)
     def dismiss(self, pick: int, which: int) -> None:
         for box in self._believers(pick):
             members = self._members(box)
--- a/packages/damsonlane/src/damsonlane/agreement/tests/repair_machine.py
+++ b/packages/damsonlane/src/damsonlane/agreement/tests/repair_machine.py
@@ -21,7 +21,7 @@
     may_say_outsider,
 )
 from damsonlane.agreement.tests.group import CLUSTER, Box, Fault
-from damsonlane.agreement.tests.machine import _PICK, GroupMachine, find_address
+from damsonlane.agreement.tests.machine import PICK, GroupMachine, find_address
 
 #: Rounds of asking and looking after which a healed group must be whole.
 _MOST_REPAIRS = 80
@@ -54,13 +54,13 @@
 
     # What boxes do by themselves.
 
-    @rule(pick=_PICK, which=_PICK)
+    @rule(pick=PICK, which=PICK)
     def ask(self, pick: int, which: int) -> None:
         """One box asks one that believes it leads where it stands."""
         for leader in self._believers(which):
             self._ask(self._box(pick), leader)
 
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def look(self, pick: int) -> None:
         """One that believes it leads removes whom it must."""
         for leader in self._believers(pick):
@@ -77,14 +77,14 @@
     # Losses.
 
     @precondition(lambda self: self._may_lose())
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def lose_disk(self, pick: int) -> None:
         """A box comes back at its address with an empty disk."""
         self._start_anew(self._box(pick))
         self.lost += 1
 
     @precondition(lambda self: self._may_lose())
-    @rule(pick=_PICK)
+    @rule(pick=PICK)
     def replace(self, pick: int) -> None:
         """A box is gone for good; another one comes at another address."""
         del self.group.boxes[self._box(pick).name]
--- a/packages/damsonlane/src/damsonlane/requests/tests/machine.py
+++ b/packages/damsonlane/src/damsonlane/requests/tests/machine.py
@@ -45,7 +45,11 @@
         self.world.begin(organisation, key, text)
 
     def _waiting(self, effect: type) -> list[Handling]:
-        return [p for p in self.world.open_passages() if isinstance(p.effect, effect)]
+        return [
+            handling
+            for handling in self.world.open_handlings()
+            if isinstance(handling.effect, effect)
+        ]
 
     @precondition(lambda self: self._waiting(AskLedger))
     @rule(pick=_PICK, how=_LEDGER)
@@ -77,18 +81,18 @@
     def pass_time(self, seconds: float) -> None:
         self.world.now += seconds
 
-    @precondition(lambda self: self.world.open_passages())
+    @precondition(lambda self: self.world.open_handlings())
     @rule(pick=_PICK)
     def lose_entry(self, pick: int) -> None:
         """The entry of a handling dies."""
-        waiting = self.world.open_passages()
+        waiting = self.world.open_handlings()
         self.world.handlings.remove(waiting[pick % len(waiting)])
 
-    @precondition(lambda self: self.world.open_passages())
+    @precondition(lambda self: self.world.open_handlings())
     @rule(pick=_PICK)
     def finish_one(self, pick: int) -> None:
         """One handling meets no fault until its end."""
-        waiting = self.world.open_passages()
+        waiting = self.world.open_handlings()
         handling = waiting[pick % len(waiting)]
         while handling.ending is None:
             if isinstance(handling.effect, AskLedger):
--- a/packages/damsonlane/src/damsonlane/requests/tests/world.py
+++ b/packages/damsonlane/src/damsonlane/requests/tests/world.py
@@ -168,7 +168,7 @@
         self.handlings.append(Handling(number, request, run, run.begin(self.now)))
         self._note_end(self.handlings[-1])
 
-    def open_passages(self) -> list[Handling]:
+    def open_handlings(self) -> list[Handling]:
         """Return the handlings that have not ended."""
         return [handling for handling in self.handlings if handling.ending is None]
 
