Commands that get no answer say so

Connections had to be made within half a second, keys included, and faults of the calls that a command makes itself were not caught. Change: five seconds for an operator's connections (boxes keep half a second); such faults end with one line and code 3, outcome unknown.

--- a/packages/damsonlane_cli/src/damsonlane_cli/_context.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_context.py
@@ -16,7 +16,7 @@
 from damsonlane.findings import Finding, Place
 from damsonlane.settings import Document, TlsFiles, read_document
 from damsonlane.settings.checks import CLOSED, check_value, locate
-from damsonlane_rpc import ControlClient, make_client_context
+from damsonlane_rpc import CALL_FAULTS, ControlClient, make_client_context
 
 #: Exit codes, as docs/operations.md lists them.
 EXIT_REFUSED: Final = 1
@@ -25,6 +25,10 @@
 EXIT_CONFLICT: Final = 4
 EXIT_NOT_IN_FORCE: Final = 5
 
+#: Seconds within which a connection to control must be made.  A person would rather
+#: wait than ask again; boxes, which have others to ask, give up after half a second.
+CONNECT_SECONDS: Final = 5.0
+
 #: Environment variable with the path of the operator's settings.
 SETTINGS_VARIABLE: Final = "DAMSONLANE_SETTINGS"
 #: Path used when the variable is not set.
@@ -101,6 +105,9 @@
         fail(str(error), EXIT_INPUT)
     except DamsonlaneError as error:
         fail(str(error), EXIT_UNKNOWN)
+    except CALL_FAULTS as error:
+        fault = str(error) or type(error).__name__
+        fail(f"control did not answer, so the outcome is unknown: {fault}", EXIT_UNKNOWN)
 
 
 async def _call(
@@ -109,7 +116,9 @@
     token: str,
 ) -> Result:
     context = make_client_context(settings.tls) if settings.tls else None
-    client = ControlClient(settings.control, context=context, token=token)
+    client = ControlClient(
+        settings.control, context=context, token=token, connect_seconds=CONNECT_SECONDS
+    )
     try:
         return await work(client, settings)
     finally:
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
@@ -73,8 +73,11 @@
     it hangs for minutes.
     """
 
+    #: Seconds within which a connection must be made.
+    connect_seconds = CONNECT_SECONDS
+
     async def _create_connection(self) -> H2Protocol:
-        protocol = await asyncio.wait_for(super()._create_connection(), CONNECT_SECONDS)
+        protocol = await asyncio.wait_for(super()._create_connection(), self.connect_seconds)
         if protocol.connection.is_closing():
             raise ConnectionResetError("the other side closed the connection at once")
         transport = protocol.connection._transport
@@ -84,12 +87,22 @@
         return protocol
 
 
-def open_channel(address: str, context: ssl.SSLContext | None) -> Channel:
-    """Return a channel to a process; it connects when first used."""
+def open_channel(
+    address: str, context: ssl.SSLContext | None, connect_seconds: float = CONNECT_SECONDS
+) -> Channel:
+    """Return a channel to a process; it connects when first used.
+
+    Args:
+        address: internal address of the process.
+        context: TLS context, or None for calls in the clear.
+        connect_seconds: time within which a connection must be made.
+    """
     endpoint = Endpoint.parse(address)
-    return _SilenceNoticingChannel(
+    channel = _SilenceNoticingChannel(
         endpoint.host, endpoint.port, ssl=context, codec=DataclassCodec()
     )
+    channel.connect_seconds = connect_seconds
+    return channel
 
 
 class ControlClient:
@@ -102,11 +115,18 @@
         addresses: internal addresses of the replicas.
         context: TLS context, or None for calls in the clear.
         token: operator's token, or empty.
+        connect_seconds: time within which a connection must be made.
     """
 
     def __init__(
-        self, addresses: Sequence[str], *, context: ssl.SSLContext | None = None, token: str = ""
+        self,
+        addresses: Sequence[str],
+        *,
+        context: ssl.SSLContext | None = None,
+        token: str = "",
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> None:
+        self._connect_seconds = connect_seconds
         self._addresses = list(addresses)
         self._context = context
         self._metadata = {TOKEN_FIELD: token} if token else {}
@@ -177,7 +197,7 @@
     def channel(self, address: str) -> Channel:
         """Return the channel to an address, opened once."""
         if address not in self._channels:
-            self._channels[address] = open_channel(address, self._context)
+            self._channels[address] = open_channel(address, self._context, self._connect_seconds)
         return self._channels[address]
 
     def close(self) -> None:
