The script of an old term starts from a leader that all have known

Cause: since replicas that just started campaign at once, the others of the script took the lead before its first step, so the planted fault was not met (found by the whole tests of the agreement after the change). Ruled out: a fault of the agreement: both sequences without planted faults pass. Change: the group elects a leader first, as it did in effect when nobody campaigned within an election time. Assertions are as they were.

--- a/packages/damsonlane/src/damsonlane/agreement/tests/test_scripts.py
+++ b/packages/damsonlane/src/damsonlane/agreement/tests/test_scripts.py
@@ -56,6 +56,9 @@
     group.entries_per_message = 1
     for box in group.boxes.values():
         box.start()
+    # A replica that has known a leader leaves the next one a whole election time.
+    group.settle(100, until=lambda: group.leader() is not None)
+    group.settle(6)
     _make_leader(group, "box-0")
     group.settle(6)
     return group
