Priority decides what a pool refuses, due time the order of the rest

Change: stages are taken into a schedule by rank while all of it can be in time; what is taken runs soonest due first; what is not is refused as before.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -1,12 +1,13 @@
 """The queue of a pool: which pieces run next, which are too late, and how long others wait."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.pools._batch import fill_batch
 from damsonlane.pools._pieces import PieceOrder
+from damsonlane.pools._schedule import Schedule, WaitingStage, group_stages
 from damsonlane.pools._taken import TakenWork
-from damsonlane.pools._urgency import rate_urgency, reckon_due
 from damsonlane.pools._waiting import Offer, WaitingPiece
 
 #: Largest share of a pool that is reckoned to go to more urgent pieces: they come
@@ -24,6 +25,16 @@
     late: tuple[WaitingPiece, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Judgement:
+    """What waits, in the order in which it should run."""
+
+    #: Stages whose requests can keep their aim, soonest due first.
+    in_time: list[WaitingStage]
+    #: The other ones; those that are begun come first, since their earlier stages are paid for.
+    others: list[WaitingStage]
+
+
 class PieceQueue:
     """Waiting pieces of one pool."""
 
@@ -57,26 +68,32 @@
         """Return the seconds until a piece like another one would begin if it came now.
 
         Only pieces that go before it count: not the late ones, nor those that
-        are less urgent.
+        are due after it.
         """
         soonest = offer.soonest(now)
-        due = reckon_due(now + like.aim_left_seconds, like.rank)
-        ahead = sum(rate_urgency(piece, soonest) <= (0, due) for piece in self._waiting.values())
+        due_at = now + like.aim_left_seconds
+        ahead = sum(soonest <= piece.aim_at <= due_at for piece in self._waiting.values())
         return ahead / offer.pieces_per_second * self._stretch(like.rank, now, offer)
 
     def select(self, now: float, offer: Offer) -> Selection:
         """Take out the pieces for one call, and those that are too late."""
-        late = self.take_late(now, offer)
-        batch = fill_batch(self._order(now, offer), now, offer)
+        expired = self.take_expired(now, offer)
+        judgement = self._judge(now, offer)
+        hopeless = self._find_hopeless(judgement, now, offer)
+        late = _list_pieces(hopeless)
+        self._remove(late)
+        ordered = _list_pieces([*judgement.in_time, *judgement.others])
+        left = [piece for piece in ordered if piece.identity in self._waiting]
+        batch = fill_batch(left, now, offer)
         self._remove(batch)
         for piece in batch:
             self._taken.note(piece.order.rank, now)
-        return Selection(batch=tuple(batch), late=late)
+        return Selection(batch=tuple(batch), late=(*expired, *late))
 
     def take_late(self, now: float, offer: Offer) -> tuple[WaitingPiece, ...]:
         """Take out the pieces whose time has run out, or will before their turn."""
         expired = self.take_expired(now, offer)
-        hopeless = self._find_hopeless(self._order(now, offer), now, offer)
+        hopeless = _list_pieces(self._find_hopeless(self._judge(now, offer), now, offer))
         self._remove(hopeless)
         return (*expired, *hopeless)
 
@@ -87,34 +104,44 @@
         self._remove(expired)
         return tuple(expired)
 
-    def _order(self, now: float, offer: Offer) -> list[WaitingPiece]:
-        """Return the waiting pieces, most urgent first."""
-        soonest = offer.soonest(now)
-        return sorted(self._waiting.values(), key=lambda piece: rate_urgency(piece, soonest))
-
-    def _find_hopeless(
-        self, ordered: list[WaitingPiece], now: float, offer: Offer
-    ) -> list[WaitingPiece]:
-        """Return the pieces whose request would miss its aim in this queue.
-
-        Those of requests that are not begun are told so while their callers can
-        still come back.  A begun one is given up as well, since its results take
-        the room of answers that are in time, but not once its caller has waited
-        for long.  While there are fewer pieces than the targets take at once,
-        nothing is hopeless, unless no target works.
+    def _judge(self, now: float, offer: Offer) -> _Judgement:
+        """Tell which stages can keep their aim in this queue, and order all of them."""
+        schedule = Schedule(offer, now)
+        stages = group_stages(self._waiting.values())
+        in_time: list[WaitingStage] = []
+        others: list[WaitingStage] = []
+        for stage in sorted(stages, key=lambda stage: (stage.rank, stage.aim_at)):
+            share = self._find_share(stage.rank, now, offer)
+            (in_time if schedule.try_add(stage, share) else others).append(stage)
+        in_time.sort(key=lambda stage: stage.aim_at)
+        others.sort(key=_rate_late)
+        return _Judgement(in_time=in_time, others=others)
+
+    def _find_hopeless(self, judgement: _Judgement, now: float, offer: Offer) -> list[WaitingStage]:
+        """Return those of the stages that can't keep their aim which are to be told so.
+
+        Requests that are not begun are told while their callers can still come back.
+        A begun one is given up as well, since its results take the room of answers
+        that are in time, but not once its caller has waited for long.  What the targets
+        take at once is not hopeless, unless no target works.
         """
         at_once = offer.pieces_at_once if offer.targets else 0
-        hopeless: list[WaitingPiece] = []
-        for place, piece in enumerate(ordered):
-            ahead = place - len(hopeless)
-            if ahead < at_once or not (piece.is_first or now < piece.give_up_until):
-                continue
-            rounds = ahead // offer.pieces_at_once * self._stretch(piece.order.rank, now, offer)
-            begins_at = now + rounds * offer.full_seconds
-            if begins_at + offer.full_seconds > piece.aim_at:
-                hopeless.append(piece)
+        ahead = sum(len(stage.pieces) for stage in judgement.in_time)
+        hopeless: list[WaitingStage] = []
+        for stage in judgement.others:
+            if ahead >= at_once and stage.may_be_refused(now):
+                hopeless.append(stage)
+            else:
+                ahead += len(stage.pieces)
         return hopeless
 
+    def _find_share(self, rank: int, now: float, offer: Offer) -> float:
+        """Return the part of the pool that is there for a rank, since more urgent work comes.
+
+        What came lately is reckoned to go on.
+        """
+        return 1.0 / self._stretch(rank, now, offer)
+
     def _stretch(self, rank: int, now: float, offer: Offer) -> float:
         """Return how many times longer pieces of a rank wait, since more urgent ones still come.
 
@@ -126,3 +153,13 @@
     def _remove(self, pieces: list[WaitingPiece]) -> None:
         for piece in pieces:
             del self._waiting[piece.identity]
+
+
+def _rate_late(stage: WaitingStage) -> tuple[bool, int, float]:
+    """Return the place of a stage among those that can't keep their aim; the least goes first."""
+    return (stage.is_first, stage.rank, stage.aim_at)
+
+
+def _list_pieces(stages: Sequence[WaitingStage]) -> list[WaitingPiece]:
+    """Return the pieces of stages, in order."""
+    return [piece for stage in stages for piece in stage.pieces]
--- a/packages/damsonlane/src/damsonlane/pools/_waiting.py
+++ b/packages/damsonlane/src/damsonlane/pools/_waiting.py
@@ -49,8 +49,8 @@
     room: int
     #: Seconds until a target is free in each data centre that has one that works.
     free_in: Mapping[str, float]
-    #: Targets of the pool that work.
-    targets: int
+    #: Seconds until each target that works is free.
+    busy_seconds: tuple[float, ...]
     #: Most pieces in one call.
     batch: int
     #: Time of a call besides its pieces, in seconds.
@@ -58,6 +58,11 @@
     #: Time of one piece, in seconds.
     piece_seconds: float
 
+    @property
+    def targets(self) -> int:
+        """Targets of the pool that work."""
+        return len(self.busy_seconds)
+
     @property
     def full_seconds(self) -> float:
         """Time of a call with as many pieces as it may have."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
@@ -147,7 +147,7 @@
             data_centre=maker.data_centre if maker is not None else "",
             room=maker.room.free_bytes(now) if maker is not None else 0,
             free_in=_find_waits(working, now),
-            targets=len(working),
+            busy_seconds=tuple(other.wait_seconds(now) for other in working),
             batch=traits.batch,
             call_seconds=traits.call_seconds,
             piece_seconds=traits.piece_seconds,
