damsonlane report losses names the step in which requests lost their aim

Ruled out: counters: they can't join the times of one request. Change: a report from the entries' logs, a row for each route and step, shares that add up to one: in aim, late by stages, target or both, paused, refused, refused again, lost with its entry.

--- a/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
@@ -19,6 +19,7 @@
 )
 from damsonlane.settings import Tree, check_tree
 from damsonlane_cli._context import EXIT_INPUT, call_control, fail, print_rows
+from damsonlane_cli._losses import count_losses
 from damsonlane_rpc import (
     ControlClient,
     CostsQuery,
@@ -34,7 +35,16 @@
 
 
 class ReportCommands:
-    """Reports from durable counts."""
+    """Reports from durable counts, and from logs."""
+
+    def losses(self, *files: str, format: str = "text") -> None:
+        """Show in which step requests lost their aim, by route.
+
+        Args:
+            files: logs of the entries; standard input when none is named.
+            format: text, json or csv.
+        """
+        _print(count_losses(files), format)
 
     def cost(self, format: str = "text", organisation: str = "") -> None:
         """Show cost by organisation, pipeline, stage and outcome.
