A target that late word of a dead one replaced is back after two heartbeats

Cause: two targets can't hold one address, so the one heard later counted and the other was gone for good. Ruled out: word of a sender that was known before: it is refused, as it was. Change: a target replaced at its address returns with its second newer heartbeat, and the other one is replaced then. One that says it leaves is gone for good. The worst left: several late heartbeats of a dead target take its successor out for two of its heartbeats, where requests are answered 421 and go elsewhere.

--- a/packages/damsonlane/src/damsonlane/targets/_registry.py
+++ b/packages/damsonlane/src/damsonlane/targets/_registry.py
@@ -1,6 +1,6 @@
 """The registry of targets: part of the replicated state."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from damsonlane.targets._records import (
@@ -16,14 +16,24 @@
 GONE_REMEMBERED: Final = 512
 
 
+#: Newer heartbeats after which a target that was replaced at its address is back.  Word of
+#: a dead target that a cut held up replaces the one that lives there now; that one goes on
+#: calling.  One heartbeat alone may itself be late word.
+HEARTBEATS_TO_RETURN: Final = 2
+
+
 @dataclass(frozen=True, kw_only=True)
 class GoneTarget:
-    """A target that left."""
+    """A target that left, or whose address another one has."""
 
     #: Its name.
     target: str
     #: Revision of the registry at which it left.
     revision: int
+    #: Number of its last heartbeat, if another target took its address; None if it left for good.
+    sequence: int | None = None
+    #: Newer heartbeats since then.
+    heartbeats: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -93,8 +103,9 @@
         return known.record if known else None
 
     def is_gone(self, target: str) -> bool:
-        """Tell whether a target is known to have left."""
-        return target in self._gone
+        """Tell whether a target has left for good."""
+        gone = self._gone.get(target)
+        return gone is not None and gone.sequence is None
 
     def changes_after(self, revision: int) -> TargetChanges:
         """Return what changed after a revision; everything when that is too long ago."""
@@ -120,7 +131,7 @@
                 return TargetNoted(is_changed=any(changes))
 
     def _register(self, record: TargetRecord) -> bool:
-        if record.target in self._gone:
+        if record.target in self._gone and not self._may_return(record):
             return False
         known = self._known.get(record.target)
         if known is not None:
@@ -129,22 +140,36 @@
             if known.record.standing == "leaving":
                 # Leaving is for good: the target ends soon, whatever a confused heartbeat says.
                 record = record.with_standing("leaving")
-        self._remove_others_at(record)
+        self._replace_others_at(record)
         self._store(record)
         return True
 
-    def _remove_others_at(self, record: TargetRecord) -> None:
+    def _may_return(self, record: TargetRecord) -> bool:
+        """Count a heartbeat of a target that is gone; tell whether it is there after all."""
+        gone = self._gone[record.target]
+        if gone.sequence is None or record.sequence <= gone.sequence:
+            return False
+        heartbeats = gone.heartbeats + 1
+        if heartbeats < HEARTBEATS_TO_RETURN:
+            heard = replace(gone, sequence=record.sequence, heartbeats=heartbeats)
+            self._gone[record.target] = heard
+            return False
+        del self._gone[record.target]
+        return True
+
+    def _replace_others_at(self, record: TargetRecord) -> None:
         """Two targets can't hold one address, so the one heard later replaced the other."""
         for other in self.records():
             if other.address == record.address and other.target != record.target:
-                self._remove(other.target)
+                self._remove(other.target, other.sequence)
 
-    def _remove(self, target: str) -> bool:
+    def _remove(self, target: str, sequence: int | None = None) -> bool:
         is_known = self._known.pop(target, None) is not None
-        if not is_known and target in self._gone:
+        gone = self._gone.get(target)
+        if not is_known and gone is not None and gone.sequence is None:
             return False
         self.revision += 1
-        self._gone[target] = GoneTarget(target=target, revision=self.revision)
+        self._gone[target] = GoneTarget(target=target, revision=self.revision, sequence=sequence)
         while len(self._gone) > GONE_REMEMBERED:
             oldest = next(iter(self._gone))
             self._forgotten_revision = self._gone.pop(oldest).revision
