The test of the wait at the start ends where nothing waits

Cause: run without the wait it went on looking for ever instead of failing. Ruled out: nothing else; the assertion is as it was. Change: it stops looking once the request was answered.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -216,7 +216,7 @@
         entry.callers._started_at = asyncio.get_running_loop().time() + 60  # type: ignore[misc]
         with mock.patch.object(_callers, "START_HOLD_SECONDS", PATIENCE):
             waiting = asyncio.create_task(entry.call("/ping/a"))
-            while not entry.callers.in_flight():
+            while not (entry.callers.in_flight() or waiting.done()):
                 await asyncio.sleep(0.001)
             entry.put_targets(record)
             entry.put_document()
