--- a/packages/damsonlane/src/damsonlane/pools/_batch.py
+++ b/packages/damsonlane/src/damsonlane/pools/_batch.py
@@ -12,7 +12,7 @@
 HOME_WAIT_SECONDS: Final = 0.2
 #: Share by which results may be larger than told, reckoned for pieces with inputs:
 #: refused for want of room, they may find their inputs given up.  One in six was
-#: refused where calls filled the room to a tenth (drawn day fresh-f9e2 of Lahore).
+#: refused where calls filled the room to a tenth.
 SIZE_MARGIN: Final = 0.08
 #: Full calls that a stage must still have time for, so that its pieces wait for
 #: a call that takes them all.
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_pools.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_queue.py
@@ -1,4 +1,4 @@
-"""Stages, waiting pieces and room for results."""
+"""Waiting pieces: which run next, which are told to come back, and how long others wait."""
 
 import unittest
 from dataclasses import replace
@@ -7,14 +7,8 @@
     Offer,
     PieceOrder,
     PieceQueue,
-    ResultRoom,
-    StagePlan,
     WaitingPiece,
-    YieldedWork,
 )
-from damsonlane.pools._room import UNKNOWN_SECONDS
-from damsonlane.pools._yielded import SHARE_RANGE
-from damsonlane.routes import Stage
 
 ORDER = PieceOrder(
     number=1,
@@ -58,97 +52,6 @@
     return [piece.order.number for piece in selection.batch]
 
 
-class StagePlanTest(unittest.TestCase):
-    #: One stage by itself, and a chain of three.
-    stages = (
-        Stage(service="a"),
-        Stage(service="a"),
-        Stage(service="b", after=(1,)),
-        Stage(service="c", after=(2,)),
-    )
-
-    def test_stages_start_when_those_before_them_are_made(self) -> None:
-        plan = StagePlan(self.stages, (1, 1, 2, 1))
-        self.assertEqual([start.index for start in plan.take_ready()], [0, 1])
-        self.assertEqual(plan.take_ready(), ())
-        plan.note(1, 0, "h1")
-        started = plan.take_ready()
-        self.assertEqual([(start.index, start.inputs) for start in started], [(2, ("h1",))])
-        plan.note(2, 1, "h3")
-        self.assertEqual(plan.take_ready(), ())
-        plan.note(2, 0, "h2")
-        self.assertEqual(plan.take_ready()[0].inputs, ("h2", "h3"))
-
-    def test_the_last_step_gets_what_no_stage_uses(self) -> None:
-        plan = StagePlan(self.stages, (2, 1, 1, 1))
-        for stage, piece, handle in (
-            (0, 1, "x1"),
-            (0, 0, "x0"),
-            (1, 0, "a"),
-            (2, 0, "b"),
-            (3, 0, "c"),
-        ):
-            self.assertFalse(plan.is_done())
-            plan.note(stage, piece, handle)
-        self.assertTrue(plan.is_done())
-        self.assertEqual(plan.final_inputs(), ("x0", "x1", "c"))
-
-    def test_a_stage_without_pieces_is_left_out(self) -> None:
-        plan = StagePlan(self.stages, (0, 1, 1, 1))
-        self.assertEqual([start.index for start in plan.take_ready()], [1])
-
-    def test_results_are_spent_once_every_user_is_made(self) -> None:
-        stages = (
-            Stage(service="a"),
-            Stage(service="b", after=(0,)),
-            Stage(service="c", after=(0,)),
-        )
-        plan = StagePlan(stages, (1, 1, 1))
-        plan.note(0, 0, "a")
-        plan.note(1, 0, "b")
-        self.assertEqual(plan.spent_inputs(1), ())
-        plan.note(2, 0, "c")
-        self.assertEqual(plan.spent_inputs(2), ("a",))
-
-    def test_a_stage_with_time_to_spare_starts_when_the_longest_way_is_as_short(self) -> None:
-        plan = StagePlan(self.stages, (1, 1, 1, 1))
-        seconds = {"a": 0.4, "b": 0.5, "c": 0.4}
-
-        def take() -> list[int]:
-            started = plan.take_ready(lambda stage: seconds[stage.service])
-            return [start.index for start in started]
-
-        self.assertEqual(take(), [1])
-        plan.note(1, 0, "h1")
-        self.assertEqual(take(), [2])
-        plan.note(2, 0, "h2")
-        self.assertEqual(take(), [0, 3])
-
-    def test_a_queue_brings_a_stage_forward(self) -> None:
-        plan = StagePlan(self.stages, (1, 1, 1, 1))
-        seconds = {"a": 1.0, "b": 0.5, "c": 0.4}
-        started = plan.take_ready(lambda stage: seconds[stage.service])
-        self.assertEqual([start.index for start in started], [1])
-        plan.note(1, 0, "h1")
-        started = plan.take_ready(lambda stage: seconds[stage.service])
-        self.assertEqual([start.index for start in started], [0, 2])
-
-    def test_results_are_spent_once_every_piece_that_needs_them_has_read_them(self) -> None:
-        stages = (Stage(service="a"), Stage(service="b", after=(0,)))
-        plan = StagePlan(stages, (1, 2))
-        plan.note(0, 0, "a")
-        plan.note_read(1, 0)
-        self.assertEqual(plan.spent_inputs(1), ())
-        plan.note(1, 1, "b")
-        self.assertEqual(plan.spent_inputs(1), ("a",))
-        self.assertFalse(plan.is_done())
-
-    def test_the_chain_that_follows_is_known(self) -> None:
-        plan = StagePlan(self.stages, (1, 1, 1, 1))
-        self.assertEqual([stage.service for stage in plan.depth_after(1)], ["b", "c"])
-        self.assertEqual(plan.depth_after(0), ())
-
-
 class PieceQueueTest(unittest.TestCase):
     def setUp(self) -> None:
         self.queue = PieceQueue()
@@ -351,21 +254,6 @@
         self.queue.withdraw_all("e1")
         self.assertEqual(len(self.queue), 0)
 
-
-class YieldedWorkTest(unittest.TestCase):
-    def test_the_share_follows_calls_that_could_have_been_full(self) -> None:
-        work = YieldedWork()
-        self.assertEqual(work.share(), 1.0)
-        for _ in range(60):
-            work.note(3, 5, 0.3, 0.37)
-        self.assertAlmostEqual(work.share(), 3 / 5 * 0.37 / 0.3, places=2)
-
-    def test_a_few_odd_calls_close_no_pool(self) -> None:
-        work = YieldedWork()
-        for _ in range(60):
-            work.note(1, 30, 9.0, 0.37)
-        self.assertEqual(work.share(), SHARE_RANGE[0])
-
     def test_a_pool_that_yields_less_keeps_fewer_waiting(self) -> None:
         for share, late in ((1.0, []), (0.5, [3, 4])):
             with self.subTest(share=share):
@@ -377,45 +265,5 @@
                 self.assertEqual([piece.order.number for piece in selection.late], late)
 
 
-class ResultRoomTest(unittest.TestCase):
-    def test_what_a_target_lacks_is_believed_for_a_while(self) -> None:
-        room = ResultRoom(100, keep_seconds=4.0)
-        room.settle(0, {"h1": 20}, 0.0)
-        room.note_refused(80, 10, 1.0)
-        self.assertEqual(room.free_bytes(1.1), 0)
-        self.assertTrue(room.was_refused_lately(1.1))
-        self.assertEqual(room.free_bytes(1.0 + UNKNOWN_SECONDS), 80)
-        self.assertFalse(room.was_refused_lately(1.0 + UNKNOWN_SECONDS))
-
-    def test_results_that_are_freed_leave_room_whoever_ordered_them(self) -> None:
-        room = ResultRoom(100, keep_seconds=4.0)
-        room.settle(0, {"h1": 20}, 0.0)
-        room.note_refused(80, 10, 1.0)
-        room.free("h1")
-        self.assertEqual(room.free_bytes(1.0), 20)
-        room.free("of an owner before")
-        self.assertEqual(room.free_bytes(1.0), 30)
-
-    def test_a_second_refusal_tells_of_the_rest(self) -> None:
-        cases = (("while the first is believed", 1.5, 40), ("after that", 2.5, 70))
-        for name, refused_at, expected in cases:
-            with self.subTest(name):
-                room = ResultRoom(100, keep_seconds=4.0)
-                room.note_refused(30, 10, 1.0)
-                room.note_refused(30, 10, refused_at)
-                self.assertEqual(room.free_bytes(refused_at), expected)
-
-    def test_room_is_taken_until_results_are_freed_or_forgotten(self) -> None:
-        room = ResultRoom(100, keep_seconds=4.0)
-        room.announce(40)
-        self.assertEqual(room.free_bytes(0.0), 60)
-        room.settle(40, {"h1": 20, "h2": 10}, 1.0)
-        self.assertEqual(room.free_bytes(1.0), 70)
-        self.assertTrue(room.free("h1"))
-        self.assertFalse(room.free("h1"))
-        self.assertEqual(room.free_bytes(1.0), 90)
-        self.assertEqual(room.free_bytes(5.1), 100)
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
@@ -18,7 +18,7 @@
 GIVE_UP_SHARE: Final = 0.45
 #: Seconds within which the stages of a broken stream should be made again.  Its
 #: caller reads on meanwhile; with time until the deadline they went behind all
-#: others, and seven streams in one day ended there (45ba9af9).
+#: others, and seven streams in 50 s of load ended there.
 RESUME_SECONDS: Final = 1.0
 #: Share of a full batch that a call is reckoned to hold.
 USUAL_BATCH_SHARE: Final = 0.6
