Prompts change their engine by the time to the first event again

Prompts waited at the engine that keeps their parts and held up the streams there. Change: its weights are taken back; a second until the first event counts 1, reading again its own time once more, being late 1 s.

--- a/packages/damsonlane/src/damsonlane/placing/_book.py
+++ b/packages/damsonlane/src/damsonlane/placing/_book.py
@@ -19,15 +19,9 @@
 
 #: What reading a shared part once more counts besides the time that it takes, as a
 #: multiple of that time: it is paid for, and takes memory from other parts.
-READ_AGAIN_WEIGHT: Final = 2.0
+READ_AGAIN_WEIGHT: Final = 1.0
 #: Seconds that an engine for prompts of another length counts in addition.
 OTHER_SIDE_SECONDS: Final = 0.2
-#: What a second until the first event counts in itself: callers ask for their aim, so what
-#: is in time waits rather than have shared parts read again elsewhere.
-EARLY_WEIGHT: Final = 0.3
-#: Share of the time left from which on a first event that is expected may be late: half of
-#: them come later than expected.
-SAFE_SHARE: Final = 0.6
 #: Seconds that a first event counts in addition if it is expected after its aim.
 LATE_SECONDS: Final = 1.0
 #: Seconds for which an engine that did not take a prompt is left alone.
@@ -124,8 +118,8 @@
         own = self._pace.seconds(order.tokens - shared + unread)
         first_event = (engine.wait_seconds(now) + own) * engine.find_pace(now) + BASE_SECONDS
         again = READ_AGAIN_WEIGHT * self._pace.seconds(unread)
-        late = LATE_SECONDS * _rate_lateness(first_event, order.aim_left_seconds)
-        return EARLY_WEIGHT * first_event + again + late
+        late = LATE_SECONDS if first_event > order.aim_left_seconds else 0.0
+        return first_event + again + late
 
     def _note_placed(self, sender: str, order: PromptOrder, name: str, now: float) -> None:
         engine = self._engines[name]
@@ -142,14 +136,6 @@
             del self._placed[next(iter(self._placed))]
 
 
-def _rate_lateness(seconds: float, aim_left_seconds: float) -> float:
-    """Return how likely a first event is late, from 0 to 1, if it is expected after a time."""
-    if aim_left_seconds <= 0.0:
-        return 1.0
-    share = seconds / aim_left_seconds
-    return min(1.0, max(0.0, (share - SAFE_SHARE) / (1.0 - SAFE_SHARE)))
-
-
 def _rank(name: str, order: PromptOrder) -> bytes:
     """Return the rank of an engine for a prompt by rendezvous hashing; the least owns it."""
     return _rank_prefix(name, order.shared[-1].identity if order.shared else "")
