What engines would take from each other is planned once for a prompt

Change: the two engines that have read most are found once (placing/_moves.py); what an engine keeps is counted once, and an option holds all that is reckoned of an engine.

--- a/packages/damsonlane/src/damsonlane/placing/_book.py
+++ b/packages/damsonlane/src/damsonlane/placing/_book.py
@@ -13,11 +13,12 @@
 """
 
 import functools
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.placing._engine import Engine
+from damsonlane.placing._moves import NO_MOVE, Move, plan_moves
 from damsonlane.placing._pace import BASE_SECONDS, ReadingPace
 from damsonlane.placing._prompts import Placement, PromptOrder, PromptRead
 from damsonlane.routing import Place, rank_target
@@ -25,9 +26,6 @@
 #: What reading a shared part once more counts besides the time that it takes, as a
 #: multiple of that time: it is paid for, and takes memory from other parts.
 READ_AGAIN_WEIGHT: Final = 1.0
-#: Fewest tokens that are taken from another engine: below it reading them takes less
-#: time than the moves that one link makes one after another.
-LEAST_MOVED_TOKENS: Final = 64
 #: Seconds that a byte of inputs counts which has to come from another data centre.  Links
 #: between them are paid for: a megabyte as much as reading 300 tokens once more.
 FAR_BYTE_SECONDS: Final = 0.016e-6
@@ -41,18 +39,6 @@
 MOST_PLACED: Final = 2_048
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Move:
-    """Parts of a prompt that one engine would take from another."""
-
-    #: Name of the engine that keeps them; empty for none.
-    source: str = ""
-    #: Tokens to move.
-    tokens: int = 0
-    #: When they would be there.
-    done_at: float = 0.0
-
-
 @dataclass(frozen=True, kw_only=True)
 class _Placed:
     """A prompt that was placed."""
@@ -65,6 +51,20 @@
     seconds: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Option:
+    """An engine that a prompt could go to."""
+
+    #: Its name.
+    name: str
+    #: Tokens that it would read.
+    unread: int
+    #: What it would take from another engine.
+    move: Move
+    #: What the prompt would cost there, in seconds.
+    cost: float
+
+
 class EngineBook:
     """Engines of one service with the prompts that each was given.
 
@@ -106,21 +106,39 @@
         usable = self._find_usable(order, now)
         if not usable:
             return Placement(number=order.number, target="")
-        owner = min(usable, key=lambda name: (name not in among, _rank(name, order)))
-        is_kept = any(engine.kept.count_kept(order.shared) for engine in usable.values())
-
-        moves = {name: self._plan_move(name, usable, order, now) for name in usable}
-
-        def count(name: str) -> float:
-            # Where nobody keeps the shared parts, the engine that they hash to should,
-            # unless others can take them from any engine.
-            belongs = not is_kept and name == owner and self._move_pace is None
-            cost = self._reckon_cost(usable[name], order, moves[name], now, belongs=belongs)
-            return cost if name in among else cost + OTHER_SIDE_SECONDS
-
-        chosen = min(usable, key=lambda name: (count(name), _rank(name, order)))
-        self._note_placed(sender, order, chosen, moves[chosen], now)
-        return Placement(number=order.number, target=chosen, source=moves[chosen].source)
+        options = self._list_options(usable, order, among, now)
+        chosen = min(options, key=lambda option: (option.cost, _rank(option.name, order)))
+        self._note_placed(sender, order, chosen, now)
+        return Placement(number=order.number, target=chosen.name, source=chosen.move.source)
+
+    def _list_options(
+        self, usable: Mapping[str, Engine], order: PromptOrder, among: Collection[str], now: float
+    ) -> Sequence[_Option]:
+        """Return what a prompt would cost at each engine."""
+        kept = {name: engine.kept.count_kept(order.shared) for name, engine in usable.items()}
+        moves = self._plan_moves(usable, order, kept, now)
+        owner = self._find_owner(order, kept, among)
+        options: list[_Option] = []
+        for name, engine in usable.items():
+            move = moves[name]
+            unread = order.tokens - kept[name] - move.tokens
+            counted = order.tokens - order.shared_tokens if name == owner else unread
+            cost = self._reckon_cost(engine, order, counted, move, now)
+            if name not in among:
+                cost += OTHER_SIDE_SECONDS
+            options.append(_Option(name=name, unread=unread, move=move, cost=cost))
+        return options
+
+    def _find_owner(
+        self, order: PromptOrder, kept: Mapping[str, int], among: Collection[str]
+    ) -> str:
+        """Return the engine that should read shared parts which nobody keeps; empty for any.
+
+        It is the one that they hash to, unless others can take them from any engine.
+        """
+        if self._move_pace is not None or any(kept.values()):
+            return ""
+        return min(kept, key=lambda name: (name not in among, _rank(name, order)))
 
     def note_read(self, sender: str, read: PromptRead, now: float) -> None:
         """Take what became of a prompt."""
@@ -140,42 +158,31 @@
         known = {n: e for n, e in self._engines.items() if n not in order.avoid}
         return {n: e for n, e in known.items() if e.rests_until <= now} or known
 
-    def _plan_move(
-        self, name: str, usable: Mapping[str, Engine], order: PromptOrder, now: float
-    ) -> _Move:
-        """Return what an engine should take from the one that has read most of a prompt."""
-        if self._move_pace is None or not order.shared:
-            return _Move()
-        read = {n: e.kept.count_read(order.shared, now) for n, e in usable.items() if n != name}
-        source = max(read, key=lambda other: read[other], default="")
-        engine = usable[name]
-        tokens = read.get(source, 0) - engine.kept.count_kept(order.shared)
-        if tokens < LEAST_MOVED_TOKENS:
-            return _Move()
-        begins_at = max(now, engine.link_free_at, usable[source].link_free_at)
-        done_at = begins_at + tokens * self._move_pace
-        return _Move(source=source, tokens=tokens, done_at=done_at)
+    def _plan_moves(
+        self, usable: Mapping[str, Engine], order: PromptOrder, kept: Mapping[str, int], now: float
+    ) -> Mapping[str, Move]:
+        """Return what each engine would take from another one."""
+        if self._move_pace is None:
+            return dict.fromkeys(usable, NO_MOVE)
+        return plan_moves(usable, order, kept, self._move_pace, now)
 
     def _reckon_cost(
-        self, engine: Engine, order: PromptOrder, move: _Move, now: float, *, belongs: bool
+        self, engine: Engine, order: PromptOrder, unread: int, move: Move, now: float
     ) -> float:
-        """Return what a prompt would cost at an engine, in seconds."""
-        shared = sum(part.tokens for part in order.shared)
-        unread = 0 if belongs else shared - engine.kept.count_kept(order.shared) - move.tokens
-        own = self._pace.seconds(order.tokens - shared + unread)
+        """Return what a prompt would cost, in seconds, at an engine that reads some tokens."""
         wait = max(engine.wait_seconds(now), move.done_at - now)
+        own = self._pace.seconds(unread)
         first_event = (wait + own) * engine.find_pace(now) + BASE_SECONDS
-        again = READ_AGAIN_WEIGHT * self._pace.seconds(unread)
+        shared = unread - (order.tokens - order.shared_tokens)
+        again = READ_AGAIN_WEIGHT * self._pace.seconds(shared)
         late = LATE_SECONDS if first_event > order.aim_left_seconds else 0.0
         return first_event + again + late + _count_far(engine, order) * FAR_BYTE_SECONDS
 
-    def _note_placed(
-        self, sender: str, order: PromptOrder, name: str, move: _Move, now: float
-    ) -> None:
-        engine = self._engines[name]
-        unread = order.tokens - engine.kept.count_kept(order.shared) - move.tokens
+    def _note_placed(self, sender: str, order: PromptOrder, chosen: _Option, now: float) -> None:
+        engine = self._engines[chosen.name]
+        move = chosen.move
         wait = max(engine.wait_seconds(now), move.done_at - now)
-        own = self._pace.seconds(unread)
+        own = self._pace.seconds(chosen.unread)
         engine.read_at = now + engine.wait_seconds(now) + own
         engine.kept.note(order.shared, now + wait + own)
         if move.source:
@@ -183,7 +190,7 @@
             self._engines[move.source].link_free_at = move.done_at
         ahead = wait / max(1e-9, self._pace.seconds(1.0))
         self._placed[(sender, order.number)] = _Placed(
-            engine=name, tokens=unread + ahead, seconds=BASE_SECONDS + wait + own
+            engine=chosen.name, tokens=chosen.unread + ahead, seconds=BASE_SECONDS + wait + own
         )
         if len(self._placed) > MOST_PLACED:
             del self._placed[next(iter(self._placed))]
--- a/packages/damsonlane/src/damsonlane/placing/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placing/_prompts.py
@@ -40,6 +40,11 @@
     #: Where its inputs lie.
     inputs: tuple[InputPlace, ...] = ()
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests share."""
+        return sum(part.tokens for part in self.shared)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Placement:
--- a/packages/damsonlane/src/damsonlane/placing/tests/test_placing.py
+++ b/packages/damsonlane/src/damsonlane/placing/tests/test_placing.py
@@ -119,6 +119,16 @@
         first = book.place("e", make_order(1), ENGINES, 0.0).target
         self.assertEqual(book.place("e", make_order(2, avoid=(first,)), ENGINES, 5.0).source, "")
 
+    def test_of_several_that_keep_parts_the_one_that_has_read_most_gives_them(self) -> None:
+        half = replace(make_order(1), shared=make_order(1).shared[:1])
+        some = self.place(half).target
+        most = next(name for name in ENGINES if name != some)
+        other = next(name for name in ENGINES if name not in (some, most))
+        for number, target in ((2, most), (3, other)):
+            inputs = (InputPlace(data_centre=target, size=40_000_000),)
+            placed = self.place(replace(make_order(number), inputs=inputs), now=5.0 * number)
+        self.assertEqual((placed.target, placed.source), (other, most))
+
     def test_a_forgetful_engine_gives_nothing(self) -> None:
         first = self.place(make_order(1)).target
         self.book.note_read("e", PromptRead(number=1, seconds=None), 1.0)
