--- a/packages/damsonlane/src/damsonlane/requests/tests/test_session.py
+++ b/packages/damsonlane/src/damsonlane/requests/tests/test_session.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from damsonlane.requests.tests.session import GOLDEN, SESSIONS, render
+from damsonlane.requests.tests.sessions import GOLDEN, SESSIONS, render
 
 
 class SessionTest(unittest.TestCase):
