damsonlane report bound: what could have been served in aim

Ruled out: the fastest calls as a pool's rate (the first pool's small pieces made it twice as fast as it is with large ones), a solver of our own.

Change: a linear program (scipy, of the command alone) over the first tries in entries' logs: what arrives after the start of a time and is due by its end is no more than full calls make between them. It errs to the bright side, as its module says.

--- a/packages/damsonlane_cli/src/damsonlane_cli/_losses.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_losses.py
@@ -36,7 +36,7 @@
     accepted: dict[str, dict[str, Any]] = {}
     endings: list[Ending] = []
     for text in texts:
-        line = _read_line(text)
+        line = read_line(text)
         name = str(line.get("request", ""))
         if line.get("message") == "accepted":
             accepted[name] = line
@@ -70,7 +70,7 @@
     Args:
         files: the logs; standard input when none is named.
     """
-    endings = find_endings(_read_texts(files))
+    endings = find_endings(read_texts(files))
     if not endings:
         fail("no line tells of an accepted request; give the logs of all entries", EXIT_INPUT)
     return _count(endings)
@@ -126,7 +126,7 @@
     )
 
 
-def _read_line(text: str) -> dict[str, Any]:
+def read_line(text: str) -> dict[str, Any]:
     """Return a line of a log, whatever stands before it; empty for anything else."""
     start = text.find("{")
     try:
@@ -136,7 +136,7 @@
     return value if isinstance(value, dict) else {}
 
 
-def _read_texts(files: Sequence[str]) -> Iterable[str]:
+def read_texts(files: Sequence[str]) -> Iterable[str]:
     if not files:
         yield from sys.stdin
     for name in files:
--- a/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
@@ -18,6 +18,7 @@
     measure_burn,
 )
 from damsonlane.settings import Tree, check_tree
+from damsonlane_cli._bound import count_bound
 from damsonlane_cli._context import EXIT_INPUT, call_control, fail, print_rows
 from damsonlane_cli._losses import count_losses
 from damsonlane_rpc import (
@@ -46,6 +47,17 @@
         """
         _print(count_losses(files), format)
 
+    def bound(self, *files: str, format: str = "text") -> None:
+        """Show what could have been served in aim if all arrivals were known, by route.
+
+        The distance is the share of the requests that no shortage of the pools explains.
+
+        Args:
+            files: logs of all entries; standard input when none is named.
+            format: text, json or csv.
+        """
+        _print(count_bound(files), format)
+
     def cost(self, format: str = "text", organisation: str = "") -> None:
         """Show cost by organisation, pipeline, stage and outcome.
 
