--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -154,6 +154,7 @@
                 **call.log_fields(),
                 "target": chosen.target,
                 "address": chosen.address,
+                "source": chosen.source_address,
                 "left_ms": int(attempt.remaining_seconds * 1000),
             },
         )
