Test: the engine that gives parts of a prompt is named by its address

A source that is not known any more is left out, so nothing is taken from an address that may belong to another target.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_placement.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_placement.py
@@ -6,13 +6,13 @@
 
 from grpclib.server import Stream
 
-from damsonlane.placing import PromptOrder, PromptPart
+from damsonlane.placing import Placement, PromptOrder, PromptPart
 from damsonlane.routes import EngineTraits
 from damsonlane.routes import Service as RouteService
 from damsonlane.targets import TargetRecord
 from damsonlane_rpc import POOL, PoolOrders, PoolResults, Service
 from damsonlaned.gateway import _placement_client
-from damsonlaned.gateway._placement_client import PlacementClient
+from damsonlaned.gateway._placement_client import PlacedPrompt, PlacementClient
 from damsonlaned.gateway._placer import PromptPlacers
 from damsonlaned.gateway._pool_service import PoolService
 from damsonlaned.gateway.tests.harness import DOCUMENT, PATIENCE, Entry
@@ -72,6 +72,16 @@
         self.assertEqual(placed.target, "one")
         self.assertIsNone(none)
 
+    async def test_the_engine_that_gives_parts_is_named_by_its_address(self) -> None:
+        targets = self.asker.attempts._targets
+        for source, address in (("one", "127.0.0.3:9"), ("gone", ""), ("", "")):
+            with self.subTest(source=source):
+                placement = Placement(number=1, target="three", source=source)
+                placed = PlacedPrompt(self.client, self.address, "engines", placement)
+                chosen = targets.take_placed(ENGINES, placed)
+                assert chosen is not None
+                self.assertEqual(chosen.source_address, address)
+
     async def test_the_owner_is_told_once_what_became_of_a_prompt(self) -> None:
         await self.serve()
         placer = self.placers.find("engines")
