A target that starts again under its name replaces its older start

Cause: the registry told heartbeats apart by their count alone, and a count begins anew with each start. A target that started again was taken for a late message until its counts caught up, one that had left never came back, and late word of a dead target took the address of the one that lives there now. Ruled out: comparing counts with a guess of a restart (a late message of the older start looks the same); times of control (heartbeats come seconds late). Change: a record carries its start; starts are compared first, counts only within one start, leaving holds for its start alone, a departure that tells an older start changes nothing. Where no start is told all is as before.

--- a/packages/damsonlane/src/damsonlane/targets/__init__.py
+++ b/packages/damsonlane/src/damsonlane/targets/__init__.py
@@ -1,5 +1,6 @@
 """Targets that register themselves: their records and the replicated registry."""
 
+from damsonlane.targets._checks import find_record_fault
 from damsonlane.targets._records import (
     RegisterTarget,
     RemoveTarget,
@@ -20,4 +21,5 @@
     "TargetRegistry",
     "TargetStanding",
     "TargetsSnapshot",
+    "find_record_fault",
 ]
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/targets/_checks.py
@@ -0,0 +1,47 @@
+"""What a target may say of itself."""
+
+import ipaddress
+import math
+from typing import Final
+
+from damsonlane.targets._records import TargetRecord
+
+#: Longest name of a target, a service or a data centre.
+MOST_NAME: Final = 200
+#: Longest time for which a target may say that it is cold, in seconds; a day.
+MOST_COLD_SECONDS: Final = 86_400.0
+
+
+def find_record_fault(record: TargetRecord) -> str:
+    """Return what is wrong with a record, or an empty string.
+
+    What passes can be written into headers, connected to and counted with.
+    """
+    names = {
+        "target": record.target,
+        "service": record.service,
+        "data centre": record.data_centre,
+    }
+    for field, name in names.items():
+        if not _is_name(name):
+            return f"the name of the {field} must be 1 to {MOST_NAME} printable characters"
+    if not _is_endpoint(record.address):
+        return "the address must be an IP number and a port"
+    if record.slots < 0 or record.sequence < 0 or record.start < 0:
+        return "slots, count and start must not be negative"
+    if not 0.0 <= record.cold_seconds <= MOST_COLD_SECONDS or math.isnan(record.cold_seconds):
+        return f"the time left cold must be 0 to {MOST_COLD_SECONDS:.0f} seconds"
+    return ""
+
+
+def _is_name(name: str) -> bool:
+    return 0 < len(name) <= MOST_NAME and name.isascii() and name.isprintable() and " " not in name
+
+
+def _is_endpoint(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 0 < int(port) <= 65_535
--- a/packages/damsonlane/src/damsonlane/targets/_records.py
+++ b/packages/damsonlane/src/damsonlane/targets/_records.py
@@ -9,13 +9,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class TargetRecord:
-    """One incarnation of a target.
+    """One start of a target.
 
-    Its name is drawn anew at each of its starts, so it tells a target apart
-    from another one that is later given the same address.
+    Its name and its start tell it apart: another target may be given its address,
+    and the same one may start again under its name, without anything it held before.
     """
 
-    #: Name of this incarnation.
+    #: Its name.
     target: str
     #: Service that it belongs to.
     service: str
@@ -27,8 +27,13 @@
     slots: int
     #: Whether it may be used.
     standing: TargetStanding
-    #: Number of the heartbeat that said so; it rises with each one.
+    #: Number of the heartbeat that said so; it rises with each one since its start.
     sequence: int
+    #: When it started, by its own clock in Unix milliseconds; 0 where it does not say.
+    start: int = 0
+    #: Seconds for which it is still cold, from the heartbeat on: it bears only a few
+    #: requests a second until then.
+    cold_seconds: float = 0.0
 
     def with_standing(self, standing: TargetStanding) -> "TargetRecord":
         """Return the record with another standing."""
@@ -51,6 +56,8 @@
     kind: Literal["remove-target"] = "remove-target"
     #: Its name.
     target: str
+    #: Its start; 0 where it does not say.
+    start: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane/src/damsonlane/targets/_registry.py
+++ b/packages/damsonlane/src/damsonlane/targets/_registry.py
@@ -30,8 +30,11 @@
     target: str
     #: Revision of the registry at which it left.
     revision: int
-    #: Number of its last heartbeat, if another target took its address; None if it left for good.
+    #: Number of its last heartbeat, if another target took its address; None if this start
+    #: of it left for good.
     sequence: int | None = None
+    #: Its start; None while no heartbeat has told it.
+    start: int | None = None
     #: Newer heartbeats since then.
     heartbeats: int = 0
 
@@ -124,57 +127,91 @@
         match command:
             case RegisterTarget(record=record):
                 return TargetNoted(is_changed=self._register(record))
-            case RemoveTarget(target=target):
-                return TargetNoted(is_changed=self._remove(target))
+            case RemoveTarget():
+                return TargetNoted(is_changed=self._leave(command))
             case SilenceTargets(targets=targets):
                 changes = [self._silence(target) for target in targets]
                 return TargetNoted(is_changed=any(changes))
 
     def _register(self, record: TargetRecord) -> bool:
+        others = self._list_others_at(record)
+        if any(other.start > record.start > 0 for other in others):
+            # Its address belongs to a target that started later: this is late word of a dead one.
+            return False
         if record.target in self._gone and not self._may_return(record):
             return False
         known = self._known.get(record.target)
-        if known is not None:
-            if record.sequence <= known.record.sequence:
-                return False
-            if known.record.standing == "leaving":
-                # Leaving is for good: the target ends soon, whatever a confused heartbeat says.
-                record = record.with_standing("leaving")
-        self._replace_others_at(record)
+        if known is not None and not _is_newer(record, known.record):
+            return False
+        if known is not None and _has_left(record, known.record):
+            # Leaving is for good: the target ends soon, whatever a confused heartbeat says.
+            record = record.with_standing("leaving")
+        for other in others:
+            # Two targets can't hold one address, so the one heard later replaced the other.
+            self._remove(other.target, other.sequence)
         self._store(record)
         return True
 
     def _may_return(self, record: TargetRecord) -> bool:
         """Count a heartbeat of a target that is gone; tell whether it is there after all."""
         gone = self._gone[record.target]
+        if gone.start is None:
+            self._gone[record.target] = replace(gone, start=record.start)
+            return False
+        if record.start != gone.start:
+            return self._return_if(record.start > gone.start, record)
         if gone.sequence is None or record.sequence <= gone.sequence:
             return False
         heartbeats = gone.heartbeats + 1
-        if heartbeats < HEARTBEATS_TO_RETURN:
-            heard = replace(gone, sequence=record.sequence, heartbeats=heartbeats)
-            self._gone[record.target] = heard
-            return False
-        del self._gone[record.target]
-        return True
-
-    def _replace_others_at(self, record: TargetRecord) -> None:
-        """Two targets can't hold one address, so the one heard later replaced the other."""
-        for other in self.records():
-            if other.address == record.address and other.target != record.target:
-                self._remove(other.target, other.sequence)
+        self._gone[record.target] = replace(gone, sequence=record.sequence, heartbeats=heartbeats)
+        return self._return_if(heartbeats >= HEARTBEATS_TO_RETURN, record)
+
+    def _return_if(self, is_there: bool, record: TargetRecord) -> bool:
+        """Forget that a target is gone if it is there; tell whether it is."""
+        if is_there:
+            del self._gone[record.target]
+        return is_there
+
+    def _list_others_at(self, record: TargetRecord) -> tuple[TargetRecord, ...]:
+        """Return the records of other targets at the address of one."""
+        return tuple(
+            other
+            for other in self.records()
+            if other.address == record.address and other.target != record.target
+        )
 
-    def _remove(self, target: str, sequence: int | None = None) -> bool:
-        is_known = self._known.pop(target, None) is not None
-        gone = self._gone.get(target)
-        if not is_known and gone is not None and gone.sequence is None:
+    def _leave(self, command: RemoveTarget) -> bool:
+        known = self._known.get(command.target)
+        if known is not None and known.record.start > command.start > 0:
             return False
+        gone = self._gone.get(command.target)
+        if gone is not None and gone.sequence is None and command.start <= (gone.start or 0):
+            return False
+        return self._remove(command.target, start=command.start)
+
+    def _remove(self, target: str, sequence: int | None = None, *, start: int = 0) -> bool:
         self.revision += 1
-        self._gone[target] = GoneTarget(target=target, revision=self.revision, sequence=sequence)
+        self._gone[target] = GoneTarget(
+            target=target,
+            revision=self.revision,
+            sequence=sequence,
+            start=self._find_last_start(target, start),
+        )
+        self._known.pop(target, None)
         while len(self._gone) > GONE_REMEMBERED:
             oldest = next(iter(self._gone))
             self._forgotten_revision = self._gone.pop(oldest).revision
         return True
 
+    def _find_last_start(self, target: str, told: int) -> int | None:
+        """Return the last start of a target that leaves; None if nobody told it."""
+        known = self._known.get(target)
+        if known is not None:
+            return max(told, known.record.start)
+        gone = self._gone.get(target)
+        noted = gone.start if gone is not None else None
+        return told or noted
+
     def _silence(self, target: str) -> bool:
         known = self._known.get(target)
         if known is None or known.record.standing != "live":
@@ -185,3 +222,13 @@
     def _store(self, record: TargetRecord) -> None:
         self.revision += 1
         self._known[record.target] = KnownTarget(record=record, revision=self.revision)
+
+
+def _is_newer(record: TargetRecord, known: TargetRecord) -> bool:
+    """Tell whether a heartbeat says more than what is known: by start, then by count."""
+    return (record.start, record.sequence) > (known.start, known.sequence)
+
+
+def _has_left(record: TargetRecord, known: TargetRecord) -> bool:
+    """Tell whether this start of a target said before that it leaves."""
+    return known.standing == "leaving" and record.start == known.start
--- a/packages/damsonlane/src/damsonlane/targets/tests/test_registry.py
+++ b/packages/damsonlane/src/damsonlane/targets/tests/test_registry.py
@@ -3,6 +3,9 @@
 import unittest
 from dataclasses import replace
 
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
 from damsonlane.codec import decode_bytes, encode_bytes
 from damsonlane.targets import (
     RegisterTarget,
@@ -151,6 +154,67 @@
         copy = TargetRegistry(self.registry.snapshot())
         self.assertEqual(copy.snapshot(), self.registry.snapshot())
 
+    def test_a_newer_start_replaces_the_older_one_whatever_its_count(self) -> None:
+        self.register(start=100, sequence=40, standing="leaving")
+        self.assertTrue(self.register(start=200, sequence=1))
+        self.assertEqual(self.standing(), "live")
+        self.assertEqual(self.registry.changes_after(1).records[0].start, 200)
+
+    def test_late_word_of_an_older_start_changes_nothing(self) -> None:
+        self.register(start=200)
+        for changes in ({"standing": "leaving"}, {"address": "10.0.0.9:80"}, {}):
+            self.assertFalse(self.register(start=100, sequence=99, **changes))
+        self.registry.apply(RemoveTarget(target="t1", start=100))
+        self.assertEqual(self.standing(), "live")
+
+    def test_a_target_that_left_is_back_once_it_starts_again(self) -> None:
+        self.register(start=100)
+        self.registry.apply(RemoveTarget(target="t1"))
+        self.assertFalse(self.register(start=100, sequence=9))
+        self.assertFalse(self.register(start=50, sequence=9))
+        self.assertTrue(self.register(start=200))
+
+    def test_a_departure_before_any_heartbeat_holds_for_the_start_that_is_heard_next(self) -> None:
+        self.registry.apply(RemoveTarget(target="t1"))
+        self.assertFalse(self.register(start=100))
+        self.assertFalse(self.register(start=100, sequence=2))
+        self.assertTrue(self.register(start=200))
+
+    def test_late_word_of_an_older_target_does_not_take_the_address_of_a_newer_one(self) -> None:
+        self.register(target="t2", start=200)
+        for sequence in range(1, 6):
+            self.assertFalse(self.register(start=100, sequence=sequence))
+        self.assertEqual([record.target for record in self.registry.records()], ["t2"])
+
+
+BEATS = st.builds(
+    lambda start, sequence, leaves: replace(
+        RECORD, start=start, sequence=sequence, standing="leaving" if leaves else "live"
+    ),
+    st.sampled_from((100, 200, 300)),
+    st.integers(min_value=1, max_value=9),
+    st.booleans(),
+)
+
+
+class StartsTest(unittest.TestCase):
+    @settings(deadline=None, suppress_health_check=[HealthCheck.too_slow])
+    @given(st.lists(BEATS, min_size=1, max_size=30), st.integers(min_value=0, max_value=30))
+    def test_any_interleaving_ends_in_the_newest_start(
+        self, beats: list[TargetRecord], cut: int
+    ) -> None:
+        registry = TargetRegistry()
+        for number, beat in enumerate(beats):
+            if number == cut:
+                registry = TargetRegistry(registry.snapshot())
+            registry.apply(RegisterTarget(record=beat))
+        last = max(beat.start for beat in beats)
+        record = registry.find("t1")
+        assert record is not None
+        self.assertEqual(record.start, last)
+        said = [beat for beat in beats if beat.start == last]
+        self.assertEqual(record.sequence, max(beat.sequence for beat in said))
+
 
 if __name__ == "__main__":
     unittest.main()
