--- a/packages/damsonlane/src/damsonlane/cluster/_state.py
+++ b/packages/damsonlane/src/damsonlane/cluster/_state.py
@@ -21,6 +21,13 @@
 from damsonlane.cluster._settings_store import SettingsSnapshot, SettingsStore
 from damsonlane.codec import decode_bytes, decode_value, encode_text
 from damsonlane.costs import CostBook, CostsRecorded, CostTotal, RecordCosts, SenderProgress
+from damsonlane.evacuation import (
+    EvacuateDataCentre,
+    EvacuationNoted,
+    Evacuations,
+    EvacuationsSnapshot,
+    RestoreDataCentre,
+)
 from damsonlane.ledger import (
     ClaimJob,
     DropJob,
@@ -53,7 +60,9 @@
     | ReplaceDocument
     | RegisterTarget
     | RemoveTarget
-    | SilenceTargets,
+    | SilenceTargets
+    | EvacuateDataCentre
+    | RestoreDataCentre,
     Field(discriminator="kind"),
 ]
 Reply = Annotated[
@@ -64,7 +73,8 @@
     | CostsRecorded
     | BoxNoted
     | DocumentNoted
-    | TargetNoted,
+    | TargetNoted
+    | EvacuationNoted,
     Field(discriminator="kind"),
 ]
 
@@ -91,6 +101,8 @@
     document: PackedDocument = PackedDocument()
     #: Targets that register themselves.
     targets: TargetsSnapshot = TargetsSnapshot()
+    #: Data centres that are evacuated.
+    evacuations: EvacuationsSnapshot = EvacuationsSnapshot()
 
 
 def encode_command(command: Command) -> str:
@@ -115,6 +127,7 @@
         self.membership = Membership(start.boxes)
         self.documents = DocumentStore(start.document)
         self.targets = TargetRegistry(start.targets)
+        self.evacuations = Evacuations(start.evacuations)
 
     @classmethod
     def from_text(cls, text: str) -> "ClusterState":
@@ -133,6 +146,7 @@
             endings=self.costs.burn.counts(),
             document=self.documents.document,
             targets=self.targets.snapshot(),
+            evacuations=self.evacuations.snapshot(),
         )
         return encode_text(snapshot, ClusterSnapshot)
 
@@ -153,6 +167,8 @@
                 return self.documents.replace(command)
             case RegisterTarget() | RemoveTarget() | SilenceTargets():
                 return self.targets.apply(command)
+            case EvacuateDataCentre() | RestoreDataCentre():
+                return self.evacuations.apply(command)
 
     def _tell_holder(self, reply: JobReply) -> JobReply:
         """Say of a job that another process holds whether that process is still heard."""
