--- a/packages/damsonlane/src/damsonlane/placing/_book.py
+++ b/packages/damsonlane/src/damsonlane/placing/_book.py
@@ -44,7 +44,9 @@
     """A prompt that was placed."""
 
     #: Name of the engine.
-    engine: str
+    name: str
+    #: The engine.
+    engine: Engine
     #: Tokens to be read until its first event, those of the prompts before it included.
     tokens: float
     #: Seconds until then, as reckoned.
@@ -82,15 +84,22 @@
         self._placed: dict[tuple[str, int], _Placed] = {}
 
     def update(self, places: Collection[Place]) -> None:
-        """Follow the engines that may be used."""
+        """Follow the engines that may be used; one that started again keeps nothing."""
         for gone in set(self._engines) - {place.target for place in places}:
             del self._engines[gone]
         for place in places:
-            if place.target not in self._engines:
-                self._engines[place.target] = Engine(self._cache_tokens, place.data_centre)
+            known = self._engines.get(place.target)
+            if known is None or known.start != place.start:
+                engine = Engine(self._cache_tokens, place.data_centre, place.start)
+                self._engines[place.target] = engine
 
     def place(
-        self, sender: str, order: PromptOrder, among: Collection[str], now: float
+        self,
+        sender: str,
+        order: PromptOrder,
+        among: Collection[str],
+        now: float,
+        shut: Collection[str] = (),
     ) -> Placement:
         """Choose the engine for a prompt and count it as being read there.
 
@@ -99,11 +108,12 @@
             order: the prompt.
             among: names of the engines for prompts of this length.
             now: the time by the monotonic clock.
+            shut: names of engines that may get nothing at the moment.
 
         Returns:
             The engine, and the one from which it should take parts of the prompt.
         """
-        usable = self._find_usable(order, now)
+        usable = self._find_usable(order, shut, now)
         if not usable:
             return Placement(number=order.number, target="")
         options = self._list_options(usable, order, among, now)
@@ -143,9 +153,9 @@
     def note_read(self, sender: str, read: PromptRead, now: float) -> None:
         """Take what became of a prompt."""
         placed = self._placed.pop((sender, read.number), None)
-        engine = self._engines.get(placed.engine) if placed is not None else None
-        if placed is None or engine is None:
+        if placed is None or self._engines.get(placed.name) is not placed.engine:
             return
+        engine = placed.engine
         if read.seconds is None:
             engine.rests_until = now + REST_SECONDS
             engine.kept.clear()
@@ -153,9 +163,12 @@
         self._pace.note(placed.tokens, read.seconds)
         engine.note_ratio(read.seconds / placed.seconds, now)
 
-    def _find_usable(self, order: PromptOrder, now: float) -> Mapping[str, Engine]:
+    def _find_usable(
+        self, order: PromptOrder, shut: Collection[str], now: float
+    ) -> Mapping[str, Engine]:
         """Return the engines that may get a prompt, resting ones only where no other is left."""
-        known = {n: e for n, e in self._engines.items() if n not in order.avoid}
+        barred = {*order.avoid, *shut}
+        known = {n: e for n, e in self._engines.items() if n not in barred}
         return {n: e for n, e in known.items() if e.rests_until <= now} or known
 
     def _plan_moves(
@@ -190,7 +203,10 @@
             self._engines[move.source].link_free_at = move.done_at
         ahead = wait / max(1e-9, self._pace.seconds(1.0))
         self._placed[(sender, order.number)] = _Placed(
-            engine=chosen.name, tokens=chosen.unread + ahead, seconds=BASE_SECONDS + wait + own
+            name=chosen.name,
+            engine=engine,
+            tokens=chosen.unread + ahead,
+            seconds=BASE_SECONDS + wait + own,
         )
         if len(self._placed) > MOST_PLACED:
             del self._placed[next(iter(self._placed))]
--- a/packages/damsonlane/src/damsonlane/placing/_engine.py
+++ b/packages/damsonlane/src/damsonlane/placing/_engine.py
@@ -18,9 +18,11 @@
     Args:
         cache_tokens: tokens that its memory holds.
         data_centre: where it stands.
+        start: its start.
     """
 
-    def __init__(self, cache_tokens: int, data_centre: str) -> None:
+    def __init__(self, cache_tokens: int, data_centre: str, start: int = 0) -> None:
+        self.start: Final = start
         self.data_centre: Final = data_centre
         self.kept: Final = KeptParts(cache_tokens)
         #: When it has read all that it was given.
--- a/packages/damsonlane/src/damsonlane/routes/_document.py
+++ b/packages/damsonlane/src/damsonlane/routes/_document.py
@@ -109,6 +109,11 @@
     name: str
     #: Connections that one target takes from all boxes together.
     most_connections: int
+    #: Requests a second that one of its targets bears while it is cold; 0 where none turn cold.
+    cold_rate: float = 0.0
+    #: Seconds for which a target stays cold after it has started, as far as is known before
+    #: it says so.
+    cold_start_seconds: float = 0.0
     #: Set for model engines.
     engine: EngineTraits | None = None
     #: Set for stage pools.
--- a/packages/damsonlane/src/damsonlane/routing/_book.py
+++ b/packages/damsonlane/src/damsonlane/routing/_book.py
@@ -37,6 +37,8 @@
     address: str
     #: Its data centre.
     data_centre: str
+    #: Its start; what was learnt of another start says nothing of this one.
+    start: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -57,6 +59,8 @@
     target: str
     #: Its address.
     address: str
+    #: Its start.
+    start: int = 0
 
 
 class _Record:
@@ -102,7 +106,7 @@
         """Take over the targets that settings name; knowledge of the others is dropped."""
         for name, standing in standings.items():
             known = self._records.get(name)
-            if known is None or known.standing.address != standing.address:
+            if known is None or not _is_same(known.standing, standing):
                 self._records[name] = _Record(standing)
             else:
                 known.standing = standing
@@ -148,7 +152,7 @@
         chosen = POLICIES[policy].choose(views, origin, randomness)
         record = self._records[chosen.name]
         record.in_flight += 1
-        return Choice(target=chosen.name, address=record.standing.address)
+        return _make_choice(chosen.name, record)
 
     def take(self, target: str) -> Choice | None:
         """Take a target that was chosen elsewhere, or return None when it is not known."""
@@ -156,7 +160,7 @@
         if record is None:
             return None
         record.in_flight += 1
-        return Choice(target=target, address=record.standing.address)
+        return _make_choice(target, record)
 
     def list_ejected(self, now: float) -> set[str]:
         """Return the targets that are out after failures."""
@@ -170,6 +174,7 @@
         *,
         pace: float | None = None,
         report: LoadReport | None = None,
+        start: int | None = None,
     ) -> None:
         """Count a request as ended.
 
@@ -179,9 +184,10 @@
             now: the clock, in seconds.
             pace: its time as a multiple of the usual time for such work.
             report: the load that the target reported with its answer.
+            start: the start of the target that it ran at, if it matters.
         """
         record = self._records.get(target)
-        if record is None:
+        if record is None or start not in (None, record.standing.start):
             return
         record.in_flight = max(0, record.in_flight - 1)
         if report is not None:
@@ -224,6 +230,16 @@
         record.measured_at = now
 
 
+def _make_choice(name: str, record: _Record) -> Choice:
+    standing = record.standing
+    return Choice(target=name, address=standing.address, start=standing.start)
+
+
+def _is_same(known: Standing, told: Standing) -> bool:
+    """Tell whether two standings are of the same start of a target."""
+    return (known.address, known.start) == (told.address, told.start)
+
+
 def _leave_out(names: Sequence[str], unwanted: Collection[str]) -> list[str]:
     return [name for name in names if name not in unwanted]
 
--- a/packages/damsonlane/src/damsonlane/routing/_sides.py
+++ b/packages/damsonlane/src/damsonlane/routing/_sides.py
@@ -29,6 +29,8 @@
     target: str
     #: Its data centre.
     data_centre: str
+    #: Its start.
+    start: int = 0
 
 
 class PromptSides:
--- a/packages/damsonlane/src/damsonlane/settings/_box.py
+++ b/packages/damsonlane/src/damsonlane/settings/_box.py
@@ -85,6 +85,12 @@
     retry_window_seconds: Annotated[float, Field(gt=0, le=600)] = 10.0
     #: Requests sent again in one window that the fleet may make besides.
     retry_slack: Annotated[int, Field(ge=0, le=100_000)] = 50
+    #: Times the requests a second that a cold target bears which may reach it.
+    cold_ratio: Annotated[float, Field(gt=0, le=100)] = 1.5
+    #: Requests that may reach it in a second besides.
+    cold_slack: Annotated[float, Field(ge=0, le=100_000)] = 5.0
+    #: At control: the data centres that there are; empty where any name is taken.
+    data_centres: tuple[Name, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_control.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_control.py
@@ -1,5 +1,6 @@
 """Control with real processes: kills, freezes, wiped folders and replacements."""
 
+import json
 import tempfile
 import unittest
 from pathlib import Path
@@ -98,6 +99,22 @@
         outcomes = self.operators.race(2)
         self.assertEqual(sorted(outcomes), ["change-accepted", "change-conflict"])
 
+    def test_a_data_centre_is_evacuated_listed_and_restored(self) -> None:
+        self.assertIn(
+            "johar is evacuated\n", self.fleet.require("data-centre", "evacuate", "johar")
+        )
+        again = self.fleet.require("data-centre", "evacuate", "johar")
+        self.assertIn("as before", again)
+        for box in self.fleet.controls():
+            self.fleet.kill(box.name)
+        for box in self.fleet.controls():
+            self.fleet.start(box.name)
+        (row,) = json.loads(self.fleet.require("data-centre", "list", "--json"))
+        self.assertEqual(row["data centre"], "johar")
+        self.assertTrue(row["operator"] and row["since"])
+        self.fleet.require("data-centre", "restore", "johar")
+        self.assertEqual(json.loads(self.fleet.require("data-centre", "list", "--json")), [])
+
     def test_a_peer_without_a_key_gets_nothing(self) -> None:
         box = self.fleet.controls()[0]
         self.assertFalse(self.operators.answers_without_key(box))
--- a/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
@@ -3,6 +3,7 @@
 import fire
 
 from damsonlane_cli._control import ControlCommands
+from damsonlane_cli._data_centres import DataCentreCommands
 from damsonlane_cli._explain import explain
 from damsonlane_cli._reports import ReportCommands
 from damsonlane_cli._settings import SettingsCommands
@@ -11,11 +12,12 @@
 
 
 class Commands:
-    """Operate damsonlane: settings, control replicas, reports, and what became of a request."""
+    """Operate damsonlane: settings, replicas, data centres, reports, what became of requests."""
 
     def __init__(self) -> None:
         self.settings = SettingsCommands()
         self.control = ControlCommands()
+        self.data_centre = DataCentreCommands()
         self.report = ReportCommands()
         self.explain = explain
 
--- /dev/null
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_data_centres.py
@@ -0,0 +1,83 @@
+"""``damsonlane data-centre``: taking data centres out of use and back."""
+
+import secrets
+from datetime import UTC, datetime
+from typing import Final
+
+from damsonlane.evacuation import EvacuateDataCentre, EvacuationNoted, RestoreDataCentre
+from damsonlane_cli._context import (
+    EXIT_INPUT,
+    EXIT_REFUSED,
+    OperatorSettings,
+    call_control,
+    fail,
+    print_rows,
+)
+from damsonlane_rpc import (
+    ControlClient,
+    EvacuationsQuery,
+    EvacuationsView,
+    ForbiddenError,
+    QueryRequest,
+)
+
+#: Seconds to wait for control, unless the operator says otherwise.
+SECONDS: Final = 10.0
+
+
+class DataCentreCommands:
+    """Evacuate data centres, whose targets then get nothing new, and restore them."""
+
+    def evacuate(self, name: str, seconds: float = SECONDS) -> None:
+        """Have nothing new sent to the targets of a data centre; what runs there ends there."""
+        call = secrets.token_hex(6)
+        command = EvacuateDataCentre(data_centre=_check(name), call=call, operator="", at=0.0)
+        _submit(command, seconds)
+
+    def restore(self, name: str, seconds: float = SECONDS) -> None:
+        """Have the targets of a data centre used again, slowly while they are cold."""
+        call = secrets.token_hex(6)
+        command = RestoreDataCentre(data_centre=_check(name), call=call, operator="", at=0.0)
+        _submit(command, seconds)
+
+    def list(self, json: bool = False) -> None:
+        """Show the data centres that are evacuated, who asked for it, and when."""
+
+        async def work(client: ControlClient, _: OperatorSettings) -> EvacuationsView:
+            reply = await client.query(QueryRequest(query=EvacuationsQuery()), SECONDS)
+            assert isinstance(reply.outcome, EvacuationsView)
+            return reply.outcome
+
+        rows = [
+            {
+                "data centre": item.data_centre,
+                "since": datetime.fromtimestamp(item.at, UTC).isoformat(timespec="seconds"),
+                "operator": item.operator,
+                "call": item.call,
+            }
+            for item in call_control(work).evacuations
+        ]
+        print_rows(rows, json)
+
+
+def _check(name: object) -> str:
+    """Return the name of a data centre, or exit if it can't be one."""
+    text = str(name)
+    if not text or not text.isprintable() or "/" in text or " " in text:
+        fail(f"{text!r} is no name of a data centre", EXIT_INPUT)
+    return text
+
+
+def _submit(command: EvacuateDataCentre | RestoreDataCentre, seconds: float) -> None:
+    """Commit an order and say what came of it."""
+
+    async def work(client: ControlClient, _: OperatorSettings) -> None:
+        try:
+            reply = (await client.submit([command], seconds))[0]
+        except ForbiddenError as error:
+            fail(str(error), EXIT_REFUSED)
+        is_changed = isinstance(reply, EvacuationNoted) and reply.is_changed
+        state = "evacuated" if isinstance(command, EvacuateDataCentre) else "in use"
+        print(f"{command.data_centre} is {state}{'' if is_changed else ', as before'}")
+
+    call_control(work)
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_fleet_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_fleet_messages.py
@@ -6,6 +6,7 @@
 from pydantic import Field
 
 from damsonlane.cluster import PackedDocument
+from damsonlane.evacuation import EvacuationList
 from damsonlane.membership import BoxRecord
 from damsonlane.placing import Placement, PromptOrder, PromptRead
 from damsonlane.pools import PieceOrder, PieceResult
@@ -21,6 +22,8 @@
     box: WatchReport
     #: Revision of the registry of targets that it holds.
     targets_revision: int
+    #: Revision of the list of evacuated data centres that it holds; -1 for none.
+    evacuations_revision: int = -1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -33,6 +36,8 @@
     document: PackedDocument | None = None
     #: Changes of targets, or None.
     targets: TargetChanges | None = None
+    #: Data centres that are evacuated, or None when they are as before.
+    evacuations: EvacuationList | None = None
     #: All entries that are heard, or None when they are as before.
     entries: tuple[BoxRecord, ...] | None = None
     #: Internal addresses of the control replicas, or None when they are as before.
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -9,6 +9,7 @@
 from damsonlane.burn import EndingCount
 from damsonlane.cluster import AcceptedChange, ChangeReply, Command, PackedDocument, Reply
 from damsonlane.costs import CostTotal
+from damsonlane.evacuation import Evacuation
 from damsonlane.membership import BoxRecord
 from damsonlane.settings import Role
 
@@ -109,6 +110,22 @@
     kind: Literal["boxes-query"] = "boxes-query"
 
 
+@dataclass(frozen=True, kw_only=True)
+class EvacuationsQuery:
+    """Ask which data centres are evacuated."""
+
+    kind: Literal["evacuations-query"] = "evacuations-query"
+
+
+@dataclass(frozen=True, kw_only=True)
+class EvacuationsView:
+    """The data centres that are evacuated."""
+
+    kind: Literal["evacuations-view"] = "evacuations-view"
+    #: In the order in which they were.
+    evacuations: tuple[Evacuation, ...]
+
+
 @dataclass(frozen=True, kw_only=True)
 class BoxesView:
     """The boxes that are heard."""
@@ -124,7 +141,13 @@
 
     #: What is asked.
     query: Annotated[
-        SettingsQuery | DocumentQuery | HistoryQuery | ChangeQuery | CostsQuery | BoxesQuery,
+        SettingsQuery
+        | DocumentQuery
+        | HistoryQuery
+        | ChangeQuery
+        | CostsQuery
+        | BoxesQuery
+        | EvacuationsQuery,
         Field(discriminator="kind"),
     ]
 
@@ -190,6 +213,7 @@
         | ChangeView
         | CostsView
         | BoxesView
+        | EvacuationsView
         | NotLeader
         | Unconfirmed
         | Forbidden,
--- a/packages/damsonlaned/src/damsonlaned/control/_following.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_following.py
@@ -31,6 +31,8 @@
     document_version: int
     #: Revision of the registry of targets that it has.
     targets_revision: int
+    #: Revision of the list of evacuated data centres that it has.
+    evacuations_revision: int
     #: Entries as it was told last; None before that.
     entries: tuple[BoxRecord, ...] | None = None
     #: Addresses of the control replicas as it was told last; None before that.
@@ -62,7 +64,11 @@
                 await sender
 
     async def _push(self, stream: Stream[FollowReport, FollowUpdate], report: FollowReport) -> None:
-        told = _Told(document_version=report.box.version, targets_revision=report.targets_revision)
+        told = _Told(
+            document_version=report.box.version,
+            targets_revision=report.targets_revision,
+            evacuations_revision=report.evacuations_revision,
+        )
         while True:
             update = self._make_update(told)
             told = _note_told(told, update)
@@ -79,12 +85,15 @@
         document = state.documents.document
         targets = state.targets
         is_new = targets.revision != told.targets_revision
+        evacuations = state.evacuations
+        is_moved = evacuations.revision != told.evacuations_revision
         entries = state.membership.records()
         control = self._control_addresses()
         return FollowUpdate(
             state_age=self._node.state_age(),
             document=document if document.version > told.document_version else None,
             targets=targets.changes_after(told.targets_revision) if is_new else None,
+            evacuations=evacuations.list_for_entries() if is_moved else None,
             entries=entries if entries != told.entries else None,
             control=control if control != told.control else None,
         )
@@ -99,6 +108,8 @@
         told = replace(told, document_version=update.document.version)
     if update.targets is not None:
         told = replace(told, targets_revision=update.targets.revision)
+    if update.evacuations is not None:
+        told = replace(told, evacuations_revision=update.evacuations.revision)
     if update.entries is not None:
         told = replace(told, entries=update.entries)
     if update.control is not None:
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -297,7 +297,7 @@
         if self._marks() != before:
             self.watchers.announce()
 
-    def _marks(self) -> tuple[int, int, int, int]:
+    def _marks(self) -> tuple[int, int, int, int, int]:
         """Return what changes whenever a box that follows must be told something."""
         state = self.state
         return (
@@ -305,6 +305,7 @@
             state.membership.live(),
             state.documents.document.version,
             state.targets.revision,
+            state.evacuations.revision,
         )
 
     def _finish_reads(self, output: Output) -> None:
--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -161,6 +161,8 @@
     def _refresh(self) -> None:
         replica = self._node.replica
         self._metrics.version.set({}, self._node.state.settings.version)
+        evacuated = self._node.state.evacuations.list_for_entries().data_centres
+        self._metrics.evacuated.set({}, len(evacuated))
         self._metrics.commit.set({}, replica.commit if replica else 0)
         self._metrics.is_leader.set({}, 1 if replica and replica.is_leader else 0)
 
@@ -190,4 +192,5 @@
         DIALECTS[gateway.dialect],
         gateway.registry_address,
         gateway.heartbeat_seconds,
+        gateway.data_centres,
     )
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Final
 
 from grpclib.const import Handler
@@ -14,6 +15,7 @@
 from damsonlane.agreement import Envelope, Members
 from damsonlane.cluster import ChangeSettings, Command
 from damsonlane.errors import AgreementError, NotLeaderError, UnavailableError
+from damsonlane.evacuation import EvacuateDataCentre, RestoreDataCentre
 from damsonlane.settings import Operator
 from damsonlane_rpc import (
     ADD,
@@ -36,6 +38,8 @@
     DocumentQuery,
     DocumentView,
     Done,
+    EvacuationsQuery,
+    EvacuationsView,
     ExchangeEnd,
     Forbidden,
     FoundRequest,
@@ -62,6 +66,9 @@
 
 #: Who is written into the history while there are no operators.
 ANYONE: Final = "anyone"
+#: Who is written into orders that came to the address of control for targets and operators.
+#: Any replica takes them, and passes them on to the leader.
+REGISTRY: Final = "registry"
 #: Entries that a box is told of.
 PEERS_TOLD: Final = 4
 #: The group of a box that belongs to none.
@@ -177,7 +184,7 @@
     ) -> SubmitReply:
         operator = self._authenticate(stream)
         commands = tuple(_sign(command, operator) for command in request.commands)
-        changes = any(isinstance(command, ChangeSettings) for command in commands)
+        changes = any(map(_needs_editor, request.commands))
         if changes and not self._may_change(operator):
             return SubmitReply(outcome=Forbidden(detail="an editor's token is needed"))
         try:
@@ -216,6 +223,9 @@
                 return QueryReply(outcome=ChangeView(reply=settings.answer_to(change)))
             case BoxesQuery():
                 return QueryReply(outcome=BoxesView(boxes=state.membership.records()))
+            case EvacuationsQuery():
+                evacuations = state.evacuations.evacuations()
+                return QueryReply(outcome=EvacuationsView(evacuations=evacuations))
             case CostsQuery():
                 return QueryReply(
                     outcome=CostsView(
@@ -308,14 +318,16 @@
     return tuple(random.sample(addresses, min(PEERS_TOLD, len(addresses))))
 
 
+def _needs_editor(command: Command) -> bool:
+    """Tell whether a command comes from an operator and changes what all boxes do."""
+    if isinstance(command, EvacuateDataCentre | RestoreDataCentre):
+        return command.operator != REGISTRY
+    return isinstance(command, ChangeSettings)
+
+
 def _sign(command: Command, operator: str) -> Command:
-    """Write the authenticated operator and the time into a change."""
-    if not isinstance(command, ChangeSettings):
+    """Write the authenticated operator and the time into an operator's command."""
+    if not _needs_editor(command):
         return command
-    return ChangeSettings(
-        change=command.change,
-        expected_version=command.expected_version,
-        operator=operator or ANYONE,
-        at=round(time.time(), 3),
-        edits=command.edits,
-    )
+    assert isinstance(command, ChangeSettings | EvacuateDataCentre | RestoreDataCentre)
+    return replace(command, operator=operator or ANYONE, at=round(time.time(), 3))
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_group.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_group.py
@@ -14,6 +14,7 @@
 from damsonlane.agreement import Applicant, Replica
 from damsonlane.cluster import PackedDocument, ReplaceDocument
 from damsonlane.errors import UnavailableError
+from damsonlane.evacuation import EvacuateDataCentre, EvacuationNoted
 from damsonlane.settings import BoxSettings, Founding
 from damsonlane_rpc import (
     ControlClient,
@@ -24,6 +25,7 @@
     Service,
 )
 from damsonlaned.control import ControlNode, ControlService, FollowingService, GroupRepairer
+from damsonlaned.control._leader import Leader
 from damsonlaned.storage import DataFolder
 from damsonlaned.tests.addresses import find_addresses
 
@@ -236,6 +238,30 @@
             "the document is not everywhere",
         )
 
+    async def test_an_evacuation_sent_to_any_box_survives_wipes_and_the_loss_of_all(self) -> None:
+        await self.start(0, 1, 2, 3, 4, is_first_start=True)
+        await self.wait_for_voters(0, 1, 2, 3, 4)
+        follower = next(box for box in self.running if not box.leads())
+        leader = Leader(follower.node, follower.group, follower.client)
+        command = EvacuateDataCentre(data_centre="dha", call="c", operator="registry", at=1.0)
+        reply = await leader.submit(command)
+        self.assertEqual(reply, EvacuationNoted(is_changed=True))
+        await self.stop(0, 1)
+        for number in (0, 1):
+            self.boxes[self.addresses[number]].wipe()
+        await self.start(0, 1)
+        await self.wait_for_voters(0, 1, 2, 3, 4)
+        await self.stop(0, 1, 2, 3, 4)
+        await self.start(0, 1, 2, 3, 4)
+
+        def holds() -> bool:
+            return all(
+                box.node.state.evacuations.list_for_entries().data_centres == ("dha",)
+                for box in self.running
+            )
+
+        await self.wait(holds, "all boxes hold the evacuation")
+
     async def test_followers_know_how_fresh_they_are(self) -> None:
         await self.start(0, 1, 2, 3, 4, is_first_start=True)
         await self.wait_for_voters(0, 1, 2, 3, 4)
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
@@ -41,6 +41,7 @@
     standing="live",
     sequence=1,
 )
+DESK = {"name": "desk", "most_connections": 20}
 
 
 class OpenGroup:
@@ -183,6 +184,80 @@
         self.assertEqual(await self.beat(sequence=9), 200)
         self.assertIsNone(self.node.state.targets.find("t1"))
 
+    async def test_a_target_that_starts_again_under_its_name_is_news(self) -> None:
+        await self.beat(start=100, sequence=40, standing="leaving")
+        self.assertEqual(await self.beat(start=200, sequence=1), 200)
+        record = self.node.state.targets.find("t1")
+        assert record is not None
+        self.assertEqual((record.start, record.standing), (200, "live"))
+        self.assertEqual(await self.beat(start=100, sequence=99, standing="leaving"), 200)
+        self.assertEqual(self.node.state.targets.find("t1"), record)
+
+    async def test_coldness_is_noted_when_it_begins_and_ends(self) -> None:
+        await self.beat()
+        last = self.node.replica.last_index if self.node.replica else 0
+        seconds: list[float] = []
+        for sequence, cold in enumerate((3.0, 2.9, 2.8, 0.0, 0.0), start=2):
+            await self.beat(sequence=sequence, cold_seconds=cold)
+            record = self.node.state.targets.find("t1")
+            seconds.append(record.cold_seconds if record else -1.0)
+        self.assertEqual(seconds, [3.0, 3.0, 3.0, 0.0, 0.0])
+        self.assertEqual(self.node.replica.last_index if self.node.replica else 0, last + 2)
+
+    async def test_data_centres_are_evacuated_and_restored(self) -> None:
+        path = "/v1/evacuations/gulberg"
+        steps = (
+            ("POST", path, ("gulberg",)),
+            ("POST", path, ("gulberg",)),
+            ("DELETE", path, ()),
+            ("DELETE", path, ()),
+        )
+        for method, target, held in steps:
+            self.assertEqual((await self.call(method, target))[0], 200)
+            names = self.node.state.evacuations.list_for_entries().data_centres
+            self.assertEqual(names, held)
+        self.assertEqual((await self.call("GET", path))[0], 404)
+
+    async def test_a_data_centre_that_is_not_there_is_not_evacuated(self) -> None:
+        self.registry._data_centres = frozenset({"gulberg", "dha"})  # type: ignore[misc]
+        for method in ("POST", "DELETE"):
+            self.assertEqual((await self.call(method, "/v1/evacuations/johar"))[0], 404)
+        self.assertEqual((await self.call("POST", "/v1/evacuations/dha"))[0], 200)
+        # One that is evacuated is restored, whatever the settings name by then.
+        self.registry._data_centres = frozenset({"gulberg"})  # type: ignore[misc]
+        self.assertEqual((await self.call("DELETE", "/v1/evacuations/dha"))[0], 200)
+        self.assertEqual(self.node.state.evacuations.revision, 2)
+
+    async def test_an_evacuation_without_a_leader_is_not_acknowledged(self) -> None:
+        self.depose()
+        self.assertEqual((await self.call("POST", "/v1/evacuations/gulberg"))[0], 503)
+
+    async def test_heartbeats_of_another_writer_name_no_target(self) -> None:
+        await self.call("PUT", "/v1/routes", make_text(7, services=[{**DESK, "name": "desk"}]))
+        await self.beat()
+        cases: tuple[dict[str, object], ...] = (
+            {"service": "nobody", "target": "t2"},
+            {"address": "nowhere", "target": "t2"},
+            {"address": "10.0.0.1:0", "target": "t2"},
+            {"slots": -1, "target": "t2"},
+            {"data_centre": "", "target": "t2"},
+            {"cold_seconds": -1.0},
+            {"address": ""},
+        )
+        for number, changes in enumerate(cases, start=2):
+            with self.subTest(changes):
+                self.assertEqual(await self.beat(**{"sequence": number, **changes}), 400)
+        self.assertEqual([record.target for record in self.node.state.targets.records()], ["t1"])
+        # A known target may say that it leaves, though its service is gone.
+        await self.call("PUT", "/v1/routes", make_text(8, services=[{**DESK, "name": "other"}]))
+        self.assertEqual(await self.beat(sequence=20, standing="leaving"), 200)
+
+    async def test_a_writer_of_bad_heartbeats_gets_a_line_a_second(self) -> None:
+        with self.assertLogs("damsonlaned.control._registry", "WARNING") as logs:
+            for _ in range(50):
+                self.assertEqual((await self.call("PUT", "/v1/targets/t1", b"\xff\xfe"))[0], 400)
+        self.assertLess(len(logs.records), 25)
+
     async def test_a_steady_heartbeat_writes_nothing(self) -> None:
         await self.beat()
         before = self.node.replica.last_index if self.node.replica else 0
--- a/packages/damsonlaned/src/damsonlaned/dialects/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/__init__.py
@@ -15,12 +15,14 @@
     CallerRequest,
     ControlCall,
     Departure,
+    Evacuate,
     Heartbeat,
     MadePiece,
     PrefixPart,
     PutDocument,
     ReadDocument,
     Refusal,
+    Restore,
 )
 
 __all__ = [
@@ -32,6 +34,7 @@
     "ControlCall",
     "Departure",
     "Dialect",
+    "Evacuate",
     "HeaderDialect",
     "HeaderNames",
     "Heartbeat",
@@ -42,5 +45,6 @@
     "PutDocument",
     "ReadDocument",
     "Refusal",
+    "Restore",
     "dialect",
 ]
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import fields
 from typing import Final
+from urllib.parse import unquote
 
 from damsonlane.routing import LoadReport
 from damsonlane.targets import TargetRecord
@@ -17,11 +18,13 @@
     CallerRequest,
     ControlCall,
     Departure,
+    Evacuate,
     Heartbeat,
     PrefixPart,
     PutDocument,
     ReadDocument,
     Refusal,
+    Restore,
 )
 from damsonlaned.http import HeaderList, HttpHead, HttpRequest, HttpResponse, keep_end_to_end
 
@@ -162,15 +165,23 @@
             return PutDocument(text=request.body)
         if path == self.paths.document and request.method == "GET":
             return ReadDocument()
-        name = path.removeprefix(self.paths.targets)
-        if name == path or not name or "/" in name:
-            return None
+        target = _read_name(path, self.paths.targets)
+        if target:
+            return self._read_target_call(target, request)
+        data_centre = _read_name(path, self.paths.evacuations)
+        return _read_evacuation(data_centre, request.method) if data_centre else None
+
+    def _read_target_call(self, target: str, request: HttpRequest) -> ControlCall | None:
         if request.method == "PUT":
-            return Heartbeat(record=self.read_heartbeat(name, request.body))
+            return Heartbeat(record=self.read_heartbeat(target, request.body))
         if request.method == "DELETE":
-            return Departure(target=name)
+            return Departure(target=target, start=self.read_departure(request.body))
         return None
 
+    @abstractmethod
+    def read_departure(self, body: bytes) -> int:
+        """Return the start of a target that leaves, in Unix milliseconds; 0 if it says none."""
+
     @abstractmethod
     def read_heartbeat(self, target: str, body: bytes) -> TargetRecord:
         """Return what a target says of itself.
@@ -240,6 +251,18 @@
         return tuple(int(part) for part in counts)
 
 
+def _read_name(path: str, prefix: str) -> str:
+    """Return the name that follows a prefix in a path; empty if the path has another form."""
+    name = path.removeprefix(prefix)
+    return "" if name == path or "/" in name else unquote(name)
+
+
+def _read_evacuation(data_centre: str, method: str) -> ControlCall | None:
+    if method == "POST":
+        return Evacuate(data_centre=data_centre)
+    return Restore(data_centre=data_centre) if method == "DELETE" else None
+
+
 def _read_count(text: str) -> int:
     """Return a count; a hint that is no number is taken as none."""
     text = text.strip()
--- a/packages/damsonlaned/src/damsonlaned/dialects/_names.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_names.py
@@ -53,6 +53,8 @@
     targets: str
     #: The routing document.
     document: str
+    #: Evacuation of a data centre; its name follows.
+    evacuations: str
     #: Makes pieces at a pool target.
     make_pieces: str
     #: Gives results up.
--- a/packages/damsonlaned/src/damsonlaned/dialects/_native.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_native.py
@@ -46,6 +46,7 @@
         ready="/readyz",
         targets="/v1/targets/",
         document="/v1/routes",
+        evacuations="/v1/evacuations/",
         make_pieces="/v1/pieces",
         free_results="/v1/pieces/free",
     )
@@ -92,6 +93,10 @@
             raise BadRequestError("the path and the body name different targets")
         return record
 
+    def read_departure(self, body: bytes) -> int:
+        """Return the start of a target that leaves; its call has no body."""
+        return 0
+
     def render_heartbeat_reply(self, address: str) -> HttpResponse:
         """Return the acknowledgement of a heartbeat."""
         return self._accept({"next_address": address} if address else {})
--- a/packages/damsonlaned/src/damsonlaned/dialects/_types.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_types.py
@@ -122,6 +122,24 @@
 
     #: Its name.
     target: str
+    #: Its start, in Unix milliseconds; 0 where it does not say.
+    start: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Evacuate:
+    """An operator wants nothing new sent to the targets of a data centre."""
+
+    #: The data centre.
+    data_centre: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Restore:
+    """An operator wants the targets of a data centre used again."""
+
+    #: The data centre.
+    data_centre: str
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -137,4 +155,4 @@
     """An operator asks for the routing document in force."""
 
 
-ControlCall = Heartbeat | Departure | PutDocument | ReadDocument
+ControlCall = Heartbeat | Departure | PutDocument | ReadDocument | Evacuate | Restore
--- a/packages/damsonlaned/src/damsonlaned/gateway/_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_link.py
@@ -168,6 +168,8 @@
     def _put(self, update: FollowUpdate) -> None:
         if update.targets is not None:
             self._view.put_targets(update.targets)
+        if update.evacuations is not None:
+            self._view.put_evacuations(update.evacuations)
         if update.entries is not None:
             self._view.put_entries(update.entries)
         if update.document is not None:
@@ -191,4 +193,8 @@
             address=self._settings.internal_address,
             is_leaving=self._is_leaving,
         )
-        return FollowReport(box=box, targets_revision=self._view.targets_revision)
+        return FollowReport(
+            box=box,
+            targets_revision=self._view.targets_revision,
+            evacuations_revision=self._view.evacuations_revision,
+        )
--- a/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
@@ -32,6 +32,7 @@
 
     def __init__(self, record: TargetRecord, traits: PoolTraits) -> None:
         self.name: Final = record.target
+        self.start: Final = record.start
         self.address: Final = record.address
         self.data_centre: Final = record.data_centre
         self.room: Final = ResultRoom(traits.room_bytes, traits.keep_seconds)
@@ -112,7 +113,8 @@
         for gone in set(self._makers) - set(present):
             del self._makers[gone]
         for name, record in present.items():
-            if name not in self._makers:
+            known = self._makers.get(name)
+            if known is None or known.start != record.start:
                 self._makers[name] = Maker(record, traits)
 
     def everyone(self) -> tuple[Maker, ...]:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -9,6 +9,7 @@
 
 from grpclib.const import Handler
 
+from damsonlane.coldness import ColdAllowance
 from damsonlane.ledger import Holder
 from damsonlane.settings import BoxSettings, Gateway
 from damsonlaned.admin import Admin
@@ -53,10 +54,13 @@
         self._gateway: Final = gateway
         self._dialect: Final = DIALECTS[gateway.dialect]
         self._metrics: Final = Metrics()
-        self._view: Final = FleetView(self._dialect)
+        cold = ColdAllowance(ratio=gateway.cold_ratio, slack=gateway.cold_slack)
+        self._view: Final = FleetView(self._dialect, cold)
         holder = Holder(box=settings.name, incarnation=secrets.token_hex(6))
         self._link: Final = FleetLink(settings, holder, self._view, context)
-        targets = Targets(self._view, settings.data_centre, self._count_entries)
+        targets = Targets(
+            self._view, settings.data_centre, self._count_entries, settings.internal_address
+        )
         owners = PoolOwners(self._view, targets, self._dialect, self._metrics)
         self._owners: Final = owners
         self._pools: Final = PoolClient(self._view, owners, settings.internal_address, context)
@@ -157,4 +161,5 @@
     def _refresh(self) -> None:
         self._metrics.in_flight.set({}, self._callers.in_flight())
         self._metrics.version.set({}, self._view.version())
+        self._metrics.evacuated.set({}, len(self._view.evacuated))
         self._owners.count_waiting()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_placer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_placer.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from damsonlane.coldness import ColdGate
 from damsonlane.placing import EngineBook, Placement, PromptOrder, PromptRead
 from damsonlane.routes import EngineTraits
 from damsonlane.routing import Place, PromptSides
@@ -25,6 +26,7 @@
         pace = traits.token_bytes / traits.link_speed if traits.link_speed else None
         self._book: Final = EngineBook(traits.cache_tokens, pace)
         self._sides: Final = PromptSides()
+        self._gate: Final = ColdGate()
         self._places: tuple[Place, ...] = ()
         view.on_change(self._follow_engines)
         self._follow_engines()
@@ -43,17 +45,30 @@
         self._sides.note(order.tokens)
         side = self._sides.find_side(order.tokens, self._places)
         now = asyncio.get_running_loop().time()
-        return self._book.place(sender, order, side, now)
+        cold = self._view.list_cold(self._service)
+        placement = self._book.place(sender, order, side, now, self._list_shut(cold, now))
+        if placement.target in cold:
+            self._gate.note(placement.target, now)
+        return placement
+
+    def _list_shut(self, cold: Sequence[str], now: float) -> Sequence[str]:
+        """Return the cold engines that have what they bear for the moment."""
+        bound = self._view.find_cold_bound(self._service) if cold else None
+        if bound is None:
+            return ()
+        limit = bound.owner_limit()
+        return [name for name in cold if not self._gate.admits(name, limit, now)]
 
     def _follow_engines(self) -> None:
         """Follow the engines that are live."""
-        records = self._view.targets_of(self._service)
+        records = self._view.open_targets_of(self._service)
         self._places = tuple(
-            Place(target=record.target, data_centre=record.data_centre)
+            Place(target=record.target, data_centre=record.data_centre, start=record.start)
             for record in records
             if record.standing == "live"
         )
         self._book.update(self._places)
+        self._gate.forget_others({place.target for place in self._places})
 
 
 class PromptPlacers:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import Final
 
+from damsonlane.coldness import ColdGate
 from damsonlane.pools import PieceOrder, PieceQueue, WaitingPiece
 from damsonlane.routes import PoolTraits, Service
 from damsonlaned.dialects import BadRequestError, Dialect, MadePiece
@@ -65,6 +66,7 @@
         self._answers: Final = PieceAnswers(
             self._receivers, WaitForecasts(self._reckon_wait), metrics, self.free
         )
+        self._gate: Final = ColdGate()
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
         view.on_change(self._follow_targets)
@@ -129,15 +131,25 @@
             return
         now = self._now()
         self._makers.shorten_rests(now)
+        cold = self._view.list_cold(self._service)
         for maker in self._makers.free(now):
             if not len(self._queue):
                 return
+            if maker.name in cold and not self._admits_cold(maker, now):
+                continue
             call = self._select(maker, service.pool, now)
             if call is not None:
+                if maker.name in cold:
+                    self._gate.note(maker.name, now)
                 self._start(service, call)
         if len(self._queue):
             self._wake_later(now)
 
+    def _admits_cold(self, maker: Maker, now: float) -> bool:
+        """Tell whether a cold target bears one more call."""
+        bound = self._view.find_cold_bound(self._service)
+        return bound is None or self._gate.admits(maker.name, bound.owner_limit(), now)
+
     def _select(self, maker: Maker, traits: PoolTraits, now: float) -> BatchCall | None:
         """Take a batch for a target from the queue; return None when nothing there suits it."""
         selection = self._queue.select(now, self._makers.make_offer(maker, traits, now))
@@ -295,7 +307,7 @@
         service = self._find_service()
         if service is None or service.pool is None:
             return
-        self._makers.update(self._view.targets_of(self._service), service.pool)
+        self._makers.update(self._view.open_targets_of(self._service), service.pool)
         self._pump()
 
     def _find_service(self) -> Service | None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from damsonlane.coldness import ColdGate, find_entry_share
 from damsonlane.routes import Service
 from damsonlane.routing import (
     Choice,
@@ -53,6 +54,8 @@
     target: str
     #: Its address.
     address: str
+    #: Its start.
+    start: int
     #: Connections to it.
     connections: ConnectionPool
     #: What the owner that placed the prompt is told of it; None where none did.
@@ -68,9 +71,19 @@
         view: where targets and services stand.
         data_centre: data centre of this entry.
         entries: returns how many entries share the targets.
+        own_address: internal address of this entry, by which its share of cold targets goes.
     """
 
-    def __init__(self, view: FleetView, data_centre: str, entries: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        data_centre: str,
+        entries: Callable[[], int],
+        own_address: str = "",
+    ) -> None:
+        self._own_address: Final = own_address
+        self._gate: Final = ColdGate()
+        self._starts: dict[str, int] = {}
         self._view: Final = view
         self._data_centre: Final = data_centre
         self._entries: Final = entries
@@ -80,11 +93,13 @@
         self._misdirected: set[str] = set()
         self._randomness: Final = random.Random()
         view.on_change(self._update)
+        self._update()
 
     def choose(self, service: Service, prompt: Prompt, avoid: Collection[str]) -> Chosen | None:
         """Choose a target, or return None when the service has none that may be used."""
         records = self._view.targets_of(service.name)
-        leaving = {record.target for record in records if record.standing == "leaving"}
+        cold = self._view.list_cold(service.name)
+        shut = {*self._list_closed(records), *self._misdirected, *self._list_shut(service, cold)}
         silent = {record.target for record in records if record.standing == "silent"}
         choice = self._book(service.name).choose(
             ENGINE_POLICY if service.engine is not None else PLAIN_POLICY,
@@ -92,11 +107,30 @@
             prefer=self._find_side(service, prompt, records),
             avoid=avoid,
             silent=silent,
-            leaving=leaving | self._misdirected,
+            leaving=shut,
             now=self._now(),
             randomness=self._randomness,
         )
-        return self._make_chosen(service, choice) if choice is not None else None
+        if choice is None:
+            return None
+        if choice.target in cold:
+            self._gate.note(choice.target, self._now())
+        return self._make_chosen(service, choice)
+
+    def _list_closed(self, records: Sequence[TargetRecord]) -> set[str]:
+        """Return the targets that get nothing new, since they leave or are evacuated."""
+        return {record.target for record in records if not self._view.is_open(record)}
+
+    def _list_shut(self, service: Service, cold: Sequence[str]) -> list[str]:
+        """Return the cold targets to which this entry may send nothing by itself for now."""
+        bound = self._view.find_cold_bound(service.name) if cold else None
+        if bound is None:
+            return []
+        entries = {entry.address for entry in self._view.entries}
+        limit = bound.entries_limit()
+        now = self._now()
+        shares = {name: find_entry_share(name, self._own_address, entries, limit) for name in cold}
+        return [name for name in cold if not self._gate.admits(name, shares[name], now)]
 
     def take_placed(self, service: Service, placed: PlacedPrompt) -> Chosen | None:
         """Return the engine at which a prompt was placed; None if it is not known here."""
@@ -108,14 +142,15 @@
 
     def _find_source(self, service: Service, placed: PlacedPrompt) -> str:
         """Return the address of the engine that gives parts of a prompt, or an empty string."""
-        records = self._view.targets_of(service.name)
+        records = self._view.open_targets_of(service.name)
         named = [record.address for record in records if record.target == placed.source]
         return named[0] if named else ""
 
     def list_unusable(self, service: Service) -> set[str]:
         """Return the targets that this entry should not use now."""
         ejected = self._book(service.name).list_ejected(self._now())
-        return ejected | self._misdirected
+        closed = self._list_closed(self._view.targets_of(service.name))
+        return ejected | closed | self._misdirected
 
     def note_prompt(self, service: Service, prompt: Prompt) -> None:
         """Note a request that arrived, for how engines are divided."""
@@ -131,7 +166,7 @@
         places = tuple(
             Place(target=record.target, data_centre=record.data_centre)
             for record in records
-            if record.standing == "live"
+            if record.standing == "live" and self._view.is_open(record)
         )
         sides = self._sides.setdefault(service.name, PromptSides())
         return sides.find_side(prompt.tokens, places)
@@ -147,7 +182,9 @@
         """Count a request at a target as ended."""
         book = self._books.get(chosen.service)
         if book is not None:
-            book.finish(chosen.target, health, self._now(), report=load, pace=pace)
+            book.finish(
+                chosen.target, health, self._now(), report=load, pace=pace, start=chosen.start
+            )
 
     def note_misdirected(self, chosen: Chosen) -> None:
         """Note that another target answered at the address of this one, so it is gone."""
@@ -168,6 +205,7 @@
             service=service.name,
             target=choice.target,
             address=choice.address,
+            start=choice.start,
             connections=self.connections(service, choice.target, choice.address),
         )
 
@@ -181,19 +219,25 @@
         for service in self._books:
             self._update_book(service)
         table = self._view.table
-        known = {
-            record.target
+        starts = {
+            record.target: record.start
             for service in (table.document.services if table else ())
             for record in self._view.targets_of(service.name)
         }
+        known = {name for name, start in starts.items() if self._starts.get(name, start) == start}
+        # Connections to an earlier start, and what was learnt of it, end with it.
         for target in set(self._connections) - known:
             self._connections.pop(target).close()
         self._misdirected &= known
+        self._gate.forget_others(known)
+        self._starts = starts
 
     def _update_book(self, service: str) -> None:
         self._books[service].update(
             {
-                record.target: Standing(address=record.address, data_centre=record.data_centre)
+                record.target: Standing(
+                    address=record.address, data_centre=record.data_centre, start=record.start
+                )
                 for record in self._view.targets_of(service)
             }
         )
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -1,14 +1,17 @@
 """What this entry knows of the fleet; it only ever moves forward."""
 
 import logging
+import time
 from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Final
 
 from damsonlane.cluster import PackedDocument
+from damsonlane.coldness import ColdAllowance, ColdBound
 from damsonlane.errors import SettingsError
+from damsonlane.evacuation import EvacuationList
 from damsonlane.membership import BoxRecord
-from damsonlane.routes import RouteTable
+from damsonlane.routes import RouteTable, Service
 from damsonlane.targets import TargetChanges, TargetRecord
 from damsonlaned.dialects import Dialect
 
@@ -20,21 +23,35 @@
 
 
 class FleetView:
-    """Document in force, targets and entries, as control last said.
+    """Document in force, targets, evacuations and entries, as control last said.
 
     Args:
         dialect: reads documents.
+        cold: what cold targets bear besides the rate that the document tells.
+        clock: returns the monotonic time, in seconds.
     """
 
-    def __init__(self, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        cold: ColdAllowance | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._dialect: Final = dialect
+        self._cold: Final = cold or ColdAllowance()
+        self._clock: Final = clock
         #: The document in force, or None until the first one was heard.
         self.table: RouteTable | None = None
         #: Revision of the registry of targets.
         self.targets_revision = 0
+        #: Revision of the list of evacuated data centres; -1 until one was heard.
+        self.evacuations_revision = -1
+        #: Data centres whose targets get nothing new.
+        self.evacuated: frozenset[str] = frozenset()
         #: Entries that take requests, this one included once control lists it.
         self.entries: tuple[BoxRecord, ...] = ()
         self._targets: dict[str, TargetRecord] = {}
+        self._cold_until: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self._entry_listeners: list[Callable[[], None]] = []
 
@@ -54,6 +71,27 @@
         """Return the records of a service's targets."""
         return tuple(record for record in self._targets.values() if record.service == service)
 
+    def open_targets_of(self, service: str) -> tuple[TargetRecord, ...]:
+        """Return the records of a service's targets that may get new work."""
+        return tuple(record for record in self.targets_of(service) if self.is_open(record))
+
+    def is_open(self, record: TargetRecord) -> bool:
+        """Tell whether a target may get new work: it stays, and its data centre is in use."""
+        return record.standing != "leaving" and record.data_centre not in self.evacuated
+
+    def find_cold_bound(self, service: str) -> ColdBound | None:
+        """Return what cold targets of a service bear; None where none turn cold."""
+        known = self.table.service(service) if self.table is not None else None
+        if known is None or known.cold_rate <= 0:
+            return None
+        return self._cold.bound(known.cold_rate)
+
+    def list_cold(self, service: str) -> list[str]:
+        """Return the targets of a service that bear only a few requests a second for now."""
+        now = self._clock()
+        cold = [name for name, until in self._cold_until.items() if now < until]
+        return [name for name in cold if self._targets[name].service == service]
+
     def data_centre_at(self, address: str) -> str:
         """Return the data centre of the target at an address, or an empty string."""
         for record in self._targets.values():
@@ -86,19 +124,62 @@
             self._targets.update({record.target: record for record in changes.records})
         for name in changes.gone:
             self._targets.pop(name, None)
+        self._note_cold(changes.records)
         _log_targets(news, changes)
         self._tell()
 
+    def put_evacuations(self, evacuations: EvacuationList) -> None:
+        """Take over which data centres are evacuated, unless it is older than what is held."""
+        if evacuations.revision <= self.evacuations_revision:
+            return
+        self.evacuations_revision = evacuations.revision
+        before, self.evacuated = self.evacuated, frozenset(evacuations.data_centres)
+        self._reckon_cold(before - self.evacuated)
+        if before != self.evacuated:
+            fields = {"evacuated": sorted(self.evacuated), "revision": evacuations.revision}
+            _LOG.info("evacuations in force", extra=fields)
+        self._tell()
+
     def put_entries(self, entries: tuple[BoxRecord, ...]) -> None:
         """Take over the list of entries."""
         self.entries = tuple(entry for entry in entries if entry.standing == "live")
         for listener in self._entry_listeners:
             listener()
 
+    def _note_cold(self, records: Sequence[TargetRecord]) -> None:
+        """Note until when targets are cold; told late, they count as cold for too long."""
+        now = self._clock()
+        for record in records:
+            self._cold_until.pop(record.target, None)
+            if record.cold_seconds > 0:
+                self._cold_until[record.target] = now + record.cold_seconds
+        for name in set(self._cold_until) - set(self._targets):
+            del self._cold_until[name]
+
+    def _reckon_cold(self, restored: frozenset[str]) -> None:
+        """Reckon the targets of data centres that are used again as cold.
+
+        They got nothing for a while, and may say so only with their next heartbeat, when all
+        entries want them already.
+        """
+        services = {service.name: service for service in self._list_services()}
+        now = self._clock()
+        for record in self._targets.values():
+            service = services.get(record.service)
+            if record.data_centre in restored and service is not None and service.cold_rate > 0:
+                until = now + service.cold_start_seconds
+                known = self._cold_until.get(record.target, 0.0)
+                self._cold_until[record.target] = max(known, until)
+
+    def _list_services(self) -> tuple[Service, ...]:
+        return self.table.document.services if self.table is not None else ()
+
     def _is_news(self, record: TargetRecord) -> bool:
         """Tell whether a target is new here or stands otherwise than before."""
         known = self._targets.get(record.target)
-        return known is None or known.standing != record.standing
+        if known is None:
+            return True
+        return (known.standing, known.start) != (record.standing, record.start)
 
     def _tell(self) -> None:
         for listener in self._listeners:
@@ -119,6 +200,8 @@
                     "target": record.target,
                     "service": record.service,
                     "standing": record.standing,
+                    "start": record.start,
+                    "cold_seconds": record.cold_seconds,
                     "revision": changes.revision,
                 },
             )
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_closed_targets.py
@@ -0,0 +1,267 @@
+"""Targets that get nothing new, or little: evacuated data centres, cold ones, newer starts."""
+
+import unittest
+from dataclasses import replace
+
+from damsonlane.evacuation import EvacuationList
+from damsonlane.membership import BoxRecord
+from damsonlane.placing import PromptOrder, PromptPart
+from damsonlane.routes import EngineTraits, RoutingDocument, Service
+from damsonlane.targets import TargetChanges, TargetRecord
+from damsonlaned.dialects import NativeDialect
+from damsonlaned.gateway._placement_client import PlacedPrompt
+from damsonlaned.gateway._placer import PromptPlacer
+from damsonlaned.gateway._targets import Prompt, Targets
+from damsonlaned.gateway._view import FleetView
+from damsonlaned.gateway.tests.harness import (
+    DOCUMENT,
+    Entry,
+    StandIn,
+    answer_well,
+    answer_with,
+    make_pieces,
+)
+
+OWN_ADDRESS = "10.9.0.1:7000"
+TRAITS = EngineTraits(slots=8, cache_tokens=100_000)
+ENGINE = Service(
+    name="model",
+    most_connections=500,
+    cold_rate=6.7,
+    cold_start_seconds=3.0,
+    engine=TRAITS,
+)
+RECORD = TargetRecord(
+    target="e0",
+    service="model",
+    address="10.0.0.1:80",
+    data_centre="gulberg",
+    slots=8,
+    standing="live",
+    sequence=1,
+)
+
+
+class Clock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class FakeTable:
+    """A document in force with one service of engines."""
+
+    version = 1
+    document = RoutingDocument(version=1, services=(ENGINE,))
+
+    def service(self, name: str) -> Service | None:
+        return ENGINE if name == ENGINE.name else None
+
+
+def make_view(clock: Clock) -> FleetView:
+    view = FleetView(NativeDialect(), clock=clock)
+    view.table = FakeTable()  # type: ignore[assignment]
+    return view
+
+
+def make_engines(count: int, data_centre: str = "gulberg") -> tuple[TargetRecord, ...]:
+    return tuple(
+        replace(
+            RECORD,
+            target=f"{data_centre}-{number}",
+            address=f"10.0.0.{number + 1 + 100 * (data_centre == 'dha')}:80",
+            data_centre=data_centre,
+        )
+        for number in range(count)
+    )
+
+
+def put(view: FleetView, revision: int, *records: TargetRecord) -> None:
+    view.put_targets(TargetChanges(revision=revision, records=records, is_whole=True))
+
+
+def evacuate(view: FleetView, revision: int, *names: str) -> None:
+    view.put_evacuations(EvacuationList(revision=revision, data_centres=names))
+
+
+def order_prompt(number: int, part: str = "p") -> PromptOrder:
+    shared = (PromptPart(identity=part, tokens=500),)
+    return PromptOrder(number=number, shared=shared, tokens=900, aim_left_seconds=1.0)
+
+
+class EvacuatedTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = Clock()
+        self.view = make_view(self.clock)
+        self.near = make_engines(3)
+        self.far = make_engines(3, "dha")
+        put(self.view, 1, *self.near, *self.far)
+
+    async def test_an_older_list_changes_nothing(self) -> None:
+        evacuate(self.view, 3, "dha")
+        evacuate(self.view, 2, "gulberg")
+        self.assertEqual(self.view.evacuated, {"dha"})
+
+    async def test_neither_owner_nor_entry_sends_there(self) -> None:
+        evacuate(self.view, 1, "gulberg")
+        placer = PromptPlacer("model", TRAITS, self.view)
+        targets = Targets(self.view, "gulberg", lambda: 1)
+        for number in range(40):
+            (placement,) = placer.place("s", (order_prompt(number, f"p{number}"),))
+            self.assertTrue(placement.target.startswith("dha"))
+            chosen = targets.choose(ENGINE, Prompt(affinity=f"p{number}", tokens=900), ())
+            self.assertTrue(chosen is not None and chosen.target.startswith("dha"))
+        self.assertLessEqual({"gulberg-0"}, targets.list_unusable(ENGINE))
+
+    async def test_no_engine_there_gives_parts_of_prompts(self) -> None:
+        evacuate(self.view, 1, "gulberg")
+        targets = Targets(self.view, "dha", lambda: 1)
+        placed = PlacedPrompt.__new__(PlacedPrompt)
+        vars(placed).update(target="dha-0", source="gulberg-0")
+        chosen = targets.take_placed(ENGINE, placed)
+        self.assertEqual(chosen.source_address if chosen else None, "")
+
+    async def test_where_all_is_evacuated_nothing_is_sent(self) -> None:
+        evacuate(self.view, 1, "gulberg", "dha")
+        targets = Targets(self.view, "gulberg", lambda: 1)
+        self.assertIsNone(targets.choose(ENGINE, Prompt(), ()))
+
+    async def test_targets_that_are_used_again_count_as_cold_until_they_say_otherwise(self) -> None:
+        evacuate(self.view, 1, "gulberg")
+        evacuate(self.view, 2)
+        self.assertEqual(set(self.view.list_cold("model")), {r.target for r in self.near})
+        self.clock.now += 3.1
+        self.assertEqual(self.view.list_cold("model"), [])
+
+
+class EvacuatedRequestsTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, entry: Entry, *stands: StandIn) -> list[TargetRecord]:
+        records = [await stand.start() for stand in stands]
+        for stand in stands:
+            self.addAsyncCleanup(stand.stop)
+        self.addAsyncCleanup(entry.stop)
+        return records
+
+    async def test_requests_retries_and_pieces_go_elsewhere_at_once(self) -> None:
+        bad = StandIn("bad", answer_with(500, has_run=True))
+        good = StandIn("good", answer_well)
+        makers = [StandIn(f"maker-{n}", answer_well, "pool") for n in (0, 1)]
+        for maker in makers:
+            maker._answer = make_pieces(lambda maker=maker: maker.address)  # type: ignore[misc]
+        entry = Entry()
+        records = await self.start(entry, bad, good, *makers)
+        away = [replace(records[0], data_centre="dha"), records[1]]
+        away += [replace(records[2], data_centre="dha"), records[3]]
+        await entry.start(*away)
+        entry.view.put_evacuations(EvacuationList(revision=1, data_centres=("dha",)))
+        headers = "Damsonlane-Pieces: 2,1\r\nDamsonlane-Material-Key: k\r\n"
+        for path in ("/ping/a", "/once/a", "/ping/b"):
+            self.assertEqual((await entry.call(path)).status, 200)
+        self.assertEqual((await entry.call("/staged/a", headers=headers)).status, 200)
+        self.assertEqual(len(bad.requests) + len(makers[0].requests), 0)
+        entry.view.put_evacuations(EvacuationList(revision=2, data_centres=("gulberg",)))
+        # Nothing is sent where all that could run it is evacuated, and that is said at once.
+        entry.view.put_evacuations(EvacuationList(revision=3, data_centres=("gulberg", "dha")))
+        sent = len(good.requests)
+        response = await entry.call("/once/b")
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"Retry-After", response.data)
+        self.assertEqual(len(good.requests), sent)
+
+
+class ColdTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = Clock()
+        self.view = make_view(self.clock)
+        self.cold = [replace(record, cold_seconds=3.0) for record in make_engines(4)]
+        self.warm = make_engines(2, "dha")
+        put(self.view, 1, *self.cold, *self.warm)
+
+    async def test_an_owner_places_what_cold_engines_bear_and_the_rest_elsewhere(self) -> None:
+        placer = PromptPlacer("model", TRAITS, self.view)
+        counts: dict[str, int] = {}
+        for number in range(300):
+            (placement,) = placer.place("s", (order_prompt(number, f"p{number}"),))
+            counts[placement.target] = counts.get(placement.target, 0) + 1
+        for record in self.cold:
+            self.assertLessEqual(counts.get(record.target, 0), 6)
+        self.assertEqual(sum(counts.values()), 300)
+
+    async def test_hundreds_of_entries_by_themselves_stay_within_a_fifth_of_the_bound(self) -> None:
+        addresses = [f"10.9.0.{number}:7000" for number in range(86)]
+        self.view.put_entries(
+            tuple(
+                BoxRecord(
+                    box=address,
+                    incarnation="i",
+                    started_at=0.0,
+                    data_centre="gulberg",
+                    address=address,
+                    via="c",
+                    standing="live",
+                )
+                for address in addresses
+            )
+        )
+        counts: dict[str, int] = {}
+        for address in addresses:
+            targets = Targets(self.view, "gulberg", lambda: 86, address)
+            for number in range(5):
+                chosen = targets.choose(ENGINE, Prompt(affinity=f"p{number}", tokens=9), ())
+                assert chosen is not None
+                counts[chosen.target] = counts.get(chosen.target, 0) + 1
+        for record in self.cold:
+            self.assertLessEqual(counts.get(record.target, 0), 3)
+
+    async def test_a_target_is_warm_once_its_time_is_up_or_it_says_so(self) -> None:
+        put(self.view, 2, replace(self.cold[0], cold_seconds=0.0), *self.cold[1:])
+        self.assertNotIn(self.cold[0].target, self.view.list_cold("model"))
+        self.assertIn(self.cold[1].target, self.view.list_cold("model"))
+        self.clock.now += 3.1
+        self.assertEqual(self.view.list_cold("model"), [])
+
+
+class StartedAgainTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_was_learnt_of_the_older_start_is_forgotten(self) -> None:
+        view = make_view(Clock())
+        put(view, 1, replace(RECORD, start=100))
+        targets = Targets(view, "gulberg", lambda: 1)
+        first = targets.choose(ENGINE, Prompt(), ())
+        assert first is not None
+        targets.note_misdirected(first)
+        self.assertIsNone(targets.choose(ENGINE, Prompt(), ()))
+        put(view, 2, replace(RECORD, start=200))
+        second = targets.choose(ENGINE, Prompt(), ())
+        assert second is not None
+        self.assertEqual((second.target, second.start), ("e0", 200))
+        self.assertIsNot(second.connections, first.connections)
+        # Endings at the older start don't count against the newer one.
+        for _ in range(5):
+            targets.finish(first, "bad")
+        self.assertEqual(targets.list_unusable(ENGINE), set())
+
+    async def test_an_engine_that_started_again_keeps_no_parts(self) -> None:
+        view = make_view(Clock())
+        others = make_engines(3)
+        put(view, 1, *(replace(record, start=100) for record in others))
+        placer = PromptPlacer("model", TRAITS, view)
+        (first,) = placer.place("s", (order_prompt(1),))
+        kept = placer._book._engines[first.target].kept
+        self.assertGreater(kept.count_kept(order_prompt(2).shared), 0)
+        put(view, 2, *(replace(record, start=200) for record in others))
+        kept = placer._book._engines[first.target].kept
+        self.assertEqual(kept.count_kept(order_prompt(3).shared), 0)
+
+
+class DocumentTest(unittest.TestCase):
+    def test_services_whose_targets_never_turn_cold_have_no_bound(self) -> None:
+        view = FleetView(NativeDialect())
+        self.assertIsNone(view.find_cold_bound(DOCUMENT.services[0].name))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/logs.py
+++ b/packages/damsonlaned/src/damsonlaned/logs.py
@@ -68,3 +68,25 @@
     root.setLevel(logging.INFO)
     for noisy in ("urllib3", "grpclib", "hpack", "asyncio"):
         logging.getLogger(noisy).setLevel(logging.ERROR)
+
+
+class LineBound:
+    """Lets through at most one line in some time, and counts the others.
+
+    Args:
+        seconds: time between two lines.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds: Final = seconds
+        self._next_at = 0.0
+        self._left_out = 0
+
+    def admit(self, now: float) -> int | None:
+        """Return the lines left out since the last one, or None if this one is left out too."""
+        if now < self._next_at:
+            self._left_out += 1
+            return None
+        self._next_at = now + self._seconds
+        left_out, self._left_out = self._left_out, 0
+        return left_out
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -34,6 +34,11 @@
         self.version: Final = Gauge(
             "damsonlane_settings_version", "Settings in force.", registry=self.registry
         )
+        self.evacuated: Final = Gauge(
+            "damsonlane_evacuated_data_centres",
+            "Data centres whose targets get nothing new.",
+            registry=self.registry,
+        )
         self.commit: Final = Gauge(
             "damsonlane_commit_index", "Last committed log entry.", registry=self.registry
         )
