Pools: all but the most urgent kind give way alike, and half a pool is kept at most

Cause: at pools the rank of a kind decided alone what is refused. Besides, up to 0.7 of a pool was kept free for more urgent work to come, also where that work keeps its aim anyhow. Change: within organisations of one rank the most urgent kind goes first, the others by the share of their pieces that was refused lately, less 0.05 a step; at most half of a pool is reckoned to go to what has an earlier claim.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -5,14 +5,17 @@
 from typing import Final
 
 from damsonlane.pools._batch import fill_batch
+from damsonlane.pools._claims import Claims
 from damsonlane.pools._pieces import PieceOrder
 from damsonlane.pools._schedule import Schedule, WaitingStage, group_stages
 from damsonlane.pools._taken import TakenWork
 from damsonlane.pools._waiting import Offer, WaitingPiece
 
-#: Largest share of a pool that is reckoned to go to more urgent pieces: they come
-#: in waves of a few seconds, so a less urgent one is never told to wait for ever.
-MOST_TAKEN_SHARE: Final = 0.7
+#: Largest share of a pool that is reckoned to go on going to pieces with an earlier claim:
+#: they come in waves of a few seconds.  With 0.7 work was refused that would have kept its
+#: aim: with a target lost 0.69 and 0.71 of the less urgent kinds attained instead of 0.67 and
+#: 0.67 (replays, 4 seeds); with 0.2 the most urgent ones fell from 0.95 to 0.90.
+MOST_TAKEN_SHARE: Final = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -41,6 +44,7 @@
     def __init__(self) -> None:
         self._waiting: dict[tuple[str, int], WaitingPiece] = {}
         self._taken: Final = TakenWork()
+        self._claims: Final = Claims()
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -81,6 +85,7 @@
         judgement = self._judge(now, offer)
         hopeless = self._find_hopeless(judgement, now, offer)
         late = _list_pieces(hopeless)
+        self._note_refused(late, now)
         self._remove(late)
         ordered = _list_pieces([*judgement.in_time, *judgement.others])
         left = [piece for piece in ordered if piece.identity in self._waiting]
@@ -88,12 +93,15 @@
         self._remove(batch)
         for piece in batch:
             self._taken.note(piece.order.rank, now)
+            if not piece.order.is_late_return:
+                self._claims.note_taken(piece.order.rank, now)
         return Selection(batch=tuple(batch), late=(*expired, *late))
 
     def take_late(self, now: float, offer: Offer) -> tuple[WaitingPiece, ...]:
         """Take out the pieces whose time has run out, or will before their turn."""
         expired = self.take_expired(now, offer)
         hopeless = _list_pieces(self._find_hopeless(self._judge(now, offer), now, offer))
+        self._note_refused(hopeless, now)
         self._remove(hopeless)
         return (*expired, *hopeless)
 
@@ -110,7 +118,8 @@
         stages = group_stages(self._waiting.values())
         in_time: list[WaitingStage] = []
         others: list[WaitingStage] = []
-        for stage in sorted(stages, key=_rate_claim):
+        claims = {stage.rank: self._claims.rate(stage.rank) for stage in stages}
+        for stage in sorted(stages, key=lambda stage: _rate_claim(stage, claims[stage.rank])):
             share = self._find_share(stage.rank, now, offer)
             (in_time if schedule.try_add(stage, share) else others).append(stage)
         in_time.sort(key=lambda stage: stage.aim_at)
@@ -147,20 +156,28 @@
 
         What came lately is reckoned to go on: its share of the pool is not there for others.
         """
-        share = self._taken.rate_before(rank, now) / offer.pieces_per_second
+        before = self._claims.list_before(rank, self._taken.ranks())
+        share = self._taken.rate_of(before, now) / offer.pieces_per_second
         return 1.0 / (1.0 - min(MOST_TAKEN_SHARE, share))
 
+    def _note_refused(self, pieces: Sequence[WaitingPiece], now: float) -> None:
+        for piece in pieces:
+            if not piece.order.is_late_return:
+                self._claims.note_refused(piece.order.rank, now)
+
     def _remove(self, pieces: list[WaitingPiece]) -> None:
         for piece in pieces:
             del self._waiting[piece.identity]
 
 
-def _rate_claim(stage: WaitingStage) -> tuple[int, bool, float]:
+def _rate_claim(
+    stage: WaitingStage, claim: tuple[int, float, int]
+) -> tuple[tuple[int, float, int], bool, float]:
     """Return the claim of a stage to a place in time; the least goes first.
 
     A caller that came back is late whatever is done, so it gives way within its rank.
     """
-    return (stage.rank, stage.pieces[0].order.is_late_return, stage.aim_at)
+    return (claim, stage.pieces[0].order.is_late_return, stage.aim_at)
 
 
 def _rate_late(stage: WaitingStage) -> tuple[bool, int, float]:
--- a/packages/damsonlane/src/damsonlane/pools/_taken.py
+++ b/packages/damsonlane/src/damsonlane/pools/_taken.py
@@ -1,6 +1,7 @@
 """How much of a pool's work went to each rank lately."""
 
 import math
+from collections.abc import Collection
 from typing import Final
 
 #: Seconds over which work is remembered: about four full calls of the first users'
@@ -20,10 +21,14 @@
         self._fade(now)
         self._rates[rank] = self._rates.get(rank, 0.0) + 1.0 / MEMORY_SECONDS
 
-    def rate_before(self, rank: int, now: float) -> float:
-        """Return the pieces a second that were more urgent than a rank."""
+    def ranks(self) -> Collection[int]:
+        """Return the ranks of which pieces were taken."""
+        return self._rates.keys()
+
+    def rate_of(self, ranks: Collection[int], now: float) -> float:
+        """Return the pieces a second that were taken of some ranks."""
         self._fade(now)
-        return sum(rate for other, rate in self._rates.items() if other < rank)
+        return sum(self._rates.get(rank, 0.0) for rank in ranks)
 
     def _fade(self, now: float) -> None:
         left = math.exp(-max(0.0, now - self._noted_at) / MEMORY_SECONDS)
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_replay.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_replay.py
@@ -55,6 +55,33 @@
         self.assertLess(waits[len(waits) // 2], 0.2)
 
 
+class LeastUrgentTest(unittest.TestCase):
+    """A later pool that room binds, in a wave of one kind; another one is a step less urgent."""
+
+    POOL = Pool(centres=("a", "b"), batch=47, piece_seconds=0.0036, room=6_110_000)
+    WAVING = Kind(rank=5, rate=18.0, pieces=(4, 5, 6, 7, 8), result_bytes=60_000, aim_seconds=2.0)
+    LEAST = replace(WAVING, rank=6, rate=5.2, deadline_seconds=20.0)
+
+    def play_wave(self, times: float) -> tuple[float, float]:
+        wave = Wave(kind=0, start=2, end=8, times=times)
+        pattern = Pattern(pool=self.POOL, kinds=(self.WAVING, self.LEAST), waves=(wave,))
+        waving, least = play(pattern, SEEDS)
+        return waving.attained, least.attained
+
+    def test_the_least_urgent_kind_is_not_refused_for_work_that_keeps_its_aim_anyhow(self) -> None:
+        """While a wave just fits, 0.69 of the least urgent kind attained (12 seeds), now 0.94."""
+        waving, least = self.play_wave(2.4)
+        self.assertGreater(waving, 0.99)
+        self.assertGreater(least, 0.9)
+
+    def test_both_kinds_give_way_where_not_all_can_be_served(self) -> None:
+        """In a larger wave 0.965 and 0.51 attained (12 seeds), now 0.95 and 0.86."""
+        waving, least = self.play_wave(2.8)
+        self.assertGreater(waving, 0.93)
+        self.assertGreater(least, 0.8)
+        self.assertGreater(waving, least)
+
+
 class ReturnTest(unittest.TestCase):
     """Callers that were refused come back once, while the wave is still on."""
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -2,14 +2,11 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Final
 
+from damsonlane.pools import RANKS_OF_ROUTES
 from damsonlane.routes import Organisation, Route, RouteTable, Service
 from damsonlaned.dialects import CallerRequest
 
-#: Ranks that routes use; a rank of organisations is worth as many.
-_RANKS_OF_ROUTES: Final = 4
-
 
 @dataclass(frozen=True, kw_only=True)
 class Call:
@@ -43,7 +40,7 @@
     def rank(self) -> int:
         """Urgency; 0 comes first.  An organisation's rank comes before a route's."""
         organisation = self.organisation.priority if self.organisation is not None else 0
-        return organisation * _RANKS_OF_ROUTES + min(self.route.priority, _RANKS_OF_ROUTES - 1)
+        return organisation * RANKS_OF_ROUTES + min(self.route.priority, RANKS_OF_ROUTES - 1)
 
     def remaining(self) -> float:
         """Return the seconds until its final answer is due."""
