Pools: the share of a rank is reckoned once a judgement

Ruled out: keeping shares between judgements (they change with each call). Change: one share a rank and judgement; what is decided is the same. The tests of the queue, claims and replays pass unchanged.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -118,10 +118,13 @@
         stages = group_stages(self._waiting.values())
         in_time: list[WaitingStage] = []
         others: list[WaitingStage] = []
-        claims = {stage.rank: self._claims.rate(stage.rank) for stage in stages}
+        ranks = {stage.rank for stage in stages}
+        claims = {rank: self._claims.rate(rank) for rank in ranks}
+        # Once a rank: reckoned for each stage it took most of the time of a judgement.
+        shares = {rank: self._find_share(rank, now, offer) for rank in ranks}
         for stage in sorted(stages, key=lambda stage: _rate_claim(stage, claims[stage.rank])):
-            share = self._find_share(stage.rank, now, offer)
-            (in_time if schedule.try_add(stage, share) else others).append(stage)
+            is_placed = schedule.try_add(stage, shares[stage.rank])
+            (in_time if is_placed else others).append(stage)
         in_time.sort(key=lambda stage: stage.aim_at)
         others.sort(key=_rate_late)
         return _Judgement(in_time=in_time, others=others)
