Pools: places of a schedule are counted with the pool's figures read once

Cause: half the time of a judgement went into counting places, one call for every target and step, each reading the traits of the pool anew. Ruled out: fewer steps (they are the grain of due times). Change: one loop a target; steps in which it is still busy are left out; the two lists are bound once for each stage. Figures: a judgement of 60 stages at 8 targets 2.6 ms and 1.9 ms (200 judgements, three runs each by turns on this machine). Tests unchanged, pass. Conclusion: kept; no policy changes.

--- a/packages/damsonlane/src/damsonlane/pools/_schedule.py
+++ b/packages/damsonlane/src/damsonlane/pools/_schedule.py
@@ -73,11 +73,12 @@
             return False
         count = len(stage.pieces)
         last = max(step, self._last)
+        needed, places = self._needed, self._places
         for later in range(step, last + 1):
-            if self._needed[later] + count > self._places[later] * share:
+            if needed[later] + count > places[later] * share:
                 return False
-        for later in range(step, len(self._needed)):
-            self._needed[later] += count
+        for later in range(step, len(needed)):
+            needed[later] += count
         self._last = last
         return True
 
@@ -97,20 +98,28 @@
 
 def _count_places(offer: Offer, step: float, steps: int) -> Sequence[float]:
     """Return how many pieces the targets can make by the end of each step."""
+    places = [0.0] * steps
     # Where no target works, one is reckoned to come back at once.
-    busy_seconds = offer.busy_seconds or (0.0,)
-    places: list[float] = []
-    for number in range(1, steps + 1):
-        left = number * step
-        places.append(sum(_count_made(offer, left - busy) for busy in busy_seconds))
+    for busy in offer.busy_seconds or (0.0,):
+        _add_made(places, offer, step, busy)
     return places
 
 
-def _count_made(offer: Offer, seconds: float) -> float:
-    """Return how many pieces one target makes in a time: full calls, then a smaller one."""
-    if seconds <= 0:
-        return 0.0
-    # A step that ends with a call has it whole, whatever the rounding of its length.
-    calls = int(seconds / offer.full_seconds + 1e-6)
-    rest = seconds - calls * offer.full_seconds - offer.call_seconds
-    return calls * offer.batch + max(0.0, rest / offer.piece_seconds)
+def _add_made(places: list[float], offer: Offer, step: float, busy: float) -> None:
+    """Add what one target makes by the end of each step: full calls, then a smaller one.
+
+    This runs for every target at each judgement, a hundred steps each, so the figures of the
+    pool are read once: a judgement of 60 stages at 8 targets takes 1.9 ms instead of 2.6 (means of 200).
+    """
+    full_seconds = offer.full_seconds
+    call_seconds = offer.call_seconds
+    piece_seconds = offer.piece_seconds
+    batch = offer.batch
+    for index in range(int(busy / step), len(places)):
+        seconds = (index + 1) * step - busy
+        if seconds <= 0:
+            continue
+        # A step that ends with a call has it whole, whatever the rounding of its length.
+        calls = int(seconds / full_seconds + 1e-6)
+        rest = seconds - calls * full_seconds - call_seconds
+        places[index] += calls * batch + max(0.0, rest / piece_seconds)
