Sight: logs say which requests are the same, and which targets ended under them

Cause: the lines of a request named its id alone, so eleven tries of one request looked like eleven requests; and a broken connection and an ended target read alike. Ruled out: reading it from path and body in the log, which must not hold what callers send. Change: a fingerprint of organisation, method, host, path and body in 'accepted'; the target in 'not served'; 'target ended', with the fingerprints that broke off there, once the target refuses a connection or control says that it is silent, replaced or started again. Conclusion: the hypotheses can be told apart by the fingerprints that stand at each end.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -26,6 +26,8 @@
     arrived_at: float
     #: When its final answer must be on its way.
     due_at: float
+    #: Fingerprint of the request, the same whenever its caller sends it.
+    fingerprint: str = ""
     #: Whether its answer has begun and is to be taken up elsewhere.
     is_begun: bool = False
     #: Seconds for which its caller had waited before, since an earlier try was refused.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
@@ -9,10 +9,12 @@
 from typing import Final
 
 from damsonlane.admission import CallerAges
+from damsonlane.quarantine import find_fingerprint
 from damsonlane.routes import Organisation, Route, RouteTable, Service
 from damsonlaned.dialects import BadRequestError, CallerRequest, Dialect, Refusal
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._call import Call
+from damsonlaned.gateway._ended_targets import EndedTargets
 from damsonlaned.gateway._request_handler import RequestHandler
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._view import FleetView
@@ -56,6 +58,8 @@
     attempts: Attempts
     #: Makes stages.
     stages: StageRunner
+    #: Finds out which targets have ended.
+    ended: EndedTargets
     #: How callers and targets speak.
     dialect: Dialect
     #: Counts.
@@ -119,7 +123,7 @@
     async def _pass(self, call: Call, reply: Reply) -> None:
         parts = self._parts
         handler = RequestHandler(
-            call, reply, parts.attempts, parts.stages, parts.dialect, parts.entries
+            call, reply, parts.attempts, parts.stages, parts.ended, parts.dialect, parts.entries
         )
         _LOG.info("accepted", extra=_describe(call))
         try:
@@ -167,6 +171,7 @@
             organisation=organisation,
             arrived_at=arrived_at,
             due_at=arrived_at + seconds - ANSWER_MARGIN_SECONDS,
+            fingerprint=_find_fingerprint(request, organisation),
             waited_seconds=self._ages.find_waited(route.name, request.deadline_seconds),
         )
 
@@ -213,12 +218,24 @@
         )
 
 
+def _find_fingerprint(request: CallerRequest, organisation: Organisation | None) -> str:
+    """Return what makes two requests of one organisation the same."""
+    return find_fingerprint(
+        organisation=organisation.name if organisation is not None else "",
+        method=request.http.method,
+        host=request.host,
+        target=request.http.target,
+        body=request.http.body,
+    )
+
+
 def _describe(call: Call) -> dict[str, object]:
     """Return what decides how a request is treated."""
     return {
         **call.log_fields(),
         "organisation": call.organisation.name if call.organisation is not None else "",
         "service": call.service.name,
+        "fingerprint": call.fingerprint,
         "rank": call.rank,
         "left_ms": int(1000 * (call.due_at - call.arrived_at)),
         "waited_ms": int(1000 * call.waited_seconds),
--- a/packages/damsonlaned/src/damsonlaned/gateway/_events.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_events.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.errors import DamsonlaneError
+
 #: Bytes of one event that may wait for its end.
 LARGEST_EVENT: Final = 1024 * 1024
 
@@ -11,6 +13,10 @@
     """An event does not end."""
 
 
+class StreamSilentError(DamsonlaneError):
+    """No event came for too long."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Event:
     """One whole event."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -16,6 +16,7 @@
 from damsonlaned.dialects import DIALECTS
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._callers import CallerService, GatewayParts
+from damsonlaned.gateway._ended_targets import EndedTargets
 from damsonlaned.gateway._link import FleetLink
 from damsonlaned.gateway._placement_client import PlacementClient
 from damsonlaned.gateway._placer import PromptPlacers
@@ -81,6 +82,7 @@
                 view=self._view,
                 attempts=attempts,
                 stages=StageRunner(self._pools, self._locate),
+                ended=EndedTargets(self._view, lambda lost, runs: None),
                 dialect=self._dialect,
                 metrics=self._metrics,
                 entries=self._count_entries,
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -5,12 +5,14 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Final
 
+from damsonlane.quarantine import BrokenRun
 from damsonlane.routing import Health
 from damsonlaned.dialects import Dialect
 from damsonlaned.gateway._attempts import Attempts, Opened
 from damsonlaned.gateway._call import Call
+from damsonlaned.gateway._ended_targets import EndedTargets, LostTarget
 from damsonlaned.gateway._endings import Endings
-from damsonlaned.gateway._events import EventSplitter, EventTooLargeError
+from damsonlaned.gateway._events import EventSplitter, EventTooLargeError, StreamSilentError
 from damsonlaned.gateway._final_answer import FinalAnswer
 from damsonlaned.gateway._read_timer import ReadTimer
 from damsonlaned.gateway._request_times import RequestTimes
@@ -38,6 +40,7 @@
         reply: where the answer goes.
         attempts: sends to targets.
         stages: makes stages.
+        ended: finds out which targets have ended.
         dialect: writes our own answers.
         entries: returns how many entries share the fleet's budgets.
     """
@@ -48,12 +51,14 @@
         reply: Reply,
         attempts: Attempts,
         stages: StageRunner,
+        ended: EndedTargets,
         dialect: Dialect,
         entries: Callable[[], int],
     ) -> None:
         self._call: Final = call
         self._attempts: Final = attempts
         self._stages: Final = stages
+        self._ended: Final = ended
         self._entries: Final = entries
         self._results = StageResults()
         self._has_results = False
@@ -94,7 +99,6 @@
             unserved = await self._try_once()
             if unserved is None:
                 return
-            self._log_unserved(unserved)
             self._tries.note_unserved(may_have_run=unserved.may_have_run)
             if unserved.needs_inputs:
                 self._free_results()
@@ -111,12 +115,26 @@
             self._times.note_staged()
         chosen = await self._attempts.choose(self._call, self._tries.tried, self._results.places)
         if chosen is None:
-            return Unserved(detail="the service has no target", may_have_run=False)
+            nowhere = Unserved(detail="the service has no target", may_have_run=False)
+            self._log_unserved(nowhere)
+            return nowhere
         if self._tries.offers == 0:
             self._attempts.count_first(self._call)
         self._tries.note_offer(chosen.target)
         self._times.note_sent()
-        return await self._send(chosen)
+        unserved = await self._send(chosen)
+        if unserved is not None:
+            self._log_unserved(unserved, chosen)
+            await self._note_loss(unserved, chosen)
+        return unserved
+
+    async def _note_loss(self, unserved: Unserved, chosen: Chosen) -> None:
+        """Note that a target may not have survived the request."""
+        runs = (self._describe_run(),)
+        if unserved.loss == "broken":
+            await self._ended.note_broken(_name_lost(chosen), runs)
+        elif unserved.loss == "silent":
+            self._ended.note_silent(_name_lost(chosen), runs)
 
     async def _send(self, chosen: Chosen) -> Unserved | None:
         try:
@@ -124,9 +142,10 @@
         except NotSentError as error:
             return Unserved(detail=str(error), may_have_run=False)
         except BrokenAnswerError as error:
-            return Unserved(detail=str(error), may_have_run=True)
+            return Unserved(detail=str(error), may_have_run=True, loss="broken")
         except TimeoutError:
-            return Unserved(detail="the target did not answer in time", may_have_run=True)
+            detail = "the target did not answer in time"
+            return Unserved(detail=detail, may_have_run=True, loss="silent")
         if opened.signs.is_stream and opened.head.status == 200:
             return await self._pass_stream(opened)
         return await self._pass_whole(opened)
@@ -170,7 +189,8 @@
             health = "good" if opened.head.status < 500 else "bad"
         except BrokenAnswerError as error:
             health = "bad"
-            return Unserved(detail=str(error), may_have_run=not opened.signs.has_not_run)
+            has_run = not opened.signs.has_not_run
+            return Unserved(detail=str(error), may_have_run=has_run, loss="broken")
         finally:
             self._attempts.finish(opened, health)
         head = opened.head
@@ -216,7 +236,10 @@
             return None
         except (BrokenAnswerError, EventTooLargeError) as error:
             health = "bad"
-            return Unserved(detail=str(error), may_have_run=True)
+            return Unserved(detail=str(error), may_have_run=True, loss="broken")
+        except StreamSilentError as error:
+            health = "bad"
+            return Unserved(detail=str(error), may_have_run=True, loss="silent")
         finally:
             self._attempts.finish(opened, health)
 
@@ -246,7 +269,7 @@
             except StopAsyncIteration:
                 return
             except TimeoutError:
-                raise BrokenAnswerError("the stream fell silent") from None
+                raise StreamSilentError("the stream fell silent") from None
             yield part
 
     # Results of stages, and the log.
@@ -265,8 +288,18 @@
             results, self._results, self._has_results = self._results, StageResults(), False
             self._stages.free(results)
 
-    def _log_unserved(self, unserved: Unserved) -> None:
-        fields = {"reason": unserved.detail, "may_have_run": unserved.may_have_run}
+    def _describe_run(self) -> BrokenRun:
+        """Return what broke off: this request, some time after it was sent."""
+        return BrokenRun(
+            fingerprint=self._call.fingerprint, seconds=self._times.seconds_since_sent()
+        )
+
+    def _log_unserved(self, unserved: Unserved, chosen: Chosen | None = None) -> None:
+        fields = {
+            "target": chosen.target if chosen is not None else "",
+            "reason": unserved.detail,
+            "may_have_run": unserved.may_have_run,
+        }
         _LOG.info("not served", extra={**self._call.log_fields(), **fields})
 
     def _log_end(self) -> None:
@@ -285,3 +318,8 @@
                 "last_event": self._last_event,
             },
         )
+
+
+def _name_lost(chosen: Chosen) -> LostTarget:
+    """Return the start of a target under which an answer broke off."""
+    return LostTarget(target=chosen.target, address=chosen.address, start=chosen.start)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_unserved.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_unserved.py
@@ -1,9 +1,13 @@
 """What an attempt at a target says when it gave the caller nothing."""
 
 from dataclasses import dataclass
+from typing import Literal
 
 from damsonlaned.http import HttpResponse
 
+#: How an answer was lost: its connection broke, or nothing came any more.
+Loss = Literal["broken", "silent"]
+
 
 @dataclass(frozen=True, kw_only=True)
 class Unserved:
@@ -17,3 +21,5 @@
     response: HttpResponse | None = None
     #: Whether its stage results must be made again.
     needs_inputs: bool = False
+    #: How the answer was lost, if the target may not have survived the request.
+    loss: Loss | None = None
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -71,6 +71,10 @@
         """Return the records of a service's targets."""
         return tuple(record for record in self._targets.values() if record.service == service)
 
+    def find_target(self, target: str) -> TargetRecord | None:
+        """Return the record of a target, or None where control lists it no more."""
+        return self._targets.get(target)
+
     def open_targets_of(self, service: str) -> tuple[TargetRecord, ...]:
         """Return the records of a service's targets that may get new work."""
         return tuple(record for record in self.targets_of(service) if self.is_open(record))
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 
 from damsonlane.cluster import PackedDocument
 from damsonlane.codec import encode_bytes
+from damsonlane.quarantine import BrokenRun
 from damsonlane.routes import (
     Organisation,
     PoolTraits,
@@ -20,6 +21,7 @@
 from damsonlaned.dialects import NativeDialect
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._callers import CallerService, GatewayParts
+from damsonlaned.gateway._ended_targets import EndedTargets, LostTarget
 from damsonlaned.gateway._placement_client import PlacementClient
 from damsonlaned.gateway._placer import PromptPlacers
 from damsonlaned.gateway._pool_client import PoolClient
@@ -237,11 +239,15 @@
         self.pools = PoolClient(self.view, self.owners, "127.0.0.1:9", None)
         placements = PlacementClient(PromptPlacers(self.view), self.pools, "127.0.0.1:9")
         self.attempts = Attempts(targets, placements, dialect, 0.2, 10.0, slack)
+        #: Targets that the entry found to have ended, with what broke off there.
+        self.ends: list[tuple[LostTarget, Sequence[BrokenRun]]] = []
+        self.ended = EndedTargets(self.view, lambda lost, runs: self.ends.append((lost, runs)))
         self.callers = CallerService(
             GatewayParts(
                 view=self.view,
                 attempts=self.attempts,
                 stages=StageRunner(self.pools, lambda handle: "gulberg"),
+                ended=self.ended,
                 dialect=dialect,
                 metrics=self.metrics,
                 entries=lambda: 1,
