--- a/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import os
 import secrets
 from dataclasses import replace
 from typing import Final, Literal
@@ -34,6 +35,12 @@
 #: Events of a stream, and the seconds between them.
 EVENTS: Final = 20
 _EVENT_SECONDS: Final = 0.05
+#: Body of a request, and key of the material of pieces, that no target survives.
+DEADLY: Final = "end the target"
+#: Seconds from the beginning of such a run until the process ends.
+_DYING_SECONDS: Final = 0.05
+#: Exit code of a process that ended so.
+_DEAD: Final = 70
 #: Seconds for which a leaving target goes on serving.
 _LEAVING_SECONDS: Final = 1.5
 
@@ -120,6 +127,9 @@
     async def _serve(self, request: HttpRequest, reply: Reply) -> None:
         if request.path == "/ran":
             reply.send_whole(HttpResponse(status=200, body=json.dumps(self.ran).encode()))
+        elif _is_deadly(request, self._kind):
+            await asyncio.sleep(_DYING_SECONDS)
+            os._exit(_DEAD)
         elif self._kind == "pool":
             await self._make_pieces(request, reply)
         elif request.find(b"damsonlane-target") != self._record.target:
@@ -163,5 +173,15 @@
         )
 
 
+def _is_deadly(request: HttpRequest, kind: Kind) -> bool:
+    """Tell whether the target does not survive what it is to run."""
+    if kind != "pool":
+        return request.body == DEADLY.encode()
+    is_call = request.path == "/v1/pieces"
+    return is_call and any(
+        piece["material_key"] == DEADLY for piece in json.loads(request.body)["pieces"]
+    )
+
+
 def _render(status: int, detail: str) -> HttpResponse:
     return HttpResponse(status=status, body=detail.encode())
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -88,7 +88,9 @@
         except OSError:
             return False
 
-    def call(self, entry: str, path: str, request_id: str, **headers: str) -> tuple[int, bytes]:
+    def call(
+        self, entry: str, path: str, request_id: str, *, body: bytes = b"", **headers: str
+    ) -> tuple[int, bytes]:
         """Return status and body of a request; an answer that breaks off has status 0."""
         connection = http.client.HTTPConnection(
             self.addresses[f"{entry}/front"], timeout=_CALLER_SECONDS
@@ -101,7 +103,7 @@
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         try:
-            connection.request("GET", path, headers=sent)
+            connection.request("POST" if body else "GET", path, body=body or None, headers=sent)
             response = connection.getresponse()
             return response.status, response.read()
         except (OSError, http.client.HTTPException):
