Requests that end targets are kept from them, at all entries, by what ended under them

Cause: limits on offers hold for one try of a caller, and what a request did to a target was forgotten with the try; the next one, under a new id at any entry, began from nothing. Change: an entry whose answer breaks off looks whether the target still takes connections; if it has ended, control is told which requests it had (fingerprints). Control keeps that as replicated state and blames the fewest requests that explain the ends; three ends hold a request. Entries refuse it at once (503, when to return; 502 if it may have run), stop it where it waits, take no stream of it up, make no piece of it; owners of pools run pieces of suspects apart. A request that was served lately is not blamed.

--- a/packages/damsonlane/src/damsonlane/cluster/_state.py
+++ b/packages/damsonlane/src/damsonlane/cluster/_state.py
@@ -39,6 +39,15 @@
     read_holder,
 )
 from damsonlane.membership import BoxNoted, BoxRecord, LoseBox, Membership, NoteBox
+from damsonlane.quarantine import (
+    ForgetTargetEnds,
+    NoteSurvived,
+    NoteTargetEnd,
+    QuarantineBook,
+    QuarantineNoted,
+    QuarantineSnapshot,
+    ReleaseRequest,
+)
 from damsonlane.targets import (
     RegisterTarget,
     RemoveTarget,
@@ -62,7 +71,11 @@
     | RemoveTarget
     | SilenceTargets
     | EvacuateDataCentre
-    | RestoreDataCentre,
+    | RestoreDataCentre
+    | NoteTargetEnd
+    | NoteSurvived
+    | ReleaseRequest
+    | ForgetTargetEnds,
     Field(discriminator="kind"),
 ]
 Reply = Annotated[
@@ -74,7 +87,8 @@
     | BoxNoted
     | DocumentNoted
     | TargetNoted
-    | EvacuationNoted,
+    | EvacuationNoted
+    | QuarantineNoted,
     Field(discriminator="kind"),
 ]
 
@@ -103,6 +117,8 @@
     targets: TargetsSnapshot = TargetsSnapshot()
     #: Data centres that are evacuated.
     evacuations: EvacuationsSnapshot = EvacuationsSnapshot()
+    #: Targets that ended, and under what.
+    quarantine: QuarantineSnapshot = QuarantineSnapshot()
 
 
 def encode_command(command: Command) -> str:
@@ -128,6 +144,7 @@
         self.documents = DocumentStore(start.document)
         self.targets = TargetRegistry(start.targets)
         self.evacuations = Evacuations(start.evacuations)
+        self.quarantine = QuarantineBook(start.quarantine)
 
     @classmethod
     def from_text(cls, text: str) -> "ClusterState":
@@ -147,6 +164,7 @@
             document=self.documents.document,
             targets=self.targets.snapshot(),
             evacuations=self.evacuations.snapshot(),
+            quarantine=self.quarantine.snapshot(),
         )
         return encode_text(snapshot, ClusterSnapshot)
 
@@ -169,6 +187,8 @@
                 return self.targets.apply(command)
             case EvacuateDataCentre() | RestoreDataCentre():
                 return self.evacuations.apply(command)
+            case NoteTargetEnd() | NoteSurvived() | ReleaseRequest() | ForgetTargetEnds():
+                return self.quarantine.apply(command)
 
     def _tell_holder(self, reply: JobReply) -> JobReply:
         """Say of a job that another process holds whether that process is still heard."""
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -39,6 +39,8 @@
     is_late_return: bool = False
     #: Whether the answer to its request has begun, or results of other stages are held.
     is_begun: bool = False
+    #: Fingerprint of the request, the same whenever its caller sends it.
+    fingerprint: str = ""
     #: Data centre in which it should run, since its inputs or the user of its
     #: result are there; empty when little would have to travel.
     home: str = ""
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/quarantine/_blame.py
@@ -0,0 +1,96 @@
+"""Which requests the ends of targets are put down to.
+
+A target that ends takes along everything that it has, so most of what broke off there has done
+nothing.  Blame goes to the few requests that explain the most ends: whoever stands in more ends
+than others is taken out first, and ends that are explained by it count against nobody else.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Final
+
+from damsonlane.quarantine._ends import TargetEnd
+
+#: Targets that end under a request before it is kept from them.  With two, requests that were
+#: resumed once beside a deadly one would be kept back too: in a recorded burst of 17 ends five
+#: bystanders stood in two ends, one in three, and none in more.
+ENDS_TO_HOLD: Final = 3
+#: Ends after which a request is held even though another one stands in all of them as well:
+#: two that always come together can't be told apart, and both are refused rather than more
+#: targets lost.
+ENDS_TO_HOLD_ALIKE: Final = 6
+
+
+def find_blamed(ends: Iterable[TargetEnd]) -> dict[str, tuple[TargetEnd, ...]]:
+    """Return the requests that explain the ends of targets, each with those that it explains."""
+    under = _group_by_request(ends)
+    blamed: dict[str, tuple[TargetEnd, ...]] = {}
+    while under:
+        first = min(under, key=lambda name: _rate(name, under[name]))
+        if len(under[first]) < ENDS_TO_HOLD:
+            break
+        alike = [name for name in under if _is_alike(under[name], under[first])]
+        explained = under[first]
+        if len(alike) == 1 or len(explained) >= ENDS_TO_HOLD_ALIKE:
+            blamed.update({name: tuple(explained.values()) for name in alike})
+            under = _leave_out(under, explained)
+        for name in alike:
+            under.pop(name, None)
+    return blamed
+
+
+def find_suspects(ends: Iterable[TargetEnd], least: int, most: int) -> tuple[str, ...]:
+    """Return the requests that stand in some ends at least, those in the most ends first."""
+    under = _group_by_request(ends)
+    names = [name for name in under if len(under[name]) >= least]
+    return tuple(sorted(names, key=lambda name: _rate(name, under[name]))[:most])
+
+
+#: Ends by their identity.
+_Ends = Mapping[tuple[str, int], TargetEnd]
+
+
+def _group_by_request(ends: Iterable[TargetEnd]) -> dict[str, _Ends]:
+    """Return for each request the ends in which it stands."""
+    under: dict[str, dict[tuple[str, int], TargetEnd]] = {}
+    for end in ends:
+        for run in end.runs:
+            under.setdefault(run.fingerprint, {})[end.identity] = end
+    return dict(under)
+
+
+def _rate(name: str, ends: _Ends) -> tuple[int, float, str]:
+    """Return the place of a request among those to blame; the least comes first.
+
+    Of two in as many ends the one that ran for less time each is the more likely cause.
+    """
+    seconds = sum(
+        run.seconds for end in ends.values() for run in end.runs if run.fingerprint == name
+    )
+    return (-len(ends), seconds, name)
+
+
+def _is_alike(ends: _Ends, others: _Ends) -> bool:
+    return ends.keys() == others.keys()
+
+
+def _leave_out(under: Mapping[str, _Ends], explained: _Ends) -> dict[str, _Ends]:
+    """Return what is left against each request once some ends are explained."""
+    left = {
+        name: {identity: end for identity, end in ends.items() if identity not in explained}
+        for name, ends in under.items()
+    }
+    return {name: ends for name, ends in left.items() if ends}
+
+
+def find_oldest_unneeded(ends: Sequence[TargetEnd], blamed: Iterable[str]) -> int:
+    """Return the index of the oldest end that holds no blamed request back, or else of the oldest.
+
+    Args:
+        ends: all ends, oldest first.
+        blamed: the requests that are blamed.
+    """
+    names = set(blamed)
+    for index, end in enumerate(ends):
+        if not any(run.fingerprint in names for run in end.runs):
+            return index
+    return 0
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/quarantine/_book.py
@@ -0,0 +1,178 @@
+"""Requests that are kept from targets: part of the replicated state."""
+
+from collections.abc import Collection
+from dataclasses import dataclass, replace
+from typing import Final, Literal
+
+from damsonlane.quarantine._blame import (
+    ENDS_TO_HOLD,
+    find_blamed,
+    find_oldest_unneeded,
+    find_suspects,
+)
+from damsonlane.quarantine._ends import (
+    BrokenRun,
+    ForgetTargetEnds,
+    NoteSurvived,
+    NoteTargetEnd,
+    ReleaseRequest,
+    TargetEnd,
+)
+
+#: Ends that are remembered: some minutes of a fleet that loses one target a second.
+MOST_ENDS: Final = 256
+#: Requests that are remembered of one end, those first that ran for the shortest time.
+MOST_RUNS: Final = 48
+#: Seconds for which an end counts: a request that ends targets costs three of them an hour.
+COUNTED_SECONDS: Final = 3_600.0
+#: Ends from which on entries tell that a request was served after all.
+ENDS_TO_SUSPECT: Final = 2
+#: Requests that entries are told to look out for so.
+MOST_SUSPECTS: Final = 128
+
+#: What changes the book.
+QuarantineCommand = NoteTargetEnd | NoteSurvived | ReleaseRequest | ForgetTargetEnds
+
+
+@dataclass(frozen=True, kw_only=True)
+class HeldRequest:
+    """A request that is kept from targets."""
+
+    #: Its fingerprint.
+    fingerprint: str
+    #: Number of targets that ended under it.
+    ends: int
+    #: Until when it is held if nothing else comes, in seconds since 1970.
+    until: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class QuarantineList:
+    """What entries are told, at a revision."""
+
+    #: Number of changes that led there; a lower one is older.
+    revision: int = 0
+    #: Requests that are kept from targets.
+    held: tuple[HeldRequest, ...] = ()
+    #: Fingerprints of others that some targets ended under.
+    suspects: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class QuarantineNoted:
+    """The reply to all commands: what holds now."""
+
+    kind: Literal["quarantine-noted"] = "quarantine-noted"
+    #: The list after the command.
+    held: QuarantineList
+
+
+@dataclass(frozen=True, kw_only=True)
+class QuarantineSnapshot:
+    """The whole state."""
+
+    #: Number of changes of the list so far.
+    revision: int = 0
+    #: Ends that count, oldest first.
+    ends: tuple[TargetEnd, ...] = ()
+
+
+class QuarantineBook:
+    """Applies what entries and operators say about requests that end targets."""
+
+    def __init__(self, snapshot: QuarantineSnapshot | None = None) -> None:
+        start = snapshot or QuarantineSnapshot()
+        self._ends = {end.identity: end for end in start.ends}
+        self._list = _make_list(start.revision, start.ends)
+
+    @property
+    def revision(self) -> int:
+        """Number of changes of the list so far."""
+        return self._list.revision
+
+    def snapshot(self) -> QuarantineSnapshot:
+        """Return the whole state."""
+        return QuarantineSnapshot(revision=self.revision, ends=tuple(self._ends.values()))
+
+    def list_for_entries(self) -> QuarantineList:
+        """Return what entries are told."""
+        return self._list
+
+    def is_forgetful_at(self, now: float) -> bool:
+        """Tell whether some end has stopped to count.
+
+        Args:
+            now: seconds since 1970.
+        """
+        return any(end.at < now - COUNTED_SECONDS for end in self._ends.values())
+
+    def apply(self, command: QuarantineCommand) -> QuarantineNoted:
+        """Apply one command."""
+        match command:
+            case NoteTargetEnd():
+                self._note_end(command)
+            case NoteSurvived(fingerprints=fingerprints):
+                self._clear(fingerprints)
+            case ReleaseRequest(fingerprint=fingerprint):
+                self._clear((fingerprint,))
+            case ForgetTargetEnds(before=before):
+                self._ends = {name: end for name, end in self._ends.items() if end.at >= before}
+        self._renew_list()
+        return QuarantineNoted(held=self._list)
+
+    def _note_end(self, command: NoteTargetEnd) -> None:
+        end = TargetEnd(
+            target=command.target, start=command.start, at=command.at, runs=command.runs
+        )
+        known = self._ends.get(end.identity)
+        if known is not None:
+            end = replace(known, runs=(*known.runs, *command.runs))
+        self._ends[end.identity] = replace(end, runs=_keep_shortest(end.runs))
+        while len(self._ends) > MOST_ENDS:
+            ends = list(self._ends.values())
+            held = [request.fingerprint for request in self._list.held]
+            del self._ends[ends[find_oldest_unneeded(ends, held)].identity]
+
+    def _clear(self, fingerprints: Collection[str]) -> None:
+        """Take all that stands against some requests back."""
+        cleared = {}
+        for identity, end in self._ends.items():
+            runs = tuple(run for run in end.runs if run.fingerprint not in fingerprints)
+            if runs:
+                cleared[identity] = replace(end, runs=runs)
+        self._ends = cleared
+
+    def _renew_list(self) -> None:
+        newer = _make_list(self.revision + 1, tuple(self._ends.values()))
+        if replace(newer, revision=self.revision) != self._list:
+            self._list = newer
+
+
+def _make_list(revision: int, ends: tuple[TargetEnd, ...]) -> QuarantineList:
+    """Return what follows from some ends."""
+    blamed = find_blamed(ends)
+    held = tuple(_hold(name, blamed[name]) for name in sorted(blamed))
+    suspects = find_suspects(ends, ENDS_TO_SUSPECT, MOST_SUSPECTS)
+    others = tuple(name for name in suspects if name not in blamed)
+    return QuarantineList(revision=revision, held=held, suspects=others)
+
+
+def _hold(fingerprint: str, ends: tuple[TargetEnd, ...]) -> HeldRequest:
+    """Return a request as it is held: for as long as enough of its ends count."""
+    times = sorted((end.at for end in ends), reverse=True)
+    return HeldRequest(
+        fingerprint=fingerprint,
+        ends=len(ends),
+        until=times[ENDS_TO_HOLD - 1] + COUNTED_SECONDS,
+    )
+
+
+def _keep_shortest(runs: tuple[BrokenRun, ...]) -> tuple[BrokenRun, ...]:
+    """Return each request once, by its shortest run, and no more than are remembered."""
+    shortest: dict[str, BrokenRun] = {}
+    for run in runs:
+        known = shortest.get(run.fingerprint)
+        if known is None or run.seconds < known.seconds:
+            shortest[run.fingerprint] = run
+    ordered = sorted(shortest.values(), key=lambda run: (run.seconds, run.fingerprint))
+    return tuple(ordered[:MOST_RUNS])
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -253,10 +253,12 @@
         )
 
     def _call(self, entry: str, route: str, request_id: str) -> tuple[int, bytes]:
-        headers = {}
-        if route == "chat":
-            headers = {"Damsonlane_Pieces": "2,3", "Damsonlane_Material_Key": "demo"}
-        return self._fleet.call(entry, f"/{route}/a", request_id, **headers)
+        path = f"/{route}/a"
+        if route != "chat":
+            return self._fleet.call(entry, path, request_id)
+        return self._fleet.call(
+            entry, path, request_id, Damsonlane_Pieces="2,3", Damsonlane_Material_Key="demo"
+        )
 
     def _answer(self) -> None:
         status, body = self._call("entry-1", "refund", "refund-1")
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_deadly_requests.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_deadly_requests.py
@@ -29,6 +29,7 @@
 from collections import Counter
 from pathlib import Path
 from threading import Event, Thread
+from typing import Any
 
 from damsonlane_bench.fleet import wait_until
 from damsonlane_bench.registered import Kind
@@ -134,7 +135,7 @@
     def _call(self, number: int, route: str, *, body: bytes, key: str = "demo") -> int:
         """Send a request to one of the entries by turns; return its status, 0 if cut off."""
         entry = self.fleet.entries[number % len(self.fleet.entries)]
-        headers = {"Damsonlane_Pieces": "1,1", "Damsonlane_Material_Key": key}
+        headers: dict[str, Any] = {"Damsonlane_Pieces": "1,1", "Damsonlane_Material_Key": key}
         request_id = f"{route}-{time.monotonic_ns()}"
         status, data = self.fleet.call(
             entry, f"/{route}/a", request_id, body=body, **(headers if route == "chat" else {})
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_fleet_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_fleet_messages.py
@@ -10,6 +10,7 @@
 from damsonlane.membership import BoxRecord
 from damsonlane.placing import Placement, PromptOrder, PromptRead
 from damsonlane.pools import PieceOrder, PieceResult
+from damsonlane.quarantine import QuarantineList
 from damsonlane.targets import TargetChanges
 from damsonlane_rpc._messages import Done, NotLeader, WatchReport
 
@@ -24,6 +25,8 @@
     targets_revision: int
     #: Revision of the list of evacuated data centres that it holds; -1 for none.
     evacuations_revision: int = -1
+    #: Revision of the list of requests that are kept from targets; -1 for none.
+    quarantine_revision: int = -1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -38,6 +41,8 @@
     targets: TargetChanges | None = None
     #: Data centres that are evacuated, or None when they are as before.
     evacuations: EvacuationList | None = None
+    #: Requests that are kept from targets, or None when they are as before.
+    quarantine: QuarantineList | None = None
     #: All entries that are heard, or None when they are as before.
     entries: tuple[BoxRecord, ...] | None = None
     #: Internal addresses of the control replicas, or None when they are as before.
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -11,6 +11,7 @@
 from damsonlane.costs import CostTotal
 from damsonlane.evacuation import Evacuation
 from damsonlane.membership import BoxRecord
+from damsonlane.quarantine import QuarantineList
 from damsonlane.settings import Role
 
 
@@ -126,6 +127,22 @@
     evacuations: tuple[Evacuation, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class QuarantineQuery:
+    """Ask which requests are kept from targets."""
+
+    kind: Literal["quarantine-query"] = "quarantine-query"
+
+
+@dataclass(frozen=True, kw_only=True)
+class QuarantineView:
+    """The requests that are kept from targets."""
+
+    kind: Literal["quarantine-view"] = "quarantine-view"
+    #: The list as entries are told it.
+    held: QuarantineList
+
+
 @dataclass(frozen=True, kw_only=True)
 class BoxesView:
     """The boxes that are heard."""
@@ -147,7 +164,8 @@
         | ChangeQuery
         | CostsQuery
         | BoxesQuery
-        | EvacuationsQuery,
+        | EvacuationsQuery
+        | QuarantineQuery,
         Field(discriminator="kind"),
     ]
 
@@ -214,6 +232,7 @@
         | CostsView
         | BoxesView
         | EvacuationsView
+        | QuarantineView
         | NotLeader
         | Unconfirmed
         | Forbidden,
--- a/packages/damsonlaned/src/damsonlaned/control/_following.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_following.py
@@ -33,6 +33,8 @@
     targets_revision: int
     #: Revision of the list of evacuated data centres that it has.
     evacuations_revision: int
+    #: Revision of the list of requests that are kept from targets that it has.
+    quarantine_revision: int
     #: Entries as it was told last; None before that.
     entries: tuple[BoxRecord, ...] | None = None
     #: Addresses of the control replicas as it was told last; None before that.
@@ -68,6 +70,7 @@
             document_version=report.box.version,
             targets_revision=report.targets_revision,
             evacuations_revision=report.evacuations_revision,
+            quarantine_revision=report.quarantine_revision,
         )
         while True:
             update = self._make_update(told)
@@ -87,6 +90,8 @@
         is_new = targets.revision != told.targets_revision
         evacuations = state.evacuations
         is_moved = evacuations.revision != told.evacuations_revision
+        quarantine = state.quarantine
+        is_renewed = quarantine.revision != told.quarantine_revision
         entries = state.membership.records()
         control = self._control_addresses()
         return FollowUpdate(
@@ -94,6 +99,7 @@
             document=document if document.version > told.document_version else None,
             targets=targets.changes_after(told.targets_revision) if is_new else None,
             evacuations=evacuations.list_for_entries() if is_moved else None,
+            quarantine=quarantine.list_for_entries() if is_renewed else None,
             entries=entries if entries != told.entries else None,
             control=control if control != told.control else None,
         )
@@ -110,6 +116,8 @@
         told = replace(told, targets_revision=update.targets.revision)
     if update.evacuations is not None:
         told = replace(told, evacuations_revision=update.evacuations.revision)
+    if update.quarantine is not None:
+        told = replace(told, quarantine_revision=update.quarantine.revision)
     if update.entries is not None:
         told = replace(told, entries=update.entries)
     if update.control is not None:
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -297,7 +297,7 @@
         if self._marks() != before:
             self.watchers.announce()
 
-    def _marks(self) -> tuple[int, int, int, int, int]:
+    def _marks(self) -> tuple[int, int, int, int, int, int]:
         """Return what changes whenever a box that follows must be told something."""
         state = self.state
         return (
@@ -306,6 +306,7 @@
             state.documents.document.version,
             state.targets.revision,
             state.evacuations.revision,
+            state.quarantine.revision,
         )
 
     def _finish_reads(self, output: Output) -> None:
--- a/packages/damsonlaned/src/damsonlaned/control/_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_registry.py
@@ -14,6 +14,7 @@
 from damsonlane.coldness import ColdNews
 from damsonlane.errors import SettingsError, UnavailableError
 from damsonlane.evacuation import EvacuateDataCentre, EvacuationNoted, RestoreDataCentre
+from damsonlane.quarantine import COUNTED_SECONDS, ForgetTargetEnds
 from damsonlane.routes import check_document
 from damsonlane.targets import (
     RegisterTarget,
@@ -253,6 +254,7 @@
             try:
                 if self._leader.is_here():
                     await self._silence()
+                    await self._forget_ends()
                 else:
                     await self._tell_leader()
             except UnavailableError as error:
@@ -294,6 +296,12 @@
             await self._leader.submit(SilenceTargets(targets=names))
             _LOG.warning("targets silent", extra={"targets": names})
 
+    async def _forget_ends(self) -> None:
+        """Forget, at the leader, ends of targets that count no more."""
+        now = time.time()
+        if self._node.state.quarantine.is_forgetful_at(now):
+            await self._leader.submit(ForgetTargetEnds(before=now - COUNTED_SECONDS))
+
     # Refusals.
 
     def _refuse_bad(self, request: HttpRequest, fault: str) -> HttpResponse:
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -16,6 +16,7 @@
 from damsonlane.cluster import ChangeSettings, Command
 from damsonlane.errors import AgreementError, NotLeaderError, UnavailableError
 from damsonlane.evacuation import EvacuateDataCentre, RestoreDataCentre
+from damsonlane.quarantine import NoteTargetEnd, ReleaseRequest
 from damsonlane.settings import Operator
 from damsonlane_rpc import (
     ADD,
@@ -47,6 +48,8 @@
     HistoryQuery,
     HistoryView,
     NotLeader,
+    QuarantineQuery,
+    QuarantineView,
     QueryReply,
     QueryRequest,
     RemoveRequest,
@@ -226,6 +229,8 @@
             case EvacuationsQuery():
                 evacuations = state.evacuations.evacuations()
                 return QueryReply(outcome=EvacuationsView(evacuations=evacuations))
+            case QuarantineQuery():
+                return QueryReply(outcome=QuarantineView(held=state.quarantine.list_for_entries()))
             case CostsQuery():
                 return QueryReply(
                     outcome=CostsView(
@@ -322,12 +327,19 @@
     """Tell whether a command comes from an operator and changes what all boxes do."""
     if isinstance(command, EvacuateDataCentre | RestoreDataCentre):
         return command.operator != REGISTRY
-    return isinstance(command, ChangeSettings)
+    return isinstance(command, ChangeSettings | ReleaseRequest)
 
 
 def _sign(command: Command, operator: str) -> Command:
-    """Write the authenticated operator and the time into an operator's command."""
+    """Write the authenticated operator and the time into an operator's command.
+
+    Ends of targets are dated here too, since entries' clocks differ by more than replicas'.
+    """
+    if isinstance(command, NoteTargetEnd):
+        return replace(command, at=round(time.time(), 3))
     if not _needs_editor(command):
         return command
-    assert isinstance(command, ChangeSettings | EvacuateDataCentre | RestoreDataCentre)
+    assert isinstance(
+        command, ChangeSettings | EvacuateDataCentre | RestoreDataCentre | ReleaseRequest
+    )
     return replace(command, operator=operator or ANYONE, at=round(time.time(), 3))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
@@ -15,6 +15,7 @@
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._ended_targets import EndedTargets
+from damsonlaned.gateway._quarantine import Quarantine
 from damsonlaned.gateway._request_handler import RequestHandler
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._view import FleetView
@@ -60,6 +61,8 @@
     stages: StageRunner
     #: Finds out which targets have ended.
     ended: EndedTargets
+    #: Keeps requests that end targets from them.
+    quarantine: Quarantine
     #: How callers and targets speak.
     dialect: Dialect
     #: Counts.
@@ -123,7 +126,14 @@
     async def _pass(self, call: Call, reply: Reply) -> None:
         parts = self._parts
         handler = RequestHandler(
-            call, reply, parts.attempts, parts.stages, parts.ended, parts.dialect, parts.entries
+            call,
+            reply,
+            parts.attempts,
+            parts.stages,
+            parts.ended,
+            parts.quarantine,
+            parts.dialect,
+            parts.entries,
         )
         _LOG.info("accepted", extra=_describe(call))
         try:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_endings.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_endings.py
@@ -2,8 +2,10 @@
 
 from typing import Final
 
+from damsonlane.quarantine import HeldRequest
 from damsonlaned.dialects import Refusal
 from damsonlaned.gateway._final_answer import FinalAnswer
+from damsonlaned.gateway._quarantine import find_retry_seconds
 from damsonlaned.gateway._stages import StageError
 from damsonlaned.gateway._tries import Tries
 from damsonlaned.gateway._unserved import Unserved
@@ -43,6 +45,21 @@
         else:
             self._refuse(503, str(error), retry_after_seconds=error.retry_seconds)
 
+    def end_held(self, held: HeldRequest, *, is_under_way: bool) -> None:
+        """End a request that is kept from targets, since some ended under it.
+
+        Args:
+            held: what is known of it.
+            is_under_way: whether a target may have it at this moment.
+        """
+        if is_under_way:
+            self._tries.may_have_run = True
+        detail = f"{held.ends} targets ended while they had this request"
+        if self._tries.may_have_run:
+            self._refuse(502, detail)
+        else:
+            self._refuse(503, detail, retry_after_seconds=find_retry_seconds(held))
+
     def end_late(self) -> None:
         """End a request whose deadline has come."""
         if self._answer.has_begun():
--- a/packages/damsonlaned/src/damsonlaned/gateway/_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_link.py
@@ -6,6 +6,7 @@
 import random
 import ssl
 import time
+from collections.abc import Callable
 from typing import Final
 
 from grpclib.client import Stream
@@ -50,6 +51,7 @@
         holder: this process.
         view: what is kept current.
         context: TLS context towards other boxes, or None.
+        on_control: told the addresses of the control replicas whenever a replica names them.
     """
 
     def __init__(
@@ -58,7 +60,9 @@
         holder: Holder,
         view: FleetView,
         context: ssl.SSLContext | None,
+        on_control: Callable[[tuple[str, ...]], None] = lambda _: None,
     ) -> None:
+        self._on_control: Final = on_control
         gateway = settings.gateway
         self._settings: Final = settings
         self._holder: Final = holder
@@ -113,6 +117,7 @@
         return random.choice(others or self._addresses)
 
     def _learn(self, addresses: tuple[str, ...]) -> None:
+        self._on_control(addresses)
         later = [address for address in self._addresses if address not in addresses]
         self._addresses = [*addresses, *later][:MOST_ADDRESSES]
 
@@ -170,6 +175,8 @@
             self._view.put_targets(update.targets)
         if update.evacuations is not None:
             self._view.put_evacuations(update.evacuations)
+        if update.quarantine is not None:
+            self._view.put_quarantine(update.quarantine)
         if update.entries is not None:
             self._view.put_entries(update.entries)
         if update.document is not None:
@@ -197,4 +204,5 @@
             box=box,
             targets_revision=self._view.targets_revision,
             evacuations_revision=self._view.evacuations_revision,
+            quarantine_revision=self._view.quarantine.revision,
         )
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -4,14 +4,16 @@
 import logging
 import secrets
 import ssl
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from grpclib.const import Handler
 
 from damsonlane.coldness import ColdAllowance
 from damsonlane.ledger import Holder
+from damsonlane.quarantine import QuarantineList, QuarantineNoted
 from damsonlane.settings import BoxSettings, Gateway
+from damsonlane_rpc import ControlClient
 from damsonlaned.admin import Admin
 from damsonlaned.dialects import DIALECTS
 from damsonlaned.gateway._attempts import Attempts
@@ -23,6 +25,7 @@
 from damsonlaned.gateway._pool_client import PoolClient
 from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._pool_service import PoolService
+from damsonlaned.gateway._quarantine import Quarantine, Report
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
@@ -36,6 +39,10 @@
 STILL_TAKEN_SECONDS: Final = 2.5
 #: Seconds kept back before the end of the grace time.
 STOP_MARGIN_SECONDS: Final = 0.4
+#: Seconds for which telling control which targets ended may take, over all replicas.
+SUBMIT_SECONDS: Final = 2.0
+#: Seconds for which one replica may take for it.
+SUBMIT_ATTEMPT_SECONDS: Final = 0.5
 #: Seconds between looks at what is under way.
 LOOK_SECONDS: Final = 0.05
 
@@ -58,11 +65,18 @@
         cold = ColdAllowance(ratio=gateway.cold_ratio, slack=gateway.cold_slack)
         self._view: Final = FleetView(self._dialect, cold)
         holder = Holder(box=settings.name, incarnation=secrets.token_hex(6))
-        self._link: Final = FleetLink(settings, holder, self._view, context)
+        self._link: Final = FleetLink(
+            settings, holder, self._view, context, on_control=self._learn_control
+        )
+        self._control: Final = ControlClient(settings.control, context=context)
+        self._quarantine: Final = Quarantine(self._view, self._submit)
+        ended = EndedTargets(self._view, self._quarantine.take_end)
         targets = Targets(
             self._view, settings.data_centre, self._count_entries, settings.internal_address
         )
-        owners = PoolOwners(self._view, targets, self._dialect, self._metrics)
+        owners = PoolOwners(
+            self._view, targets, self._dialect, self._metrics, ended, self._quarantine
+        )
         self._owners: Final = owners
         self._pools: Final = PoolClient(self._view, owners, settings.internal_address, context)
         placers = PromptPlacers(self._view)
@@ -82,7 +96,8 @@
                 view=self._view,
                 attempts=attempts,
                 stages=StageRunner(self._pools, self._locate),
-                ended=EndedTargets(self._view, lambda lost, runs: None),
+                ended=ended,
+                quarantine=self._quarantine,
                 dialect=self._dialect,
                 metrics=self._metrics,
                 entries=self._count_entries,
@@ -147,6 +162,8 @@
         await self._listener.stop()
         await self._ready_listener.stop()
         await self._link.stop()
+        await self._quarantine.stop()
+        self._control.close()
         await self._pools.stop()
         await self._admin.stop()
 
@@ -154,6 +171,18 @@
         is_ready = self._dialect.is_ready_call(request) and self.is_ready()
         reply.send_whole(HttpResponse(status=200 if is_ready else 503))
 
+    def _learn_control(self, addresses: tuple[str, ...]) -> None:
+        self._control.learn(addresses)
+
+    async def _submit(self, reports: Sequence[Report]) -> QuarantineList:
+        """Commit reports at whichever replica leads; return the list that holds then."""
+        replies = await self._control.submit(
+            reports, SUBMIT_SECONDS, attempt_seconds=SUBMIT_ATTEMPT_SECONDS
+        )
+        last = replies[-1]
+        assert isinstance(last, QuarantineNoted)
+        return last.held
+
     def _locate(self, handle: str) -> str:
         return self._view.data_centre_at(self._dialect.read_maker(handle))
 
@@ -164,4 +193,5 @@
         self._metrics.in_flight.set({}, self._callers.in_flight())
         self._metrics.version.set({}, self._view.version())
         self._metrics.evacuated.set({}, len(self._view.evacuated))
+        self._metrics.held.set({}, len(self._view.quarantine.held))
         self._owners.count_waiting()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -9,14 +9,17 @@
 
 from damsonlane.coldness import ColdGate
 from damsonlane.pools import PieceOrder, PieceQueue, WaitingPiece
+from damsonlane.quarantine import BrokenRun
 from damsonlane.routes import PoolTraits, Service
 from damsonlaned.dialects import BadRequestError, Dialect, MadePiece
+from damsonlaned.gateway._ended_targets import EndedTargets, LostTarget
 from damsonlaned.gateway._free_calls import FreeCalls
 from damsonlaned.gateway._makers import Maker, Makers
 from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
 from damsonlaned.gateway._piece_answers import PieceAnswers
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
 from damsonlaned.gateway._pool_metrics import PoolMetrics
+from damsonlaned.gateway._quarantine import Quarantine
 from damsonlaned.gateway._read_timer import ReadTimer
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
@@ -42,6 +45,8 @@
         targets: connections to them.
         dialect: how they are spoken to.
         metrics: counts what becomes of pieces and calls.
+        ended: finds out which targets have ended.
+        quarantine: keeps requests that end targets from them.
     """
 
     def __init__(
@@ -51,7 +56,11 @@
         targets: Targets,
         dialect: Dialect,
         metrics: PoolMetrics,
+        ended: EndedTargets,
+        quarantine: Quarantine,
     ) -> None:
+        self._ended: Final = ended
+        self._quarantine: Final = quarantine
         self._service: Final = service
         self._view: Final = view
         self._targets: Final = targets
@@ -84,18 +93,20 @@
         self._queue.withdraw_all(sender)
 
     def order(self, sender: str, orders: Sequence[PieceOrder]) -> None:
-        """Queue pieces."""
+        """Queue pieces, but not those of a request that is kept from targets."""
         now = self._now()
         for order in orders:
-            self._queue.add(
-                WaitingPiece(
-                    order=order,
-                    sender=sender,
-                    due_at=now + order.left_seconds,
-                    aim_at=now + order.aim_left_seconds,
-                    give_up_until=now + order.give_up_left_seconds,
-                )
+            piece = WaitingPiece(
+                order=order,
+                sender=sender,
+                due_at=now + order.left_seconds,
+                aim_at=now + order.aim_left_seconds,
+                give_up_until=now + order.give_up_left_seconds,
             )
+            if self._quarantine.find_held(order.fingerprint) is not None:
+                self._answers.answer(piece, fault="failed")
+            else:
+                self._queue.add(piece)
         self._pump()
 
     def withdraw(self, sender: str, numbers: Sequence[int]) -> None:
@@ -154,13 +165,34 @@
         """Take a batch for a target from the queue; return None when nothing there suits it."""
         selection = self._queue.select(now, self._makers.make_offer(maker, traits, now))
         self._refuse(selection.late)
-        if not selection.batch:
+        batch = self._set_suspects_apart(selection.batch)
+        if not batch:
             return None
-        is_crowded = len(selection.batch) + len(self._queue) >= traits.batch
-        call = BatchCall.plan(maker, selection.batch, traits, now, is_crowded=is_crowded)
+        is_crowded = len(batch) + len(self._queue) >= traits.batch
+        call = BatchCall.plan(maker, batch, traits, now, is_crowded=is_crowded)
         maker.note_call(call.announced, now + call.seconds)
         return call
 
+    def _set_suspects_apart(self, batch: tuple[WaitingPiece, ...]) -> tuple[WaitingPiece, ...]:
+        """Return the part of a batch that may run together, and queue the rest again.
+
+        A request under which targets ended runs by itself: what always ran beside it could
+        not be told from it, and would be refused like it.
+        """
+        if not any(self._quarantine.is_suspect(piece.order.fingerprint) for piece in batch):
+            return batch
+        first = batch[0].order.fingerprint
+        is_first_suspect = self._quarantine.is_suspect(first)
+        taken: list[WaitingPiece] = []
+        others: list[WaitingPiece] = []
+        for piece in batch:
+            name = piece.order.fingerprint
+            suits = name == first if is_first_suspect else not self._quarantine.is_suspect(name)
+            (taken if suits else others).append(piece)
+        for piece in others:
+            self._queue.add(piece)
+        return tuple(taken)
+
     def _start(self, service: Service, call: BatchCall) -> None:
         task = start_task(self._run(service, call), "call to a pool target")
         self._tasks.add(task)
@@ -215,8 +247,12 @@
             return made
         except NotSentError as error:
             self._note_failed(call, str(error), has_run=False)
-        except (BrokenAnswerError, BadRequestError, TimeoutError) as error:
-            self._note_failed(call, str(error) or "no answer in time", has_run=True)
+        except TimeoutError:
+            self._ended.note_silent(_name_lost(maker), self._describe_runs(call, began_at))
+            self._note_failed(call, "no answer in time", has_run=True)
+        except (BrokenAnswerError, BadRequestError) as error:
+            await self._note_broken(call, began_at)
+            self._note_failed(call, str(error), has_run=True)
         except TargetFullError:
             maker.note_full(self._now())
             self._requeue(call.batch, has_run=False)
@@ -273,6 +309,18 @@
             missing = call.free_bytes - made_bytes
             call.maker.room.note_refused(missing, pieces[0].order.result_bytes, self._now())
 
+    async def _note_broken(self, call: BatchCall, began_at: float) -> None:
+        """Have it found out whether the target ended, before its pieces go to another one."""
+        runs = self._describe_runs(call, began_at)
+        if await self._ended.note_broken(_name_lost(call.maker), runs):
+            await self._quarantine.settle()
+
+    def _describe_runs(self, call: BatchCall, began_at: float) -> tuple[BrokenRun, ...]:
+        """Return the requests that a call was made for, some time after it began."""
+        seconds = self._now() - began_at
+        names = {piece.order.fingerprint for piece in call.batch if piece.order.fingerprint}
+        return tuple(BrokenRun(fingerprint=name, seconds=seconds) for name in sorted(names))
+
     def _note_failed(self, call: BatchCall, fault: str, *, has_run: bool) -> None:
         """Note a call without an answer, and queue its pieces again."""
         call.maker.note_failure(self._now())
@@ -286,11 +334,17 @@
         """Queue pieces again, but those that were in too many calls or whose sender is gone."""
         for piece in pieces:
             attempts = piece.attempts + (1 if has_run else 0)
-            if attempts >= MOST_ATTEMPTS or not self._receivers.knows(piece.sender):
+            is_lost = attempts >= MOST_ATTEMPTS or not self._receivers.knows(piece.sender)
+            if is_lost or (has_run and self._may_end_targets(piece)):
                 self._answers.answer(piece, fault="failed")
             else:
                 self._queue.add(replace(piece, attempts=attempts))
 
+    def _may_end_targets(self, piece: WaitingPiece) -> bool:
+        """Tell whether targets ended under the request of a piece, here or elsewhere."""
+        name = piece.order.fingerprint
+        return self._quarantine.is_suspect(name) or self._quarantine.find_held(name) is not None
+
     def _reckon_wait(self, like: PieceOrder) -> float:
         """Return the seconds that a piece like another would wait for its turn."""
         service = self._find_service()
@@ -332,5 +386,10 @@
         return asyncio.get_running_loop().time()
 
 
+def _name_lost(maker: Maker) -> LostTarget:
+    """Return the start of a target under which a call broke off."""
+    return LostTarget(target=maker.name, address=maker.address, start=maker.start)
+
+
 def _ignore() -> None:
     """Do nothing about a call that was sent."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
@@ -3,8 +3,10 @@
 from typing import Final
 
 from damsonlaned.dialects import Dialect
+from damsonlaned.gateway._ended_targets import EndedTargets
 from damsonlaned.gateway._pool_metrics import PoolMetrics
 from damsonlaned.gateway._pool_owner import PoolOwner
+from damsonlaned.gateway._quarantine import Quarantine
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.metrics import Metrics
@@ -18,11 +20,21 @@
         targets: connections to them.
         dialect: how they are spoken to.
         metrics: those of the process.
+        ended: finds out which targets have ended.
+        quarantine: keeps requests that end targets from them.
     """
 
     def __init__(
-        self, view: FleetView, targets: Targets, dialect: Dialect, metrics: Metrics
+        self,
+        view: FleetView,
+        targets: Targets,
+        dialect: Dialect,
+        metrics: Metrics,
+        ended: EndedTargets,
+        quarantine: Quarantine,
     ) -> None:
+        self._ended: Final = ended
+        self._quarantine: Final = quarantine
         self._view: Final = view
         self._targets: Final = targets
         self._dialect: Final = dialect
@@ -38,6 +50,8 @@
                 self._targets,
                 self._dialect,
                 PoolMetrics(service, self._metrics),
+                self._ended,
+                self._quarantine,
             )
         return self._owners[service]
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator, Callable
+from functools import partial
 from typing import Final
 
 from damsonlane.quarantine import BrokenRun
@@ -14,6 +15,7 @@
 from damsonlaned.gateway._endings import Endings
 from damsonlaned.gateway._events import EventSplitter, EventTooLargeError, StreamSilentError
 from damsonlaned.gateway._final_answer import FinalAnswer
+from damsonlaned.gateway._quarantine import Quarantine
 from damsonlaned.gateway._read_timer import ReadTimer
 from damsonlaned.gateway._request_times import RequestTimes
 from damsonlaned.gateway._stage_work import StageResults
@@ -41,6 +43,7 @@
         attempts: sends to targets.
         stages: makes stages.
         ended: finds out which targets have ended.
+        quarantine: keeps requests that end targets from them.
         dialect: writes our own answers.
         entries: returns how many entries share the fleet's budgets.
     """
@@ -52,6 +55,7 @@
         attempts: Attempts,
         stages: StageRunner,
         ended: EndedTargets,
+        quarantine: Quarantine,
         dialect: Dialect,
         entries: Callable[[], int],
     ) -> None:
@@ -59,6 +63,8 @@
         self._attempts: Final = attempts
         self._stages: Final = stages
         self._ended: Final = ended
+        self._quarantine: Final = quarantine
+        self._is_stopped = False
         self._entries: Final = entries
         self._results = StageResults()
         self._has_results = False
@@ -77,12 +83,14 @@
         """Serve the request, or refuse it truly."""
         self._attempts.note_arrival(self._call)
         try:
-            async with asyncio.timeout_at(self._call.due_at):
-                await self._serve()
+            async with asyncio.timeout_at(self._call.due_at) as limit:
+                with self._quarantine.watch(self._call.fingerprint, partial(self._stop, limit)):
+                    await self._serve()
         except TimeoutError:
-            self._endings.end_late()
+            self._end_stopped()
         except StageError as error:
-            self._endings.end_unstaged(error)
+            if not self._end_held():
+                self._endings.end_unstaged(error)
         except asyncio.CancelledError:
             self._answer.outcome = "caller-gone"
             raise
@@ -92,10 +100,38 @@
             self._free_results()
             self._log_end()
 
+    # Requests that end targets.
+
+    def _stop(self, limit: asyncio.Timeout) -> None:
+        """Stop a request that is held from now on, unless its caller has a part of its answer.
+
+        A target that still has it waiting drops it then, and lives.
+        """
+        if not self._answer.has_begun() and not limit.expired():
+            self._is_stopped = True
+            limit.reschedule(asyncio.get_running_loop().time())
+
+    def _end_stopped(self) -> None:
+        """End a request whose time is over, or which is held."""
+        is_held = self._is_stopped and self._end_held(is_under_way=self._tries.offers > 0)
+        if not is_held:
+            self._endings.end_late()
+
+    def _end_held(self, *, is_under_way: bool = False) -> bool:
+        """End a request that is kept from targets; tell whether it is."""
+        held = self._quarantine.find_held(self._call.fingerprint)
+        if held is None:
+            return False
+        self._endings.end_held(held, is_under_way=is_under_way)
+        return True
+
     # Attempts.
 
     async def _serve(self) -> None:
-        while True:
+        # Whatever brings a request to a target passes here: the first offer of a caller's try,
+        # the next ones, and streams taken up elsewhere.  In other tries, at other entries, it
+        # may have ended targets, which limits for one try never see.
+        while not self._end_held():
             unserved = await self._try_once()
             if unserved is None:
                 return
@@ -132,7 +168,8 @@
         """Note that a target may not have survived the request."""
         runs = (self._describe_run(),)
         if unserved.loss == "broken":
-            await self._ended.note_broken(_name_lost(chosen), runs)
+            if await self._ended.note_broken(_name_lost(chosen), runs):
+                await self._quarantine.settle()
         elif unserved.loss == "silent":
             self._ended.note_silent(_name_lost(chosen), runs)
 
@@ -199,6 +236,8 @@
         if unserved is None:
             self._free_results()
             self._answer.send_whole(response)
+            if response.status < 300:
+                self._quarantine.note_served(self._call.fingerprint)
         return unserved
 
     def _find_failure(self, opened: Opened, response: HttpResponse) -> Unserved | None:
@@ -232,6 +271,7 @@
             if not self._answer.has_begun():
                 self._answer.start(opened.head)
             self._answer.finish()
+            self._quarantine.note_served(self._call.fingerprint)
             health = "good"
             return None
         except (BrokenAnswerError, EventTooLargeError) as error:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
@@ -113,6 +113,7 @@
             rank=call.rank,
             result_bytes=start.stage.result_bytes,
             is_begun=call.is_begun or bool(work.held),
+            fingerprint=call.fingerprint,
             home=home,
         )
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -5,9 +5,10 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 
-from damsonlane.cluster import PackedDocument
+from damsonlane.cluster import ClusterState, PackedDocument
 from damsonlane.codec import encode_bytes
-from damsonlane.quarantine import BrokenRun
+from damsonlane.errors import UnavailableError
+from damsonlane.quarantine import BrokenRun, QuarantineList
 from damsonlane.routes import (
     Organisation,
     PoolTraits,
@@ -26,6 +27,7 @@
 from damsonlaned.gateway._placer import PromptPlacers
 from damsonlaned.gateway._pool_client import PoolClient
 from damsonlaned.gateway._pool_owners import PoolOwners
+from damsonlaned.gateway._quarantine import Quarantine, Report
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
@@ -227,27 +229,58 @@
         return length.isdigit() and len(body) == int(length)
 
 
+class Control:
+    """The part of control that counts ends of targets; several entries may share one."""
+
+    def __init__(self) -> None:
+        self.state = ClusterState()
+        self.is_reachable = True
+        self.views: list[FleetView] = []
+
+    async def submit(self, reports: Sequence[Report]) -> QuarantineList:
+        if not self.is_reachable:
+            raise UnavailableError("no quorum")
+        for report in reports:
+            self.state.apply(report)
+        held = self.state.quarantine.list_for_entries()
+        for view in self.views:
+            view.put_quarantine(held)
+        return held
+
+
 class Entry:
     """A caller service with a view that a test fills."""
 
-    def __init__(self, document: RoutingDocument = DOCUMENT, *, slack: float = 20.0) -> None:
+    def __init__(
+        self,
+        document: RoutingDocument = DOCUMENT,
+        *,
+        slack: float = 20.0,
+        control: Control | None = None,
+    ) -> None:
         dialect = NativeDialect()
         self.view = FleetView(dialect)
         targets = Targets(self.view, "gulberg", lambda: 1)
         self.metrics = Metrics()
-        self.owners = PoolOwners(self.view, targets, dialect, self.metrics)
+        #: Targets that the entry found to have ended, with what broke off there.
+        self.ends: list[tuple[LostTarget, Sequence[BrokenRun]]] = []
+        self.ended = EndedTargets(self.view, self._take_end)
+        self.control = control or Control()
+        self.control.views.append(self.view)
+        self.quarantine = Quarantine(self.view, self.control.submit)
+        self.owners = PoolOwners(
+            self.view, targets, dialect, self.metrics, self.ended, self.quarantine
+        )
         self.pools = PoolClient(self.view, self.owners, "127.0.0.1:9", None)
         placements = PlacementClient(PromptPlacers(self.view), self.pools, "127.0.0.1:9")
         self.attempts = Attempts(targets, placements, dialect, 0.2, 10.0, slack)
-        #: Targets that the entry found to have ended, with what broke off there.
-        self.ends: list[tuple[LostTarget, Sequence[BrokenRun]]] = []
-        self.ended = EndedTargets(self.view, lambda lost, runs: self.ends.append((lost, runs)))
         self.callers = CallerService(
             GatewayParts(
                 view=self.view,
                 attempts=self.attempts,
                 stages=StageRunner(self.pools, lambda handle: "gulberg"),
                 ended=self.ended,
+                quarantine=self.quarantine,
                 dialect=dialect,
                 metrics=self.metrics,
                 entries=lambda: 1,
@@ -259,6 +292,10 @@
         self._document = document
         self._revision = 0
 
+    def _take_end(self, lost: LostTarget, runs: Sequence[BrokenRun]) -> None:
+        self.ends.append((lost, runs))
+        self.quarantine.take_end(lost, runs)
+
     async def start(self, *records: TargetRecord) -> None:
         await self._listener.start()
         self.put_document()
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -39,6 +39,11 @@
             "Data centres whose targets get nothing new.",
             registry=self.registry,
         )
+        self.held: Final = Gauge(
+            "damsonlane_held_requests",
+            "Requests that are kept from targets, since targets ended under them.",
+            registry=self.registry,
+        )
         self.commit: Final = Gauge(
             "damsonlane_commit_index", "Last committed log entry.", registry=self.registry
         )
