Test: the input of a pipeline that no target survives ends targets for as long as it comes (fails)

Cause: the entry of pipelines has the fault of the one for routes. Ruled out: that retries are to blame alone: with two attempts a stage each try of the caller begins from nothing.

--- a/packages/damsonlane_bench/src/damsonlane_bench/fleet/_fleet.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/_fleet.py
@@ -172,8 +172,8 @@
     # Stand-ins.
 
     def start_standin(self, name: str, **behaviour: object) -> str:
-        """Start a stand-in and return its address."""
-        address = take_address()
+        """Start a stand-in, or start it again, and return its address."""
+        address = self.standins.get(name) or take_address()
         command = [sys.executable, "-m", "damsonlane_bench.standin", f"--address={address}"]
         command += [f"--{field}={value}" for field, value in behaviour.items()]
         self.processes[name] = Process(name, command, self.folder / f"{name}.log")
--- a/packages/damsonlane_bench/src/damsonlane_bench/standin/_server.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/standin/_server.py
@@ -1,6 +1,7 @@
 """The stand-in as a WSGI application."""
 
 import json
+import os
 import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
@@ -20,6 +21,11 @@
     "rerank": _texts.rerank,
 }
 
+#: Input that no target survives.
+DEADLY: Final = "end the target"
+#: Exit code of a process that ended so.
+_DEAD: Final = 70
+
 
 class HangUpError(Exception):
     """Raised to break the connection without an answer."""
@@ -69,6 +75,8 @@
         text = body["input"]
         time.sleep(behaviour.seconds + behaviour.seconds_per_thousand * len(text) / 1000)
         self._record(body, text)
+        if DEADLY in text:
+            os._exit(_DEAD)
         if is_due(behaviour.hang_up_every, count):
             raise HangUpError
         if is_due(behaviour.fail_every, count):
