Pipelines: requests that end targets are kept from them there too, and operators release them

Cause: the entry of pipelines forgot with each request what it had done to targets. Ruled out: a second quarantine of its own: both kinds of entry follow one list of control. Change: damsonlaned/quarantine holds what both share; the entry of pipelines looks after an attempt that broke off, tells control, and refuses with the problem 'held' (503), at once or before the next attempt. Targets with fixed names have their ends told apart by time. 'damsonlane quarantine list' and 'release'.

--- a/packages/damsonlane/src/damsonlane/quarantine/_book.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_book.py
@@ -25,6 +25,9 @@
 MOST_RUNS: Final = 48
 #: Seconds for which an end counts: a request that ends targets costs three of them an hour.
 COUNTED_SECONDS: Final = 3_600.0
+#: Seconds within which word of entries is of one end of a target that keeps its name: they
+#: notice it at once, and a process takes longer to start again and be sent something.
+SAME_END_SECONDS: Final = 0.2
 #: Ends from which on entries tell that a request was served after all.
 ENDS_TO_SUSPECT: Final = 2
 #: Requests that entries are told to look out for so.
@@ -121,9 +124,8 @@
         return QuarantineNoted(held=self._list)
 
     def _note_end(self, command: NoteTargetEnd) -> None:
-        end = TargetEnd(
-            target=command.target, start=command.start, at=command.at, runs=command.runs
-        )
+        start = self._reckon_start(command) if command.is_name_kept else command.start
+        end = TargetEnd(target=command.target, start=start, at=command.at, runs=command.runs)
         known = self._ends.get(end.identity)
         if known is not None:
             end = replace(known, runs=(*known.runs, *command.runs))
@@ -133,6 +135,14 @@
             held = [request.fingerprint for request in self._list.held]
             del self._ends[ends[find_oldest_unneeded(ends, held)].identity]
 
+    def _reckon_start(self, command: NoteTargetEnd) -> int:
+        """Return what tells the end of a target with a fixed name from its other ends."""
+        for end in self._ends.values():
+            is_near = abs(end.at - command.at) < SAME_END_SECONDS
+            if end.target == command.target and is_near:
+                return end.start
+        return -round(1_000 * command.at)
+
     def _clear(self, fingerprints: Collection[str]) -> None:
         """Take all that stands against some requests back."""
         cleared = {}
--- a/packages/damsonlane/src/damsonlane/quarantine/_ends.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_ends.py
@@ -23,6 +23,9 @@
     target: str
     #: Its start, in milliseconds since 1970; 0 where targets don't tell.
     start: int
+    #: Whether a later start has the same name and tells no start, so that ends are told apart
+    #: by when they came.
+    is_name_kept: bool = False
     #: The requests that one box had there.
     runs: tuple[BrokenRun, ...]
     #: When control was told, in seconds since 1970.
@@ -66,7 +69,7 @@
 
     #: Name of the target.
     target: str
-    #: Its start, in milliseconds since 1970.
+    #: Its start, in milliseconds since 1970; negative where none is told: when it ended.
     start: int
     #: When control was told first, in seconds since 1970.
     at: float
--- a/packages/damsonlane/src/damsonlane/quarantine/tests/test_book.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/tests/test_book.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -59,6 +60,14 @@
             book.apply(NoteTargetEnd(target="t", start=start, runs=runs))
         self.assertEqual(list_held(book), ["bad"])
 
+    def test_ends_of_a_target_with_a_fixed_name_are_told_apart_by_their_time(self) -> None:
+        book = QuarantineBook()
+        for at in (10.0, 10.1, 20.0, 20.1):
+            book.apply(replace(make_end(0, "bad", at=at), is_name_kept=True))
+        self.assertEqual(list_held(book), [])
+        book.apply(replace(make_end(0, "bad", at=30.0), is_name_kept=True))
+        self.assertEqual(list_held(book), ["bad"])
+
     def test_bystanders_of_one_that_is_held_are_not(self) -> None:
         book = make_book(
             ["bad", "a", "b"], ["bad", "a"], ["bad", "a", "c"], ["bad", "c", "b"], ["bad", "b"]
--- a/packages/damsonlane/src/damsonlane/requests/_parts.py
+++ b/packages/damsonlane/src/damsonlane/requests/_parts.py
@@ -23,6 +23,7 @@
     "key-busy",
     "holder-gone",
     "not-whole",
+    "held",
 ]
 
 
--- a/packages/damsonlane/src/damsonlane/requests/_run.py
+++ b/packages/damsonlane/src/damsonlane/requests/_run.py
@@ -129,6 +129,10 @@
         """End instead of carrying out the last `Send`, because its stages can't end in time."""
         return self._fail(now, "deadline", "the remaining stages can't end in time")
 
+    def hold(self, now: float, detail: str) -> Effect:
+        """End instead of carrying out the last `Send`, because its targets would end."""
+        return self._fail(now, "held", detail)
+
     # Marked requests.
 
     def _claim(self, now: float) -> Effect:
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_deadly_pipelines.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_deadly_pipelines.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+import json
 import tempfile
 import unittest
 from collections import Counter
@@ -55,6 +56,17 @@
             self.assertEqual(answer.body["run"], "no")
         for number in range(4):
             self.assertEqual(self._send(number, f"something else {number}").status, 200)
+        self._release()
+
+    def _release(self) -> None:
+        """An operator lists the request and releases it; a typing error is told."""
+        rows = json.loads(self.fleet.require("quarantine", "list", "--json"))
+        self.assertEqual([row["ends"] >= 3 for row in rows], [True])
+        fingerprint = rows[0]["fingerprint"]
+        self.assertEqual(self.fleet.command("quarantine", "release", "f00").code, 2)
+        self.assertIn("released", self.fleet.require("quarantine", "release", fingerprint))
+        self.assertIn("not held", self.fleet.require("quarantine", "release", fingerprint))
+        self.assertEqual(json.loads(self.fleet.require("quarantine", "list", "--json")), [])
 
     def _send(self, number: int, text: str) -> Response:
         entry = self.fleet.entries()[number % 2].name
--- a/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
@@ -5,6 +5,7 @@
 from damsonlane_cli._control import ControlCommands
 from damsonlane_cli._data_centres import DataCentreCommands
 from damsonlane_cli._explain import explain
+from damsonlane_cli._quarantine import QuarantineCommands
 from damsonlane_cli._reports import ReportCommands
 from damsonlane_cli._settings import SettingsCommands
 
@@ -12,12 +13,13 @@
 
 
 class Commands:
-    """Operate damsonlane: settings, replicas, data centres, reports, what became of requests."""
+    """Operate damsonlane: settings, replicas, data centres, held requests, reports."""
 
     def __init__(self) -> None:
         self.settings = SettingsCommands()
         self.control = ControlCommands()
         self.data_centre = DataCentreCommands()
+        self.quarantine = QuarantineCommands()
         self.report = ReportCommands()
         self.explain = explain
 
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -276,6 +276,8 @@
     live_entries: int = 1
     #: Internal addresses of some other entries.
     peers: tuple[str, ...] = ()
+    #: Requests that are kept from targets, or None when they are as before.
+    quarantine: QuarantineList | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -164,11 +164,15 @@
 
     async def _push(self, stream: Stream[WatchReport, WatchUpdate], version: int) -> None:
         live = 0
+        revision = -1
         while True:
             state = self._node.state
-            if state.settings.version > version or state.membership.live() != live:
+            held = state.quarantine.list_for_entries()
+            is_same = state.settings.version <= version and state.membership.live() == live
+            if not is_same or held.revision != revision:
                 live = state.membership.live()
-                update = make_update(self._node, version)
+                revision = held.revision
+                update = replace(make_update(self._node, version), quarantine=held)
                 version = update.version
                 await stream.send_message(update)
             else:
--- a/packages/damsonlaned/src/damsonlaned/entry/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_callers.py
@@ -27,9 +27,10 @@
     TakenRequest,
     take_request,
 )
-from damsonlaned.entry._request_runner import RequestRunner
+from damsonlaned.entry._request_runner import RequestRunner, describe_held
 from damsonlaned.entry._view import SettingsView
 from damsonlaned.metrics import Metrics
+from damsonlaned.quarantine import find_retry_seconds
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -105,8 +106,11 @@
         """Let a request in, or refuse it at once.
 
         Raises:
-            ProblemError: its lane is full or its deadline can't be met.
+            ProblemError: it is held, its lane is full or its deadline can't be met.
         """
+        held = self._runner.find_held(taken)
+        if held is not None:
+            self._refuse(taken, "held", describe_held(held), find_retry_seconds(held))
         request = taken.request
         remaining = request.due_at - read_clock()
         allowed = ADMISSION_SHARE * remaining
--- a/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
@@ -6,11 +6,14 @@
 from typing import Final
 
 from damsonlane.admission import ServiceMeter, Work
+from damsonlane.quarantine import BrokenRun
 from damsonlane.requests import AttemptResult, Request, Send
 from damsonlane.routing import Choice, Health, LoadReport, Origin, Standing, TargetBook
 from damsonlaned.clock import read_clock
 from damsonlaned.entry._leaving import LeavingTargets
+from damsonlaned.entry._thread_quarantine import ThreadQuarantine
 from damsonlaned.entry._view import SettingsInForce
+from damsonlaned.quarantine import LostTarget
 from damsonlaned.targets import KINDS, Connections, TargetCall, TargetReply
 
 
@@ -22,9 +25,13 @@
     Args:
         data_centre: data centre of this entry.
         leaving: targets that get nothing new.
+        quarantine: told of targets under which attempts broke off.
     """
 
-    def __init__(self, data_centre: str, leaving: LeavingTargets) -> None:
+    def __init__(
+        self, data_centre: str, leaving: LeavingTargets, quarantine: ThreadQuarantine
+    ) -> None:
+        self._quarantine: Final = quarantine
         self._data_centre: Final = data_centre
         self._leaving: Final = leaving
         self._connections: Final = Connections()
@@ -50,10 +57,16 @@
         return total
 
     def send(
-        self, send: Send, settings: SettingsInForce, pipeline: str
+        self, send: Send, settings: SettingsInForce, pipeline: str, fingerprint: str
     ) -> Generator[str, None, tuple[str, AttemptResult]]:
         """Make one attempt, yielding output as it comes.
 
+        Args:
+            send: the attempt.
+            settings: those under which its request was taken.
+            pipeline: name of its pipeline.
+            fingerprint: fingerprint of its request.
+
         Returns:
             Name of the target, empty if there was none, and the result.
         """
@@ -76,6 +89,9 @@
         finally:
             # A caller that hangs up closes the generator: the target is not to blame.
             self._finish(send, choice, pipeline, reply, began_at)
+        if reply.is_broken:
+            run = BrokenRun(fingerprint=fingerprint, seconds=read_clock() - began_at)
+            self._quarantine.note_broken(_name_lost(send, choice), run)
         return choice.target, reply.result
 
     def close(self) -> None:
@@ -132,6 +148,16 @@
                 self._leaving.mark(send.stage.service, choice.target)
 
 
+def _name_lost(send: Send, choice: Choice) -> LostTarget:
+    """Return the target under which an attempt broke off."""
+    return LostTarget(
+        target=f"{send.stage.service}/{choice.target}",
+        address=choice.address,
+        start=0,
+        is_name_kept=True,
+    )
+
+
 def _judge(reply: TargetReply | None) -> Health:
     if reply is None:
         return "neutral"
--- a/packages/damsonlaned/src/damsonlaned/entry/_problems.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_problems.py
@@ -24,6 +24,7 @@
     "key-busy": HTTPStatus.CONFLICT,
     "holder-gone": HTTPStatus.CONFLICT,
     "not-whole": HTTPStatus.BAD_GATEWAY,
+    "held": HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_request_runner.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_request_runner.py
@@ -9,7 +9,9 @@
 from typing import Final
 
 from damsonlane.admission import STAGE_SHARE
+from damsonlane.quarantine import HeldRequest, find_fingerprint
 from damsonlane.requests import (
+    Answer,
     AskLedger,
     AttemptResult,
     Billed,
@@ -51,6 +53,10 @@
             is_attained=not isinstance(ending, Refusal) and read_clock() <= request.due_at,
         )
 
+    def find_held(self, taken: TakenRequest) -> HeldRequest | None:
+        """Return a request as it is held, or None if it may go to targets."""
+        return self._uplink.quarantine.find_held(_find_fingerprint(taken))
+
     def forecast(self, taken: TakenRequest) -> float:
         """Return the predicted seconds of a request."""
         return self._dispatch.forecast(taken.request, taken.settings)
@@ -67,6 +73,8 @@
         while not isinstance(effect, End):
             effect = yield from self._carry_out(run, effect, taken)
         self._uplink.accounts.add_costs(effect.billed.costs)
+        if isinstance(effect.billed.ending, Answer):
+            self._uplink.quarantine.note_served(_find_fingerprint(taken))
         return effect.billed
 
     def _carry_out(
@@ -93,11 +101,16 @@
     def _send(
         self, run: RequestRun, send: Send, taken: TakenRequest
     ) -> Generator[str, None, Effect]:
+        held = self.find_held(taken)
+        if held is not None:
+            return run.hold(read_clock(), describe_held(held))
         if self._is_hopeless(send, taken):
             return run.give_up(read_clock())
         if send.key.number == 1:
             self._budget.count_first(send.stage.retry_share)
-        attempt = self._dispatch.send(send, taken.settings, taken.request.pipeline)
+        attempt = self._dispatch.send(
+            send, taken.settings, taken.request.pipeline, _find_fingerprint(taken)
+        )
         is_delivered = False
         while True:
             try:
@@ -113,6 +126,23 @@
         return run.take_result(read_clock(), target, result)
 
 
+def describe_held(held: HeldRequest) -> str:
+    """Return why a request is kept from targets, as its caller is told."""
+    return f"{held.ends} targets ended while they had this request"
+
+
+def _find_fingerprint(taken: TakenRequest) -> str:
+    """Return what makes two requests of one organisation the same, whatever their keys."""
+    request = taken.request
+    return find_fingerprint(
+        organisation=request.organisation,
+        method="",
+        host="",
+        target=request.pipeline,
+        body=request.text.encode(),
+    )
+
+
 class _SharedBudget(RetryBudget):
     """The retry budget of an entry, safe for many threads."""
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_settings_link.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_settings_link.py
@@ -28,6 +28,7 @@
 from damsonlane_rpc import SettingsView as SettingsReply
 from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._view import SettingsView
+from damsonlaned.quarantine import KnownQuarantine
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -77,6 +78,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         #: How many entries share the fleet's limits, as control last said.
         self.live_entries = 1
+        #: Which requests are kept from targets.
+        self.quarantine: Final = KnownQuarantine()
 
     def start(self) -> None:
         """Start following."""
@@ -136,6 +139,8 @@
                 return
             self.live_entries = max(1, update.live_entries)
             self._told_peers = update.peers
+            if update.quarantine is not None:
+                self.quarantine.put(update.quarantine)
             self._take_settings(update)
             if update.version > self._view.current.version:
                 # The changes did not fit, so the whole tree must be read again.
--- a/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
@@ -11,7 +11,9 @@
 from damsonlaned.entry._job_link import JobLink
 from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._settings_link import SettingsLink
+from damsonlaned.entry._thread_quarantine import ThreadQuarantine
 from damsonlaned.entry._view import SettingsView
+from damsonlaned.quarantine import Quarantine, QuarantineClient
 
 
 class Uplink:
@@ -42,6 +44,11 @@
             settings, self.holder, self._client, view, leaving, context
         )
 
+        #: Keeps requests that end targets from them.
+        self.quarantine: Final = ThreadQuarantine(
+            Quarantine(self.settings.quarantine, QuarantineClient(self._client).submit)
+        )
+
     def start(self) -> None:
         """Start following control."""
         self.settings.start()
@@ -49,6 +56,7 @@
 
     async def stop(self) -> None:
         """Hand over what is left and stop."""
+        await self.quarantine.stop()
         await self.accounts.stop()
         await self.settings.stop()
         self._client.close()
--- a/packages/damsonlaned/src/damsonlaned/entry/tests/test_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/tests/test_dispatch.py
@@ -38,7 +38,7 @@
 
 class DispatchTest(unittest.TestCase):
     def test_a_request_under_older_settings_brings_no_removed_target_back(self) -> None:
-        dispatch = Dispatch("one", LeavingTargets())
+        dispatch = Dispatch("one", LeavingTargets(), mock.Mock())
         request = Request(
             request="r", organisation="o", pipeline="p", text="", due_at=0, stages=(_STAGE,)
         )
@@ -49,14 +49,14 @@
 
     def test_a_target_that_refuses_at_once_does_not_draw_all_requests(self) -> None:
         """It never has anything in flight, so by that alone it would always be chosen."""
-        dispatch = Dispatch("one", LeavingTargets())
+        dispatch = Dispatch("one", LeavingTargets(), mock.Mock())
         settings = _settings(1, "refusing", "working")
         with mock.patch.dict(KINDS, {"pool": _RefusingPool()}):
             chosen = [self._send(dispatch, settings) for _ in range(40)]
         self.assertLess(chosen.count("refusing"), 6)
 
     def _send(self, dispatch: Dispatch, settings: SettingsInForce) -> str:
-        attempt = dispatch.send(_SEND, settings, "p")
+        attempt = dispatch.send(_SEND, settings, "p", "f")
         with self.assertRaises(StopIteration) as stopped:
             next(attempt)
         return str(stopped.exception.value[0])
--- a/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_callers.py
@@ -15,12 +15,12 @@
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._ended_targets import EndedTargets
-from damsonlaned.gateway._quarantine import Quarantine
 from damsonlaned.gateway._request_handler import RequestHandler
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import HttpRequest, HttpResponse, ListenerLimits, Reply
 from damsonlaned.metrics import Metrics
+from damsonlaned.quarantine import Quarantine
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
@@ -7,31 +7,17 @@
 from typing import Final
 
 from damsonlane.quarantine import BrokenRun
-from damsonlane_rpc import Endpoint
 from damsonlaned.gateway._view import FleetView
+from damsonlaned.quarantine import LostTarget, refuses_connections
 from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Seconds for which a connection that only tells whether a target is there may take.
-LOOK_SECONDS: Final = 0.2
 #: Seconds for which word of control that a target ended is put down to what broke off there:
 #: a target that took its whole box along is missed by its heartbeats only after a few seconds.
 DOUBT_SECONDS: Final = 8.0
 
 
-@dataclass(frozen=True, kw_only=True)
-class LostTarget:
-    """A start of a target under which answers broke off."""
-
-    #: Its name.
-    target: str
-    #: Its address.
-    address: str
-    #: Its start, in milliseconds since 1970; 0 where it does not tell.
-    start: int
-
-
 @dataclass
 class _Doubt:
     """A target that may have ended; mutable."""
@@ -95,7 +81,7 @@
         """Return the look at a target that is under way, or begin one."""
         task = self._looks.get(lost)
         if task is None:
-            task = start_task(_refuses_connections(lost.address), "looking for a target")
+            task = start_task(refuses_connections(lost.address), "looking for a target")
             self._looks[lost] = task
             task.add_done_callback(lambda _: self._looks.pop(lost, None))
         return task
@@ -138,17 +124,3 @@
         doubt.runs = [run for run in doubt.runs if run not in runs]
         if not doubt.runs:
             del self._doubts[lost]
-
-
-async def _refuses_connections(address: str) -> bool:
-    """Tell whether nothing listens at an address; no answer in time tells nothing."""
-    endpoint = Endpoint.parse(address)
-    try:
-        async with asyncio.timeout(LOOK_SECONDS):
-            _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
-    except (ConnectionRefusedError, ConnectionResetError):
-        return True
-    except (TimeoutError, OSError):
-        return False
-    writer.close()
-    return False
--- a/packages/damsonlaned/src/damsonlaned/gateway/_endings.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_endings.py
@@ -5,10 +5,10 @@
 from damsonlane.quarantine import HeldRequest
 from damsonlaned.dialects import Refusal
 from damsonlaned.gateway._final_answer import FinalAnswer
-from damsonlaned.gateway._quarantine import find_retry_seconds
 from damsonlaned.gateway._stages import StageError
 from damsonlaned.gateway._tries import Tries
 from damsonlaned.gateway._unserved import Unserved
+from damsonlaned.quarantine import find_retry_seconds
 
 #: Seconds after which a caller that met a full service should come back.
 FULL_RETRY_SECONDS: Final = 0.5
--- a/packages/damsonlaned/src/damsonlaned/gateway/_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_link.py
@@ -176,7 +176,7 @@
         if update.evacuations is not None:
             self._view.put_evacuations(update.evacuations)
         if update.quarantine is not None:
-            self._view.put_quarantine(update.quarantine)
+            self._view.quarantine.put(update.quarantine)
         if update.entries is not None:
             self._view.put_entries(update.entries)
         if update.document is not None:
@@ -204,5 +204,5 @@
             box=box,
             targets_revision=self._view.targets_revision,
             evacuations_revision=self._view.evacuations_revision,
-            quarantine_revision=self._view.quarantine.revision,
+            quarantine_revision=self._view.quarantine.newest.revision,
         )
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -4,14 +4,13 @@
 import logging
 import secrets
 import ssl
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Final
 
 from grpclib.const import Handler
 
 from damsonlane.coldness import ColdAllowance
 from damsonlane.ledger import Holder
-from damsonlane.quarantine import QuarantineList, QuarantineNoted
 from damsonlane.settings import BoxSettings, Gateway
 from damsonlane_rpc import ControlClient
 from damsonlaned.admin import Admin
@@ -25,12 +24,12 @@
 from damsonlaned.gateway._pool_client import PoolClient
 from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._pool_service import PoolService
-from damsonlaned.gateway._quarantine import Quarantine, Report
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import HttpRequest, HttpResponse, Reply, WebListener
 from damsonlaned.metrics import Metrics
+from damsonlaned.quarantine import Quarantine, QuarantineClient
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -39,10 +38,6 @@
 STILL_TAKEN_SECONDS: Final = 2.5
 #: Seconds kept back before the end of the grace time.
 STOP_MARGIN_SECONDS: Final = 0.4
-#: Seconds for which telling control which targets ended may take, over all replicas.
-SUBMIT_SECONDS: Final = 2.0
-#: Seconds for which one replica may take for it.
-SUBMIT_ATTEMPT_SECONDS: Final = 0.5
 #: Seconds between looks at what is under way.
 LOOK_SECONDS: Final = 0.05
 
@@ -69,7 +64,9 @@
             settings, holder, self._view, context, on_control=self._learn_control
         )
         self._control: Final = ControlClient(settings.control, context=context)
-        self._quarantine: Final = Quarantine(self._view, self._submit)
+        self._quarantine: Final = Quarantine(
+            self._view.quarantine, QuarantineClient(self._control).submit
+        )
         ended = EndedTargets(self._view, self._quarantine.take_end)
         targets = Targets(
             self._view, settings.data_centre, self._count_entries, settings.internal_address
@@ -174,15 +171,6 @@
     def _learn_control(self, addresses: tuple[str, ...]) -> None:
         self._control.learn(addresses)
 
-    async def _submit(self, reports: Sequence[Report]) -> QuarantineList:
-        """Commit reports at whichever replica leads; return the list that holds then."""
-        replies = await self._control.submit(
-            reports, SUBMIT_SECONDS, attempt_seconds=SUBMIT_ATTEMPT_SECONDS
-        )
-        last = replies[-1]
-        assert isinstance(last, QuarantineNoted)
-        return last.held
-
     def _locate(self, handle: str) -> str:
         return self._view.data_centre_at(self._dialect.read_maker(handle))
 
@@ -193,5 +181,5 @@
         self._metrics.in_flight.set({}, self._callers.in_flight())
         self._metrics.version.set({}, self._view.version())
         self._metrics.evacuated.set({}, len(self._view.evacuated))
-        self._metrics.held.set({}, len(self._view.quarantine.held))
+        self._metrics.held.set({}, len(self._view.quarantine.newest.held))
         self._owners.count_waiting()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -12,19 +12,19 @@
 from damsonlane.quarantine import BrokenRun
 from damsonlane.routes import PoolTraits, Service
 from damsonlaned.dialects import BadRequestError, Dialect, MadePiece
-from damsonlaned.gateway._ended_targets import EndedTargets, LostTarget
+from damsonlaned.gateway._ended_targets import EndedTargets
 from damsonlaned.gateway._free_calls import FreeCalls
 from damsonlaned.gateway._makers import Maker, Makers
 from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
 from damsonlaned.gateway._piece_answers import PieceAnswers
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
 from damsonlaned.gateway._pool_metrics import PoolMetrics
-from damsonlaned.gateway._quarantine import Quarantine
 from damsonlaned.gateway._read_timer import ReadTimer
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.gateway._wait_forecasts import WaitForecasts
 from damsonlaned.http import BrokenAnswerError, ConnectionPool, NotSentError
+from damsonlaned.quarantine import LostTarget, Quarantine
 from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
@@ -6,10 +6,10 @@
 from damsonlaned.gateway._ended_targets import EndedTargets
 from damsonlaned.gateway._pool_metrics import PoolMetrics
 from damsonlaned.gateway._pool_owner import PoolOwner
-from damsonlaned.gateway._quarantine import Quarantine
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.metrics import Metrics
+from damsonlaned.quarantine import Quarantine
 
 
 class PoolOwners:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -11,11 +11,10 @@
 from damsonlaned.dialects import Dialect
 from damsonlaned.gateway._attempts import Attempts, Opened
 from damsonlaned.gateway._call import Call
-from damsonlaned.gateway._ended_targets import EndedTargets, LostTarget
+from damsonlaned.gateway._ended_targets import EndedTargets
 from damsonlaned.gateway._endings import Endings
 from damsonlaned.gateway._events import EventSplitter, EventTooLargeError, StreamSilentError
 from damsonlaned.gateway._final_answer import FinalAnswer
-from damsonlaned.gateway._quarantine import Quarantine
 from damsonlaned.gateway._read_timer import ReadTimer
 from damsonlaned.gateway._request_times import RequestTimes
 from damsonlaned.gateway._stage_work import StageResults
@@ -30,6 +29,7 @@
     NotSentError,
     Reply,
 )
+from damsonlaned.quarantine import LostTarget, Quarantine
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -10,11 +10,11 @@
 from damsonlane.errors import SettingsError
 from damsonlane.evacuation import EvacuationList
 from damsonlane.membership import BoxRecord
-from damsonlane.quarantine import QuarantineList
 from damsonlane.routes import RouteTable, Service
 from damsonlane.targets import TargetChanges, TargetRecord
 from damsonlaned.clock import read_clock
 from damsonlaned.dialects import Dialect
+from damsonlaned.quarantine import KnownQuarantine
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -49,15 +49,14 @@
         self.evacuations_revision = -1
         #: Data centres whose targets get nothing new.
         self.evacuated: frozenset[str] = frozenset()
-        #: What is known of requests that end targets; revision -1 until a list was heard.
-        self.quarantine = QuarantineList(revision=-1)
+        #: Which requests are kept from targets.
+        self.quarantine: Final = KnownQuarantine()
         #: Entries that take requests, this one included once control lists it.
         self.entries: tuple[BoxRecord, ...] = ()
         self._targets: dict[str, TargetRecord] = {}
         self._cold_until: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self._entry_listeners: list[Callable[[], None]] = []
-        self._quarantine_listeners: list[Callable[[], None]] = []
 
     def version(self) -> int:
         """Return the version in force, 0 when there is none."""
@@ -71,10 +70,6 @@
         """Call a function after each change of the list of entries."""
         self._entry_listeners.append(listener)
 
-    def on_quarantine(self, listener: Callable[[], None]) -> None:
-        """Call a function after each change of the list of requests kept from targets."""
-        self._quarantine_listeners.append(listener)
-
     def targets_of(self, service: str) -> tuple[TargetRecord, ...]:
         """Return the records of a service's targets."""
         return tuple(record for record in self._targets.values() if record.service == service)
@@ -152,18 +147,6 @@
             _LOG.info("evacuations in force", extra=fields)
         self._tell()
 
-    def put_quarantine(self, quarantine: QuarantineList) -> None:
-        """Take over which requests are kept from targets, unless it is older than what is held."""
-        if quarantine.revision <= self.quarantine.revision:
-            return
-        before, self.quarantine = self.quarantine, quarantine
-        if before.held != quarantine.held:
-            held = [request.fingerprint for request in quarantine.held]
-            fields = {"held": held, "revision": quarantine.revision}
-            _LOG.warning("requests kept from targets", extra=fields)
-        for listener in self._quarantine_listeners:
-            listener()
-
     def put_entries(self, entries: tuple[BoxRecord, ...]) -> None:
         """Take over the list of entries."""
         self.entries = tuple(entry for entry in entries if entry.standing == "live")
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -22,17 +22,17 @@
 from damsonlaned.dialects import NativeDialect
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._callers import CallerService, GatewayParts
-from damsonlaned.gateway._ended_targets import EndedTargets, LostTarget
+from damsonlaned.gateway._ended_targets import EndedTargets
 from damsonlaned.gateway._placement_client import PlacementClient
 from damsonlaned.gateway._placer import PromptPlacers
 from damsonlaned.gateway._pool_client import PoolClient
 from damsonlaned.gateway._pool_owners import PoolOwners
-from damsonlaned.gateway._quarantine import Quarantine, Report
 from damsonlaned.gateway._stages import StageRunner
 from damsonlaned.gateway._targets import Targets
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import HttpHead, HttpRequest, HttpResponse, Reply, WebListener
 from damsonlaned.metrics import Metrics
+from damsonlaned.quarantine import LostTarget, Quarantine, Report
 
 #: Seconds after which a test gives up.
 PATIENCE = 20.0
@@ -244,7 +244,7 @@
             self.state.apply(report)
         held = self.state.quarantine.list_for_entries()
         for view in self.views:
-            view.put_quarantine(held)
+            view.quarantine.put(held)
         return held
 
 
@@ -267,7 +267,7 @@
         self.ended = EndedTargets(self.view, self._take_end)
         self.control = control or Control()
         self.control.views.append(self.view)
-        self.quarantine = Quarantine(self.view, self.control.submit)
+        self.quarantine = Quarantine(self.view.quarantine, self.control.submit)
         self.owners = PoolOwners(
             self.view, targets, dialect, self.metrics, self.ended, self.quarantine
         )
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_ended_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_ended_targets.py
@@ -7,9 +7,10 @@
 from dataclasses import replace
 
 from damsonlane.quarantine import BrokenRun
-from damsonlaned.gateway._ended_targets import EndedTargets, LostTarget
+from damsonlaned.gateway._ended_targets import EndedTargets
 from damsonlaned.gateway.tests.harness import Entry, StandIn, answer_well, cut, hang
 from damsonlaned.http import HttpRequest, Reply
+from damsonlaned.quarantine import LostTarget
 
 RUN = BrokenRun(fingerprint="f", seconds=0.1)
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_quarantine.py
@@ -8,7 +8,6 @@
 
 from damsonlane.quarantine import ENDS_TO_HOLD, ENDS_TO_HOLD_ALIKE, BrokenRun
 from damsonlane.targets import TargetRecord
-from damsonlaned.gateway._ended_targets import LostTarget
 from damsonlaned.gateway._pool_owner import PoolOwner
 from damsonlaned.gateway.tests.harness import (
     PATIENCE,
@@ -23,6 +22,7 @@
     stream_events,
 )
 from damsonlaned.http import HttpRequest, Reply
+from damsonlaned.quarantine import LostTarget
 
 #: What no target survives.
 DEADLY = "/once/deadly"
@@ -159,7 +159,7 @@
             await self.fleet.send(0)
         self.assertEqual(len(self.fleet.ended), ENDS_TO_HOLD)
         self.fleet.control.is_reachable = True
-        await wait_until(lambda: bool(self.fleet.entries[1].view.quarantine.held))
+        await wait_until(lambda: bool(self.fleet.entries[1].view.quarantine.newest.held))
         self.assertEqual((await self.fleet.send(1)).status, 503)
 
     async def test_a_request_that_is_served_after_all_is_not_held(self) -> None:
@@ -198,9 +198,9 @@
 
     async def test_an_older_list_changes_nothing(self) -> None:
         view = self.fleet.entries[0].view
-        older = view.quarantine
+        older = view.quarantine.newest
         await self.fleet.end_three()
-        view.put_quarantine(older)
+        view.quarantine.put(older)
         self.assertEqual((await self.fleet.send(0)).status, 503)
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
@@ -17,8 +17,8 @@
     QuarantineList,
     ServedLately,
 )
-from damsonlaned.gateway._ended_targets import LostTarget
-from damsonlaned.gateway._view import FleetView
+from damsonlaned.quarantine._known import KnownQuarantine
+from damsonlaned.quarantine._look import LostTarget
 from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
@@ -47,12 +47,12 @@
     what this entry saw itself counts here.
 
     Args:
-        view: what control says.
+        known: what control says.
         submit: commits reports.
     """
 
-    def __init__(self, view: FleetView, submit: Submit) -> None:
-        self._view: Final = view
+    def __init__(self, known: KnownQuarantine, submit: Submit) -> None:
+        self._known: Final = known
         self._submit: Final = submit
         self._own: Final = QuarantineBook()
         self._served: Final = ServedLately()
@@ -61,11 +61,11 @@
         self._told.set()
         self._task: asyncio.Task[None] | None = None
         self._watches: dict[str, list[Callable[[], None]]] = {}
-        view.on_quarantine(self._tell_watches)
+        known.on_change(self._tell_watches)
 
     def find_held(self, fingerprint: str) -> HeldRequest | None:
         """Return a request as it is held, or None if it may go to targets."""
-        lists = [self._view.quarantine]
+        lists = [self._known.newest]
         if self._waiting:
             lists.append(self._own.list_for_entries())
         for known in lists:
@@ -76,7 +76,7 @@
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether targets ended under a request that is not held."""
-        return fingerprint in self._view.quarantine.suspects
+        return fingerprint in self._known.newest.suspects
 
     def take_end(self, lost: LostTarget, runs: Sequence[BrokenRun]) -> None:
         """Take a target that ended, with what broke off there."""
@@ -85,8 +85,15 @@
         if not suspects:
             return
         at = round(time.time(), 3)
-        end = NoteTargetEnd(target=lost.target, start=lost.start, runs=suspects, at=at)
-        self._tell(end)
+        self._tell(
+            NoteTargetEnd(
+                target=lost.target,
+                start=lost.start,
+                is_name_kept=lost.is_name_kept,
+                runs=suspects,
+                at=at,
+            )
+        )
 
     def note_served(self, fingerprint: str) -> None:
         """Note a request that a target served to a good end."""
@@ -137,7 +144,7 @@
                 await asyncio.sleep(PAUSE_SECONDS)
                 continue
             self._waiting = [report for report in self._waiting if report not in reports]
-            self._view.put_quarantine(held)
+            self._known.put(held)
         self._told.set()
 
     def _tell_watches(self) -> None:
--- a/packages/damsonlaned/src/damsonlaned/targets/_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_calls.py
@@ -14,6 +14,7 @@
     SENT_FAULTS,
     UNSENT_FAULTS,
     Connections,
+    LateError,
     read_load,
 )
 
@@ -45,6 +46,8 @@
     result: AttemptResult
     #: The load that the target reported, if it did.
     report: LoadReport | None = None
+    #: Whether the connection broke under the attempt, which the target may not have survived.
+    is_broken: bool = False
 
 
 class TargetKind(ABC):
@@ -84,7 +87,8 @@
         if response.status == 200:
             result = yield from self.read_result(response, call)
             response.release_conn()
-            return TargetReply(result=result, report=report)
+            is_broken = result.outcome == "failed" and result.answers is None
+            return TargetReply(result=result, report=report, is_broken=is_broken)
         is_leaving = LEAVING_HEADER in response.headers
         response.drain_conn()
         response.release_conn()
@@ -118,4 +122,5 @@
         result = AttemptResult(answers=None, outcome="unsent", fault=f"not reached ({name})")
     else:
         result = AttemptResult(answers=None, outcome="failed", fault=f"broke off ({name})")
+        return TargetReply(result=result, is_broken=not isinstance(error, LateError))
     return TargetReply(result=result)
