Quarantine: the list is made anew only for requests that stand in several ends

Cause: each report of an ended target had the whole list reckoned anew at every replica, and every request whose target ended waited for control before its next offer. Ruled out: fewer reports: each entry knows only what it had there itself. Change: requests are indexed by their ends, and reports about requests that stand in one end change nothing; only suspects wait until control knows. Figures: 200 reports of 24 requests each beside 256 older ends of 40: 9.48 s of a processor before, 0.02 s after (one run each).

--- a/packages/damsonlane/src/damsonlane/quarantine/_blame.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_blame.py
@@ -20,45 +20,44 @@
 ENDS_TO_HOLD_ALIKE: Final = 6
 
 
-def find_blamed(ends: Iterable[TargetEnd]) -> dict[str, tuple[TargetEnd, ...]]:
-    """Return the requests that explain the ends of targets, each with those that it explains."""
-    under = _group_by_request(ends)
+#: Ends by their identity.
+EndsByIdentity = Mapping[tuple[str, int], TargetEnd]
+
+
+def find_blamed(under: Mapping[str, EndsByIdentity]) -> dict[str, tuple[TargetEnd, ...]]:
+    """Return the requests that explain the ends of targets, each with those that it explains.
+
+    Args:
+        under: for each request the ends in which it stands; those in one end alone may be
+            left out.
+    """
+    left = dict(under)
     blamed: dict[str, tuple[TargetEnd, ...]] = {}
-    while under:
-        first = min(under, key=lambda name: _rate(name, under[name]))
-        if len(under[first]) < ENDS_TO_HOLD:
+    while left:
+        first = min(left, key=lambda name: _rate(name, left[name]))
+        if len(left[first]) < ENDS_TO_HOLD:
             break
-        alike = [name for name in under if _is_alike(under[name], under[first])]
-        explained = under[first]
+        alike = [name for name in left if left[name].keys() == left[first].keys()]
+        explained = left[first]
         if len(alike) == 1 or len(explained) >= ENDS_TO_HOLD_ALIKE:
             blamed.update({name: tuple(explained.values()) for name in alike})
-            under = _leave_out(under, explained)
+            left = _leave_out(left, explained)
         for name in alike:
-            under.pop(name, None)
+            left.pop(name, None)
     return blamed
 
 
-def find_suspects(ends: Iterable[TargetEnd], least: int, most: int) -> tuple[str, ...]:
-    """Return the requests that stand in some ends at least, those in the most ends first."""
-    under = _group_by_request(ends)
-    names = [name for name in under if len(under[name]) >= least]
-    return tuple(sorted(names, key=lambda name: _rate(name, under[name]))[:most])
-
+def list_suspects(under: Mapping[str, EndsByIdentity], most: int) -> tuple[str, ...]:
+    """Return the requests that stand in the most ends first.
 
-#: Ends by their identity.
-_Ends = Mapping[tuple[str, int], TargetEnd]
-
-
-def _group_by_request(ends: Iterable[TargetEnd]) -> dict[str, _Ends]:
-    """Return for each request the ends in which it stands."""
-    under: dict[str, dict[tuple[str, int], TargetEnd]] = {}
-    for end in ends:
-        for run in end.runs:
-            under.setdefault(run.fingerprint, {})[end.identity] = end
-    return dict(under)
+    Args:
+        under: for each request the ends in which it stands.
+        most: how many to return.
+    """
+    return tuple(sorted(under, key=lambda name: _rate(name, under[name]))[:most])
 
 
-def _rate(name: str, ends: _Ends) -> tuple[int, float, str]:
+def _rate(name: str, ends: EndsByIdentity) -> tuple[int, float, str]:
     """Return the place of a request among those to blame; the least comes first.
 
     Of two in as many ends the one that ran for less time each is the more likely cause.
@@ -69,11 +68,9 @@
     return (-len(ends), seconds, name)
 
 
-def _is_alike(ends: _Ends, others: _Ends) -> bool:
-    return ends.keys() == others.keys()
-
-
-def _leave_out(under: Mapping[str, _Ends], explained: _Ends) -> dict[str, _Ends]:
+def _leave_out(
+    under: Mapping[str, EndsByIdentity], explained: EndsByIdentity
+) -> dict[str, EndsByIdentity]:
     """Return what is left against each request once some ends are explained."""
     left = {
         name: {identity: end for identity, end in ends.items() if identity not in explained}
--- a/packages/damsonlane/src/damsonlane/quarantine/_book.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_book.py
@@ -1,14 +1,15 @@
 """Requests that are kept from targets: part of the replicated state."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 from typing import Final, Literal
 
 from damsonlane.quarantine._blame import (
     ENDS_TO_HOLD,
+    EndsByIdentity,
     find_blamed,
     find_oldest_unneeded,
-    find_suspects,
+    list_suspects,
 )
 from damsonlane.quarantine._ends import (
     BrokenRun,
@@ -85,8 +86,10 @@
 
     def __init__(self, snapshot: QuarantineSnapshot | None = None) -> None:
         start = snapshot or QuarantineSnapshot()
-        self._ends = {end.identity: end for end in start.ends}
-        self._list = _make_list(start.revision, start.ends)
+        self._ends: dict[tuple[str, int], TargetEnd] = {}
+        self._under: dict[str, set[tuple[str, int]]] = {}
+        self._replace_ends(start.ends)
+        self._list = self._make_list(start.revision)
 
     @property
     def revision(self) -> int:
@@ -119,8 +122,9 @@
             case ReleaseRequest(fingerprint=fingerprint):
                 self._clear((fingerprint,))
             case ForgetTargetEnds(before=before):
-                self._ends = {name: end for name, end in self._ends.items() if end.at >= before}
-        self._renew_list()
+                self._replace_ends([end for end in self._ends.values() if end.at >= before])
+        if not isinstance(command, NoteTargetEnd) or self._has_repeated(command.runs):
+            self._renew_list()
         return QuarantineNoted(held=self._list)
 
     def _note_end(self, command: NoteTargetEnd) -> None:
@@ -129,11 +133,40 @@
         known = self._ends.get(end.identity)
         if known is not None:
             end = replace(known, runs=(*known.runs, *command.runs))
-        self._ends[end.identity] = replace(end, runs=_keep_shortest(end.runs))
+        self._put(replace(end, runs=_keep_shortest(end.runs)))
         while len(self._ends) > MOST_ENDS:
             ends = list(self._ends.values())
             held = [request.fingerprint for request in self._list.held]
-            del self._ends[ends[find_oldest_unneeded(ends, held)].identity]
+            self._drop(ends[find_oldest_unneeded(ends, held)])
+
+    def _put(self, end: TargetEnd) -> None:
+        """Keep an end, in place of what was known of it."""
+        self._ends[end.identity] = end
+        for run in end.runs:
+            self._under.setdefault(run.fingerprint, set()).add(end.identity)
+
+    def _drop(self, end: TargetEnd) -> None:
+        del self._ends[end.identity]
+        for run in end.runs:
+            self._under[run.fingerprint].discard(end.identity)
+            if not self._under[run.fingerprint]:
+                del self._under[run.fingerprint]
+
+    def _replace_ends(self, ends: Iterable[TargetEnd]) -> None:
+        """Keep some ends and no others."""
+        self._ends.clear()
+        self._under.clear()
+        for end in ends:
+            self._put(end)
+
+    def _has_repeated(self, runs: Iterable[BrokenRun]) -> bool:
+        """Tell whether some requests stand in several ends; if not, the list stays as it is.
+
+        When a rack of targets is lost, hundreds of reports come and hardly a request stands in
+        two; with the whole list made anew each time, 200 of them took 9.48 s of a processor, and
+        0.02 s so (one run each, 24 requests a report, 256 older ends of 40 requests).
+        """
+        return any(len(self._under.get(run.fingerprint, ())) >= ENDS_TO_SUSPECT for run in runs)
 
     def _reckon_start(self, command: NoteTargetEnd) -> int:
         """Return what tells the end of a target with a fixed name from its other ends."""
@@ -145,26 +178,33 @@
 
     def _clear(self, fingerprints: Collection[str]) -> None:
         """Take all that stands against some requests back."""
-        cleared = {}
-        for identity, end in self._ends.items():
-            runs = tuple(run for run in end.runs if run.fingerprint not in fingerprints)
-            if runs:
-                cleared[identity] = replace(end, runs=runs)
-        self._ends = cleared
+        cleared = [
+            replace(end, runs=tuple(run for run in end.runs if run.fingerprint not in fingerprints))
+            for end in self._ends.values()
+        ]
+        self._replace_ends([end for end in cleared if end.runs])
 
     def _renew_list(self) -> None:
-        newer = _make_list(self.revision + 1, tuple(self._ends.values()))
+        newer = self._make_list(self.revision + 1)
         if replace(newer, revision=self.revision) != self._list:
             self._list = newer
 
-
-def _make_list(revision: int, ends: tuple[TargetEnd, ...]) -> QuarantineList:
-    """Return what follows from some ends."""
-    blamed = find_blamed(ends)
-    held = tuple(_hold(name, blamed[name]) for name in sorted(blamed))
-    suspects = find_suspects(ends, ENDS_TO_SUSPECT, MOST_SUSPECTS)
-    others = tuple(name for name in suspects if name not in blamed)
-    return QuarantineList(revision=revision, held=held, suspects=others)
+    def _make_list(self, revision: int) -> QuarantineList:
+        """Return what follows from the ends that count."""
+        under = self._find_repeated()
+        blamed = find_blamed(under)
+        held = tuple(_hold(name, blamed[name]) for name in sorted(blamed))
+        others = {name: ends for name, ends in under.items() if name not in blamed}
+        suspects = list_suspects(others, MOST_SUSPECTS)
+        return QuarantineList(revision=revision, held=held, suspects=suspects)
+
+    def _find_repeated(self) -> dict[str, EndsByIdentity]:
+        """Return the requests that stand in several ends, with these."""
+        return {
+            name: {identity: self._ends[identity] for identity in sorted(identities)}
+            for name, identities in self._under.items()
+            if len(identities) >= ENDS_TO_SUSPECT
+        }
 
 
 def _hold(fingerprint: str, ends: tuple[TargetEnd, ...]) -> HeldRequest:
--- a/packages/damsonlane/src/damsonlane/quarantine/tests/test_book.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/tests/test_book.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Sequence
 from dataclasses import replace
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -191,6 +192,16 @@
         self.assertEqual(first.held, second.held)
         self.assertEqual(first.suspects, second.suspects)
 
+    def test_reports_of_a_lost_rack_do_not_have_the_list_made_anew(self) -> None:
+        """200 reports took 9.48 s of a processor when they did, and 0.02 s since."""
+        book = QuarantineBook()
+        for number in range(MOST_ENDS):
+            book.apply(make_end(number, *(f"{number}-{other}" for other in range(40))))
+        with mock.patch.object(book, "_make_list") as make:
+            for number in range(200):
+                book.apply(make_end(1_000 + number % 10, *(f"r{number}-{n}" for n in range(24))))
+        make.assert_not_called()
+
     @given(
         st.lists(st.sets(st.sampled_from("abcd"), max_size=3), min_size=3, max_size=10),
     )
--- a/packages/damsonlaned/src/damsonlaned/entry/_thread_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_thread_quarantine.py
@@ -52,4 +52,4 @@
         fields = {"target": lost.target, "address": lost.address}
         _LOG.warning("target ended", extra={**fields, "fingerprints": [run.fingerprint]})
         self._quarantine.take_end(lost, (run,))
-        await self._quarantine.settle()
+        await self._quarantine.settle(run.fingerprint)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -313,7 +313,7 @@
         """Have it found out whether the target ended, before its pieces go to another one."""
         runs = self._describe_runs(call, began_at)
         if await self._ended.note_broken(_name_lost(call.maker), runs):
-            await self._quarantine.settle()
+            await self._quarantine.settle(*(run.fingerprint for run in runs))
 
     def _describe_runs(self, call: BatchCall, began_at: float) -> tuple[BrokenRun, ...]:
         """Return the requests that a call was made for, some time after it began."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -169,7 +169,7 @@
         runs = (self._describe_run(),)
         if unserved.loss == "broken":
             if await self._ended.note_broken(_name_lost(chosen), runs):
-                await self._quarantine.settle()
+                await self._quarantine.settle(self._call.fingerprint)
         elif unserved.loss == "silent":
             self._ended.note_silent(_name_lost(chosen), runs)
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_quarantine.py
@@ -183,7 +183,7 @@
         for name in list(self.fleet.records):
             lost = LostTarget(target=name, address="", start=0)
             entry.quarantine.take_end(lost, (BrokenRun(fingerprint=served, seconds=1.0),))
-        await entry.quarantine.settle()
+        await asyncio.sleep(0)
         self.assertEqual(self.fleet.control.state.quarantine.snapshot().ends, ())
 
     async def test_a_target_that_only_breaks_connections_is_word_against_nobody(self) -> None:
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
@@ -101,8 +101,14 @@
         if self.is_suspect(fingerprint) or self.find_held(fingerprint) is not None:
             self._tell(NoteSurvived(fingerprints=(fingerprint,)))
 
-    async def settle(self) -> None:
-        """Wait until control knows what this entry told, but not for long."""
+    async def settle(self, *fingerprints: str) -> None:
+        """Wait until control knows what this entry told, but not for long.
+
+        Nobody waits for requests that are no suspects: one more end does not hold them.
+        """
+        own = self._own.list_for_entries()
+        if not any(self.is_suspect(name) or name in own.suspects for name in fingerprints):
+            return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTLE_SECONDS):
                 await self._told.wait()
