--- a/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from typing import Final
 
 from damsonlane.quarantine import BrokenRun
@@ -13,21 +12,11 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Seconds for which word of control that a target ended is put down to what broke off there:
-#: a target that took its whole box along is missed by its heartbeats only after a few seconds.
+#: Seconds for which word of control that a target started again is put down to what broke off
+#: there: targets that end come back after a few seconds.
 DOUBT_SECONDS: Final = 8.0
 
 
-@dataclass
-class _Doubt:
-    """A target that may have ended; mutable."""
-
-    #: Whether control had missed its heartbeats before answers broke off.
-    was_silent: bool
-    #: What broke off.
-    runs: list[BrokenRun] = field(default_factory=list)
-
-
 #: Takes a start of a target that has ended, with what broke off there.
 TakeEnd = Callable[[LostTarget, Sequence[BrokenRun]], None]
 
@@ -37,7 +26,9 @@
 
     A connection breaks for many reasons; only what ended the target is word against the
     requests that it had.  A target has ended if it refuses a new connection, or if control
-    says soon after that it is silent, was replaced or has started again.
+    says soon after that it has started again or another one has its address.  Silence alone is
+    no end: a cut of the network leaves requests without answer at many targets at once, and
+    their callers' later tries would be refused.
 
     Args:
         view: what control says of targets.
@@ -47,7 +38,7 @@
     def __init__(self, view: FleetView, take_end: TakeEnd) -> None:
         self._view: Final = view
         self._take_end: Final = take_end
-        self._doubts: dict[LostTarget, _Doubt] = {}
+        self._doubts: dict[LostTarget, list[BrokenRun]] = {}
         self._looks: dict[LostTarget, asyncio.Task[bool]] = {}
         view.on_change(self._follow_view)
 
@@ -58,6 +49,9 @@
         """
         if not self._doubt(lost, runs):
             return False
+        if self._is_replaced(lost):
+            self._settle(lost, "it started again")
+            return True
         if await asyncio.shield(self._look(lost)):
             self._settle(lost, "it refuses connections")
             return True
@@ -72,8 +66,7 @@
         record = self._view.find_target(lost.target)
         if record is None or record.standing == "leaving":
             return False
-        doubt = self._doubts.setdefault(lost, _Doubt(was_silent=record.standing == "silent"))
-        doubt.runs.extend(runs)
+        self._doubts.setdefault(lost, []).extend(runs)
         asyncio.get_running_loop().call_later(DOUBT_SECONDS, self._forget, lost, tuple(runs))
         return True
 
@@ -87,23 +80,22 @@
         return task
 
     def _follow_view(self) -> None:
-        for lost, doubt in list(self._doubts.items()):
-            if self._is_word_of_end(lost, doubt):
-                self._settle(lost, "control says so")
+        for lost in list(self._doubts):
+            if self._is_replaced(lost):
+                self._settle(lost, "it started again")
 
-    def _is_word_of_end(self, lost: LostTarget, doubt: _Doubt) -> bool:
-        """Tell whether control says that this start of a target ended since answers broke off."""
+    def _is_replaced(self, lost: LostTarget) -> bool:
+        """Tell whether a target started again, or another one has its address."""
         record = self._view.find_target(lost.target)
-        if record is None or record.start != lost.start:
-            return True
-        return record.standing == "silent" and not doubt.was_silent
+        if record is None:
+            return self._view.has_target_at(lost.address)
+        return record.start != lost.start
 
     def _settle(self, lost: LostTarget, evidence: str) -> None:
         """Hand on what broke off at a target that has ended."""
-        doubt = self._doubts.pop(lost, None)
-        if doubt is None:
+        runs = self._doubts.pop(lost, [])
+        if not runs:
             return
-        runs = doubt.runs
         _LOG.warning(
             "target ended",
             extra={
@@ -118,9 +110,6 @@
 
     def _forget(self, lost: LostTarget, runs: Sequence[BrokenRun]) -> None:
         """Put an end that comes later down to something else than these."""
-        doubt = self._doubts.get(lost)
-        if doubt is None:
-            return
-        doubt.runs = [run for run in doubt.runs if run not in runs]
-        if not doubt.runs:
-            del self._doubts[lost]
+        left = [run for run in self._doubts.pop(lost, []) if run not in runs]
+        if left:
+            self._doubts[lost] = left
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -78,6 +78,10 @@
         """Return the record of a target, or None where control lists it no more."""
         return self._targets.get(target)
 
+    def has_target_at(self, address: str) -> bool:
+        """Tell whether control lists a target at an address."""
+        return any(record.address == address for record in self._targets.values())
+
     def open_targets_of(self, service: str) -> tuple[TargetRecord, ...]:
         """Return the records of a service's targets that may get new work."""
         return tuple(record for record in self.targets_of(service) if self.is_open(record))
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_look.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_look.py
@@ -30,7 +30,7 @@
     try:
         async with asyncio.timeout(LOOK_SECONDS):
             _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
-    except (ConnectionRefusedError, ConnectionResetError):
+    except ConnectionRefusedError:
         return True
     except (TimeoutError, OSError):
         return False
