Soak: real processes under faults drawn from a seed, judged by callers, targets and operators

Cause: nothing of our own plays deadly requests, kills, freezes, planned stops and the loss of power at all boxes together, in series and overlapping. Change: a plan drawn from a seed and written before the run, callers that keep connections until the process is gone, an operator that changes and reads back, a judge of six promises and of service after the last fault. Targets write what they begin to run to their logs.

--- a/packages/damsonlane_bench/src/damsonlane_bench/fleet/_processes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/_processes.py
@@ -65,6 +65,10 @@
         """Wait for its end and return its exit code."""
         return self._close()
 
+    def signal(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        self._process.send_signal(number)
+
     def freeze(self) -> None:
         """Stop its clock ticks, its messages and everything else."""
         os.kill(self.pid, signal.SIGSTOP)
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import secrets
+import time
 from dataclasses import replace
 from typing import Final, Literal
 
@@ -128,6 +129,7 @@
         if request.path == "/ran":
             reply.send_whole(HttpResponse(status=200, body=json.dumps(self.ran).encode()))
         elif _is_deadly(request, self._kind):
+            _tell_run(request, is_deadly=True)
             await asyncio.sleep(_DYING_SECONDS)
             os._exit(_DEAD)
         elif self._kind == "pool":
@@ -164,6 +166,7 @@
 
     def _note(self, request: HttpRequest) -> None:
         self.ran.append(request.find(b"damsonlane-request-id") or "")
+        _tell_run(request)
 
     def _headers(self, request: HttpRequest) -> tuple[tuple[bytes, bytes], ...]:
         request_id = request.find(b"damsonlane-request-id") or ""
@@ -173,6 +176,13 @@
         )
 
 
+def _tell_run(request: HttpRequest, *, is_deadly: bool = False) -> None:
+    """Write to the log what begins to run; memory would be lost with the process."""
+    request_id = request.find(b"damsonlane-request-id") or ""
+    line = {"ran": request_id, "deadly": is_deadly, "at": time.time()}
+    print(json.dumps(line), flush=True)
+
+
 def _is_deadly(request: HttpRequest, kind: Kind) -> bool:
     """Tell whether the target does not survive what it is to run."""
     if kind != "pool":
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -15,7 +15,8 @@
 from damsonlane_bench.registered import Kind
 from damsonlane_bench.registered._target import EVENTS
 
-_KEY: Final = "florists-key"
+#: Key of the only organisation.
+CALLER_KEY: Final = "florists-key"
 #: Seconds for which a caller waits.
 _CALLER_SECONDS: Final = 20.0
 #: Targets: name, service and kind.
@@ -76,6 +77,13 @@
         text = json.dumps({**make_document(), "version": version, **changes})
         wait_until(lambda: self._put(text) == 200, f"version {version} is taken")
 
+    def try_document(self, version: int) -> bool:
+        """Send a routing document once; tell whether a control box took it."""
+        try:
+            return self._put(json.dumps({**make_document(), "version": version})) == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
     def read_version(self, control: str) -> int:
         """Return the version that a control box reads back, 0 when it can't say."""
         response = send("GET", f"http://{self.addresses[f'{control}/front']}/v1/routes")
@@ -97,7 +105,7 @@
         )
         sent = {
             "Host": "shop.example",
-            "Authorization": f"Bearer {_KEY}",
+            "Authorization": f"Bearer {CALLER_KEY}",
             "Damsonlane-Request-Id": request_id,
             "Damsonlane-Deadline-Ms": "8000",
             **{name.replace("_", "-"): value for name, value in headers.items()},
@@ -212,7 +220,7 @@
             },
             {"name": "encode", "most_connections": 50, "pool": pool},
         ],
-        "organisations": [{"name": "florists", "keys": [_KEY]}],
+        "organisations": [{"name": "florists", "keys": [CALLER_KEY]}],
     }
 
 
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
@@ -0,0 +1,10 @@
+"""A fault soak: real processes under faults drawn from a seed, judged by what callers saw.
+
+A plan enters, and a verdict leaves: every promise that was broken, with the request.
+"""
+
+from damsonlane_bench.soak._judge import Breach
+from damsonlane_bench.soak._plan import FAULT_KINDS, Fault, Plan, draw_plan
+from damsonlane_bench.soak._run import Soak, Verdict
+
+__all__ = ["FAULT_KINDS", "Breach", "Fault", "Plan", "Soak", "Verdict", "draw_plan"]
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_judge.py
@@ -0,0 +1,122 @@
+"""Which promises a run broke, by what callers, targets and the operator saw."""
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from damsonlane_bench.registered._target import EVENTS
+from damsonlane_bench.soak._journal import RunJournal, TargetRun
+
+#: Seconds without a fault after which all boxes know what one of them knew before.
+SETTLED_SECONDS: Final = 3.0
+#: Targets that may end under a request before it is known.
+ENDS_TO_KNOW: Final = 3
+#: Further targets that may end under it, counted once all boxes are settled.
+ENDS_BEYOND: Final = 3
+#: Route whose requests run once at most.
+ONCE: Final = "refund"
+#: Route of event streams.
+STREAM: Final = "chat"
+
+#: The whole body of a stream.
+WHOLE_STREAM: Final = "".join(
+    f"id: {number}\ndata: token {number}\n\n" for number in range(1, EVENTS + 1)
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Breach:
+    """A promise that was broken."""
+
+    #: Name of the promise.
+    promise: str
+    #: What was seen.
+    seen: str
+
+
+#: Looks for breaches of one promise.
+Look = Callable[[RunJournal, Sequence[TargetRun]], Iterator[str]]
+
+#: All promises by name.
+PROMISES: Final[dict[str, Look]] = {}
+
+
+def promise(name: str) -> Callable[[Look], Look]:
+    """Register what looks for breaches of a promise."""
+
+    def register(look: Look) -> Look:
+        PROMISES[name] = look
+        return look
+
+    return register
+
+
+def judge(journal: RunJournal, runs: Sequence[TargetRun]) -> tuple[Breach, ...]:
+    """Return every promise that was broken."""
+    return tuple(
+        Breach(promise=name, seen=seen)
+        for name, look in PROMISES.items()
+        for seen in look(journal, runs)
+    )
+
+
+@promise("runs once at most")
+def _look_for_doubles(journal: RunJournal, runs: Sequence[TargetRun]) -> Iterator[str]:
+    counts = Counter(run.request for run in runs)
+    for request, count in counts.items():
+        if request.startswith(ONCE) and count > 1:
+            yield f"{request} ran {count} times"
+
+
+@promise("a refusal that says not run is true")
+def _look_for_false_refusals(journal: RunJournal, runs: Sequence[TargetRun]) -> Iterator[str]:
+    ran = {run.request for run in runs}
+    for answer in journal.answers:
+        if answer.route == ONCE and answer.status == 503 and answer.request in ran:
+            yield f"{answer.request} was refused and ran"
+
+
+@promise("an answer is whole and of its request")
+def _look_for_broken_answers(journal: RunJournal, runs: Sequence[TargetRun]) -> Iterator[str]:
+    ran = {run.request for run in runs}
+    for answer in journal.answers:
+        if answer.status != 200:
+            continue
+        if answer.request not in ran:
+            yield f"{answer.request} was answered and never ran"
+        if answer.route == STREAM and not WHOLE_STREAM.startswith(answer.body):
+            yield f"{answer.request} lacks an event or has one twice: {answer.body!r:.200}"
+        if answer.route == STREAM and answer.is_whole and answer.body != WHOLE_STREAM:
+            yield f"{answer.request} ended as whole before its last event"
+
+
+@promise("what was acknowledged is never older")
+def _look_for_older(journal: RunJournal, runs: Sequence[TargetRun]) -> Iterator[str]:
+    for read in journal.read_back:
+        if read.answered < read.acknowledged:
+            yield f"version {read.answered} was read after {read.acknowledged} was acknowledged"
+
+
+@promise("a request that ends targets is kept from them")
+def _look_for_ends(journal: RunJournal, runs: Sequence[TargetRun]) -> Iterator[str]:
+    deadly = sorted(run.at for run in runs if run.is_deadly)
+    if len(deadly) <= ENDS_TO_KNOW:
+        return
+    known_at = deadly[ENDS_TO_KNOW - 1] + SETTLED_SECONDS
+    disturbed = sorted(journal.disturbed_at)
+    late = [at for at in deadly if at > known_at and _is_settled(at, disturbed)]
+    if len(late) > ENDS_BEYOND:
+        yield f"{len(late)} more targets ended under one request, {len(deadly)} in all"
+
+
+def _is_settled(at: float, disturbed: Sequence[float]) -> bool:
+    """Tell whether no fault began or ended for a while before a moment."""
+    index = bisect_left(disturbed, at)
+    return index == 0 or at - disturbed[index - 1] > SETTLED_SECONDS
+
+
+@promise("processes end only when they are ended")
+def _look_for_own_ends(journal: RunJournal, runs: Sequence[TargetRun]) -> Iterator[str]:
+    yield from journal.own_ends
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -0,0 +1,124 @@
+"""What happens in one run of the soak, drawn from a seed before the run begins."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Final
+
+#: Draws the box of a fault; empty for all boxes.
+DrawBox = Callable[[random.Random, "Boxes"], str]
+
+#: Shortest and longest time for which a fault lasts, in seconds: some are over before anybody
+#: notices (heartbeats come every half second), others outlast leases and elections.
+_SHORTEST: Final = 0.3
+_LONGEST: Final = 3.0
+#: Seconds between two faults on average; many overlap then.
+_MEAN_GAP: Final = 1.2
+#: Seconds after the last fault in which the fleet must come to rest.
+REST_SECONDS: Final = 4.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Boxes:
+    """What faults may happen to."""
+
+    #: Names of the control replicas.
+    controls: tuple[str, ...]
+    #: Names of the entries.
+    entries: tuple[str, ...]
+    #: Names of the targets.
+    targets: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One fault."""
+
+    #: When it begins, in seconds from the start of the run.
+    at: float
+    #: What happens; a name in `FAULT_KINDS`.
+    kind: str
+    #: To which process; empty for all boxes.
+    process: str
+    #: How long until it is undone.
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Plan:
+    """One run."""
+
+    #: The seed that it was drawn from.
+    seed: int
+    #: How long callers send, in seconds.
+    seconds: float
+    #: The faults, in order.
+    faults: tuple[Fault, ...]
+
+    def with_faults(self, faults: tuple[Fault, ...]) -> "Plan":
+        """Return the plan with other faults, to find those that matter."""
+        return replace(self, faults=faults)
+
+
+#: How the process of each kind of fault is drawn.
+FAULT_KINDS: Final[dict[str, DrawBox]] = {}
+
+
+def fault_kind(name: str) -> Callable[[DrawBox], DrawBox]:
+    """Register how the process of a kind of fault is drawn."""
+
+    def register(draw: DrawBox) -> DrawBox:
+        FAULT_KINDS[name] = draw
+        return draw
+
+    return register
+
+
+@fault_kind("kill")
+def _draw_any(randomness: random.Random, boxes: Boxes) -> str:
+    return randomness.choice((*boxes.controls, *boxes.entries, *boxes.targets))
+
+
+@fault_kind("freeze")
+def _draw_frozen(randomness: random.Random, boxes: Boxes) -> str:
+    return randomness.choice((*boxes.controls, *boxes.entries, *boxes.targets))
+
+
+@fault_kind("hang-up")
+def _draw_box(randomness: random.Random, boxes: Boxes) -> str:
+    return randomness.choice((*boxes.controls, *boxes.entries))
+
+
+@fault_kind("stop")
+def _draw_entry(randomness: random.Random, boxes: Boxes) -> str:
+    return randomness.choice(boxes.entries)
+
+
+@fault_kind("power")
+def _draw_all(randomness: random.Random, boxes: Boxes) -> str:
+    return ""
+
+
+def draw_plan(seed: int, seconds: float, boxes: Boxes) -> Plan:
+    """Return the plan of a seed.
+
+    Args:
+        seed: the same one gives the same plan.
+        seconds: how long callers send.
+        boxes: what faults may happen to.
+    """
+    randomness = random.Random(seed)
+    faults: list[Fault] = []
+    at = randomness.expovariate(1 / _MEAN_GAP)
+    while at < seconds - REST_SECONDS:
+        kind = randomness.choice(sorted(FAULT_KINDS))
+        faults.append(
+            Fault(
+                at=round(at, 2),
+                kind=kind,
+                process=FAULT_KINDS[kind](randomness, boxes),
+                seconds=round(randomness.uniform(_SHORTEST, _LONGEST), 2),
+            )
+        )
+        at += randomness.expovariate(1 / _MEAN_GAP)
+    return Plan(seed=seed, seconds=seconds, faults=tuple(faults))
