Soak: tests of plan and judge, one short run in each build, make soak

Cause: a soak whose judge finds nothing proves nothing. Ruled out: planting faults in programs for now; the judge is shown records of each breach.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := damsonlane damsonlane_rpc damsonlaned damsonlane_cli damsonlane_bench
 SOURCES := packages platform tools
 
-.PHONY: demo test check fuzz capacity measure clean
+.PHONY: demo test check fuzz soak capacity measure clean
 
 demo: $(VENV)/made
 	$(RUN) -m damsonlane_bench.demo
@@ -36,5 +36,11 @@
 fuzz: $(VENV)/made
 	$(RUN) tools/fuzz.py
 
+# make soak SEED=11, or SEED=1 SEEDS=50; each plan is written to run/soak before it is played.
+SEED ?= 1
+SEEDS ?= 1
+soak: $(VENV)/made
+	$(RUN) -m damsonlane_bench.soak --seed=$(SEED) --seeds=$(SEEDS)
+
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -0,0 +1,127 @@
+"""The soak: plans, what its judge finds, and one short run."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from damsonlane.codec import decode_bytes, encode_text
+from damsonlane_bench.soak import FAULT_KINDS, Plan, Soak, draw_plan
+from damsonlane_bench.soak._journal import (
+    Answer,
+    ReadBack,
+    RunJournal,
+    TargetRun,
+    read_target_runs,
+)
+from damsonlane_bench.soak._judge import PROMISES, WHOLE_STREAM, judge
+
+#: Seed and length of the run of each build.
+SEED = 7
+SECONDS = 14.0
+
+
+class PlanTest(unittest.TestCase):
+    def test_a_seed_gives_the_same_plan_each_time(self) -> None:
+        boxes = Soak.list_boxes()
+        plan = draw_plan(3, 20.0, boxes)
+        self.assertEqual(draw_plan(3, 20.0, boxes), plan)
+        self.assertNotEqual(draw_plan(4, 20.0, boxes).faults, plan.faults)
+        self.assertEqual(decode_bytes(encode_text(plan, Plan), Plan), plan)
+
+    def test_fifty_seeds_have_every_kind_of_fault_overlapping(self) -> None:
+        boxes = Soak.list_boxes()
+        plans = [draw_plan(seed, 20.0, boxes) for seed in range(50)]
+        kinds = {fault.kind for plan in plans for fault in plan.faults}
+        self.assertEqual(kinds, set(FAULT_KINDS))
+        overlapping = sum(
+            later.at < earlier.at + earlier.seconds
+            for plan in plans
+            for earlier, later in zip(plan.faults, plan.faults[1:], strict=False)
+        )
+        self.assertGreater(overlapping, 50)
+
+
+class JudgeTest(unittest.TestCase):
+    """Each promise is broken once, and found by its own look alone."""
+
+    def setUp(self) -> None:
+        self.journal = RunJournal()
+        self.runs = [_run("refund-1"), _run("chat-1"), _run("ping-1")]
+        self._answer("refund-1", 200, "ok")
+        self._answer("chat-1", 200, WHOLE_STREAM)
+
+    def _answer(self, request: str, status: int, body: str = "", *, is_whole: bool = True) -> None:
+        route = request.partition("-")[0]
+        answer = Answer(request=request, route=route, status=status, is_whole=is_whole, body=body)
+        self.journal.note_answer(answer)
+
+    def _find(self) -> list[str]:
+        return [breach.promise for breach in judge(self.journal, self.runs)]
+
+    def test_nothing_is_found_where_all_is_kept(self) -> None:
+        self._answer("chat-1", 200, WHOLE_STREAM[:40], is_whole=False)
+        self._answer("refund-2", 503)
+        self.journal.note_read_back(ReadBack(acknowledged=3, answered=3))
+        self.assertEqual(self._find(), [])
+
+    def test_a_doubled_run(self) -> None:
+        self.runs.append(_run("refund-1"))
+        self.assertEqual(self._find(), ["runs once at most"])
+
+    def test_a_false_refusal(self) -> None:
+        self._answer("refund-1", 503)
+        self.assertEqual(self._find(), ["a refusal that says not run is true"])
+
+    def test_an_answer_that_nobody_made(self) -> None:
+        self._answer("refund-9", 200, "ok")
+        self.assertEqual(self._find(), ["an answer is whole and of its request"])
+
+    def test_a_stream_joined_wrongly_or_cut_short(self) -> None:
+        first, second = WHOLE_STREAM.split("\n\n")[:2]
+        for body in (f"{first}\n\n{first}\n\n", f"{second}\n\n", f"{first}\n\n"):
+            with self.subTest(body=body):
+                self.setUp()
+                self._answer("chat-1", 200, body)
+                self.assertIn("an answer is whole and of its request", self._find())
+
+    def test_a_version_that_goes_back(self) -> None:
+        self.journal.note_read_back(ReadBack(acknowledged=3, answered=2))
+        self.assertEqual(self._find(), ["what was acknowledged is never older"])
+
+    def test_a_deadly_request_that_goes_on(self) -> None:
+        self.runs += [_run("ping-2", at=float(at), is_deadly=True) for at in (0, 1, 2, 3, 4)]
+        self.assertEqual(self._find(), [])
+        self.runs += [_run("ping-2", at=float(at), is_deadly=True) for at in (6, 7, 8, 9)]
+        self.assertEqual(self._find(), ["a request that ends targets is kept from them"])
+        self.journal.disturbed_at.append(5.5)
+        self.assertEqual(self._find(), [])
+
+    def test_a_box_that_ends_by_itself(self) -> None:
+        self.journal.own_ends.append("entry-1 ended by itself")
+        self.assertEqual(self._find(), ["processes end only when they are ended"])
+
+    def test_every_promise_has_its_test(self) -> None:
+        self.assertEqual(len(PROMISES), 6)
+
+    def test_what_targets_ran_is_read_from_their_logs(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            log = Path(folder) / "desk-1.log"
+            log.write_text('{"ran": "r", "deadly": true, "at": 1.5}\nanother line\n')
+            self.assertEqual(list(read_target_runs([log])), [_run("r", at=1.5, is_deadly=True)])
+
+
+class RunTest(unittest.TestCase):
+    def test_a_short_run_breaks_no_promise(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            plan = draw_plan(SEED, SECONDS, Soak.list_boxes())
+            verdict = Soak(plan, Path(folder)).run()
+        self.assertEqual(verdict.breaches, (), plan)
+        self.assertGreater(verdict.statuses.get(200, 0), 0)
+
+
+def _run(request: str, *, at: float = 0.0, is_deadly: bool = False) -> TargetRun:
+    return TargetRun(request=request, is_deadly=is_deadly, at=at)
+
+
+if __name__ == "__main__":
+    unittest.main()
