Messages about the quarantine stand apart, and name what they carry

Ruled out: nothing. Change: two messages in a module of their own; the field is called quarantine. No behaviour.

--- a/packages/damsonlane/src/damsonlane/quarantine/_book.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_book.py
@@ -68,7 +68,7 @@
 
     kind: Literal["quarantine-noted"] = "quarantine-noted"
     #: The list after the command.
-    held: QuarantineList
+    quarantine: QuarantineList
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -125,7 +125,7 @@
                 self._replace_ends([end for end in self._ends.values() if end.at >= before])
         if not isinstance(command, NoteTargetEnd) or self._has_repeated(command.runs):
             self._renew_list()
-        return QuarantineNoted(held=self._list)
+        return QuarantineNoted(quarantine=self._list)
 
     def _note_end(self, command: NoteTargetEnd) -> None:
         start = self._reckon_start(command) if command.is_name_kept else command.start
--- a/packages/damsonlane_cli/src/damsonlane_cli/_quarantine.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_quarantine.py
@@ -58,7 +58,7 @@
             except ForbiddenError as error:
                 fail(str(error), EXIT_REFUSED)
             assert isinstance(reply, QuarantineNoted)
-            return reply.held
+            return reply.quarantine
 
         known = {request.fingerprint for request in _read_list().held}
         call_control(work)
@@ -69,7 +69,7 @@
     async def work(client: ControlClient, _: OperatorSettings) -> QuarantineList:
         reply = await client.query(QueryRequest(query=QuarantineQuery()), SECONDS)
         assert isinstance(reply.outcome, QuarantineView)
-        return reply.outcome.held
+        return reply.outcome.quarantine
 
     return call_control(work)
 
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -46,8 +46,6 @@
     NotLeader,
     PeerReply,
     PeerRequest,
-    QuarantineQuery,
-    QuarantineView,
     QueryReply,
     QueryRequest,
     RemoveRequest,
@@ -79,6 +77,7 @@
     Method,
     Service,
 )
+from damsonlane_rpc._quarantine_messages import QuarantineQuery, QuarantineView
 from damsonlane_rpc._tls import make_client_context, make_server_context
 
 __all__ = [
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -13,6 +13,7 @@
 from damsonlane.membership import BoxRecord
 from damsonlane.quarantine import QuarantineList
 from damsonlane.settings import Role
+from damsonlane_rpc._quarantine_messages import QuarantineQuery, QuarantineView
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -127,22 +128,6 @@
     evacuations: tuple[Evacuation, ...]
 
 
-@dataclass(frozen=True, kw_only=True)
-class QuarantineQuery:
-    """Ask which requests are kept from targets."""
-
-    kind: Literal["quarantine-query"] = "quarantine-query"
-
-
-@dataclass(frozen=True, kw_only=True)
-class QuarantineView:
-    """The requests that are kept from targets."""
-
-    kind: Literal["quarantine-view"] = "quarantine-view"
-    #: The list as entries are told it.
-    held: QuarantineList
-
-
 @dataclass(frozen=True, kw_only=True)
 class BoxesView:
     """The boxes that are heard."""
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -234,7 +234,9 @@
                 evacuations = state.evacuations.evacuations()
                 return QueryReply(outcome=EvacuationsView(evacuations=evacuations))
             case QuarantineQuery():
-                return QueryReply(outcome=QuarantineView(held=state.quarantine.list_for_entries()))
+                return QueryReply(
+                    outcome=QuarantineView(quarantine=state.quarantine.list_for_entries())
+                )
             case CostsQuery():
                 return QueryReply(
                     outcome=CostsView(
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_submit.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_submit.py
@@ -34,4 +34,4 @@
         )
         last = replies[-1]
         assert isinstance(last, QuarantineNoted)
-        return last.held
+        return last.quarantine
