An entry's own count of ends holds only until control knows it

Cause: by reading: what an entry had told stayed in its own count, so a request that an operator released was held again there whenever control could not be reached. Ruled out: none else; the list of control is used alone otherwise. Change: the own count begins anew once control knows. The test failed before.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -8,7 +8,7 @@
 from damsonlane.cluster import ClusterState, PackedDocument
 from damsonlane.codec import encode_bytes
 from damsonlane.errors import UnavailableError
-from damsonlane.quarantine import BrokenRun, QuarantineList
+from damsonlane.quarantine import BrokenRun, QuarantineList, ReleaseRequest
 from damsonlane.routes import (
     Organisation,
     PoolTraits,
@@ -242,6 +242,13 @@
             raise UnavailableError("no quorum")
         for report in reports:
             self.state.apply(report)
+        return self._tell()
+
+    def release(self, command: ReleaseRequest) -> None:
+        self.state.apply(command)
+        self._tell()
+
+    def _tell(self) -> QuarantineList:
         held = self.state.quarantine.list_for_entries()
         for view in self.views:
             view.quarantine.put(held)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_quarantine.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable
 from unittest import mock
 
-from damsonlane.quarantine import ENDS_TO_HOLD, ENDS_TO_HOLD_ALIKE, BrokenRun
+from damsonlane.quarantine import (
+    ENDS_TO_HOLD,
+    ENDS_TO_HOLD_ALIKE,
+    BrokenRun,
+    ReleaseRequest,
+)
 from damsonlane.targets import TargetRecord
 from damsonlaned.gateway._pool_owner import PoolOwner
 from damsonlaned.gateway.tests.harness import (
@@ -162,6 +167,18 @@
         await wait_until(lambda: bool(self.fleet.entries[1].view.quarantine.newest.held))
         self.assertEqual((await self.fleet.send(1)).status, 503)
 
+    async def test_what_control_released_is_not_held_by_an_entry_that_saw_it(self) -> None:
+        for _ in range(ENDS_TO_HOLD):
+            await self.fleet.send(0)
+        held = self.fleet.control.state.quarantine.list_for_entries().held
+        release = ReleaseRequest(fingerprint=held[0].fingerprint, operator="o", at=0.0)
+        self.fleet.control.release(release)
+        self.fleet.control.is_reachable = False
+        await self.fleet.send(0, "/once/another-deadly")
+        ended = len(self.fleet.ended)
+        await self.fleet.send(0)
+        self.assertEqual(len(self.fleet.ended), ended + 1)
+
     async def test_a_request_that_is_served_after_all_is_not_held(self) -> None:
         await self.fleet.send(0)
         await self.fleet.send(1)
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
@@ -54,7 +54,8 @@
     def __init__(self, known: KnownQuarantine, submit: Submit) -> None:
         self._known: Final = known
         self._submit: Final = submit
-        self._own: Final = QuarantineBook()
+        #: What control does not know yet; what it knows may be released there meanwhile.
+        self._own = QuarantineBook()
         self._served: Final = ServedLately()
         self._waiting: list[Report] = []
         self._told: Final = asyncio.Event()
@@ -151,6 +152,7 @@
                 continue
             self._waiting = [report for report in self._waiting if report not in reports]
             self._known.put(held)
+        self._own = QuarantineBook()
         self._told.set()
 
     def _tell_watches(self) -> None:
