--- a/packages/damsonlane_bench/src/damsonlane_bench/fleet/_processes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/_processes.py
@@ -26,6 +26,7 @@
         self.name: Final = name
         self.log: Final = log
         self._file = log.open("ab")
+        self._log_begins_at = log.stat().st_size
         self._process = subprocess.Popen(command, stdout=self._file, stderr=self._file)
 
     @property
@@ -37,6 +38,10 @@
         """Tell whether it runs."""
         return self._process.poll() is None
 
+    def has_written(self) -> bool:
+        """Tell whether it has written anything, so that its own code runs."""
+        return self.log.stat().st_size > self._log_begins_at
+
     def read_log_end(self) -> str:
         """Return the last lines that it wrote."""
         text = self.log.read_text(encoding="utf-8", errors="replace")
