A hang-up that comes while a box starts is passed over

Cause: until the handler is set SIGHUP ends the process. Ruled out: setting the handler first: what it reads and tells is not there yet, and the settings are looked at every three seconds anyway. Change: the signal is ignored from the first lines of the program until its handler is set. The soak sends it once a process has written its first line; before that the interpreter starts.

--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
@@ -186,7 +186,9 @@
             process.freeze()
             return process.thaw
         if kind == "hang-up":
-            process.signal(signal.SIGHUP)
+            # Before its first line the interpreter itself starts, which nothing can guard.
+            if process.has_written():
+                process.signal(signal.SIGHUP)
             return lambda: None
         if kind == "stop":
             process.terminate()
--- a/packages/damsonlaned/src/damsonlaned/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/_process.py
@@ -60,6 +60,9 @@
     Raises:
         DamsonlaneError: it can't start, or its disk failed.
     """
+    # Until a handler is set the signal ends the process, and it may come while a box starts;
+    # the settings are looked at anyway once it has.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     configure_logs(settings.name, settings.role)
     _LOG.info("starting", extra={"pid": os.getpid()})
     keys = Keys(settings)
