Test: an admission to the group that is sent again is refused (fails)

Cause: the client sends a call again when its answer is late; the replica is a member by then. Ruled out: a second admission by anybody else: the test's fleet has no other operator.

--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_group.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_group.py
@@ -13,7 +13,7 @@
 
 from damsonlane.agreement import Applicant, Replica
 from damsonlane.cluster import PackedDocument, ReplaceDocument
-from damsonlane.errors import UnavailableError
+from damsonlane.errors import AgreementError, UnavailableError
 from damsonlane.evacuation import EvacuateDataCentre, EvacuationNoted
 from damsonlane.settings import BoxSettings, Founding
 from damsonlane_rpc import (
@@ -190,6 +190,16 @@
                 async with asyncio.timeout(PATIENCE):
                     self.assertIsInstance(await box.group._admit(applicant), expected)
 
+    async def test_an_admission_that_is_sent_again_is_accepted_again(self) -> None:
+        """The client sends it again when its answer is late, and the operator asked once."""
+        await self.start(0, is_first_start=True)
+        box = self.running[0]
+        await self.wait(box.leads, "nobody leads")
+        for _ in range(2):
+            box.node.add("another", "127.0.0.1:1")
+        with self.assertRaises(AgreementError):
+            box.node.add("another", "127.0.0.1:2")
+
     async def test_an_empty_box_never_founds_a_second_group(self) -> None:
         await self.start(0)
         with mock.patch.object(ControlNode, "found") as found:
