An admission to the group that is sent again is accepted again

Cause: a replica that is a member at that address already was refused as one that is not. Ruled out: asking longer for one answer, which only moves the bound. Change: the leader accepts an admission of a member that it has; another address for it stays refused. The test that was red passes.

--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -197,6 +197,10 @@
     def add(self, replica: str, address: str) -> None:
         """Admit a replica as a learner."""
         member = Member(replica=replica, address=address)
+        group = self._require_replica()
+        if group.is_leader and member in group.members.everyone():
+            # Clients send a call again when its answer is late.
+            return
         self._carry_out(self._require_replica().add_learner(self.now(), member))
 
     def remove(self, replica: str) -> None:
