Sight: a line for each target that asks for back-off or says that it leaves

Cause: the logs of the incident do not say what targets asked for, so its hypotheses could not be told apart. Ruled out: reading it from the refusal alone; other answers, of pools and of results given up, say it as well. Change: dialects read Retry-After of a 503 and the leaving header of any answer; every head that a target sends passes one place, which logs both. Nothing is decided by it yet.

--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/backoff/_start.py
@@ -0,0 +1,15 @@
+"""One start of a target."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True)
+class TargetStart:
+    """One start of a target: what it said of itself says nothing of its next one."""
+
+    #: Its name.
+    target: str
+    #: Its address.
+    address: str
+    #: When it started, in Unix milliseconds; 0 where it does not say.
+    start: int = 0
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -26,12 +26,22 @@
     Refusal,
     Restore,
 )
-from damsonlaned.http import HeaderList, HttpHead, HttpRequest, HttpResponse, keep_end_to_end
+from damsonlaned.http import (
+    HeaderList,
+    HttpHead,
+    HttpRequest,
+    HttpResponse,
+    keep_end_to_end,
+    read_retry_after,
+)
 
 #: Longest deadline that is taken at its word, in seconds; a day.
 _LONGEST_DEADLINE: Final = 86_400.0
 #: Most pieces that one stage of one request may have.
 _MOST_PIECES: Final = 10_000
+#: Status by which a target says that it is the one that has too much to do.  429 speaks of
+#: the caller, and what it asks for goes to the caller unread.
+_BUSY_STATUS: Final = 503
 #: Type of the bodies that this box writes to targets.
 _JSON: Final = (b"Content-Type", b"application/json")
 #: Host that our own requests name.
@@ -148,6 +158,8 @@
             has_not_run=head.find(self._lower["not_run"]) is not None or head.status == 421,
             load=_read_load(head.find(self._lower["load"])),
             is_stream=kind.startswith("text/event-stream"),
+            backoff_seconds=_read_backoff(head),
+            is_leaving=(head.find(self._lower["leaving"]) or "").strip() not in ("", "0"),
         )
 
     # Stage pools.
@@ -269,6 +281,13 @@
     return int(text) if text.isdecimal() else 0
 
 
+def _read_backoff(head: HttpHead) -> float:
+    """Return the seconds for which a target that turned a request away wants no other one."""
+    if head.status != _BUSY_STATUS:
+        return 0.0
+    return read_retry_after(head.find(b"retry-after"), head.find(b"date"))
+
+
 def _read_load(text: str | None) -> LoadReport | None:
     counts = [_read_count(part) for part in (text or "").split(",")]
     if len(counts) != 3 or counts[2] == 0:
--- a/packages/damsonlaned/src/damsonlaned/dialects/_names.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_names.py
@@ -19,6 +19,8 @@
     target: str
     #: Present when a target promises that it has not run the request.
     not_run: str
+    #: Present, and not 0, when a target says that it leaves.
+    leaving: str
     #: A target's requests at work, waiting, and slots.
     load: str
     #: Urgency at the target.
--- a/packages/damsonlaned/src/damsonlaned/dialects/_native.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_native.py
@@ -32,6 +32,7 @@
         organisation="Damsonlane-Organisation",
         target="Damsonlane-Target",
         not_run="Damsonlane-Run-No",
+        leaving="Damsonlane-Leaving",
         load="Damsonlane-Load",
         urgency="Damsonlane-Urgency",
         prefix="Damsonlane-Prefix",
--- a/packages/damsonlaned/src/damsonlaned/dialects/_types.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_types.py
@@ -82,6 +82,10 @@
     load: LoadReport | None
     #: Whether it is an event stream.
     is_stream: bool
+    #: Seconds for which the target wants nothing from this box.
+    backoff_seconds: float = 0.0
+    #: Whether the target says that it leaves.
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -159,7 +159,7 @@
             },
         )
         try:
-            head, signs = await self._read_own_head(exchange, call)
+            head, signs = await self._read_own_head(exchange, call, chosen)
         except BaseException:
             exchange.finish()
             raise
@@ -179,12 +179,14 @@
         self._targets.finish(chosen, health)
 
     async def _read_own_head(
-        self, exchange: SentExchange, call: Call
+        self, exchange: SentExchange, call: Call, chosen: Chosen
     ) -> tuple[HttpHead, AnswerSigns]:
         """Return the head of this request's answer, passing over those of others."""
         for _ in range(MOST_SKIPPED + 1):
             head = await exchange.read_head()
             signs = self._dialect.read_signs(head)
+            # An answer to another request says just as well how its target is.
+            self._targets.note_signs(chosen, signs)
             if signs.request_id == call.request.request_id or _is_unnamed_refusal(signs):
                 return head, signs
             _LOG.warning(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_free_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_free_calls.py
@@ -63,7 +63,7 @@
         self, maker: Maker, connections: ConnectionPool, handles: Sequence[str]
     ) -> None:
         try:
-            await self._calls.free(connections, handles)
+            await self._calls.free(maker, connections, handles)
         except (DamsonlaneError, TimeoutError) as error:
             # The target forgets results by itself a few seconds later.
             _LOG.info("results not freed", extra={"fault": str(error), "count": len(handles)})
--- a/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from damsonlane.backoff import TargetStart
 from damsonlane.pools import Offer, ResultRoom, YieldedWork
 from damsonlane.routes import PoolTraits
 from damsonlane.targets import TargetRecord
@@ -32,6 +33,9 @@
 
     def __init__(self, record: TargetRecord, traits: PoolTraits) -> None:
         self.name: Final = record.target
+        self.named: Final = TargetStart(
+            target=record.target, address=record.address, start=record.start
+        )
         self.start: Final = record.start
         self.address: Final = record.address
         self.data_centre: Final = record.data_centre
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
@@ -9,6 +9,7 @@
 from damsonlane.routes import PoolTraits
 from damsonlaned.dialects import Dialect, MadePiece
 from damsonlaned.gateway._makers import Maker
+from damsonlaned.gateway._target_notices import TargetNotices
 from damsonlaned.http import BrokenAnswerError, ConnectionPool, HttpHead, HttpRequest
 
 #: Times the expected time of a call after which it is given up: targets may
@@ -84,10 +85,12 @@
 
     Args:
         dialect: how they are spoken to.
+        notices: what targets say of themselves.
     """
 
-    def __init__(self, dialect: Dialect) -> None:
+    def __init__(self, dialect: Dialect, notices: TargetNotices) -> None:
         self._dialect: Final = dialect
+        self._notices: Final = notices
 
     async def make(
         self, connections: ConnectionPool, call: BatchCall, on_sent: Callable[[], None]
@@ -112,34 +115,43 @@
         ]
         request = self._dialect.make_pool_call(call.maker.name, orders)
         async with asyncio.timeout(CALL_PATIENCE * call.seconds + CALL_SLACK_SECONDS):
-            answer = await _exchange(connections, request, on_sent)
+            answer = await self._exchange(call.maker, connections, request, on_sent)
         if answer.head.status == 200:
             return self._dialect.read_pool_reply(answer.body, len(call.batch))
         if self._dialect.read_signs(answer.head).has_not_run:
             raise TargetFullError
         raise BrokenAnswerError(f"the pool target answered {answer.head.status}")
 
-    async def free(self, connections: ConnectionPool, handles: Sequence[str]) -> None:
+    async def free(self, maker: Maker, connections: ConnectionPool, handles: Sequence[str]) -> None:
         """Give results up, whatever the target answers.
 
+        Args:
+            maker: the target that has them.
+            connections: connections to it.
+            handles: the results.
+
         Raises:
             NotSentError: the call was not sent.
             BrokenAnswerError: it was sent and no answer came.
             TimeoutError: it took too long.
         """
         async with asyncio.timeout(FREE_CALL_SECONDS):
-            await _exchange(connections, self._dialect.make_free_call(handles))
-
-
-async def _exchange(
-    connections: ConnectionPool, request: HttpRequest, on_sent: Callable[[], None] = lambda: None
-) -> _Answer:
-    """Send a request and read its answer to the end."""
-    exchange = await connections.send(request, CONNECT_SECONDS)
-    on_sent()
-    try:
-        head = await exchange.read_head()
-        body = await exchange.body.read_whole()
-    finally:
-        exchange.finish()
-    return _Answer(head=head, body=body)
+            await self._exchange(maker, connections, self._dialect.make_free_call(handles))
+
+    async def _exchange(
+        self,
+        maker: Maker,
+        connections: ConnectionPool,
+        request: HttpRequest,
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> _Answer:
+        """Send a request and read its answer to the end."""
+        exchange = await connections.send(request, CONNECT_SECONDS)
+        on_sent()
+        try:
+            head = await exchange.read_head()
+            self._notices.take(maker.named, self._dialect.read_signs(head))
+            body = await exchange.body.read_whole()
+        finally:
+            exchange.finish()
+        return _Answer(head=head, body=body)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -65,7 +65,7 @@
         self._view: Final = view
         self._targets: Final = targets
         self._metrics: Final = metrics
-        self._calls: Final = PoolCalls(dialect)
+        self._calls: Final = PoolCalls(dialect, view.notices)
         self._queue: Final = PieceQueue()
         self._receivers: Final = OrderReceivers()
         self._makers: Final = Makers()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from damsonlane.backoff import TargetStart
 from damsonlane.coldness import ColdGate, find_entry_share
 from damsonlane.routes import Service
 from damsonlane.routing import (
@@ -19,6 +20,7 @@
     TargetBook,
 )
 from damsonlane.targets import TargetRecord
+from damsonlaned.dialects import AnswerSigns
 from damsonlaned.gateway._placement_client import PlacedPrompt
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import ConnectionPool
@@ -186,6 +188,11 @@
                 chosen.target, health, self._now(), report=load, pace=pace, start=chosen.start
             )
 
+    def note_signs(self, chosen: Chosen, signs: AnswerSigns) -> None:
+        """Take what the head of an answer says of its target."""
+        named = TargetStart(target=chosen.target, address=chosen.address, start=chosen.start)
+        self._view.notices.take(named, signs)
+
     def note_misdirected(self, chosen: Chosen) -> None:
         """Note that another target answered at the address of this one, so it is gone."""
         self._misdirected.add(chosen.target)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -14,6 +14,7 @@
 from damsonlane.targets import TargetChanges, TargetRecord
 from damsonlaned.clock import read_clock
 from damsonlaned.dialects import Dialect
+from damsonlaned.gateway._target_notices import TargetNotices
 from damsonlaned.quarantine import KnownQuarantine
 
 _LOG: Final = logging.getLogger(__name__)
@@ -51,6 +52,8 @@
         self.evacuated: frozenset[str] = frozenset()
         #: Which requests are kept from targets.
         self.quarantine: Final = KnownQuarantine()
+        #: What targets say of themselves to this box.
+        self.notices: Final = TargetNotices()
         #: Entries that take requests, this one included once control lists it.
         self.entries: tuple[BoxRecord, ...] = ()
         self._targets: dict[str, TargetRecord] = {}
--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -13,6 +13,7 @@
     keep_end_to_end,
 )
 from damsonlaned.http._reply import Reply
+from damsonlaned.http._retry_after import read_retry_after
 from damsonlaned.http._server import ListenerLimits, WebListener
 
 __all__ = [
@@ -29,4 +30,5 @@
     "SentExchange",
     "WebListener",
     "keep_end_to_end",
+    "read_retry_after",
 ]
