Back-off: nothing of a box goes to a target that asked it for rest, or leaves

Cause: what a target says of itself in the head of an answer was used for nothing but its load. A refusal counted as one failure of three in a row, and a target without requests is the best choice to an entry, so it got the next one. Ruled out: longer ejections (an entry would guess what it is told); word by way of control (a target asks one box; the others go on, so good requests keep their service); a mark on the connection (other connections, pools and results given up go on). Change: one book of the box, by starts of targets, that every answer's head feeds (requests, placed prompts, calls to pools, results given up, answers to other requests) and every choice heeds. Leaving holds for good, a back-off to its end, an hour at most. It is no ill health: no ejection, no rest of an engine. Where all targets ask for it callers are told at once, with the time; what has stages made already waits if it is in time then; pieces that can't wait are told so; results are given up later. Boxes return one after the other.

--- a/packages/damsonlane/src/damsonlane/pools/_plan.py
+++ b/packages/damsonlane/src/damsonlane/pools/_plan.py
@@ -50,7 +50,7 @@
         Args:
             expect_seconds: returns how long a stage will take, its queue included.
         """
-        longest = self._longest_seconds(expect_seconds)
+        longest = self.longest_seconds(expect_seconds)
         ready = [
             index
             for index in range(len(self._stages))
@@ -105,7 +105,7 @@
         ]
         return max(chains, key=len, default=())
 
-    def _longest_seconds(self, expect_seconds: Callable[[Stage], float]) -> float:
+    def longest_seconds(self, expect_seconds: Callable[[Stage], float]) -> float:
         """Return the time from the start of a stage to the last step, the longest of those left."""
         left = (index for index in range(len(self._stages)) if not self._is_made(index))
         return max((self._path_seconds(index, expect_seconds) for index in left), default=0.0)
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -77,7 +77,8 @@
         soonest = offer.soonest(now)
         due_at = now + like.aim_left_seconds
         ahead = sum(soonest <= piece.aim_at <= due_at for piece in self._waiting.values())
-        return ahead / offer.pieces_per_second * self._stretch(like.rank, now, offer)
+        wait = ahead / offer.pieces_per_second * self._stretch(like.rank, now, offer)
+        return offer.return_seconds + wait
 
     def select(self, now: float, offer: Offer) -> Selection:
         """Take out the pieces for one call, and those that are too late."""
--- a/packages/damsonlane/src/damsonlane/pools/_schedule.py
+++ b/packages/damsonlane/src/damsonlane/pools/_schedule.py
@@ -99,8 +99,8 @@
 def _count_places(offer: Offer, step: float, steps: int) -> Sequence[float]:
     """Return how many pieces the targets can make by the end of each step."""
     places = [0.0] * steps
-    # Where no target works, one is reckoned to come back at once.
-    for busy in offer.busy_seconds or (0.0,):
+    # Where no target works, one is reckoned to come back at once, or when it says so.
+    for busy in offer.busy_seconds or (offer.return_seconds,):
         _add_made(places, offer, step, busy)
     return places
 
--- a/packages/damsonlane/src/damsonlane/pools/_waiting.py
+++ b/packages/damsonlane/src/damsonlane/pools/_waiting.py
@@ -59,6 +59,8 @@
     piece_seconds: float
     #: What the pool makes while more waits than fits, as a share of what its traits promise.
     yielded_share: float = 1.0
+    #: Seconds for which no target of the pool takes a call, since all asked for that.
+    return_seconds: float = 0.0
 
     @property
     def targets(self) -> int:
@@ -82,4 +84,4 @@
 
     def soonest(self, now: float) -> float:
         """Return when a piece that is sent now could be made, alone in its call."""
-        return now + self.call_seconds + self.piece_seconds
+        return now + self.return_seconds + self.call_seconds + self.piece_seconds
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -99,6 +99,10 @@
             return None
         return self._targets.take_placed(call.service, placed)
 
+    def find_return_seconds(self, call: Call) -> float:
+        """Return how long all targets that may get a request want nothing; 0 if one may."""
+        return self._targets.find_return_seconds(call.service)
+
     def note_arrival(self, call: Call) -> None:
         """Note a request that arrived."""
         self._targets.note_prompt(call.service, _find_prompt(call))
@@ -170,6 +174,10 @@
         opened.exchange.finish()
         if opened.head.status == 421:
             self._targets.note_misdirected(opened.chosen)
+        if opened.signs.backoff_seconds > 0 and health == "bad":
+            # It is well and says when it returns: ejected for three such answers it would
+            # stay away longer than it asked.
+            health = "neutral"
         self._targets.finish(opened.chosen, health, load=opened.signs.load)
 
     def finish_unopened(self, chosen: Chosen, health: Health) -> None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_endings.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_endings.py
@@ -26,8 +26,13 @@
         self._answer: Final = answer
         self._tries: Final = tries
 
-    def end_unserved(self, unserved: Unserved) -> None:
-        """End a request that no further target may get."""
+    def end_unserved(self, unserved: Unserved, away_seconds: float = 0.0) -> None:
+        """End a request that no further target may get.
+
+        Args:
+            unserved: why the last one did not serve it.
+            away_seconds: for how long all targets want nothing.
+        """
         if self._answer.has_begun():
             self._answer.cut(unserved.detail)
         elif unserved.response is not None:
@@ -35,7 +40,16 @@
         elif self._tries.may_have_run:
             self._refuse(502, unserved.detail)
         else:
-            self._refuse(503, unserved.detail, retry_after_seconds=FULL_RETRY_SECONDS)
+            seconds = max(FULL_RETRY_SECONDS, away_seconds)
+            self._refuse(503, unserved.detail, retry_after_seconds=seconds)
+
+    def end_away(self, seconds: float) -> None:
+        """End a request while all targets want nothing for some seconds."""
+        detail = "all targets of the service asked for back-off"
+        if self._tries.may_have_run:
+            self._refuse(502, detail)
+        else:
+            self._refuse(503, detail, retry_after_seconds=seconds)
 
     def end_unstaged(self, error: StageError) -> None:
         """End a request whose stages were not made."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_free_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_free_calls.py
@@ -15,6 +15,10 @@
 #: Lines of the log keep the name under which operators know them.
 _LOG: Final = logging.getLogger("damsonlaned.gateway._pool_owner")
 
+#: Longest back-off of a target, in seconds, after which results are still given up there:
+#: targets forget them by themselves after 4 to 5 s.
+LONGEST_PUT_OFF_SECONDS: Final = 5.0
+
 
 class FreeCalls:
     """Tells the targets of a pool which of their results were given up.
@@ -51,9 +55,21 @@
         for maker in self._makers.everyone():
             handles = freed.get(maker.address)
             connections = self._reach(maker) if handles else None
-            if handles and connections is not None:
+            if not handles or connections is None:
+                continue
+            left = maker.backoff_seconds()
+            if left > 0:
+                self._put_off(handles, left)
+            else:
                 self._start(maker, connections, handles)
 
+    def _put_off(self, handles: Sequence[str], seconds: float) -> None:
+        """Give results up once their maker takes calls again, unless it forgets them before."""
+        if seconds < LONGEST_PUT_OFF_SECONDS:
+            asyncio.get_running_loop().call_later(seconds, self.add, handles)
+        else:
+            _LOG.info("results not freed", extra={"fault": "back-off", "count": len(handles)})
+
     def _start(self, maker: Maker, connections: ConnectionPool, handles: Sequence[str]) -> None:
         task = start_task(self._free_at(maker, connections, handles), "call to a pool target")
         self._tasks.add(task)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_heard_waits.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_heard_waits.py
@@ -1,6 +1,11 @@
 """What the owners of pools said of their queues."""
 
 from dataclasses import dataclass
+from typing import Final
+
+#: Longest wait that is taken at its word, in seconds: a pool whose targets asked one owner for
+#: an hour is asked again after this time, since another box may own it then.
+LONGEST_WAIT_SECONDS: Final = 5.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -21,7 +26,9 @@
 
     def note(self, service: str, rank: int, seconds: float, now: float) -> None:
         """Note the time that a piece of a rank would wait now."""
-        self._waits[(service, rank)] = _Wait(seconds=seconds, heard_at=now)
+        self._waits[(service, rank)] = _Wait(
+            seconds=min(seconds, LONGEST_WAIT_SECONDS), heard_at=now
+        )
 
     def seconds(self, service: str, rank: int, now: float) -> float:
         """Return how long a piece of a rank would still wait; 0 where nothing was heard."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_makers.py
@@ -1,6 +1,6 @@
 """The targets of one stage pool, as the owner of the pool knows them."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from damsonlane.backoff import TargetStart
@@ -29,13 +29,17 @@
     Args:
         record: what is registered of the target.
         traits: what the document says of the pool.
+        find_left: returns for how many seconds the target wants nothing from this box.
     """
 
-    def __init__(self, record: TargetRecord, traits: PoolTraits) -> None:
+    def __init__(
+        self,
+        record: TargetRecord,
+        traits: PoolTraits,
+        find_left: Callable[[TargetStart], float] = lambda _: 0.0,
+    ) -> None:
         self.name: Final = record.target
-        self.named: Final = TargetStart(
-            target=record.target, address=record.address, start=record.start
-        )
+        self.named: Final = TargetStart.of(record)
         self.start: Final = record.start
         self.address: Final = record.address
         self.data_centre: Final = record.data_centre
@@ -44,6 +48,7 @@
         self.failures = 0
         #: When it may be sent a call again.
         self.rests_until = 0.0
+        self._find_left: Final = find_left
         #: Whether its last call took its usual time, so that it probably begins the
         #: next one at once as well.
         self.is_prompt = False
@@ -56,8 +61,12 @@
         return not self._is_busy and self.works(now)
 
     def works(self, now: float) -> bool:
-        """Tell whether it is not left alone after failures."""
-        return now >= self.rests_until
+        """Tell whether it is left alone neither after failures nor because it asks for it."""
+        return now >= self.rests_until and self.backoff_seconds() <= 0
+
+    def backoff_seconds(self) -> float:
+        """Return for how long it wants nothing from this box."""
+        return self._find_left(self.named)
 
     def reads_at_once(self, now: float) -> bool:
         """Tell whether it will read the inputs of a call at once and have room for the results."""
@@ -104,9 +113,14 @@
 
 
 class Makers:
-    """All targets of the pool."""
+    """All targets of the pool.
+
+    Args:
+        find_left: returns for how many seconds a target wants nothing from this box.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, find_left: Callable[[TargetStart], float]) -> None:
+        self._find_left: Final = find_left
         self._makers: dict[str, Maker] = {}
         #: What the pool makes while more waits than fits.
         self.yielded: Final = YieldedWork()
@@ -119,7 +133,7 @@
         for name, record in present.items():
             known = self._makers.get(name)
             if known is None or known.start != record.start:
-                self._makers[name] = Maker(record, traits)
+                self._makers[name] = Maker(record, traits, self._find_left)
 
     def everyone(self) -> tuple[Maker, ...]:
         """Return all targets, the one known longest first."""
@@ -130,8 +144,15 @@
         free = [maker for maker in self._makers.values() if maker.is_free(now)]
         return sorted(free, key=lambda maker: (maker.failures, maker.name))
 
+    def find_return_seconds(self) -> float:
+        """Return for how long all targets want nothing from this box; 0 if one takes calls."""
+        return min((maker.backoff_seconds() for maker in self._makers.values()), default=0.0)
+
     def shorten_rests(self, now: float) -> None:
-        """Let all work again soon if all rest, since the fault is probably not theirs then."""
+        """Let all work again soon if all rest, since the fault is probably not theirs then.
+
+        What they asked for themselves stays.
+        """
         if any(maker.works(now) for maker in self._makers.values()):
             return
         for maker in self._makers.values():
@@ -160,6 +181,7 @@
             call_seconds=traits.call_seconds,
             piece_seconds=traits.piece_seconds,
             yielded_share=self.yielded.share(),
+            return_seconds=self.find_return_seconds(),
         )
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -68,7 +68,7 @@
         self._calls: Final = PoolCalls(dialect, view.notices)
         self._queue: Final = PieceQueue()
         self._receivers: Final = OrderReceivers()
-        self._makers: Final = Makers()
+        self._makers: Final = Makers(view.notices.seconds_left)
         self._free_calls: Final = FreeCalls(
             dialect.read_maker, self._calls, self._makers, self._reach, self._pump
         )
@@ -142,6 +142,11 @@
             return
         now = self._now()
         self._makers.shorten_rests(now)
+        if self._makers.find_return_seconds() > 0:
+            # Nothing takes a call until then: what can't wait so long is told at once.
+            self._refuse(
+                self._queue.take_late(now, self._makers.make_offer(None, service.pool, now))
+            )
         cold = self._view.list_cold(self._service)
         for maker in self._makers.free(now):
             if not len(self._queue):
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -131,7 +131,7 @@
         # Whatever brings a request to a target passes here: the first offer of a caller's try,
         # the next ones, and streams taken up elsewhere.  In other tries, at other entries, it
         # may have ended targets, which limits for one try never see.
-        while not self._end_held():
+        while not self._end_held() and not await self._end_away():
             unserved = await self._try_once()
             if unserved is None:
                 return
@@ -139,9 +139,41 @@
             if unserved.needs_inputs:
                 self._free_results()
             if not self._may_try_again():
-                self._endings.end_unserved(unserved)
+                away = self._attempts.find_return_seconds(self._call)
+                self._endings.end_unserved(unserved, away)
                 return
 
+    # Targets that all want nothing for a while.
+
+    async def _end_away(self) -> bool:
+        """End a request that no target takes for a while; tell whether it ended.
+
+        Its caller hears at once when one takes it again.  What has been made for it already
+        is kept for the targets' return if it is in time then.
+        """
+        away = self._attempts.find_return_seconds(self._call)
+        if away <= self._seconds_ahead():
+            return False
+        if self._has_work() and away < self._seconds_to_wait():
+            await asyncio.sleep(away)
+            return False
+        self._endings.end_away(away)
+        return True
+
+    def _seconds_ahead(self) -> float:
+        """Return the time that passes before the request goes to a target: that of its stages."""
+        return 0.0 if self._has_results else self._stages.expect_seconds(self._call)
+
+    def _has_work(self) -> bool:
+        """Tell whether something was made for the request that would be lost with it."""
+        return bool(self._results.inputs) or self._answer.has_begun()
+
+    def _seconds_to_wait(self) -> float:
+        """Return how long targets may be away while what was made is kept for them."""
+        if self._answer.has_begun():
+            return self._call.remaining()
+        return self._call.aim_at - asyncio.get_running_loop().time()
+
     async def _try_once(self) -> Unserved | None:
         """Send the request to one target; return None once the caller has its answer."""
         if not self._has_results:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stages.py
@@ -79,6 +79,14 @@
             _LOG.warning("stage result lost", extra=call.log_fields())
         raise StageError("results of its stages were lost repeatedly")
 
+    def expect_seconds(self, call: Call) -> float:
+        """Return the time that the stages of a request will take; 0 if it has none."""
+        pieces = call.request.pieces
+        if len(pieces) != len(call.route.stages):
+            return 0.0
+        plan = StagePlan(call.route.stages, pieces)
+        return plan.longest_seconds(partial(self._orders.expect_seconds, call))
+
     def note_first_event(self, call: Call, seconds: float) -> None:
         """Learn from the first event of an answer, some seconds after its request was sent."""
         self._orders.note_first_event(call, seconds)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_targets.py
@@ -101,7 +101,8 @@
         """Choose a target, or return None when the service has none that may be used."""
         records = self._view.targets_of(service.name)
         cold = self._view.list_cold(service.name)
-        shut = {*self._list_closed(records), *self._misdirected, *self._list_shut(service, cold)}
+        closed = self._list_closed(records) | self._view.list_backing_off(service.name)
+        shut = {*closed, *self._misdirected, *self._list_shut(service, cold)}
         silent = {record.target for record in records if record.standing == "silent"}
         choice = self._book(service.name).choose(
             ENGINE_POLICY if service.engine is not None else PLAIN_POLICY,
@@ -152,7 +153,12 @@
         """Return the targets that this entry should not use now."""
         ejected = self._book(service.name).list_ejected(self._now())
         closed = self._list_closed(self._view.targets_of(service.name))
-        return ejected | closed | self._misdirected
+        backing_off = self._view.list_backing_off(service.name)
+        return ejected | closed | backing_off | self._misdirected
+
+    def find_return_seconds(self, service: Service) -> float:
+        """Return how long all targets of a service want nothing from this box; 0 if one may."""
+        return self._view.find_return_seconds(service.name)
 
     def note_prompt(self, service: Service, prompt: Prompt) -> None:
         """Note a request that arrived, for how engines are divided."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
+from damsonlane.backoff import TargetStart
 from damsonlane.cluster import PackedDocument
 from damsonlane.coldness import ColdAllowance, ColdBound
 from damsonlane.errors import SettingsError
@@ -53,7 +54,7 @@
         #: Which requests are kept from targets.
         self.quarantine: Final = KnownQuarantine()
         #: What targets say of themselves to this box.
-        self.notices: Final = TargetNotices()
+        self.notices: Final = TargetNotices(clock, lambda: len(self.entries), self._tell)
         #: Entries that take requests, this one included once control lists it.
         self.entries: tuple[BoxRecord, ...] = ()
         self._targets: dict[str, TargetRecord] = {}
@@ -90,8 +91,35 @@
         return tuple(record for record in self.targets_of(service) if self.is_open(record))
 
     def is_open(self, record: TargetRecord) -> bool:
-        """Tell whether a target may get new work: it stays, and its data centre is in use."""
-        return record.standing != "leaving" and record.data_centre not in self.evacuated
+        """Tell whether a target may get new work: it stays, and its data centre is in use.
+
+        It may say that it leaves in its answers before control hears it, or where control
+        is out of reach.
+        """
+        if record.standing == "leaving" or self.notices.is_leaving(record):
+            return False
+        return record.data_centre not in self.evacuated
+
+    def list_backing_off(self, service: str) -> set[str]:
+        """Return the targets of a service that want nothing from this box for now."""
+        asked = self.notices.list_backing_off()
+        return {named.target for named in asked if self._is_of(named, service)}
+
+    def find_return_seconds(self, service: str) -> float:
+        """Return how long all targets of a service still want nothing from this box.
+
+        0 where one may get something, and where the service has no target.
+        """
+        if not self.list_backing_off(service):
+            return 0.0
+        records = self.open_targets_of(service)
+        lefts = [self.notices.seconds_left(TargetStart.of(record)) for record in records]
+        return min(lefts, default=0.0)
+
+    def _is_of(self, named: TargetStart, service: str) -> bool:
+        """Tell whether a start of a target is the one that control lists for a service."""
+        record = self._targets.get(named.target)
+        return record is not None and record.service == service and TargetStart.of(record) == named
 
     def find_cold_bound(self, service: str) -> ColdBound | None:
         """Return what cold targets of a service bear; None where none turn cold."""
@@ -139,6 +167,7 @@
         for name in changes.gone:
             self._targets.pop(name, None)
         self._note_cold(changes.records)
+        self.notices.follow(tuple(self._targets.values()))
         _log_targets(news, changes)
         self._tell()
 
