Back-off: targets of pipelines that ask for rest, or leave, get nothing either

Cause: the kinds of targets read the load of an answer, and its leaving header where it refused; a streamed or good answer that says it was not looked at, and Retry-After nowhere. Ruled out: nothing. Change: the head of any answer is read as soon as it is there, whatever becomes of its body, and kept by the box until its time is over. Forecasts count it, so a request whose later stage can't begin in time is refused on arrival; refusals say the true time. A refusal with a time is no ill health. Word of a target that leaves is still forgotten after 60 s there, since pipelines' targets tell no start.

--- a/packages/damsonlane/src/damsonlane/requests/_parts.py
+++ b/packages/damsonlane/src/damsonlane/requests/_parts.py
@@ -158,6 +158,8 @@
     is_delivered: bool = False
     #: What went wrong, in a few words without any content.
     fault: str = ""
+    #: Seconds for which no target of the stage takes requests; 0 where one may.
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane/src/damsonlane/requests/_run.py
+++ b/packages/damsonlane/src/damsonlane/requests/_run.py
@@ -289,7 +289,7 @@
         if result.is_delivered:
             return self._refuse("not-whole", detail, "unknown")
         if self.is_marked or not self._may_retry(now, target):
-            return self._fail(now, reason, detail)
+            return self._fail(now, reason, detail, result.retry_after)
         return self._send(now)
 
     def _may_retry(self, now: float, target: str) -> bool:
@@ -297,19 +297,21 @@
         has_time = self._remaining(now) > LEAST_ATTEMPT
         return bool(target) and has_attempts and has_time and self._budget.try_spend()
 
-    def _fail(self, now: float, reason: Reason, detail: str) -> Effect:
+    def _fail(self, now: float, reason: Reason, detail: str, known_wait: float = 0.0) -> Effect:
+        """Give up; ``known_wait`` is for how long no target takes requests, in seconds."""
+        wait = max(DEFAULT_RETRY_AFTER, known_wait)
         if self._may_have_run:
-            retry_after = 0.0 if self.is_marked else DEFAULT_RETRY_AFTER
+            retry_after = 0.0 if self.is_marked else wait
             return self._refuse(reason, detail, "unknown", retry_after)
         job = self._request.job
         if job is None:
-            return self._refuse(reason, detail, "no", DEFAULT_RETRY_AFTER)
+            return self._refuse(reason, detail, "no", wait)
         self._pending = Refusal(
             request=self._request.request,
             reason=reason,
             detail=detail,
             run="no",
-            retry_after=DEFAULT_RETRY_AFTER,
+            retry_after=wait,
         )
         command = DropJob(name=job, token=self._token, is_unsent=True)
         return AskLedger(command=command, seconds=max(LEAST_ATTEMPT, self._remaining(now)))
--- a/packages/damsonlane/src/damsonlane/routing/_book.py
+++ b/packages/damsonlane/src/damsonlane/routing/_book.py
@@ -113,6 +113,10 @@
         for gone in set(self._records) - set(standings):
             del self._records[gone]
 
+    def standings(self) -> Mapping[str, Standing]:
+        """Return where the targets stand, by name."""
+        return {name: record.standing for name, record in self._records.items()}
+
     def choose(
         self,
         policy: str,
--- a/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
@@ -2,7 +2,9 @@
 
 import random
 import threading
-from collections.abc import Generator
+from collections.abc import Callable, Generator
+from dataclasses import replace
+from functools import partial
 from typing import Final
 
 from damsonlane.admission import ServiceMeter, Work
@@ -11,10 +13,11 @@
 from damsonlane.routing import Choice, Health, LoadReport, Origin, Standing, TargetBook
 from damsonlaned.clock import read_clock
 from damsonlaned.entry._leaving import LeavingTargets
+from damsonlaned.entry._resting import RestingTargets
 from damsonlaned.entry._thread_quarantine import ThreadQuarantine
 from damsonlaned.entry._view import SettingsInForce
 from damsonlaned.quarantine import LostTarget
-from damsonlaned.targets import KINDS, Connections, TargetCall, TargetReply
+from damsonlaned.targets import KINDS, Connections, TargetCall, TargetNotice, TargetReply
 
 
 class Dispatch:
@@ -26,14 +29,21 @@
         data_centre: data centre of this entry.
         leaving: targets that get nothing new.
         quarantine: told of targets under which attempts broke off.
+        count_entries: returns how many entries send to the targets.
     """
 
     def __init__(
-        self, data_centre: str, leaving: LeavingTargets, quarantine: ThreadQuarantine
+        self,
+        data_centre: str,
+        leaving: LeavingTargets,
+        quarantine: ThreadQuarantine,
+        count_entries: Callable[[], int] = lambda: 1,
     ) -> None:
+        self._count_entries: Final = count_entries
         self._quarantine: Final = quarantine
         self._data_centre: Final = data_centre
         self._leaving: Final = leaving
+        self._resting: Final = RestingTargets()
         self._connections: Final = Connections()
         self._books: dict[str, TargetBook] = {}
         self._meters: dict[str, ServiceMeter] = {}
@@ -53,6 +63,8 @@
                     pipeline=request.pipeline,
                     stage=stage.name,
                 )
+                # A stage whose targets all want nothing for now begins when one returns.
+                total = max(total, self._find_return_seconds(stage.service))
                 total += self._meters[stage.service].predict(work, now)
         return total
 
@@ -73,7 +85,11 @@
         choice = self._choose(send, settings)
         if choice is None:
             fault = f"service '{send.stage.service}' has no target that may be used"
-            return "", AttemptResult(answers=None, outcome="unsent", fault=fault)
+            with self._lock:
+                seconds = self._find_return_seconds(send.stage.service)
+            return "", AttemptResult(
+                answers=None, outcome="unsent", fault=fault, retry_after=seconds
+            )
         began_at = read_clock()
         service = settings.tree.services[send.stage.service]
         call = TargetCall(
@@ -85,14 +101,19 @@
         )
         reply: TargetReply | None = None
         try:
-            reply = yield from KINDS[service.kind].call(self._connections, call)
+            take = partial(self._take_notice, send.stage.service, choice)
+            reply = yield from KINDS[service.kind].call(self._connections, call, take)
         finally:
             # A caller that hangs up closes the generator: the target is not to blame.
             self._finish(send, choice, pipeline, reply, began_at)
         if reply.is_broken:
             run = BrokenRun(fingerprint=fingerprint, seconds=read_clock() - began_at)
             self._quarantine.note_broken(_name_lost(send, choice), run)
-        return choice.target, reply.result
+        result = reply.result
+        if result.outcome == "refused":
+            with self._lock:
+                result = replace(result, retry_after=self._find_return_seconds(send.stage.service))
+        return choice.target, result
 
     def close(self) -> None:
         """Close all connections to targets."""
@@ -106,7 +127,7 @@
                 send.stage.routing,
                 origin,
                 avoid=send.avoid,
-                leaving=self._leaving.of(send.stage.service),
+                leaving=self._list_closed(send.stage.service),
                 now=read_clock(),
                 randomness=self._randomness,
             )
@@ -114,6 +135,27 @@
                 self._meters[send.stage.service].begin()
             return choice
 
+    def _list_closed(self, service: str) -> frozenset[str]:
+        """Return the targets that get nothing now: they leave, or asked for rest."""
+        standings = self._books[service].standings()
+        return self._leaving.of(service) | self._resting.list_resting(service, standings)
+
+    def _find_return_seconds(self, service: str) -> float:
+        """Return how long all targets of a service want nothing; 0 if one takes requests."""
+        standings = self._books[service].standings()
+        leaving = self._leaving.of(service)
+        staying = {name: stands for name, stands in standings.items() if name not in leaving}
+        return self._resting.find_return_seconds(service, staying)
+
+    def _take_notice(self, service: str, choice: Choice, notice: TargetNotice) -> None:
+        """Take what the head of an answer says of its target."""
+        if notice.is_leaving:
+            self._leaving.mark(service, choice.target)
+        if notice.backoff_seconds > 0:
+            seconds = notice.backoff_seconds
+            boxes = self._count_entries()
+            self._resting.note(service, choice.target, choice.address, seconds, boxes)
+
     def _follow(self, settings: SettingsInForce) -> None:
         """Take over the targets of newer settings; a request under older ones changes nothing."""
         if settings.version <= self._version:
@@ -141,11 +183,13 @@
             seconds = now - began_at if is_answered else None
             pace = self._meters[send.stage.service].finish(work, now, seconds)
             health = _judge(reply)
+            left = self._resting.seconds_left(send.stage.service, choice.target, choice.address)
+            if health == "bad" and left > 0:
+                # It is well and says when it returns.
+                health = "neutral"
             book.finish(
                 choice.target, health, now, pace=pace if is_answered else None, report=report
             )
-            if reply is not None and reply.result.is_leaving:
-                self._leaving.mark(send.stage.service, choice.target)
 
 
 def _name_lost(send: Send, choice: Choice) -> LostTarget:
--- a/packages/damsonlaned/src/damsonlaned/entry/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -37,7 +37,12 @@
         self._metrics: Final = Metrics()
         leaving = LeavingTargets()
         self._uplink: Final = Uplink(settings, self._view, leaving, context)
-        self._dispatch: Final = Dispatch(settings.data_centre, leaving, self._uplink.quarantine)
+        self._dispatch: Final = Dispatch(
+            settings.data_centre,
+            leaving,
+            self._uplink.quarantine,
+            lambda: self._uplink.settings.live_entries,
+        )
         self._platform: Final = PlatformWatch(settings, self._view, leaving)
         runner = RequestRunner(self._uplink, self._dispatch)
         self._callers: Final = CallerApplication(settings, self._view, runner, self._metrics)
--- a/packages/damsonlaned/src/damsonlaned/entry/tests/test_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/tests/test_dispatch.py
@@ -1,7 +1,7 @@
 """Dispatch while settings change under requests."""
 
 import unittest
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from unittest import mock
 
 from pydantic import JsonValue
@@ -11,7 +11,7 @@
 from damsonlaned.entry._dispatch import Dispatch
 from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._view import SettingsInForce
-from damsonlaned.targets import KINDS, Connections, Pool, TargetCall, TargetReply
+from damsonlaned.targets import KINDS, Connections, Pool, TargetCall, TargetNotice, TargetReply
 
 _STAGE = StagePlan(name="encode", service="encode", attempts=1, routing="paced")
 
@@ -65,7 +65,12 @@
 class _RefusingPool(Pool):
     """Refuses at the first port and answers at any other."""
 
-    def call(self, connections: Connections, call: TargetCall) -> Generator[str, None, TargetReply]:
+    def call(
+        self,
+        connections: Connections,
+        call: TargetCall,
+        on_notice: Callable[[TargetNotice], None] = lambda _: None,
+    ) -> Generator[str, None, TargetReply]:
         yield from ()
         if call.address.endswith(":1"):
             return TargetReply(result=AttemptResult(answers=None, outcome="refused"))
--- a/packages/damsonlaned/src/damsonlaned/targets/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/__init__.py
@@ -1,7 +1,7 @@
 """Targets: the protocols of back ends, one module each, in a registry."""
 
 from damsonlaned.targets._calls import KINDS, TargetCall, TargetKind, TargetReply, target_kind
-from damsonlaned.targets._connections import Connections
+from damsonlaned.targets._connections import Connections, TargetNotice
 from damsonlaned.targets._engines import Engine
 from damsonlaned.targets._pools import Plain, Pool
 
@@ -13,6 +13,7 @@
     "Pool",
     "TargetCall",
     "TargetKind",
+    "TargetNotice",
     "TargetReply",
     "target_kind",
 ]
--- a/packages/damsonlaned/src/damsonlaned/targets/_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_calls.py
@@ -10,12 +10,13 @@
 from damsonlane.requests import AttemptKey, AttemptResult
 from damsonlane.routing import LoadReport
 from damsonlaned.targets._connections import (
-    LEAVING_HEADER,
     SENT_FAULTS,
     UNSENT_FAULTS,
     Connections,
     LateError,
+    TargetNotice,
     read_load,
+    read_notice,
 )
 
 #: Statuses by which a target refuses without running anything.
@@ -56,14 +57,26 @@
     #: Path to which requests are posted.
     path: str
 
-    def call(self, connections: Connections, call: TargetCall) -> Generator[str, None, TargetReply]:
-        """Send an attempt, yield pieces of its output as they come, return the outcome."""
+    def call(
+        self,
+        connections: Connections,
+        call: TargetCall,
+        on_notice: Callable[[TargetNotice], None] = lambda _: None,
+    ) -> Generator[str, None, TargetReply]:
+        """Send an attempt, yield pieces of its output as they come, return the outcome.
+
+        Args:
+            connections: connections to targets.
+            call: the attempt.
+            on_notice: told what the head of the answer says, whatever becomes of its body.
+        """
         try:
             response = connections.post(call.address, self.path, self.make_body(call), call.due_at)
         except UNSENT_FAULTS as error:
             return _fault("unsent", error)
         except SENT_FAULTS as error:
             return _fault("failed", error)
+        on_notice(read_notice(response))
         try:
             return (yield from self._receive(response, call))
         except (*SENT_FAULTS, ValueError, KeyError, TypeError) as error:
@@ -89,7 +102,7 @@
             response.release_conn()
             is_broken = result.outcome == "failed" and result.answers is None
             return TargetReply(result=result, report=report, is_broken=is_broken)
-        is_leaving = LEAVING_HEADER in response.headers
+        is_leaving = read_notice(response).is_leaving
         response.drain_conn()
         response.release_conn()
         is_refused = response.status in REFUSING_STATUSES
--- a/packages/damsonlaned/src/damsonlaned/targets/_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_connections.py
@@ -3,6 +3,7 @@
 import json
 import threading
 from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 from typing import Final
 
 import urllib3
@@ -11,6 +12,7 @@
 from damsonlane.routing import LoadReport
 from damsonlane_rpc import Endpoint
 from damsonlaned.clock import read_clock
+from damsonlaned.http import read_retry_after
 
 #: Idle connections kept for one target.
 IDLE_CONNECTIONS: Final = 64
@@ -29,6 +31,20 @@
 SENT_FAULTS: Final = (HTTPError, OSError)
 
 
+#: Status by which a target says that it is the one that has too much to do.
+BUSY_STATUS: Final = 503
+
+
+@dataclass(frozen=True, kw_only=True)
+class TargetNotice:
+    """What the head of an answer says of its target."""
+
+    #: Seconds for which the target wants nothing from this box.
+    backoff_seconds: float = 0.0
+    #: Whether it leaves.
+    is_leaving: bool = False
+
+
 class LateError(OSError):
     """The time for the attempt is over."""
 
@@ -101,6 +117,16 @@
         yield chunk
 
 
+def read_notice(response: urllib3.BaseHTTPResponse) -> TargetNotice:
+    """Return what an answer says of its target besides its load."""
+    headers = response.headers
+    seconds = 0.0
+    if response.status == BUSY_STATUS:
+        seconds = read_retry_after(headers.get("Retry-After"), headers.get("Date"))
+    is_leaving = headers.get(LEAVING_HEADER, "").strip() not in ("", "0")
+    return TargetNotice(backoff_seconds=seconds, is_leaving=is_leaving)
+
+
 def read_load(response: urllib3.BaseHTTPResponse) -> LoadReport | None:
     """Return the load that a target reported with its answer, or None."""
     text = response.headers.get(LOAD_HEADER)
