Back-off: a start that leaves is remembered also while control lists it no more

Cause: a list of a replica that lags may leave a target out and bring it back; the next request would go there again. Ruled out: keeping marks without a bound, 73,000 a year at the size aimed at. Change: starts that tell when they began are kept, the newest 2,048; one that tells no start can't be told from its next one, and is forgotten once it is listed no more.

--- a/packages/damsonlane/src/damsonlane/backoff/_book.py
+++ b/packages/damsonlane/src/damsonlane/backoff/_book.py
@@ -10,6 +10,9 @@
 #: mistake, and would lose the target to this box until it starts again; after an hour one
 #: request asks it once more.
 LONGEST_BACKOFF_SECONDS: Final = 3_600.0
+#: Starts of leaving targets that are remembered, the newest ones: ten days' worth where 200
+#: targets are replaced a day.
+MOST_LEAVING: Final = 2_048
 
 
 class BackoffBook:
@@ -21,7 +24,7 @@
 
     def __init__(self) -> None:
         self._until: dict[TargetStart, float] = {}
-        self._leaving: set[TargetStart] = set()
+        self._leaving: dict[TargetStart, None] = {}
 
     def note(self, named: TargetStart, seconds: float, now: float, spread: float = 0.0) -> None:
         """Note that a target wants nothing for a while.
@@ -40,7 +43,9 @@
     def note_leaving(self, named: TargetStart) -> bool:
         """Note that a target leaves, which it never takes back; tell whether that is news."""
         is_news = named not in self._leaving
-        self._leaving.add(named)
+        self._leaving[named] = None
+        if len(self._leaving) > MOST_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
         return is_news
 
     def is_empty(self) -> bool:
@@ -49,7 +54,8 @@
 
     def list_backing_off(self, now: float) -> set[TargetStart]:
         """Return the targets that want nothing for now, those that leave included."""
-        return self._leaving | {named for named, until in self._until.items() if until > now}
+        resting = {named for named, until in self._until.items() if until > now}
+        return resting | self._leaving.keys()
 
     def is_leaving(self, named: TargetStart) -> bool:
         """Tell whether a target said that it leaves."""
@@ -62,11 +68,13 @@
         return max(0.0, self._until.get(named, now) - now)
 
     def forget_others(self, known: Collection[TargetStart], now: float) -> None:
-        """Forget what is over, and the leaving of targets that are listed no more.
+        """Forget what is over, and what control lists no more if it may come back as another.
 
-        A back-off is kept to its end also while its target is not listed: control may list
-        the same start again.
+        The same start may be listed again by a replica that lagged behind, and still wants
+        nothing then.  One that tells no start can't be told from its next one.
         """
-        self._leaving &= set(known)
+        for named in [named for named in self._leaving if named.start == 0]:
+            if named not in known:
+                del self._leaving[named]
         for named in [named for named, until in self._until.items() if until <= now]:
             del self._until[named]
