Quarantine: the end of a target that said in an answer that it leaves is no evidence

Cause: a target may leave and be gone before control hears of it; what it had was put down as having ended it, and three such ends hold a good request. Ruled out: waiting for control, which may be out of reach of that target. Change: what the target said to this box counts as the word of control does.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
@@ -64,7 +64,7 @@
     def _doubt(self, lost: LostTarget, runs: Sequence[BrokenRun]) -> bool:
         """Keep what was lost for a while; tell whether the target should still be there."""
         record = self._view.find_target(lost.target)
-        if record is None or record.standing == "leaving":
+        if record is None or record.standing == "leaving" or self._view.notices.is_leaving(record):
             return False
         self._doubts.setdefault(lost, []).extend(runs)
         asyncio.get_running_loop().call_later(DOUBT_SECONDS, self._forget, lost, tuple(runs))
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_ended_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_ended_targets.py
@@ -6,7 +6,9 @@
 import unittest
 from dataclasses import replace
 
+from damsonlane.backoff import TargetStart
 from damsonlane.quarantine import BrokenRun
+from damsonlaned.dialects import AnswerSigns
 from damsonlaned.gateway._ended_targets import EndedTargets
 from damsonlaned.gateway.tests.harness import Entry, StandIn, answer_well, cut, hang
 from damsonlaned.http import HttpRequest, Reply
@@ -76,6 +78,18 @@
         self.assertFalse(await self.ended.note_broken(self.lost, (RUN,)))
         self.assertEqual(self.entry.ends, [])
 
+    async def test_the_end_of_a_target_that_said_so_in_an_answer_is_word_against_nobody(
+        self,
+    ) -> None:
+        """It may be gone before control hears of its leaving."""
+        signs = AnswerSigns(
+            request_id=None, has_not_run=False, load=None, is_stream=False, is_leaving=True
+        )
+        self.entry.view.notices.take(TargetStart.of(self.record), signs)
+        await self.target.stop()
+        self.assertFalse(await self.ended.note_broken(self.lost, (RUN,)))
+        self.assertEqual(self.entry.ends, [])
+
 
 class LogTest(unittest.IsolatedAsyncioTestCase):
     async def test_the_log_names_what_ended_which_target(self) -> None:
