--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -182,4 +182,7 @@
         self._metrics.version.set({}, self._view.version())
         self._metrics.evacuated.set({}, len(self._view.evacuated))
         self._metrics.held.set({}, len(self._view.quarantine.newest.held))
+        backing_off = self._view.notices.list_backing_off()
+        listed = [named for named in backing_off if self._view.is_listed(named)]
+        self._metrics.backing_off.set({}, len(listed))
         self._owners.count_waiting()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -103,7 +103,8 @@
     def list_backing_off(self, service: str) -> set[str]:
         """Return the targets of a service that want nothing from this box for now."""
         asked = self.notices.list_backing_off()
-        return {named.target for named in asked if self._is_of(named, service)}
+        records = (self._targets[named.target] for named in asked if self.is_listed(named))
+        return {record.target for record in records if record.service == service}
 
     def find_return_seconds(self, service: str) -> float:
         """Return how long all targets of a service still want nothing from this box.
@@ -116,10 +117,10 @@
         lefts = [self.notices.seconds_left(TargetStart.of(record)) for record in records]
         return min(lefts, default=0.0)
 
-    def _is_of(self, named: TargetStart, service: str) -> bool:
-        """Tell whether a start of a target is the one that control lists for a service."""
+    def is_listed(self, named: TargetStart) -> bool:
+        """Tell whether control lists this very start of a target."""
         record = self._targets.get(named.target)
-        return record is not None and record.service == service and TargetStart.of(record) == named
+        return record is not None and TargetStart.of(record) == named
 
     def find_cold_bound(self, service: str) -> ColdBound | None:
         """Return what cold targets of a service bear; None where none turn cold."""
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -44,6 +44,11 @@
             "Requests that are kept from targets, since targets ended under them.",
             registry=self.registry,
         )
+        self.backing_off: Final = Gauge(
+            "damsonlane_backing_off_targets",
+            "Targets that want nothing from this box, those that say they leave included.",
+            registry=self.registry,
+        )
         self.commit: Final = Gauge(
             "damsonlane_commit_index", "Last committed log entry.", registry=self.registry
         )
