Soak: targets that ask for rest, all of a service too, and targets that say they leave

Change: three kinds of fault; targets write what comes and what they tell its sender; callers name the entry in their ids; the judge counts what an entry sends after a target's word, but for faults of that entry in between. Seven promises, each with its test.

--- a/packages/damsonlane_bench/src/damsonlane_bench/registered/__init__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered/__init__.py
@@ -1,5 +1,10 @@
 """Stand-ins for targets that register themselves: plain services, engines and stage pools."""
 
-from damsonlane_bench.registered._target import Kind, RegisteredTarget
+from damsonlane_bench.registered._target import (
+    LEAVING_SIGNAL,
+    REST_SIGNAL,
+    Kind,
+    RegisteredTarget,
+)
 
-__all__ = ["Kind", "RegisteredTarget"]
+__all__ = ["LEAVING_SIGNAL", "REST_SIGNAL", "Kind", "RegisteredTarget"]
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered/__main__.py
@@ -5,13 +5,21 @@
 
 import fire
 
-from damsonlane_bench.registered._target import Kind, RegisteredTarget
+from damsonlane_bench.registered._target import (
+    LEAVING_SIGNAL,
+    REST_SIGNAL,
+    Kind,
+    RegisteredTarget,
+)
 
 
 async def _run(service: str, kind: Kind, address: str, registries: list[str]) -> None:
     target = RegisteredTarget(service, kind, address, registries)
     stopped = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(REST_SIGNAL, target.ask_for_rest)
+    loop.add_signal_handler(LEAVING_SIGNAL, target.say_leaving)
     await target.start()
     await stopped.wait()
     await target.leave()
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import secrets
+import signal
 import time
 from dataclasses import replace
 from typing import Final, Literal
@@ -42,6 +43,12 @@
 _DYING_SECONDS: Final = 0.05
 #: Exit code of a process that ended so.
 _DEAD: Final = 70
+#: Signals at which a target turns away what comes and asks for rest, and at which it says in
+#: its answers that it leaves.
+REST_SIGNAL: Final = signal.SIGUSR1
+LEAVING_SIGNAL: Final = signal.SIGUSR2
+#: Seconds of rest that a target asks for, and for which it turns away what comes.
+REST_SECONDS: Final = 1.5
 #: Seconds for which a leaving target goes on serving.
 _LEAVING_SECONDS: Final = 1.5
 
@@ -70,6 +77,8 @@
         )
         self._listener: Final = WebListener(address, self._serve, render_refusal=_render)
         self._beating: asyncio.Task[None] | None = None
+        self._rests_until = 0.0
+        self._says_leaving = False
         #: Ids of the requests that ran here, in order.
         self.ran: list[str] = []
 
@@ -78,6 +87,14 @@
         await self._listener.start()
         self._beating = asyncio.create_task(self._beat())
 
+    def ask_for_rest(self) -> None:
+        """Turn away what comes for a while, and ask for rest."""
+        self._rests_until = time.monotonic() + REST_SECONDS
+
+    def say_leaving(self) -> None:
+        """Say in each answer that it leaves, whether control knows it or not."""
+        self._says_leaving = True
+
     async def leave(self) -> None:
         """Say that it leaves, serve on for a while, and stop."""
         if self._beating is not None:
@@ -128,6 +145,11 @@
     async def _serve(self, request: HttpRequest, reply: Reply) -> None:
         if request.path == "/ran":
             reply.send_whole(HttpResponse(status=200, body=json.dumps(self.ran).encode()))
+            return
+        is_resting = time.monotonic() < self._rests_until
+        self._tell_arrival(request, is_resting=is_resting)
+        if is_resting:
+            reply.send_whole(HttpResponse(status=503, headers=self._refusal_headers(request)))
         elif _is_deadly(request, self._kind):
             _tell_run(request, is_deadly=True)
             await asyncio.sleep(_DYING_SECONDS)
@@ -143,16 +165,35 @@
             self._note(request)
             reply.send_whole(HttpResponse(status=200, headers=self._headers(request), body=b"ok"))
 
+    def _tell_arrival(self, request: HttpRequest, *, is_resting: bool) -> None:
+        """Write to the log what came, and what its sender is told."""
+        line = {
+            "came": request.find(b"damsonlane-request-id") or "",
+            "target": self._record.target,
+            "rest": REST_SECONDS if is_resting else 0.0,
+            "leaves": self._says_leaving,
+            "at": time.time(),
+        }
+        print(json.dumps(line), flush=True)
+
+    def _refusal_headers(self, request: HttpRequest) -> tuple[tuple[bytes, bytes], ...]:
+        return (
+            *self._headers(request),
+            (b"Damsonlane-Run-No", b"1"),
+            (b"Retry-After", str(REST_SECONDS).encode()),
+        )
+
     async def _make_pieces(self, request: HttpRequest, reply: Reply) -> None:
         if request.path == "/v1/pieces/free":
-            reply.send_whole(HttpResponse(status=200))
+            reply.send_whole(HttpResponse(status=200, headers=self._headers(request)))
             return
         await asyncio.sleep(_WORK_SECONDS)
         pieces = [
             {"handle": f"{self._record.address}/{secrets.token_hex(6)}"}
             for _ in json.loads(request.body)["pieces"]
         ]
-        reply.send_whole(HttpResponse(status=200, body=json.dumps({"pieces": pieces}).encode()))
+        body = json.dumps({"pieces": pieces}).encode()
+        reply.send_whole(HttpResponse(status=200, headers=self._headers(request), body=body))
 
     async def _stream(self, request: HttpRequest, reply: Reply) -> None:
         self._note(request)
@@ -170,9 +211,11 @@
 
     def _headers(self, request: HttpRequest) -> tuple[tuple[bytes, bytes], ...]:
         request_id = request.find(b"damsonlane-request-id") or ""
+        leaving = ((b"Damsonlane-Leaving", b"1"),) if self._says_leaving else ()
         return (
             (b"Damsonlane-Request-Id", request_id.encode()),
             (b"Served-By", self._record.target.encode()),
+            *leaving,
         )
 
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
@@ -72,7 +72,7 @@
 
     def _call(self, entry: str, route: str) -> Answer:
         """Send a request on the connection that is kept to an entry."""
-        request = f"{route}-{self._name}-{next(self._numbers)}"
+        request = f"{route}-{self._name}-{next(self._numbers)}@{entry}"
         body = DEADLY if self._is_deadly else f"of {request}"
         headers = {
             "Host": "shop.example",
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_journal.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_journal.py
@@ -37,6 +37,27 @@
     at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request that came to a target, and what its sender was told of the target."""
+
+    #: Id of the request; empty for calls to pools, which belong to several.
+    request: str
+    #: Name of the target, another one after each start.
+    target: str
+    #: Seconds of rest that it asked for; 0 for none.
+    rest: float
+    #: Whether it said that it leaves.
+    is_leaving: bool
+    #: When, in seconds since 1970.
+    at: float
+
+    @property
+    def entry(self) -> str:
+        """Entry that sent it, which callers name in their ids; empty where it is not known."""
+        return self.request.partition("@")[2]
+
+
 @dataclass(frozen=True, kw_only=True)
 class ReadBack:
     """A version that control answered with."""
@@ -47,6 +68,16 @@
     answered: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class Disturbance:
+    """A fault that began or ended."""
+
+    #: Name of the process that it happened to.
+    process: str
+    #: When, in seconds since 1970.
+    at: float
+
+
 class RunJournal:
     """Collects what is seen, from many threads."""
 
@@ -56,10 +87,12 @@
         self.answers: Final[list[Answer]] = []
         #: What the operator read back.
         self.read_back: Final[list[ReadBack]] = []
-        #: Times at which a fault began or ended, in seconds since 1970.
-        self.disturbed_at: Final[list[float]] = []
+        #: Faults that began or ended.
+        self.disturbances: Final[list[Disturbance]] = []
         #: Processes that ended though nobody ended them.
         self.own_ends: Final[list[str]] = []
+        #: Requests that came to targets; read from their logs once the run is over.
+        self.arrivals: Final[list[Arrival]] = []
 
     def note_answer(self, answer: Answer) -> None:
         """Note what a caller got."""
@@ -71,20 +104,39 @@
         with self._lock:
             self.read_back.append(read)
 
-    def note_disturbance(self) -> None:
-        """Note that a fault begins or ends now."""
+    def note_disturbance(self, *processes: str) -> None:
+        """Note that a fault begins or ends now at some processes."""
+        now = time.time()
         with self._lock:
-            self.disturbed_at.append(time.time())
+            self.disturbances.extend(Disturbance(process=name, at=now) for name in processes)
+
+
+def read_arrivals(logs: Iterable[Path]) -> Iterator[Arrival]:
+    """Yield what came to targets, from their logs."""
+    for line in _read_lines(logs):
+        if line.startswith('{"came"'):
+            fields = json.loads(line)
+            yield Arrival(
+                request=str(fields["came"]),
+                target=str(fields["target"]),
+                rest=float(fields["rest"]),
+                is_leaving=bool(fields["leaves"]),
+                at=float(fields["at"]),
+            )
 
 
 def read_target_runs(logs: Iterable[Path]) -> Iterator[TargetRun]:
     """Yield what targets ran, from their logs."""
+    for line in _read_lines(logs):
+        if line.startswith('{"ran"'):
+            fields = json.loads(line)
+            yield TargetRun(
+                request=str(fields["ran"]),
+                is_deadly=bool(fields["deadly"]),
+                at=float(fields["at"]),
+            )
+
+
+def _read_lines(logs: Iterable[Path]) -> Iterator[str]:
     for log in logs:
-        for line in log.read_text(encoding="utf-8", errors="replace").splitlines():
-            if line.startswith('{"ran"'):
-                fields = json.loads(line)
-                yield TargetRun(
-                    request=str(fields["ran"]),
-                    is_deadly=bool(fields["deadly"]),
-                    at=float(fields["at"]),
-                )
+        yield from log.read_text(encoding="utf-8", errors="replace").splitlines()
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_judge.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_judge.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from damsonlane_bench.registered._target import EVENTS
-from damsonlane_bench.soak._journal import RunJournal, TargetRun
+from damsonlane_bench.soak._journal import Arrival, RunJournal, TargetRun
 
 #: Seconds without a fault after which all boxes know what one of them knew before.
 SETTLED_SECONDS: Final = 3.0
@@ -15,6 +15,15 @@
 ENDS_TO_KNOW: Final = 3
 #: Further targets that may end under it, counted once all boxes are settled.
 ENDS_BEYOND: Final = 3
+#: Seconds after the word of a target within which what was on its way may still come.
+ON_THE_WAY_SECONDS: Final = 0.5
+#: The same for targets that say they leave.
+LEAVING_ON_THE_WAY_SECONDS: Final = 2.0
+#: Requests that may still come later.
+MOST_AFTER_WORD: Final = 2
+#: The same for calls to pools, which do not tell which of two entries sent them: each of them
+#: may have heard the word, and the second one by its first call.
+MOST_AFTER_WORD_OF_POOLS: Final = 2 * MOST_AFTER_WORD + 1
 #: Route whose requests run once at most.
 ONCE: Final = "refund"
 #: Route of event streams.
@@ -105,7 +114,7 @@
     if len(deadly) <= ENDS_TO_KNOW:
         return
     known_at = deadly[ENDS_TO_KNOW - 1] + SETTLED_SECONDS
-    disturbed = sorted(journal.disturbed_at)
+    disturbed = sorted(disturbance.at for disturbance in journal.disturbances)
     late = [at for at in deadly if at > known_at and _is_settled(at, disturbed)]
     if len(late) > ENDS_BEYOND:
         yield f"{len(late)} more targets ended under one request, {len(deadly)} in all"
@@ -117,6 +126,38 @@
     return index == 0 or at - disturbed[index - 1] > SETTLED_SECONDS
 
 
+@promise("a target that asks for rest, or leaves, gets nothing from that box")
+def _look_for_disregard(journal: RunJournal, runs: Sequence[TargetRun]) -> Iterator[str]:
+    pairs: dict[tuple[str, str], list[Arrival]] = {}
+    for arrival in journal.arrivals:
+        pairs.setdefault((arrival.entry, arrival.target), []).append(arrival)
+    for (entry, target), arrivals in pairs.items():
+        disturbed = sorted(
+            disturbance.at
+            for disturbance in journal.disturbances
+            if disturbance.process == entry or not entry
+        )
+        most = MOST_AFTER_WORD if entry else MOST_AFTER_WORD_OF_POOLS
+        counts = [
+            sum(_disregards(later, word, disturbed) for later in arrivals) for word in arrivals
+        ]
+        if max(counts) > most:
+            yield f"{entry or 'owners of a pool'}: {max(counts)} to {target} after its word"
+
+
+def _disregards(later: Arrival, word: Arrival, disturbed: Sequence[float]) -> bool:
+    """Tell whether a request came though its sender had heard that the target wants none.
+
+    A fault in between may have ended the sender, and what it knew.
+    """
+    begins, ends = word.at + ON_THE_WAY_SECONDS, word.at + word.rest
+    if word.is_leaving:
+        begins, ends = word.at + LEAVING_ON_THE_WAY_SECONDS, float("inf")
+    if not begins < later.at < ends:
+        return False
+    return bisect_left(disturbed, word.at) == bisect_left(disturbed, later.at)
+
+
 @promise("processes end only when they are ended")
 def _look_for_own_ends(journal: RunJournal, runs: Sequence[TargetRun]) -> Iterator[str]:
     yield from journal.own_ends
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -1,7 +1,7 @@
 """What happens in one run of the soak, drawn from a seed before the run begins."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -62,13 +62,16 @@
 
 #: How the process of each kind of fault is drawn.
 FAULT_KINDS: Final[dict[str, DrawBox]] = {}
+#: The same for what targets say of themselves.  It is drawn apart, so that a seed that showed a
+#: fault before there were these kinds still has the faults that it had then.
+WORD_KINDS: Final[dict[str, DrawBox]] = {}
 
 
-def fault_kind(name: str) -> Callable[[DrawBox], DrawBox]:
+def fault_kind(name: str, kinds: dict[str, DrawBox] = FAULT_KINDS) -> Callable[[DrawBox], DrawBox]:
     """Register how the process of a kind of fault is drawn."""
 
     def register(draw: DrawBox) -> DrawBox:
-        FAULT_KINDS[name] = draw
+        kinds[name] = draw
         return draw
 
     return register
@@ -99,6 +102,22 @@
     return ""
 
 
+@fault_kind("rest", WORD_KINDS)
+def _draw_target(randomness: random.Random, boxes: Boxes) -> str:
+    return randomness.choice(boxes.targets)
+
+
+@fault_kind("rest of all", WORD_KINDS)
+def _draw_service(randomness: random.Random, boxes: Boxes) -> str:
+    """Return the first target of a service, by which its fellows are found."""
+    return randomness.choice(boxes.targets)
+
+
+@fault_kind("leaving word", WORD_KINDS)
+def _draw_leaving(randomness: random.Random, boxes: Boxes) -> str:
+    return randomness.choice(boxes.targets)
+
+
 def draw_plan(seed: int, seconds: float, boxes: Boxes) -> Plan:
     """Return the plan of a seed.
 
@@ -107,18 +126,27 @@
         seconds: how long callers send.
         boxes: what faults may happen to.
     """
-    randomness = random.Random(seed)
+    faults = _draw_faults(random.Random(seed), seconds, boxes, FAULT_KINDS)
+    words = _draw_faults(random.Random(f"words {seed}"), seconds, boxes, WORD_KINDS)
+    ordered = sorted((*faults, *words), key=lambda fault: fault.at)
+    return Plan(seed=seed, seconds=seconds, faults=tuple(ordered))
+
+
+def _draw_faults(
+    randomness: random.Random, seconds: float, boxes: Boxes, kinds: Mapping[str, DrawBox]
+) -> list[Fault]:
+    """Return faults of some kinds, one after the other."""
     faults: list[Fault] = []
     at = randomness.expovariate(1 / _MEAN_GAP)
     while at < seconds - REST_SECONDS:
-        kind = randomness.choice(sorted(FAULT_KINDS))
+        kind = randomness.choice(sorted(kinds))
         faults.append(
             Fault(
                 at=round(at, 2),
                 kind=kind,
-                process=FAULT_KINDS[kind](randomness, boxes),
+                process=kinds[kind](randomness, boxes),
                 seconds=round(randomness.uniform(_SHORTEST, _LONGEST), 2),
             )
         )
         at += randomness.expovariate(1 / _MEAN_GAP)
-    return Plan(seed=seed, seconds=seconds, faults=tuple(faults))
+    return faults
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
@@ -10,12 +10,12 @@
 from typing import Final
 
 from damsonlane_bench.fleet import StuckError, wait_until
-from damsonlane_bench.registered import Kind
+from damsonlane_bench.registered import LEAVING_SIGNAL, REST_SIGNAL, Kind
 from damsonlane_bench.routes import RoutesFleet, make_document
 from damsonlane_bench.soak._callers import Caller, OperatorThread
-from damsonlane_bench.soak._journal import RunJournal, read_target_runs
+from damsonlane_bench.soak._journal import RunJournal, read_arrivals, read_target_runs
 from damsonlane_bench.soak._judge import Breach, judge
-from damsonlane_bench.soak._plan import Boxes, Fault, Plan
+from damsonlane_bench.soak._plan import WORD_KINDS, Boxes, Fault, Plan
 
 #: Targets: name, service and kind.
 TARGETS: Final[tuple[tuple[str, str, Kind], ...]] = (
@@ -92,6 +92,7 @@
                 supervisor.join()
         logs = [self._folder / f"{name}.log" for name, _, _ in TARGETS]
         runs = tuple(read_target_runs(logs))
+        self._journal.arrivals.extend(read_arrivals(logs))
         statuses: dict[int, int] = {}
         for answer in self._journal.answers:
             statuses[answer.status] = statuses.get(answer.status, 0) + 1
@@ -122,7 +123,7 @@
         )
 
     def _serves(self, entry: str, route: str) -> bool:
-        request_id = f"probe-{route}-{time.monotonic_ns()}"
+        request_id = f"probe-{route}-{time.monotonic_ns()}@{entry}"
         headers = {"Damsonlane_Pieces": "1,1", "Damsonlane_Material_Key": "soak"}
         more = headers if route == "chat" else {}
         status, _ = self._fleet.call(entry, f"/{route}/a", request_id, **more)  # type: ignore[arg-type]
@@ -154,22 +155,56 @@
     def _inject(self, fault: Fault) -> None:
         """Carry out one fault at its time, and undo it."""
         self._stopped.wait(fault.at)
+        if fault.kind in WORD_KINDS:
+            self._say(fault)
+            return
         boxes = (*self._fleet.controls, *self._fleet.entries)
         names = (fault.process,) if fault.process else boxes
         taken = self._take(names)
         if not taken:
             return
         try:
-            self._journal.note_disturbance()
+            self._journal.note_disturbance(*taken)
             undo = [self._disturb(fault.kind, name) for name in taken]
             self._stopped.wait(fault.seconds)
             for step in undo:
                 step()
-            self._journal.note_disturbance()
+            self._journal.note_disturbance(*taken)
         finally:
             with self._lock:
                 self._busy -= set(taken)
 
+    def _say(self, fault: Fault) -> None:
+        """Have a target, or all of its service, say something of itself.
+
+        It is no disturbance: the entries are to act on it.
+        """
+        service = next(service for name, service, _ in TARGETS if name == fault.process)
+        fellows = [name for name, other, _ in TARGETS if other == service]
+        names = fellows if fault.kind == "rest of all" else [fault.process]
+        number = LEAVING_SIGNAL if fault.kind == "leaving word" else REST_SIGNAL
+        for name in names:
+            process = self._fleet.processes[name]
+            if process.is_running() and process.has_written():
+                process.signal(number)
+        self._stopped.wait(fault.seconds)
+        if fault.kind != "leaving word":
+            return
+        while not self._take((fault.process,)):
+            self._stopped.wait(_LOOK_SECONDS)
+        try:
+            self._leave(fault.process)
+        finally:
+            with self._lock:
+                self._busy.discard(fault.process)
+
+    def _leave(self, name: str) -> None:
+        """Have a target leave as planned, and start another one in its place."""
+        process = self._fleet.processes[name]
+        if process.is_running():
+            process.terminate()
+        self._start_again(name)
+
     def _take(self, names: tuple[str, ...]) -> tuple[str, ...]:
         """Reserve those processes that no other fault has at the moment."""
         with self._lock:
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -5,9 +5,11 @@
 from pathlib import Path
 
 from damsonlane.codec import decode_bytes, encode_text
-from damsonlane_bench.soak import FAULT_KINDS, Plan, Soak, draw_plan
+from damsonlane_bench.soak import FAULT_KINDS, WORD_KINDS, Plan, Soak, draw_plan
 from damsonlane_bench.soak._journal import (
     Answer,
+    Arrival,
+    Disturbance,
     ReadBack,
     RunJournal,
     TargetRun,
@@ -17,7 +19,33 @@
 
 #: Seed and length of the run of each build.
 SEED = 7
+#: The promise that what targets say of themselves is heeded.
+BACKOFF = "a target that asks for rest, or leaves, gets nothing from that box"
 SECONDS = 14.0
+#: The faults of a seed that showed one: time, kind and process.
+SEED_109 = [
+    (0.39, "power", ""),
+    (0.46, "hang-up", "entry-2"),
+    (0.89, "stop", "entry-1"),
+    (1.61, "kill", "desk-2"),
+    (1.83, "kill", "model-2"),
+    (2.29, "stop", "entry-1"),
+    (2.3, "kill", "encode-1"),
+    (3.39, "hang-up", "entry-1"),
+    (4.71, "power", ""),
+    (5.25, "hang-up", "control-1"),
+    (5.28, "power", ""),
+    (5.44, "kill", "entry-1"),
+    (6.33, "freeze", "encode-2"),
+    (6.7, "kill", "encode-1"),
+    (7.49, "freeze", "control-1"),
+    (8.27, "hang-up", "control-3"),
+    (8.58, "kill", "model-1"),
+    (9.4, "stop", "entry-2"),
+    (12.42, "stop", "entry-1"),
+    (12.53, "hang-up", "control-1"),
+    (14.29, "stop", "entry-1"),
+]
 
 
 class PlanTest(unittest.TestCase):
@@ -28,11 +56,17 @@
         self.assertNotEqual(draw_plan(4, 20.0, boxes).faults, plan.faults)
         self.assertEqual(decode_bytes(encode_text(plan, Plan), Plan), plan)
 
+    def test_seeds_keep_the_faults_that_they_had_before_targets_spoke(self) -> None:
+        """Seed 109 showed a box that ended by itself, and stays the same run."""
+        faults = draw_plan(109, 20.0, Soak.list_boxes()).faults
+        older = [fault for fault in faults if fault.kind in FAULT_KINDS]
+        self.assertEqual([(fault.at, fault.kind, fault.process) for fault in older], SEED_109)
+
     def test_fifty_seeds_have_every_kind_of_fault_overlapping(self) -> None:
         boxes = Soak.list_boxes()
         plans = [draw_plan(seed, 20.0, boxes) for seed in range(50)]
         kinds = {fault.kind for plan in plans for fault in plan.faults}
-        self.assertEqual(kinds, set(FAULT_KINDS))
+        self.assertEqual(kinds, {*FAULT_KINDS, *WORD_KINDS})
         overlapping = sum(
             later.at < earlier.at + earlier.seconds
             for plan in plans
@@ -93,15 +127,53 @@
         self.assertEqual(self._find(), [])
         self.runs += [_run("ping-2", at=float(at), is_deadly=True) for at in (6, 7, 8, 9)]
         self.assertEqual(self._find(), ["a request that ends targets is kept from them"])
-        self.journal.disturbed_at.append(5.5)
+        self.journal.disturbances.append(Disturbance(process="control-1", at=5.5))
+        self.assertEqual(self._find(), [])
+
+    def _arrive(self, entry: str, *times: float, rest: float = 0.0, leaves: bool = False) -> None:
+        for at in times:
+            self.journal.arrivals.append(
+                Arrival(
+                    request=f"ping-1@{entry}" if entry else "",
+                    target="desk-1",
+                    rest=rest,
+                    is_leaving=leaves,
+                    at=at,
+                )
+            )
+
+    def test_a_target_that_asked_for_rest_gets_requests(self) -> None:
+        self._arrive("entry-1", 10.0, rest=1.5)
+        self._arrive("entry-1", 10.1, 10.2, 10.4, 10.6, 11.4, 11.6, 11.7)
+        self._arrive("entry-2", 10.6, 10.7, 10.8, 10.9)
+        self.assertEqual(self._find(), [])
+        self._arrive("entry-1", 10.9)
+        self.assertEqual(self._find(), [BACKOFF])
+        self.journal.disturbances.append(Disturbance(process="entry-2", at=10.5))
+        self.assertEqual(self._find(), [BACKOFF])
+        self.journal.disturbances.append(Disturbance(process="entry-1", at=10.5))
+        self.assertEqual(self._find(), [])
+
+    def test_a_target_that_leaves_gets_requests(self) -> None:
+        self._arrive("entry-1", 10.0, leaves=True)
+        self._arrive("entry-1", 11.0, 11.5, 11.9, 15.0, 20.0)
+        self.assertEqual(self._find(), [])
+        self._arrive("entry-1", 30.0)
+        self.assertEqual(self._find(), [BACKOFF])
+
+    def test_a_target_of_a_pool_that_asked_for_rest_gets_calls(self) -> None:
+        self._arrive("", 10.0, rest=1.5)
+        self._arrive("", 10.6, 10.7, 10.8, 10.9, 11.0)
         self.assertEqual(self._find(), [])
+        self._arrive("", 11.1)
+        self.assertEqual(self._find(), [BACKOFF])
 
     def test_a_box_that_ends_by_itself(self) -> None:
         self.journal.own_ends.append("entry-1 ended by itself")
         self.assertEqual(self._find(), ["processes end only when they are ended"])
 
     def test_every_promise_has_its_test(self) -> None:
-        self.assertEqual(len(PROMISES), 6)
+        self.assertEqual(len(PROMISES), 7)
 
     def test_what_targets_ran_is_read_from_their_logs(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
