Test: a target that ends while it still listens is not found out (fails)

Cause: an entry looks once, as soon as an answer breaks off. A process that ends closes its connections one by one; where the listening one comes later the look finds it alive.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_ended_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_ended_targets.py
@@ -10,7 +10,14 @@
 from damsonlane.quarantine import BrokenRun
 from damsonlaned.dialects import AnswerSigns
 from damsonlaned.gateway._ended_targets import EndedTargets
-from damsonlaned.gateway.tests.harness import Entry, StandIn, answer_well, cut, hang
+from damsonlaned.gateway.tests.harness import (
+    PATIENCE,
+    Entry,
+    StandIn,
+    answer_well,
+    cut,
+    hang,
+)
 from damsonlaned.http import HttpRequest, Reply
 from damsonlaned.quarantine import LostTarget
 
@@ -39,6 +46,15 @@
         self.assertTrue(await self.ended.note_broken(self.lost, (RUN,)))
         self.assertEqual(self.entry.ends, [(self.lost, [RUN])])
 
+    async def test_a_target_that_still_listens_for_a_moment_has_ended(self) -> None:
+        """A process that ends closes its connections one by one, the listening one not first."""
+        self.assertFalse(await self.ended.note_broken(self.lost, (RUN,)))
+        await self.target.stop()
+        async with asyncio.timeout(PATIENCE):
+            while not self.entry.ends:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.entry.ends, [(self.lost, [RUN])])
+
     async def test_all_that_broke_off_at_once_is_told(self) -> None:
         await self.target.stop()
         others = [replace(RUN, fingerprint=name) for name in ("g", "h")]
