Quarantine: a target is looked at a second time, a moment after its answer broke off

Cause: a process that ends may still listen at the first look. Unless control says soon that it started again, and to the same entry, its end counted against nobody. Ruled out: waiting before the first look (every broken answer at a living target would delay its next offer); taking a connection that is reset for an end (full targets reset them). Change: a second look after 0.1 s, for which nobody waits.

--- a/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
@@ -150,14 +150,15 @@
         self._tell_arrival(request, is_resting=is_resting)
         if is_resting:
             reply.send_whole(HttpResponse(status=503, headers=self._refusal_headers(request)))
+        elif self._kind != "pool" and request.find(b"damsonlane-target") != self._record.target:
+            # Also a deadly request: what is meant for another target never runs here.
+            reply.send_whole(HttpResponse(status=421))
         elif _is_deadly(request, self._kind):
             _tell_run(request, is_deadly=True)
             await asyncio.sleep(_DYING_SECONDS)
             os._exit(_DEAD)
         elif self._kind == "pool":
             await self._make_pieces(request, reply)
-        elif request.find(b"damsonlane-target") != self._record.target:
-            reply.send_whole(HttpResponse(status=421))
         elif self._kind == "engine":
             await self._stream(request, reply)
         else:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
@@ -15,6 +15,9 @@
 #: Seconds for which word of control that a target started again is put down to what broke off
 #: there: targets that end come back after a few seconds.
 DOUBT_SECONDS: Final = 8.0
+#: Seconds after the first look at a target until the second one: an ending process has closed
+#: everything by then, and one that is started again takes a few seconds.
+LOOK_AGAIN_SECONDS: Final = 0.1
 
 
 #: Takes a start of a target that has ended, with what broke off there.
@@ -40,6 +43,7 @@
         self._take_end: Final = take_end
         self._doubts: dict[LostTarget, list[BrokenRun]] = {}
         self._looks: dict[LostTarget, asyncio.Task[bool]] = {}
+        self._later: dict[LostTarget, asyncio.Task[None]] = {}
         view.on_change(self._follow_view)
 
     async def note_broken(self, lost: LostTarget, runs: Sequence[BrokenRun]) -> bool:
@@ -55,6 +59,7 @@
         if await asyncio.shield(self._look(lost)):
             self._settle(lost, "it refuses connections")
             return True
+        self._look_again(lost)
         return False
 
     def note_silent(self, lost: LostTarget, runs: Sequence[BrokenRun]) -> None:
@@ -63,13 +68,19 @@
 
     def _doubt(self, lost: LostTarget, runs: Sequence[BrokenRun]) -> bool:
         """Keep what was lost for a while; tell whether the target should still be there."""
-        record = self._view.find_target(lost.target)
-        if record is None or record.standing == "leaving" or self._view.notices.is_leaving(record):
+        if not self._should_be_there(lost):
             return False
         self._doubts.setdefault(lost, []).extend(runs)
         asyncio.get_running_loop().call_later(DOUBT_SECONDS, self._forget, lost, tuple(runs))
         return True
 
+    def _should_be_there(self, lost: LostTarget) -> bool:
+        """Tell whether control lists a target that neither it nor control says is leaving."""
+        record = self._view.find_target(lost.target)
+        if record is None or record.standing == "leaving":
+            return False
+        return not self._view.notices.is_leaving(record)
+
     def _look(self, lost: LostTarget) -> "asyncio.Task[bool]":
         """Return the look at a target that is under way, or begin one."""
         task = self._looks.get(lost)
@@ -79,6 +90,20 @@
             task.add_done_callback(lambda _: self._looks.pop(lost, None))
         return task
 
+    def _look_again(self, lost: LostTarget) -> None:
+        """Look once more a little later, for which no request waits.
+
+        A process that ends may still listen while its other connections are closed already.
+        """
+        if lost not in self._later:
+            self._later[lost] = start_task(self._look_later(lost), "looking for a target again")
+            self._later[lost].add_done_callback(lambda _: self._later.pop(lost, None))
+
+    async def _look_later(self, lost: LostTarget) -> None:
+        await asyncio.sleep(LOOK_AGAIN_SECONDS)
+        if self._should_be_there(lost) and await asyncio.shield(self._look(lost)):
+            self._settle(lost, "it refuses connections")
+
     def _follow_view(self) -> None:
         for lost in list(self._doubts):
             if self._is_replaced(lost):
