Quarantine: targets of pipelines are looked at a second time as well

Cause: the same single look as at the entry of routes. Ruled out: nothing. Change: the second look after 0.1 s; the figure stands once for both entries. Conclusion: the entry of routes and that of pipelines act alike.

--- a/packages/damsonlaned/src/damsonlaned/entry/_thread_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_thread_quarantine.py
@@ -6,7 +6,13 @@
 from typing import Final
 
 from damsonlane.quarantine import BrokenRun, HeldRequest
-from damsonlaned.quarantine import LostTarget, Quarantine, refuses_connections
+from damsonlaned.quarantine import (
+    LOOK_AGAIN_SECONDS,
+    LostTarget,
+    Quarantine,
+    refuses_connections,
+)
+from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -47,8 +53,18 @@
         await self._quarantine.stop()
 
     async def _note_broken(self, lost: LostTarget, run: BrokenRun) -> None:
-        if not await refuses_connections(lost.address):
-            return
+        if await refuses_connections(lost.address):
+            await self._take_end(lost, run)
+        else:
+            start_task(self._look_later(lost, run), "looking for a target again")
+
+    async def _look_later(self, lost: LostTarget, run: BrokenRun) -> None:
+        """Look once more: a process that ends may still listen for a moment."""
+        await asyncio.sleep(LOOK_AGAIN_SECONDS)
+        if await refuses_connections(lost.address):
+            await self._take_end(lost, run)
+
+    async def _take_end(self, lost: LostTarget, run: BrokenRun) -> None:
         fields = {"target": lost.target, "address": lost.address}
         _LOG.warning("target ended", extra={**fields, "fingerprints": [run.fingerprint]})
         self._quarantine.take_end(lost, (run,))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_ended_targets.py
@@ -7,7 +7,7 @@
 
 from damsonlane.quarantine import BrokenRun
 from damsonlaned.gateway._view import FleetView
-from damsonlaned.quarantine import LostTarget, refuses_connections
+from damsonlaned.quarantine import LOOK_AGAIN_SECONDS, LostTarget, refuses_connections
 from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
@@ -15,10 +15,6 @@
 #: Seconds for which word of control that a target started again is put down to what broke off
 #: there: targets that end come back after a few seconds.
 DOUBT_SECONDS: Final = 8.0
-#: Seconds after the first look at a target until the second one: an ending process has closed
-#: everything by then, and one that is started again takes a few seconds.
-LOOK_AGAIN_SECONDS: Final = 0.1
-
 
 #: Takes a start of a target that has ended, with what broke off there.
 TakeEnd = Callable[[LostTarget, Sequence[BrokenRun]], None]
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_look.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_look.py
@@ -8,6 +8,9 @@
 
 #: Seconds for which a connection that only tells whether a target is there may take.
 LOOK_SECONDS: Final = 0.2
+#: Seconds after the first look at a target until the second one: an ending process has closed
+#: everything by then, and one that is started again takes a few seconds.
+LOOK_AGAIN_SECONDS: Final = 0.1
 
 
 @dataclass(frozen=True, kw_only=True)
