--- a/Makefile
+++ b/Makefile
@@ -37,10 +37,12 @@
 	$(RUN) tools/fuzz.py
 
 # make soak SEED=11, or SEED=1 SEEDS=50; each plan is written to run/soak before it is played.
+# More processes: SIZE="--controls=5 --entries=20 --targets=30".
 SEED ?= 1
 SEEDS ?= 1
+SIZE ?=
 soak: $(VENV)/made
-	$(RUN) -m damsonlane_bench.soak --seed=$(SEED) --seeds=$(SEEDS)
+	$(RUN) -m damsonlane_bench.soak --seed=$(SEED) --seeds=$(SEEDS) $(SIZE)
 
 clean:
 	rm -rf $(VENV)
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -6,7 +6,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from threading import Thread
 from typing import Any, Final
@@ -28,20 +28,34 @@
     ("encode-1", "encode", "pool"),
     ("encode-2", "encode", "pool"),
 )
+_TARGET_NAMES: Final = tuple(name for name, _, _ in _TARGETS)
 
 
 class RoutesFleet:
-    """Three control replicas, two entries and six targets; use as a context manager."""
-
-    def __init__(self, folder: Path) -> None:
+    """Control replicas, entries and targets; use as a context manager.
+
+    Args:
+        folder: takes settings, data and logs.
+        controls: names of the control replicas.
+        entries: names of the entries.
+        targets: names of the targets.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        controls: Sequence[str] = ("control-1", "control-2", "control-3"),
+        entries: Sequence[str] = ("entry-1", "entry-2"),
+        targets: Sequence[str] = _TARGET_NAMES,
+    ) -> None:
         self.folder: Final = folder
         self._keys: Final = KeyMaker(folder / "keys")
-        self.controls: Final = [f"control-{number}" for number in (1, 2, 3)]
-        self.entries: Final = ["entry-1", "entry-2"]
+        self.controls: Final = list(controls)
+        self.entries: Final = list(entries)
         self.processes: Final[dict[str, Process]] = {}
         self.addresses: Final = {
             f"{name}/{purpose}": take_address()
-            for name in (*self.controls, *self.entries, *(name for name, _, _ in _TARGETS))
+            for name in (*self.controls, *self.entries, *targets)
             for purpose in ("internal", "admin", "front", "ready")
         }
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
@@ -10,7 +10,7 @@
 import fire
 
 from damsonlane.codec import decode_bytes, encode_text
-from damsonlane_bench.soak import Plan, Soak, Verdict, draw_plan
+from damsonlane_bench.soak import FleetSize, Plan, Soak, Verdict, draw_plan
 
 #: Seconds for which callers send in one run, unless told otherwise.
 SECONDS: Final = 20.0
@@ -23,6 +23,9 @@
     plan: str = "",
     folder: str = "run/soak",
     skip: str = "",
+    controls: int = 3,
+    entries: int = 2,
+    targets: int = 2,
 ) -> None:
     """Play seeds one after the other and keep what failed.
 
@@ -33,25 +36,31 @@
         plan: file of a plan to play instead.
         folder: takes a plan for each run, and the logs of those that failed.
         skip: numbers of faults to leave out, joined by semicolons, to shrink a plan.
+        controls: control replicas.
+        entries: entries.
+        targets: targets of each of the three services.
     """
     kept = Path(folder)
     kept.mkdir(parents=True, exist_ok=True)
     failed = 0
-    for plan_to_play in _list_plans(seed, seeds, seconds, plan, str(skip)):
+    size = FleetSize(controls=controls, entries=entries, targets=targets)
+    if plan:
+        plans = [_read_plan(plan, str(skip))]
+    else:
+        plans = [draw_plan(seed + number, seconds, size) for number in range(seeds)]
+    for plan_to_play in plans:
         verdict = _play(plan_to_play, kept)
         failed += bool(verdict.breaches)
-    print(f"{seeds - failed} passed, {failed} failed")
+    print(f"{len(plans) - failed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
 
-def _list_plans(seed: int, seeds: int, seconds: float, plan: str, skip: str) -> list[Plan]:
-    if not plan:
-        boxes = Soak.list_boxes()
-        return [draw_plan(seed + number, seconds, boxes) for number in range(seeds)]
+def _read_plan(plan: str, skip: str) -> Plan:
+    """Return a plan from its file, without some of its faults."""
     read = decode_bytes(Path(plan).read_bytes(), Plan)
     left_out = {int(number) for number in skip.split(";") if number}
     faults = tuple(fault for index, fault in enumerate(read.faults) if index not in left_out)
-    return [read.with_faults(faults)]
+    return read.with_faults(faults)
 
 
 def _play(plan: Plan, kept: Path) -> Verdict:
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from damsonlane_bench.soak._size import FleetSize
+
 #: Draws the box of a fault; empty for all boxes.
 DrawBox = Callable[[random.Random, "Boxes"], str]
 
@@ -29,6 +31,15 @@
     #: Names of the targets.
     targets: tuple[str, ...]
 
+    @classmethod
+    def of(cls, size: FleetSize) -> "Boxes":
+        """Return the processes of a fleet."""
+        return cls(
+            controls=size.list_controls(),
+            entries=size.list_entries(),
+            targets=tuple(target.name for target in size.list_targets()),
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class Fault:
@@ -54,6 +65,8 @@
     seconds: float
     #: The faults, in order.
     faults: tuple[Fault, ...]
+    #: The fleet.
+    size: FleetSize = FleetSize()
 
     def with_faults(self, faults: tuple[Fault, ...]) -> "Plan":
         """Return the plan with other faults, to find those that matter."""
@@ -118,18 +131,20 @@
     return randomness.choice(boxes.targets)
 
 
-def draw_plan(seed: int, seconds: float, boxes: Boxes) -> Plan:
+def draw_plan(seed: int, seconds: float, size: FleetSize | None = None) -> Plan:
     """Return the plan of a seed.
 
     Args:
         seed: the same one gives the same plan.
         seconds: how long callers send.
-        boxes: what faults may happen to.
+        size: the fleet; the smallest one unless told otherwise.
     """
+    fleet = size or FleetSize()
+    boxes = Boxes.of(fleet)
     faults = _draw_faults(random.Random(seed), seconds, boxes, FAULT_KINDS)
     words = _draw_faults(random.Random(f"words {seed}"), seconds, boxes, WORD_KINDS)
     ordered = sorted((*faults, *words), key=lambda fault: fault.at)
-    return Plan(seed=seed, seconds=seconds, faults=tuple(ordered))
+    return Plan(seed=seed, seconds=seconds, faults=tuple(ordered), size=fleet)
 
 
 def _draw_faults(
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
@@ -1,7 +1,6 @@
 """Playing a plan: processes, faults, callers, and the verdict."""
 
 import signal
-import tempfile
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,23 +9,14 @@
 from typing import Final
 
 from damsonlane_bench.fleet import StuckError, wait_until
-from damsonlane_bench.registered import LEAVING_SIGNAL, REST_SIGNAL, Kind
+from damsonlane_bench.registered import LEAVING_SIGNAL, REST_SIGNAL
 from damsonlane_bench.routes import RoutesFleet, make_document
 from damsonlane_bench.soak._callers import Caller, OperatorThread
 from damsonlane_bench.soak._journal import RunJournal, read_arrivals, read_target_runs
 from damsonlane_bench.soak._judge import Breach, judge
-from damsonlane_bench.soak._plan import WORD_KINDS, Boxes, Fault, Plan
+from damsonlane_bench.soak._plan import WORD_KINDS, Fault, Plan
 
-#: Targets: name, service and kind.
-TARGETS: Final[tuple[tuple[str, str, Kind], ...]] = (
-    ("desk-1", "desk", "plain"),
-    ("desk-2", "desk", "plain"),
-    ("model-1", "model", "engine"),
-    ("model-2", "model", "engine"),
-    ("encode-1", "encode", "pool"),
-    ("encode-2", "encode", "pool"),
-)
-#: Callers that send requests of all routes.
+#: Callers that send requests of all routes, and one more for each further entry.
 CALLERS: Final = 5
 #: Seconds after which the supervisor starts a target again that ended.
 _RESTART_SECONDS: Final = 0.5
@@ -60,24 +50,17 @@
 
     def __init__(self, plan: Plan, folder: Path) -> None:
         self._plan: Final = plan
-        self._fleet: Final = RoutesFleet(folder)
+        size = plan.size
+        self._targets: Final = {target.name: target for target in size.list_targets()}
+        self._fleet: Final = RoutesFleet(
+            folder, size.list_controls(), size.list_entries(), tuple(self._targets)
+        )
         self._folder: Final = folder
         self._journal: Final = RunJournal()
         self._lock: Final = Lock()
         self._busy: set[str] = set()
         self._stopped: Final = Event()
 
-    @staticmethod
-    def list_boxes() -> Boxes:
-        """Return the processes of the fleet of each run."""
-        with tempfile.TemporaryDirectory() as folder:
-            fleet = RoutesFleet(Path(folder))
-        return Boxes(
-            controls=tuple(fleet.controls),
-            entries=tuple(fleet.entries),
-            targets=tuple(name for name, _, _ in TARGETS),
-        )
-
     def run(self) -> Verdict:
         """Play the plan and judge what was seen."""
         supervisor = Thread(target=self._supervise, name="supervisor")
@@ -90,7 +73,7 @@
             finally:
                 self._stopped.set()
                 supervisor.join()
-        logs = [self._folder / f"{name}.log" for name, _, _ in TARGETS]
+        logs = [self._folder / f"{name}.log" for name in self._targets]
         runs = tuple(read_target_runs(logs))
         self._journal.arrivals.extend(read_arrivals(logs))
         statuses: dict[int, int] = {}
@@ -109,13 +92,17 @@
             fleet.start(control, is_first_start=True)
         for entry in fleet.entries:
             fleet.start(entry)
-        for target in TARGETS:
-            fleet.start_target(*target)
+        for name in self._targets:
+            self._start_target(name)
         fleet.put_document(1, routes=make_document()["routes"])
         wait_until(self._is_served, "everything is served")
 
+    def _start_target(self, name: str) -> None:
+        target = self._targets[name]
+        self._fleet.start_target(name, target.service, target.kind)
+
     def _is_served(self) -> bool:
-        """Tell whether both entries serve all routes."""
+        """Tell whether all entries serve all routes."""
         return all(
             self._fleet.is_ready(entry) and self._serves(entry, route)
             for entry in self._fleet.entries
@@ -135,7 +122,7 @@
         seed = self._plan.seed
         callers = [
             Caller(self._fleet, self._journal, f"c{number}", seed + number)
-            for number in range(CALLERS)
+            for number in range(CALLERS + self._plan.size.entries - 2)
         ]
         callers.append(Caller(self._fleet, self._journal, "deadly", seed, is_deadly=True))
         operator = OperatorThread(self._fleet, self._journal, seed)
@@ -179,8 +166,8 @@
 
         It is no disturbance: the entries are to act on it.
         """
-        service = next(service for name, service, _ in TARGETS if name == fault.process)
-        fellows = [name for name, other, _ in TARGETS if other == service]
+        service = self._targets[fault.process].service
+        fellows = [name for name, other in self._targets.items() if other.service == service]
         names = fellows if fault.kind == "rest of all" else [fault.process]
         number = LEAVING_SIGNAL if fault.kind == "leaving word" else REST_SIGNAL
         for name in names:
@@ -234,16 +221,15 @@
     def _start_again(self, name: str) -> None:
         """Start a process again, once an older one has ended."""
         self._fleet.processes[name].wait()
-        target = next((item for item in TARGETS if item[0] == name), None)
-        if target is not None:
-            self._fleet.start_target(*target)
+        if name in self._targets:
+            self._start_target(name)
         else:
             self._fleet.start(name)
 
     def _supervise(self) -> None:
         """Start targets again that ended; no box may end by itself."""
         while not self._stopped.wait(_LOOK_SECONDS):
-            for name in (*self._fleet.controls, *self._fleet.entries, *(t[0] for t in TARGETS)):
+            for name in (*self._fleet.controls, *self._fleet.entries, *self._targets):
                 if self._fleet.processes[name].is_running() or not self._take((name,)):
                     continue
                 try:
@@ -256,7 +242,7 @@
         """Start a process again that ended by itself."""
         if self._fleet.processes[name].is_running():
             return
-        if not any(name == target for target, _, _ in TARGETS):
+        if name not in self._targets:
             self._journal.own_ends.append(f"{name} ended by itself")
         self._stopped.wait(_RESTART_SECONDS)
         self._start_again(name)
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from damsonlane.codec import decode_bytes, encode_text
-from damsonlane_bench.soak import FAULT_KINDS, WORD_KINDS, Plan, Soak, draw_plan
+from damsonlane_bench.soak import FAULT_KINDS, WORD_KINDS, FleetSize, Plan, Soak, draw_plan
 from damsonlane_bench.soak._journal import (
     Answer,
     Arrival,
@@ -50,21 +50,27 @@
 
 class PlanTest(unittest.TestCase):
     def test_a_seed_gives_the_same_plan_each_time(self) -> None:
-        boxes = Soak.list_boxes()
-        plan = draw_plan(3, 20.0, boxes)
-        self.assertEqual(draw_plan(3, 20.0, boxes), plan)
-        self.assertNotEqual(draw_plan(4, 20.0, boxes).faults, plan.faults)
+        plan = draw_plan(3, 20.0)
+        self.assertEqual(draw_plan(3, 20.0), plan)
+        self.assertNotEqual(draw_plan(4, 20.0).faults, plan.faults)
         self.assertEqual(decode_bytes(encode_text(plan, Plan), Plan), plan)
 
     def test_seeds_keep_the_faults_that_they_had_before_targets_spoke(self) -> None:
         """Seed 109 showed a box that ended by itself, and stays the same run."""
-        faults = draw_plan(109, 20.0, Soak.list_boxes()).faults
+        faults = draw_plan(109, 20.0).faults
         older = [fault for fault in faults if fault.kind in FAULT_KINDS]
         self.assertEqual([(fault.at, fault.kind, fault.process) for fault in older], SEED_109)
 
+    def test_faults_happen_to_all_of_a_larger_fleet(self) -> None:
+        size = FleetSize(controls=5, entries=9, targets=7)
+        plans = [draw_plan(seed, 60.0, size) for seed in range(50)]
+        drawn = {fault.process for plan in plans for fault in plan.faults} - {""}
+        targets = {target.name for target in size.list_targets()}
+        self.assertEqual(drawn, {*size.list_controls(), *size.list_entries(), *targets})
+        self.assertEqual(decode_bytes(encode_text(plans[0], Plan), Plan), plans[0])
+
     def test_fifty_seeds_have_every_kind_of_fault_overlapping(self) -> None:
-        boxes = Soak.list_boxes()
-        plans = [draw_plan(seed, 20.0, boxes) for seed in range(50)]
+        plans = [draw_plan(seed, 20.0) for seed in range(50)]
         kinds = {fault.kind for plan in plans for fault in plan.faults}
         self.assertEqual(kinds, {*FAULT_KINDS, *WORD_KINDS})
         overlapping = sum(
@@ -185,7 +191,7 @@
 class RunTest(unittest.TestCase):
     def test_a_short_run_breaks_no_promise(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            plan = draw_plan(SEED, SECONDS, Soak.list_boxes())
+            plan = draw_plan(SEED, SECONDS)
             verdict = Soak(plan, Path(folder)).run()
         self.assertEqual(verdict.breaches, (), plan)
         self.assertGreater(verdict.statuses.get(200, 0), 0)
