Control logs which ends of targets it is told; back-off costs nothing where none is asked

Ruled out: nothing. Change: one line a report, "end of target told"; the stages are reckoned only if all targets want nothing.

--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
+import logging
 import random
 import time
 from collections.abc import Mapping
@@ -67,6 +68,8 @@
 )
 from damsonlaned.control._node import ControlNode
 
+_LOG: Final = logging.getLogger(__name__)
+
 #: Who is written into the history while there are no operators.
 ANYONE: Final = "anyone"
 #: Who is written into orders that came to the address of control for targets and operators.
@@ -342,6 +345,9 @@
     Ends of targets are dated here too, since entries' clocks differ by more than replicas'.
     """
     if isinstance(command, NoteTargetEnd):
+        fingerprints = [run.fingerprint for run in command.runs]
+        fields = {"target": command.target, "start": command.start}
+        _LOG.info("end of target told", extra={**fields, "fingerprints": fingerprints})
         return replace(command, at=round(time.time(), 3))
     if not _needs_editor(command):
         return command
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -152,7 +152,8 @@
         is kept for the targets' return if it is in time then.
         """
         away = self._attempts.find_return_seconds(self._call)
-        if away <= self._seconds_ahead():
+        # The time of its stages is reckoned only where it matters: it takes longer than the rest.
+        if away <= 0 or away <= self._seconds_ahead():
             return False
         if self._has_work() and away < self._seconds_to_wait():
             await asyncio.sleep(away)
