Tests of back-off start their entry in one place

Cause: two test classes held the same lines that start an entry and its targets. Ruled out: a base class; the tests share that one step alone. Change: one function, which takes the document; no assertion changed.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_backoff.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_backoff.py
@@ -171,21 +171,27 @@
     return made[0]
 
 
-class BackoffTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, *targets: StandIn) -> Entry:
-        entry = Entry(BACKOFF_DOCUMENT)
-        records: list[TargetRecord] = []
-        for target in targets:
-            records.append(await target.start())
-            self.addAsyncCleanup(target.stop)
-        await entry.start(*records)
-        self.addAsyncCleanup(entry.stop)
-        self.addAsyncCleanup(entry.pools.stop)
-        return entry
+async def start_entry(
+    test: unittest.IsolatedAsyncioTestCase,
+    *targets: StandIn,
+    document: RoutingDocument = BACKOFF_DOCUMENT,
+) -> tuple[Entry, list[TargetRecord]]:
+    """Start targets and an entry that knows them; the test ends them."""
+    entry = Entry(document)
+    records: list[TargetRecord] = []
+    for target in targets:
+        records.append(await target.start())
+        test.addAsyncCleanup(target.stop)
+    await entry.start(*records)
+    test.addAsyncCleanup(entry.stop)
+    test.addAsyncCleanup(entry.pools.stop)
+    return entry, records
+
 
+class BackoffTest(unittest.IsolatedAsyncioTestCase):
     async def send_all(self, case: Case) -> list[int]:
         """Send the requests of a case; return the statuses of their answers."""
-        entry = await self.start(case.telling, *case.others)
+        entry, _ = await start_entry(self, case.telling, *case.others)
         statuses: list[int] = []
         for _ in range(REQUESTS):
             response = await entry.call(case.path, headers=case.headers, deadline_ms=8_000)
@@ -213,7 +219,7 @@
 
     async def test_callers_are_told_at_once_when_all_targets_rest(self) -> None:
         targets = [Telling(f"t{number}", refuse(ASKS), "desk") for number in range(3)]
-        entry = await self.start(*targets)
+        entry, _ = await start_entry(self, *targets)
         responses = [await entry.call("/plain/a", deadline_ms=8_000) for _ in range(REQUESTS)]
         self.assertEqual({response.status for response in responses}, {503})
         # Once each target has told the entry, no caller reaches one.
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_backoff_ends.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_backoff_ends.py
@@ -29,6 +29,7 @@
     make_maker,
     read_wait,
     refuse,
+    start_entry,
 )
 from damsonlaned.http import HttpRequest, HttpResponse, Reply
 
@@ -64,17 +65,6 @@
 
 
 class BackoffEndsTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, *targets: StandIn) -> tuple[Entry, list[TargetRecord]]:
-        entry = Entry(BACKOFF_DOCUMENT)
-        records: list[TargetRecord] = []
-        for target in targets:
-            records.append(await target.start())
-            self.addAsyncCleanup(target.stop)
-        await entry.start(*records)
-        self.addAsyncCleanup(entry.stop)
-        self.addAsyncCleanup(entry.pools.stop)
-        return entry, records
-
     async def call(self, entry: Entry, path: str = "/plain/a", headers: str = "") -> int:
         return (await entry.call(path, headers=headers, deadline_ms=8_000)).status
 
@@ -87,7 +77,7 @@
     async def test_a_target_is_used_again_as_soon_as_its_time_is_over(self) -> None:
         """Three refusals in a row would eject one that is ill for a second."""
         target = StandIn("t1", in_turn(*[refuse(ASKS_BRIEFLY)] * 3, answer_well))
-        entry, _ = await self.start(target)
+        entry, _ = await start_entry(self, target)
         for _ in range(3):
             response = await entry.call("/plain/a")
             self.assertEqual(response.status, 503)
@@ -98,7 +88,7 @@
     async def test_the_next_start_is_free_of_it(self) -> None:
         for word in (ASKS, LEAVES):
             target = StandIn("t1", in_turn(refuse((*word, *ASKS[1:])), answer_well))
-            entry, records = await self.start(target)
+            entry, records = await start_entry(self, target)
             self.assertEqual([await self.call(entry) for _ in range(3)], [503] * 3)
             self.assertEqual(len(target.requests), 1)
             entry.put_targets(replace(records[0], start=7))
@@ -106,7 +96,7 @@
 
     async def test_another_box_goes_on(self) -> None:
         target = StandIn("t1", in_turn(refuse(ASKS), answer_well))
-        entry, records = await self.start(target)
+        entry, records = await start_entry(self, target)
         other = Entry(BACKOFF_DOCUMENT)
         await other.start(*records)
         self.addAsyncCleanup(other.stop)
@@ -116,7 +106,7 @@
 
     async def test_an_answer_to_another_request_says_it_as_well(self) -> None:
         target = StandIn("t1", answer_another_first)
-        entry, _ = await self.start(target)
+        entry, _ = await start_entry(self, target)
         self.assertEqual([await self.call(entry) for _ in range(3)], [200, 503, 503])
         self.assertEqual(len(target.requests), 1)
 
@@ -128,8 +118,9 @@
             else route
             for route in BACKOFF_DOCUMENT.routes
         )
-        with mock.patch(f"{__name__}.BACKOFF_DOCUMENT", replace(BACKOFF_DOCUMENT, routes=routes)):
-            entry, _ = await self.start(maker, StandIn("t1", answer_well))
+        document = replace(BACKOFF_DOCUMENT, routes=routes)
+        working = StandIn("t1", answer_well)
+        entry, _ = await start_entry(self, maker, working, document=document)
         self.assertEqual(await self.call(entry, "/pieces/a", ONE_PIECE), 503)
         self.assertEqual(await self.call(entry), 503)
         self.assertEqual(len(maker.requests), 1)
@@ -138,7 +129,7 @@
 
     async def test_a_request_is_refused_before_its_stages_are_made(self) -> None:
         maker, target = make_maker("p1"), StandIn("t1", refuse(ASKS))
-        entry, _ = await self.start(maker, target)
+        entry, _ = await start_entry(self, maker, target)
         self.assertEqual(await self.call(entry), 503)
         self.assertEqual(await self.call(entry, "/pieces/a", ONE_PIECE), 503)
         self.assertEqual(maker.requests, [])
@@ -146,21 +137,21 @@
     async def test_a_request_whose_stages_are_made_waits_for_its_target(self) -> None:
         maker = make_maker("p1")
         target = StandIn("t1", in_turn(refuse(ASKS_BRIEFLY), answer_well))
-        entry, _ = await self.start(maker, target)
+        entry, _ = await start_entry(self, maker, target)
         self.assertEqual(await self.call(entry, "/pieces/a", ONE_PIECE), 200)
         made = [request for request in maker.requests if not request.path.endswith("/free")]
         self.assertEqual(len(made), 1)
 
     async def test_one_whose_target_returns_too_late_is_refused_with_the_time(self) -> None:
         maker, target = make_maker("p1"), StandIn("t1", refuse(ASKS))
-        entry, _ = await self.start(maker, target)
+        entry, _ = await start_entry(self, maker, target)
         response = await entry.call("/pieces/a", headers=ONE_PIECE, deadline_ms=8_000)
         self.assertEqual(response.status, 503)
         self.assertGreater(read_wait(response), 500.0)
 
     async def test_pieces_are_told_at_once_when_all_targets_of_a_pool_rest(self) -> None:
         maker = StandIn("p1", refuse(ASKS), "pool")
-        entry, _ = await self.start(maker, StandIn("t1", answer_well))
+        entry, _ = await start_entry(self, maker, StandIn("t1", answer_well))
         for _ in range(3):
             response = await entry.call("/pieces/a", headers=ONE_PIECE, deadline_ms=8_000)
             self.assertEqual(response.status, 503)
@@ -181,7 +172,7 @@
             reply.send_whole(HttpResponse(status=200))
 
         makers.append(StandIn("p1", answer, "pool"))
-        entry, records = await self.start(makers[0], StandIn("t1", answer_well))
+        entry, records = await start_entry(self, makers[0], StandIn("t1", answer_well))
         named, signs = make_word(records[0], 0.5)
         self.assertEqual(await self.call(entry, "/pieces/a", ONE_PIECE), 200)
         self.assertEqual(freed, [])
