Sight: a line for each target that names a rate limit, changes or ends it

Cause: nothing of an answer's head said so in the logs, so the hypotheses could not be told apart. Ruled out: a line for each answer, since a target in need says it in all of them. Change: the header is read (fractions, several values, what can't be understood), the newest word of each start of a target is kept, and each change is one line "rate limit named". Nothing is chosen by it.

--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -32,6 +32,7 @@
     HttpRequest,
     HttpResponse,
     keep_end_to_end,
+    read_rate_limit,
     read_retry_after,
 )
 
@@ -160,6 +161,7 @@
             is_stream=kind.startswith("text/event-stream"),
             backoff_seconds=_read_backoff(head),
             is_leaving=(head.find(self._lower["leaving"]) or "").strip() not in ("", "0"),
+            rate_limit=read_rate_limit(head.find_all(self._lower["rate_limit"])),
         )
 
     # Stage pools.
--- a/packages/damsonlaned/src/damsonlaned/dialects/_names.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_names.py
@@ -21,6 +21,8 @@
     not_run: str
     #: Present, and not 0, when a target says that it leaves.
     leaving: str
+    #: Requests a second that a target takes from all boxes together.
+    rate_limit: str
     #: A target's requests at work, waiting, and slots.
     load: str
     #: Urgency at the target.
--- a/packages/damsonlaned/src/damsonlaned/dialects/_native.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_native.py
@@ -33,6 +33,7 @@
         target="Damsonlane-Target",
         not_run="Damsonlane-Run-No",
         leaving="Damsonlane-Leaving",
+        rate_limit="Damsonlane-Rate-Limit",
         load="Damsonlane-Load",
         urgency="Damsonlane-Urgency",
         prefix="Damsonlane-Prefix",
--- a/packages/damsonlaned/src/damsonlaned/dialects/_types.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_types.py
@@ -86,6 +86,9 @@
     backoff_seconds: float = 0.0
     #: Whether the target says that it leaves.
     is_leaving: bool = False
+    #: Requests a second that the target takes from all boxes together; None where it names no
+    #: limit.
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_notices.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_notices.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from damsonlane.backoff import BackoffBook, TargetStart, find_spread_seconds
+from damsonlane.ratelimit import RateLimitBook, RateWord
 from damsonlane.targets import TargetRecord
 from damsonlaned.dialects import AnswerSigns
 
@@ -31,6 +32,7 @@
         self._count_boxes: Final = count_boxes
         self._on_leaving: Final = on_leaving
         self._book: Final = BackoffBook()
+        self._limits: Final = RateLimitBook()
         self._randomness: Final = random.Random()
 
     def take(self, named: TargetStart, signs: AnswerSigns) -> None:
@@ -45,6 +47,8 @@
         if signs.is_leaving and self._book.note_leaving(named):
             _LOG.info("target leaves", extra=fields)
             self._on_leaving()
+        if self._limits.note(RateWord(named=named, rate=signs.rate_limit), self._clock()):
+            _LOG.info("rate limit named", extra={**fields, "rate": signs.rate_limit})
 
     def is_leaving(self, record: TargetRecord) -> bool:
         """Tell whether a target said to this box that it leaves."""
@@ -60,4 +64,6 @@
 
     def follow(self, records: Sequence[TargetRecord]) -> None:
         """Forget what was said by starts of targets that control lists no more."""
-        self._book.forget_others([TargetStart.of(record) for record in records], self._clock())
+        known = [TargetStart.of(record) for record in records]
+        self._book.forget_others(known, self._clock())
+        self._limits.forget_others(known, self._clock())
--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -12,6 +12,7 @@
     HttpResponse,
     keep_end_to_end,
 )
+from damsonlaned.http._rate_limit import read_rate_limit
 from damsonlaned.http._reply import Reply
 from damsonlaned.http._retry_after import read_retry_after
 from damsonlaned.http._server import ListenerLimits, WebListener
@@ -30,5 +31,6 @@
     "SentExchange",
     "WebListener",
     "keep_end_to_end",
+    "read_rate_limit",
     "read_retry_after",
 ]
--- a/packages/damsonlaned/src/damsonlaned/http/_messages.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_messages.py
@@ -33,6 +33,10 @@
         """Return the first value of a header, whose name is given in lower case."""
         return _find(self.headers, name)
 
+    def find_all(self, name: bytes) -> list[str]:
+        """Return all values of a header, whose name is given in lower case."""
+        return [value.decode("latin-1") for key, value in self.headers if key.lower() == name]
+
 
 @dataclass(frozen=True, kw_only=True)
 class HttpRequest:
