--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/fleet.py
@@ -0,0 +1,49 @@
+"""Several entries in one process that reach each other, before the same targets."""
+
+import unittest
+from collections.abc import Sequence
+
+from damsonlane.routes import RoutingDocument
+from damsonlane.targets import TargetRecord
+from damsonlane_rpc import Service
+from damsonlaned.gateway._pool_service import PoolService
+from damsonlaned.gateway.tests.harness import Entry
+from damsonlaned.gateway.tests.test_links import make_record, serve
+from damsonlaned.tests.addresses import find_addresses
+
+
+class Fleet:
+    """Entries that control lists for each other.
+
+    Args:
+        count: how many.
+        document: the document in force at all of them.
+    """
+
+    def __init__(self, count: int, document: RoutingDocument) -> None:
+        addresses = find_addresses(count)
+        self.entries = [Entry(document, address=address) for address in addresses]
+
+    async def start(
+        self, test: unittest.IsolatedAsyncioTestCase, records: Sequence[TargetRecord]
+    ) -> None:
+        """Start all entries; the test ends them."""
+        for entry in self.entries:
+            service = PoolService(entry.owners, entry.placers)
+            await serve(test, entry.address, Service(dict(service.handlers())))
+        for entry in self.entries:
+            await entry.start(*records)
+            test.addAsyncCleanup(entry.stop)
+            test.addAsyncCleanup(entry.pools.stop)
+        self.list_entries(self.entries)
+
+    def list_entries(self, entries: Sequence[Entry]) -> None:
+        """Have control list some entries to all."""
+        listed = tuple(make_record(entry.address) for entry in entries)
+        for entry in self.entries:
+            entry.view.put_entries(listed)
+
+    def put_targets(self, *records: TargetRecord) -> None:
+        """Have control list some targets to all."""
+        for entry in self.entries:
+            entry.put_targets(*records)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -264,10 +264,12 @@
         *,
         slack: float = 20.0,
         control: Control | None = None,
+        address: str = "127.0.0.1:9",
     ) -> None:
         dialect = NativeDialect()
+        self.address = address
         self.view = FleetView(dialect)
-        targets = Targets(self.view, "gulberg", lambda: 1)
+        targets = Targets(self.view, "gulberg", lambda: max(1, len(self.view.entries)), address)
         self.metrics = Metrics()
         #: Targets that the entry found to have ended, with what broke off there.
         self.ends: list[tuple[LostTarget, Sequence[BrokenRun]]] = []
@@ -278,8 +280,10 @@
         self.owners = PoolOwners(
             self.view, targets, dialect, self.metrics, self.ended, self.quarantine
         )
-        self.pools = PoolClient(self.view, self.owners, "127.0.0.1:9", None)
-        placements = PlacementClient(PromptPlacers(self.view), self.pools, "127.0.0.1:9")
+        self.pools = PoolClient(self.view, self.owners, address, None)
+        self.placers = PromptPlacers(self.view)
+        placements = PlacementClient(self.placers, self.pools, address)
+        self.pools.take_placements = placements.take
         self.attempts = Attempts(targets, placements, dialect, 0.2, 10.0, slack)
         self.callers = CallerService(
             GatewayParts(
