--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_rate_limits.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_rate_limits.py
@@ -16,8 +16,9 @@
 
 The limit was read by nobody, and what an entry might have kept by itself would have added up:
 one request saved at each of eight boxes is more than the target bears.  The owner of a service
-issues a permit for each request to such a target now.  So what holds is counted over all boxes: however they share the limit, the target gets no more
-than it named, on whatever way the requests come.
+issues a permit for each request to such a target now.  So what holds is counted over all boxes:
+however they share the limit, the target gets no more than it named, on whatever way the requests
+come.
 """
 
 import asyncio
