--- a/packages/damsonlaned/src/damsonlaned/entry/tests/test_backoff.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/tests/test_backoff.py
@@ -45,7 +45,7 @@
 
             def do_POST(self) -> None:
                 self.rfile.read(int(self.headers["Content-Length"]))
-                target.count += 1
+                target.note()
                 self.send_response(status)
                 for name, value in headers.items():
                     self.send_header(name.replace("_", "-"), value)
@@ -65,6 +65,10 @@
     def address(self) -> str:
         return f"127.0.0.1:{self._server.server_port}"
 
+    def note(self) -> None:
+        """Count a request that came."""
+        self.count += 1
+
     def stop(self) -> None:
         self._server.shutdown()
         self._thread.join()
@@ -86,7 +90,7 @@
         return SettingsInForce(version=1, tree=tree)
 
     def send(self, settings: SettingsInForce) -> AttemptResult:
-        return _run(self.dispatch.send(SEND, settings, "p", "f"))
+        return run(self.dispatch.send(SEND, settings, "p", "f"))
 
     def test_a_target_that_asks_for_rest_gets_nothing_more(self) -> None:
         asking, working = StandIn(503, Retry_After=f"{REST:.0f}"), StandIn(200)
@@ -112,7 +116,7 @@
         self.assertGreater(self.dispatch.forecast(REQUEST, settings), REST / 2)
 
 
-def _run(attempt: Generator[str, None, tuple[str, AttemptResult]]) -> AttemptResult:
+def run(attempt: Generator[str, None, tuple[str, AttemptResult]]) -> AttemptResult:
     while True:
         try:
             next(attempt)
