Rate limits: entries of pipelines ask the leader of control for permits

What callers saw: nothing; their targets got 20 to 24 of 40 requests in four seconds where they had named one in ten seconds. Cause: the same as at entries of routes: the header was read by nobody. Ruled out: an owner among the entries as for routes: entries of pipelines know only a sample of each other. Change: the head's limit is read by the pipelines' side too, the leader issues a permit for each request to a limited target from memory, and what begins or ends comes with the settings. The lock of the dispatch is not held while control is asked. Without control limited targets get nothing. A target that turned away what it had not named is not counted ill.

--- a/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_dispatch.py
@@ -2,17 +2,19 @@
 
 import random
 import threading
-from collections.abc import Callable, Generator
-from dataclasses import replace
+from collections.abc import Callable, Collection, Generator
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Final
 
 from damsonlane.admission import ServiceMeter, Work
+from damsonlane.backoff import TargetStart
 from damsonlane.quarantine import BrokenRun
 from damsonlane.requests import AttemptResult, Request, Send
 from damsonlane.routing import Choice, Health, LoadReport, Origin, Standing, TargetBook
 from damsonlaned.clock import read_clock
 from damsonlaned.entry._leaving import LeavingTargets
+from damsonlaned.entry._limited_targets import LimitedTargets, NoPermits
 from damsonlaned.entry._resting import RestingTargets
 from damsonlaned.entry._thread_quarantine import ThreadQuarantine
 from damsonlaned.entry._view import SettingsInForce
@@ -30,6 +32,7 @@
         leaving: targets that get nothing new.
         quarantine: told of targets under which attempts broke off.
         count_entries: returns how many entries send to the targets.
+        limits: targets that named rate limits; without it this box keeps them alone.
     """
 
     def __init__(
@@ -38,7 +41,9 @@
         leaving: LeavingTargets,
         quarantine: ThreadQuarantine,
         count_entries: Callable[[], int] = lambda: 1,
+        limits: LimitedTargets | None = None,
     ) -> None:
+        self._limits: Final = limits or LimitedTargets(NoPermits())
         self._count_entries: Final = count_entries
         self._quarantine: Final = quarantine
         self._data_centre: Final = data_centre
@@ -83,13 +88,13 @@
             Name of the target, empty if there was none, and the result.
         """
         choice = self._choose(send, settings)
-        if choice is None:
+        if isinstance(choice, _NoTarget):
             fault = f"service '{send.stage.service}' has no target that may be used"
-            with self._lock:
-                seconds = self._find_return_seconds(send.stage.service)
             return "", AttemptResult(
-                answers=None, outcome="unsent", fault=fault, retry_after=seconds
+                answers=None, outcome="unsent", fault=fault, retry_after=choice.return_seconds
             )
+        with self._lock:
+            self._meters[send.stage.service].begin()
         began_at = read_clock()
         service = settings.tree.services[send.stage.service]
         call = TargetCall(
@@ -119,21 +124,63 @@
         """Close all connections to targets."""
         self._connections.close()
 
-    def _choose(self, send: Send, settings: SettingsInForce) -> Choice | None:
+    def _choose(self, send: Send, settings: SettingsInForce) -> "Choice | _NoTarget":
+        """Choose a target, with a permit where it named a rate limit."""
+        service = send.stage.service
         with self._lock:
             self._follow(settings)
-            origin = Origin(data_centre=self._data_centre, affinity=send.text)
-            choice = self._books[send.stage.service].choose(
-                send.stage.routing,
-                origin,
-                avoid=send.avoid,
-                leaving=self._list_closed(send.stage.service),
-                now=read_clock(),
-                randomness=self._randomness,
-            )
-            if choice is not None:
-                self._meters[send.stage.service].begin()
-            return choice
+            limited = self._list_limited(service)
+            are_all_limited = bool(limited) and self._list_open(service) <= limited.keys()
+            at_rate = set() if are_all_limited else self._limits.list_at_rate(limited)
+            choice = self._choose_free(send, at_rate)
+            if choice is None:
+                return _NoTarget(return_seconds=self._find_return_seconds(service))
+            if choice.target not in limited:
+                return choice
+            # It gets nothing without a permit.
+            self._books[service].finish(choice.target, "neutral", read_clock())
+        # Control is asked without the lock: other threads go on meanwhile.
+        first = limited.pop(choice.target)
+        others = [named for name, named in limited.items() if name not in {*at_rate, *send.avoid}]
+        permit = self._limits.ask(service, (first, *others), is_last=are_all_limited)
+        with self._lock:
+            if permit.target:
+                return self._take(send, permit.target) or _NoTarget()
+            if are_all_limited:
+                return _NoTarget(return_seconds=permit.return_seconds)
+            free = self._choose_free(send, {choice.target, *limited})
+            return free or _NoTarget(return_seconds=self._find_return_seconds(service))
+
+    def _choose_free(self, send: Send, at_rate: Collection[str]) -> Choice | None:
+        """Choose a target that has less than it takes; the lock is held."""
+        service = send.stage.service
+        return self._books[service].choose(
+            send.stage.routing,
+            Origin(data_centre=self._data_centre, affinity=send.text),
+            avoid=send.avoid,
+            leaving=self._list_closed(service) | frozenset(at_rate),
+            now=read_clock(),
+            randomness=self._randomness,
+        )
+
+    def _take(self, send: Send, name: str) -> Choice | None:
+        """Take the target that a permit names; the lock is held."""
+        service = send.stage.service
+        return self._books[service].take(name.removeprefix(f"{service}/"))
+
+    def _list_open(self, service: str) -> set[str]:
+        """Return the targets that may get something, their rate limits apart."""
+        return set(self._books[service].standings()) - self._list_closed(service)
+
+    def _list_limited(self, service: str) -> dict[str, TargetStart]:
+        """Return the targets that may get something and named a rate limit."""
+        closed = self._list_closed(service)
+        standings = {
+            name: stands
+            for name, stands in self._books[service].standings().items()
+            if name not in closed
+        }
+        return self._limits.list_limited(service, standings)
 
     def _list_closed(self, service: str) -> frozenset[str]:
         """Return the targets that get nothing now: they leave, or asked for rest."""
@@ -145,7 +192,11 @@
         standings = self._books[service].standings()
         leaving = self._leaving.of(service)
         staying = {name: stands for name, stands in standings.items() if name not in leaving}
-        return self._resting.find_return_seconds(service, staying)
+        resting = self._resting.find_return_seconds(service, staying)
+        limited = self._limits.list_limited(service, staying)
+        if limited.keys() != staying.keys():
+            return resting
+        return max(resting, self._limits.find_wait(limited.values()))
 
     def _take_notice(self, service: str, choice: Choice, notice: TargetNotice) -> None:
         """Take what the head of an answer says of its target."""
@@ -155,6 +206,13 @@
             seconds = notice.backoff_seconds
             boxes = self._count_entries()
             self._resting.note(service, choice.target, choice.address, seconds, boxes)
+        self._limits.note(
+            service,
+            choice.target,
+            choice.address,
+            notice.rate_limit,
+            may_end=notice.has_taken,
+        )
 
     def _follow(self, settings: SettingsInForce) -> None:
         """Take over the targets of newer settings; a request under older ones changes nothing."""
@@ -184,14 +242,24 @@
             pace = self._meters[send.stage.service].finish(work, now, seconds)
             health = _judge(reply)
             left = self._resting.seconds_left(send.stage.service, choice.target, choice.address)
-            if health == "bad" and left > 0:
-                # It is well and says when it returns.
+            is_refused = reply is not None and reply.result.outcome == "refused"
+            is_limited = choice.target in self._list_limited(send.stage.service)
+            if health == "bad" and (left > 0 or (is_refused and is_limited)):
+                # It is well and says when it returns, or how much it takes.
                 health = "neutral"
             book.finish(
                 choice.target, health, now, pace=pace if is_answered else None, report=report
             )
 
 
+@dataclass(frozen=True, kw_only=True)
+class _NoTarget:
+    """No target may get a request now."""
+
+    #: Seconds after which the caller should come back; 0 where that is not known.
+    return_seconds: float = 0.0
+
+
 def _name_lost(send: Send, choice: Choice) -> LostTarget:
     """Return the target under which an attempt broke off."""
     return LostTarget(
--- a/packages/damsonlaned/src/damsonlaned/entry/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -9,6 +9,7 @@
 from damsonlaned.entry._callers import CallerApplication
 from damsonlaned.entry._dispatch import Dispatch
 from damsonlaned.entry._leaving import LeavingTargets
+from damsonlaned.entry._limited_targets import LimitedTargets
 from damsonlaned.entry._peers import PeerService
 from damsonlaned.entry._platform import PlatformWatch
 from damsonlaned.entry._request_runner import RequestRunner
@@ -37,11 +38,14 @@
         self._metrics: Final = Metrics()
         leaving = LeavingTargets()
         self._uplink: Final = Uplink(settings, self._view, leaving, context)
+        limits = LimitedTargets(self._uplink.permits)
+        self._uplink.settings.take_rate_limits = limits.put
         self._dispatch: Final = Dispatch(
             settings.data_centre,
             leaving,
             self._uplink.quarantine,
             lambda: self._uplink.settings.live_entries,
+            limits,
         )
         self._platform: Final = PlatformWatch(settings, self._view, leaving)
         runner = RequestRunner(self._uplink, self._dispatch)
--- a/packages/damsonlaned/src/damsonlaned/entry/_settings_link.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_settings_link.py
@@ -6,12 +6,14 @@
 import random
 import ssl
 import time
+from collections.abc import Callable
 from typing import Final
 
 from grpclib.client import Stream
 
 from damsonlane.errors import UnavailableError
 from damsonlane.ledger import Holder
+from damsonlane.ratelimit import RateLimitList
 from damsonlane.settings import BoxSettings
 from damsonlane_rpc import (
     CALL_FAULTS,
@@ -80,6 +82,8 @@
         self.live_entries = 1
         #: Which requests are kept from targets.
         self.quarantine: Final = KnownQuarantine()
+        #: Takes the rate limits that targets named, as control tells them.
+        self.take_rate_limits: Callable[[RateLimitList], None] = lambda _: None
 
     def start(self) -> None:
         """Start following."""
@@ -141,6 +145,8 @@
             self._told_peers = update.peers
             if update.quarantine is not None:
                 self.quarantine.put(update.quarantine)
+            if update.rate_limits is not None:
+                self.take_rate_limits(update.rate_limits)
             self._take_settings(update)
             if update.version > self._view.current.version:
                 # The changes did not fit, so the whole tree must be read again.
--- a/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_uplink.py
@@ -11,6 +11,7 @@
 from damsonlaned.entry._job_link import JobLink
 from damsonlaned.entry._leaving import LeavingTargets
 from damsonlaned.entry._settings_link import SettingsLink
+from damsonlaned.entry._thread_permits import ThreadPermits
 from damsonlaned.entry._thread_quarantine import ThreadQuarantine
 from damsonlaned.entry._view import SettingsView
 from damsonlaned.quarantine import Quarantine, QuarantineClient
@@ -49,6 +50,9 @@
             Quarantine(self.settings.quarantine, QuarantineClient(self._client).submit)
         )
 
+        #: Asks control for permits to send to limited targets.
+        self.permits: Final = ThreadPermits(self._client)
+
     def start(self) -> None:
         """Start following control."""
         self.settings.start()
--- a/packages/damsonlaned/src/damsonlaned/entry/tests/test_rate_limits.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/tests/test_rate_limits.py
@@ -3,10 +3,12 @@
 The entries of routes read no limit that a target named for all boxes together, and the entries
 of pipelines read none either.  Of 40 requests that four boxes sent in a moment a target got 20
 to 24 though it had named one request in ten seconds, 8 where it turned them away, and where it
-was the only one it got all 40.
+was the only one it got all 40.  Their permits come from the leader of control, since these
+entries know no list of each other from which an owner could be chosen.
 """
 
 import itertools
+import threading
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
@@ -15,10 +17,13 @@
 
 from pydantic import JsonValue
 
+from damsonlane.ratelimit import Permit, PermitIssuer, RateLimitBook, RateWord
 from damsonlane.requests import AttemptResult
 from damsonlane.settings import Tree, check_tree
+from damsonlane_rpc import PermitRequest
 from damsonlaned.entry._dispatch import Dispatch
 from damsonlaned.entry._leaving import LeavingTargets
+from damsonlaned.entry._limited_targets import LimitedTargets
 from damsonlaned.entry._view import SettingsInForce
 from damsonlaned.entry.tests.test_backoff import REQUEST, SEND, StandIn, run
 
@@ -36,6 +41,27 @@
 ANY = replace(SEND, stage=replace(SEND.stage, routing="random"))
 
 
+class Leader:
+    """Issues permits to all boxes, as the leader of control does."""
+
+    def __init__(self) -> None:
+        self._book = RateLimitBook()
+        self._issuer = PermitIssuer(self._book)
+        self._lock = threading.Lock()
+
+    def ask(self, request: PermitRequest) -> tuple[Permit, ...] | None:
+        now = time.monotonic()
+        with self._lock:
+            for word in request.words:
+                self._book.note(word, now)
+            return tuple(
+                self._issuer.issue(request.service, order, 1.0, now) for order in request.orders
+            )
+
+    def tell(self, word: RateWord) -> None:
+        self.ask(PermitRequest(words=(word,)))
+
+
 class Limited(StandIn):
     """A target that names its limit in each answer, and notes when requests come."""
 
@@ -58,10 +84,12 @@
 class PipelineRateLimitTest(unittest.TestCase):
     def setUp(self) -> None:
         self.versions = itertools.count(1)
+        self.leader = Leader()
         self.boxes = [self.make_box() for _ in range(BOXES)]
 
     def make_box(self) -> Dispatch:
-        box = Dispatch("one", LeavingTargets(), mock.Mock())
+        limits = LimitedTargets(self.leader)
+        box = Dispatch("one", LeavingTargets(), mock.Mock(), limits=limits)
         self.addCleanup(box.close)
         return box
 
--- a/packages/damsonlaned/src/damsonlaned/targets/_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_calls.py
@@ -10,6 +10,7 @@
 from damsonlane.requests import AttemptKey, AttemptResult
 from damsonlane.routing import LoadReport
 from damsonlaned.targets._connections import (
+    REFUSING_STATUSES,
     SENT_FAULTS,
     UNSENT_FAULTS,
     Connections,
@@ -19,9 +20,6 @@
     read_notice,
 )
 
-#: Statuses by which a target refuses without running anything.
-REFUSING_STATUSES: Final = frozenset({429, 503})
-
 
 @dataclass(frozen=True, kw_only=True)
 class TargetCall:
--- a/packages/damsonlaned/src/damsonlaned/targets/_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_connections.py
@@ -12,7 +12,7 @@
 from damsonlane.routing import LoadReport
 from damsonlane_rpc import Endpoint
 from damsonlaned.clock import read_clock
-from damsonlaned.http import read_retry_after
+from damsonlaned.http import read_rate_limit, read_retry_after
 
 #: Idle connections kept for one target.
 IDLE_CONNECTIONS: Final = 64
@@ -24,6 +24,8 @@
 LOAD_HEADER: Final = "Damsonlane-Load"
 #: Header by which a target says that it is leaving.
 LEAVING_HEADER: Final = "Damsonlane-Leaving"
+#: Header by which a target names the requests a second that it takes from all boxes.
+RATE_LIMIT_HEADER: Final = "Damsonlane-Rate-Limit"
 
 #: Raised when no byte of the request can have reached the target.
 UNSENT_FAULTS: Final = (NewConnectionError, ConnectTimeoutError)
@@ -31,6 +33,8 @@
 SENT_FAULTS: Final = (HTTPError, OSError)
 
 
+#: Statuses by which a target refuses without running anything.
+REFUSING_STATUSES: Final = frozenset({429, 503})
 #: Status by which a target says that it is the one that has too much to do.
 BUSY_STATUS: Final = 503
 
@@ -43,6 +47,10 @@
     backoff_seconds: float = 0.0
     #: Whether it leaves.
     is_leaving: bool = False
+    #: Requests a second that it takes from all boxes together; None where it names no limit.
+    rate_limit: float | None = None
+    #: Whether it took the request that it answers.
+    has_taken: bool = True
 
 
 class LateError(OSError):
@@ -124,7 +132,12 @@
     if response.status == BUSY_STATUS:
         seconds = read_retry_after(headers.get("Retry-After"), headers.get("Date"))
     is_leaving = headers.get(LEAVING_HEADER, "").strip() not in ("", "0")
-    return TargetNotice(backoff_seconds=seconds, is_leaving=is_leaving)
+    return TargetNotice(
+        backoff_seconds=seconds,
+        is_leaving=is_leaving,
+        rate_limit=read_rate_limit(headers.getlist(RATE_LIMIT_HEADER)),
+        has_taken=response.status not in REFUSING_STATUSES,
+    )
 
 
 def read_load(response: urllib3.BaseHTTPResponse) -> LoadReport | None:
