Test: a request that many targets turn away is refused while another is free (fails)

Cause: a request is offered to three targets at the most, also where each of them says at once that it wants nothing for a while. One of some 600 was refused where four of six targets asked for rest. Ruled out: that the sixth target can't be used: the next request is served there. Conclusion: offers that a target turned away by its own word must not count like the others.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_backoff_ends.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_backoff_ends.py
@@ -85,6 +85,16 @@
         self.assertEqual(await self.call(entry), 200)
         self.assertEqual(len(target.requests), 4)
 
+    async def test_a_request_that_many_targets_turn_away_goes_on_to_the_next(self) -> None:
+        """Five ask for rest one after the other, before the entry's own data centre is left."""
+        resting = [StandIn(f"t{number}", refuse(ASKS)) for number in range(5)]
+        working = StandIn("far", answer_well)
+        entry, records = await start_entry(self, *resting, working)
+        far = replace(records[-1], data_centre="dha")
+        entry.put_targets(*records[:-1], far)
+        self.assertEqual(await self.call(entry), 200)
+        self.assertEqual([len(target.requests) for target in resting], [1] * 5)
+
     async def test_the_next_start_is_free_of_it(self) -> None:
         for word in (ASKS, LEAVES):
             target = StandIn("t1", in_turn(refuse((*word, *ASKS[1:])), answer_well))
