A request that many targets turn away by their own word goes on to the next

What callers saw: 503 while a target was free, one of some 600 requests where four of six targets asked for rest. Cause: three offers at the most for any request, however quickly and truly it was turned away. Ruled out: more offers for all: three guard the fleet's budget of repeats where targets only fail. Change: an offer that a target turned away by naming a rest or a rate limit does not count among the three, twelve in all at the most. Each such target gets nothing more for a while, and each further offer is paid from the budget as before.

--- a/packages/damsonlaned/src/damsonlaned/dialects/_types.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_types.py
@@ -90,6 +90,10 @@
     #: limit.
     rate_limit: float | None = None
 
+    def says_what_it_takes(self) -> bool:
+        """Tell whether the target turned the request away by what it says that it takes."""
+        return self.backoff_seconds > 0 or (self.has_not_run and self.rate_limit is not None)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Refusal:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -183,7 +183,7 @@
         opened.exchange.finish()
         if opened.head.status == 421:
             self._targets.note_misdirected(opened.chosen)
-        if health == "bad" and _is_own_refusal(opened.signs):
+        if health == "bad" and opened.signs.says_what_it_takes():
             # It is well and says what it takes: ejected for three such answers it would
             # stay away longer than it asked.
             health = "neutral"
@@ -225,11 +225,6 @@
         return asyncio.get_running_loop().time()
 
 
-def _is_own_refusal(signs: AnswerSigns) -> bool:
-    """Tell whether a target turned a request away by what it said it takes."""
-    return signs.backoff_seconds > 0 or (signs.has_not_run and signs.rate_limit is not None)
-
-
 def _find_prompt(call: Call) -> Prompt:
     """Return what the choice of an engine depends on."""
     shared = call.request.prefix[:-1]
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -136,7 +136,9 @@
             unserved = await self._try_once()
             if unserved is None:
                 return
-            self._tries.note_unserved(may_have_run=unserved.may_have_run)
+            self._tries.note_unserved(
+                may_have_run=unserved.may_have_run, is_told_off=unserved.is_told_off
+            )
             if unserved.needs_inputs:
                 self._free_results()
             if unserved.is_nowhere or not self._may_try_again():
@@ -306,6 +308,7 @@
                 detail=f"the target turned it away with {response.status}",
                 may_have_run=False,
                 needs_inputs=response.status == 409,
+                is_told_off=opened.signs.says_what_it_takes(),
             )
         if response.status >= 500 or self._answer.has_begun():
             return Unserved(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_tries.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_tries.py
@@ -10,6 +10,9 @@
 LEAST_ATTEMPT_SECONDS: Final = 0.08
 #: Targets that one request is offered to while none has run it.
 MOST_OFFERS: Final = 3
+#: The same, with those that turned it away and said how much they take, or when.  Each of them
+#: gets nothing more for a while, so a request reaches the one that is free.
+MOST_TOLD_OFFERS: Final = 12
 #: Seconds of silence in an event stream after which it is taken up elsewhere,
 #: as a multiple of the longest pause in aim.
 PAUSES_TO_RESUME: Final = 3.0
@@ -30,6 +33,7 @@
     def __init__(self, call: Call) -> None:
         self._call: Final = call
         self._ran_on = 0
+        self._told_off = 0
         #: Offers to targets so far.
         self.offers = 0
         #: Names of the targets that it was offered to.
@@ -42,8 +46,14 @@
         self.offers += 1
         self.tried.add(target)
 
-    def note_unserved(self, *, may_have_run: bool) -> None:
-        """Note that an attempt gave the caller nothing."""
+    def note_unserved(self, *, may_have_run: bool, is_told_off: bool = False) -> None:
+        """Note that an attempt gave the caller nothing.
+
+        Args:
+            may_have_run: whether it may have run there.
+            is_told_off: whether the target said how much it takes, or when.
+        """
+        self._told_off += is_told_off
         if may_have_run:
             self.may_have_run = True
             self._ran_on += 1
@@ -82,7 +92,9 @@
             return False
         if self.may_have_run and not route.is_repeatable():
             return False
-        return self._ran_on < max(1, route.most_targets) and self.offers < MOST_OFFERS
+        if self._ran_on >= max(1, route.most_targets):
+            return False
+        return self.offers - self._told_off < MOST_OFFERS and self.offers < MOST_TOLD_OFFERS
 
     def _is_last_run(self) -> bool:
         """Tell whether no target may run it after the one that has it now."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_unserved.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_unserved.py
@@ -21,6 +21,8 @@
     response: HttpResponse | None = None
     #: Whether its stage results must be made again.
     needs_inputs: bool = False
+    #: Whether the target turned it away and said how much it takes, or when.
+    is_told_off: bool = False
     #: How the answer was lost, if the target may not have survived the request.
     loss: Loss | None = None
     #: Whether there was no target that it could be sent to.
