Soak: targets that name rate limits, alone or all of a service, that change, last or make no sense

Cause: the soak's targets asked for rest and left, but named no limit, so no run could have found this fault. Ruled out: counting all that comes to a target: an entry that was not told, or was started again since, knows nothing; a frozen target gets at once what was sent meanwhile. What each head said is a line of the target's log, and the judge adds up what came from all entries that had been told, over every four seconds. The looks of the judge have modules of their own.

--- a/packages/damsonlane_bench/src/damsonlane_bench/fleet/_processes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/fleet/_processes.py
@@ -70,7 +70,7 @@
         """Wait for its end and return its exit code."""
         return self._close()
 
-    def signal(self, number: signal.Signals) -> None:
+    def signal(self, number: int) -> None:
         """Send it a signal."""
         self._process.send_signal(number)
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered/__main__.py
@@ -7,6 +7,8 @@
 
 from damsonlane_bench.registered._target import (
     LEAVING_SIGNAL,
+    LIMIT_END_SIGNAL,
+    LIMIT_SIGNAL,
     REST_SIGNAL,
     Kind,
     RegisteredTarget,
@@ -20,6 +22,8 @@
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(REST_SIGNAL, target.ask_for_rest)
     loop.add_signal_handler(LEAVING_SIGNAL, target.say_leaving)
+    loop.add_signal_handler(LIMIT_SIGNAL, target.name_limit)
+    loop.add_signal_handler(LIMIT_END_SIGNAL, target.end_limit)
     await target.start()
     await stopped.wait()
     await target.leave()
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered/_target.py
@@ -1,6 +1,7 @@
 """A target that sends heartbeats, says when it leaves, and counts what it ran."""
 
 import asyncio
+import itertools
 import json
 import logging
 import os
@@ -47,6 +48,22 @@
 #: its answers that it leaves.
 REST_SIGNAL: Final = signal.SIGUSR1
 LEAVING_SIGNAL: Final = signal.SIGUSR2
+#: Signals at which a target names the next of `LIMITS`, and at which it names none any more.
+LIMIT_SIGNAL: Final = signal.SIGRTMIN
+LIMIT_END_SIGNAL: Final = signal.SIGRTMIN + 1
+#: Rate limits that a target names one after the other: what the header says, and the requests a
+#: second that it means; None where it means nothing.
+LIMITS: Final[tuple[tuple[str, float | None], ...]] = (
+    ("2", 2.0),
+    ("0.5", 0.5),
+    ("8", 8.0),
+    ("many", None),
+    ("3, 1.5", 1.5),
+    ("0", 0.0),
+    ("-1", None),
+    ("0.05", 0.05),
+    ("1e9", 1e9),
+)
 #: Seconds of rest that a target asks for, and for which it turns away what comes.
 REST_SECONDS: Final = 1.5
 #: Seconds for which a leaving target goes on serving.
@@ -79,6 +96,10 @@
         self._beating: asyncio.Task[None] | None = None
         self._rests_until = 0.0
         self._says_leaving = False
+        self._limits = itertools.cycle(LIMITS)
+        self._limit = ""
+        self._rate: float | None = None
+        self._has_named = False
         #: Ids of the requests that ran here, in order.
         self.ran: list[str] = []
 
@@ -91,6 +112,15 @@
         """Turn away what comes for a while, and ask for rest."""
         self._rests_until = time.monotonic() + REST_SECONDS
 
+    def name_limit(self) -> None:
+        """Name the next rate limit in each answer from now on."""
+        self._limit, self._rate = next(self._limits)
+        self._has_named = True
+
+    def end_limit(self) -> None:
+        """Name no rate limit any more."""
+        self._limit, self._rate = "", None
+
     def say_leaving(self) -> None:
         """Say in each answer that it leaves, whether control knows it or not."""
         self._says_leaving = True
@@ -213,12 +243,26 @@
     def _headers(self, request: HttpRequest) -> tuple[tuple[bytes, bytes], ...]:
         request_id = request.find(b"damsonlane-request-id") or ""
         leaving = ((b"Damsonlane-Leaving", b"1"),) if self._says_leaving else ()
+        if self._has_named:
+            self._tell_naming(request_id)
+        limit = ((b"Damsonlane-Rate-Limit", self._limit.encode()),) if self._limit else ()
         return (
             (b"Damsonlane-Request-Id", request_id.encode()),
             (b"Served-By", self._record.target.encode()),
             *leaving,
+            *limit,
         )
 
+    def _tell_naming(self, request_id: str) -> None:
+        """Write to the log what the head of an answer says of the rate limit."""
+        line = {
+            "named": request_id,
+            "target": self._record.target,
+            "rate": self._rate,
+            "at": time.time(),
+        }
+        print(json.dumps(line), flush=True)
+
 
 def _tell_run(request: HttpRequest, *, is_deadly: bool = False) -> None:
     """Write to the log what begins to run; memory would be lost with the process."""
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
@@ -3,13 +3,14 @@
 A plan enters, and a verdict leaves: every promise that was broken, with the request.
 """
 
-from damsonlane_bench.soak._judge import Breach
-from damsonlane_bench.soak._plan import FAULT_KINDS, WORD_KINDS, Fault, Plan, draw_plan
+from damsonlane_bench.soak._plan import FAULT_KINDS, LIMIT_KINDS, WORD_KINDS, Fault, Plan, draw_plan
+from damsonlane_bench.soak._promises import Breach
 from damsonlane_bench.soak._run import Soak, Verdict
 from damsonlane_bench.soak._size import FleetSize
 
 __all__ = [
     "FAULT_KINDS",
+    "LIMIT_KINDS",
     "WORD_KINDS",
     "Breach",
     "Fault",
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_journal.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_journal.py
@@ -58,6 +58,25 @@
         return self.request.partition("@")[2]
 
 
+@dataclass(frozen=True, kw_only=True)
+class Naming:
+    """What the head of an answer said of its target's rate limit."""
+
+    #: Id of the request; empty for calls to pools.
+    request: str
+    #: Name of the target, another one after each start.
+    target: str
+    #: Requests a second that it named; None for no limit.
+    rate: float | None
+    #: When, in seconds since 1970.
+    at: float
+
+    @property
+    def entry(self) -> str:
+        """Entry that was told; empty where it is not known."""
+        return self.request.partition("@")[2]
+
+
 @dataclass(frozen=True, kw_only=True)
 class ReadBack:
     """A version that control answered with."""
@@ -93,6 +112,8 @@
         self.own_ends: Final[list[str]] = []
         #: Requests that came to targets; read from their logs once the run is over.
         self.arrivals: Final[list[Arrival]] = []
+        #: What targets named as their rate limits; read from their logs as well.
+        self.namings: Final[list[Naming]] = []
 
     def note_answer(self, answer: Answer) -> None:
         """Note what a caller got."""
@@ -125,6 +146,19 @@
             )
 
 
+def read_namings(logs: Iterable[Path]) -> Iterator[Naming]:
+    """Yield what targets named as their rate limits, from their logs."""
+    for line in _read_lines(logs):
+        if line.startswith('{"named"'):
+            fields = json.loads(line)
+            yield Naming(
+                request=str(fields["named"]),
+                target=str(fields["target"]),
+                rate=fields["rate"],
+                at=float(fields["at"]),
+            )
+
+
 def read_target_runs(logs: Iterable[Path]) -> Iterator[TargetRun]:
     """Yield what targets ran, from their logs."""
     for line in _read_lines(logs):
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -78,6 +78,8 @@
 #: The same for what targets say of themselves.  It is drawn apart, so that a seed that showed a
 #: fault before there were these kinds still has the faults that it had then.
 WORD_KINDS: Final[dict[str, DrawBox]] = {}
+#: The same for rate limits, which came later still.
+LIMIT_KINDS: Final[dict[str, DrawBox]] = {}
 
 
 def fault_kind(name: str, kinds: dict[str, DrawBox] = FAULT_KINDS) -> Callable[[DrawBox], DrawBox]:
@@ -131,6 +133,23 @@
     return randomness.choice(boxes.targets)
 
 
+@fault_kind("limit", LIMIT_KINDS)
+def _draw_limited(randomness: random.Random, boxes: Boxes) -> str:
+    return randomness.choice(boxes.targets)
+
+
+@fault_kind("limit of all", LIMIT_KINDS)
+def _draw_limited_service(randomness: random.Random, boxes: Boxes) -> str:
+    """Return the first target of a service, by which its fellows are found."""
+    return randomness.choice(boxes.targets)
+
+
+@fault_kind("lasting limit", LIMIT_KINDS)
+def _draw_lasting(randomness: random.Random, boxes: Boxes) -> str:
+    """Return a target whose limit holds until another one ends it."""
+    return randomness.choice(boxes.targets)
+
+
 def draw_plan(seed: int, seconds: float, size: FleetSize | None = None) -> Plan:
     """Return the plan of a seed.
 
@@ -143,7 +162,8 @@
     boxes = Boxes.of(fleet)
     faults = _draw_faults(random.Random(seed), seconds, boxes, FAULT_KINDS)
     words = _draw_faults(random.Random(f"words {seed}"), seconds, boxes, WORD_KINDS)
-    ordered = sorted((*faults, *words), key=lambda fault: fault.at)
+    limits = _draw_faults(random.Random(f"limits {seed}"), seconds, boxes, LIMIT_KINDS)
+    ordered = sorted((*faults, *words, *limits), key=lambda fault: fault.at)
     return Plan(seed=seed, seconds=seconds, faults=tuple(ordered), size=fleet)
 
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
@@ -2,19 +2,25 @@
 
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from threading import Event, Lock, Thread
 from typing import Final
 
 from damsonlane_bench.fleet import StuckError, wait_until
-from damsonlane_bench.registered import LEAVING_SIGNAL, REST_SIGNAL
+from damsonlane_bench.registered import LEAVING_SIGNAL, LIMIT_END_SIGNAL, LIMIT_SIGNAL, REST_SIGNAL
 from damsonlane_bench.routes import RoutesFleet, make_document
 from damsonlane_bench.soak._callers import Caller, OperatorThread
-from damsonlane_bench.soak._journal import RunJournal, read_arrivals, read_target_runs
-from damsonlane_bench.soak._judge import Breach, judge
-from damsonlane_bench.soak._plan import WORD_KINDS, Fault, Plan
+from damsonlane_bench.soak._journal import (
+    RunJournal,
+    read_arrivals,
+    read_namings,
+    read_target_runs,
+)
+from damsonlane_bench.soak._judge import judge
+from damsonlane_bench.soak._plan import LIMIT_KINDS, WORD_KINDS, Fault, Plan
+from damsonlane_bench.soak._promises import Breach
 
 #: Callers that send requests of all routes, and one more for each further entry.
 CALLERS: Final = 5
@@ -76,6 +82,7 @@
         logs = [self._folder / f"{name}.log" for name in self._targets]
         runs = tuple(read_target_runs(logs))
         self._journal.arrivals.extend(read_arrivals(logs))
+        self._journal.namings.extend(read_namings(logs))
         statuses: dict[int, int] = {}
         for answer in self._journal.answers:
             statuses[answer.status] = statuses.get(answer.status, 0) + 1
@@ -145,6 +152,9 @@
         if fault.kind in WORD_KINDS:
             self._say(fault)
             return
+        if fault.kind in LIMIT_KINDS:
+            self._limit(fault)
+            return
         boxes = (*self._fleet.controls, *self._fleet.entries)
         names = (fault.process,) if fault.process else boxes
         taken = self._take(names)
@@ -166,14 +176,8 @@
 
         It is no disturbance: the entries are to act on it.
         """
-        service = self._targets[fault.process].service
-        fellows = [name for name, other in self._targets.items() if other.service == service]
-        names = fellows if fault.kind == "rest of all" else [fault.process]
-        number = LEAVING_SIGNAL if fault.kind == "leaving word" else REST_SIGNAL
-        for name in names:
-            process = self._fleet.processes[name]
-            if process.is_running() and process.has_written():
-                process.signal(number)
+        names = self._list_fellows(fault) if fault.kind == "rest of all" else [fault.process]
+        self._signal(names, LEAVING_SIGNAL if fault.kind == "leaving word" else REST_SIGNAL)
         self._stopped.wait(fault.seconds)
         if fault.kind != "leaving word":
             return
@@ -185,6 +189,26 @@
             with self._lock:
                 self._busy.discard(fault.process)
 
+    def _limit(self, fault: Fault) -> None:
+        """Have a target, or all of its service, name a rate limit, and most of them end it."""
+        names = self._list_fellows(fault) if fault.kind == "limit of all" else [fault.process]
+        self._signal(names, LIMIT_SIGNAL)
+        self._stopped.wait(2.0 * fault.seconds)
+        if fault.kind != "lasting limit":
+            self._signal(names, LIMIT_END_SIGNAL)
+
+    def _list_fellows(self, fault: Fault) -> list[str]:
+        """Return all targets of the service that a fault happens to."""
+        service = self._targets[fault.process].service
+        return [name for name, other in self._targets.items() if other.service == service]
+
+    def _signal(self, names: Sequence[str], number: int) -> None:
+        """Send targets a signal, but for those whose handlers are not set yet."""
+        for name in names:
+            process = self._fleet.processes[name]
+            if process.is_running() and process.has_written():
+                process.signal(number)
+
     def _leave(self, name: str) -> None:
         """Have a target leave as planned, and start another one in its place."""
         process = self._fleet.processes[name]
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -5,21 +5,33 @@
 from pathlib import Path
 
 from damsonlane.codec import decode_bytes, encode_text
-from damsonlane_bench.soak import FAULT_KINDS, WORD_KINDS, FleetSize, Plan, Soak, draw_plan
+from damsonlane_bench.soak import (
+    FAULT_KINDS,
+    LIMIT_KINDS,
+    WORD_KINDS,
+    FleetSize,
+    Plan,
+    Soak,
+    draw_plan,
+)
 from damsonlane_bench.soak._journal import (
     Answer,
     Arrival,
     Disturbance,
+    Naming,
     ReadBack,
     RunJournal,
     TargetRun,
     read_target_runs,
 )
-from damsonlane_bench.soak._judge import PROMISES, WHOLE_STREAM, judge
+from damsonlane_bench.soak._judge import judge
+from damsonlane_bench.soak._looks import WHOLE_STREAM
+from damsonlane_bench.soak._promises import PROMISES
 
 #: Seed and length of the run of each build.
 SEED = 7
 #: The promise that what targets say of themselves is heeded.
+LIMIT = "a target gets no more than it names from all entries together"
 BACKOFF = "a target that asks for rest, or leaves, gets nothing from that box"
 SECONDS = 14.0
 #: The faults of a seed that showed one: time, kind and process.
@@ -72,7 +84,7 @@
     def test_fifty_seeds_have_every_kind_of_fault_overlapping(self) -> None:
         plans = [draw_plan(seed, 20.0) for seed in range(50)]
         kinds = {fault.kind for plan in plans for fault in plan.faults}
-        self.assertEqual(kinds, {*FAULT_KINDS, *WORD_KINDS})
+        self.assertEqual(kinds, {*FAULT_KINDS, *WORD_KINDS, *LIMIT_KINDS})
         overlapping = sum(
             later.at < earlier.at + earlier.seconds
             for plan in plans
@@ -183,12 +195,51 @@
         self._arrive("", 6.7, 6.8, 6.9, 7.0, 7.1, 7.2)
         self.assertEqual(self._find(), [BACKOFF])
 
+    def _name(self, entry: str, rate: float | None, at: float) -> None:
+        request = f"ping-1@{entry}" if entry else ""
+        self.journal.namings.append(Naming(request=request, target="desk-1", rate=rate, at=at))
+
+    def test_a_target_that_named_a_limit_gets_more_from_two_entries_together(self) -> None:
+        """One a second allows 11 in four seconds; neither entry alone sends so many."""
+        for entry in ("entry-1", "entry-2"):
+            self._name(entry, 1.0, 10.0)
+            self._arrive(entry, 14.0, 14.5, 15.0, 15.5, 16.0)
+        self._arrive("entry-1", 16.5)
+        self.assertEqual(self._find(), [])
+        self._arrive("entry-2", 16.6)
+        self.assertEqual(self._find(), [LIMIT])
+        # A higher rate was named in between, or none.
+        for rate in (2.0, None):
+            self._name("entry-1", rate, 15.2)
+            self.assertEqual(self._find(), [])
+            self.journal.namings.pop()
+        # An entry that was started again knows nothing; a frozen target gets all at once.
+        for process in ("entry-2", "desk-2"):
+            self.journal.disturbances.append(Disturbance(process=process, at=14.6))
+            self.assertEqual(self._find(), [])
+            self.journal.disturbances.pop()
+        self.assertEqual(self._find(), [LIMIT])
+
+    def test_entries_that_were_not_told_of_a_limit(self) -> None:
+        self._name("entry-1", 1.0, 10.0)
+        self._arrive("entry-2", *(14.0 + step / 10 for step in range(30)))
+        self.assertEqual(self._find(), [])
+        self._name("entry-2", 1.0, 14.0)
+        self.assertEqual(self._find(), [LIMIT])
+
+    def test_a_target_of_a_pool_that_named_a_limit_gets_more_calls(self) -> None:
+        self._name("", 0.5, 10.0)
+        self._arrive("", *(14.0 + step / 10 for step in range(8)))
+        self.assertEqual(self._find(), [])
+        self._arrive("", 14.9)
+        self.assertEqual(self._find(), [LIMIT])
+
     def test_a_box_that_ends_by_itself(self) -> None:
         self.journal.own_ends.append("entry-1 ended by itself")
         self.assertEqual(self._find(), ["processes end only when they are ended"])
 
     def test_every_promise_has_its_test(self) -> None:
-        self.assertEqual(len(PROMISES), 7)
+        self.assertEqual(len(PROMISES), 8)
 
     def test_what_targets_ran_is_read_from_their_logs(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
