Placing: an engine with a rate limit is a dear home for shared parts that it does not keep yet

Cause: a limited engine looks idle, so shared parts were read there first, and the prompts that follow, which it does not take, had them read again elsewhere. Ruled out: leaving limited engines out while others are free: what they keep already is best read there. Change: half the time of reading the new shared parts counts in addition at such an engine. A gauge counts the limited targets that a box knows. Weight 0 is the code before. Where no engine names a limit nothing is chosen otherwise.

--- a/packages/damsonlane/src/damsonlane/placing/_book.py
+++ b/packages/damsonlane/src/damsonlane/placing/_book.py
@@ -29,6 +29,10 @@
 #: Seconds that a byte of inputs counts which has to come from another data centre.  Links
 #: between them are paid for: a megabyte as much as reading 300 tokens once more.
 FAR_BYTE_SECONDS: Final = 0.016e-6
+#: What a new shared part counts at an engine with a rate limit, as a multiple of the time that
+#: reading it takes: others have to read it soon as well.  With more of it the engines without
+#: limits get so many prompts that first events are late.
+LIMITED_HOME_WEIGHT: Final = 0.5
 #: Seconds that an engine for prompts of another length counts in addition.
 OTHER_SIDE_SECONDS: Final = 0.2
 #: Seconds that a first event counts in addition if it is expected after its aim.
@@ -100,6 +104,7 @@
         among: Collection[str],
         now: float,
         shut: Collection[str] = (),
+        limited: Collection[str] = (),
     ) -> Placement:
         """Choose the engine for a prompt and count it as being read there.
 
@@ -109,6 +114,7 @@
             among: names of the engines for prompts of this length.
             now: the time by the monotonic clock.
             shut: names of engines that may get nothing at the moment.
+            limited: names of engines that take only some requests a second.
 
         Returns:
             The engine, and the one from which it should take parts of the prompt.
@@ -116,13 +122,18 @@
         usable = self._find_usable(order, shut, now)
         if not usable:
             return Placement(number=order.number, target="")
-        options = self._list_options(usable, order, among, now)
+        options = self._list_options(usable, order, among, limited, now)
         chosen = min(options, key=lambda option: (option.cost, _rank(option.name, order)))
         self._note_placed(sender, order, chosen, now)
         return Placement(number=order.number, target=chosen.name, source=chosen.move.source)
 
     def _list_options(
-        self, usable: Mapping[str, Engine], order: PromptOrder, among: Collection[str], now: float
+        self,
+        usable: Mapping[str, Engine],
+        order: PromptOrder,
+        among: Collection[str],
+        limited: Collection[str],
+        now: float,
     ) -> Sequence[_Option]:
         """Return what a prompt would cost at each engine."""
         kept = {name: engine.kept.count_kept(order.shared) for name, engine in usable.items()}
@@ -136,6 +147,10 @@
             cost = self._reckon_cost(engine, order, counted, move, now)
             if name not in among:
                 cost += OTHER_SIDE_SECONDS
+            if name in limited:
+                # What it reads of the shared parts serves few of the prompts that follow.
+                new = max(0, order.shared_tokens - kept[name])
+                cost += LIMITED_HOME_WEIGHT * self._pace.seconds(new)
             options.append(_Option(name=name, unread=unread, move=move, cost=cost))
         return options
 
--- a/packages/damsonlane/src/damsonlane/placing/tests/replay.py
+++ b/packages/damsonlane/src/damsonlane/placing/tests/replay.py
@@ -12,6 +12,7 @@
 
 from damsonlane.placing import EngineBook, Placement, PromptOrder, PromptPart, PromptRead
 from damsonlane.placing._kept import KeptParts
+from damsonlane.ratelimit import RateBucket
 from damsonlane.routing import Origin, Place, Standing, TargetBook
 
 #: Tokens that an engine reads in a second.
@@ -43,6 +44,8 @@
     hot_share: float = 0.0
     #: Engines that are lost, with the time of the loss.
     lost: tuple[tuple[str, float], ...] = ()
+    #: Engines that take only so many prompts a second.
+    limited: tuple[tuple[str, float], ...] = ()
 
 
 @dataclass(kw_only=True)
@@ -139,7 +142,11 @@
 
 
 def play_together(
-    prompts: Prompts, seeds: int, move_pace: float | None = None
+    prompts: Prompts,
+    seeds: int,
+    move_pace: float | None = None,
+    *,
+    weighs_limits: bool = True,
 ) -> tuple[float, float]:
     """Return the late share and the tokens read again where one entry places all prompts.
 
@@ -148,8 +155,13 @@
         seeds: number of plays.
         move_pace: seconds in which an engine takes a token from another one; None where
             engines can't.
+        weighs_limits: whether the rate limits of engines count before they are used up.
     """
-    return _play(prompts, seeds, partial(_TogetherChoice, move_pace=move_pace))
+    limited = dict(prompts.limited)
+    make = partial(
+        _TogetherChoice, move_pace=move_pace, limited=limited, weighs_limits=weighs_limits
+    )
+    return _play(prompts, seeds, make)
 
 
 def play_apart(prompts: Prompts, seeds: int) -> tuple[float, float]:
@@ -158,13 +170,28 @@
 
 
 class _TogetherChoice:
-    def __init__(self, replay: EngineReplay, move_pace: float | None) -> None:
+    def __init__(
+        self,
+        replay: EngineReplay,
+        move_pace: float | None,
+        limited: dict[str, float],
+        *,
+        weighs_limits: bool,
+    ) -> None:
         self._replay = replay
         self._book = EngineBook(CACHE_TOKENS, move_pace)
+        self._buckets = {name: RateBucket(rate, 0.0) for name, rate in limited.items()}
+        self._counted = self._buckets.keys() if weighs_limits else ()
 
     def choose(self, entry: int, order: PromptOrder, now: float) -> Placement:
         self._book.update([Place(target=name, data_centre="") for name in self._replay.engines])
-        return self._book.place(f"e{entry}", order, self._replay.engines, now)
+        shut = [name for name, bucket in self._buckets.items() if bucket.wait_seconds(now) > 0]
+        placement = self._book.place(
+            f"e{entry}", order, self._replay.engines, now, shut, self._counted
+        )
+        if placement.target in self._buckets:
+            self._buckets[placement.target].take(now)
+        return placement
 
     def note(self, entry: int, read: PromptRead, now: float) -> None:
         self._book.note_read(f"e{entry}", read, now)
--- a/packages/damsonlane/src/damsonlane/placing/tests/test_placing.py
+++ b/packages/damsonlane/src/damsonlane/placing/tests/test_placing.py
@@ -178,6 +178,17 @@
     def test_a_wave_of_one_subject(self) -> None:
         self._compare(Prompts(hot_share=0.4))
 
+    def test_shared_parts_are_not_read_first_where_few_prompts_may_follow(self) -> None:
+        """Two of six engines take one prompt in two seconds each, and others read it all again."""
+        prompts = Prompts(limited=(("a", 0.5), ("b", 0.5)))
+        for move_pace in (None, 3e-6):
+            late, again = play_together(prompts, SEEDS, move_pace)
+            late_before, again_before = play_together(
+                prompts, SEEDS, move_pace, weighs_limits=False
+            )
+            self.assertLess(again, 0.75 * again_before)
+            self.assertLessEqual(late, late_before + 0.005)
+
     def _compare(self, prompts: Prompts) -> None:
         late_apart, _ = play_apart(prompts, SEEDS)
         late, _ = play_together(prompts, SEEDS)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -192,4 +192,5 @@
         backing_off = self._view.notices.list_backing_off()
         listed = [named for named in backing_off if self._view.is_listed(named)]
         self._metrics.backing_off.set({}, len(listed))
+        self._metrics.limited.set({}, len(self._view.limits.list_words()))
         self._owners.count_waiting()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_placer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_placer.py
@@ -49,7 +49,7 @@
         cold = self._view.list_cold(self._service)
         limited = self._view.list_limited(self._service)
         shut = [*self._list_shut(cold, now), *self._list_at_rate(limited)]
-        placement = self._book.place(sender, order, side, now, shut)
+        placement = self._book.place(sender, order, side, now, shut, limited)
         if placement.target in cold:
             self._gate.note(placement.target, now)
         if placement.target in limited:
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -49,6 +49,11 @@
             "Targets that want nothing from this box, those that say they leave included.",
             registry=self.registry,
         )
+        self.limited: Final = Gauge(
+            "damsonlane_limited_targets",
+            "Targets that named how many requests a second they take from all boxes.",
+            registry=self.registry,
+        )
         self.commit: Final = Gauge(
             "damsonlane_commit_index", "Last committed log entry.", registry=self.registry
         )
