Rate limits: the listed owner of a service is chosen once a list; soak limits last longer

Cause: whether this box owns a service is asked with each look at a limited target, and choosing among hundreds of entries sorts them each time. A limit told for a target that control lists only later was forgotten with the next list of targets. Ruled out: keeping what all entries choose for ever: the choice is dropped with each list. Change: the owner by control's list is kept until the next list; limits that control lists are kept.

--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
@@ -28,6 +28,9 @@
 _RESTART_SECONDS: Final = 0.5
 #: Seconds within which a fleet that is left alone must serve again.
 _RECOVERY_SECONDS: Final = 30.0
+#: Times the length of a fault for which a target names a limit: a limit counts only three seconds
+#: after it was named, over four more.
+_LIMIT_TIMES: Final = 4.0
 #: Seconds between looks of the supervisor.
 _LOOK_SECONDS: Final = 0.05
 
@@ -193,7 +196,7 @@
         """Have a target, or all of its service, name a rate limit, and most of them end it."""
         names = self._list_fellows(fault) if fault.kind == "limit of all" else [fault.process]
         self._signal(names, LIMIT_SIGNAL)
-        self._stopped.wait(2.0 * fault.seconds)
+        self._stopped.wait(_LIMIT_TIMES * fault.seconds)
         if fault.kind != "lasting limit":
             self._signal(names, LIMIT_END_SIGNAL)
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
@@ -35,6 +35,10 @@
         self._view: Final = view
         self._own_address: Final = own_address
         self._suspects: dict[str, _Suspicion] = {}
+        #: Owners by control's list.  They are asked for with each look at a limited target, and
+        #: choosing among hundreds of entries takes a part of a millisecond.
+        self._listed: dict[str, str] = {}
+        view.on_entries(self._listed.clear)
 
     def find_owner(self, service: str, avoid: str = "") -> str:
         """Return the address of the entry that owns a pool, or that would without another one.
@@ -56,8 +60,10 @@
         One that takes another's place since it can't reach it is not told from the owner by
         this entry alone: both may serve then.
         """
-        owner = choose_owner(service, self._view.entries)
-        return owner is None or owner.address == self._own_address
+        if service not in self._listed:
+            owner = choose_owner(service, self._view.entries)
+            self._listed[service] = owner.address if owner is not None else self._own_address
+        return self._listed[service] == self._own_address
 
     def suspect(self, address: str) -> None:
         """Pass over for a while an owner whose stream was lost."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_rate_limits.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_rate_limits.py
@@ -92,9 +92,10 @@
         return self._listed.revision
 
     def follow(self, known: Collection[TargetStart]) -> None:
-        """Forget starts of targets that control lists no more."""
-        self._book.forget_others(known, self._clock())
-        self._issuer.forget_others(known)
+        """Forget starts of targets that control lists no more, as targets or as limited."""
+        kept = {*known, *(word.named for word in self._listed.words)}
+        self._book.forget_others(kept, self._clock())
+        self._issuer.forget_others(kept)
 
     # What is known.
 
