A replica that stops opens no streams any more

Cause: closing its streams waits for each, the server still took envelopes meanwhile, and an answer to a box without a stream added one to the list that was being closed. Ruled out: closing a copy of the list: the new stream would be left open. Change: once closing has begun no stream is opened.

--- a/packages/damsonlaned/src/damsonlaned/control/_links.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_links.py
@@ -94,6 +94,7 @@
         self._context: Final = context
         self._links: dict[str, Link] = {}
         self._addresses: dict[str, str] = {}
+        self._is_closed = False
 
     def follow(self, members: Iterable[Member]) -> None:
         """Learn the addresses of the members."""
@@ -107,14 +108,15 @@
     def send(self, envelope: Envelope) -> None:
         """Send an envelope if its receiver's address is known."""
         address = self._addresses.get(envelope.receiver)
-        if address is None or address == self._own_address:
+        if self._is_closed or address is None or address == self._own_address:
             return
         if address not in self._links:
             self._links[address] = Link(address, self._context)
         self._links[address].send(replace(envelope, sender_address=self._own_address))
 
     async def close(self) -> None:
-        """Close all streams."""
+        """Close all streams, and open none any more: messages still arrive meanwhile."""
+        self._is_closed = True
         for link in self._links.values():
             await link.close()
         self._links.clear()
