--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -85,6 +85,13 @@
         status=503,
         sent=3,
     ),
+    Case(
+        name="once, too much for one target, which speaks of the caller and has not run it",
+        path="/once/a",
+        answers=(answer_with(429, has_run=False), answer_well),
+        status=200,
+        sent=2,
+    ),
     Case(
         name="once, another target at the address",
         path="/once/a",
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_client.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_client.py
@@ -98,6 +98,13 @@
         self.assertEqual(await self.call(pool, POST), b"ok")
         self.assertEqual((target.connections, pool.open_connections()), (1, 1))
 
+    async def test_a_connection_is_not_used_beyond_the_time_that_its_target_names(self) -> None:
+        brief = WHOLE.replace(b"Request-Id", b"Keep-Alive: timeout=0, max=9\r\nRequest-Id")
+        target, pool = await self.open((brief, WHOLE), (WHOLE,))
+        await self.call(pool)
+        await self.call(pool)
+        self.assertEqual(target.connections, 2)
+
     async def test_a_connection_that_said_close_is_not_kept(self) -> None:
         closing = WHOLE.replace(b"Request-Id", b"Connection: close\r\nRequest-Id")
         target, pool = await self.open((closing,), (WHOLE,))
