Test: the owner of a pool whose targets are all limited divides by zero (fails)

Cause: targets that take a call now and then count as parts of a target, so that what waits for them is told in time; where that comes to no whole piece, batches are ordered by a division by it.

--- a/packages/damsonlane/src/damsonlane/pools/tests/test_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_queue.py
@@ -265,5 +265,40 @@
                 self.assertEqual([piece.order.number for piece in selection.late], late)
 
 
+class LimitedPoolTest(unittest.TestCase):
+    """Targets that take a call now and then, by the rates that they named.
+
+    In a run of the soak both targets of a pool named two calls a second, a third of what they
+    make.  That came to no whole piece at once, and the owner of the pool divided by it: each
+    order ended with "integer division or modulo by zero", callers got no answer, and the streams
+    of other entries to the owner broke with "Internal Server Error".
+    """
+
+    def setUp(self) -> None:
+        self.queue = PieceQueue()
+
+    def test_a_target_that_takes_a_call_gets_what_waits(self) -> None:
+        self.queue.add(make_piece(1))
+        for gap in (0.5, 5.0, 20.0):
+            limited = replace(OFFER, batch=1, busy_seconds=(0.0,), gap_seconds=(gap,))
+            selection = self.queue.select(0.0, limited)
+            self.assertEqual(len(selection.batch), 1)
+            self.queue.add(make_piece(1))
+
+    def test_what_comes_after_the_next_call_is_told_at_once(self) -> None:
+        for number in range(1, 4):
+            self.queue.add(make_piece(number))
+        limited = replace(OFFER, batch=1, busy_seconds=(0.1,), gap_seconds=(20.0,))
+        self.assertEqual(len(self.queue.take_late(0.0, limited)), 2)
+
+    def test_waits_are_reckoned_by_the_rate(self) -> None:
+        for number in range(1, 4):
+            self.queue.add(make_piece(number))
+        free = replace(OFFER, batch=1, busy_seconds=(0.0, 0.0))
+        limited = replace(free, gap_seconds=(4.0, 0.0))
+        wait = self.queue.forecast(0.0, limited, LIKE)
+        self.assertGreater(wait, 1.5 * self.queue.forecast(0.0, free, LIKE))
+
+
 if __name__ == "__main__":
     unittest.main()
