Pools: what waits is ordered by whole targets, and told by what they take soon

What callers saw, in the soak: no answer, or 503 at the deadline, at every entry, as long as all targets of a pool named limits of a few calls a second. Cause: the pieces that a pool takes at once were counted in parts of targets, which came to none, and batches were ordered by a division by them. Ruled out: only guarding the division: what is late must still be made where a limited target takes a call now, and what waits for its next one must be told. Change: two figures instead of one. Batches go by whole targets as before; what is told goes by what targets take now or within a call's length, which may be none.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -138,7 +138,7 @@
         that are in time, but not once its caller has waited for long.  What the targets
         take at once is not hopeless, unless no target works.
         """
-        at_once = offer.pieces_at_once if offer.targets else 0
+        at_once = offer.pieces_soon
         ahead = sum(len(stage.pieces) for stage in judgement.in_time)
         hopeless: list[WaitingStage] = []
         for stage in judgement.others:
--- a/packages/damsonlane/src/damsonlane/pools/_waiting.py
+++ b/packages/damsonlane/src/damsonlane/pools/_waiting.py
@@ -77,13 +77,23 @@
 
     @property
     def pieces_at_once(self) -> int:
-        """Most pieces that the targets of the pool take at the same time.
+        """Most pieces that the targets of the pool take at the same time."""
+        return self.batch * max(1, self.targets)
 
-        One that takes a call in several times a call's length counts as that part of a target.
+    @property
+    def pieces_soon(self) -> int:
+        """Most pieces that the targets that work take now, or within a call's length.
+
+        One that takes a call in several times that, by its rate limit, counts as a part of a
+        target until then, so this may be 0: what waits for that call is told rather than kept.
         """
         if not self.gap_seconds:
-            return self.batch * max(1, self.targets)
-        return int(self.batch * sum(self.full_seconds / cycle for cycle in self._cycles()))
+            return self.batch * self.targets
+        parts = (
+            1.0 if busy <= 0 else self.full_seconds / cycle
+            for busy, cycle in zip(self.busy_seconds, self._cycles(), strict=True)
+        )
+        return int(self.batch * sum(parts))
 
     @property
     def pieces_per_second(self) -> float:
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_queue.py
@@ -285,6 +285,12 @@
             self.assertEqual(len(selection.batch), 1)
             self.queue.add(make_piece(1))
 
+    def test_what_is_late_is_made_where_a_target_takes_a_call_now(self) -> None:
+        self.queue.add(make_piece(1, aim_at=-1.0))
+        limited = replace(OFFER, batch=1, busy_seconds=(0.0,), gap_seconds=(20.0,))
+        selection = self.queue.select(0.0, limited)
+        self.assertEqual((len(selection.batch), selection.late), (1, ()))
+
     def test_what_comes_after_the_next_call_is_told_at_once(self) -> None:
         for number in range(1, 4):
             self.queue.add(make_piece(number))
