Rate limits: a target that names nearly nothing is asked again after five seconds

What callers saw, in the soak: 503 for up to 20 s after all targets of a service that had named 0 would have taken requests again. Cause: only an answer ends a limit, and one request in 20 s was sent to such a target. Ruled out: more than one in five seconds: the target asked for none. Four seconds bear five requests more than the rate, so one is far from what is borne. Change: the lowest rate that is taken at its word is 0.2 a second. The soak has its targets end their limits before it asks whether service comes back, since one of nothing serves nothing.

--- a/packages/damsonlane/src/damsonlane/ratelimit/_issuer.py
+++ b/packages/damsonlane/src/damsonlane/ratelimit/_issuer.py
@@ -15,8 +15,9 @@
 from damsonlane.ratelimit._permits import Permit, PermitOrder
 
 #: Lowest rate that is taken at its word, in requests a second.  A target that names less, or
-#: none at all, is asked this often whether that still holds: only an answer can end a limit.
-LEAST_RATE: Final = 0.05
+#: none at all, is asked this often whether that still holds, since only an answer can end a
+#: limit; five requests beyond its rate are borne in four seconds.
+LEAST_RATE: Final = 0.2
 #: Share of a rate that a box issues which does not own the service, to boxes that can't reach
 #: the owner or know of another one.  Two such boxes beside the owner still keep what a target
 #: bears: 4.5 and twice 0.15 times 4.5 of the rate in four seconds, where 6 are borne.
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_run.py
@@ -275,7 +275,11 @@
         self._start_again(name)
 
     def _recover(self) -> tuple[Breach, ...]:
-        """Leave the fleet alone; return a breach if it does not serve again."""
+        """Leave the fleet alone; return a breach if it does not serve again.
+
+        Targets name no limits any more: with one of nothing at all they serve nothing.
+        """
+        self._signal(list(self._targets), LIMIT_END_SIGNAL)
         try:
             wait_until(self._is_served, "everything is served again", _RECOVERY_SECONDS)
         except StuckError as error:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_rate_limits.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_rate_limits.py
@@ -214,7 +214,7 @@
             self.assertLessEqual(target.count_most(), ALLOWED)
         response = await fleet.entries[0].call("/plain/a", deadline_ms=8_000)
         self.assertEqual(response.status, 503)
-        # Ten seconds pass from one place to the next at each of the two.
+        # Five seconds pass from one place to the next at each of the two.
         self.assertGreater(read_wait(response), 1.0)
 
 
