Pools: what a target at its rate can't make in time is told at once, and permits go to pieces

What callers saw: at a pool whose targets had named a call in some seconds, 503 only at their deadline, or an answer after its aim. Cause: what waits was judged only while a target was free or none worked, and a limited one counted as working; the schedule ended twelve calls ahead, before its next call; a call that gives results up took the permit, though such a target forgets results by itself before the next one. Ruled out: counting limited targets as resting: what is in time for their next call is kept. Change: what waits is judged where nothing is taken soon; the schedule reaches to the next calls of limited targets; results are not given up at targets that take less than a call a second.

--- a/packages/damsonlane/src/damsonlane/pools/_schedule.py
+++ b/packages/damsonlane/src/damsonlane/pools/_schedule.py
@@ -15,6 +15,8 @@
 STEPS_PER_CALL: Final = 8
 #: Full calls ahead that are looked at; what is due later counts as due then.
 CALLS_AHEAD: Final = 12
+#: Steps that are looked at where a rate limit puts the next call far off.
+MOST_STEPS: Final = 800
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -55,7 +57,7 @@
     def __init__(self, offer: Offer, now: float) -> None:
         self._now: Final = now
         self._step: Final = offer.full_seconds / STEPS_PER_CALL
-        steps = STEPS_PER_CALL * CALLS_AHEAD
+        steps = _count_steps(offer, self._step)
         #: Pieces that can be made by the end of each step, and those that must be.
         self._places: Final = _count_places(offer, self._step, steps)
         self._needed: Final = [0] * steps
@@ -96,6 +98,15 @@
     return [WaitingStage(pieces=tuple(group)) for group in groups.values()]
 
 
+def _count_steps(offer: Offer, step: float) -> int:
+    """Return how many steps are looked at: far enough for the next calls of limited targets."""
+    usual = STEPS_PER_CALL * CALLS_AHEAD
+    if not offer.gap_seconds:
+        return usual
+    next_calls = map(sum, zip(offer.busy_seconds, offer.gap_seconds, strict=True))
+    return min(MOST_STEPS, usual + int(max(next_calls) / step))
+
+
 def _count_places(offer: Offer, step: float, steps: int) -> Sequence[float]:
     """Return how many pieces the targets can make by the end of each step."""
     places = [0.0] * steps
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_queue.py
@@ -297,6 +297,14 @@
         limited = replace(OFFER, batch=1, busy_seconds=(0.1,), gap_seconds=(20.0,))
         self.assertEqual(len(self.queue.take_late(0.0, limited)), 2)
 
+    def test_what_can_wait_for_the_next_call_is_kept(self) -> None:
+        """It comes after more calls than the pool could make without the limit."""
+        self.queue.add(make_piece(1, aim_at=10.0, due_at=12.0))
+        self.queue.add(make_piece(2, aim_at=3.0))
+        limited = replace(OFFER, batch=1, busy_seconds=(6.0,), gap_seconds=(8.0,))
+        late = self.queue.take_late(0.0, limited)
+        self.assertEqual([piece.order.number for piece in late], [2])
+
     def test_waits_are_reckoned_by_the_rate(self) -> None:
         for number in range(1, 4):
             self.queue.add(make_piece(number))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_free_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_free_calls.py
@@ -23,6 +23,9 @@
 #: make pieces there for each of them: they take of what the target named.
 LIMITED_PAUSE_SECONDS: Final = 1.0
 CALLS_PER_FREE: Final = 3
+#: Seconds from one call to the next from which on results are not given up at such a target: it
+#: forgets them before the room is needed.
+LONGEST_GAP_SECONDS: Final = 1.0
 
 
 class FreeCalls:
@@ -82,6 +85,8 @@
         gap = maker.gap_seconds()
         if left > 0 or gap <= 0:
             return left
+        if gap > LONGEST_GAP_SECONDS:
+            return LONGEST_PUT_OFF_SECONDS
         now = asyncio.get_running_loop().time()
         pause = max(LIMITED_PAUSE_SECONDS, CALLS_PER_FREE * gap)
         due_at = self._freed_at.get(maker.named, 0.0) + pause
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -216,7 +216,8 @@
         if service is not None and service.pool is not None:
             now = self._now()
             offer = self._makers.make_offer(None, service.pool, now)
-            judge = self._queue.take_expired if offer.targets else self._queue.take_late
+            # A target that takes its next call much later, by its rate limit, is not at work.
+            judge = self._queue.take_expired if offer.pieces_soon else self._queue.take_late
             self._refuse(judge(now, offer))
         self._pump()
 
