Entries measure and log their load, and that of the pools they own

Cause: no log or metric told whether an owner of a pool is out of processor time, waits for targets, or refuses by its plan. The users' report of a class of requests that gets too little can be explained by each of them. Change: the event loop measures how long it waits for events; the share of time in which it does not is the gauge damsonlane_loop_load, and once a second, while it exceeds a fifth, an entry logs it with the orders, calls, searches and queued pieces of each pool or engine service that it owns. Ruled out: process time, since a process does not know what share of a processor its box gives it. Conclusion: no decision depends on it yet.

--- a/packages/damsonlaned/src/damsonlaned/clock.py
+++ b/packages/damsonlaned/src/damsonlaned/clock.py
@@ -1,6 +1,7 @@
 """The clock of a box: seconds since it booted, including time while it was suspended."""
 
 import asyncio
+import selectors
 import time
 from collections.abc import Coroutine
 from typing import Any, Final, TypeVar
@@ -17,6 +18,22 @@
     return time.clock_gettime(_CLOCK)
 
 
+class _IdleTimer(selectors.DefaultSelector):
+    """A selector that measures how long the event loop waits for events."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.idle_seconds = 0.0
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        """Wait for events, and add the time that it took."""
+        began_at = read_clock()
+        try:
+            return super().select(timeout)
+        finally:
+            self.idle_seconds += read_clock() - began_at
+
+
 class BootTimeEventLoop(asyncio.SelectorEventLoop):
     """An event loop whose time includes time while the box was suspended.
 
@@ -24,6 +41,14 @@
     messages between replicas and entries do so four times a second.
     """
 
+    def __init__(self) -> None:
+        self._idle_timer: Final = _IdleTimer()
+        super().__init__(self._idle_timer)
+
+    def idle_seconds(self) -> float:
+        """Return the seconds for which the loop has waited for events so far."""
+        return self._idle_timer.idle_seconds
+
     def time(self) -> float:
         """Return the time by the clock of the box, in seconds."""
         return read_clock()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -18,6 +18,7 @@
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._caller_service import CallerService, HandlerDependencies
 from damsonlaned.gateway._control_follower import ControlFollower
+from damsonlaned.gateway._entry_load import EntryLoad
 from damsonlaned.gateway._exit_detector import ExitDetector
 from damsonlaned.gateway._limit_reports import LimitReports
 from damsonlaned.gateway._permit_client import PermitClient
@@ -84,6 +85,7 @@
         self._pools.on_placements = placements.receive
         permits = PermitClient(self._view, self._pools, settings.internal_address)
         self._pools.on_permits = permits.receive
+        self._load: Final = EntryLoad(owners, placers, self._metrics)
         self._limit_reports: Final = LimitReports(self._view, self._control)
         attempts = Attempts(
             targets,
@@ -140,6 +142,7 @@
         await self._ready_listener.start()
         await self._listener.start()
         self._control_follower.start()
+        self._load.start()
 
     def replace_seeds(self, addresses: tuple[str, ...]) -> None:
         """Add the control addresses of reloaded settings."""
@@ -171,6 +174,7 @@
         await self._control_follower.stop()
         await self._quarantine.stop()
         await self._limit_reports.stop()
+        await self._load.stop()
         self._control.close()
         await self._pools.stop()
         await self._admin.stop()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -16,6 +16,7 @@
 from damsonlaned.gateway._free_calls import FreeCalls
 from damsonlaned.gateway._input_read_timer import InputReadTimer
 from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
+from damsonlaned.gateway._owner_activity import ActivityMeter
 from damsonlaned.gateway._piece_answers import PieceAnswers
 from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
 from damsonlaned.gateway._pool_metrics import PoolMetrics
@@ -83,6 +84,8 @@
             self._receivers, WaitForecasts(self._estimate_wait), metrics, self.free
         )
         self._warm_up_gate: Final = WarmupLimiter()
+        #: Work of this owner, for its log.
+        self.activity: Final = ActivityMeter()
         self._tasks: set[asyncio.Task[None]] = set()
         self._check_timer: asyncio.TimerHandle | None = None
         view.on_change(self._update_targets)
@@ -102,6 +105,7 @@
     def order(self, sender: str, orders: Sequence[PieceOrder]) -> None:
         """Queue pieces; those of a quarantined request fail immediately."""
         now = self._now()
+        self.activity.record_orders(len(orders))
         for order in orders:
             piece = WaitingPiece(
                 order=order,
@@ -144,6 +148,10 @@
 
     def _dispatch(self) -> None:
         """Start a call at every ready target for which pieces are queued."""
+        with self.activity:
+            self._start_calls()
+
+    def _start_calls(self) -> None:
         service = self._find_service()
         if service is None or service.pool is None:
             return
@@ -214,6 +222,7 @@
         return tuple(taken)
 
     def _start(self, service: Service, call: BatchCall) -> None:
+        self.activity.record_call()
         task = start_task(self._run(service, call), "call to a pool target")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
@@ -4,6 +4,7 @@
 
 from damsonlaned.dialects import Dialect
 from damsonlaned.gateway._exit_detector import ExitDetector
+from damsonlaned.gateway._owner_activity import OwnerActivity
 from damsonlaned.gateway._pool_metrics import PoolMetrics
 from damsonlaned.gateway._pool_owner import PoolOwner
 from damsonlaned.gateway._target_selector import TargetSelector
@@ -64,6 +65,14 @@
         for service, owner in self._owners.items():
             self._metrics.pool_waiting.set({"service": service}, owner.count_waiting())
 
+    def take_activities(self) -> dict[str, OwnerActivity]:
+        """Return the work of each owner since the last call of this method, by service."""
+        return {service: owner.activity.take() for service, owner in self._owners.items()}
+
+    def count_waiting(self, service: str) -> int:
+        """Return the number of queued pieces of a service."""
+        return self._owners[service].count_waiting() if service in self._owners else 0
+
     def detach(self, sender: str) -> None:
         """Unregister a sender at all pools."""
         for owner in self._owners.values():
--- a/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
@@ -9,6 +9,7 @@
 from damsonlane.routes import EngineProperties
 from damsonlane.routing import EngineLocation, PromptPartition
 from damsonlane.warmup import WarmupLimiter
+from damsonlaned.gateway._owner_activity import ActivityMeter, OwnerActivity
 from damsonlaned.gateway._view import FleetView
 
 
@@ -31,12 +32,16 @@
         self._partition: Final = PromptPartition()
         self._warm_up_gate: Final = WarmupLimiter()
         self._engines: tuple[EngineLocation, ...] = ()
+        #: Work of this placer, for its log.
+        self.activity: Final = ActivityMeter()
         view.on_change(self._update_engines)
         self._update_engines()
 
     def place(self, sender: str, orders: Sequence[PlacementRequest]) -> tuple[Placement, ...]:
         """Return an engine for each prompt."""
-        return tuple(self._place_one(sender, order) for order in orders)
+        self.activity.record_orders(len(orders))
+        with self.activity:
+            return tuple(self._place_one(sender, order) for order in orders)
 
     def record_reads(self, sender: str, reads: Sequence[PromptOutcome]) -> None:
         """Record the outcomes of prompts."""
@@ -109,3 +114,7 @@
                 return None
             self._placers[service] = PromptPlacer(service, known.engine, self._view)
         return self._placers[service]
+
+    def take_activities(self) -> dict[str, OwnerActivity]:
+        """Return the work of each placer since the last call of this method, by service."""
+        return {service: placer.activity.take() for service, placer in self._placers.items()}
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -81,6 +81,11 @@
             "Queued pieces of the stage pools that this box owns.",
             registry=self.registry,
         )
+        self.loop_load: Final = Gauge(
+            "damsonlane_loop_load",
+            "Share of its time in which the process is busy, or kept waiting by its box.",
+            registry=self.registry,
+        )
         self.messages: Final = Gauge(
             "damsonlane_rpc_messages", "Messages between boxes.", registry=self.registry
         )
