Search the queue of a pool once for each stage, not for each piece and target

Cause: before each call, the owner of a pool computed the capacity of every target in every step of its plan, grouped all pieces by stage, and walked over the plan for each stage. A pool of 21 targets makes 56 calls a second. Ruled out: evaluating less often, since a plan that is reused refuses by what was true earlier.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -1,6 +1,6 @@
 """The queue of a pool: order, load shedding and wait estimates."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -8,7 +8,8 @@
 from damsonlane.pools._pieces import PieceOrder
 from damsonlane.pools._priorities import ClassPriorities
 from damsonlane.pools._recent_work import RecentWork
-from damsonlane.pools._schedule import Schedule, WaitingStage, group_stages
+from damsonlane.pools._schedule import Schedule, WaitingStage
+from damsonlane.pools._stages import WaitingStages
 from damsonlane.pools._waiting import CallCapacity, WaitingPiece
 
 #: Largest share of a pool that is assumed to be taken by further pieces of higher priority.
@@ -40,7 +41,7 @@
     """Waiting pieces of one pool."""
 
     def __init__(self) -> None:
-        self._waiting: dict[tuple[str, int], WaitingPiece] = {}
+        self._waiting: Final = WaitingStages()
         self._recent_work: Final = RecentWork()
         self._priorities: Final = ClassPriorities()
 
@@ -49,22 +50,26 @@
 
     def add(self, piece: WaitingPiece) -> None:
         """Add a piece unless it is in the queue already."""
-        self._waiting.setdefault(piece.identity, piece)
+        self._waiting.add(piece)
 
     def cancel(self, sender: str, number: int) -> None:
         """Remove a piece that its sender no longer needs."""
-        self._waiting.pop((sender, number), None)
+        self._waiting.remove((sender, number))
 
     def cancel_all(self, sender: str) -> None:
         """Remove all pieces of a sender that is disconnected."""
-        for identity in [key for key in self._waiting if key[0] == sender]:
-            del self._waiting[identity]
+        self._remove(
+            piece
+            for stage in self._waiting.list_all()
+            for piece in stage.pieces
+            if piece.sender == sender
+        )
 
     def take_all(self) -> tuple[WaitingPiece, ...]:
         """Remove and return all pieces."""
-        pieces = tuple(self._waiting.values())
-        self._waiting.clear()
-        return pieces
+        pieces = _list_pieces(self._waiting.list_all())
+        self._remove(pieces)
+        return tuple(pieces)
 
     def estimate_wait(self, now: float, capacity: CallCapacity, order: PieceOrder) -> float:
         """Return the seconds until a piece with this order would start if it were added now.
@@ -75,7 +80,9 @@
         earliest = capacity.earliest_completion(now)
         last_aim_at = now + order.aim_left_seconds
         ahead = sum(
-            earliest <= piece.objective_at <= last_aim_at for piece in self._waiting.values()
+            len(stage.pieces)
+            for stage in self._waiting.list_all()
+            if earliest <= stage.objective_at <= last_aim_at
         )
         wait = ahead / capacity.pieces_per_second * self._wait_factor(order.rank, now, capacity)
         return capacity.backoff_seconds + wait
@@ -88,9 +95,9 @@
         late = _list_pieces(refused)
         self._record_refused(late, now)
         self._remove(late)
-        ordered = _list_pieces([*evaluation.in_time, *evaluation.not_in_time])
-        left = [piece for piece in ordered if piece.identity in self._waiting]
-        batch = fill_batch(left, now, capacity)
+        dropped = {id(stage) for stage in refused}
+        kept = [stage for stage in evaluation.not_in_time if id(stage) not in dropped]
+        batch = fill_batch([*evaluation.in_time, *kept], now, capacity)
         self._remove(batch)
         for piece in batch:
             self._recent_work.record(piece.order.rank, now)
@@ -109,14 +116,15 @@
     def take_expired(self, now: float, capacity: CallCapacity) -> tuple[WaitingPiece, ...]:
         """Remove and return the pieces whose deadline passes before a call could compute them."""
         earliest = capacity.earliest_completion(now)
-        expired = [piece for piece in self._waiting.values() if piece.deadline_at < earliest]
+        stages = [stage for stage in self._waiting.list_all() if stage.deadline_at < earliest]
+        expired = _list_pieces(stages)
         self._remove(expired)
         return tuple(expired)
 
     def _evaluate(self, now: float, capacity: CallCapacity) -> _Evaluation:
         """Order the waiting stages and separate those that can meet their latency objective."""
         schedule = Schedule(capacity, now)
-        stages = group_stages(self._waiting.values())
+        stages = self._waiting.list_all()
         in_time: list[WaitingStage] = []
         not_in_time: list[WaitingStage] = []
         ranks = {stage.rank for stage in stages}
@@ -168,9 +176,9 @@
             if not piece.order.is_late_return:
                 self._priorities.record_refused(piece.order.rank, now)
 
-    def _remove(self, pieces: list[WaitingPiece]) -> None:
+    def _remove(self, pieces: Iterable[WaitingPiece]) -> None:
         for piece in pieces:
-            del self._waiting[piece.identity]
+            self._waiting.remove(piece.identity)
 
 
 def _priority_key(
--- a/packages/damsonlane/src/damsonlane/pools/_schedule.py
+++ b/packages/damsonlane/src/damsonlane/pools/_schedule.py
@@ -5,7 +5,10 @@
 a less urgent one without.
 """
 
-from collections.abc import Iterable, Sequence
+import functools
+import itertools
+import math
+import operator
 from dataclasses import dataclass
 from typing import Final
 
@@ -17,15 +20,27 @@
 CALLS_AHEAD: Final = 12
 #: Limit of the planning horizon, in steps, where a rate limit delays the next call for long.
 MAX_STEPS: Final = 800
+#: Parts of a step to which the time until a target is free is rounded up.
+PARTS_PER_STEP: Final = 16
 
 
 @dataclass(frozen=True, kw_only=True)
 class WaitingStage:
     """The waiting pieces of one stage of one request; they are needed together."""
 
-    #: The pieces.
+    #: The pieces, which have the same time limits and the same preferred data centre.
     pieces: tuple[WaitingPiece, ...]
 
+    @property
+    def home(self) -> str:
+        """Data centre where its pieces should run, or an empty string."""
+        return self.pieces[0].order.home
+
+    @property
+    def deadline_at(self) -> float:
+        """Deadline after which nobody waits for the results."""
+        return self.pieces[0].deadline_at
+
     @property
     def rank(self) -> int:
         """Priority rank of the request; 0 comes first."""
@@ -49,6 +64,9 @@
 class Schedule:
     """Capacity of a pool in its next calls, which stages reserve in the order they are added.
 
+    Stages that are added with one share and rising objectives form a run.  Within it, what the
+    run has reserved so far counts for every later stage, so each takes a constant time.
+
     Args:
         capacity: the capacity of the pool.
         now: the monotonic clock, in seconds.
@@ -58,10 +76,20 @@
         self._now: Final = now
         self._step: Final = capacity.full_seconds / STEPS_PER_CALL
         steps = _count_steps(capacity, self._step)
-        #: Pieces that can be computed by the end of each step, and those that must be.
+        #: Pieces that can be computed by the end of each step.
         self._computable: Final = _find_capacity(capacity, self._step, steps)
-        self._needed: Final = [0] * steps
+        #: Pieces whose objective lies in each step.
+        self._reserved: Final = [0] * steps
+        #: Last step in which a piece has its objective.
         self._last = 0
+        #: Share, last step and pieces of the run.
+        self._share = 0.0
+        self._run_step = steps
+        self._run_pieces = 0
+        #: Pieces that can be added by the end of each step, and by the end of each step up to the
+        #: last one before the run, without the pieces of the run.
+        self._spare: list[float] = []
+        self._least_spare: list[float] = []
 
     def try_add(self, stage: WaitingStage, share: float) -> bool:
         """Reserve capacity for a stage if it and all stages added before stay in time.
@@ -76,29 +104,35 @@
         step = self._find_step(stage.objective_at)
         if step < 0:
             return False
+        if share != self._share or step < self._run_step:
+            self._begin_run(share)
         count = len(stage.pieces)
-        last = max(step, self._last)
-        needed, computable = self._needed, self._computable
-        for later in range(step, last + 1):
-            if needed[later] + count > computable[later] * share:
-                return False
-        for later in range(step, len(needed)):
-            needed[later] += count
-        self._last = last
+        spare = self._least_spare[step] if step < len(self._least_spare) else self._spare[step]
+        if spare - self._run_pieces < count:
+            return False
+        self._reserved[step] += count
+        self._run_pieces += count
+        self._run_step = step
+        self._last = max(step, self._last)
         return True
 
+    def _begin_run(self, share: float) -> None:
+        """Begin a run of stages with the same share and rising objectives."""
+        needed = itertools.accumulate(self._reserved)
+        self._spare = [
+            computable * share - pieces
+            for computable, pieces in zip(self._computable, needed, strict=True)
+        ]
+        before = self._spare[: self._last + 1]
+        self._least_spare = list(itertools.accumulate(reversed(before), min))[::-1]
+        self._share = share
+        self._run_step = 0
+        self._run_pieces = 0
+
     def _find_step(self, ends_by: float) -> int:
         """Return the last step that ends by a time; -1 for none."""
         step = int((ends_by - self._now) / self._step + 1e-6) - 1
-        return min(step, len(self._needed) - 1)
-
-
-def group_stages(pieces: Iterable[WaitingPiece]) -> list[WaitingStage]:
-    """Return pieces grouped by stage and request, in the order of each group's first piece."""
-    groups: dict[tuple[str, str, int], list[WaitingPiece]] = {}
-    for piece in pieces:
-        groups.setdefault(piece.group, []).append(piece)
-    return [WaitingStage(pieces=tuple(group)) for group in groups.values()]
+        return min(step, len(self._reserved) - 1)
 
 
 def _count_steps(capacity: CallCapacity, step: float) -> int:
@@ -110,41 +144,53 @@
     return min(MAX_STEPS, usual + int(max(next_calls) / step))
 
 
-def _find_capacity(capacity: CallCapacity, step: float, steps: int) -> Sequence[float]:
+def _find_capacity(capacity: CallCapacity, step: float, steps: int) -> list[float]:
     """Return how many pieces the targets can compute by the end of each step."""
     computable = [0.0] * steps
     # If no target can be used, one is assumed to return at once or after its back-off.
     waits = capacity.busy_seconds or (capacity.backoff_seconds,)
     gaps = capacity.call_interval_seconds or (0.0,) * len(waits)
     for busy, gap in zip(waits, gaps, strict=True):
-        _add_target(computable, capacity, step, busy, gap)
+        first, part = divmod(math.ceil(busy / step * PARTS_PER_STEP - 1e-6), PARTS_PER_STEP)
+        work = _TargetWork(
+            call_seconds=capacity.call_seconds,
+            piece_seconds=capacity.piece_seconds,
+            batch=capacity.batch,
+            interval_seconds=max(capacity.full_seconds, gap),
+            delay_seconds=part * step / PARTS_PER_STEP,
+        )
+        computable[first:] = map(
+            operator.add, computable[first:], _list_completions(work, step, steps)
+        )
     return computable
 
 
-def _add_target(
-    computable: list[float], capacity: CallCapacity, step: float, busy: float, gap: float
-) -> None:
-    """Add what one target computes by the end of each step: full calls, then a partial one.
-
-    Args:
-        computable: pieces that all targets compute by the end of each step.
-        capacity: the capacity of the pool.
-        step: length of a step, in seconds.
-        busy: seconds until the target takes a call.
-        gap: minimum seconds from the start of one call to the next, by its rate limit.
-    """
-    # Read once: the loop runs for every target and step of each evaluation.
-    full_seconds = capacity.full_seconds
-    call_seconds = capacity.call_seconds
-    piece_seconds = capacity.piece_seconds
-    batch = capacity.batch
-    cycle = max(full_seconds, gap)
-    idle = cycle - full_seconds
-    for index in range(int(busy / step), len(computable)):
-        seconds = (index + 1) * step - busy
-        if seconds <= 0:
-            continue
+@dataclass(frozen=True, kw_only=True)
+class _TargetWork:
+    """The calls that one target can process one after another."""
+
+    #: Fixed time of a call besides its pieces, in seconds.
+    call_seconds: float
+    #: Time of one piece, in seconds.
+    piece_seconds: float
+    #: Maximum number of pieces in a call.
+    batch: int
+    #: Seconds from the start of one call to the next.
+    interval_seconds: float
+    #: Seconds until the first call starts, less than one step.
+    delay_seconds: float
+
+
+@functools.lru_cache(maxsize=1_024)
+def _list_completions(work: _TargetWork, step: float, steps: int) -> tuple[float, ...]:
+    """Return the pieces that a target computes by the end of each step."""
+    full_seconds = work.call_seconds + work.batch * work.piece_seconds
+    idle = work.interval_seconds - full_seconds
+    completions: list[float] = []
+    for index in range(steps):
+        seconds = (index + 1) * step - work.delay_seconds
         # The tolerance counts a call that ends together with the step, despite rounding.
-        calls = int((seconds + idle) / cycle + 1e-6)
-        rest = seconds - calls * cycle - call_seconds
-        computable[index] += calls * batch + max(0.0, rest / piece_seconds)
+        calls = int((seconds + idle) / work.interval_seconds + 1e-6)
+        rest = seconds - calls * work.interval_seconds - work.call_seconds
+        completions.append(calls * work.batch + max(0.0, rest / work.piece_seconds))
+    return tuple(completions)
