An overloaded owner is not taken for a failed one

Cause: an entry replaced the owner of a pool after 0.8 s without a message. The messages of an overloaded owner are late, so entries replaced it one by one; its pieces were ordered again from another box, which was overloaded by this and replaced in turn. Ruled out: a longer timeout alone, since the pieces of a frozen owner would wait for as long. Change: the timeout is three times the longest recent interval between messages, 0.8 s at least: intervals of an overloaded owner grow, those of one that fails do not. It is doubled for each owner that was lost by silence in the last seconds. Time in which the entry itself did not run is not silence.

--- a/packages/damsonlane/src/damsonlane/membership/__init__.py
+++ b/packages/damsonlane/src/damsonlane/membership/__init__.py
@@ -9,13 +9,17 @@
     UpdateBox,
 )
 from damsonlane.membership._owners import choose_owner
+from damsonlane.membership._silence import CHECK_SECONDS, SILENCE_SECONDS, SilenceDetector
 
 __all__ = [
+    "CHECK_SECONDS",
+    "SILENCE_SECONDS",
     "BoxUpdated",
     "BoxRecord",
     "BoxStanding",
     "RemoveBox",
     "Membership",
+    "SilenceDetector",
     "UpdateBox",
     "choose_owner",
 ]
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_search_cost.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_search_cost.py
@@ -6,8 +6,8 @@
 from types import FrameType
 from typing import Any
 
-from damsonlane.pools import PieceQueue
-from damsonlane.pools.tests.test_queue import CAPACITY, ORDER, WaitingPiece
+from damsonlane.pools import PieceQueue, WaitingPiece
+from damsonlane.pools.tests.test_queue import CAPACITY, ORDER
 
 #: Pieces of each stage.
 PIECES = 5
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
@@ -4,12 +4,14 @@
 from dataclasses import dataclass
 from typing import Final
 
-from damsonlane.membership import choose_owner
+from damsonlane.membership import SILENCE_SECONDS, choose_owner
 from damsonlaned.gateway._view import FleetView
 
 #: Seconds for which an owner that failed is passed over: longer than control lists a
 #: silent box (6 s), so that a box without power is not chosen again before it is unlisted.
 SUSPECT_SECONDS: Final = 7.0
+#: Most times that the timeout of an owner is doubled.
+MAX_DOUBLINGS: Final = 3
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -20,6 +22,8 @@
     until: float
     #: Incarnation of the owner that is suspected; a later one is not.
     incarnation: str
+    #: Whether its stream was lost because it was silent.
+    is_silent: bool
 
 
 class OwnerChoice:
@@ -65,12 +69,31 @@
             self._listed[service] = owner.address if owner is not None else self._own_address
         return self._listed[service] == self._own_address
 
-    def suspect(self, address: str) -> None:
-        """Pass over an owner whose stream was lost, for SUSPECT_SECONDS."""
+    def suspect(self, address: str, *, is_silent: bool = False) -> None:
+        """Pass over an owner whose stream was lost, for SUSPECT_SECONDS.
+
+        Args:
+            address: address of the owner.
+            is_silent: whether it was lost because the owner was silent.
+        """
         now = asyncio.get_running_loop().time()
         self._suspects[address] = _Suspicion(
-            until=now + SUSPECT_SECONDS, incarnation=self._find_incarnation(address)
+            until=now + SUSPECT_SECONDS,
+            incarnation=self._find_incarnation(address),
+            is_silent=is_silent,
+        )
+
+    def find_silence_seconds(self) -> float:
+        """Return the silence after which an owner has failed, in seconds.
+
+        It is doubled for each owner that was recently lost by silence.  Owners that fall silent
+        one after another are probably overloaded, by the orders that were moved to them.
+        """
+        now = asyncio.get_running_loop().time()
+        silent = sum(
+            suspicion.is_silent and suspicion.until > now for suspicion in self._suspects.values()
         )
+        return float(SILENCE_SECONDS * 2 ** min(silent, MAX_DOUBLINGS))
 
     def _is_suspect(self, address: str, now: float) -> bool:
         """Return whether an owner is passed over.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
@@ -7,16 +7,13 @@
 
 from grpclib.client import Stream
 
+from damsonlane.membership import CHECK_SECONDS, SILENCE_SECONDS, SilenceDetector
 from damsonlane.placement import Placement
 from damsonlane.pools import PieceResult
 from damsonlane.ratelimit import Permit
 from damsonlane_rpc import CALL_ERRORS, POOL, PoolOrders, PoolResults, open_channel
 from damsonlaned.tasks import start_task
 
-#: Seconds without a message from an owner, while results are awaited, after which its
-#: orders go to another owner.
-SILENCE_SECONDS: Final = 0.8
-
 #: Fault of a stream that ended without an error.
 _STREAM_ENDED: Final = "the stream ended"
 
@@ -28,8 +25,13 @@
 OnPlacements = Callable[[Sequence[Placement]], None]
 #: Called with permits.
 OnPermits = Callable[[Sequence[Permit]], None]
-#: Called with the owner's address, the numbers of the awaited orders, and the fault.
-OnLost = Callable[[str, Sequence[int], str], None]
+#: Called with the owner's address, the numbers of the awaited orders, the fault, and whether it
+#: is that the owner was silent.
+OnLost = Callable[[str, Sequence[int], str, bool], None]
+
+
+class OwnerSilentError(TimeoutError):
+    """An owner sent nothing while results were awaited."""
 
 
 class OwnerLink:
@@ -43,6 +45,7 @@
         on_placements: called with placements of prompts.
         on_permits: called with permits.
         on_lost: called once the stream has ended.
+        silence_seconds: least silence after which the owner has failed, in seconds.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         on_placements: OnPlacements,
         on_permits: OnPermits,
         on_lost: OnLost,
+        silence_seconds: float = SILENCE_SECONDS,
     ) -> None:
         self._owner: Final = owner
         self._context: Final = context
@@ -65,13 +69,14 @@
         self._outgoing: list[PoolOrders] = []
         self._has_more: Final = asyncio.Event()
         self._awaited: set[int] = set()
-        self._received_at = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        self._silence_detector: Final = SilenceDetector(now, silence_seconds)
         self._task: Final = start_task(self._run(), "stream to a pool owner")
 
     def send(self, message: PoolOrders) -> None:
         """Queue a message."""
         if not self._awaited:
-            self._received_at = asyncio.get_running_loop().time()
+            self._silence_detector.restart(asyncio.get_running_loop().time())
         self._awaited.update(order.number for order in message.orders)
         self._outgoing.append(message)
         self._has_more.set()
@@ -90,15 +95,17 @@
     async def _run(self) -> None:
         channel = open_channel(self._owner, self._context)
         fault = _STREAM_ENDED
+        is_silent = False
         try:
             async with POOL.stream(channel).open() as stream:
                 await stream.send_request()
                 await self._exchange(stream)
         except CALL_ERRORS as error:
             fault = str(error) or type(error).__name__
+            is_silent = isinstance(error, OwnerSilentError)
         finally:
             channel.close()
-            self._on_lost(self._owner, tuple(self._awaited), fault)
+            self._on_lost(self._owner, tuple(self._awaited), fault, is_silent)
 
     async def _exchange(self, stream: Stream[PoolOrders, PoolResults]) -> None:
         """Send and receive until either ends.
@@ -122,7 +129,7 @@
 
     async def _receive(self, stream: Stream[PoolOrders, PoolResults]) -> None:
         while (message := await stream.recv_message()) is not None:
-            self._received_at = asyncio.get_running_loop().time()
+            self._silence_detector.record_message(asyncio.get_running_loop().time())
             self._awaited.difference_update(result.number for result in message.results)
             self._on_reads(message.read)
             self._on_placements(message.placements)
@@ -138,9 +145,9 @@
                 await stream.send_message(message)
 
     async def _watch_for_silence(self) -> None:
-        """Raise TimeoutError when the owner sends nothing while results are awaited."""
+        """Raise OwnerSilentError when the owner sends nothing while results are awaited."""
         while True:
-            await asyncio.sleep(SILENCE_SECONDS / 4)
+            await asyncio.sleep(CHECK_SECONDS)
             now = asyncio.get_running_loop().time()
-            if self._awaited and now - self._received_at > SILENCE_SECONDS:
-                raise TimeoutError("the owner sent nothing while results were awaited")
+            if self._awaited and self._silence_detector.is_silent(now):
+                raise OwnerSilentError("the owner sent nothing while results were awaited")
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -210,6 +210,7 @@
                 lambda placements: self.on_placements(placements),
                 lambda permits: self.on_permits(permits),
                 self.handle_lost_owner,
+                self._choice.find_silence_seconds(),
             )
         return self._links[owner]
 
@@ -243,12 +244,14 @@
             if pending is not None:
                 pending.on_read()
 
-    def handle_lost_owner(self, owner: str, numbers: Sequence[int], fault: str) -> None:
+    def handle_lost_owner(
+        self, owner: str, numbers: Sequence[int], fault: str, is_silent: bool = False
+    ) -> None:
         """Place the outstanding orders of a lost owner with another one."""
         link = self._links.pop(owner, None)
         if link is None:
             return
-        self._choice.suspect(owner)
+        self._choice.suspect(owner, is_silent=is_silent)
         lost = [self._pending[number] for number in numbers if number in self._pending]
         _LOG.warning("lost pool owner", extra={"owner": owner, "fault": fault, "orders": len(lost)})
         for service in {pending.service for pending in lost}:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
+from itertools import pairwise
 from unittest import mock
 
 from grpclib.server import Server, Stream
@@ -282,6 +283,17 @@
                     entry.view.put_entries(after)
                     self.assertEqual(pools.find_owner("pool"), owner or self.address)
 
+    async def test_overloaded_owners_are_not_replaced_one_after_another(self) -> None:
+        addresses = [f"127.0.0.1:{port}" for port in range(1, 5)]
+        self.orderer.view.put_entries(tuple(map(make_box_record, addresses)))
+        pools = self.orderer.pools
+        timeouts = []
+        for address in addresses:
+            timeouts.append(pools._choice.find_silence_seconds())
+            pools._links[address] = mock.Mock()
+            pools.handle_lost_owner(address, (), "the owner sent nothing", True)
+        self.assertEqual([after / before for before, after in pairwise(timeouts)], [2.0, 2.0, 2.0])
+
     def _weigh_owner_most(self, _service: str, address: str) -> bytes:
         return b"1" if address == self.address else b"0"
 
