A queue plans the calls of all free targets at once

Cause: the owner of a pool evaluated its whole queue once for each free target, also for those that find no piece: one that waits for a target near its inputs keeps other targets free. Change: a plan orders the stages once; each target takes its batch from what the plan has left.

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -27,6 +27,32 @@
     late: tuple[WaitingPiece, ...]
 
 
+@dataclass(kw_only=True)
+class CallPlan:
+    """The order in which waiting stages run, from one evaluation of the queue; mutable."""
+
+    #: The stages, most urgent first.
+    ordered: list[WaitingStage]
+    #: Pieces that were removed from the queue, since they are too late or will be.
+    late: tuple[WaitingPiece, ...]
+
+    def remove(self, batch: Sequence[WaitingPiece]) -> None:
+        """Remove the pieces of a call."""
+        if not batch:
+            return
+        taken = {piece.identity for piece in batch}
+        groups = {piece.group for piece in batch}
+        left: list[WaitingStage] = []
+        for stage in self.ordered:
+            if stage.pieces[0].group not in groups:
+                left.append(stage)
+                continue
+            pieces = tuple(piece for piece in stage.pieces if piece.identity not in taken)
+            if pieces:
+                left.append(WaitingStage(pieces=pieces))
+        self.ordered = left
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Evaluation:
     """The waiting stages, in the order in which they should run."""
@@ -89,6 +115,16 @@
 
     def select(self, now: float, capacity: CallCapacity) -> Selection:
         """Remove and return the pieces of the next call, and those that are too late."""
+        plan = self.plan_calls(now, capacity)
+        return Selection(batch=self.take_batch(plan, now, capacity), late=plan.late)
+
+    def plan_calls(self, now: float, capacity: CallCapacity) -> CallPlan:
+        """Remove the pieces that are too late, and return the order in which the others run.
+
+        Args:
+            now: the monotonic clock, in seconds.
+            capacity: the capacity of the pool, whichever targets take the calls.
+        """
         expired = self.take_expired(now, capacity)
         evaluation = self._evaluate(now, capacity)
         refused = self._list_refused(evaluation, now, capacity)
@@ -97,13 +133,26 @@
         self._remove(late)
         dropped = {id(stage) for stage in refused}
         kept = [stage for stage in evaluation.not_in_time if id(stage) not in dropped]
-        batch = fill_batch([*evaluation.in_time, *kept], now, capacity)
+        return CallPlan(ordered=[*evaluation.in_time, *kept], late=(*expired, *late))
+
+    def take_batch(
+        self, plan: CallPlan, now: float, capacity: CallCapacity
+    ) -> tuple[WaitingPiece, ...]:
+        """Remove and return the pieces of a call, which the plan omits afterwards.
+
+        Args:
+            plan: the order in which pieces run, from the same event.
+            now: the monotonic clock, in seconds.
+            capacity: the target that takes the call.
+        """
+        batch = fill_batch(plan.ordered, now, capacity)
+        plan.remove(batch)
         self._remove(batch)
         for piece in batch:
             self._recent_work.record(piece.order.rank, now)
             if not piece.order.is_late_return:
                 self._priorities.record_served(piece.order.rank, now)
-        return Selection(batch=tuple(batch), late=(*expired, *late))
+        return tuple(batch)
 
     def take_late(self, now: float, capacity: CallCapacity) -> tuple[WaitingPiece, ...]:
         """Remove and return the pieces that are too late, or will be before their turn."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_targets.py
@@ -203,12 +203,13 @@
             now: the time by the loop's clock.
         """
         working = [other for other in self._targets.values() if other.is_available(now)]
+        waits = tuple(other.wait_seconds(now) for other in working)
         gaps = tuple(other.gap_seconds() for other in working)
         return CallCapacity(
             data_centre=target.data_centre if target is not None else "",
             result_memory_bytes=target.result_memory.free_bytes(now) if target is not None else 0,
-            seconds_until_free=_find_waits(working, now),
-            busy_seconds=tuple(other.wait_seconds(now) for other in working),
+            seconds_until_free=_find_waits(working, waits),
+            busy_seconds=waits,
             batch=properties.batch,
             call_seconds=properties.call_seconds,
             piece_seconds=properties.piece_seconds,
@@ -218,10 +219,9 @@
         )
 
 
-def _find_waits(targets: Sequence[PoolTarget], now: float) -> dict[str, float]:
+def _find_waits(targets: Sequence[PoolTarget], waits: Sequence[float]) -> dict[str, float]:
     """Return the seconds until a target is free in each data centre."""
-    waits: dict[str, float] = {}
-    for target in targets:
-        wait = target.wait_seconds(now)
-        waits[target.data_centre] = min(waits.get(target.data_centre, wait), wait)
-    return waits
+    shortest: dict[str, float] = {}
+    for target, wait in zip(targets, waits, strict=True):
+        shortest[target.data_centre] = min(shortest.get(target.data_centre, wait), wait)
+    return shortest
