A service is divided into shards with an owner each when its owner is busy

What callers saw: a class of requests got too little on the large site, and the less the slower the boxes' processors were. Cause: one entry owns all targets of a pool, however many there are, so its work grows with the requests of all boxes. Weighed: an assignment of targets to boxes that control computes from loads (nothing would move while control has no leader; owners by rendezvous do); a number of shards by the number of targets (a size set by hand); shards that entries choose by their own view of the load (they would not agree). Change: each target has a shard, which the replicated registry assigns and every entry receives with the target's record. A service has one shard until an owner that is busy for 0.4 of its time asks control for more; control divides only from the number that the owner knew, keeps targets in place if it can and spreads each data centre. Entries draw two shards by their targets and choose the shorter reported queue. An owner returns its queue when the number changes. Results are freed by the owner of their target. After two minutes nearly without load, the owner of the last shard has it merged. Owners of prompts are not divided.

--- a/packages/damsonlane/src/damsonlane/cluster/_state.py
+++ b/packages/damsonlane/src/damsonlane/cluster/_state.py
@@ -55,6 +55,7 @@
     RecordRateLimits,
 )
 from damsonlane.targets import (
+    DivideService,
     MarkTargetsSilent,
     RegisterTarget,
     RemoveTarget,
@@ -82,7 +83,8 @@
     | RecordServed
     | ReleaseRequest
     | ForgetTargetExits
-    | RecordRateLimits,
+    | RecordRateLimits
+    | DivideService,
     Field(discriminator="kind"),
 ]
 Reply = Annotated[
@@ -195,6 +197,8 @@
                 return self.membership.remove(command)
             case ReplaceDocument():
                 return self.documents.replace(command)
+            case DivideService():
+                return self.targets.apply(command)
             case RegisterTarget() | RemoveTarget() | MarkTargetsSilent():
                 reply = self.targets.apply(command)
                 self._drop_stale_limits(command)
--- a/packages/damsonlane/src/damsonlane/targets/__init__.py
+++ b/packages/damsonlane/src/damsonlane/targets/__init__.py
@@ -10,8 +10,11 @@
     TargetStanding,
 )
 from damsonlane.targets._registry import TargetChanges, TargetRegistry, TargetsSnapshot
+from damsonlane.targets._shards import DivideService, Shard
 
 __all__ = [
+    "DivideService",
+    "Shard",
     "RegisterTarget",
     "RemoveTarget",
     "MarkTargetsSilent",
--- a/packages/damsonlane/src/damsonlane/targets/_records.py
+++ b/packages/damsonlane/src/damsonlane/targets/_records.py
@@ -35,11 +35,17 @@
     #: Seconds of warm-up that are left at the heartbeat; until then it can serve only a few
     #: requests a second.
     cold_seconds: float = 0.0
+    #: Shard of its service, assigned by the registry; each shard has its own owner.
+    shard: int = 0
 
     def with_standing(self, standing: TargetStanding) -> "TargetRecord":
         """Return the record with another standing."""
         return replace(self, standing=standing)
 
+    def with_shard(self, shard: int) -> "TargetRecord":
+        """Return the record in another shard."""
+        return replace(self, shard=shard)
+
 
 @dataclass(frozen=True, kw_only=True)
 class RegisterTarget:
--- a/packages/damsonlane/src/damsonlane/targets/_registry.py
+++ b/packages/damsonlane/src/damsonlane/targets/_registry.py
@@ -10,6 +10,12 @@
     TargetRecord,
     TargetRecorded,
 )
+from damsonlane.targets._shards import (
+    DivideService,
+    ServiceShards,
+    assign_shards,
+    choose_shard,
+)
 
 #: Most removed targets that are remembered, so that a delayed heartbeat does not add one again.
 MAX_REMOVED: Final = 512
@@ -59,6 +65,8 @@
     gone: tuple[RemovedTarget, ...] = ()
     #: Revision up to which removals are no longer remembered.
     forgotten_revision: int = 0
+    #: Services that are divided into several shards.
+    divided: tuple[ServiceShards, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -84,6 +92,7 @@
         self._known = {known.record.target: known for known in start.known}
         self._removed = {removed.target: removed for removed in start.gone}
         self._forgotten_revision = start.forgotten_revision
+        self._shards = {divided.service: divided.shards for divided in start.divided}
 
     def snapshot(self) -> TargetsSnapshot:
         """Return the complete registry."""
@@ -92,6 +101,10 @@
             known=tuple(self._known[name] for name in sorted(self._known)),
             gone=tuple(self._removed.values()),
             forgotten_revision=self._forgotten_revision,
+            divided=tuple(
+                ServiceShards(service=service, shards=shards)
+                for service, shards in sorted(self._shards.items())
+            ),
         )
 
     def records(self) -> tuple[TargetRecord, ...]:
@@ -103,6 +116,10 @@
         known = self._known.get(target)
         return known.record if known else None
 
+    def count_shards(self, service: str) -> int:
+        """Return the number of shards of a service."""
+        return self._shards.get(service, 1)
+
     def is_removed(self, target: str) -> bool:
         """Return whether a target was removed permanently."""
         removed = self._removed.get(target)
@@ -122,7 +139,9 @@
             ),
         )
 
-    def apply(self, command: RegisterTarget | RemoveTarget | MarkTargetsSilent) -> TargetRecorded:
+    def apply(
+        self, command: RegisterTarget | RemoveTarget | MarkTargetsSilent | DivideService
+    ) -> TargetRecorded:
         """Apply one command."""
         match command:
             case RegisterTarget(record=record):
@@ -132,6 +151,8 @@
             case MarkTargetsSilent(targets=targets):
                 changes = [self._silence(target) for target in targets]
                 return TargetRecorded(is_changed=any(changes))
+            case DivideService():
+                return TargetRecorded(is_changed=self._divide(command))
 
     def _register(self, record: TargetRecord) -> bool:
         others = self._list_others_at(record)
@@ -149,9 +170,35 @@
         for other in others:
             # Two targets can't have one address, so the one reported later replaced the other.
             self._remove(other.target, other.sequence)
-        self._store(record)
+        self._store(
+            record.with_shard(self._find_shard(record, known.record if known is not None else None))
+        )
+        return True
+
+    def _find_shard(self, record: TargetRecord, known: TargetRecord | None) -> int:
+        """Return the shard of a target: the one that it has, or the smallest one."""
+        if known is not None and known.service == record.service:
+            return known.shard
+        shards = self.count_shards(record.service)
+        return choose_shard(self._list_service(record.service), shards, record.data_centre)
+
+    def _divide(self, command: DivideService) -> bool:
+        records = self._list_service(command.service)
+        if self.count_shards(command.service) != command.expected:
+            return False
+        if command.shards == command.expected or not 1 <= command.shards <= max(1, len(records)):
+            return False
+        self._shards[command.service] = command.shards
+        assigned = assign_shards(records, command.shards)
+        for record in records:
+            if assigned[record.target] != record.shard:
+                self._store(record.with_shard(assigned[record.target]))
         return True
 
+    def _list_service(self, service: str) -> tuple[TargetRecord, ...]:
+        """Return the records of a service's targets, sorted by name."""
+        return tuple(record for record in self.records() if record.service == service)
+
     def _may_return(self, record: TargetRecord) -> bool:
         """Count a heartbeat of a removed target; return whether to register it again."""
         removed = self._removed[record.target]
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_fleet_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_fleet_messages.py
@@ -104,6 +104,8 @@
 
     #: The service whose targets form the pool.
     service: str
+    #: Index of the shard of this service that the pieces and results below belong to.
+    shard: int = 0
     #: Pieces to compute.
     orders: tuple[PieceOrder, ...] = ()
     #: Numbers of cancelled orders, whose results nothing waits for any more.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
@@ -2,10 +2,16 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping, Sequence
 from typing import Final
 
+from damsonlane.pools import OwnedWork
+from damsonlane.targets import Shard
+from damsonlaned.gateway._owner_activity import OwnerActivity
 from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._prompt_placer import PromptPlacers
+from damsonlaned.gateway._shard_division import ShardDivision
+from damsonlaned.gateway._view import FleetView
 from damsonlaned.loop_load import LoopLoad
 from damsonlaned.metrics import Metrics
 from damsonlaned.tasks import start_task
@@ -14,24 +20,35 @@
 
 #: Seconds between samples of the load.
 SAMPLE_SECONDS: Final = 0.25
-#: Samples for each log line.
-SAMPLES_PER_LINE: Final = 4
+#: Samples for each report.
+SAMPLES_PER_REPORT: Final = 4
 #: Share of its time from which a busy entry logs its load.
 LOGGED_SHARE: Final = 0.2
 
 
 class EntryLoad:
-    """Samples the load of this entry and logs it while the entry is busy.
+    """Samples the load of this entry, logs it while it is busy, and has its pools divided.
 
     Args:
+        view: lists the targets of the pools.
         owners: the pools that this entry owns.
         placers: place the prompts of the engine services that this entry owns.
+        division: requests that pools are divided.
         metrics: the metrics of the process.
     """
 
-    def __init__(self, owners: PoolOwners, placers: PromptPlacers, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        owners: PoolOwners,
+        placers: PromptPlacers,
+        division: ShardDivision,
+        metrics: Metrics,
+    ) -> None:
+        self._view: Final = view
         self._owners: Final = owners
         self._placers: Final = placers
+        self._division: Final = division
         self._metrics: Final = metrics
         self._task: asyncio.Task[None] | None = None
 
@@ -44,31 +61,52 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        await self._division.stop()
 
     async def _run(self) -> None:
         load = LoopLoad()
+        loop = asyncio.get_running_loop()
+        reported_at = loop.time()
         while True:
-            for _ in range(SAMPLES_PER_LINE):
+            for _ in range(SAMPLES_PER_REPORT):
                 await asyncio.sleep(SAMPLE_SECONDS)
-                self._metrics.loop_load.set({}, load.sample())
-            self._log(load.sample())
+                share = load.sample()
+                self._metrics.loop_load.set({}, share)
+            pools = self._owners.take_activities()
+            now = loop.time()
+            self._division.consider(share, self._list_works(pools, now - reported_at))
+            reported_at = now
+            if share >= LOGGED_SHARE:
+                self._log(share, {**pools, **self._placers.take_activities()})
 
-    def _log(self, share: float) -> None:
-        """Log the work of the last interval for each owned service, if the entry is busy."""
-        activities = {**self._owners.take_activities(), **self._placers.take_activities()}
-        if share < LOGGED_SHARE:
-            return
+    def _list_works(
+        self, activities: Mapping[Shard, OwnerActivity], seconds: float
+    ) -> Sequence[OwnedWork]:
+        """Return the pools that this entry has owned in the last seconds, with their work."""
+        return [
+            OwnedWork(
+                shard=shard,
+                pieces_per_second=activity.orders / seconds,
+                shards=self._view.count_shards(shard.service),
+                targets=len(self._view.open_targets_of(shard.service)),
+            )
+            for shard, activity in activities.items()
+        ]
+
+    def _log(self, share: float, activities: Mapping[Shard, OwnerActivity]) -> None:
+        """Log the work of the last interval for each owned shard."""
         _LOG.info("entry load", extra={"load": round(share, 3)})
-        for service, activity in activities.items():
+        for shard, activity in activities.items():
             if not activity.orders and not activity.searches:
                 continue
             fields = {
-                "service": service,
+                "service": shard.service,
+                "shard": shard.index,
                 "load": round(share, 3),
                 "orders": activity.orders,
                 "calls": activity.calls,
                 "searches": activity.searches,
                 "search_seconds": round(activity.search_seconds, 4),
-                "waiting": self._owners.count_waiting(service),
+                "waiting": self._owners.count_waiting(shard),
             }
             _LOG.info("owner load", extra=fields)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_limit_reports.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_limit_reports.py
@@ -44,7 +44,7 @@
 
     def _enqueue(self, report: RateLimitReport) -> None:
         record = self._view.find_target(report.named.target)
-        if record is None or not self._view.limits.is_owned(record.service):
+        if record is None or not self._view.limits.is_owned(record.service, report.named):
             return
         self._waiting[report.named] = report
         if self._task is None or self._task.done():
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -14,6 +14,7 @@
 from damsonlane.warmup import WarmupAllowance
 from damsonlane_rpc import ControlClient
 from damsonlaned.admin import AdminServer
+from damsonlaned.clock import read_clock
 from damsonlaned.dialects import DIALECTS
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._caller_service import CallerService, HandlerDependencies
@@ -27,6 +28,7 @@
 from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._pool_service import PoolService
 from damsonlaned.gateway._prompt_placer import PromptPlacers
+from damsonlaned.gateway._shard_division import ShardDivision
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
@@ -78,14 +80,26 @@
             self._view, targets, self._dialect, self._metrics, exit_detector, self._quarantine
         )
         self._owners: Final = owners
-        self._pools: Final = PoolClient(self._view, owners, settings.internal_address, context)
+        self._pools: Final = PoolClient(
+            self._view,
+            owners,
+            settings.internal_address,
+            context,
+            self._dialect.read_result_address,
+        )
         placers = PromptPlacers(self._view)
         self._pool_service: Final = PoolService(owners, placers, self._view.limits)
         placements = PlacementClient(placers, self._pools, settings.internal_address)
         self._pools.on_placements = placements.receive
         permits = PermitClient(self._view, self._pools, settings.internal_address)
         self._pools.on_permits = permits.receive
-        self._load: Final = EntryLoad(owners, placers, self._metrics)
+        self._load: Final = EntryLoad(
+            self._view,
+            owners,
+            placers,
+            ShardDivision(self._control, read_clock),
+            self._metrics,
+        )
         self._limit_reports: Final = LimitReports(self._view, self._control)
         attempts = Attempts(
             targets,
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from damsonlane.membership import SILENCE_SECONDS, choose_owner
+from damsonlane.targets import Shard
 from damsonlaned.gateway._view import FleetView
 
 #: Seconds for which an owner that failed is passed over: longer than control lists a
@@ -41,33 +42,42 @@
         self._suspects: dict[str, _Suspicion] = {}
         #: Cache of the owners by control's list, which are looked up on each check of a
         #: rate-limited target: hashing hundreds of entries takes a fraction of a millisecond.
-        self._listed: dict[str, str] = {}
+        self._listed: dict[Shard, str] = {}
         view.on_entries(self._listed.clear)
 
-    def find_owner(self, service: str, avoid: str = "") -> str:
-        """Return the address of the entry that owns a pool.
+    def find_owner(self, shard: Shard, avoid: str = "") -> str:
+        """Return the address of the entry that owns a shard of a pool.
 
         Args:
-            service: the service.
+            shard: the shard.
             avoid: address of an entry that is not chosen, or an empty string.
         """
+        if not self._suspects and not avoid:
+            return self._find_listed(shard)
         now = asyncio.get_running_loop().time()
         # An entry that control does not list, because it is stopping or has just started, owns
         # nothing: two owners of a pool would send their calls to the same targets.
         suspects = {address for address in self._suspects if self._is_suspect(address, now)}
-        owner = choose_owner(service, self._view.entries, suspects | {avoid})
+        if not suspects and not avoid:
+            self._suspects.clear()
+            return self._find_listed(shard)
+        owner = choose_owner(shard.subject, self._view.entries, suspects | {avoid})
         return owner.address if owner is not None else self._own_address
 
-    def is_listed_owner(self, service: str) -> bool:
-        """Return whether this entry owns a pool by control's list, ignoring suspicions.
+    def is_listed_owner(self, shard: Shard) -> bool:
+        """Return whether this entry owns a shard by control's list, ignoring suspicions.
 
         An entry that replaces an owner which it can't reach is not the listed owner. It can't
         know by itself whether the owner still serves others, so both may serve at once.
         """
-        if service not in self._listed:
-            owner = choose_owner(service, self._view.entries)
-            self._listed[service] = owner.address if owner is not None else self._own_address
-        return self._listed[service] == self._own_address
+        return self._find_listed(shard) == self._own_address
+
+    def _find_listed(self, shard: Shard) -> str:
+        """Return the address of the owner of a shard by control's list."""
+        if shard not in self._listed:
+            owner = choose_owner(shard.subject, self._view.entries)
+            self._listed[shard] = owner.address if owner is not None else self._own_address
+        return self._listed[shard]
 
     def suspect(self, address: str, *, is_silent: bool = False) -> None:
         """Pass over an owner whose stream was lost, for SUSPECT_SECONDS.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
@@ -11,6 +11,7 @@
 from damsonlane.placement import Placement
 from damsonlane.pools import PieceResult
 from damsonlane.ratelimit import Permit
+from damsonlane.targets import Shard
 from damsonlane_rpc import CALL_ERRORS, POOL, PoolOrders, PoolResults, open_channel
 from damsonlaned.tasks import start_task
 
@@ -81,11 +82,12 @@
         self._outgoing.append(message)
         self._has_more.set()
 
-    def withdraw(self, service: str, number: int) -> None:
+    def withdraw(self, shard: Shard, number: int) -> None:
         """Withdraw an order if it was placed with this owner."""
         if number in self._awaited:
             self._awaited.discard(number)
-            self.send(PoolOrders(service=service, withdrawn=(number,)))
+            message = PoolOrders(service=shard.service, shard=shard.index, withdrawn=(number,))
+            self.send(message)
 
     async def stop(self) -> None:
         """Close the stream."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_permit_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_permit_client.py
@@ -22,8 +22,8 @@
 class PermitOwners(Protocol):
     """Reaches the owners of a service's targets."""
 
-    def find_owners(self, service: str) -> tuple[str, ...]:
-        """Return the address of the owner, followed by that of its fallback, if any."""
+    def find_owners(self, service: str, index: int = 0) -> tuple[str, ...]:
+        """Return the address of the owner of a shard, followed by that of its fallback, if any."""
 
     def send(self, owner: str, message: PoolOrders) -> None:
         """Send a message to a box."""
@@ -108,6 +108,6 @@
         record = self._view.find_target(report.named.target)
         if record is None:
             return
-        owner = self._owners.find_owners(record.service)[0]
+        owner = self._owners.find_owners(record.service, record.shard)[0]
         if owner != self._address:
             self._owners.send(owner, PoolOrders(service=record.service, words=(report,)))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -11,11 +11,13 @@
 
 from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane.ratelimit import NON_OWNER_SHARE, RateLimitReport
+from damsonlane.targets import Shard
 from damsonlane_rpc import PoolOrders
 from damsonlaned.gateway._owner_choice import OwnerChoice
 from damsonlaned.gateway._owner_link import OnPermits, OnPlacements, OwnerLink
 from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._reported_waits import ReportedWaits
+from damsonlaned.gateway._shard_choice import ShardChoice
 from damsonlaned.gateway._view import FleetView
 
 _LOG: Final = logging.getLogger(__name__)
@@ -33,8 +35,8 @@
 class _PendingOrder:
     """An order whose result is awaited."""
 
-    #: Service whose targets compute the piece.
-    service: str
+    #: Shard of the service whose targets compute the piece.
+    shard: Shard
     #: The order as first placed, with its number.
     order: PieceOrder
     #: When it was first placed, by the loop's clock.
@@ -48,8 +50,8 @@
 class PoolClient:
     """Orders pieces for the requests of this entry.
 
-    All entries choose the same owner for a pool, by rendezvous hashing over
-    the entries that control lists. If an owner crashes or falls silent, its
+    All entries choose the same owner for a shard of a pool, by rendezvous hashing
+    over the entries that control lists. If an owner crashes or falls silent, its
     outstanding orders are placed again with another owner.
 
     Args:
@@ -57,6 +59,7 @@
         owners: the pools that this entry owns.
         address: internal address of this entry.
         context: TLS context towards other boxes, or None.
+        find_address: returns the address of the target that holds a result, by its handle.
     """
 
     def __init__(
@@ -65,8 +68,10 @@
         owners: PoolOwners,
         address: str,
         context: ssl.SSLContext | None,
+        find_address: Callable[[str], str] = lambda _: "",
     ) -> None:
         self._view: Final = view
+        self._find_address: Final = find_address
         self._choice: Final = OwnerChoice(view, address)
         self._owners: Final = owners
         self._address: Final = address
@@ -76,6 +81,7 @@
         self._links: dict[str, OwnerLink] = {}
         self._withdrawn: dict[int, str] = {}
         self._waits: Final = ReportedWaits()
+        self._shards: Final = ShardChoice(view, self._waits)
         #: Called with the placements that arrive on the same streams.
         self.on_placements: OnPlacements = lambda _: None
         #: Called with the permits that arrive on the same streams.
@@ -93,31 +99,38 @@
 
         Args:
             service: the service whose targets compute them.
-            orders: the pieces to compute.
+            orders: the pieces to compute, all of one stage of a request.
             on_read: called with the index of a piece once a target has read its inputs,
                 which may be freed from then on.
 
         Returns:
             A future for each piece, in order.  Cancelling one withdraws its order.
         """
+        shard = self._shards.choose(service, orders[0].rank if orders else 0)
         placed = [
-            self._register_order(service, order, partial(on_read, index))
+            self._register_order(shard, order, partial(on_read, index))
             for index, order in enumerate(orders)
         ]
-        self._send_orders(service, placed)
+        self._send_orders(shard, placed)
         return [pending.future for pending in placed]
 
     def free(self, service: str, handles: Sequence[str]) -> None:
-        """Free results."""
-        owner = self.find_owner(service)
-        if owner == self._address:
-            self._owners.get(service).free(handles)
-        else:
-            self._find_link(owner).send(PoolOrders(service=service, freed=tuple(handles)))
+        """Free results, by the owners of the targets that hold them."""
+        by_shard: dict[Shard, list[str]] = {}
+        for handle in handles:
+            shard = self._view.find_shard_at(service, self._find_address(handle))
+            by_shard.setdefault(shard, []).append(handle)
+        for shard, held in by_shard.items():
+            owner = self.find_owner(service, shard.index)
+            if owner == self._address:
+                self._owners.get(service, shard.index).free(held)
+            else:
+                message = PoolOrders(service=service, shard=shard.index, freed=tuple(held))
+                self._find_link(owner).send(message)
 
     def wait_seconds(self, service: str, priority: int) -> float:
         """Return the remaining seconds of a pool's last reported queueing time for a priority."""
-        return self._waits.seconds(service, priority, asyncio.get_running_loop().time())
+        return self._shards.estimate_wait_seconds(service, priority)
 
     def has_queue(self, service: str) -> bool:
         """Return whether pieces of any priority wait in a pool, by the last reports."""
@@ -129,7 +142,7 @@
         await asyncio.gather(*links, return_exceptions=True)
 
     def _register_order(
-        self, service: str, order: PieceOrder, on_read: Callable[[], None]
+        self, shard: Shard, order: PieceOrder, on_read: Callable[[], None]
     ) -> _PendingOrder:
         """Assign a number to an order and keep it until its result arrives."""
         loop = asyncio.get_running_loop()
@@ -137,7 +150,7 @@
         future: asyncio.Future[PieceResult] = loop.create_future()
         future.add_done_callback(partial(self._withdraw, number))
         pending = _PendingOrder(
-            service=service,
+            shard=shard,
             order=replace(order, number=number),
             placed_at=loop.time(),
             future=future,
@@ -148,19 +161,21 @@
 
     # Owners.
 
-    def find_owner(self, service: str) -> str:
-        """Return the address of the entry that owns the targets of a service."""
-        return self._choice.find_owner(service)
+    def find_owner(self, service: str, index: int = 0) -> str:
+        """Return the address of the entry that owns the targets of a shard of a service."""
+        return self._choice.find_owner(Shard(service=service, index=index))
 
-    def find_owners(self, service: str) -> tuple[str, ...]:
-        """Return the address of the owner of a service, followed by that of its fallback."""
-        first = self._choice.find_owner(service)
-        second = self._choice.find_owner(service, avoid=first)
+    def find_owners(self, service: str, index: int = 0) -> tuple[str, ...]:
+        """Return the address of the owner of a shard, followed by that of its fallback."""
+        shard = Shard(service=service, index=index)
+        first = self._choice.find_owner(shard)
+        second = self._choice.find_owner(shard, avoid=first)
         return (first,) if second == first else (first, second)
 
-    def _find_share(self, service: str) -> float:
-        """Return the share of its targets' rates for which this entry issues permits."""
-        return 1.0 if self._choice.is_listed_owner(service) else NON_OWNER_SHARE
+    def _find_share(self, service: str, target: str) -> float:
+        """Return the share of a target's rate for which this entry issues permits."""
+        shard = self._view.find_shard_of(service, target)
+        return 1.0 if self._choice.is_listed_owner(shard) else NON_OWNER_SHARE
 
     def send(self, owner: str, message: PoolOrders) -> None:
         """Send a message to an owner, with the rate limits that its targets announced.
@@ -184,21 +199,22 @@
         asyncio.get_running_loop().call_later(PROPAGATION_SECONDS, self._hand_over_pools)
 
     def _hand_over_pools(self) -> None:
-        for service in self._owners.services():
-            if self.find_owner(service) != self._address:
-                self._owners.get(service).return_waiting()
+        for shard in self._owners.shards():
+            if self.find_owner(shard.service, shard.index) != self._address:
+                self._owners.get(shard.service, shard.index).return_waiting()
 
-    def _send_orders(self, service: str, placed: Sequence[_PendingOrder]) -> None:
-        """Send orders to the owner of their pool, with their remaining times."""
-        owner = self.find_owner(service)
+    def _send_orders(self, shard: Shard, placed: Sequence[_PendingOrder]) -> None:
+        """Send orders to the owner of their shard, with their remaining times."""
+        owner = self.find_owner(shard.service, shard.index)
         now = asyncio.get_running_loop().time()
         orders = tuple(_deduct_elapsed(pending, now) for pending in placed)
         if owner == self._address:
-            pool = self._owners.get(service)
+            pool = self._owners.get(shard.service, shard.index)
             pool.attach(_SELF, self)
             pool.order(_SELF, orders)
         else:
-            self.send(owner, PoolOrders(service=service, orders=orders))
+            message = PoolOrders(service=shard.service, shard=shard.index, orders=orders)
+            self.send(owner, message)
 
     def _find_link(self, owner: str) -> OwnerLink:
         if owner not in self._links:
@@ -218,9 +234,9 @@
 
     def receive(self, results: Sequence[PieceResult]) -> None:
         """Receive results; those of withdrawn orders are freed."""
+        self._send_again([result.number for result in results if result.is_returned])
         for result in results:
             if result.is_returned:
-                self._send_again(result.number)
                 continue
             self._record_wait(result)
             pending = self._pending.pop(result.number, None)
@@ -231,11 +247,17 @@
             if service and result.handle:
                 self.free(service, (result.handle,))
 
-    def _send_again(self, number: int) -> None:
-        """Order again a piece that an owner returned."""
-        pending = self._pending.get(number)
-        if pending is not None:
-            self._send_orders(pending.service, [pending])
+    def _send_again(self, numbers: Sequence[int]) -> None:
+        """Order again pieces that an owner returned, each stage from one shard."""
+        returned = [self._pending[number] for number in numbers if number in self._pending]
+        stages: dict[tuple[str, int], list[_PendingOrder]] = {}
+        for pending in returned:
+            stages.setdefault((pending.order.request, pending.order.stage), []).append(pending)
+        for stage in stages.values():
+            shard = self._shards.choose(stage[0].shard.service, stage[0].order.rank)
+            moved = [replace(pending, shard=shard) for pending in stage]
+            self._pending.update({pending.order.number: pending for pending in moved})
+            self._send_orders(shard, moved)
 
     def receive_reads(self, numbers: Sequence[int]) -> None:
         """Receive the numbers of orders whose inputs were read."""
@@ -254,30 +276,29 @@
         self._choice.suspect(owner, is_silent=is_silent)
         lost = [self._pending[number] for number in numbers if number in self._pending]
         _LOG.warning("lost pool owner", extra={"owner": owner, "fault": fault, "orders": len(lost)})
-        for service in {pending.service for pending in lost}:
-            self._send_orders(service, [item for item in lost if item.service == service])
+        for shard in {pending.shard for pending in lost}:
+            self._send_orders(shard, [item for item in lost if item.shard == shard])
 
     def _record_wait(self, result: PieceResult) -> None:
         """Record the reported queueing time, if the piece is still awaited."""
         pending = self._pending.get(result.number)
         if pending is not None:
             now = asyncio.get_running_loop().time()
-            self._waits.record(pending.service, pending.order.rank, result.wait_seconds, now)
+            self._waits.record(pending.shard, pending.order.rank, result.wait_seconds, now)
 
     def _withdraw(self, number: int, done: "asyncio.Future[PieceResult]") -> None:
         """Withdraw an order whose future was cancelled before its result arrived."""
         pending = self._pending.pop(number, None)
         if pending is None or not done.cancelled():
             return
-        service = pending.service
-        self._withdrawn[number] = service
+        shard = pending.shard
+        self._withdrawn[number] = shard.service
         if len(self._withdrawn) > MAX_WITHDRAWN:
             del self._withdrawn[next(iter(self._withdrawn))]
         for link in self._links.values():
-            link.withdraw(service, number)
-        owner = self.find_owner(service)
-        if owner == self._address:
-            self._owners.get(service).withdraw(_SELF, (number,))
+            link.withdraw(shard, number)
+        if self.find_owner(shard.service, shard.index) == self._address:
+            self._owners.get(shard.service, shard.index).withdraw(_SELF, (number,))
 
 
 def _deduct_elapsed(pending: _PendingOrder, now: float) -> PieceOrder:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -7,9 +7,10 @@
 from functools import partial
 from typing import Final
 
-from damsonlane.pools import PieceOrder, PieceQueue, WaitingPiece
+from damsonlane.pools import CallPlan, PieceOrder, PieceQueue, WaitingPiece
 from damsonlane.quarantine import InterruptedRequest
 from damsonlane.routes import PoolProperties, Service
+from damsonlane.targets import Shard
 from damsonlane.warmup import WarmupLimiter
 from damsonlaned.dialects import BadRequestError, ComputedPiece, Dialect
 from damsonlaned.gateway._exit_detector import ExitDetector
@@ -36,13 +37,13 @@
 
 
 class PoolOwner:
-    """Queues pieces for the targets of one service and sends them in batches.
+    """Queues pieces for the targets of one shard of a service and sends them in batches.
 
     A target runs one call at a time and this box sends it one at a time, so the
     pieces that arrive during a call fill the next batch.
 
     Args:
-        service: name of the service.
+        shard: the shard.
         view: lists its targets.
         targets: provides the connections to them.
         dialect: encodes and decodes their calls.
@@ -53,7 +54,7 @@
 
     def __init__(
         self,
-        service: str,
+        shard: Shard,
         view: FleetView,
         targets: TargetSelector,
         dialect: Dialect,
@@ -63,7 +64,9 @@
     ) -> None:
         self._exit_detector: Final = exit_detector
         self._quarantine: Final = quarantine
-        self._service: Final = service
+        self._shard: Final = shard
+        self._service: Final = shard.service
+        self._shards = 0
         self._view: Final = view
         self._targets: Final = targets
         self._metrics: Final = metrics
@@ -71,7 +74,7 @@
         self._queue: Final = PieceQueue()
         self._receivers: Final = OrderReceivers()
         self._pool_targets: Final = PoolTargets(
-            view.announcements.backoff_seconds_left, ServiceLimits(view.limits, service)
+            view.announcements.backoff_seconds_left, ServiceLimits(view.limits, shard.service)
         )
         self._free_calls: Final = FreeCalls(
             dialect.read_result_address,
@@ -133,7 +136,11 @@
         returned = self._queue.take_all()
         self._answers.return_to_senders(returned)
         if returned:
-            fields = {"service": self._service, "pieces": len(returned)}
+            fields = {
+                "service": self._service,
+                "shard": self._shard.index,
+                "pieces": len(returned),
+            }
             _LOG.info("pool handed over", extra=fields)
 
     def count_waiting(self) -> int:
@@ -165,12 +172,15 @@
                 )
             )
         warming_up = self._view.list_warming_up(self._service)
+        plan: CallPlan | None = None
         for target in self._pool_targets.list_ready(now):
             if not len(self._queue):
                 return
             if target.name in warming_up and not self._admits_warming_up(target, now):
                 continue
-            call = self._select(target, service.pool, now)
+            if plan is None:
+                plan = self._plan_calls(service.pool, now)
+            call = self._select(plan, target, service.pool, now)
             if call is not None:
                 # The owner sends all of the fleet's calls, so it enforces the rate limit here.
                 target.take_permit()
@@ -185,15 +195,19 @@
         bound = self._view.find_warmup_limit(self._service)
         return bound is None or self._warm_up_gate.admits(target.name, bound.owner_limit(), now)
 
+    def _plan_calls(self, properties: PoolProperties, now: float) -> CallPlan:
+        """Return the order in which queued pieces run, and refuse those that are too late."""
+        capacity = self._pool_targets.find_capacity(None, properties, now)
+        plan = self._queue.plan_calls(now, capacity)
+        self._refuse(plan.late)
+        return plan
+
     def _select(
-        self, target: PoolTarget, properties: PoolProperties, now: float
+        self, plan: CallPlan, target: PoolTarget, properties: PoolProperties, now: float
     ) -> BatchCall | None:
         """Dequeue a batch for a target and return its call; None if no piece fits."""
-        selection = self._queue.select(
-            now, self._pool_targets.find_capacity(target, properties, now)
-        )
-        self._refuse(selection.late)
-        batch = self._isolate_suspects(selection.batch)
+        capacity = self._pool_targets.find_capacity(target, properties, now)
+        batch = self._isolate_suspects(self._queue.take_batch(plan, now, capacity))
         if not batch:
             return None
         is_saturated = len(batch) + len(self._queue) >= properties.batch
@@ -310,6 +324,7 @@
             "batch ended",
             extra={
                 "service": self._service,
+                "shard": self._shard.index,
                 "target": call.target.name,
                 "pieces": len(call.batch),
                 "away": call.count_remote(),
@@ -409,9 +424,19 @@
         service = self._find_service()
         if service is None or service.pool is None:
             return
-        self._pool_targets.update(self._view.open_targets_of(self._service), service.pool)
+        records = self._view.open_targets_of(self._service)
+        self._pool_targets.update(
+            [record for record in records if record.shard == self._shard.index], service.pool
+        )
+        self._redistribute(len(self._view.list_shards(self._service)))
         self._dispatch()
 
+    def _redistribute(self, shards: int) -> None:
+        """Return queued pieces, to be divided among the shards, when their number changes."""
+        before, self._shards = self._shards, shards
+        if before and shards != before:
+            self.return_waiting()
+
     def _find_service(self) -> Service | None:
         table = self._view.table
         return table.service(self._service) if table is not None else None
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
@@ -1,7 +1,9 @@
 """The pools that this entry owns or has owned."""
 
+from collections import Counter
 from typing import Final
 
+from damsonlane.targets import Shard
 from damsonlaned.dialects import Dialect
 from damsonlaned.gateway._exit_detector import ExitDetector
 from damsonlaned.gateway._owner_activity import OwnerActivity
@@ -40,13 +42,14 @@
         self._targets: Final = targets
         self._dialect: Final = dialect
         self._metrics: Final = metrics
-        self._owners: dict[str, PoolOwner] = {}
+        self._owners: dict[Shard, PoolOwner] = {}
 
-    def get(self, service: str) -> PoolOwner:
-        """Return the owner of a service's pool."""
-        if service not in self._owners:
-            self._owners[service] = PoolOwner(
-                service,
+    def get(self, service: str, index: int = 0) -> PoolOwner:
+        """Return the owner of a shard of a service's pool."""
+        shard = Shard(service=service, index=index)
+        if shard not in self._owners:
+            self._owners[shard] = PoolOwner(
+                shard,
                 self._view,
                 self._targets,
                 self._dialect,
@@ -54,24 +57,27 @@
                 self._exit_detector,
                 self._quarantine,
             )
-        return self._owners[service]
+        return self._owners[shard]
 
-    def services(self) -> tuple[str, ...]:
-        """Return the services whose pools this entry owns or has owned."""
+    def shards(self) -> tuple[Shard, ...]:
+        """Return the shards of pools that this entry owns or has owned."""
         return tuple(self._owners)
 
     def update_metrics(self) -> None:
         """Set the gauges of queued pieces."""
-        for service, owner in self._owners.items():
-            self._metrics.pool_waiting.set({"service": service}, owner.count_waiting())
+        waiting: Counter[str] = Counter()
+        for shard, owner in self._owners.items():
+            waiting[shard.service] += owner.count_waiting()
+        for service, pieces in waiting.items():
+            self._metrics.pool_waiting.set({"service": service}, pieces)
 
-    def take_activities(self) -> dict[str, OwnerActivity]:
-        """Return the work of each owner since the last call of this method, by service."""
-        return {service: owner.activity.take() for service, owner in self._owners.items()}
+    def take_activities(self) -> dict[Shard, OwnerActivity]:
+        """Return the work of each owner since the last call of this method."""
+        return {shard: owner.activity.take() for shard, owner in self._owners.items()}
 
-    def count_waiting(self, service: str) -> int:
-        """Return the number of queued pieces of a service."""
-        return self._owners[service].count_waiting() if service in self._owners else 0
+    def count_waiting(self, shard: Shard) -> int:
+        """Return the number of queued pieces of a shard."""
+        return self._owners[shard].count_waiting() if shard in self._owners else 0
 
     def detach(self, sender: str) -> None:
         """Unregister a sender at all pools."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
@@ -65,7 +65,7 @@
         outgoing.add_placements(placer.place(sender, message.prompts))
 
     def _process_pieces(self, sender: str, message: PoolOrders, outgoing: "_SendBuffer") -> None:
-        owner = self._owners.get(message.service)
+        owner = self._owners.get(message.service, message.shard)
         owner.attach(sender, outgoing)
         outgoing.awaited.update(order.number for order in message.orders)
         if message.freed:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
@@ -8,6 +8,7 @@
 from damsonlane.placement import EngineTable, Placement, PlacementRequest, PromptOutcome
 from damsonlane.routes import EngineProperties
 from damsonlane.routing import EngineLocation, PromptPartition
+from damsonlane.targets import Shard
 from damsonlane.warmup import WarmupLimiter
 from damsonlaned.gateway._owner_activity import ActivityMeter, OwnerActivity
 from damsonlaned.gateway._view import FleetView
@@ -115,6 +116,9 @@
             self._placers[service] = PromptPlacer(service, known.engine, self._view)
         return self._placers[service]
 
-    def take_activities(self) -> dict[str, OwnerActivity]:
-        """Return the work of each placer since the last call of this method, by service."""
-        return {service: placer.activity.take() for service, placer in self._placers.items()}
+    def take_activities(self) -> dict[Shard, OwnerActivity]:
+        """Return the work of each placer since the last call of this method."""
+        return {
+            Shard(service=service): placer.activity.take()
+            for service, placer in self._placers.items()
+        }
--- a/packages/damsonlaned/src/damsonlaned/gateway/_rate_limits.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_rate_limits.py
@@ -40,8 +40,9 @@
         self._listed = RateLimitList(revision=-1)
         self._received_listeners: list[OnReport] = []
         self._update_listeners: list[OnReport] = []
-        #: Returns the share of the rates of a service's targets for which this box issues permits.
-        self.find_share: Callable[[str], float] = lambda _: 1.0
+        #: Returns the share of the rate of a target, or of all targets of a service if its name is
+        #: empty, for which this box issues permits.
+        self.find_share: Callable[[str, str], float] = lambda _service, _target: 1.0
 
     def on_received(self, listener: OnReport) -> None:
         """Call a function with each change that a target announces to this box."""
@@ -112,31 +113,35 @@
 
     # Permits that this box issues.
 
-    def is_owned(self, service: str) -> bool:
-        """Return whether this box owns a service, so that it issues all of its permits."""
-        return self.find_share(service) >= 1.0
+    def is_owned(self, service: str, incarnation: TargetIncarnation) -> bool:
+        """Return whether this box owns a target, so that it issues all of its permits."""
+        return self.find_share(service, incarnation.target) >= 1.0
 
     def wait_seconds(self, service: str, incarnation: TargetIncarnation) -> float:
         """Return the seconds until this box may issue one more permit for a target."""
         if not self.is_limited(incarnation):
             return 0.0
-        return self._issuer.wait_seconds(incarnation, self.find_share(service), self._clock())
+        share = self.find_share(service, incarnation.target)
+        return self._issuer.wait_seconds(incarnation, share, self._clock())
 
     def take_permit(self, service: str, incarnation: TargetIncarnation) -> bool:
         """Count a request to a target; return whether it may be sent."""
         if not self.is_limited(incarnation):
             return True
-        return self._issuer.try_acquire(incarnation, self.find_share(service), self._clock())
+        share = self.find_share(service, incarnation.target)
+        return self._issuer.try_acquire(incarnation, share, self._clock())
 
     def gap_seconds(self, service: str, incarnation: TargetIncarnation) -> float:
         """Return the seconds between two permits of this box for a target; 0 without a limit."""
         if not self.is_limited(incarnation):
             return 0.0
-        return self._issuer.interval_seconds(incarnation, self.find_share(service))
+        return self._issuer.interval_seconds(
+            incarnation, self.find_share(service, incarnation.target)
+        )
 
     def issue(self, service: str, orders: Sequence[PermitRequest]) -> tuple[Permit, ...]:
         """Answer the permit orders of a box."""
-        share = self.find_share(service)
+        share = self.find_share(service, "")
         now = self._clock()
         return tuple(self._issuer.issue(service, order, share, now) for order in orders)
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -3,6 +3,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.backoff import TargetIncarnation
@@ -11,7 +12,7 @@
 from damsonlane.evacuation import EvacuationList
 from damsonlane.membership import BoxRecord
 from damsonlane.routes import RouteTable, Service
-from damsonlane.targets import TargetChanges, TargetRecord
+from damsonlane.targets import Shard, TargetChanges, TargetRecord
 from damsonlane.warmup import WarmupAllowance, WarmupLimit
 from damsonlaned.clock import read_clock
 from damsonlaned.dialects import Dialect
@@ -26,6 +27,16 @@
 MAX_LOGGED_TARGETS: Final = 40
 
 
+@dataclass(frozen=True, kw_only=True)
+class ShardSize:
+    """A shard with targets that may get new work."""
+
+    #: The shard.
+    shard: Shard
+    #: Number of these targets.
+    targets: int
+
+
 class FleetView:
     """Routing document in force, targets, evacuations and entries, as control last reported.
 
@@ -63,6 +74,9 @@
         #: Entries that accept requests, including this one once control lists it.
         self.entries: tuple[BoxRecord, ...] = ()
         self._targets: dict[str, TargetRecord] = {}
+        #: Caches, cleared by each change.
+        self._by_address: dict[str, TargetRecord] = {}
+        self._shards: dict[str, tuple[ShardSize, ...]] = {}
         self._warm_up_until: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self._entry_listeners: list[Callable[[], None]] = []
@@ -89,12 +103,39 @@
 
     def has_target_at(self, address: str) -> bool:
         """Return whether control lists a target at an address."""
-        return any(record.address == address for record in self._targets.values())
+        return self._find_at(address) is not None
 
     def open_targets_of(self, service: str) -> tuple[TargetRecord, ...]:
         """Return the records of a service's targets that may get new work."""
         return tuple(record for record in self.targets_of(service) if self.is_open(record))
 
+    def list_shards(self, service: str) -> tuple[ShardSize, ...]:
+        """Return the shards of a service that have targets for new work, by index."""
+        if service not in self._shards:
+            counts = Counter(record.shard for record in self.open_targets_of(service))
+            self._shards[service] = tuple(
+                ShardSize(shard=Shard(service=service, index=index), targets=counts[index])
+                for index in sorted(counts)
+            )
+        return self._shards[service]
+
+    def count_shards(self, service: str) -> int:
+        """Return the number of shards of a service, including those whose targets are draining."""
+        return 1 + max((record.shard for record in self.targets_of(service)), default=0)
+
+    def find_shard_at(self, service: str, address: str) -> Shard:
+        """Return the shard of the target at an address; shard 0 if it is not listed."""
+        record = self._find_at(address)
+        if record is None or record.service != service:
+            return Shard(service=service)
+        return Shard(service=service, index=record.shard)
+
+    def find_shard_of(self, service: str, target: str) -> Shard:
+        """Return the shard of a target; shard 0 if it is not listed."""
+        record = self._targets.get(target)
+        index = record.shard if record is not None and record.service == service else 0
+        return Shard(service=service, index=index)
+
     def is_open(self, record: TargetRecord) -> bool:
         """Return whether a target may get new work: it is not draining or evacuated.
 
@@ -164,10 +205,14 @@
 
     def data_centre_at(self, address: str) -> str:
         """Return the data centre of the target at an address, or an empty string."""
-        for record in self._targets.values():
-            if record.address == address:
-                return record.data_centre
-        return ""
+        record = self._find_at(address)
+        return record.data_centre if record is not None else ""
+
+    def _find_at(self, address: str) -> TargetRecord | None:
+        """Return the record of the target at an address, or None if control lists none."""
+        if not self._by_address:
+            self._by_address = {record.address: record for record in self._targets.values()}
+        return self._by_address.get(address)
 
     def put_document(self, document: PackedDocument) -> None:
         """Apply a routing document if it is newer than the one in force."""
@@ -194,6 +239,7 @@
             self._targets.update({record.target: record for record in changes.records})
         for name in changes.gone:
             self._targets.pop(name, None)
+        self._by_address = {}
         self._record_warm_up(changes.records)
         self.announcements.follow(tuple(self._targets.values()))
         _log_targets(changed, changes)
@@ -253,6 +299,7 @@
         return (known.standing, known.start) != (record.standing, record.start)
 
     def _notify(self) -> None:
+        self._shards = {}
         for listener in self._listeners:
             listener()
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -291,7 +291,7 @@
         self.owners = PoolOwners(
             self.view, targets, dialect, self.metrics, self.exit_detector, self.quarantine
         )
-        self.pools = PoolClient(self.view, self.owners, address, None)
+        self.pools = PoolClient(self.view, self.owners, address, None, dialect.read_result_address)
         self.placers = PromptPlacers(self.view)
         placements = PlacementClient(self.placers, self.pools, address)
         self.pools.on_placements = placements.receive
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -351,10 +351,10 @@
             await asyncio.sleep(0.3)
         self.assertEqual(len(self.pool.requests), 1)
 
-    def _find_gone_owner_first(self) -> Callable[[str], str]:
+    def _find_gone_owner_first(self) -> Callable[..., str]:
         """Return a choice of owners that returns the one under test until it is suspected."""
 
-        def find(service: str) -> str:
+        def find(service: str, index: int = 0) -> str:
             is_suspect = self.address in self.orderer.pools._choice._suspects
             return "127.0.0.1:9" if is_suspect else self.address
 
