--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_shards.py
@@ -0,0 +1,137 @@
+"""Pools that are divided into shards with an owner each."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from damsonlane.membership import _owners
+from damsonlane.pools import PieceResult
+from damsonlane.targets import Shard, TargetRecord
+from damsonlane_rpc import RpcService
+from damsonlaned.gateway._pool_service import PoolService
+from damsonlaned.gateway.tests.harness import (
+    TEST_TIMEOUT_SECONDS,
+    Entry,
+    FakeTarget,
+    answer_ok,
+    make_piece_handler,
+)
+from damsonlaned.gateway.tests.test_links import ORDER, make_box_record, serve, wait_until
+from damsonlaned.tests.addresses import find_free_address
+
+#: Requests of the tests; each has one piece.
+REQUESTS = 40
+
+
+def make_pool_target(name: str, *, seconds: float = 0.0) -> FakeTarget:
+    created: list[FakeTarget] = []
+    created.append(
+        FakeTarget(name, make_piece_handler(lambda: created[0].address, seconds=seconds), "pool")
+    )
+    return created[0]
+
+
+def count_calls(target: FakeTarget, *, freed: bool = False) -> int:
+    """Return the calls that computed pieces, or those that freed results."""
+    return sum(request.path.endswith("/free") == freed for request in target.requests)
+
+
+class ShardsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.targets = [make_pool_target(f"p{number}", seconds=0.02) for number in range(4)]
+        self.records: list[TargetRecord] = []
+        for target in self.targets:
+            self.records.append(await target.start())
+            self.addAsyncCleanup(target.stop)
+        desk = FakeTarget("t1", answer_ok)
+        self.desk_record = await desk.start()
+        self.addAsyncCleanup(desk.stop)
+        self.addresses = [find_free_address(), find_free_address()]
+        self.entries = [Entry(address=address) for address in self.addresses]
+        # Owner of shard 0 is the first entry, that of shard 1 the second one.
+        weights = mock.patch.object(_owners, "_hash_weight", self._weigh)
+        weights.start()
+        self.addCleanup(weights.stop)
+        for entry in self.entries:
+            await entry.start(*self.records, self.desk_record)
+            self.addAsyncCleanup(entry.stop)
+            self.addAsyncCleanup(entry.pools.stop)
+            service = PoolService(entry.owners, entry.placers, entry.view.limits)
+            await serve(self, entry.address, RpcService(dict(service.handlers())))
+            # Seniority decides who may own a shard, so a third one makes both eligible.
+            entry.view.put_entries(
+                tuple(map(make_box_record, (*self.addresses, "127.0.0.1:1", "127.0.0.1:2")))
+            )
+
+    def _weigh(self, subject: str, address: str) -> bytes:
+        owner = self.addresses[1] if subject.endswith("#1") else self.addresses[0]
+        return b"1" if address == owner else b"0"
+
+    def divide(self) -> None:
+        records = [replace(record, shard=number % 2) for number, record in enumerate(self.records)]
+        for entry in self.entries:
+            entry.put_targets(*records, self.desk_record)
+
+    async def order(self, requests: int = REQUESTS) -> "list[PieceResult]":
+        futures = [
+            future
+            for number in range(requests)
+            for future in self.entries[0].pools.order(
+                "pool", [replace(ORDER, request=f"r{number}")]
+            )
+        ]
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            return await asyncio.gather(*futures)
+
+    async def test_each_owner_calls_the_targets_of_its_shard(self) -> None:
+        self.divide()
+        results = await self.order()
+        self.assertTrue(all(result.handle for result in results))
+        for shard, entry in enumerate(self.entries):
+            pools = entry.owners._owners
+            self.assertEqual([owned.index for owned in pools], [shard])
+            owned_targets = {
+                target.name for target in pools[_shard(shard)]._pool_targets.list_all()
+            }
+            self.assertEqual(owned_targets, {f"p{shard}", f"p{shard + 2}"})
+        self.assertTrue(all(count_calls(target) for target in self.targets))
+
+    async def test_results_are_freed_at_their_targets_by_the_owner_of_each(self) -> None:
+        self.divide()
+        results = await self.order()
+        self.entries[0].pools.free("pool", [result.handle for result in results])
+        await wait_until(lambda: all(count_calls(target, freed=True) for target in self.targets))
+
+    async def test_queued_pieces_survive_a_division(self) -> None:
+        ordering = asyncio.create_task(self.order())
+        await wait_until(lambda: any(count_calls(target) for target in self.targets))
+        self.divide()
+        results = await ordering
+        self.assertEqual(len({result.handle for result in results}), REQUESTS)
+        self.assertIn(_shard(1), self.entries[1].owners._owners)
+
+    async def test_queued_pieces_survive_a_merge(self) -> None:
+        self.divide()
+        ordering = asyncio.create_task(self.order())
+        await wait_until(lambda: any(count_calls(target) for target in self.targets))
+        for entry in self.entries:
+            entry.put_targets(*self.records, self.desk_record)
+        results = await ordering
+        self.assertEqual(len({result.handle for result in results}), REQUESTS)
+
+    async def test_a_pool_keeps_working_if_a_shard_loses_its_targets(self) -> None:
+        self.divide()
+        records = [replace(record, shard=number % 2) for number, record in enumerate(self.records)]
+        for entry in self.entries:
+            entry.put_targets(*records[::2], self.desk_record)
+        results = await self.order()
+        self.assertTrue(all(result.handle for result in results))
+
+
+def _shard(index: int) -> Shard:
+    return Shard(service="pool", index=index)
+
+
+if __name__ == "__main__":
+    unittest.main()
