Owners of shards are spread over entries that own nothing yet

What callers saw: nothing yet; the shards made to relieve an owner could come back to it. Cause: each shard drew its owner by rendezvous hashing on its own. Change: the first shard of each service keeps its owner; further shards, by index and service, pass over entries that own a shard already, while there are others. A pool is handed over also when the list of shards moves it. Ruled out: doing the same for first shards, which would move the owners of small sites. Test: test_a_box_owns_one_shard_while_others_own_none.

--- a/packages/damsonlane/src/damsonlane/membership/_owners.py
+++ b/packages/damsonlane/src/damsonlane/membership/_owners.py
@@ -1,5 +1,6 @@
 """Choice of the box that owns a shared resource; all boxes choose the same one."""
 
+import functools
 import hashlib
 import math
 from collections.abc import Collection, Sequence
@@ -37,5 +38,6 @@
     return [record for record in records if record.address not in avoid]
 
 
+@functools.lru_cache(maxsize=32_768)
 def _hash_weight(subject: str, address: str) -> bytes:
     return hashlib.blake2b(f"{subject}\0{address}".encode(), digest_size=8).digest()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
@@ -1,6 +1,7 @@
 """Chooses the entry that owns a pool."""
 
 import asyncio
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Final
 
@@ -40,10 +41,11 @@
         self._view: Final = view
         self._own_address: Final = own_address
         self._suspects: dict[str, _Suspicion] = {}
-        #: Cache of the owners by control's list, which are looked up on each check of a
-        #: rate-limited target: hashing hundreds of entries takes a fraction of a millisecond.
+        #: Cache of the owners by control's lists, which are looked up for each order: hashing
+        #: hundreds of entries takes a fraction of a millisecond.
         self._listed: dict[Shard, str] = {}
         view.on_entries(self._listed.clear)
+        view.on_change(self._listed.clear)
 
     def find_owner(self, shard: Shard, avoid: str = "") -> str:
         """Return the address of the entry that owns a shard of a pool.
@@ -52,15 +54,13 @@
             shard: the shard.
             avoid: address of an entry that is not chosen, or an empty string.
         """
-        if not self._suspects and not avoid:
-            return self._find_listed(shard)
+        listed = self._find_listed(shard)
         now = asyncio.get_running_loop().time()
         # An entry that control does not list, because it is stopping or has just started, owns
         # nothing: two owners of a pool would send their calls to the same targets.
         suspects = {address for address in self._suspects if self._is_suspect(address, now)}
-        if not suspects and not avoid:
-            self._suspects.clear()
-            return self._find_listed(shard)
+        if listed not in suspects and listed != avoid:
+            return listed
         owner = choose_owner(shard.subject, self._view.entries, suspects | {avoid})
         return owner.address if owner is not None else self._own_address
 
@@ -73,12 +73,34 @@
         return self._find_listed(shard) == self._own_address
 
     def _find_listed(self, shard: Shard) -> str:
-        """Return the address of the owner of a shard by control's list."""
+        """Return the address of the owner of a shard by control's lists."""
+        if not self._listed:
+            self._assign_owners()
         if shard not in self._listed:
-            owner = choose_owner(shard.subject, self._view.entries)
-            self._listed[shard] = owner.address if owner is not None else self._own_address
+            self._assign(shard, frozenset())
         return self._listed[shard]
 
+    def _assign_owners(self) -> None:
+        """Choose the owners of all shards.
+
+        A service keeps the owner of its first shard however it is divided.  The other shards go to
+        entries that own nothing yet, as long as there are any.
+        """
+        services = self._view.list_service_names()
+        for service in services:
+            self._assign(Shard(service=service), frozenset())
+        taken = set(self._listed.values())
+        shards = [size.shard for service in services for size in self._view.list_shards(service)]
+        for shard in sorted(shards, key=lambda shard: (shard.index, shard.service)):
+            if shard.index:
+                self._assign(shard, taken)
+                taken.add(self._listed[shard])
+
+    def _assign(self, shard: Shard, taken: Collection[str]) -> None:
+        entries = self._view.entries
+        owner = choose_owner(shard.subject, entries, taken) or choose_owner(shard.subject, entries)
+        self._listed[shard] = owner.address if owner is not None else self._own_address
+
     def suspect(self, address: str, *, is_silent: bool = False) -> None:
         """Pass over an owner whose stream was lost, for SUSPECT_SECONDS.
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -88,6 +88,7 @@
         self.on_permits: OnPermits = lambda _: None
         view.limits.find_share = self._find_share
         view.on_entries(self._update_owners)
+        view.on_change(self._hand_over_pools)
 
     def order(
         self,
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -288,6 +288,10 @@
                 known = self._warm_up_until.get(record.target, 0.0)
                 self._warm_up_until[record.target] = max(known, until)
 
+    def list_service_names(self) -> tuple[str, ...]:
+        """Return the names of the services in the document in force, sorted."""
+        return tuple(sorted(service.name for service in self._list_services()))
+
     def _list_services(self) -> tuple[Service, ...]:
         return self.table.document.services if self.table is not None else ()
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_shards.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_shards.py
@@ -84,6 +84,23 @@
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             return await asyncio.gather(*futures)
 
+    async def test_a_box_owns_one_shard_while_others_own_none(self) -> None:
+        # By its hash weights the first entry would own every shard.
+        records = [replace(record, shard=number) for number, record in enumerate(self.records)]
+        addresses = [f"127.0.0.1:{port}" for port in range(1, 13)]
+        with mock.patch.object(
+            _owners, "_hash_weight", lambda _, address: address.rjust(20).encode()
+        ):
+            for entry in self.entries:
+                entry.put_targets(*records, self.desk_record)
+                entry.view.put_entries(tuple(map(make_box_record, addresses)))
+            owners = [
+                [entry.pools.find_owner("pool", index) for index in range(4)]
+                for entry in self.entries
+            ]
+        self.assertEqual(owners[0], owners[1])
+        self.assertEqual(len(set(owners[0])), 4)
+
     async def test_each_owner_calls_the_targets_of_its_shard(self) -> None:
         self.divide()
         results = await self.order()
