A stage with large inputs goes to a shard that has targets beside them

What callers saw: nothing; results crossed between data centres, which is paid for. Cause: the shard of a stage was drawn without regard to where its inputs are, and a shard of three targets stands in three data centres of six. Change: for a stage with a preferred data centre, the shards are drawn by their targets there, if there are any. Test: test_a_stage_with_large_inputs_runs_in_a_shard_beside_them.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -107,7 +107,7 @@
         Returns:
             A future for each piece, in order.  Cancelling one withdraws its order.
         """
-        shard = self._shards.choose(service, orders[0].rank if orders else 0)
+        shard = self._choose_shard(service, orders[0]) if orders else Shard(service=service)
         placed = [
             self._register_order(shard, order, partial(on_read, index))
             for index, order in enumerate(orders)
@@ -160,6 +160,10 @@
         self._pending[number] = pending
         return pending
 
+    def _choose_shard(self, service: str, order: PieceOrder) -> Shard:
+        """Return the shard for the stage of an order."""
+        return self._shards.choose(service, order.rank, order.home)
+
     # Owners.
 
     def find_owner(self, service: str, index: int = 0) -> str:
@@ -255,7 +259,7 @@
         for pending in returned:
             stages.setdefault((pending.order.request, pending.order.stage), []).append(pending)
         for stage in stages.values():
-            shard = self._shards.choose(stage[0].shard.service, stage[0].order.rank)
+            shard = self._choose_shard(stage[0].shard.service, stage[0].order)
             moved = [replace(pending, shard=shard) for pending in stage]
             self._pending.update({pending.order.number: pending for pending in moved})
             self._send_orders(shard, moved)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_shard_choice.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_shard_choice.py
@@ -13,7 +13,8 @@
     """Chooses the one with the shorter reported queueing time of two shards.
 
     Two shards are drawn, with the number of their targets as weights.  If every entry chose the
-    shortest queue of all, they would all choose the same one until its next report.
+    shortest queue of all, they would all choose the same one until its next report.  For a stage
+    that should run in one data centre, only the targets there count.
 
     Args:
         view: lists the shards.
@@ -24,13 +25,22 @@
         self._view: Final = view
         self._waits: Final = waits
 
-    def choose(self, service: str, priority: int) -> Shard:
-        """Return the shard for a stage of a priority; shard 0 if no shard has a target."""
+    def choose(self, service: str, priority: int, home: str = "") -> Shard:
+        """Return the shard for a stage; shard 0 if no shard has a target.
+
+        Args:
+            service: the service whose targets compute the stage.
+            priority: priority of the request.
+            home: data centre where the stage should run, or an empty string.
+        """
         shards = self._view.list_shards(service)
         if len(shards) < 2:
             return shards[0].shard if shards else Shard(service=service)
         now = asyncio.get_running_loop().time()
-        drawn = random.choices(shards, weights=[shard.targets for shard in shards], k=2)
+        weights = [shard.targets_by_data_centre.get(home, 0) for shard in shards]
+        if not any(weights):
+            weights = [shard.targets for shard in shards]
+        drawn = random.choices(shards, weights=weights, k=2)
         return min(
             (size.shard for size in drawn),
             key=lambda shard: self._waits.seconds(shard, priority, now),
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -33,8 +33,13 @@
 
     #: The shard.
     shard: Shard
-    #: Number of these targets.
-    targets: int
+    #: Number of these targets in each data centre.
+    targets_by_data_centre: Mapping[str, int]
+
+    @property
+    def targets(self) -> int:
+        """Number of these targets."""
+        return sum(self.targets_by_data_centre.values())
 
 
 class FleetView:
@@ -112,9 +117,13 @@
     def list_shards(self, service: str) -> tuple[ShardSize, ...]:
         """Return the shards of a service that have targets for new work, by index."""
         if service not in self._shards:
-            counts = Counter(record.shard for record in self.open_targets_of(service))
+            counts: dict[int, Counter[str]] = {}
+            for record in self.open_targets_of(service):
+                counts.setdefault(record.shard, Counter())[record.data_centre] += 1
             self._shards[service] = tuple(
-                ShardSize(shard=Shard(service=service, index=index), targets=counts[index])
+                ShardSize(
+                    shard=Shard(service=service, index=index), targets_by_data_centre=counts[index]
+                )
                 for index in sorted(counts)
             )
         return self._shards[service]
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_shards.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_shards.py
@@ -84,6 +84,21 @@
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             return await asyncio.gather(*futures)
 
+    async def test_a_stage_with_large_inputs_runs_in_a_shard_beside_them(self) -> None:
+        records = [
+            replace(record, shard=number % 2, data_centre=("near", "far")[number % 2])
+            for number, record in enumerate(self.records)
+        ]
+        for entry in self.entries:
+            entry.put_targets(*records, self.desk_record)
+        pools = self.entries[0].pools
+        cases = (("near", {0}), ("far", {1}), ("", {0, 1}), ("elsewhere", {0, 1}))
+        for home, expected in cases:
+            with self.subTest(home):
+                order = replace(ORDER, home=home)
+                chosen = {pools._choose_shard("pool", order).index for _ in range(REQUESTS)}
+                self.assertEqual(chosen, expected)
+
     async def test_a_box_owns_one_shard_while_others_own_none(self) -> None:
         # By its hash weights the first entry would own every shard.
         records = [replace(record, shard=number) for number, record in enumerate(self.records)]
