--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_shards.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_shards.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import unittest
+from collections.abc import Sequence
 from dataclasses import replace
+from typing import cast
 from unittest import mock
 
+from damsonlane.errors import UnavailableError
 from damsonlane.membership import _owners
-from damsonlane.pools import PieceResult
-from damsonlane.targets import Shard, TargetRecord
-from damsonlane_rpc import RpcService
+from damsonlane.pools import OwnedWork, PieceResult
+from damsonlane.targets import DivideService, Shard, TargetRecord
+from damsonlane_rpc import ControlClient, RpcService
 from damsonlaned.gateway._pool_service import PoolService
+from damsonlaned.gateway._shard_division import ShardDivision
 from damsonlaned.gateway.tests.harness import (
     TEST_TIMEOUT_SECONDS,
     Entry,
@@ -161,6 +165,47 @@
         self.assertTrue(all(result.handle for result in results))
 
 
+class FakeControl:
+    """Records the divisions that are requested."""
+
+    def __init__(self, fault: Exception | None = None) -> None:
+        self.commands: list[object] = []
+        self._fault = fault
+
+    async def submit(self, commands: Sequence[object], seconds: float) -> tuple[object, ...]:
+        self.commands.extend(commands)
+        if self._fault is not None:
+            raise self._fault
+        return ()
+
+
+class ShardDivisionTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.work = OwnedWork(shard=_shard(0), pieces_per_second=500.0, shards=1, targets=21)
+
+    def make_division(self, control: FakeControl) -> ShardDivision:
+        return ShardDivision(cast(ControlClient, control), lambda: self.now)
+
+    async def test_a_busy_entry_has_its_pool_divided(self) -> None:
+        control = FakeControl()
+        division = self.make_division(control)
+        division.consider(0.1, [self.work])
+        division.consider(0.5, [self.work])
+        division.consider(0.5, [self.work])
+        await wait_until(lambda: bool(control.commands))
+        self.assertEqual(control.commands, [DivideService(service="pool", expected=1, shards=2)])
+
+    async def test_a_division_without_a_quorum_is_requested_again(self) -> None:
+        control = FakeControl(UnavailableError("no quorum"))
+        division = self.make_division(control)
+        for _ in range(2):
+            division.consider(0.5, [self.work])
+            self.now += 3.0
+        await wait_until(lambda: len(control.commands) == 2)
+        await division.stop()
+
+
 def _shard(index: int) -> Shard:
     return Shard(service="pool", index=index)
 
