Settings and messages for contended capacity and uneven boxes

Cause: the parts planned in docs/design/hard-load.md need settings that switch them on and fields in messages that several of them share.

Change: Gateway gains late_requests, fair_shares and buffer_bytes, off by default; BoxSettings gains the capacity of the box. PieceOrder, PlacementRequest, PromptOutcome, LoadReport, BoxRecord and WatchReport gain optional fields, so older records and messages are read.

No decision uses the new fields yet.

--- a/packages/damsonlane/src/damsonlane/membership/_boxes.py
+++ b/packages/damsonlane/src/damsonlane/membership/_boxes.py
@@ -28,6 +28,8 @@
     via: str
     #: Its position in the order in which incarnations joined, assigned by `Membership`.
     place: int = 0
+    #: Its capacity, in cores; 0 if unknown.
+    capacity: float = 0.0
 
     def is_same_report(self, other: "BoxRecord") -> bool:
         """Return whether two records are equal, apart from their positions."""
--- a/packages/damsonlane/src/damsonlane/placement/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placement/_prompts.py
@@ -39,6 +39,8 @@
     avoid: tuple[str, ...] = ()
     #: Locations of its inputs.
     inputs: tuple[InputLocation, ...] = ()
+    #: Organisation of the caller where organisations share the engines fairly; empty otherwise.
+    organisation: str = ""
 
     @property
     def shared_tokens(self) -> int:
@@ -68,3 +70,6 @@
     #: Seconds from sending the request to the first event of its answer; None if the engine
     #: did not accept it.
     seconds: float | None
+    #: Factor by which work takes longer at the engine than usual, as it reported with the head of
+    #: its response; None if it reports none.
+    slowness: float | None = None
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -45,6 +45,8 @@
     #: Data centre where the piece should run, since its inputs or the consumer of its
     #: result are there; empty when little data would have to be transferred.
     home: str = ""
+    #: Organisation of the caller where organisations share the pool fairly; empty otherwise.
+    organisation: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane/src/damsonlane/routing/_table.py
+++ b/packages/damsonlane/src/damsonlane/routing/_table.py
@@ -49,6 +49,8 @@
     held: int
     #: Requests that it runs concurrently.
     slots: int
+    #: Factor by which work takes longer there than usual; None if it reports none.
+    slowness: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane/src/damsonlane/settings/__init__.py
+++ b/packages/damsonlane/src/damsonlane/settings/__init__.py
@@ -2,8 +2,10 @@
 
 from damsonlane.settings._box import (
     BoxSettings,
+    Capacity,
     Founding,
     Gateway,
+    LatePolicy,
     PlatformList,
     Role,
     TlsFiles,
@@ -39,6 +41,7 @@
 __all__ = [
     "INHERIT",
     "BoxSettings",
+    "Capacity",
     "DataCentre",
     "Document",
     "Edit",
@@ -48,6 +51,7 @@
     "Event",
     "Inherit",
     "Lane",
+    "LatePolicy",
     "Level",
     "Operator",
     "Organisation",
--- a/packages/damsonlane/src/damsonlane/settings/_box.py
+++ b/packages/damsonlane/src/damsonlane/settings/_box.py
@@ -15,6 +15,9 @@
 #: Role of a process.
 Role = Literal["entry", "control"]
 
+#: What becomes of a request that can't meet its latency objective.
+LatePolicy = Literal["refuse", "serve"]
+
 
 @dataclass(frozen=True, kw_only=True)
 class TlsFiles:
@@ -61,6 +64,20 @@
         return 2 * self.lost_boxes + 1
 
 
+@dataclass(frozen=True, kw_only=True)
+class Capacity:
+    """What the process of a box may use."""
+
+    __pydantic_config__ = FORBID_UNKNOWN_KEYS
+
+    #: Processor time a second, in seconds.
+    cores: Annotated[float, Field(gt=0, le=1024)]
+    #: Memory, in bytes.
+    memory_bytes: Annotated[int, Field(gt=0, le=2**46)]
+    #: Bandwidth of its network link, in bits per second.
+    link_bits: Annotated[float, Field(gt=0, le=1e13)]
+
+
 @dataclass(frozen=True, kw_only=True)
 class Gateway:
     """Settings for an entry that serves routes, and for control that informs such entries."""
@@ -91,6 +108,13 @@
     cold_slack: Annotated[float, Field(ge=0, le=100_000)] = 5.0
     #: At control: names of all data centres; empty to accept any name.
     data_centres: tuple[Name, ...] = ()
+    #: Whether a request that can't meet its latency objective is refused, or served late if it can
+    #: meet its deadline.
+    late_requests: LatePolicy = "refuse"
+    #: Whether organisations share pools and engines fairly.
+    fair_shares: bool = False
+    #: Limit of the bytes buffered for callers and targets; 0 for none.
+    buffer_bytes: Annotated[int, Field(ge=0, le=2**46)] = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -133,6 +157,8 @@
     founding: Founding | None = None
     #: Settings for serving routes; None for an entry that serves pipelines.
     gateway: Gateway | None = None
+    #: What the process may use; None if unknown.
+    capacity: Capacity | None = None
 
 
 _ADAPTER: Final = TypeAdapter(BoxSettings)
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -243,6 +243,8 @@
     address: str
     #: Whether it is draining.
     is_leaving: bool = False
+    #: Its capacity, in cores; 0 if unknown.
+    capacity: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
