A request pushed out of an exit no longer counts there

What operators would see: a control replica ends with KeyError while it applies the exit of a target, and every other replica with it, since the command is in the replicated log.

Cause: an exit stores the 48 shortest runs. A later report of the same exit can push a request out of them, but the index from requests to exits kept the pair. Once the exit was removed, the next one with that request raised. The list for entries was not rebuilt either when a suspect lost an exit.

Change: the index follows the stored runs, and the list is rebuilt when a request of several exits loses one.

--- a/packages/damsonlane/src/damsonlane/quarantine/_registry.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_registry.py
@@ -89,6 +89,8 @@
         start = snapshot or QuarantineSnapshot()
         self._exits: dict[tuple[str, int], TargetExit] = {}
         self._exits_by_request: dict[str, set[tuple[str, int]]] = {}
+        #: Whether a request of several exits has lost one since the list was built.
+        self._is_list_outdated = False
         self._replace_exits(start.ends)
         self._list = self._make_list(start.revision)
 
@@ -132,7 +134,11 @@
                         if target_exit.at >= before
                     ]
                 )
-        if not isinstance(command, RecordTargetExit) or self._has_suspects(command.runs):
+        if (
+            not isinstance(command, RecordTargetExit)
+            or self._is_list_outdated
+            or self._has_suspects(command.runs)
+        ):
             self._update_list()
         return QuarantineRecorded(quarantine=self._list)
 
@@ -151,17 +157,31 @@
             self._remove(exits[find_oldest_removable(exits, quarantined)])
 
     def _store(self, target_exit: TargetExit) -> None:
-        """Store an exit, replacing an earlier record of it."""
+        """Store an exit, replacing an earlier record of it.
+
+        A later report can push requests out of the stored runs, which then no longer count there.
+        """
+        known = self._exits.get(target_exit.identity)
         self._exits[target_exit.identity] = target_exit
         for run in target_exit.runs:
             self._exits_by_request.setdefault(run.fingerprint, set()).add(target_exit.identity)
+        for run in known.runs if known is not None else ():
+            if not target_exit.has(run.fingerprint):
+                self._remove_from_index(run.fingerprint, target_exit.identity)
 
     def _remove(self, target_exit: TargetExit) -> None:
         del self._exits[target_exit.identity]
         for run in target_exit.runs:
-            self._exits_by_request[run.fingerprint].discard(target_exit.identity)
-            if not self._exits_by_request[run.fingerprint]:
-                del self._exits_by_request[run.fingerprint]
+            self._remove_from_index(run.fingerprint, target_exit.identity)
+
+    def _remove_from_index(self, fingerprint: str, identity: tuple[str, int]) -> None:
+        """Remove an exit from those of a request."""
+        identities = self._exits_by_request[fingerprint]
+        if len(identities) >= EXITS_TO_SUSPECT:
+            self._is_list_outdated = True
+        identities.discard(identity)
+        if not identities:
+            del self._exits_by_request[fingerprint]
 
     def _replace_exits(self, exits: Iterable[TargetExit]) -> None:
         """Replace all exits."""
@@ -200,6 +220,7 @@
         self._replace_exits([target_exit for target_exit in released if target_exit.runs])
 
     def _update_list(self) -> None:
+        self._is_list_outdated = False
         newer = self._make_list(self.revision + 1)
         if replace(newer, revision=self.revision) != self._list:
             self._list = newer
--- a/packages/damsonlane/src/damsonlane/quarantine/tests/test_registry.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/tests/test_registry.py
@@ -24,6 +24,7 @@
     RecordTargetExit,
     ReleaseRequest,
 )
+from damsonlane.quarantine._registry import MAX_RUNS
 from damsonlane.quarantine._served import MAX_SERVED
 
 
@@ -172,6 +173,32 @@
         self.assertEqual(restored.list_for_entries(), registry.list_for_entries())
         self.assertEqual(restored.snapshot(), registry.snapshot())
 
+    def test_a_request_pushed_out_of_an_exit_is_no_longer_counted_there(self) -> None:
+        """Guards against a KeyError in the replicated state, which would stop every replica."""
+        registry = make_registry(["long", "a"], ["long", "b"])
+        self.assertIn("long", registry.list_for_entries().suspects)
+        shorter = [f"short-{index}" for index in range(MAX_RUNS)]
+        registry.apply(make_exit(1, *shorter, seconds=0.1))
+        self.assertEqual(registry.list_for_entries().suspects, ())
+        for number in range(2, MAX_EXITS + 2):
+            registry.apply(make_exit(number, f"other-{number}"))
+        registry.apply(make_exit(MAX_EXITS + 2, "long", "c"))
+        self.assertEqual(registry.list_for_entries().suspects, ())
+
+    def test_a_restored_registry_lists_the_same_suspects(self) -> None:
+        """Guards against replicas that differ after one of them restored a snapshot."""
+        for seed in range(8):
+            randomness = random.Random(seed)
+            registry = QuarantineRegistry()
+            for _ in range(40):
+                names = [f"r{randomness.randrange(90)}" for _ in range(30)]
+                registry.apply(
+                    make_exit(randomness.randrange(6), *names, seconds=randomness.random())
+                )
+                restored = QuarantineRegistry(registry.snapshot())
+                with self.subTest(seed=seed):
+                    self.assertEqual(restored.list_for_entries(), registry.list_for_entries())
+
     def test_the_revision_rises_only_with_the_list(self) -> None:
         registry = make_registry(["a"], ["b"])
         self.assertEqual(registry.revision, 0)
