Learn the speed of engines that report their slowness

Cause: a load header with four numbers was dropped as malformed, so no load was known, and engines whose inherent speeds differ 2.4 times were taken as equal.

Change: the header may have a fourth number; an implausible one is ignored. Core package speed: the learned speed and the reported slowness of a target. The owner that places the prompts learns the speed of each engine from the tokens that it prefills in its busy time, and counts the prompts whose first event is awaited as its queue.

--- a/packages/damsonlane/src/damsonlane/placement/_engine.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine.py
@@ -2,7 +2,9 @@
 
 from typing import Final
 
+from damsonlane.placement._engine_work import EngineWork
 from damsonlane.placement._prefix_cache import PrefixCache
+from damsonlane.speed import TargetSpeed
 
 #: Ratio of measured to expected time from which an engine counts as slow.
 SLOW_RATIO: Final = 2.0
@@ -31,6 +33,10 @@
         self.link_free_at = 0.0
         #: Until when it is ejected.
         self.ejected_until = 0.0
+        #: Prompts there whose first event is awaited.
+        self.work: Final = EngineWork()
+        #: Its inherent speed and reported slowness.
+        self.speed: Final = TargetSpeed()
         self._slowness = 1.0
         self._updated_at = 0.0
 
--- a/packages/damsonlane/src/damsonlane/placement/_engine_table.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_table.py
@@ -6,6 +6,9 @@
 Engines that can transfer cached prompt segments to each other do so, which is much faster than
 prefilling a segment again.  Thus a prompt can go to the engine that is near the results of its
 stages, wherever its segments are cached.
+
+Where engines report their slowness, the speed of each is learned and counts for the expected time
+to the first event; elsewhere all are taken as equally fast.
 """
 
 import functools
@@ -18,6 +21,7 @@
 from damsonlane.placement._prompts import Placement, PlacementRequest, PromptOutcome
 from damsonlane.placement._transfers import NO_TRANSFER, Transfer, plan_transfers
 from damsonlane.routing import EngineLocation, rank_target
+from damsonlane.speed import is_plausible
 
 #: Extra cost of prefilling a shared segment again, as a multiple of the time it takes: it costs
 #: money, and evicts other segments from the cache.
@@ -176,10 +180,45 @@
         if outcome.seconds is None:
             engine.ejected_until = now + EJECTION_SECONDS
             engine.cache.clear()
+            engine.work.remove((sender, outcome.number))
+            return
+        if outcome.slowness is not None:
+            engine.speed.record_slowness(outcome.slowness, now)
+        if self.follows_speed:
+            self._record_speed(engine, (sender, outcome.number), outcome)
             return
         self._pace.record(pending.tokens, outcome.seconds)
         engine.record_ratio(outcome.seconds / pending.seconds, now)
 
+    @property
+    def follows_speed(self) -> bool:
+        """Whether any engine reports its slowness, so that speeds are learned and used."""
+        return any(engine.speed.reports_slowness for engine in self._engines.values())
+
+    def _record_speed(
+        self, engine: Engine, prompt: tuple[str, int], outcome: PromptOutcome
+    ) -> None:
+        """Record an outcome for the pace of the service and for the speed of its engine."""
+        slowness = outcome.slowness
+        if slowness is None or not is_plausible(slowness):
+            slowness = 1.0
+        sample = engine.work.finish(prompt, outcome.seconds or 0.0, slowness)
+        if sample is None:
+            return
+        engine.speed.record_duration(
+            sample.usual_seconds / self._pace.seconds(sample.tokens), slowness=None
+        )
+        usual = sample.usual_seconds / engine.speed.time_factor
+        self._pace.record(sample.tokens, BASE_SECONDS + usual)
+
+    def _wait_seconds(self, engine: Engine, now: float) -> float:
+        """Return the expected seconds until an engine has prefilled all prompts placed at it."""
+        wait = engine.wait_seconds(now)
+        if not self.follows_speed:
+            return wait
+        left = self._pace.seconds(engine.work.min_left_tokens(now))
+        return max(wait, left * engine.speed.find_factor(now))
+
     def _find_usable(
         self, request: PlacementRequest, excluded: Collection[str], now: float
     ) -> Mapping[str, Engine]:
@@ -209,9 +248,12 @@
         now: float,
     ) -> float:
         """Return the cost of a prompt at an engine that prefills some of its tokens, in seconds."""
-        wait = max(engine.wait_seconds(now), transfer.done_at - now)
+        wait = max(self._wait_seconds(engine, now), transfer.done_at - now)
         prefill = self._pace.seconds(uncached)
-        first_event = (wait + prefill) * engine.find_slow_factor(now) + BASE_SECONDS
+        if self.follows_speed:
+            first_event = wait + prefill * engine.speed.find_factor(now) + BASE_SECONDS
+        else:
+            first_event = (wait + prefill) * engine.find_slow_factor(now) + BASE_SECONDS
         shared = uncached - (request.tokens - request.shared_tokens)
         recompute = RECOMPUTE_WEIGHT * self._pace.seconds(shared)
         late = LATE_SECONDS if first_event > request.aim_left_seconds else 0.0
@@ -227,14 +269,16 @@
     ) -> None:
         engine = self._engines[chosen.name]
         transfer = chosen.transfer
-        wait = max(engine.wait_seconds(now), transfer.done_at - now)
-        prefill = self._pace.seconds(chosen.uncached)
-        engine.prefilled_at = now + engine.wait_seconds(now) + prefill
+        wait = max(self._wait_seconds(engine, now), transfer.done_at - now)
+        factor = engine.speed.find_factor(now) if self.follows_speed else 1.0
+        prefill = self._pace.seconds(chosen.uncached) * factor
+        engine.prefilled_at = now + self._wait_seconds(engine, now) + prefill
         engine.cache.add(request.shared, now + wait + prefill)
         if transfer.source:
             engine.link_free_at = transfer.done_at
             self._engines[transfer.source].link_free_at = transfer.done_at
-        ahead = wait / max(1e-9, self._pace.seconds(1.0))
+        engine.work.add((sender, request.number), chosen.uncached, now)
+        ahead = wait / max(1e-9, self._pace.seconds(1.0) * factor)
         self._pending[(sender, request.number)] = _Pending(
             name=chosen.name,
             engine=engine,
--- a/packages/damsonlane/src/damsonlane/placement/tests/simulation.py
+++ b/packages/damsonlane/src/damsonlane/placement/tests/simulation.py
@@ -5,8 +5,9 @@
 """
 
 import random
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Final
 
@@ -54,6 +55,41 @@
     rate_limits: tuple[tuple[str, float], ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True)
+class UnevenEngines:
+    """Engines with inherent speeds, which are slow for a time again and again and report it."""
+
+    #: Inherent speeds; the engines have them in turn.
+    speeds: tuple[float, ...] = (0.7, 0.7, 1.7)
+    #: Slowness in a slow period.
+    slowness: float = 2.5
+    #: Mean length of a slow period and of the time between two, in seconds.
+    slow_seconds: float = 0.6
+    normal_seconds: float = 3.0
+    #: Seconds from a response to the arrival of its report at the entry that places the prompts.
+    delay: float = 0.1
+    #: Whether the engines report their slowness.
+    reports: bool = True
+
+
+class _SlowPeriods:
+    """The slowness of one engine over time."""
+
+    def __init__(self, engines: UnevenEngines, randomness: random.Random) -> None:
+        self._engines: Final = engines
+        self._random: Final = randomness
+        self._changes_at = randomness.uniform(0.0, engines.normal_seconds)
+        self._is_slow = False
+
+    def find(self, now: float) -> float:
+        while now >= self._changes_at:
+            self._is_slow = not self._is_slow
+            engines = self._engines
+            mean = engines.slow_seconds if self._is_slow else engines.normal_seconds
+            self._changes_at += mean * self._random.uniform(0.6, 1.4)
+        return self._engines.slowness if self._is_slow else 1.0
+
+
 @dataclass(kw_only=True)
 class _Prefill:
     entry: int
@@ -70,10 +106,16 @@
         seed: seed of the prompts.
         engines: names of the engines.
         entries: number of entries that receive the prompts.
+        uneven: speeds of the engines; None if all are equally fast.
     """
 
     def __init__(
-        self, prompts: PromptLoad, seed: int, engines: Sequence[str] = "abcdef", entries: int = 6
+        self,
+        prompts: PromptLoad,
+        seed: int,
+        engines: Sequence[str] = "abcdef",
+        entries: int = 6,
+        uneven: UnevenEngines | None = None,
     ) -> None:
         self._prompts: Final = prompts
         self._random: Final = random.Random(seed)
@@ -83,6 +125,14 @@
         self._caches: Final = {name: PrefixCache(CACHE_TOKENS) for name in engines}
         #: Times from sending to first event of all prompts, in seconds.
         self.first_events: Final[list[float]] = []
+        #: Number of prompts by engine.
+        self.arrivals: Final[Counter[str]] = Counter()
+        self._uneven: Final = uneven
+        randomness = random.Random(seed + 1_000)
+        self._periods: Final = {
+            name: _SlowPeriods(uneven, randomness) for name in engines if uneven is not None
+        }
+        self._delayed: Final[deque[tuple[float, int, PromptOutcome]]] = deque()
         #: Tokens of shared segments that were prefilled although an engine had cached them.
         self.recomputed = 0
 
@@ -102,8 +152,17 @@
                 entry = self._random.randrange(self._entries)
                 self._send(choose(entry, request, now), entry, request, now)
             self._prefill(now, record_outcome)
+            while self._delayed and self._delayed[0][0] <= now:
+                _, entry, outcome = self._delayed.popleft()
+                record_outcome(entry, outcome, now)
             now += STEP_SECONDS
 
+    def _find_speed(self, name: str, now: float) -> float:
+        if self._uneven is None:
+            return 1.0
+        speeds = self._uneven.speeds
+        return speeds[self.engines.index(name) % len(speeds)] / self._periods[name].find(now)
+
     def _is_peak(self, now: float) -> bool:
         return self._prompts.start <= now < self._prompts.end
 
@@ -127,6 +186,7 @@
         self, placement: Placement, entry: int, request: PlacementRequest, now: float
     ) -> None:
         name = placement.target
+        self.arrivals[name] += 1
         cached = self._caches[name].count_cached(request.shared)
         if placement.source:
             # A transfer is assumed to take no time: it is much faster than the prefill.
@@ -144,17 +204,22 @@
         for name, prefills in self._prefills.items():
             if name not in self.engines:
                 prefills.clear()
+            step = TOKENS_PER_SECOND * STEP_SECONDS
+            if prefills and self._uneven is not None:
+                step *= self._find_speed(name, now)
             for prefill in prefills:
-                prefill.left -= TOKENS_PER_SECOND * STEP_SECONDS / len(prefills)
+                prefill.left -= step / len(prefills)
             for prefill in [prefill for prefill in prefills if prefill.left <= 0]:
                 prefills.remove(prefill)
                 seconds = now - prefill.sent_at + 0.02
                 self.first_events.append(seconds)
-                record_outcome(
-                    prefill.entry,
-                    PromptOutcome(number=prefill.request.number, seconds=seconds),
-                    now,
-                )
+                outcome = PromptOutcome(number=prefill.request.number, seconds=seconds)
+                if self._uneven is None:
+                    record_outcome(prefill.entry, outcome, now)
+                    continue
+                if self._uneven.reports:
+                    outcome = replace(outcome, slowness=self._periods[name].find(now))
+                self._delayed.append((now + self._uneven.delay, prefill.entry, outcome))
 
 
 def simulate_central(
--- a/packages/damsonlane/src/damsonlane/routing/_table.py
+++ b/packages/damsonlane/src/damsonlane/routing/_table.py
@@ -51,6 +51,8 @@
     slots: int
     #: Factor by which work takes longer there than usual; None if it reports none.
     slowness: float | None = None
+    #: Whether it reported a slowness that was ignored as implausible.
+    has_implausible_slowness: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -8,6 +8,7 @@
 from urllib.parse import unquote
 
 from damsonlane.routing import LoadReport
+from damsonlane.speed import is_plausible
 from damsonlane.targets import TargetRecord
 from damsonlaned.dialects._interface import Dialect
 from damsonlaned.dialects._names import HeaderNames, PathNames
@@ -295,8 +296,28 @@
 
 
 def _read_load(text: str | None) -> LoadReport | None:
-    """Return a load of the form "running,waiting,slots", or None for a malformed one."""
-    counts = [_read_count(item) for item in (text or "").split(",")]
-    if len(counts) != 3 or counts[2] == 0:
+    """Return a load of the form "running,waiting,slots" or "running,waiting,slots,percent".
+
+    The fourth number is the time that work takes now, as a percentage of the usual one.  Without
+    a plausible one the other three are still valid.  Returns None for a malformed load.
+    """
+    items = (text or "").split(",")
+    counts = [_read_count(item) for item in items[:3]]
+    if len(items) not in (3, 4) or counts[2] == 0:
+        return None
+    slowness = _read_slowness(items[3]) if len(items) == 4 else None
+    return LoadReport(
+        held=counts[0] + counts[1],
+        slots=counts[2],
+        slowness=slowness,
+        has_implausible_slowness=len(items) == 4 and slowness is None,
+    )
+
+
+def _read_slowness(text: str) -> float | None:
+    """Return a slowness reported in percent, or None for an implausible one."""
+    try:
+        slowness = float(text) / 100
+    except ValueError:
         return None
-    return LoadReport(held=counts[0] + counts[1], slots=counts[2])
+    return slowness if is_plausible(slowness) else None
--- a/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
@@ -134,14 +134,15 @@
         self.source: Final = placement.source
         self._is_reported = False
 
-    def report_read(self, seconds: float | None) -> None:
+    def report_read(self, seconds: float | None, slowness: float | None = None) -> None:
         """Report the time until the first event to the owner; only the first call has an effect.
 
         Args:
             seconds: time from sending the prompt to its first event; None if none will come.
+            slowness: the slowness that the engine reported with the head of its response.
         """
         if self._is_reported:
             return
         self._is_reported = True
-        read = PromptOutcome(number=self._number, seconds=seconds)
+        read = PromptOutcome(number=self._number, seconds=seconds, slowness=slowness)
         self._client.report_read(self._owner, self._service, read)
