Choose targets of plain services by their learned speed

Cause: policy paced took all targets as equally fast, since entries never passed it a duration, and the newest slowness was known to it in no way.

Change: entries measure the time from sending a request to the head of its whole response, compare it with the usual one of its route, and learn the speed of each target that reports a slowness. The policy chooses such targets at random, by the inverse third power of the expected time there. Outcomes of prompts carry the slowness with its age, and are sent within 20 ms where there is one. Log lines and metrics for learned speeds and for ignored reports.

--- a/packages/damsonlane/src/damsonlane/placement/__init__.py
+++ b/packages/damsonlane/src/damsonlane/placement/__init__.py
@@ -8,6 +8,7 @@
     PromptOutcome,
     PromptSegment,
 )
+from damsonlane.placement._speed_summary import SpeedSummary
 
 __all__ = [
     "EngineTable",
@@ -16,4 +17,5 @@
     "PlacementRequest",
     "PromptSegment",
     "PromptOutcome",
+    "SpeedSummary",
 ]
--- a/packages/damsonlane/src/damsonlane/placement/_engine_table.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_table.py
@@ -19,9 +19,10 @@
 from damsonlane.placement._engine import Engine
 from damsonlane.placement._prefill_pace import BASE_SECONDS, PrefillPace
 from damsonlane.placement._prompts import Placement, PlacementRequest, PromptOutcome
+from damsonlane.placement._speed_summary import SpeedSummary, summarise_speeds
 from damsonlane.placement._transfers import NO_TRANSFER, Transfer, plan_transfers
 from damsonlane.routing import EngineLocation, rank_target
-from damsonlane.speed import is_plausible
+from damsonlane.speed import MAX_REPORT_AGE_SECONDS, is_plausible
 
 #: Extra cost of prefilling a shared segment again, as a multiple of the time it takes: it costs
 #: money, and evicts other segments from the cache.
@@ -86,6 +87,8 @@
         self._engines: dict[str, Engine] = {}
         self._pace: Final = PrefillPace()
         self._pending: dict[tuple[str, int], _Pending] = {}
+        self._follows_speed = False
+        self._moved = 0
 
     def update(self, locations: Collection[EngineLocation]) -> None:
         """Replace the usable engines; the cache of a restarted engine is empty."""
@@ -96,6 +99,9 @@
             if known is None or known.start != location.start:
                 engine = Engine(self._cache_tokens, location.data_centre, location.start)
                 self._engines[location.target] = engine
+        self._follows_speed = any(
+            engine.speed.reports_slowness for engine in self._engines.values()
+        )
 
     def place(
         self,
@@ -126,6 +132,8 @@
         chosen = min(
             candidates, key=lambda candidate: (candidate.cost, _rank(candidate.name, request))
         )
+        if self._follows_speed and request.shared:
+            self._moved += chosen.uncached > min(other.uncached for other in candidates)
         self._record_placement(sender, request, chosen, now)
         return Placement(number=request.number, target=chosen.name, source=chosen.transfer.source)
 
@@ -183,7 +191,8 @@
             engine.work.remove((sender, outcome.number))
             return
         if outcome.slowness is not None:
-            engine.speed.record_slowness(outcome.slowness, now)
+            engine.speed.record_slowness(outcome.slowness, now - _find_report_age(outcome))
+            self._follows_speed = self._follows_speed or engine.speed.reports_slowness
         if self.follows_speed:
             self._record_speed(engine, (sender, outcome.number), outcome)
             return
@@ -193,7 +202,12 @@
     @property
     def follows_speed(self) -> bool:
         """Whether any engine reports its slowness, so that speeds are learned and used."""
-        return any(engine.speed.reports_slowness for engine in self._engines.values())
+        return self._follows_speed
+
+    def summarise_speeds(self, now: float) -> SpeedSummary:
+        """Return a summary of the learned speeds."""
+        speeds = [engine.speed for engine in self._engines.values()]
+        return summarise_speeds(speeds, self._moved, now)
 
     def _record_speed(
         self, engine: Engine, prompt: tuple[str, int], outcome: PromptOutcome
@@ -289,6 +303,12 @@
             del self._pending[next(iter(self._pending))]
 
 
+def _find_report_age(outcome: PromptOutcome) -> float:
+    """Return the age of a reported slowness; an implausible one counts as too old to follow."""
+    age = outcome.slowness_age_seconds
+    return age if 0.0 <= age <= MAX_REPORT_AGE_SECONDS else 2 * MAX_REPORT_AGE_SECONDS
+
+
 def _count_remote_bytes(engine: Engine, request: PlacementRequest) -> int:
     """Return the bytes of a prompt's inputs that are stored in other data centres."""
     return sum(
--- a/packages/damsonlane/src/damsonlane/placement/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placement/_prompts.py
@@ -73,3 +73,5 @@
     #: Factor by which work takes longer at the engine than usual, as it reported with the head of
     #: its response; None if it reports none.
     slowness: float | None = None
+    #: Seconds from the arrival of that report to the sending of this outcome.
+    slowness_age_seconds: float = 0.0
--- a/packages/damsonlane/src/damsonlane/placement/tests/simulation.py
+++ b/packages/damsonlane/src/damsonlane/placement/tests/simulation.py
@@ -218,7 +218,11 @@
                     record_outcome(prefill.entry, outcome, now)
                     continue
                 if self._uneven.reports:
-                    outcome = replace(outcome, slowness=self._periods[name].find(now))
+                    outcome = replace(
+                        outcome,
+                        slowness=self._periods[name].find(now),
+                        slowness_age_seconds=self._uneven.delay,
+                    )
                 self._delayed.append((now + self._uneven.delay, prefill.entry, outcome))
 
 
--- a/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
+++ b/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
@@ -95,6 +95,21 @@
                 again = table.place("e", replace(order, number=2), ENGINES, 1.0)
                 self.assertEqual(again.target, first)
 
+    def test_a_report_that_is_old_on_arrival_is_not_followed(self) -> None:
+        # Guards against following a slowness that has probably ended.
+        for age, slowness in ((0.0, 2.5), (1.0, 1.0), (-1.0, 1.0), (math.nan, 1.0), (1e9, 1.0)):
+            with self.subTest(age):
+                table = EngineTable(CACHE_TOKENS)
+                table.update([EngineLocation(target="e0", data_centre="")])
+                order = PlacementRequest(number=1, shared=(), tokens=9_000, aim_left_seconds=1.0)
+                table.place("e", order, ("e0",), 0.0)
+                outcome = PromptOutcome(
+                    number=1, seconds=0.2, slowness=2.5, slowness_age_seconds=age
+                )
+                table.record_outcome("e", outcome, 0.2)
+                self.assertTrue(table.follows_speed)
+                self.assertEqual(table._engines["e0"].speed.find_slowness(0.2), slowness)
+
     def test_a_new_incarnation_is_not_judged_by_its_predecessor(self) -> None:
         # Guards against speeds kept under the name of a target that was replaced.
         table = EngineTable(CACHE_TOKENS)
--- a/packages/damsonlane/src/damsonlane/routing/_policies.py
+++ b/packages/damsonlane/src/damsonlane/routing/_policies.py
@@ -13,6 +13,9 @@
 DISTANCE_SHARE: Final = 0.25
 #: Slowness at and above which a target counts as slow; smaller differences are noise.
 SLOW_THRESHOLD: Final = 2.0
+#: Power of the expected work to which the probability of a target is inversely proportional.  With
+#: 1 the slow targets get too much; without randomness the fast ones are overloaded.
+SPEED_EXPONENT: Final = 3
 #: Length of the prompt prefix that determines affinity, in characters.
 AFFINITY_LENGTH: Final = 256
 #: Ratio of a target's load to the mean load above which affinity is ignored.
@@ -98,12 +101,19 @@
 @final
 @routing_policy("paced")
 class Paced(RoutingPolicy):
-    """The target with the fewest requests of this entry, weighted by slowness if it is slow."""
+    """The target with the fewest requests of this entry, weighted by slowness if it is slow.
+
+    Targets that report their slowness are chosen at random, the more likely the less time a
+    request is expected to take there.  Each entry has few requests in flight, so if all entries
+    chose the fastest target, that one would be overloaded.
+    """
 
     def choose(
         self, views: Sequence[TargetView], origin: Origin, randomness: random.Random
     ) -> TargetView:
         """Return the target with the least estimated work, ties broken at random."""
+        if any(view.time_factor is not None for view in views):
+            return _choose_by_speed(views, origin, randomness)
 
         def estimate_work(view: TargetView) -> float:
             pace = view.slowness if view.slowness >= SLOW_THRESHOLD else 1.0
@@ -128,11 +138,28 @@
         by_rank = sorted(views, key=lambda view: rank_target(view.name, prefix))
         mean = sum(view.load() + 1 for view in views) / len(views)
         for view in by_rank:
-            if view.load() + 1 <= math.ceil(AFFINITY_BOUND * mean) and view.slowness < 2.0:
+            slowness = max(view.slowness, view.time_factor or 1.0)
+            if view.load() + 1 <= math.ceil(AFFINITY_BOUND * mean) and slowness < SLOW_THRESHOLD:
                 return view
         return POLICIES["paced"].choose(views, origin, randomness)
 
 
+def _choose_by_speed(
+    views: Sequence[TargetView], origin: Origin, randomness: random.Random
+) -> TargetView:
+    """Return a target at random, the more likely the less work is expected there."""
+
+    def draw(view: TargetView) -> float:
+        distance = 0.0 if view.data_centre == origin.data_centre else DISTANCE_SHARE
+        pace = (view.time_factor or 1.0) * (1.0 + view.crowding)
+        work = (view.in_flight + 1) * pace + distance
+        # The least of exponential variables is each with a probability inversely proportional to
+        # its mean.
+        return float(work**SPEED_EXPONENT) * randomness.expovariate(1.0)
+
+    return min(views, key=draw)
+
+
 def predict_time(view: TargetView, origin: Origin) -> float:
     """Return the predicted time at a target, in units of one request's usual time."""
     crowding = view.load() / view.slots
--- a/packages/damsonlane/src/damsonlane/routing/_table.py
+++ b/packages/damsonlane/src/damsonlane/routing/_table.py
@@ -7,6 +7,7 @@
 
 from damsonlane.routing._policies import POLICIES
 from damsonlane.routing._views import Origin, TargetView
+from damsonlane.speed import TargetSpeed, WorkBaselines
 
 #: Consecutive failures after which a target is ejected.
 FAILURES_TO_EJECT: Final = 3
@@ -22,6 +23,8 @@
 SLOWNESS_HALF_LIFE: Final = 10.0
 #: Half-life of the reported number of other entries' requests, in seconds.
 REPORT_HALF_LIFE: Final = 0.5
+#: Weight of a new report in the moving average of a target's crowding.
+CROWDING_WEIGHT: Final = 0.3
 #: Bounds of one slowness sample.
 SLOWNESS_RANGE: Final = (0.1, 20.0)
 
@@ -78,11 +81,13 @@
         self.slots = 1
         self.slowness = 1.0
         self.measured_at = 0.0
+        self.speed = TargetSpeed()
+        self.crowding = 0.0
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
 
-    def view(self, name: str, now: float) -> TargetView:
+    def view(self, name: str, now: float, *, follows_speed: bool) -> TargetView:
         decay = _decay(now - self.measured_at, SLOWNESS_HALF_LIFE)
         return TargetView(
             name=name,
@@ -91,6 +96,8 @@
             others=self.others * _decay(now - self.reported_at, REPORT_HALF_LIFE),
             slots=self.slots,
             slowness=self.slowness**decay,
+            time_factor=self.speed.find_factor(now) if follows_speed else None,
+            crowding=self.crowding,
         )
 
     def is_ejected(self, now: float) -> bool:
@@ -105,6 +112,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _TargetState] = {}
+        self._baselines: Final = WorkBaselines()
 
     def update(self, locations: Mapping[str, TargetLocation]) -> None:
         """Replace the set of targets; the state of those that are not in it is dropped."""
@@ -156,7 +164,10 @@
         if not preferred:
             return None
         candidates = [name for name in preferred if name in prefer] or preferred
-        views = [self._records[name].view(name, now) for name in candidates]
+        follows_speed = any(record.speed.reports_slowness for record in self._records.values())
+        views = [
+            self._records[name].view(name, now, follows_speed=follows_speed) for name in candidates
+        ]
         chosen = POLICIES[policy].choose(views, origin, randomness)
         record = self._records[chosen.name]
         record.in_flight += 1
@@ -189,6 +200,9 @@
         *,
         pace: float | None = None,
         report: LoadReport | None = None,
+        reported_at: float | None = None,
+        work: str = "",
+        seconds: float | None = None,
         start: int | None = None,
     ) -> None:
         """Record that a request is no longer in flight.
@@ -199,6 +213,10 @@
             now: the clock, in seconds.
             pace: its duration as a multiple of the usual duration of such work.
             report: the load that the target reported in its answer.
+            reported_at: when that report arrived; None for now.
+            work: the class of its work.
+            seconds: its duration, from which the speed of a target that reports its slowness is
+                learned; None if it shows no speed.
             start: the incarnation that it was sent to; None to skip the comparison with the
                 current one.
         """
@@ -211,6 +229,13 @@
             record.others = float(max(0, report.held - record.in_flight - 1))
             record.reported_at = now
             record.slots = max(1, report.slots)
+            if report.slowness is not None:
+                at = now if reported_at is None else reported_at
+                record.speed.record_slowness(report.slowness, at)
+                share = report.held / record.slots
+                record.crowding += CROWDING_WEIGHT * (share - record.crowding)
+                if seconds is not None:
+                    self._record_seconds(record, report, work, seconds)
         if pace is not None:
             self._record_pace(record, pace, now)
         if health == "bad":
@@ -242,6 +267,17 @@
             )
             record.ejected_until = now + delay
 
+    def _record_seconds(
+        self, record: _TargetState, report: LoadReport, work: str, seconds: float
+    ) -> None:
+        """Record a duration for the speed of a target; one that includes a queue shows none."""
+        if report.slowness is None or report.held > report.slots:
+            return
+        factor = record.speed.time_factor * report.slowness
+        ratio = self._baselines.record(work, seconds, factor)
+        if ratio is not None:
+            record.speed.record_duration(ratio, report.slowness)
+
     def _record_pace(self, record: _TargetState, pace: float, now: float) -> None:
         low, high = SLOWNESS_RANGE
         sample = min(high, max(low, pace))
--- a/packages/damsonlane/src/damsonlane/routing/_views.py
+++ b/packages/damsonlane/src/damsonlane/routing/_views.py
@@ -19,6 +19,12 @@
     slots: int
     #: Its response times as a multiple of the usual ones; 1 is normal.
     slowness: float
+    #: Factor by which work takes longer there, by its learned speed and the slowness that it
+    #: reported; None if the targets of its service report none.
+    time_factor: float | None = None
+    #: Moving average of its requests from all entries, by its reports, as a share of its slots;
+    #: only where `time_factor` is known.
+    crowding: float = 0.0
 
     def load(self) -> float:
         """Return the estimated number of requests there."""
--- a/packages/damsonlane/src/damsonlane/speed/_slowness.py
+++ b/packages/damsonlane/src/damsonlane/speed/_slowness.py
@@ -7,7 +7,7 @@
 MIN_SLOWNESS: Final = 0.05
 MAX_SLOWNESS: Final = 100.0
 #: Age above which a report no longer counts, in seconds; see docs/design/target-speed.md.
-MAX_REPORT_AGE_SECONDS: Final = 0.5
+MAX_REPORT_AGE_SECONDS: Final = 0.3
 
 
 def is_plausible(slowness: float) -> bool:
--- a/packages/damsonlane/src/damsonlane/speed/_target_speed.py
+++ b/packages/damsonlane/src/damsonlane/speed/_target_speed.py
@@ -39,10 +39,15 @@
         """Whether this incarnation has reported a plausible slowness."""
         return self._reported.is_known
 
+    @property
+    def is_known(self) -> bool:
+        """Whether enough durations were recorded for an estimate of the speed."""
+        return len(self._first) >= MIN_SAMPLES
+
     @property
     def time_factor(self) -> float:
         """Usual durations as a multiple of the service's; 1 while unknown."""
-        if len(self._first) < MIN_SAMPLES:
+        if not self.is_known:
             return 1.0
         return math.exp(self._log_factor)
 
--- a/packages/damsonlane/src/damsonlane/speed/tests/test_speed.py
+++ b/packages/damsonlane/src/damsonlane/speed/tests/test_speed.py
@@ -31,8 +31,8 @@
         # Guards against a target that stays slow in our view after its last report.
         reported = ReportedSlowness()
         reported.record(2.5, 1.0)
-        self.assertEqual(reported.find(1.0 + MAX_REPORT_AGE_SECONDS), 2.5)
-        self.assertEqual(reported.find(1.01 + MAX_REPORT_AGE_SECONDS), 1.0)
+        self.assertEqual(reported.find(1.0 + 0.99 * MAX_REPORT_AGE_SECONDS), 2.5)
+        self.assertEqual(reported.find(1.0 + 1.01 * MAX_REPORT_AGE_SECONDS), 1.0)
 
     def test_reordered_reports_are_ignored(self) -> None:
         # Guards against an older report that arrives last and replaces a newer one.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -44,6 +44,16 @@
     head: HttpHead
     #: Signals of the target in the head.
     signals: ResponseSignals
+    #: The class of its work: the name of its route.
+    work: str
+    #: When the request was sent and when the head arrived, by the loop's clock.
+    sent_at: float
+    head_at: float
+
+    @property
+    def slowness(self) -> float | None:
+        """The slowness that the target reported; None if it reported none."""
+        return self.signals.load.slowness if self.signals.load is not None else None
 
 
 class Attempts:
@@ -161,6 +171,7 @@
         request = self._dialect.make_request(call.request, attempt)
         exchange = await chosen.connections.send(request, CONNECT_SECONDS)
         on_sent()
+        sent_at = self._now()
         _LOG.info(
             "sent",
             extra={
@@ -176,7 +187,15 @@
         except BaseException:
             exchange.finish()
             raise
-        return OpenedExchange(chosen=chosen, exchange=exchange, head=head, signals=signals)
+        return OpenedExchange(
+            chosen=chosen,
+            exchange=exchange,
+            head=head,
+            signals=signals,
+            work=call.route.name,
+            sent_at=sent_at,
+            head_at=self._now(),
+        )
 
     def finish(self, opened: OpenedExchange, health: HealthSignal) -> None:
         """End an attempt: return its connection and record the health of the target."""
@@ -187,7 +206,14 @@
             # The target is healthy and announced a back-off or a rate limit.  Ejected for three
             # such responses, it would get nothing for longer than it requested.
             health = "neutral"
-        self._targets.finish(opened.chosen, health, load=opened.signals.load)
+        self._targets.finish(
+            opened.chosen,
+            health,
+            load=opened.signals.load,
+            reported_at=opened.head_at,
+            work=opened.work,
+            seconds=_find_work_seconds(opened) if health == "good" else None,
+        )
 
     def finish_unopened(self, chosen: ChosenTarget, health: HealthSignal) -> None:
         """End an attempt without a response."""
@@ -227,6 +253,11 @@
         return asyncio.get_running_loop().time()
 
 
+def _find_work_seconds(opened: OpenedExchange) -> float | None:
+    """Return the seconds of work for a whole response; None for the head of a stream."""
+    return None if opened.signals.is_stream else opened.head_at - opened.sent_at
+
+
 def _find_prompt(call: Call) -> Prompt:
     """Return what the choice of an engine depends on."""
     shared = call.request.prefix_segments[:-1]
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -73,7 +73,7 @@
             self._view.quarantine, QuarantineClient(self._control).submit
         )
         exit_detector = ExitDetector(self._view, self._quarantine.record_exit)
-        targets = TargetSelector(
+        targets = self._targets = TargetSelector(
             self._view, settings.data_centre, self._count_entries, settings.internal_address
         )
         owners = PoolOwners(
@@ -87,7 +87,7 @@
             context,
             self._dialect.read_result_address,
         )
-        placers = PromptPlacers(self._view)
+        placers = self._placers = PromptPlacers(self._view)
         self._pool_service: Final = PoolService(owners, placers, self._view.limits)
         placements = PlacementClient(placers, self._pools, settings.internal_address)
         self._pools.on_placements = placements.receive
@@ -216,3 +216,13 @@
         self._metrics.backing_off.set({}, len(listed))
         self._metrics.rate_limited.set({}, len(self._view.limits.list_reports()))
         self._owners.update_metrics()
+        self._metrics.implausible_slowness.set({}, self._targets.implausible_slowness)
+        for service, summary in self._placers.summarise_speeds().items():
+            labels = {"service": service}
+            self._metrics.slow_engines.set(labels, summary.slow)
+            self._metrics.moved_prompts.set(labels, summary.moved)
+            for bound, factor in (
+                ("least", summary.least_factor),
+                ("most", summary.largest_factor),
+            ):
+                self._metrics.engine_time_factor.set({**labels, "bound": bound}, factor)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
@@ -20,6 +20,9 @@
 OWNER_BACKOFF_SECONDS: Final = 1.0
 #: Seconds for which the outcomes of prompts are collected into one message.
 BATCH_SECONDS: Final = 0.1
+#: The same for outcomes with a slowness: it changes within 0.6 s, and a report that arrives 0.2 s
+#: late does more harm than good.
+SLOWNESS_BATCH_SECONDS: Final = 0.02
 #: Sender name for requests of this entry to its own placer.
 _SELF: Final = "self"
 
@@ -83,7 +86,8 @@
         batch = self._reads.setdefault((owner, service), [])
         if not batch:
             loop = asyncio.get_running_loop()
-            loop.call_later(BATCH_SECONDS, self._send_reads, owner, service)
+            seconds = BATCH_SECONDS if read.slowness is None else SLOWNESS_BATCH_SECONDS
+            loop.call_later(seconds, self._send_reads, owner, service)
         batch.append(read)
 
     def _send_reads(self, owner: str, service: str) -> None:
@@ -134,15 +138,21 @@
         self.source: Final = placement.source
         self._is_reported = False
 
-    def report_read(self, seconds: float | None, slowness: float | None = None) -> None:
+    def report_read(
+        self, seconds: float | None, slowness: float | None = None, reported_at: float = 0.0
+    ) -> None:
         """Report the time until the first event to the owner; only the first call has an effect.
 
         Args:
             seconds: time from sending the prompt to its first event; None if none will come.
             slowness: the slowness that the engine reported with the head of its response.
+            reported_at: when it reported that, by the loop's clock.
         """
         if self._is_reported:
             return
         self._is_reported = True
         read = PromptOutcome(number=self._number, seconds=seconds, slowness=slowness)
+        if slowness is not None:
+            age = asyncio.get_running_loop().time() - reported_at
+            read = replace(read, slowness_age_seconds=max(0.0, age))
         self._client.report_read(self._owner, self._service, read)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
@@ -1,11 +1,19 @@
 """Places the prompts of all entries at the engines of a service."""
 
 import asyncio
+import logging
 from collections.abc import Mapping, Sequence
+from dataclasses import asdict
 from typing import Final
 
 from damsonlane.backoff import TargetIncarnation
-from damsonlane.placement import EngineTable, Placement, PlacementRequest, PromptOutcome
+from damsonlane.placement import (
+    EngineTable,
+    Placement,
+    PlacementRequest,
+    PromptOutcome,
+    SpeedSummary,
+)
 from damsonlane.routes import EngineProperties
 from damsonlane.routing import EngineLocation, PromptPartition
 from damsonlane.targets import Shard
@@ -13,6 +21,11 @@
 from damsonlaned.gateway._owner_activity import ActivityMeter, OwnerActivity
 from damsonlaned.gateway._view import FleetView
 
+_LOG: Final = logging.getLogger(__name__)
+
+#: Minimum seconds between two log lines about the speeds of the engines of one service.
+SPEED_LOG_SECONDS: Final = 10.0
+
 
 class PromptPlacer:
     """Places prompts at the engines of one service that control lists as live.
@@ -33,6 +46,7 @@
         self._partition: Final = PromptPartition()
         self._warm_up_gate: Final = WarmupLimiter()
         self._engines: tuple[EngineLocation, ...] = ()
+        self._speeds_logged_at = float("-inf")
         #: Work of this placer, for its log.
         self.activity: Final = ActivityMeter()
         view.on_change(self._update_engines)
@@ -49,6 +63,22 @@
         now = asyncio.get_running_loop().time()
         for read in reads:
             self._engine_table.record_outcome(sender, read, now)
+        self._log_speeds(now)
+
+    def summarise_speeds(self) -> SpeedSummary | None:
+        """Return a summary of the learned speeds; None if the engines report no slowness."""
+        if not self._engine_table.follows_speed:
+            return None
+        return self._engine_table.summarise_speeds(asyncio.get_running_loop().time())
+
+    def _log_speeds(self, now: float) -> None:
+        """Log the learned speeds, once in a while."""
+        if now - self._speeds_logged_at < SPEED_LOG_SECONDS:
+            return
+        summary = self.summarise_speeds()
+        if summary is not None:
+            self._speeds_logged_at = now
+            _LOG.info("engine speeds", extra={"service": self._service, **asdict(summary)})
 
     def _place_one(self, sender: str, order: PlacementRequest) -> Placement:
         self._partition.record(order.tokens)
@@ -116,6 +146,11 @@
             self._placers[service] = PromptPlacer(service, known.engine, self._view)
         return self._placers[service]
 
+    def summarise_speeds(self) -> dict[str, SpeedSummary]:
+        """Return the learned speeds of the services whose engines report their slowness."""
+        summaries = {name: placer.summarise_speeds() for name, placer in self._placers.items()}
+        return {name: summary for name, summary in summaries.items() if summary is not None}
+
     def take_activities(self) -> dict[Shard, OwnerActivity]:
         """Return the work of each placer since the last call of this method."""
         return {
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -305,9 +305,8 @@
             self._response.start(opened.head)
             seconds = self._times.record_first_event()
             if opened.chosen.placed is not None:
-                load = opened.signals.load
                 opened.chosen.placed.report_read(
-                    self._times.seconds_since_sent(), load.slowness if load is not None else None
+                    self._times.seconds_since_sent(), opened.slowness, opened.head_at
                 )
             if self._history.attempt_count == 1:
                 self._stages.record_first_event(self._call, seconds)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -1,6 +1,7 @@
 """Select targets for requests; track their health and the connections to them."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, replace
@@ -25,6 +26,8 @@
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import ConnectionPool
 
+_LOG: Final = logging.getLogger(__name__)
+
 #: Least number of connections that one entry may open to a target, however many entries share it.
 MIN_CONNECTIONS: Final = 2
 #: Share of a target's connections that the fleet uses, so that entries which
@@ -100,6 +103,9 @@
         self._connections: dict[str, ConnectionPool] = {}
         self._misdirected: set[str] = set()
         self._randomness: Final = random.Random()
+        self._logged_slowness: set[TargetIncarnation] = set()
+        #: Reports of a slowness that were ignored as implausible.
+        self.implausible_slowness = 0
         view.on_change(self._update)
         self._update()
 
@@ -239,13 +245,31 @@
         health: HealthSignal,
         *,
         load: LoadReport | None = None,
-        pace: float | None = None,
+        reported_at: float | None = None,
+        work: str = "",
+        seconds: float | None = None,
     ) -> None:
-        """Record that a request at a target has completed, and how."""
+        """Record that a request at a target has completed, and how.
+
+        Args:
+            chosen: the target.
+            health: what the outcome says about its health.
+            load: the load that it reported in its response.
+            reported_at: when that report arrived, by the loop's clock.
+            work: the class of the work.
+            seconds: duration of the work; None if unknown.
+        """
         target_table = self._tables.get(chosen.service)
         if target_table is not None:
             target_table.finish(
-                chosen.target, health, self._now(), report=load, pace=pace, start=chosen.start
+                chosen.target,
+                health,
+                self._now(),
+                report=load,
+                reported_at=reported_at,
+                work=work,
+                seconds=seconds,
+                start=chosen.start,
             )
 
     def record_signals(
@@ -259,6 +283,16 @@
             is_own: whether it is the response to the request that was just sent there.
         """
         self._view.announcements.record(chosen.incarnation, signals, is_work=is_own)
+        if signals.load is not None and signals.load.has_implausible_slowness:
+            self._record_implausible_slowness(chosen)
+
+    def _record_implausible_slowness(self, chosen: ChosenTarget) -> None:
+        """Count an implausible slowness; log the first one of each incarnation."""
+        self.implausible_slowness += 1
+        if chosen.incarnation not in self._logged_slowness:
+            self._logged_slowness.add(chosen.incarnation)
+            extra = {"service": chosen.service, "target": chosen.target, "address": chosen.address}
+            _LOG.warning("ignored an implausible slowness", extra=extra)
 
     def record_misdirected(self, chosen: ChosenTarget) -> None:
         """Record that another target responds at the address of this one."""
@@ -307,6 +341,9 @@
         for target in set(self._connections) - known:
             self._connections.pop(target).close()
         self._misdirected &= known
+        self._logged_slowness = {
+            logged for logged in self._logged_slowness if logged.target in known
+        }
         self._warm_up_gate.retain_only(known)
         self._incarnations = incarnations
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_placement.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_placement.py
@@ -1,20 +1,24 @@
 """Tests prompts that another entry places, over the stream to it."""
 
+import asyncio
 import unittest
 from dataclasses import replace
 from unittest import mock
 
 from grpclib.server import Stream
 
-from damsonlane.placement import Placement, PlacementRequest, PromptSegment
+from damsonlane.placement import Placement, PlacementRequest, PromptOutcome, PromptSegment
 from damsonlane.routes import EngineProperties
 from damsonlane.routes import Service as RouteService
+from damsonlane.routing import LoadReport
 from damsonlane.targets import TargetRecord
 from damsonlane_rpc import POOL, PoolOrders, PoolResults, RpcService
+from damsonlaned.dialects import ResponseSignals
 from damsonlaned.gateway import _placement_client
 from damsonlaned.gateway._placement_client import PlacedPrompt, PlacementClient
 from damsonlaned.gateway._pool_service import PoolService
 from damsonlaned.gateway._prompt_placer import PromptPlacers
+from damsonlaned.gateway._target_selector import Prompt
 from damsonlaned.gateway.tests.harness import DOCUMENT, TEST_TIMEOUT_SECONDS, Entry
 from damsonlaned.gateway.tests.test_links import make_box_record, serve, wait_until
 from damsonlaned.tests.addresses import find_free_address
@@ -98,6 +102,50 @@
         reads = [read for call in record_reads.mock_calls for read in call.args[1]]
         self.assertEqual([read.seconds for read in reads], [0.2])
 
+    async def test_reported_slowness_reaches_the_owner_with_its_age(self) -> None:
+        # Guards against a slowness that is lost on the way, or taken for newer than it is.
+        await self.serve()
+        placer = self.placers.find("engines")
+        assert placer is not None
+        with mock.patch.object(_placement_client, "ANSWER_SECONDS", TEST_TIMEOUT_SECONDS):
+            placed = await self.client.place("engines", ORDER)
+        assert placed is not None
+        self.assertIsNone(placer.summarise_speeds())
+        with mock.patch.object(placer._engine_table, "record_outcome") as record_outcome:
+            placed.report_read(0.2, 2.5, asyncio.get_running_loop().time() - 1.0)
+            await wait_until(lambda: record_outcome.called)
+        outcome = record_outcome.call_args.args[1]
+        self.assertEqual(outcome.slowness, 2.5)
+        self.assertGreaterEqual(outcome.slowness_age_seconds, 1.0)
+        placer.record_reads("e", (replace(outcome, number=99),))
+        self.assertIsNone(placer.summarise_speeds())
+
+    async def test_learned_speeds_are_logged_once_per_interval(self) -> None:
+        # Guards against a log line for each of many thousand outcomes.
+        placer = self.placers.find("engines")
+        assert placer is not None
+        with self.assertLogs("damsonlaned.gateway._prompt_placer", "INFO") as logs:
+            for number in range(1, 6):
+                placer.place("e", (replace(ORDER, number=number),))
+                outcome = PromptOutcome(number=number, seconds=0.2, slowness=2.5)
+                placer.record_reads("e", (outcome,))
+        self.assertEqual([record.getMessage() for record in logs.records], ["engine speeds"])
+        summary = placer.summarise_speeds()
+        assert summary is not None
+        self.assertEqual((summary.engines, summary.slow), (1, 1))
+
+    async def test_implausible_slowness_is_logged_once_per_target(self) -> None:
+        # Guards against broken reports that go unnoticed, or fill the log.
+        targets = self.asker.attempts._targets
+        chosen = targets.choose(ENGINES, Prompt(), ())
+        assert chosen is not None
+        load = LoadReport(held=1, slots=4, has_implausible_slowness=True)
+        signals = ResponseSignals(request_id="r", has_not_run=False, load=load, is_stream=False)
+        with self.assertLogs("damsonlaned.gateway._target_selector", "WARNING") as logs:
+            for _ in range(3):
+                targets.record_signals(chosen, signals, is_own=True)
+        self.assertEqual((len(logs.records), targets.implausible_slowness), (1, 3))
+
     async def test_owner_that_timed_out_is_not_asked_again_immediately(self) -> None:
         asked: list[PoolOrders] = []
 
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -56,6 +56,26 @@
             "Targets that announced a rate limit for the requests of all boxes.",
             registry=self.registry,
         )
+        self.implausible_slowness: Final = Gauge(
+            "damsonlane_implausible_slowness",
+            "Reports of a slowness by targets that were ignored as implausible, since the start.",
+            registry=self.registry,
+        )
+        self.slow_engines: Final = Gauge(
+            "damsonlane_slow_engines",
+            "Engines of an owned service that reported recently that they are slow.",
+            registry=self.registry,
+        )
+        self.engine_time_factor: Final = Gauge(
+            "damsonlane_engine_time_factor",
+            "Least and largest learned time factor of the engines of an owned service.",
+            registry=self.registry,
+        )
+        self.moved_prompts: Final = Gauge(
+            "damsonlane_moved_prompts",
+            "Prompts placed away from the engine that cached most of them, since the start.",
+            registry=self.registry,
+        )
         self.commit_index: Final = Gauge(
             "damsonlane_commit_index",
             "Index of the last committed log entry.",
