Give prompts to engines of unknown speed

Cause: prompts follow their cached segments, so in the replay of 70 engines 12 to 15 got no prompt, among them fast ones whose speed stayed unknown.

Change: an engine whose speed is unknown is not charged for prefilling shared segments again.

--- a/packages/damsonlane/src/damsonlane/placement/_engine_table.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_table.py
@@ -270,6 +270,10 @@
             first_event = (wait + prefill) * engine.find_slow_factor(now) + BASE_SECONDS
         shared = uncached - (request.tokens - request.shared_tokens)
         recompute = RECOMPUTE_WEIGHT * self._pace.seconds(shared)
+        if self._follows_speed and not engine.speed.is_known:
+            # Prompts follow their cached segments, so without this an engine that has cached none
+            # would stay unused and its speed unknown.
+            recompute = 0.0
         late = LATE_SECONDS if first_event > request.aim_left_seconds else 0.0
         return (
             first_event
--- a/packages/damsonlane/src/damsonlane/placement/tests/simulation.py
+++ b/packages/damsonlane/src/damsonlane/placement/tests/simulation.py
@@ -146,7 +146,8 @@
             for name, crashed_at in self._prompts.crashed:
                 if name in self.engines and now >= crashed_at:
                     self.engines.remove(name)
-            if self._random.random() < self._find_rate(now) * STEP_SECONDS:
+            due = self._find_rate(now) * STEP_SECONDS
+            for _ in range(int(due) + (self._random.random() < due % 1)):
                 number += 1
                 request = self._draw(number, now)
                 entry = self._random.randrange(self._entries)
--- a/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
+++ b/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
@@ -77,6 +77,12 @@
                 speeds.setdefault((0.7, 0.7, 1.7)[number % 3], []).append(1 / factor)
         self.assertLess(max(speeds[0.7]), min(speeds[1.7]))
 
+    def test_the_speed_of_every_engine_becomes_known(self) -> None:
+        # Guards against fast engines that stay unused since they have cached no segments.
+        simulation, table = replay(UnevenEngines(), seed=1)
+        self.assertEqual(set(simulation.arrivals), set(ENGINES))
+        self.assertEqual(table.summarise_speeds(0.0).known, len(ENGINES))
+
     def test_engines_that_report_nothing_are_chosen_as_before(self) -> None:
         # Guards against any effect on services whose engines report no slowness.
         self.assertEqual(choose_without_reports(), CHOICES_BEFORE)
