--- a/packages/damsonlane/src/damsonlane/placement/_engine_table.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_table.py
@@ -6,6 +6,9 @@
 Engines that can transfer cached prompt segments to each other do so, which is much faster than
 prefilling a segment again.  Thus a prompt can go to the engine that is near the results of its
 stages, wherever its segments are cached.
+
+Where engines report their slowness, the speed of each is learned and counts for the expected time
+to the first event; elsewhere all are taken as equally fast.
 """
 
 import functools
@@ -16,8 +19,10 @@
 from damsonlane.placement._engine import Engine
 from damsonlane.placement._prefill_pace import BASE_SECONDS, PrefillPace
 from damsonlane.placement._prompts import Placement, PlacementRequest, PromptOutcome
+from damsonlane.placement._speed_summary import SpeedSummary, summarise_speeds
 from damsonlane.placement._transfers import NO_TRANSFER, Transfer, plan_transfers
 from damsonlane.routing import EngineLocation, rank_target
+from damsonlane.speed import MAX_REPORT_AGE_SECONDS, is_plausible
 
 #: Extra cost of prefilling a shared segment again, as a multiple of the time it takes: it costs
 #: money, and evicts other segments from the cache.
@@ -82,6 +87,8 @@
         self._engines: dict[str, Engine] = {}
         self._pace: Final = PrefillPace()
         self._pending: dict[tuple[str, int], _Pending] = {}
+        self._follows_speed = False
+        self._moved = 0
 
     def update(self, locations: Collection[EngineLocation]) -> None:
         """Replace the usable engines; the cache of a restarted engine is empty."""
@@ -92,6 +99,9 @@
             if known is None or known.start != location.start:
                 engine = Engine(self._cache_tokens, location.data_centre, location.start)
                 self._engines[location.target] = engine
+        self._follows_speed = any(
+            engine.speed.reports_slowness for engine in self._engines.values()
+        )
 
     def place(
         self,
@@ -122,6 +132,8 @@
         chosen = min(
             candidates, key=lambda candidate: (candidate.cost, _rank(candidate.name, request))
         )
+        if self._follows_speed and request.shared:
+            self._moved += chosen.uncached > min(other.uncached for other in candidates)
         self._record_placement(sender, request, chosen, now)
         return Placement(number=request.number, target=chosen.name, source=chosen.transfer.source)
 
@@ -176,10 +188,51 @@
         if outcome.seconds is None:
             engine.ejected_until = now + EJECTION_SECONDS
             engine.cache.clear()
+            engine.work.remove((sender, outcome.number))
+            return
+        if outcome.slowness is not None:
+            engine.speed.record_slowness(outcome.slowness, now - _find_report_age(outcome))
+            self._follows_speed = self._follows_speed or engine.speed.reports_slowness
+        if self.follows_speed:
+            self._record_speed(engine, (sender, outcome.number), outcome)
             return
         self._pace.record(pending.tokens, outcome.seconds)
         engine.record_ratio(outcome.seconds / pending.seconds, now)
 
+    @property
+    def follows_speed(self) -> bool:
+        """Whether any engine reports its slowness, so that speeds are learned and used."""
+        return self._follows_speed
+
+    def summarise_speeds(self, now: float) -> SpeedSummary:
+        """Return a summary of the learned speeds."""
+        speeds = [engine.speed for engine in self._engines.values()]
+        return summarise_speeds(speeds, self._moved, now)
+
+    def _record_speed(
+        self, engine: Engine, prompt: tuple[str, int], outcome: PromptOutcome
+    ) -> None:
+        """Record an outcome for the pace of the service and for the speed of its engine."""
+        slowness = outcome.slowness
+        if slowness is None or not is_plausible(slowness):
+            slowness = 1.0
+        sample = engine.work.finish(prompt, outcome.seconds or 0.0, slowness)
+        if sample is None:
+            return
+        engine.speed.record_duration(
+            sample.usual_seconds / self._pace.seconds(sample.tokens), slowness=None
+        )
+        usual = sample.usual_seconds / engine.speed.time_factor
+        self._pace.record(sample.tokens, BASE_SECONDS + usual)
+
+    def _wait_seconds(self, engine: Engine, now: float) -> float:
+        """Return the expected seconds until an engine has prefilled all prompts placed at it."""
+        wait = engine.wait_seconds(now)
+        if not self.follows_speed:
+            return wait
+        left = self._pace.seconds(engine.work.min_left_tokens(now))
+        return max(wait, left * engine.speed.find_factor(now))
+
     def _find_usable(
         self, request: PlacementRequest, excluded: Collection[str], now: float
     ) -> Mapping[str, Engine]:
@@ -209,11 +262,18 @@
         now: float,
     ) -> float:
         """Return the cost of a prompt at an engine that prefills some of its tokens, in seconds."""
-        wait = max(engine.wait_seconds(now), transfer.done_at - now)
+        wait = max(self._wait_seconds(engine, now), transfer.done_at - now)
         prefill = self._pace.seconds(uncached)
-        first_event = (wait + prefill) * engine.find_slow_factor(now) + BASE_SECONDS
+        if self.follows_speed:
+            first_event = wait + prefill * engine.speed.find_factor(now) + BASE_SECONDS
+        else:
+            first_event = (wait + prefill) * engine.find_slow_factor(now) + BASE_SECONDS
         shared = uncached - (request.tokens - request.shared_tokens)
         recompute = RECOMPUTE_WEIGHT * self._pace.seconds(shared)
+        if self._follows_speed and not engine.speed.is_known:
+            # Prompts follow their cached segments, so without this an engine that has cached none
+            # would stay unused and its speed unknown.
+            recompute = 0.0
         late = LATE_SECONDS if first_event > request.aim_left_seconds else 0.0
         return (
             first_event
@@ -227,14 +287,16 @@
     ) -> None:
         engine = self._engines[chosen.name]
         transfer = chosen.transfer
-        wait = max(engine.wait_seconds(now), transfer.done_at - now)
-        prefill = self._pace.seconds(chosen.uncached)
-        engine.prefilled_at = now + engine.wait_seconds(now) + prefill
+        wait = max(self._wait_seconds(engine, now), transfer.done_at - now)
+        factor = engine.speed.find_factor(now) if self.follows_speed else 1.0
+        prefill = self._pace.seconds(chosen.uncached) * factor
+        engine.prefilled_at = now + self._wait_seconds(engine, now) + prefill
         engine.cache.add(request.shared, now + wait + prefill)
         if transfer.source:
             engine.link_free_at = transfer.done_at
             self._engines[transfer.source].link_free_at = transfer.done_at
-        ahead = wait / max(1e-9, self._pace.seconds(1.0))
+        engine.work.add((sender, request.number), chosen.uncached, now)
+        ahead = wait / max(1e-9, self._pace.seconds(1.0) * factor)
         self._pending[(sender, request.number)] = _Pending(
             name=chosen.name,
             engine=engine,
@@ -245,6 +307,12 @@
             del self._pending[next(iter(self._pending))]
 
 
+def _find_report_age(outcome: PromptOutcome) -> float:
+    """Return the age of a reported slowness; an implausible one counts as too old to follow."""
+    age = outcome.slowness_age_seconds
+    return age if 0.0 <= age <= MAX_REPORT_AGE_SECONDS else 2 * MAX_REPORT_AGE_SECONDS
+
+
 def _count_remote_bytes(engine: Engine, request: PlacementRequest) -> int:
     """Return the bytes of a prompt's inputs that are stored in other data centres."""
     return sum(
