Entries report their capacity to control

Cause: control listed no capacity of a box, so that owners and shares could not depend on it.

Change: entries send the cores of their settings with each report, and again at once after a reload. Control stores them in the list of boxes; it ignores, logs and counts implausible ones (negative, above 1,024, not a number) once for each incarnation. damsonlane control boxes shows them.

No decision uses the capacity yet.

--- a/packages/damsonlane/src/damsonlane/membership/__init__.py
+++ b/packages/damsonlane/src/damsonlane/membership/__init__.py
@@ -8,11 +8,13 @@
     RemoveBox,
     UpdateBox,
 )
+from damsonlane.membership._capacity import MAX_CORES, is_plausible_capacity
 from damsonlane.membership._owners import choose_owner
 from damsonlane.membership._silence import CHECK_SECONDS, SILENCE_SECONDS, SilenceDetector
 
 __all__ = [
     "CHECK_SECONDS",
+    "MAX_CORES",
     "SILENCE_SECONDS",
     "BoxUpdated",
     "BoxRecord",
@@ -22,4 +24,5 @@
     "SilenceDetector",
     "UpdateBox",
     "choose_owner",
+    "is_plausible_capacity",
 ]
--- a/packages/damsonlane_cli/src/damsonlane_cli/_control.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_control.py
@@ -160,6 +160,7 @@
             "data centre": record.data_centre,
             "standing": "suspected" if is_suspected else record.standing,
             "version": status.version if status else 0,
+            "cores": record.capacity or "unknown",
             "address": record.address,
             "heard by": record.via,
         }
--- a/packages/damsonlaned/src/damsonlaned/control/_membership.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_membership.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import contextlib
+import logging
 from typing import Final
 
 from damsonlane.errors import UnavailableError
-from damsonlane.membership import BoxRecord, RemoveBox, UpdateBox
+from damsonlane.membership import BoxRecord, RemoveBox, UpdateBox, is_plausible_capacity
 from damsonlane_rpc import ControlClient, WatchReport
 from damsonlaned.control._node import ControlNode
+from damsonlaned.metrics import Metrics
 from damsonlaned.tasks import start_task
 
+_LOG: Final = logging.getLogger(__name__)
+
 #: Seconds between updates.
 UPDATE_INTERVAL_SECONDS: Final = 0.5
 #: Seconds without a report after which a box is removed.
@@ -24,9 +28,17 @@
     """Adds boxes that report to this replica and removes those that stopped reporting.
 
     Only changes are committed: an unchanged report causes no call to the leader.
+
+    Args:
+        node: the control node.
+        client: calls the leader.
+        metrics: the metrics of the process.
     """
 
-    def __init__(self, node: ControlNode, client: ControlClient) -> None:
+    def __init__(self, node: ControlNode, client: ControlClient, metrics: Metrics) -> None:
+        self._metrics: Final = metrics
+        #: Incarnations whose implausible capacity was logged, by box.
+        self._logged: dict[str, str] = {}
         self._node: Final = node
         self._client: Final = client
         self._task: asyncio.Task[None] | None = None
@@ -59,6 +71,7 @@
             known = self._node.state.membership.record_of(report.box)
             if received.at >= BOX_TIMEOUT_SECONDS:
                 self._node.watchers.forget(report.box)
+                self._logged.pop(report.box, None)
                 commands.append(
                     RemoveBox(
                         box=report.box,
@@ -90,4 +103,18 @@
             address=report.address,
             standing="leaving" if report.is_leaving else "live",
             via=self._node.identity.replica,
+            capacity=self._read_capacity(report),
         )
+
+    def _read_capacity(self, report: WatchReport) -> float:
+        """Return the reported capacity, or 0 if it is implausible; log that once an incarnation."""
+        if is_plausible_capacity(report.capacity):
+            return report.capacity
+        if self._logged.get(report.box) != report.incarnation:
+            self._logged[report.box] = report.incarnation
+            self._metrics.ignored_capacities.inc({})
+            _LOG.warning(
+                "capacity of a box ignored",
+                extra={"entry": report.box, "capacity": str(report.capacity)},
+            )
+        return 0.0
--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -113,7 +113,7 @@
         self._client: Final = ControlClient(
             _list_control_addresses(settings), context=tls_contexts.client
         )
-        self._membership: Final = MembershipUpdater(self._node, self._client)
+        self._membership: Final = MembershipUpdater(self._node, self._client, self._metrics)
         self._limits: Final = RateLimitService(self._node)
         self._group: Final = _make_group(settings, self._node, self._client, tls_contexts)
         self._registry: Final = _make_registry(
--- a/packages/damsonlaned/src/damsonlaned/entry/_settings_follower.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_settings_follower.py
@@ -179,6 +179,7 @@
             started_at=self._started_at,
             address=self._settings.internal_address,
             is_leaving=self._is_draining,
+            capacity=self._settings.capacity.cores if self._settings.capacity else 0.0,
         )
 
     # Comparing with peers.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
@@ -65,6 +65,7 @@
         gateway = settings.gateway
         self._settings: Final = settings
         self._holder: Final = holder
+        self._capacity = _find_cores(settings)
         self._view: Final = view
         self._context: Final = context
         self._freshness_timeout: Final = FRESHNESS_TIMEOUT_SHARE * (
@@ -96,9 +97,14 @@
         self._is_draining = True
         self._report_due.set()
 
-    def add_control_addresses(self, addresses: tuple[str, ...]) -> None:
-        """Add control addresses from reloaded settings."""
-        self._add_addresses(addresses)
+    def apply_settings(self, settings: BoxSettings) -> None:
+        """Add the control addresses of reloaded settings, and report a changed capacity."""
+        self._add_addresses(settings.control)
+        capacity = _find_cores(settings)
+        if capacity != self._capacity:
+            _LOG.info("capacity changed", extra={"before": self._capacity, "cores": capacity})
+            self._capacity = capacity
+            self._report_due.set()
 
     async def _run(self) -> None:
         last = ""
@@ -204,6 +210,7 @@
             started_at=self._started_at,
             address=self._settings.internal_address,
             is_leaving=self._is_draining,
+            capacity=self._capacity,
         )
         return FollowReport(
             box=box,
@@ -212,3 +219,8 @@
             quarantine_revision=self._view.quarantine.newest.revision,
             rate_limits_revision=self._view.limits.revision,
         )
+
+
+def _find_cores(settings: BoxSettings) -> float:
+    """Return the capacity of the box, in cores; 0 if unknown."""
+    return settings.capacity.cores if settings.capacity is not None else 0.0
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -158,9 +158,9 @@
         self._control_follower.start()
         self._load.start()
 
-    def replace_seeds(self, addresses: tuple[str, ...]) -> None:
-        """Add the control addresses of reloaded settings."""
-        self._control_follower.add_control_addresses(addresses)
+    def apply_settings(self, newer: BoxSettings) -> None:
+        """Apply the control addresses and the capacity of reloaded settings."""
+        self._control_follower.apply_settings(newer)
 
     async def stop(self) -> None:
         """Accept requests until the load balancer sends none, let them complete, then stop."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_process.py
@@ -24,7 +24,7 @@
     """Run the entry until the process is asked to stop."""
     node = GatewayNode(settings, gateway, tls_contexts.client)
 
-    reloader = SettingsReloader(settings, reload, lambda newer: node.replace_seeds(newer.control))
+    reloader = SettingsReloader(settings, reload, node.apply_settings)
     server = await start_rpc_server(settings, RpcService(dict(node.handlers())), tls_contexts)
     await node.start()
     _LOG.info("started")
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -16,7 +16,7 @@
 from damsonlane.membership import BoxRecord, _owners
 from damsonlane.pools import PieceOrder
 from damsonlane.routes import RoutingDocument
-from damsonlane.settings import BoxSettings, Gateway
+from damsonlane.settings import BoxSettings, Capacity, Gateway
 from damsonlane_rpc import (
     FOLLOW,
     POOL,
@@ -76,6 +76,7 @@
         self.state_age: float | None = 0.0
         self.is_silent = False
         self.followers = 0
+        self.capacities: list[float] = []
 
     def service(self) -> RpcService:
         return RpcService({FOLLOW.path: FOLLOW.handler(self._follow)})
@@ -84,6 +85,8 @@
         report = await stream.recv_message()
         assert report is not None
         self.followers += 1
+        self.capacities.append(report.box.capacity)
+        receiver = asyncio.create_task(self._receive(stream))
         sent_version = report.box.version
         try:
             while True:
@@ -95,15 +98,20 @@
                     )
                 await asyncio.sleep(0.05)
         finally:
+            receiver.cancel()
             self.followers -= 1
 
+    async def _receive(self, stream: Stream[FollowReport, FollowUpdate]) -> None:
+        while (report := await stream.recv_message()) is not None:
+            self.capacities.append(report.box.capacity)
+
 
 class FleetLinkTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.first, self.second = FakeControl(), FakeControl()
         for control in (self.first, self.second):
             await serve(self, control.address, control.service())
-        settings = BoxSettings(
+        self.settings = BoxSettings(
             name="entry-1",
             data_centre="dha",
             role="entry",
@@ -115,10 +123,25 @@
         )
         self.view = FleetView(NativeDialect())
         self.follower = ControlFollower(
-            settings, Holder(box="entry-1", incarnation="i"), self.view, None
+            self.settings, Holder(box="entry-1", incarnation="i"), self.view, None
         )
         self.addAsyncCleanup(self.follower.stop)
 
+    def has_reported(self, cores: float) -> bool:
+        return cores in self.first.capacities + self.second.capacities
+
+    async def test_it_reports_the_capacity_after_a_reload(self) -> None:
+        """Guards against a box that keeps the capacity with which it started."""
+        capacities = [self.first.capacities, self.second.capacities]
+        self.follower.start()
+        await wait_until(lambda: [0.0] in [reported[:1] for reported in capacities])
+        for cores in (0.387, 1.29):
+            capacity = Capacity(cores=cores, memory_bytes=2**28, link_bits=1e7)
+            self.follower.apply_settings(replace(self.settings, capacity=capacity))
+            await wait_until(partial(self.has_reported, cores))
+        self.follower.apply_settings(self.settings)
+        await wait_until(lambda: [0.0] in [reported[-1:] for reported in capacities])
+
     async def test_it_leaves_a_replica_with_stale_state(self) -> None:
         self.first.state_age = None
         self.first.version = 3
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -64,7 +64,11 @@
         self.is_leader: Final = Gauge(
             "damsonlane_is_leader", "1 while this replica is the leader.", registry=self.registry
         )
-
+        self.ignored_capacities: Final = Counter(
+            "damsonlane_ignored_capacities_total",
+            "Boxes that reported an implausible capacity, which was ignored.",
+            registry=self.registry,
+        )
         self.pool_pieces: Final = Counter(
             "damsonlane_pool_pieces_total",
             "Pieces of the stage pools that this box owns, by outcome.",
