Weigh the choice of owners by the capacity of boxes

Cause: owners were chosen without regard to the capacity of their boxes; an owner uses about 0.3 core, which is most of a box of 0.387 core.

Change: rendezvous hashing is weighted by min(cores, 1), since the event loop uses one core; boxes with less than half of the largest weight own nothing while a larger one may; a box of unknown capacity weighs as the smallest known one. Where capacities differ, services are spread over the larger boxes. Each entry logs and counts the shards that it owns.

--- a/packages/damsonlane/src/damsonlane/membership/__init__.py
+++ b/packages/damsonlane/src/damsonlane/membership/__init__.py
@@ -9,7 +9,7 @@
     UpdateBox,
 )
 from damsonlane.membership._capacity import MAX_CORES, is_plausible_capacity
-from damsonlane.membership._owners import choose_owner
+from damsonlane.membership._owners import are_uneven, choose_owner
 from damsonlane.membership._silence import CHECK_SECONDS, SILENCE_SECONDS, SilenceDetector
 
 __all__ = [
@@ -23,6 +23,7 @@
     "Membership",
     "SilenceDetector",
     "UpdateBox",
+    "are_uneven",
     "choose_owner",
     "is_plausible_capacity",
 ]
--- a/packages/damsonlane/src/damsonlane/membership/tests/test_owners.py
+++ b/packages/damsonlane/src/damsonlane/membership/tests/test_owners.py
@@ -1,9 +1,14 @@
 """Choice of owners: the same at all boxes, and rarely changed."""
 
+import hashlib
+import math
+import random
 import unittest
+from collections import Counter
+from collections.abc import Collection, Sequence
 from dataclasses import replace
 
-from damsonlane.membership import BoxRecord, choose_owner
+from damsonlane.membership import BoxRecord, are_uneven, choose_owner
 
 _SUBJECTS = tuple(f"pool-{number}" for number in range(40))
 
@@ -67,5 +72,98 @@
                 self.assertIsNone(choose_owner("pool", records, avoid))
 
 
+def _choose_unweighted(
+    subject: str, records: Sequence[BoxRecord], avoid: Collection[str]
+) -> BoxRecord | None:
+    """Return the owner as before capacities were known."""
+    by_seniority = sorted(records, key=lambda record: (record.place, record.box))
+    seniors = by_seniority[: math.ceil(0.5 * len(by_seniority))]
+    eligible = [record for record in seniors if record.address not in avoid] or [
+        record for record in by_seniority if record.address not in avoid
+    ]
+
+    def hash_of(record: BoxRecord) -> bytes:
+        text = f"{subject}\0{record.address}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return max(eligible, key=hash_of, default=None)
+
+
+def _make_records(capacities: Sequence[float], seed: int = 0) -> list[BoxRecord]:
+    """Return boxes with these capacities that joined in random order."""
+    places = random.Random(seed).sample(range(1, len(capacities) + 1), len(capacities))
+    return [
+        replace(_make_record(number, place), capacity=capacity)
+        for number, (place, capacity) in enumerate(zip(places, capacities, strict=True), 1)
+    ]
+
+
+class WeightedOwnerTest(unittest.TestCase):
+    def test_equal_and_unknown_capacities_change_no_owner(self) -> None:
+        """Guards against an upgrade that moves owners of boxes of one size."""
+        for seed in range(400):
+            randomness = random.Random(seed)
+            size = randomness.randint(1, 90)
+            # Cores beyond the first do not make a box a better owner.
+            capacities = randomness.choice(([0.0], [0.516], [0.387, 0.0], [1.0, 2.58, 64.0]))
+            records = _make_records(randomness.choices(capacities, k=size), seed)
+            self.assertFalse(are_uneven(records))
+            avoid = [record.address for record in records if randomness.random() < 0.3]
+            for subject in _SUBJECTS[:8]:
+                before = _choose_unweighted(subject, records, avoid)
+                self.assertEqual(choose_owner(subject, records, avoid), before)
+                taken = choose_owner(subject, records, taken=avoid)
+                before = before or _choose_unweighted(subject, records, ())
+                self.assertEqual(taken, before)
+
+    def test_small_boxes_own_nothing_while_a_larger_one_can(self) -> None:
+        """Guards against owners that need most of the processor time of their box."""
+        for seed in range(100):
+            records = _make_records(
+                [0.387] * 51 + [1.29] * random.Random(seed).randint(1, 15), seed
+            )
+            large = {record.address for record in records if record.capacity > 1}
+            for subject in _SUBJECTS[:8]:
+                owners = [choose_owner(subject, records, taken=large - {"127.0.0.1:52"})]
+                owners.append(choose_owner(subject, records, taken=large))
+                owners.append(choose_owner(subject, records, avoid=sorted(large)[1:]))
+                for owner in owners:
+                    assert owner is not None
+                    self.assertEqual(owner.capacity, 1.29)
+                small = choose_owner(subject, records, avoid=large)
+                assert small is not None
+                self.assertEqual(small.capacity, 0.387)
+
+    def test_shares_of_subjects_follow_the_weights(self) -> None:
+        """Guards against a choice that ignores the difference of two large sizes."""
+        records = [
+            replace(_make_record(number, place=number), capacity=(0.6, 0.9)[number % 2])
+            for number in range(1, 21)
+        ]
+        owners = [choose_owner(f"pool-{number}", records) for number in range(4_000)]
+        counts = Counter(owner.capacity for owner in owners if owner is not None)
+        self.assertAlmostEqual(counts[0.9] / len(owners), 0.6, delta=0.03)
+
+    def test_a_lost_box_moves_only_what_it_owned(self) -> None:
+        """Guards against a loss that moves what other boxes own."""
+        moved = 0
+        for seed in range(50):
+            records = _make_records([0.387] * 51 + [0.7, 1.29, 0.9] * 5, seed)
+            before = _owners(records)
+            lost = random.Random(seed).choice([r for r in records if r.capacity > 0.5]).box
+            after = _owners([record for record in records if record.box != lost])
+            moved += sum(before[s] not in (lost, after[s]) for s in _SUBJECTS)
+        # Seven of the eight boxes that could be owners still can, so what one owned may move.
+        self.assertLess(moved / 50 / len(_SUBJECTS), 0.15)
+
+    def test_implausible_capacities_count_as_unknown(self) -> None:
+        """Guards against a box that owns everything since its record is wrong."""
+        for wrong in (-1.0, 1e9, float("nan"), float("inf")):
+            records = _make_records([1.0, wrong, 1.0, wrong])
+            self.assertFalse(are_uneven(records))
+            unknown = _make_records([0.0] * 4)
+            self.assertEqual(_owners(records), _owners(unknown))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -214,5 +214,6 @@
         backing_off = self._view.announcements.list_backing_off()
         listed = [incarnation for incarnation in backing_off if self._view.is_listed(incarnation)]
         self._metrics.backing_off.set({}, len(listed))
+        self._metrics.owned_shards.set({}, self._pools.count_owned())
         self._metrics.rate_limited.set({}, len(self._view.limits.list_reports()))
         self._owners.update_metrics()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
@@ -1,14 +1,17 @@
 """Chooses the entry that owns a pool."""
 
 import asyncio
+import logging
 from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Final
 
-from damsonlane.membership import SILENCE_SECONDS, choose_owner
+from damsonlane.membership import SILENCE_SECONDS, are_uneven, choose_owner
 from damsonlane.targets import Shard
 from damsonlaned.gateway._view import FleetView
 
+_LOG: Final = logging.getLogger(__name__)
+
 #: Seconds for which an owner that failed is passed over: longer than control lists a
 #: silent box (6 s), so that a box without power is not chosen again before it is unlisted.
 SUSPECT_SECONDS: Final = 7.0
@@ -44,6 +47,8 @@
         #: Cache of the owners by control's lists, which are looked up for each order: hashing
         #: hundreds of entries takes a fraction of a millisecond.
         self._listed: dict[Shard, str] = {}
+        #: The shards that this entry owns by control's lists, as last logged.
+        self.owned: tuple[Shard, ...] = ()
         view.on_entries(self._listed.clear)
         view.on_change(self._listed.clear)
 
@@ -84,23 +89,36 @@
         """Choose the owners of all shards.
 
         A service keeps the owner of its first shard however it is divided.  The other shards go to
-        entries that own nothing yet, as long as there are any.
+        entries that own nothing yet, as long as there are any.  So do the first shards among
+        entries of different capacities, where fewer entries can be owners.
         """
         services = self._view.list_service_names()
+        is_spread = are_uneven(self._view.entries)
         for service in services:
-            self._assign(Shard(service=service), frozenset())
-        taken = set(self._listed.values())
+            self._assign(Shard(service=service), self._list_owners() if is_spread else frozenset())
+        taken = self._list_owners()
         shards = [size.shard for service in services for size in self._view.list_shards(service)]
         for shard in sorted(shards, key=lambda shard: (shard.index, shard.service)):
             if shard.index:
                 self._assign(shard, taken)
                 taken.add(self._listed[shard])
+        self._log_owned()
+
+    def _log_owned(self) -> None:
+        """Log the shards that this entry owns if they changed."""
+        owned = tuple(shard for shard, owner in self._listed.items() if owner == self._own_address)
+        if owned != self.owned:
+            self.owned = owned
+            names = [f"{shard.service}/{shard.index}" for shard in owned]
+            _LOG.info("owned shards changed", extra={"shards": names})
 
     def _assign(self, shard: Shard, taken: Collection[str]) -> None:
-        entries = self._view.entries
-        owner = choose_owner(shard.subject, entries, taken) or choose_owner(shard.subject, entries)
+        owner = choose_owner(shard.subject, self._view.entries, taken=taken)
         self._listed[shard] = owner.address if owner is not None else self._own_address
 
+    def _list_owners(self) -> set[str]:
+        return set(self._listed.values())
+
     def suspect(self, address: str, *, is_silent: bool = False) -> None:
         """Pass over an owner whose stream was lost, for SUSPECT_SECONDS.
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -170,6 +170,10 @@
         """Return the address of the entry that owns the targets of a shard of a service."""
         return self._choice.find_owner(Shard(service=service, index=index))
 
+    def count_owned(self) -> int:
+        """Return the number of shards that this entry owns by control's lists."""
+        return len(self._choice.owned)
+
     def find_owners(self, service: str, index: int = 0) -> tuple[str, ...]:
         """Return the address of the owner of a shard, followed by that of its fallback."""
         shard = Shard(service=service, index=index)
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -85,6 +85,11 @@
             "Queued pieces of the stage pools that this box owns.",
             registry=self.registry,
         )
+        self.owned_shards: Final = Gauge(
+            "damsonlane_owned_shards",
+            "Shards of services that this box owns, by the list of boxes.",
+            registry=self.registry,
+        )
         self.loop_load: Final = Gauge(
             "damsonlane_loop_load",
             "Share of its time in which the process is busy, or kept waiting by its box.",
