Divide limits among entries by capacity

Cause: connections to targets, the slack of the retry budget and the warm-up share were divided evenly, and a box used its new share at once while others still used theirs.

Change: CapacityShares keeps the lists of boxes of the last 6 s; a box counts with its least weight in them and the others with their largest, so shares shrink at once and grow 6 s later. Limits of few whole things go to single boxes by weighted rendezvous hashing. Lists of equal or unknown capacities are divided as before.

--- a/packages/damsonlane/src/damsonlane/membership/__init__.py
+++ b/packages/damsonlane/src/damsonlane/membership/__init__.py
@@ -10,6 +10,7 @@
 )
 from damsonlane.membership._capacity import MAX_CORES, is_plausible_capacity
 from damsonlane.membership._owners import are_uneven, choose_owner
+from damsonlane.membership._shares import CapacityShares
 from damsonlane.membership._silence import CHECK_SECONDS, SILENCE_SECONDS, SilenceDetector
 
 __all__ = [
@@ -17,6 +18,7 @@
     "MAX_CORES",
     "SILENCE_SECONDS",
     "BoxUpdated",
+    "CapacityShares",
     "BoxRecord",
     "BoxStanding",
     "RemoveBox",
--- a/packages/damsonlane/src/damsonlane/membership/_owners.py
+++ b/packages/damsonlane/src/damsonlane/membership/_owners.py
@@ -70,6 +70,16 @@
     return len(set(_find_weights(records).values())) > 1
 
 
+def rank_boxes(subject: str, weights: Mapping[str, float]) -> list[str]:
+    """Return addresses of boxes in the order of weighted rendezvous hashing, the first one first.
+
+    Args:
+        subject: name of the resource, the same at all boxes.
+        weights: weight of each box, by address; above 0.
+    """
+    return sorted(weights, key=lambda address: _draw(subject, address) / weights[address])
+
+
 def _find_weights(records: Sequence[BoxRecord]) -> Mapping[float, float]:
     """Return the weight for each capacity; a box of unknown capacity weighs as the smallest."""
     capacities = {record.capacity for record in records}
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -120,7 +120,7 @@
         """Count the first attempt of a request, which adds to the retry budget."""
         self._budget(call).count_first(self._now())
 
-    def try_spend_retry(self, call: Call, entries: int) -> bool:
+    def try_spend_retry(self, call: Call, entries: float) -> bool:
         """Return whether a request may be retried, and charge the retry budget for it."""
         slack = BUDGET_SHARE * self._slack / max(1, entries)
         is_allowed = self._budget(call).try_spend(self._now(), slack)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -64,8 +64,8 @@
     dialect: Dialect
     #: Metrics of this entry.
     metrics: Metrics
-    #: Returns how many entries share the fleet's retry budget.
-    count_entries: Callable[[], int]
+    #: Returns how many entries with the capacity of this one would share the retry budget.
+    count_entries: Callable[[], float]
 
 
 class CallerService:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import secrets
 import ssl
 from collections.abc import Mapping
@@ -10,6 +11,7 @@
 from grpclib.const import Handler
 
 from damsonlane.ledger import Holder
+from damsonlane.membership import CapacityShares
 from damsonlane.settings import BoxSettings, Gateway
 from damsonlane.warmup import WarmupAllowance
 from damsonlane_rpc import ControlClient
@@ -73,8 +75,16 @@
             self._view.quarantine, QuarantineClient(self._control).submit
         )
         exit_detector = ExitDetector(self._view, self._quarantine.record_exit)
+        self._shares: Final = CapacityShares(settings.internal_address)
+        self._view.on_entries(
+            lambda: self._shares.record(self._view.entries, asyncio.get_running_loop().time())
+        )
         targets = TargetSelector(
-            self._view, settings.data_centre, self._count_entries, settings.internal_address
+            self._view,
+            settings.data_centre,
+            self._count_entries,
+            settings.internal_address,
+            self._shares,
         )
         owners = PoolOwners(
             self._view, targets, self._dialect, self._metrics, exit_detector, self._quarantine
@@ -119,7 +129,7 @@
                 quarantine=self._quarantine,
                 dialect=self._dialect,
                 metrics=self._metrics,
-                count_entries=self._count_entries,
+                count_entries=self._count_equivalents,
             )
         )
         self._listener: Final = HttpListener(
@@ -206,6 +216,14 @@
     def _count_entries(self) -> int:
         return max(1, len(self._view.entries))
 
+    def _count_equivalents(self) -> float:
+        """Return how many entries with the capacity of this one would share the limits."""
+        now = asyncio.get_running_loop().time()
+        if not self._shares.is_uneven(now):
+            return self._count_entries()
+        share = self._shares.find_share(now)
+        return 1 / share if share else math.inf
+
     def _refresh(self) -> None:
         self._metrics.in_flight.set({}, self._caller_service.in_flight())
         self._metrics.settings_version.set({}, self._view.version())
@@ -214,6 +232,7 @@
         backing_off = self._view.announcements.list_backing_off()
         listed = [incarnation for incarnation in backing_off if self._view.is_listed(incarnation)]
         self._metrics.backing_off.set({}, len(listed))
+        self._metrics.capacity_share.set({}, 1 / self._count_equivalents())
         self._metrics.owned_shards.set({}, self._pools.count_owned())
         self._metrics.rate_limited.set({}, len(self._view.limits.list_reports()))
         self._owners.update_metrics()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -47,7 +47,8 @@
         exit_detector: detects targets that exited.
         quarantine: lists requests under which targets exited.
         dialect: renders responses that are not a target's.
-        count_entries: returns how many entries share the fleet's retry budget.
+        count_entries: returns how many entries with the capacity of this one would share the
+            fleet's retry budget.
     """
 
     def __init__(
@@ -59,7 +60,7 @@
         exit_detector: ExitDetector,
         quarantine: Quarantine,
         dialect: Dialect,
-        count_entries: Callable[[], int],
+        count_entries: Callable[[], float],
     ) -> None:
         self._call: Final = call
         self._attempts: Final = attempts
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from damsonlane.backoff import TargetIncarnation
+from damsonlane.membership import CapacityShares
 from damsonlane.routes import Service
 from damsonlane.routing import (
     EngineLocation,
@@ -80,6 +81,7 @@
         entries: returns how many entries share the targets.
         own_address: internal address of this entry, which decides its share of the requests to
             targets that warm up.
+        shares: the shares of this entry by capacity; None if limits are divided evenly.
     """
 
     def __init__(
@@ -88,7 +90,9 @@
         data_centre: str,
         entries: Callable[[], int],
         own_address: str = "",
+        shares: CapacityShares | None = None,
     ) -> None:
+        self._shares: Final = shares
         self._own_address: Final = own_address
         self._warm_up_gate: Final = WarmupLimiter()
         self._incarnations: dict[str, int] = {}
@@ -156,9 +160,13 @@
         entries = {entry.address for entry in self._view.entries}
         limit = bound.entries_limit()
         now = self._now()
-        shares = {
-            name: find_entry_share(name, self._own_address, entries, limit) for name in warming_up
-        }
+        if self._shares is not None and self._shares.is_uneven(now):
+            shares = {name: self._shares.split_singly(name, limit, now) for name in warming_up}
+        else:
+            shares = {
+                name: find_entry_share(name, self._own_address, entries, limit)
+                for name in warming_up
+            }
         return [
             name for name in warming_up if not self._warm_up_gate.admits(name, shares[name], now)
         ]
@@ -266,14 +274,20 @@
 
     def connections(self, service: Service, target: str, address: str) -> ConnectionPool:
         """Return the connections to a target."""
-        share = int(CONNECTION_SHARE * service.most_connections / max(1, self._entries()))
-        most = max(MIN_CONNECTIONS, share)
+        most = self._find_max_connections(CONNECTION_SHARE * service.most_connections)
         connections = self._connections.get(target)
         if connections is None:
             connections = self._connections[target] = ConnectionPool(address, most)
         connections.max_connections = most
         return connections
 
+    def _find_max_connections(self, limit: float) -> int:
+        """Return the connections to a target that this entry may open of those of the fleet."""
+        now = self._now()
+        if self._shares is not None and self._shares.is_uneven(now):
+            return self._shares.split(limit, MIN_CONNECTIONS, now)
+        return max(MIN_CONNECTIONS, int(limit / max(1, self._entries())))
+
     def _make_chosen(self, service: Service, choice: TargetChoice) -> ChosenTarget:
         return ChosenTarget(
             service=service.name,
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -85,6 +85,11 @@
             "Queued pieces of the stage pools that this box owns.",
             registry=self.registry,
         )
+        self.capacity_share: Final = Gauge(
+            "damsonlane_limit_share",
+            "Share of this box in the limits that boxes divide.",
+            registry=self.registry,
+        )
         self.owned_shards: Final = Gauge(
             "damsonlane_owned_shards",
             "Shards of services that this box owns, by the list of boxes.",
