Pass over owners that are short of processor time

Cause: the load of a box counted as 0.3 while a box that may use 0.387 core used 0.3 core, so its services were divided too late, and an owner whose services can't be divided further kept them until it was full.

Change: on a box with less than one core, the load is the larger of the busy share of its event loop and the used share of its processor time. Boxes of unknown capacity report nothing.

--- a/packages/damsonlane/src/damsonlane/membership/__init__.py
+++ b/packages/damsonlane/src/damsonlane/membership/__init__.py
@@ -9,6 +9,7 @@
     UpdateBox,
 )
 from damsonlane.membership._capacity import MAX_CORES, is_plausible_capacity
+from damsonlane.membership._overload import OverloadDetector
 from damsonlane.membership._owners import are_uneven, choose_owner
 from damsonlane.membership._shares import CapacityShares
 from damsonlane.membership._silence import CHECK_SECONDS, SILENCE_SECONDS, SilenceDetector
@@ -23,6 +24,7 @@
     "BoxStanding",
     "RemoveBox",
     "Membership",
+    "OverloadDetector",
     "SilenceDetector",
     "UpdateBox",
     "are_uneven",
--- a/packages/damsonlane/src/damsonlane/membership/_boxes.py
+++ b/packages/damsonlane/src/damsonlane/membership/_boxes.py
@@ -30,6 +30,8 @@
     place: int = 0
     #: Its capacity, in cores; 0 if unknown.
     capacity: float = 0.0
+    #: Whether it should own nothing while another box can, since it is short of processor time.
+    is_overloaded: bool = False
 
     def is_same_report(self, other: "BoxRecord") -> bool:
         """Return whether two records are equal, apart from their positions."""
--- a/packages/damsonlane/src/damsonlane/membership/_owners.py
+++ b/packages/damsonlane/src/damsonlane/membership/_owners.py
@@ -30,7 +30,7 @@
     """Return the owner of a resource by weighted rendezvous hashing.
 
     Only boxes that joined first can be owners. The weights are the capacities; small boxes own
-    nothing while a larger one may.
+    nothing while a larger one may, and overloaded ones nothing while another large one may.
 
     Args:
         subject: name of the resource, the same at all boxes.
@@ -50,9 +50,11 @@
         if is_even
         else [record for record in by_seniority if weights[record.capacity] >= least]
     )
+    overloaded = [record.address for record in large if record.is_overloaded]
     # Avoiding a box must not change the owners of resources that other boxes own.
     eligible = (
-        _exclude_from_seniors(large, {*avoid, *taken})
+        _exclude_from_seniors(large, {*avoid, *taken, *overloaded})
+        or _exclude_from_seniors(large, {*avoid, *overloaded})
         or _exclude_from_seniors(large, avoid)
         or _exclude_from_seniors(by_seniority, avoid)
     )
--- a/packages/damsonlane/src/damsonlane/membership/tests/test_owners.py
+++ b/packages/damsonlane/src/damsonlane/membership/tests/test_owners.py
@@ -156,6 +156,26 @@
         # Seven of the eight boxes that could be owners still can, so what one owned may move.
         self.assertLess(moved / 50 / len(_SUBJECTS), 0.15)
 
+    def test_overloaded_boxes_are_passed_over_and_others_keep_what_they_own(self) -> None:
+        """Guards against an owner that is kept while it is short of processor time."""
+        for capacities in ([0.516] * 20, [0.387] * 51 + [1.29] * 15):
+            records = _make_records(capacities)
+            before = _owners(records)
+            busy = before[_SUBJECTS[0]]
+            marked = [replace(record, is_overloaded=record.box == busy) for record in records]
+            after = _owners(marked)
+            for subject in _SUBJECTS:
+                if before[subject] == busy:
+                    self.assertNotEqual(after[subject], busy)
+                else:
+                    self.assertEqual(after[subject], before[subject])
+            largest = max(capacities)
+            large = {record.box for record in records if record.capacity == largest}
+            self.assertLessEqual(set(after.values()), large)
+            # If all of them are, they own the same as if none was.
+            marked = [replace(record, is_overloaded=record.box in large) for record in records]
+            self.assertEqual(_owners(marked), before)
+
     def test_implausible_capacities_count_as_unknown(self) -> None:
         """Guards against a box that owns everything since its record is wrong."""
         for wrong in (-1.0, 1e9, float("nan"), float("inf")):
--- a/packages/damsonlane_cli/src/damsonlane_cli/_control.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_control.py
@@ -161,6 +161,7 @@
             "standing": "suspected" if is_suspected else record.standing,
             "version": status.version if status else 0,
             "cores": record.capacity or "unknown",
+            "overloaded": record.is_overloaded,
             "address": record.address,
             "heard by": record.via,
         }
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -245,6 +245,8 @@
     is_leaving: bool = False
     #: Its capacity, in cores; 0 if unknown.
     capacity: float = 0.0
+    #: Whether it should own nothing while another box can, since it is short of processor time.
+    is_overloaded: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/control/_membership.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_membership.py
@@ -104,6 +104,7 @@
             standing="leaving" if report.is_leaving else "live",
             via=self._node.identity.replica,
             capacity=self._read_capacity(report),
+            is_overloaded=report.is_overloaded,
         )
 
     def _read_capacity(self, report: WatchReport) -> float:
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_membership.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_membership.py
@@ -44,9 +44,9 @@
         self.addCleanup(client.close)
         self.updater = MembershipUpdater(self.node, client, Metrics())
 
-    def report(self, capacity: float, incarnation: str = "one") -> None:
+    def report(self, capacity: float, *, is_overloaded: bool = False) -> None:
         """Receive a report and store the resulting records."""
-        report = replace(REPORT, capacity=capacity, incarnation=incarnation)
+        report = replace(REPORT, capacity=capacity, is_overloaded=is_overloaded)
         self.node.watchers.record(report, self.node.now())
         for command in self.updater._list_own_changes():
             assert isinstance(command, UpdateBox)
@@ -63,6 +63,14 @@
             self.report(capacity)
             self.assertEqual(self.stored(), capacity)
 
+    async def test_an_overloaded_box_is_listed_as_such(self) -> None:
+        """Guards against an overload that never reaches the entries that choose owners."""
+        for is_overloaded in (True, False):
+            self.report(1.0, is_overloaded=is_overloaded)
+            record = self.node.state.membership.record_of("entry-1")
+            assert record is not None
+            self.assertEqual(record.is_overloaded, is_overloaded)
+
     async def test_implausible_capacities_are_ignored_and_logged_once(self) -> None:
         """Guards against a box that owns everything, or is lost, by a wrong capacity."""
         wrong = (-1.0, 1e9, float("nan"), float("inf"))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
@@ -65,7 +65,9 @@
         gateway = settings.gateway
         self._settings: Final = settings
         self._holder: Final = holder
-        self._capacity = _find_cores(settings)
+        #: Capacity of the box, in cores; 0 if unknown.
+        self.capacity = _find_cores(settings)
+        self._is_overloaded = False
         self._view: Final = view
         self._context: Final = context
         self._freshness_timeout: Final = FRESHNESS_TIMEOUT_SHARE * (
@@ -101,11 +103,16 @@
         """Add the control addresses of reloaded settings, and report a changed capacity."""
         self._add_addresses(settings.control)
         capacity = _find_cores(settings)
-        if capacity != self._capacity:
-            _LOG.info("capacity changed", extra={"before": self._capacity, "cores": capacity})
-            self._capacity = capacity
+        if capacity != self.capacity:
+            _LOG.info("capacity changed", extra={"before": self.capacity, "cores": capacity})
+            self.capacity = capacity
             self._report_due.set()
 
+    def report_overload(self, *, is_overloaded: bool) -> None:
+        """Report to control whether this box is overloaded."""
+        self._is_overloaded = is_overloaded
+        self._report_due.set()
+
     async def _run(self) -> None:
         last = ""
         while not self._is_stopped:
@@ -210,7 +217,8 @@
             started_at=self._started_at,
             address=self._settings.internal_address,
             is_leaving=self._is_draining,
-            capacity=self._capacity,
+            capacity=self.capacity,
+            is_overloaded=self._is_overloaded,
         )
         return FollowReport(
             box=box,
--- a/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 from damsonlane.pools import OwnedWork
@@ -35,6 +35,8 @@
         placers: place the prompts of the engine services that this entry owns.
         division: requests that pools are divided.
         metrics: the metrics of the process.
+        find_cores: returns the capacity of the box, in cores; 0 if unknown.
+        on_load: called with the load once for each report.
     """
 
     def __init__(
@@ -44,7 +46,11 @@
         placers: PromptPlacers,
         division: ShardDivision,
         metrics: Metrics,
+        find_cores: Callable[[], float],
+        on_load: Callable[[float], None],
     ) -> None:
+        self._find_cores: Final = find_cores
+        self._on_load: Final = on_load
         self._view: Final = view
         self._owners: Final = owners
         self._placers: Final = placers
@@ -70,12 +76,13 @@
         while True:
             for _ in range(SAMPLES_PER_REPORT):
                 await asyncio.sleep(SAMPLE_SECONDS)
-                share = load.sample()
+                share = load.sample(self._find_cores())
                 self._metrics.loop_load.set({}, share)
             pools = self._owners.take_activities()
             now = loop.time()
             self._division.consider(share, self._list_works(pools, now - reported_at))
             reported_at = now
+            self._on_load(share)
             if share >= LOGGED_SHARE:
                 self._log(share, {**pools, **self._placers.take_activities()})
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -11,7 +11,7 @@
 from grpclib.const import Handler
 
 from damsonlane.ledger import Holder
-from damsonlane.membership import CapacityShares
+from damsonlane.membership import CapacityShares, OverloadDetector
 from damsonlane.settings import BoxSettings, Gateway
 from damsonlane.warmup import WarmupAllowance
 from damsonlane_rpc import ControlClient
@@ -109,7 +109,10 @@
             placers,
             ShardDivision(self._control, read_clock),
             self._metrics,
+            lambda: self._control_follower.capacity,
+            self._check_overload,
         )
+        self._overload: Final = OverloadDetector()
         self._limit_reports: Final = LimitReports(self._view, self._control)
         attempts = Attempts(
             targets,
@@ -224,6 +227,18 @@
         share = self._shares.find_share(now)
         return 1 / share if share else math.inf
 
+    def _check_overload(self, load: float) -> None:
+        """Have other entries own the shards of this one while it is short of processor time."""
+        if not self._control_follower.capacity:
+            return
+        owned = self._pools.count_owned()
+        if self._overload.update(read_clock(), load, is_owner=owned > 0):
+            is_overloaded = self._overload.is_overloaded
+            fields = {"is_overloaded": is_overloaded, "load": round(load, 3), "shards": owned}
+            _LOG.warning("overload changed", extra=fields)
+            self._metrics.overloaded.set({}, is_overloaded)
+            self._control_follower.report_overload(is_overloaded=is_overloaded)
+
     def _refresh(self) -> None:
         self._metrics.in_flight.set({}, self._caller_service.in_flight())
         self._metrics.settings_version.set({}, self._view.version())
--- a/packages/damsonlaned/src/damsonlaned/loop_load.py
+++ b/packages/damsonlaned/src/damsonlaned/loop_load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import time
 from typing import Final
 
 from damsonlaned.clock import BootTimeEventLoop
@@ -15,26 +16,37 @@
     """Moving average of the share of time in which the event loop is busy.
 
     It includes the time for which the box delays the process, so it reaches 1 when the box is full,
-    whatever share of a processor the process may use.
+    whatever share of a processor the process may use. A box that may use less than one core is
+    full earlier, when the process uses the processor time of the box.
     """
 
     def __init__(self) -> None:
         self._share = 0.0
         self._sampled_at = asyncio.get_running_loop().time()
         self._idle_seconds = _read_idle_seconds()
+        self._used_seconds = time.process_time()
 
-    def sample(self) -> float:
-        """Add the time since the last sample, and return the share: 0 for idle, 1 for full."""
+    def sample(self, cores: float = 0.0) -> float:
+        """Add the time since the last sample, and return the share: 0 for idle, 1 for full.
+
+        Args:
+            cores: what the box may use, in cores; 0 if unknown.
+        """
         now = asyncio.get_running_loop().time()
         idle = _read_idle_seconds()
         elapsed = now - self._sampled_at
         if elapsed <= 0:
             return self._share
-        busy = min(1.0, max(0.0, 1.0 - (idle - self._idle_seconds) / elapsed))
+        used = time.process_time()
+        busy = 1.0 - (idle - self._idle_seconds) / elapsed
+        if 0 < cores < 1:
+            busy = max(busy, (used - self._used_seconds) / elapsed / cores)
+        busy = min(1.0, max(0.0, busy))
         weight = 1.0 - math.exp(-elapsed / AVERAGE_SECONDS)
         self._share += weight * (busy - self._share)
         self._sampled_at = now
         self._idle_seconds = idle
+        self._used_seconds = used
         return self._share
 
 
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -90,6 +90,11 @@
             "Share of this box in the limits that boxes divide.",
             registry=self.registry,
         )
+        self.overloaded: Final = Gauge(
+            "damsonlane_overloaded",
+            "1 while this box owns nothing if another can, since it is short of processor time.",
+            registry=self.registry,
+        )
         self.owned_shards: Final = Gauge(
             "damsonlane_owned_shards",
             "Shards of services that this box owns, by the list of boxes.",
@@ -97,7 +102,8 @@
         )
         self.loop_load: Final = Gauge(
             "damsonlane_loop_load",
-            "Share of its time in which the process is busy, or kept waiting by its box.",
+            "Share of its time in which the process is busy, or kept waiting by its box, or of the "
+            "processor time that the box may use.",
             registry=self.registry,
         )
         self.messages: Final = Gauge(
--- a/packages/damsonlaned/src/damsonlaned/tests/test_loop_load.py
+++ b/packages/damsonlaned/src/damsonlaned/tests/test_loop_load.py
@@ -9,21 +9,31 @@
 
 
 class LoopLoadTest(unittest.TestCase):
-    def _sample(self, *intervals: tuple[float, float]) -> float:
-        """Return the load after some intervals, each with its length and its idle seconds."""
+    def _sample(
+        self, *intervals: tuple[float, float], cores: float = 0.0, used_seconds: float = 0.0
+    ) -> float:
+        """Return the load after some intervals, each with its length and its idle seconds.
+
+        Args:
+            intervals: the intervals.
+            cores: what the box may use, in cores; 0 if unknown.
+            used_seconds: processor time used in each interval.
+        """
 
         async def sample() -> float:
-            now = idle = 0.0
+            now = idle = used = 0.0
             loop = asyncio.get_running_loop()
             with (
                 mock.patch.object(loop, "time", lambda: now),
                 mock.patch.object(loop_load, "_read_idle_seconds", lambda: idle),
+                mock.patch("time.process_time", lambda: used),
             ):
                 load = LoopLoad()
                 for length, idle_seconds in intervals:
                     now += length
                     idle += idle_seconds
-                    share = load.sample()
+                    used += used_seconds
+                    share = load.sample(cores)
             return share
 
         with asyncio.Runner(loop_factory=clock.BootTimeEventLoop) as runner:
@@ -40,6 +50,14 @@
             with self.subTest(name):
                 self.assertAlmostEqual(self._sample(*intervals), expected, places=2)
 
+    def test_a_box_with_less_than_a_core_is_full_earlier(self) -> None:
+        """Guards against a box that counts as idle while it uses all of its processor time."""
+        idle = ((1.0, 0.7),) * 8
+        for cores, expected in ((0.0, 0.3), (0.387, 0.775), (0.25, 1.0), (1.29, 0.3)):
+            with self.subTest(cores=cores):
+                load = self._sample(*idle, cores=cores, used_seconds=0.3)
+                self.assertAlmostEqual(load, expected, places=2)
+
     def test_a_short_busy_time_counts_little(self) -> None:
         self.assertLess(self._sample((1.0, 1.0), (0.1, 0.0)), 0.2)
 
