Decide which connections may buffer more

Cause: each connection may buffer 64 KiB of unsent and 256 KiB of unread bytes with no limit on the sum, which for 4,100 connections is more than the memory of a box.

Change: core package damsonlane/buffers. BufferBudget counts the bytes held for each caller, shrinks the windows for reading while more than half of the budget is used, by shares of organisations, and lists the callers to disconnect: those for which a target waits 3 s, those that take nothing for 15 s, and, above the limit, those with the largest product of bytes and seconds.

Ruled out: an order by the rate of each caller. The kernel takes the first bytes of a response at once, so a response that was just queued looked slower than one that nobody reads.

--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/buffers/_budget.py
@@ -0,0 +1,183 @@
+"""Decides which connections may buffer more, and which callers are disconnected."""
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Final, Literal
+
+from damsonlane.buffers._account import BufferAccount
+
+#: Bytes that any connection may buffer, also while the budget is short: about one event.
+LEAST_WINDOW: Final = 16 * 1024
+#: Most bytes that one connection may buffer.  It is the limit without a budget: 64 KiB of unsent
+#: and 256 KiB of unread bytes.
+LARGEST_WINDOW: Final = 320 * 1024
+#: Share of the budget up to which unused shares are lent to other organisations.  The rest is free
+#: for those within their share, so that they need not wait for a loan to be returned.
+LENT_SHARE: Final = 0.5
+#: Share of the budget to which evictions reduce the sum once it exceeds the budget, so that not
+#: each further byte needs a search for another caller.
+EVICTED_SHARE: Final = 0.95
+#: Seconds after which a caller is disconnected if its target has to wait for it.  Targets cut off
+#: an answer that isn't read after some seconds.
+BLOCKED_SECONDS: Final = 3.0
+#: Seconds after which a caller that takes nothing is disconnected in any case.
+STALLED_SECONDS: Final = 15.0
+
+#: Why a caller is disconnected: its target waits, it takes nothing, or the budget is exhausted.
+EvictionReason = Literal["blocked", "stalled", "budget"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Eviction:
+    """The decision to disconnect a caller."""
+
+    #: Its account.
+    account: BufferAccount
+    #: Why.
+    reason: EvictionReason
+
+
+class BufferBudget:
+    """The buffered bytes of all connections of a box, and the limit of their sum.
+
+    Args:
+        limit: the limit, in bytes.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit: Final = limit
+        self._accounts: dict[BufferAccount, None] = {}
+        self._backlogs: dict[BufferAccount, None] = {}
+        self._by_organisation: Counter[str] = Counter()
+        #: Bytes that are buffered for all connections.
+        self.total = 0
+
+    def open(self, now: float) -> BufferAccount:
+        """Return a new account for a caller's connection."""
+        account = BufferAccount(now)
+        self._accounts[account] = None
+        return account
+
+    def close(self, account: BufferAccount) -> None:
+        """Remove an account, and what it counts."""
+        if account in self._accounts:
+            self._add(account, -account.size)
+            del self._accounts[account]
+            self._backlogs.pop(account, None)
+
+    def assign(self, account: BufferAccount, organisation: str) -> None:
+        """Charge an account to an organisation."""
+        if account in self._accounts:
+            self._add(account, -account.size)
+            account.organisation = organisation
+            self._add(account, account.size)
+
+    def set_unsent(self, account: BufferAccount, size: int, now: float, written: int = 0) -> None:
+        """Record how many bytes the caller has not taken yet.
+
+        Args:
+            account: the account of its connection.
+            size: the number of bytes.
+            now: the monotonic clock, in seconds.
+            written: bytes that were added since the last call.
+        """
+        if account not in self._accounts:
+            return
+        taken = account.unsent + written - size
+        if account.unsent == 0:
+            account.began_at = now
+        if taken > 0 or account.unsent == 0:
+            account.progress_at = now
+        self._add(account, size - account.unsent)
+        account.unsent = size
+        if size:
+            self._backlogs[account] = None
+        else:
+            self._backlogs.pop(account, None)
+
+    def set_unread(self, account: BufferAccount, stream: object, size: int) -> None:
+        """Record how many bytes of a stream wait to be processed.
+
+        Args:
+            account: the account to which the stream is charged.
+            stream: identifies the stream.
+            size: the number of bytes; 0 to forget the stream.
+        """
+        if account not in self._accounts:
+            return
+        self._add(account, size - account.unread.get(stream, 0))
+        if size:
+            account.unread[stream] = size
+        else:
+            account.unread.pop(stream, None)
+
+    def may_read(self, account: BufferAccount) -> bool:
+        """Return whether more may be read for an account before what it holds is processed."""
+        return account.size < self._find_window(account)
+
+    def list_backlogs(self) -> tuple[BufferAccount, ...]:
+        """Return the accounts whose callers have bytes to take."""
+        return tuple(self._backlogs)
+
+    def list_evictions(self, now: float) -> tuple[Eviction, ...]:
+        """Return the callers to disconnect now, the slowest with the largest backlog first."""
+        evictions: list[Eviction] = []
+        for account in self._backlogs:
+            paused_at = account.paused_at
+            if paused_at is not None and now - paused_at >= BLOCKED_SECONDS:
+                evictions.append(Eviction(account=account, reason="blocked"))
+            elif now - account.progress_at >= STALLED_SECONDS:
+                evictions.append(Eviction(account=account, reason="stalled"))
+        left = self.total - sum(eviction.account.size for eviction in evictions)
+        if left > self._limit:
+            listed = {eviction.account for eviction in evictions}
+            excess = left - int(EVICTED_SHARE * self._limit)
+            evictions += self._list_for_budget(now, excess, listed)
+        return tuple(evictions)
+
+    def _list_for_budget(
+        self, now: float, excess: int, listed: set[BufferAccount]
+    ) -> list[Eviction]:
+        """Return evictions that free some bytes.
+
+        Callers of organisations above their share are first. Callers without a backlog, whose
+        responses are being read, are last.
+        """
+        share = self._find_share()
+        candidates = [account for account in self._accounts if account.size]
+        candidates.sort(
+            key=lambda account: (
+                account.unsent > 0,
+                self._by_organisation[account.organisation] > share,
+                account.cost(now),
+                account.size,
+            ),
+            reverse=True,
+        )
+        evictions: list[Eviction] = []
+        for account in candidates:
+            if excess <= 0:
+                break
+            if account not in listed:
+                evictions.append(Eviction(account=account, reason="budget"))
+                excess -= account.size
+        return evictions
+
+    def _find_window(self, account: BufferAccount) -> int:
+        """Return the bytes that an account may hold before reading for it pauses."""
+        if self.total <= LENT_SHARE * self._limit:
+            return LARGEST_WINDOW
+        if self._by_organisation[account.organisation] > self._find_share():
+            return LEAST_WINDOW
+        free = max(0, self._limit - self.total)
+        return min(LARGEST_WINDOW, max(LEAST_WINDOW, free // max(1, len(self._accounts))))
+
+    def _find_share(self) -> float:
+        """Return the share of an organisation, of those for which anything is buffered."""
+        return self._limit / max(1, len(self._by_organisation))
+
+    def _add(self, account: BufferAccount, size: int) -> None:
+        self.total += size
+        self._by_organisation[account.organisation] += size
+        if not self._by_organisation[account.organisation]:
+            del self._by_organisation[account.organisation]
