Limit the bytes that are buffered for callers and targets

Cause: a caller that did not read made its target wait until the deadline, and nothing limited the bytes buffered for all callers.

Change: with gateway.buffer_bytes, BufferGuard counts the unsent and unread bytes of callers and targets, collected responses, incomplete events and request bodies; reading pauses by the budget, and callers that the budget lists are disconnected, which cancels their attempt and stages. One timer runs while any caller has bytes to take. The kernel's buffers of counted connections have 64 KiB. Without the setting, nothing is counted.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -133,6 +133,9 @@
             dependencies.count_entries,
         )
         _LOG.info("accepted", extra=_accepted_fields(call))
+        if writer.meter is not None:
+            organisation = call.organisation.name if call.organisation is not None else ""
+            writer.meter.assign(organisation, call.request.request_id)
         try:
             await handler.run()
         finally:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_final_response.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_final_response.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from damsonlaned.dialects import Dialect, Refusal
-from damsonlaned.http import HttpHead, HttpResponse, ResponseWriter
+from damsonlaned.http import BufferMeter, HttpHead, HttpResponse, ResponseWriter
 
 
 class FinalResponse:
@@ -24,6 +24,11 @@
         #: Reason of the outcome, for logs; empty for a response of a target.
         self.detail = ""
 
+    @property
+    def meter(self) -> BufferMeter | None:
+        """Counts the bytes that are buffered for the caller; None without a budget."""
+        return self._writer.meter
+
     def has_started(self) -> bool:
         """Return whether the caller has a part of the response."""
         return self._writer.has_started
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -10,6 +10,7 @@
 
 from grpclib.const import Handler
 
+from damsonlane.buffers import EvictionReason
 from damsonlane.ledger import Holder
 from damsonlane.membership import CapacityShares, OverloadDetector
 from damsonlane.settings import BoxSettings, Gateway
@@ -34,7 +35,7 @@
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
-from damsonlaned.http import HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.http import BufferGuard, HttpListener, HttpRequest, HttpResponse, ResponseWriter
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine, QuarantineClient
 
@@ -135,11 +136,17 @@
                 count_entries=self._count_equivalents,
             )
         )
+        self._guard: Final = (
+            BufferGuard(gateway.buffer_bytes, self._count_eviction)
+            if gateway.buffer_bytes
+            else None
+        )
         self._listener: Final = HttpListener(
             settings.caller_address,
             self._caller_service.serve,
             limits=self._caller_service.limits,
             render_refusal=self._caller_service.render_bad_bytes,
+            guard=self._guard,
         )
         self._ready_listener: Final = HttpListener(
             gateway.ready_address,
@@ -227,6 +234,9 @@
         share = self._shares.find_share(now)
         return 1 / share if share else math.inf
 
+    def _count_eviction(self, reason: EvictionReason) -> None:
+        self._metrics.slow_callers.inc({"reason": reason})
+
     def _check_overload(self, load: float) -> None:
         """Have other entries own the shards of this one while it is short of processor time."""
         if not self._control_follower.capacity:
@@ -247,6 +257,8 @@
         backing_off = self._view.announcements.list_backing_off()
         listed = [incarnation for incarnation in backing_off if self._view.is_listed(incarnation)]
         self._metrics.backing_off.set({}, len(listed))
+        if self._guard is not None:
+            self._metrics.buffered_bytes.set({}, self._guard.budget.total)
         self._metrics.capacity_share.set({}, 1 / self._count_equivalents())
         self._metrics.owned_shards.set({}, self._pools.count_owned())
         self._metrics.rate_limited.set({}, len(self._view.limits.list_reports()))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -195,6 +195,7 @@
         except TimeoutError:
             detail = "the target did not answer in time"
             return FailedAttempt(detail=detail, may_have_run=True, loss="silent")
+        opened.exchange.charge_to(self._response.meter)
         if opened.signals.is_stream and opened.head.status == 200:
             return await self._forward_stream(opened)
         return await self._forward_whole(opened)
@@ -280,6 +281,7 @@
             async for data in self._read_chunks(opened):
                 for event in splitter.feed(data):
                     await self._forward_event(opened, event.data, event.event_id)
+                opened.exchange.record_collected(len(splitter.remainder()))
             if splitter.remainder():
                 raise IncompleteResponseError("the stream ended inside an event")
             if not self._response.has_started():
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -31,7 +31,14 @@
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
-from damsonlaned.http import HttpHead, HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.http import (
+    BufferGuard,
+    HttpHead,
+    HttpListener,
+    HttpRequest,
+    HttpResponse,
+    ResponseWriter,
+)
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import LostTarget, Quarantine, QuarantineReport
 
@@ -274,6 +281,7 @@
         slack: float = 20.0,
         control: Control | None = None,
         address: str = "127.0.0.1:9",
+        guard: BufferGuard | None = None,
     ) -> None:
         dialect = NativeDialect()
         self.address = address
@@ -311,7 +319,10 @@
             )
         )
         self._listener = HttpListener(
-            "127.0.0.1:0", self.callers.serve, render_refusal=self.callers.render_bad_bytes
+            "127.0.0.1:0",
+            self.callers.serve,
+            render_refusal=self.callers.render_bad_bytes,
+            guard=guard,
         )
         self._document = document
         self._revision = 0
--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -3,6 +3,7 @@
 docs/gateway.md says why cheroot and urllib3, which use threads, are not used here.
 """
 
+from damsonlaned.http._buffer_guard import BufferGuard, BufferMeter
 from damsonlaned.http._connection_pool import ConnectionPool, HttpExchange
 from damsonlaned.http._errors import CallerDisconnectedError, IncompleteResponseError, NotSentError
 from damsonlaned.http._listener import HttpListener, ListenerLimits
@@ -19,6 +20,8 @@
 
 __all__ = [
     "IncompleteResponseError",
+    "BufferGuard",
+    "BufferMeter",
     "CallerDisconnectedError",
     "ConnectionPool",
     "HeaderList",
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from damsonlane_rpc import Endpoint
+from damsonlaned.http._buffer_guard import BufferMeter
 from damsonlaned.http._errors import NotSentError
 from damsonlaned.http._messages import HttpHead, HttpRequest
 from damsonlaned.http._target_connection import ResponseBody, TargetConnection
@@ -41,8 +42,18 @@
         """
         await self._connection.skip_response()
 
+    def charge_to(self, meter: BufferMeter | None) -> None:
+        """Count the buffered bytes of the response for a caller."""
+        if meter is not None:
+            self._connection.charge_to(meter)
+
+    def record_collected(self, size: int) -> None:
+        """Record how many bytes of the response are kept until more of it arrives."""
+        self._connection.record_collected(size)
+
     def finish(self) -> None:
         """Return the connection to the pool if the response is complete; otherwise close it."""
+        self._connection.charge_to(None)
         self._pool.release(self._connection, is_complete=self.body.is_complete)
 
 
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -12,6 +12,7 @@
 
 from damsonlane.errors import StorageError
 from damsonlane_rpc import Endpoint
+from damsonlaned.http._buffer_guard import BufferGuard
 from damsonlaned.http._errors import CallerDisconnectedError
 from damsonlaned.http._messages import HttpRequest, HttpResponse
 from damsonlaned.http._response_writer import ResponseWriter
@@ -106,6 +107,7 @@
             await asyncio.wait({self._handler_task})
         finally:
             self._stream.on_closed = None
+            self._record_body(0)
         self._check_handler()
         if not writer.is_complete:
             self._stream.abort()
@@ -182,6 +184,11 @@
             if size > limits.body_bytes:
                 raise _RefusedError(413, f"a body may have {limits.body_bytes} bytes")
             parts.append(bytes(event.data))
+            self._record_body(size)
+
+    def _record_body(self, size: int) -> None:
+        if self._stream.meter is not None:
+            self._stream.meter.record_unread(self, size)
 
     async def _next_event(self) -> h11.Event:
         while True:
@@ -231,6 +238,7 @@
         handler: handles a request and writes the response to it.
         limits: returns the limits in force.
         render_refusal: returns the response to an invalid request.
+        guard: enforces the budget of buffered bytes; None without one.
     """
 
     def __init__(
@@ -240,7 +248,9 @@
         *,
         limits: Callable[[], ListenerLimits] = ListenerLimits,
         render_refusal: Callable[[int, str], HttpResponse],
+        guard: BufferGuard | None = None,
     ) -> None:
+        self._guard: Final = guard
         self._endpoint: Final = Endpoint.parse(address)
         self.handler: Final = handler
         self.limits: Final = limits
@@ -299,6 +309,8 @@
             await asyncio.wait(self._tasks)
 
     def _accept(self, stream: TcpStream) -> None:
+        if self._guard is not None:
+            self._guard.watch(stream)
         connection = _Connection(self, stream)
         self._connections.add(connection)
         task = asyncio.ensure_future(connection.run())
--- a/packages/damsonlaned/src/damsonlaned/http/_response_writer.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_response_writer.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from damsonlaned.http._buffer_guard import BufferMeter
 from damsonlaned.http._errors import CallerDisconnectedError
 from damsonlaned.http._messages import HeaderList, HttpHead, HttpResponse, remove_hop_by_hop
 from damsonlaned.http._tcp_stream import TcpStream
@@ -24,6 +25,11 @@
         #: Whether the response has been written to its end.
         self.is_complete = False
 
+    @property
+    def meter(self) -> BufferMeter | None:
+        """Counts the bytes that are buffered for the caller; None without a budget."""
+        return self._stream.meter
+
     def send_response(self, response: HttpResponse) -> None:
         """Write a complete response."""
         length = str(len(response.body)).encode()
--- a/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from damsonlaned.http._buffer_guard import BufferMeter
 from damsonlaned.http._errors import IncompleteResponseError
 from damsonlaned.http._messages import HttpHead, HttpRequest
 from damsonlaned.http._tcp_stream import TcpStream
@@ -46,7 +47,13 @@
         Raises:
             IncompleteResponseError: the connection broke before the end.
         """
-        return b"".join([part async for part in self.iter_parts()])
+        parts: list[bytes] = []
+        size = 0
+        async for part in self.iter_parts():
+            parts.append(part)
+            size += len(part)
+            self._connection.record_collected(size)
+        return b"".join(parts)
 
 
 class TargetConnection:
@@ -84,6 +91,16 @@
         data += self._parser.send(h11.EndOfMessage()) or b""
         self._stream.write(data)
 
+    def charge_to(self, meter: BufferMeter | None) -> None:
+        """Count the buffered bytes of the response for a caller; None to stop."""
+        self.record_collected(0)
+        self._stream.charge_to(meter)
+
+    def record_collected(self, size: int) -> None:
+        """Record how many bytes of a response are kept until it is complete."""
+        if self._stream.meter is not None:
+            self._stream.meter.record_unread(self, size)
+
     async def read_head(self) -> HttpHead:
         """Return the head of the next response.
 
--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -5,10 +5,15 @@
 from collections.abc import Callable
 from typing import Final, cast
 
+from damsonlaned.http._buffer_guard import BufferMeter
+
 #: Buffered bytes beyond which reading from the connection pauses until they are read.
 MAX_UNREAD_BYTES: Final = 256 * 1024
 #: Bytes that may be buffered for sending before a writer must wait.
 MAX_UNSENT_BYTES: Final = 64 * 1024
+#: Size of the kernel's buffers of a connection whose bytes are counted.  Otherwise the kernel
+#: buffers megabytes for a caller that doesn't read, and delays the time at which that shows.
+KERNEL_BUFFER_BYTES: Final = 64 * 1024
 
 
 class TcpStream(asyncio.Protocol):
@@ -30,6 +35,7 @@
         self._reader: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
         self._may_write = True
+        self._meter: BufferMeter | None = None
         #: Called once when the other side closed or the connection broke.
         self.on_closed: Callable[[], None] | None = None
 
@@ -49,9 +55,11 @@
         """Buffer bytes until they are read."""
         self._chunks.append(data)
         self._size += len(data)
-        if self._size > MAX_UNREAD_BYTES and self._transport is not None and not self._is_paused:
+        self._record_unread()
+        if not self._may_read() and self._transport is not None and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
+            self._record_paused(is_paused=True)
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -64,6 +72,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is lost."""
         self._is_lost = True
+        if self._meter is not None and self._meter.caller is self:
+            self._meter.close()
         if not self._has_received_eof:
             self._error = exc or ConnectionResetError("the connection was closed")
         self._wake_reader()
@@ -107,15 +117,19 @@
         data = b"".join(self._chunks)
         self._chunks.clear()
         self._size = 0
+        self._record_unread()
         if self._is_paused and self._transport is not None and not self._is_lost:
             self._is_paused = False
             self._transport.resume_reading()
+            self._record_paused(is_paused=False)
         return data
 
     def write(self, data: bytes) -> None:
         """Queue bytes; they are dropped if the connection is lost."""
         if self._transport is not None and not self._is_lost:
             self._transport.write(data)
+            if self._meter is not None and self._meter.caller is self:
+                self._meter.record_written(len(data))
 
     async def drain(self) -> None:
         """Wait until more bytes may be queued.
@@ -139,6 +153,49 @@
         if self._transport is not None and not self._is_lost:
             self._transport.abort()
 
+    # The budget of buffered bytes.
+
+    @property
+    def meter(self) -> BufferMeter | None:
+        """Counts the buffered bytes; None without a budget."""
+        return self._meter
+
+    def charge_to(self, meter: BufferMeter | None) -> None:
+        """Count the buffered bytes for a caller from now on; None to stop."""
+        if self._meter is not None and self._meter is not meter:
+            self._meter.record_unread(self, 0)
+            self._record_paused(is_paused=False)
+        self._meter = meter
+        if meter is not None:
+            self._limit_kernel_buffers()
+            self._record_paused(is_paused=self._is_paused)
+            self._record_unread()
+
+    def count_unsent(self) -> int:
+        """Return the bytes that are queued for sending."""
+        if self._transport is None or self._is_lost:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def _limit_kernel_buffers(self) -> None:
+        connection = self._transport.get_extra_info("socket") if self._transport else None
+        if connection is not None and not self._is_lost:
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                connection.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
+
+    def _may_read(self) -> bool:
+        if self._size > MAX_UNREAD_BYTES:
+            return False
+        return self._meter is None or self._meter.may_read()
+
+    def _record_unread(self) -> None:
+        if self._meter is not None:
+            self._meter.record_unread(self, self._size)
+
+    def _record_paused(self, *, is_paused: bool) -> None:
+        if self._meter is not None and self._meter.caller is not self:
+            self._meter.record_paused(is_paused=is_paused)
+
     def _wake_reader(self) -> None:
         if self._reader is not None and not self._reader.done():
             self._reader.set_result(None)
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -95,6 +95,16 @@
             "1 while this box owns nothing if another can, since it is short of processor time.",
             registry=self.registry,
         )
+        self.buffered_bytes: Final = Gauge(
+            "damsonlane_buffered_bytes",
+            "Bytes that are buffered for callers and targets, where a budget limits them.",
+            registry=self.registry,
+        )
+        self.slow_callers: Final = Counter(
+            "damsonlane_slow_callers_total",
+            "Callers that were disconnected since they read too slowly, by reason.",
+            registry=self.registry,
+        )
         self.owned_shards: Final = Gauge(
             "damsonlane_owned_shards",
             "Shards of services that this box owns, by the list of boxes.",
