Let shares grow after 1.5 times the time for documents

Cause: a share grew only 6 s after a change, so an entry that had just started spent 6 s without one, also after a power loss of all boxes. Entries that reach any control replica have a list within apply_seconds, 2 s.

Change: the time is 1.5 times gateway.apply_seconds, 3 s by default.

--- a/packages/damsonlane/src/damsonlane/membership/_shares.py
+++ b/packages/damsonlane/src/damsonlane/membership/_shares.py
@@ -10,9 +10,9 @@
 from damsonlane.membership._capacity import is_plausible_capacity
 from damsonlane.membership._owners import rank_boxes
 
-#: Seconds for which a share does not grow after a change of the list of boxes.  Within them, every
-#: box has received the list, or has not reported for so long that it is removed from it.
-HOLD_SECONDS: Final = 6.0
+#: Seconds for which a share does not grow after a change of the list of boxes, by default.  An
+#: entry that reaches any control replica has a list within 2 s, the time allowed for documents.
+HOLD_SECONDS: Final = 3.0
 #: Most lists that are kept.  Control commits at most a few changes a second.
 MAX_LISTS: Final = 64
 #: Most whole parts of a limit that are given to one box each.  Rounded down, the shares of many
@@ -33,20 +33,22 @@
 
 
 class CapacityShares:
-    """The shares of one box by the lists of boxes of the last `HOLD_SECONDS`.
+    """The shares of one box by the lists of boxes of the last seconds.
 
     The box counts with its least weight in these lists and every other box with its largest, so
     boxes that have different lists stay within a limit together. This holds as long as each list
-    arrives within `HOLD_SECONDS` and the weight of a box changes once in twice that time; lists
+    arrives within `hold_seconds` and the weight of a box changes once in twice that time; lists
     may be skipped. If all lists have boxes of equal or unknown capacity, limits are not divided
     here.
 
     Args:
         address: address of the box.
+        hold_seconds: seconds within which a list has reached all boxes.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, hold_seconds: float = HOLD_SECONDS) -> None:
         self._address: Final = address
+        self._hold_seconds: Final = hold_seconds
         self._lists: deque[_BoxList] = deque()
         #: The least weight of this box and the largest of each other one; None if outdated.
         self._merged: Mapping[str, float] | None = None
@@ -119,7 +121,7 @@
 
     def _drop_expired(self, now: float) -> None:
         while self._lists and (
-            self._lists[0].until <= now - HOLD_SECONDS or len(self._lists) > MAX_LISTS
+            self._lists[0].until <= now - self._hold_seconds or len(self._lists) > MAX_LISTS
         ):
             self._lists.popleft()
             self._merged = None
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -46,6 +46,9 @@
 DRAIN_ACCEPT_SECONDS: Final = 2.5
 #: Seconds reserved at the end of the grace period.
 STOP_MARGIN_SECONDS: Final = 0.4
+#: Time after a change of the list of entries for which a share of a limit does not grow, as a
+#: multiple of the time within which a document is in force everywhere.
+HOLD_RATIO: Final = 1.5
 #: Seconds between checks whether all requests have completed.
 DRAIN_POLL_SECONDS: Final = 0.05
 
@@ -76,7 +79,9 @@
             self._view.quarantine, QuarantineClient(self._control).submit
         )
         exit_detector = ExitDetector(self._view, self._quarantine.record_exit)
-        self._shares: Final = CapacityShares(settings.internal_address)
+        self._shares: Final = CapacityShares(
+            settings.internal_address, HOLD_RATIO * gateway.apply_seconds
+        )
         self._view.on_entries(
             lambda: self._shares.record(self._view.entries, asyncio.get_running_loop().time())
         )
