--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -64,8 +64,8 @@
     dialect: Dialect
     #: Metrics of this entry.
     metrics: Metrics
-    #: Returns how many entries share the fleet's retry budget.
-    count_entries: Callable[[], int]
+    #: Returns how many entries with the capacity of this one would share the retry budget.
+    count_entries: Callable[[], float]
 
 
 class CallerService:
@@ -133,6 +133,9 @@
             dependencies.count_entries,
         )
         _LOG.info("accepted", extra=_accepted_fields(call))
+        if writer.meter is not None:
+            organisation = call.organisation.name if call.organisation is not None else ""
+            writer.meter.assign(organisation, call.request.request_id)
         try:
             await handler.run()
         finally:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import secrets
 import ssl
 from collections.abc import Mapping
@@ -9,7 +10,9 @@
 
 from grpclib.const import Handler
 
+from damsonlane.buffers import EvictionReason
 from damsonlane.ledger import Holder
+from damsonlane.membership import CapacityShares, OverloadDetector
 from damsonlane.settings import BoxSettings, Gateway
 from damsonlane.warmup import WarmupAllowance
 from damsonlane_rpc import ControlClient
@@ -32,7 +35,7 @@
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
-from damsonlaned.http import HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.http import BufferGuard, HttpListener, HttpRequest, HttpResponse, ResponseWriter
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine, QuarantineClient
 
@@ -43,6 +46,9 @@
 DRAIN_ACCEPT_SECONDS: Final = 2.5
 #: Seconds reserved at the end of the grace period.
 STOP_MARGIN_SECONDS: Final = 0.4
+#: Time after a change of the list of entries for which a share of a limit does not grow, as a
+#: multiple of the time within which a document is in force everywhere.
+HOLD_RATIO: Final = 1.5
 #: Seconds between checks whether all requests have completed.
 DRAIN_POLL_SECONDS: Final = 0.05
 
@@ -73,8 +79,18 @@
             self._view.quarantine, QuarantineClient(self._control).submit
         )
         exit_detector = ExitDetector(self._view, self._quarantine.record_exit)
+        self._shares: Final = CapacityShares(
+            settings.internal_address, HOLD_RATIO * gateway.apply_seconds
+        )
+        self._view.on_entries(
+            lambda: self._shares.record(self._view.entries, asyncio.get_running_loop().time())
+        )
         targets = self._targets = TargetSelector(
-            self._view, settings.data_centre, self._count_entries, settings.internal_address
+            self._view,
+            settings.data_centre,
+            self._count_entries,
+            settings.internal_address,
+            self._shares,
         )
         owners = PoolOwners(
             self._view, targets, self._dialect, self._metrics, exit_detector, self._quarantine
@@ -99,7 +115,10 @@
             placers,
             ShardDivision(self._control, read_clock),
             self._metrics,
+            lambda: self._control_follower.capacity,
+            self._check_overload,
         )
+        self._overload: Final = OverloadDetector()
         self._limit_reports: Final = LimitReports(self._view, self._control)
         attempts = Attempts(
             targets,
@@ -119,14 +138,20 @@
                 quarantine=self._quarantine,
                 dialect=self._dialect,
                 metrics=self._metrics,
-                count_entries=self._count_entries,
+                count_entries=self._count_equivalents,
             )
         )
+        self._guard: Final = (
+            BufferGuard(gateway.buffer_bytes, self._count_eviction)
+            if gateway.buffer_bytes
+            else None
+        )
         self._listener: Final = HttpListener(
             settings.caller_address,
             self._caller_service.serve,
             limits=self._caller_service.limits,
             render_refusal=self._caller_service.render_bad_bytes,
+            guard=self._guard,
         )
         self._ready_listener: Final = HttpListener(
             gateway.ready_address,
@@ -158,9 +183,9 @@
         self._control_follower.start()
         self._load.start()
 
-    def replace_seeds(self, addresses: tuple[str, ...]) -> None:
-        """Add the control addresses of reloaded settings."""
-        self._control_follower.add_control_addresses(addresses)
+    def apply_settings(self, newer: BoxSettings) -> None:
+        """Apply the control addresses and the capacity of reloaded settings."""
+        self._control_follower.apply_settings(newer)
 
     async def stop(self) -> None:
         """Accept requests until the load balancer sends none, let them complete, then stop."""
@@ -206,6 +231,29 @@
     def _count_entries(self) -> int:
         return max(1, len(self._view.entries))
 
+    def _count_equivalents(self) -> float:
+        """Return how many entries with the capacity of this one would share the limits."""
+        now = asyncio.get_running_loop().time()
+        if not self._shares.is_uneven(now):
+            return self._count_entries()
+        share = self._shares.find_share(now)
+        return 1 / share if share else math.inf
+
+    def _count_eviction(self, reason: EvictionReason) -> None:
+        self._metrics.slow_callers.inc({"reason": reason})
+
+    def _check_overload(self, load: float) -> None:
+        """Have other entries own the shards of this one while it is short of processor time."""
+        if not self._control_follower.capacity:
+            return
+        owned = self._pools.count_owned()
+        if self._overload.update(read_clock(), load, is_owner=owned > 0):
+            is_overloaded = self._overload.is_overloaded
+            fields = {"is_overloaded": is_overloaded, "load": round(load, 3), "shards": owned}
+            _LOG.warning("overload changed", extra=fields)
+            self._metrics.overloaded.set({}, is_overloaded)
+            self._control_follower.report_overload(is_overloaded=is_overloaded)
+
     def _refresh(self) -> None:
         self._metrics.in_flight.set({}, self._caller_service.in_flight())
         self._metrics.settings_version.set({}, self._view.version())
@@ -214,6 +262,10 @@
         backing_off = self._view.announcements.list_backing_off()
         listed = [incarnation for incarnation in backing_off if self._view.is_listed(incarnation)]
         self._metrics.backing_off.set({}, len(listed))
+        if self._guard is not None:
+            self._metrics.buffered_bytes.set({}, self._guard.budget.total)
+        self._metrics.capacity_share.set({}, 1 / self._count_equivalents())
+        self._metrics.owned_shards.set({}, self._pools.count_owned())
         self._metrics.rate_limited.set({}, len(self._view.limits.list_reports()))
         self._owners.update_metrics()
         self._metrics.implausible_slowness.set({}, self._targets.implausible_slowness)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -47,7 +47,8 @@
         exit_detector: detects targets that exited.
         quarantine: lists requests under which targets exited.
         dialect: renders responses that are not a target's.
-        count_entries: returns how many entries share the fleet's retry budget.
+        count_entries: returns how many entries with the capacity of this one would share the
+            fleet's retry budget.
     """
 
     def __init__(
@@ -59,7 +60,7 @@
         exit_detector: ExitDetector,
         quarantine: Quarantine,
         dialect: Dialect,
-        count_entries: Callable[[], int],
+        count_entries: Callable[[], float],
     ) -> None:
         self._call: Final = call
         self._attempts: Final = attempts
@@ -194,6 +195,7 @@
         except TimeoutError:
             detail = "the target did not answer in time"
             return FailedAttempt(detail=detail, may_have_run=True, loss="silent")
+        opened.exchange.charge_to(self._response.meter)
         if opened.signals.is_stream and opened.head.status == 200:
             return await self._forward_stream(opened)
         return await self._forward_whole(opened)
@@ -279,6 +281,7 @@
             async for data in self._read_chunks(opened):
                 for event in splitter.feed(data):
                     await self._forward_event(opened, event.data, event.event_id)
+                opened.exchange.record_collected(len(splitter.remainder()))
             if splitter.remainder():
                 raise IncompleteResponseError("the stream ended inside an event")
             if not self._response.has_started():
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -84,7 +84,11 @@
         self.is_leader: Final = Gauge(
             "damsonlane_is_leader", "1 while this replica is the leader.", registry=self.registry
         )
-
+        self.ignored_capacities: Final = Counter(
+            "damsonlane_ignored_capacities_total",
+            "Boxes that reported an implausible capacity, which was ignored.",
+            registry=self.registry,
+        )
         self.pool_pieces: Final = Counter(
             "damsonlane_pool_pieces_total",
             "Pieces of the stage pools that this box owns, by outcome.",
@@ -101,9 +105,35 @@
             "Queued pieces of the stage pools that this box owns.",
             registry=self.registry,
         )
+        self.capacity_share: Final = Gauge(
+            "damsonlane_limit_share",
+            "Share of this box in the limits that boxes divide.",
+            registry=self.registry,
+        )
+        self.overloaded: Final = Gauge(
+            "damsonlane_overloaded",
+            "1 while this box owns nothing if another can, since it is short of processor time.",
+            registry=self.registry,
+        )
+        self.buffered_bytes: Final = Gauge(
+            "damsonlane_buffered_bytes",
+            "Bytes that are buffered for callers and targets, where a budget limits them.",
+            registry=self.registry,
+        )
+        self.slow_callers: Final = Counter(
+            "damsonlane_slow_callers_total",
+            "Callers that were disconnected since they read too slowly, by reason.",
+            registry=self.registry,
+        )
+        self.owned_shards: Final = Gauge(
+            "damsonlane_owned_shards",
+            "Shards of services that this box owns, by the list of boxes.",
+            registry=self.registry,
+        )
         self.loop_load: Final = Gauge(
             "damsonlane_loop_load",
-            "Share of its time in which the process is busy, or kept waiting by its box.",
+            "Share of its time in which the process is busy, or kept waiting by its box, or of the "
+            "processor time that the box may use.",
             registry=self.registry,
         )
         self.messages: Final = Gauge(
