Fair shares of organisations in the queue of a pool

Cause: a wave of one organisation displaces the others in the queue of a pool.

Change: the core package fairness divides the throughput of a pool max-min fairly by weight and finds the waiting work that the share of its organisation can't complete in time. Such work goes after the rest within a priority of organisations and is refused first. Work within the shares is planned without a reserve for classes of higher priority, which another organisation's wave would fill. Nothing sets the names yet.

--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/fairness/_shares.py
@@ -0,0 +1,136 @@
+"""Shares of organisations in a queue, from recent demand and from what waits."""
+
+import math
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from damsonlane.fairness._division import Demand, divide_capacity
+
+#: Time constant of the decay of recent demand, in seconds: several calls of a pool, so that one
+#: call has little weight, but short against a wave of some seconds.
+DECAY_SECONDS: Final = 2.0
+#: Seconds in which waiting work is assumed to be wanted, for the estimate of the demand.
+WAITING_SECONDS: Final = 1.0
+#: Demand below which an organisation is forgotten, in units of work per second.
+MIN_DEMAND: Final = 1e-4
+
+
+@dataclass(frozen=True, kw_only=True)
+class Claim:
+    """Waiting work of one organisation that is needed by one time."""
+
+    #: Name of the organisation.
+    organisation: str
+    #: The work, in seconds of a target or in tokens.
+    work: float
+    #: Seconds until it must be complete.
+    seconds: float
+
+
+def equal_weight(_: str) -> float:
+    """Return the weight of an organisation where all have the same."""
+    return 1.0
+
+
+class OrganisationShares:
+    """Decides which waiting work is within the share of its organisation.
+
+    A claim is within the share if the share alone would complete the earlier claims of the
+    organisation, and what it has recently used beyond its share, before the time of this one.
+    Claims within the shares therefore fit the capacity together, whatever else waits.  A share is
+    a rate: nothing is saved up while an organisation is idle, so it can't displace others with a
+    burst later.
+
+    Args:
+        find_weight: returns the weight of an organisation by its name.
+    """
+
+    def __init__(self, find_weight: Callable[[str], float] = equal_weight) -> None:
+        self._find_weight: Final = find_weight
+        #: Recent rates of all work that left the queue, and of the work that was started.
+        self._demanded: dict[str, float] = {}
+        self._started: dict[str, float] = {}
+        self._updated_at = 0.0
+        #: Entitlement of each organisation by the last division, in units of work per second;
+        #: infinite while all demands fit.
+        self.entitlements: Mapping[str, float] = {}
+
+    @property
+    def is_contended(self) -> bool:
+        """Whether several organisations together asked for more than the capacity."""
+        return len(self.entitlements) > 1 and math.isfinite(max(self.entitlements.values()))
+
+    def record_started(self, name: str, work: float, now: float) -> None:
+        """Record work of an organisation that was started.
+
+        Args:
+            name: the organisation.
+            work: the work.
+            now: the monotonic clock, in seconds.
+        """
+        self._decay(now)
+        self._demanded[name] = self._demanded.get(name, 0.0) + work / DECAY_SECONDS
+        self._started[name] = self._started.get(name, 0.0) + work / DECAY_SECONDS
+
+    def record_refused(self, name: str, work: float, now: float) -> None:
+        """Record work of an organisation that was refused; the arguments are the same."""
+        self._decay(now)
+        self._demanded[name] = self._demanded.get(name, 0.0) + work / DECAY_SECONDS
+
+    def find_excess(self, claims: Sequence[Claim], capacity: float, now: float) -> list[bool]:
+        """Return for each claim whether it is beyond the share of its organisation.
+
+        Args:
+            claims: the waiting work; of each organisation, the most urgent work comes first.
+            capacity: the capacity, in units of work per second.
+            now: the monotonic clock, in seconds.
+        """
+        self._decay(now)
+        self.entitlements = divide_capacity(capacity, self._list_demands(claims))
+        if not self.is_contended:
+            return [False] * len(claims)
+        planned = self._list_overdrafts()
+        excess: list[bool] = []
+        for claim in claims:
+            name = claim.organisation
+            before = planned.get(name, 0.0)
+            # The first claim is within the share, however small that is.
+            is_excess = before > self.entitlements[name] * max(0.0, claim.seconds)
+            if not is_excess:
+                planned[name] = before + claim.work
+            excess.append(is_excess)
+        return excess
+
+    def _list_overdrafts(self) -> dict[str, float]:
+        """Return the work that each organisation has recently used beyond its share."""
+        return {
+            name: max(0.0, rate - self.entitlements[name]) * DECAY_SECONDS
+            for name, rate in self._started.items()
+        }
+
+    def _list_demands(self, claims: Sequence[Claim]) -> Mapping[str, Demand]:
+        """Return the demand of each organisation that has recent or waiting work."""
+        amounts = dict(self._demanded)
+        for claim in claims:
+            name = claim.organisation
+            amounts[name] = amounts.get(name, 0.0) + claim.work / WAITING_SECONDS
+        return {
+            name: Demand(amount=amount, weight=self._find_weight(name))
+            for name, amount in amounts.items()
+        }
+
+    def _decay(self, now: float) -> None:
+        if now <= self._updated_at:
+            return
+        factor = math.exp(-(now - self._updated_at) / DECAY_SECONDS)
+        self._updated_at = now
+        self._demanded = _scale(self._demanded, factor)
+        self._started = {
+            name: rate * factor for name, rate in self._started.items() if name in self._demanded
+        }
+
+
+def _scale(rates: Mapping[str, float], factor: float) -> dict[str, float]:
+    """Return rates times a factor, without organisations whose demand became negligible."""
+    return {name: rate * factor for name, rate in rates.items() if rate * factor > MIN_DEMAND}
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/pools/_organisation_shares.py
@@ -0,0 +1,148 @@
+"""Fair shares of organisations in the queue of a pool."""
+
+from collections.abc import Callable, Collection, Mapping, Sequence
+from typing import Final
+
+from damsonlane.fairness import (
+    Claim,
+    OrganisationShares,
+    OrganisationUsage,
+    UsageTotals,
+    equal_weight,
+)
+from damsonlane.pools._priorities import ROUTE_PRIORITY_LEVELS
+from damsonlane.pools._schedule import WaitingStage
+from damsonlane.pools._waiting import CallCapacity, WaitingPiece
+
+#: Part of the capacity that is divided into shares.  The rest is lent to work beyond them, and
+#: covers what the schedule loses by rounding times to its steps.
+SHARED_CAPACITY: Final = 0.9
+#: Part of the capacity in which work beyond a share is planned while organisations compete.  The
+#: rest is for work within the shares that is still to come, and for calls that are not full: with
+#: all of it, 0.2 of the work within the shares was late in replays.
+EXCESS_CAPACITY: Final = 0.85
+
+
+class PoolShares:
+    """Finds the waiting stages that are beyond the share of their organisation.
+
+    Work is measured in the time that a target takes for it in full calls.  Orders without an
+    organisation, as entries of an older release send them, count as those of one organisation.
+    While no order names one, nothing is recorded and no stage is beyond a share.
+
+    Args:
+        find_weight: returns the weight of an organisation by its name.
+    """
+
+    def __init__(self, find_weight: Callable[[str], float] = equal_weight) -> None:
+        self._shares: Final = OrganisationShares(find_weight)
+        self._usage: Final = OrganisationUsage()
+        self._is_used = False
+        self._is_contended = False
+        self._piece_seconds = 0.0
+        #: Groups of the stages beyond the share of their organisation, by the last evaluation.
+        self._excess: Collection[tuple[str, str, int]] = frozenset()
+
+    def order(
+        self, stages: Sequence[WaitingStage], now: float, capacity: CallCapacity
+    ) -> list[WaitingStage]:
+        """Return stages with those within the shares first, for each priority of organisations.
+
+        Args:
+            stages: the stages, in the order in which they would run without shares.
+            now: the monotonic clock, in seconds.
+            capacity: the capacity of the pool.
+        """
+        if not any(stage.organisation for stage in stages):
+            self._excess = frozenset()
+            self._is_contended = False
+            return list(stages)
+        self._is_used = True
+        self._piece_seconds = capacity.full_seconds / capacity.batch
+        # A stage that misses its objective anyway takes nothing from the share of the others, so
+        # it comes after them, and is needed by its deadline.
+        earliest = capacity.earliest_completion(now)
+        in_order = sorted(stages, key=lambda stage: stage.objective_at < earliest)
+        claims = [
+            Claim(
+                organisation=stage.organisation,
+                work=len(stage.pieces) * self._piece_seconds,
+                seconds=_needed_at(stage, earliest) - now,
+            )
+            for stage in in_order
+        ]
+        capacity_rate = SHARED_CAPACITY * capacity.pieces_per_second * self._piece_seconds
+        flags = self._shares.find_excess(claims, capacity_rate, now)
+        self._is_contended = self._shares.is_contended
+        self._excess = {
+            stage.pieces[0].group
+            for stage, is_excess in zip(in_order, flags, strict=True)
+            if is_excess
+        }
+        if not self._excess:
+            return list(stages)
+        return sorted(stages, key=self._share_key)
+
+    def capacity_share(self, stage: WaitingStage, usual: float, capacity: CallCapacity) -> float:
+        """Return the share of the nominal throughput that is left for a stage.
+
+        While organisations compete, nothing is kept free for later work of higher priority from
+        what is within the shares: that work may be a wave of another organisation.
+
+        Args:
+            stage: the stage.
+            usual: the share that is left for its rank without shares of organisations.
+            capacity: the capacity of the pool.
+        """
+        if not self._is_contended:
+            return usual
+        if stage.pieces[0].group in self._excess:
+            return usual * EXCESS_CAPACITY
+        return capacity.throughput_ratio
+
+    def order_late(self, stages: Sequence[WaitingStage]) -> list[WaitingStage]:
+        """Return stages that are not in time, in the order in which they are kept.
+
+        Args:
+            stages: the stages, in the order in which they would be kept without shares; those of
+                requests already begun come first.
+        """
+        if not self._excess:
+            return list(stages)
+        return sorted(stages, key=lambda stage: (stage.is_unstarted, self._share_key(stage)))
+
+    def record_started(self, pieces: Sequence[WaitingPiece], now: float) -> None:
+        """Record pieces that were taken from the queue to run."""
+        if not self._is_used:
+            return
+        for piece in pieces:
+            self._shares.record_started(piece.order.organisation, self._piece_seconds, now)
+            self._usage.record_started(
+                piece.order.organisation,
+                self._piece_seconds,
+                now - piece.queued_at,
+                is_excess=piece.group in self._excess,
+            )
+
+    def record_refused(self, pieces: Sequence[WaitingPiece], now: float) -> None:
+        """Record pieces that were refused."""
+        if not self._is_used:
+            return
+        for piece in pieces:
+            self._shares.record_refused(piece.order.organisation, self._piece_seconds, now)
+            self._usage.record_refused(
+                piece.order.organisation, is_excess=piece.group in self._excess
+            )
+
+    def take_usage(self) -> Mapping[str, UsageTotals]:
+        """Return the work of each organisation since the last call of this method."""
+        return self._usage.take()
+
+    def _share_key(self, stage: WaitingStage) -> tuple[int, bool]:
+        organisation_rank = stage.rank // ROUTE_PRIORITY_LEVELS
+        return (organisation_rank, stage.pieces[0].group in self._excess)
+
+
+def _needed_at(stage: WaitingStage, earliest: float) -> float:
+    """Return when a stage must be complete: in time, or at its deadline if that is too late."""
+    return stage.objective_at if stage.objective_at >= earliest else stage.deadline_at
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -1,10 +1,12 @@
 """The queue of a pool: order, load shedding and wait estimates."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.fairness import UsageTotals, equal_weight
 from damsonlane.pools._batch import fill_batch
+from damsonlane.pools._organisation_shares import PoolShares
 from damsonlane.pools._pieces import PieceOrder
 from damsonlane.pools._priorities import ClassPriorities
 from damsonlane.pools._recent_work import RecentWork
@@ -64,9 +66,14 @@
 
 
 class PieceQueue:
-    """Waiting pieces of one pool."""
+    """Waiting pieces of one pool.
 
-    def __init__(self) -> None:
+    Args:
+        find_weight: returns the weight of an organisation by its name.
+    """
+
+    def __init__(self, find_weight: Callable[[str], float] = equal_weight) -> None:
+        self._shares: Final = PoolShares(find_weight)
         self._waiting: Final = WaitingStages()
         self._recent_work: Final = RecentWork()
         self._priorities: Final = ClassPriorities()
@@ -148,6 +155,7 @@
         batch = fill_batch(plan.ordered, now, capacity)
         plan.remove(batch)
         self._remove(batch)
+        self._shares.record_started(batch, now)
         for piece in batch:
             self._recent_work.record(piece.order.rank, now)
             if not piece.order.is_late_return:
@@ -170,6 +178,10 @@
         self._remove(expired)
         return tuple(expired)
 
+    def take_usage(self) -> Mapping[str, UsageTotals]:
+        """Return the work of each organisation since the last call of this method."""
+        return self._shares.take_usage()
+
     def _evaluate(self, now: float, capacity: CallCapacity) -> _Evaluation:
         """Order the waiting stages and separate those that can meet their latency objective."""
         schedule = Schedule(capacity, now)
@@ -180,12 +192,14 @@
         priorities = {rank: self._priorities.sort_key(rank) for rank in ranks}
         # Computed once per rank and not per stage, to keep evaluations cheap.
         shares = {rank: self._capacity_share(rank, now, capacity) for rank in ranks}
-        for stage in sorted(stages, key=lambda stage: _priority_key(stage, priorities[stage.rank])):
-            is_scheduled = schedule.try_add(stage, shares[stage.rank])
+        ordered = sorted(stages, key=lambda stage: _priority_key(stage, priorities[stage.rank]))
+        for stage in self._shares.order(ordered, now, capacity):
+            share = self._shares.capacity_share(stage, shares[stage.rank], capacity)
+            is_scheduled = schedule.try_add(stage, share)
             (in_time if is_scheduled else not_in_time).append(stage)
         in_time.sort(key=lambda stage: stage.objective_at)
         not_in_time.sort(key=_late_key)
-        return _Evaluation(in_time=in_time, not_in_time=not_in_time)
+        return _Evaluation(in_time=in_time, not_in_time=self._shares.order_late(not_in_time))
 
     def _list_refused(
         self, evaluation: _Evaluation, now: float, capacity: CallCapacity
@@ -221,6 +235,7 @@
         return 1.0 / (1.0 - min(MAX_HIGHER_PRIORITY_SHARE, share))
 
     def _record_refused(self, pieces: Sequence[WaitingPiece], now: float) -> None:
+        self._shares.record_refused(pieces, now)
         for piece in pieces:
             if not piece.order.is_late_return:
                 self._priorities.record_refused(piece.order.rank, now)
--- a/packages/damsonlane/src/damsonlane/pools/_schedule.py
+++ b/packages/damsonlane/src/damsonlane/pools/_schedule.py
@@ -46,6 +46,11 @@
         """Priority rank of the request; 0 comes first."""
         return self.pieces[0].order.rank
 
+    @property
+    def organisation(self) -> str:
+        """Organisation of the caller, or an empty string."""
+        return self.pieces[0].order.organisation
+
     @property
     def objective_at(self) -> float:
         """When the results must be available to meet the latency objective."""
--- a/packages/damsonlane/src/damsonlane/pools/_waiting.py
+++ b/packages/damsonlane/src/damsonlane/pools/_waiting.py
@@ -28,6 +28,11 @@
         """Sender and number of the order."""
         return (self.sender, self.order.number)
 
+    @property
+    def queued_at(self) -> float:
+        """When its order arrived, by the same clock."""
+        return self.deadline_at - self.order.left_seconds
+
     @property
     def is_unstarted(self) -> bool:
         """Whether no work has been done for the request yet."""
--- a/packages/damsonlane/src/damsonlane/pools/tests/simulation.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/simulation.py
@@ -63,6 +63,8 @@
     deadline_seconds: float = 6.0
     #: Whether its pieces have inputs, all of them stored in one data centre.
     has_inputs: bool = False
+    #: Organisation that its orders name; empty for none.
+    organisation: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -244,6 +246,7 @@
                 rank=request_class.rank,
                 is_late_return=is_late_return and self._pattern.detects_retries,
                 result_bytes=request_class.result_bytes,
+                organisation=request_class.organisation,
             )
             self._queue.add(
                 WaitingPiece(
