Entries name organisations in their orders where shares are fair

Cause: the owner of a pool divides it among organisations only if the orders name them, and nothing set the names.

Change: with gateway.fair_shares, the orders for pieces and the requests to place prompts name the organisation of the caller. gateway.share_weights gives organisations a weight; they stand in the settings of the box and not in the routing document, whose stored bytes stay as they are.

--- a/packages/damsonlane/src/damsonlane/fairness/__init__.py
+++ b/packages/damsonlane/src/damsonlane/fairness/__init__.py
@@ -2,15 +2,24 @@
 
 from damsonlane.fairness._division import FLOOR_SHARE, Demand, divide_capacity
 from damsonlane.fairness._shares import Claim, OrganisationShares, equal_weight
-from damsonlane.fairness._usage import OrganisationUsage, UsageTotals
+from damsonlane.fairness._usage import (
+    MAX_NAMES,
+    OTHERS,
+    OrganisationUsage,
+    UsageTotals,
+    add_totals,
+)
 
 __all__ = [
     "FLOOR_SHARE",
+    "MAX_NAMES",
+    "OTHERS",
     "Claim",
     "Demand",
     "OrganisationShares",
     "OrganisationUsage",
     "UsageTotals",
+    "add_totals",
     "divide_capacity",
     "equal_weight",
 ]
--- a/packages/damsonlane/src/damsonlane/fairness/_shares.py
+++ b/packages/damsonlane/src/damsonlane/fairness/_shares.py
@@ -55,6 +55,7 @@
         #: Entitlement of each organisation by the last division, in units of work per second;
         #: infinite while all demands fit.
         self.entitlements: Mapping[str, float] = {}
+        self._capacity = 0.0
 
     @property
     def is_contended(self) -> bool:
@@ -87,6 +88,7 @@
             now: the monotonic clock, in seconds.
         """
         self._decay(now)
+        self._capacity = capacity
         self.entitlements = divide_capacity(capacity, self._list_demands(claims))
         if not self.is_contended:
             return [False] * len(claims)
@@ -102,6 +104,17 @@
             excess.append(is_excess)
         return excess
 
+    def find_share(self, name: str) -> float | None:
+        """Return the part of the capacity that an organisation was last entitled to.
+
+        Returns:
+            The part, at most 1; None while all demands fit.
+        """
+        entitlement = self.entitlements.get(name, math.inf)
+        if not self.is_contended or not self._capacity or math.isinf(entitlement):
+            return None
+        return min(1.0, entitlement / self._capacity)
+
     def _list_overdrafts(self) -> dict[str, float]:
         """Return the work that each organisation has recently used beyond its share."""
         return {
--- a/packages/damsonlane/src/damsonlane/fairness/_usage.py
+++ b/packages/damsonlane/src/damsonlane/fairness/_usage.py
@@ -26,6 +26,20 @@
     excess: int = 0
     #: Sum of the seconds that the started ones waited.
     wait_seconds: float = 0.0
+    #: Part of the capacity that it was last entitled to; None while all demands fit.
+    share: float | None = None
+
+
+def add_totals(earlier: UsageTotals, later: UsageTotals) -> UsageTotals:
+    """Return the totals of two consecutive intervals."""
+    return UsageTotals(
+        work=earlier.work + later.work,
+        started=earlier.started + later.started,
+        refused=earlier.refused + later.refused,
+        excess=earlier.excess + later.excess,
+        wait_seconds=earlier.wait_seconds + later.wait_seconds,
+        share=earlier.share if later.share is None else later.share,
+    )
 
 
 @dataclass(kw_only=True)
--- a/packages/damsonlane/src/damsonlane/pools/_organisation_shares.py
+++ b/packages/damsonlane/src/damsonlane/pools/_organisation_shares.py
@@ -1,6 +1,7 @@
 """Fair shares of organisations in the queue of a pool."""
 
 from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import replace
 from typing import Final
 
 from damsonlane.fairness import (
@@ -136,7 +137,10 @@
 
     def take_usage(self) -> Mapping[str, UsageTotals]:
         """Return the work of each organisation since the last call of this method."""
-        return self._usage.take()
+        return {
+            name: replace(totals, share=self._shares.find_share(name))
+            for name, totals in self._usage.take().items()
+        }
 
     def _share_key(self, stage: WaitingStage) -> tuple[int, bool]:
         organisation_rank = stage.rank // ROUTE_PRIORITY_LEVELS
--- a/packages/damsonlane/src/damsonlane/settings/_box.py
+++ b/packages/damsonlane/src/damsonlane/settings/_box.py
@@ -1,7 +1,7 @@
 """Settings of one box, read from a file when its process starts."""
 
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 from typing import Annotated, Final, Literal
 
 from pydantic import Field, TypeAdapter
@@ -113,9 +113,17 @@
     late_requests: LatePolicy = "refuse"
     #: Whether organisations share pools and engines fairly.
     fair_shares: bool = False
+    #: Weights of the shares by name of the organisation; others have a weight of 1.
+    share_weights: Mapping[Name, Annotated[float, Field(ge=0.001, le=1000)]] = field(
+        default_factory=dict
+    )
     #: Limit of the bytes buffered for callers and targets; 0 for none.
     buffer_bytes: Annotated[int, Field(ge=0, le=2**46)] = 0
 
+    def find_weight(self, organisation: str) -> float:
+        """Return the weight of an organisation's share of pools and engines."""
+        return self.share_weights.get(organisation, 1.0)
+
 
 @dataclass(frozen=True, kw_only=True)
 class BoxSettings:
--- a/packages/damsonlane/src/damsonlane/settings/tests/test_settings.py
+++ b/packages/damsonlane/src/damsonlane/settings/tests/test_settings.py
@@ -133,6 +133,24 @@
         paths = [finding.place.path for finding in caught.exception.findings]
         self.assertEqual(paths, ["/caller_address", "/control"])
 
+    def test_an_implausible_weight_of_a_share_is_found_at_its_place(self) -> None:
+        """Guards against a share of nothing, or of everything, by a mistake in the settings."""
+        text = """{"name": "entry-1", "data_centre": "gulberg", "role": "entry",
+          "data_folder": "data", "internal_address": "127.0.0.1:1",
+          "admin_address": "127.0.0.1:2", "caller_address": "127.0.0.1:3",
+          "control": ["127.0.0.1:4"],
+          "gateway": {"dialect": "native", "ready_address": "127.0.0.1:5", "fair_shares": true,
+                      "share_weights": {"bureau": %s, "florists": 2}}}"""
+        settings = read_box_settings(read_document(text % "0.5", "box.json"))
+        assert settings.gateway is not None
+        weights = [settings.gateway.find_weight(name) for name in ("bureau", "florists", "new")]
+        self.assertEqual(weights, [0.5, 2.0, 1.0])
+        for weight in ("0", "-1", "1e9", "NaN", '"much"', "null"):
+            with self.subTest(weight), self.assertRaises(SettingsError) as caught:
+                read_box_settings(read_document(text % weight, "box.json"))
+            paths = [finding.place.path for finding in caught.exception.findings]
+            self.assertEqual(paths, ["/gateway/share_weights/bureau"])
+
 
 class InheritanceTest(unittest.TestCase):
     def test_inherited_values_and_their_origins(self) -> None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -249,6 +249,7 @@
         aim_left_seconds=call.objective_at - now,
         avoid=avoid,
         inputs=input_locations,
+        organisation=call.share_name,
     )
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -32,6 +32,8 @@
     has_response_begun: bool = False
     #: Seconds that its caller has waited before this try, since an earlier one was refused.
     earlier_wait_seconds: float = 0.0
+    #: Whether pools and engines are shared fairly among organisations.
+    is_shared_fairly: bool = False
 
     @property
     def objective_at(self) -> float:
@@ -46,6 +48,13 @@
             self.route.priority, ROUTE_PRIORITY_LEVELS - 1
         )
 
+    @property
+    def share_name(self) -> str:
+        """Organisation in whose share it counts at pools and engines; empty without shares."""
+        if not self.is_shared_fairly or self.organisation is None:
+            return ""
+        return self.organisation.name
+
     def remaining(self) -> float:
         """Return the seconds until its deadline."""
         return self.deadline_at - asyncio.get_running_loop().time()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -66,6 +66,8 @@
     metrics: Metrics
     #: Returns how many entries share the fleet's retry budget.
     count_entries: Callable[[], int]
+    #: Whether pools and engines are shared fairly among organisations.
+    fair_shares: bool = False
 
 
 class CallerService:
@@ -182,6 +184,7 @@
             earlier_wait_seconds=self._earlier_waits.estimate_seconds(
                 route.name, request.deadline_seconds
             ),
+            is_shared_fairly=self._dependencies.fair_shares,
         )
 
     def _find_table(self) -> RouteTable:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
@@ -7,6 +7,7 @@
 
 from damsonlane.pools import OwnedWork
 from damsonlane.targets import Shard
+from damsonlaned.fairness import ShareReporter
 from damsonlaned.gateway._owner_activity import OwnerActivity
 from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._prompt_placer import PromptPlacers
@@ -35,6 +36,7 @@
         placers: place the prompts of the engine services that this entry owns.
         division: requests that pools are divided.
         metrics: the metrics of the process.
+        shares: logs and counts the work of organisations.
     """
 
     def __init__(
@@ -44,7 +46,9 @@
         placers: PromptPlacers,
         division: ShardDivision,
         metrics: Metrics,
+        shares: ShareReporter,
     ) -> None:
+        self._shares: Final = shares
         self._view: Final = view
         self._owners: Final = owners
         self._placers: Final = placers
@@ -76,6 +80,7 @@
             now = loop.time()
             self._division.consider(share, self._list_works(pools, now - reported_at))
             reported_at = now
+            self._shares.record(self._owners.take_usage(), now)
             if share >= LOGGED_SHARE:
                 self._log(share, {**pools, **self._placers.take_activities()})
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -16,6 +16,7 @@
 from damsonlaned.admin import AdminServer
 from damsonlaned.clock import read_clock
 from damsonlaned.dialects import DIALECTS
+from damsonlaned.fairness import ShareReporter
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._caller_service import CallerService, HandlerDependencies
 from damsonlaned.gateway._control_follower import ControlFollower
@@ -77,7 +78,13 @@
             self._view, settings.data_centre, self._count_entries, settings.internal_address
         )
         owners = PoolOwners(
-            self._view, targets, self._dialect, self._metrics, exit_detector, self._quarantine
+            self._view,
+            targets,
+            self._dialect,
+            self._metrics,
+            exit_detector,
+            self._quarantine,
+            find_weight=gateway.find_weight,
         )
         self._owners: Final = owners
         self._pools: Final = PoolClient(
@@ -99,6 +106,7 @@
             placers,
             ShardDivision(self._control, read_clock),
             self._metrics,
+            ShareReporter(self._metrics),
         )
         self._limit_reports: Final = LimitReports(self._view, self._control)
         attempts = Attempts(
@@ -120,6 +128,7 @@
                 dialect=self._dialect,
                 metrics=self._metrics,
                 count_entries=self._count_entries,
+                fair_shares=gateway.fair_shares,
             )
         )
         self._listener: Final = HttpListener(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from functools import partial
 from typing import Final
 
+from damsonlane.fairness import UsageTotals
 from damsonlane.pools import CallPlan, PieceOrder, PieceQueue, WaitingPiece
 from damsonlane.quarantine import InterruptedRequest
 from damsonlane.routes import PoolProperties, Service
@@ -50,6 +51,7 @@
         metrics: counts pieces and calls by outcome.
         exit_detector: finds out which targets have exited.
         quarantine: withholds requests under which targets exit.
+        find_weight: returns the weight of an organisation's share by its name.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         metrics: PoolMetrics,
         exit_detector: ExitDetector,
         quarantine: Quarantine,
+        find_weight: Callable[[str], float],
     ) -> None:
         self._exit_detector: Final = exit_detector
         self._quarantine: Final = quarantine
@@ -71,7 +74,7 @@
         self._targets: Final = targets
         self._metrics: Final = metrics
         self._calls: Final = PoolCalls(dialect, view.announcements)
-        self._queue: Final = PieceQueue()
+        self._queue: Final = PieceQueue(find_weight)
         self._receivers: Final = OrderReceivers()
         self._pool_targets: Final = PoolTargets(
             view.announcements.backoff_seconds_left, ServiceLimits(view.limits, shard.service)
@@ -147,6 +150,10 @@
         """Return the number of queued pieces."""
         return len(self._queue)
 
+    def take_usage(self) -> Mapping[str, UsageTotals]:
+        """Return the work of each organisation since the last call of this method."""
+        return self._queue.take_usage()
+
     def free(self, handles: Sequence[str]) -> None:
         """Free results at the targets that computed them."""
         self._free_calls.add(handles)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
@@ -1,8 +1,10 @@
 """The pools that this entry owns or has owned."""
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 from typing import Final
 
+from damsonlane.fairness import UsageTotals, equal_weight
 from damsonlane.targets import Shard
 from damsonlaned.dialects import Dialect
 from damsonlaned.gateway._exit_detector import ExitDetector
@@ -25,6 +27,7 @@
         metrics: the metrics of the process.
         exit_detector: finds out which targets have exited.
         quarantine: withholds requests under which targets exit.
+        find_weight: returns the weight of an organisation's share by its name.
     """
 
     def __init__(
@@ -35,7 +38,9 @@
         metrics: Metrics,
         exit_detector: ExitDetector,
         quarantine: Quarantine,
+        find_weight: Callable[[str], float] = equal_weight,
     ) -> None:
+        self._find_weight: Final = find_weight
         self._exit_detector: Final = exit_detector
         self._quarantine: Final = quarantine
         self._view: Final = view
@@ -56,6 +61,7 @@
                 PoolMetrics(service, self._metrics),
                 self._exit_detector,
                 self._quarantine,
+                self._find_weight,
             )
         return self._owners[shard]
 
@@ -75,6 +81,10 @@
         """Return the work of each owner since the last call of this method."""
         return {shard: owner.activity.take() for shard, owner in self._owners.items()}
 
+    def take_usage(self) -> dict[Shard, Mapping[str, UsageTotals]]:
+        """Return the work of organisations at each pool since the last call of this method."""
+        return {shard: owner.take_usage() for shard, owner in self._owners.items()}
+
     def count_waiting(self, shard: Shard) -> int:
         """Return the number of queued pieces of a shard."""
         return self._owners[shard].count_waiting() if shard in self._owners else 0
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
@@ -120,6 +120,7 @@
             is_begun=call.has_response_begun or bool(attempt.services_by_handle),
             fingerprint=call.fingerprint,
             home=home,
+            organisation=call.share_name,
         )
 
     def _estimate_after(self, attempt: StageAttempt, ready: ReadyStage) -> _RemainingTime:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -274,6 +274,7 @@
         slack: float = 20.0,
         control: Control | None = None,
         address: str = "127.0.0.1:9",
+        fair_shares: bool = False,
     ) -> None:
         dialect = NativeDialect()
         self.address = address
@@ -308,6 +309,7 @@
                 dialect=dialect,
                 metrics=self.metrics,
                 count_entries=lambda: 1,
+                fair_shares=fair_shares,
             )
         )
         self._listener = HttpListener(
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -81,6 +81,22 @@
             "Queued pieces of the stage pools that this box owns.",
             registry=self.registry,
         )
+        self.organisation_work: Final = Counter(
+            "damsonlane_organisation_work_total",
+            "Work of organisations that this box started as owner, in seconds of pool targets or "
+            "in prompt tokens.",
+            registry=self.registry,
+        )
+        self.organisation_items: Final = Counter(
+            "damsonlane_organisation_items_total",
+            "Pieces and prompts of organisations by outcome; excess: beyond the share.",
+            registry=self.registry,
+        )
+        self.organisation_wait: Final = Counter(
+            "damsonlane_organisation_wait_seconds_total",
+            "Waits of the started pieces of organisations, in seconds.",
+            registry=self.registry,
+        )
         self.loop_load: Final = Gauge(
             "damsonlane_loop_load",
             "Share of its time in which the process is busy, or kept waiting by its box.",
