Prompts beyond the share of an organisation are less urgent at engines

Cause: a wave of prompts of one organisation makes those of the others wait at engines.

Change: the owner of a service's engines finds the prompts that the share of their organisation can't process in time, from the prompt tokens awaited and placed recently. The placement says so, and the entry sends them with the last urgency of the organisation's priority.

Ruled out: keeping such prompts to as many engines as the share corresponds to.

It assumes that engines process urgent prompts first. test_engine_shares, test_placement of both packages, test_closed_targets, test_fair_shares, test_gateway, test_stages and test_links pass.

--- a/packages/damsonlane/src/damsonlane/fairness/_usage.py
+++ b/packages/damsonlane/src/damsonlane/fairness/_usage.py
@@ -67,6 +67,10 @@
         counts.excess += is_excess
         counts.wait_seconds += wait_seconds
 
+    def record_wait(self, name: str, seconds: float) -> None:
+        """Add a wait that became known after the start."""
+        self._find(name).wait_seconds += seconds
+
     def record_refused(self, name: str, *, is_excess: bool = False) -> None:
         """Count a piece that was refused."""
         counts = self._find(name)
--- a/packages/damsonlane/src/damsonlane/placement/__init__.py
+++ b/packages/damsonlane/src/damsonlane/placement/__init__.py
@@ -1,5 +1,6 @@
 """Placement: which engine prefills a prompt, decided by one owner for the whole fleet."""
 
+from damsonlane.placement._engine_shares import EngineShares
 from damsonlane.placement._engine_table import EngineTable
 from damsonlane.placement._prompts import (
     InputLocation,
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    "EngineShares",
     "EngineTable",
     "InputLocation",
     "Placement",
--- a/packages/damsonlane/src/damsonlane/placement/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placement/_prompts.py
@@ -59,6 +59,8 @@
     #: Name of an engine that has cached more of the prompt, from which its segments should be
     #: fetched; empty for none.
     source: str = ""
+    #: Whether the prompt is beyond the share of its organisation, so that others go first.
+    is_beyond_share: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from damsonlane.placement import InputLocation, PlacementRequest, PromptSegment
+from damsonlane.pools import ROUTE_PRIORITY_LEVELS
 from damsonlane.requests import WindowedRetryBudget
 from damsonlane.routing import HealthSignal
 from damsonlaned.dialects import Attempt, Dialect, ResponseSignals
@@ -153,7 +154,7 @@
             target=chosen.target,
             remaining_seconds=call.remaining() - RESPONSE_TRANSIT_SECONDS,
             organisation=call.organisation.name if call.organisation is not None else "",
-            urgency=min(LEAST_URGENT, call.priority) if call.service.engine is not None else None,
+            urgency=_find_urgency(call, chosen),
             inputs=inputs,
             last_event_id=last_event,
             cache_source=chosen.source_address,
@@ -169,6 +170,7 @@
                 "address": chosen.address,
                 "source": chosen.source_address,
                 "left_ms": int(attempt.remaining_seconds * 1000),
+                **({"beyond_share": True} if _is_beyond_share(chosen) else {}),
             },
         )
         try:
@@ -227,6 +229,25 @@
         return asyncio.get_running_loop().time()
 
 
+def _is_beyond_share(chosen: ChosenTarget) -> bool:
+    """Return whether the owner of the engines found a prompt beyond its organisation's share."""
+    return chosen.placed is not None and chosen.placed.is_beyond_share
+
+
+def _find_urgency(call: Call, chosen: ChosenTarget) -> int | None:
+    """Return the urgency of a request at an engine, 0 comes first; None at other targets.
+
+    A prompt beyond the share of its organisation gets the last level of the organisation's
+    priority, so that it still goes before those of less urgent organisations.
+    """
+    if call.service.engine is None:
+        return None
+    priority = call.priority
+    if _is_beyond_share(chosen):
+        priority += ROUTE_PRIORITY_LEVELS - 1 - priority % ROUTE_PRIORITY_LEVELS
+    return min(LEAST_URGENT, priority)
+
+
 def _find_prompt(call: Call) -> Prompt:
     """Return what the choice of an engine depends on."""
     shared = call.request.prefix_segments[:-1]
--- a/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
@@ -80,7 +80,8 @@
             now = loop.time()
             self._division.consider(share, self._list_works(pools, now - reported_at))
             reported_at = now
-            self._shares.record(self._owners.take_usage(), now)
+            usage = {**self._owners.take_usage(), **self._placers.take_usage()}
+            self._shares.record(usage, now)
             if share >= LOGGED_SHARE:
                 self._log(share, {**pools, **self._placers.take_activities()})
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -94,7 +94,7 @@
             context,
             self._dialect.read_result_address,
         )
-        placers = PromptPlacers(self._view)
+        placers = PromptPlacers(self._view, gateway.find_weight)
         self._pool_service: Final = PoolService(owners, placers, self._view.limits)
         placements = PlacementClient(placers, self._pools, settings.internal_address)
         self._pools.on_placements = placements.receive
--- a/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
@@ -132,6 +132,8 @@
         self.target: Final = placement.target
         #: Name of the engine from which cached prompt segments are copied, or an empty string.
         self.source: Final = placement.source
+        #: Whether the prompt is beyond the share of its organisation.
+        self.is_beyond_share: Final = placement.is_beyond_share
         self._is_reported = False
 
     def report_read(self, seconds: float | None) -> None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
@@ -1,11 +1,19 @@
 """Places the prompts of all entries at the engines of a service."""
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
 from typing import Final
 
 from damsonlane.backoff import TargetIncarnation
-from damsonlane.placement import EngineTable, Placement, PlacementRequest, PromptOutcome
+from damsonlane.fairness import UsageTotals, equal_weight
+from damsonlane.placement import (
+    EngineShares,
+    EngineTable,
+    Placement,
+    PlacementRequest,
+    PromptOutcome,
+)
 from damsonlane.routes import EngineProperties
 from damsonlane.routing import EngineLocation, PromptPartition
 from damsonlane.targets import Shard
@@ -21,9 +29,17 @@
         service: name of the service.
         properties: cache size and transfer speed of its engines.
         view: lists the engines.
+        find_weight: returns the weight of an organisation's share by its name.
     """
 
-    def __init__(self, service: str, properties: EngineProperties, view: FleetView) -> None:
+    def __init__(
+        self,
+        service: str,
+        properties: EngineProperties,
+        view: FleetView,
+        find_weight: Callable[[str], float] = equal_weight,
+    ) -> None:
+        self._shares: Final = EngineShares(find_weight)
         self._service: Final = service
         self._view: Final = view
         seconds_per_token = (
@@ -49,6 +65,11 @@
         now = asyncio.get_running_loop().time()
         for read in reads:
             self._engine_table.record_outcome(sender, read, now)
+            self._shares.record_outcome(sender, read)
+
+    def take_usage(self) -> Mapping[str, UsageTotals]:
+        """Return the work of each organisation since the last call of this method."""
+        return self._shares.take_usage()
 
     def _place_one(self, sender: str, order: PlacementRequest) -> Placement:
         self._partition.record(order.tokens)
@@ -60,7 +81,11 @@
             *self._list_at_warm_up_limit(warming_up, now),
             *self._list_at_rate_limit(limited),
         ]
-        placement = self._engine_table.place(sender, order, engines, now, excluded, limited)
+        placement = replace(
+            self._engine_table.place(sender, order, engines, now, excluded, limited),
+            is_beyond_share=self._shares.is_beyond_share(order, len(self._engines), now),
+        )
+        self._shares.record_placed(sender, order, placement, now)
         if placement.target in warming_up:
             self._warm_up_gate.record(placement.target, now)
         if placement.target in limited:
@@ -100,9 +125,11 @@
 
     Args:
         view: lists services and targets.
+        find_weight: returns the weight of an organisation's share by its name.
     """
 
-    def __init__(self, view: FleetView) -> None:
+    def __init__(self, view: FleetView, find_weight: Callable[[str], float] = equal_weight) -> None:
+        self._find_weight: Final = find_weight
         self._view: Final = view
         self._placers: dict[str, PromptPlacer] = {}
 
@@ -113,9 +140,17 @@
             known = table.service(service) if table is not None else None
             if known is None or known.engine is None:
                 return None
-            self._placers[service] = PromptPlacer(service, known.engine, self._view)
+            self._placers[service] = PromptPlacer(
+                service, known.engine, self._view, self._find_weight
+            )
         return self._placers[service]
 
+    def take_usage(self) -> dict[Shard, Mapping[str, UsageTotals]]:
+        """Return the work of organisations at each service since the last call of this method."""
+        return {
+            Shard(service=service): placer.take_usage() for service, placer in self._placers.items()
+        }
+
     def take_activities(self) -> dict[Shard, OwnerActivity]:
         """Return the work of each placer since the last call of this method."""
         return {
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_fair_shares.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_fair_shares.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from unittest import mock
 
-from damsonlane.placement import EngineTable, Placement, PlacementRequest
+from damsonlane.placement import EngineShares, EngineTable, Placement, PlacementRequest
 from damsonlane.pools import PieceOrder, PieceQueue
 from damsonlane.routes import EngineProperties
 from damsonlaned.gateway._pool_client import PoolClient
@@ -38,6 +38,7 @@
         pool = FakeTarget("p1", lambda request, writer: handler(request, writer), "pool")
         handler = make_piece_handler(lambda: pool.address)
         desk = FakeTarget("t1", answer_ok)
+        self.desk = desk
         records = [await desk.start(), await pool.start()]
         entry = Entry(WITH_ENGINES, fair_shares=fair_shares)
         await entry.start(*records)
@@ -82,6 +83,19 @@
         (usage,) = entry.owners.take_usage().values()
         self.assertEqual(usage["florists"].started, 3)
 
+    async def test_a_prompt_beyond_the_share_is_sent_as_less_urgent(self) -> None:
+        """Guards against a wave that engines process before the prompts of other organisations."""
+        for is_beyond, urgency in ((False, "0"), (True, "3")):
+            with (
+                self.subTest(is_beyond=is_beyond),
+                mock.patch.object(EngineShares, "is_beyond_share", return_value=is_beyond),
+            ):
+                *_, entry = await self.call(fair_shares=True)
+                (request,) = self.desk.requests
+                self.assertEqual(request.find(b"damsonlane-urgency"), urgency)
+                (usage,) = entry.placers.take_usage().values()
+                self.assertEqual(usage["florists"].excess, int(is_beyond))
+
 
 if __name__ == "__main__":
     unittest.main()
