Report on share, use and wait by organisation

Cause: an operator who is asked why an organisation was refused has only the log lines of the owners, one for each shard every five seconds.

Change: damsonlane report shares sums them into a row for each service and organisation: least share while organisations competed, part of the work, started and refused pieces, those beyond the share, mean wait.

--- a/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_reports.py
@@ -21,6 +21,7 @@
 from damsonlane_cli._bound import report_bound
 from damsonlane_cli._context import EXIT_INPUT, call_control, fail, print_rows
 from damsonlane_cli._losses import report_losses
+from damsonlane_cli._shares import report_shares
 from damsonlane_rpc import (
     ControlClient,
     CostsQuery,
@@ -60,6 +61,16 @@
         """
         _print(report_bound(files), format)
 
+    def shares(self, *files: str, service: str = "", format: str = "text") -> None:
+        """Show share, use and wait by service and organisation, where shares are fair.
+
+        Args:
+            files: logs of the entries; standard input if there are none.
+            service: show this service only.
+            format: text, json or csv.
+        """
+        _print(report_shares(files, service), format)
+
     def cost(self, format: str = "text", organisation: str = "") -> None:
         """Show cost by organisation, pipeline, stage and outcome.
 
