Organisations share only with those of the same priority

Cause: in a new test, work of a less urgent organisation within its share went before work of a more urgent one beyond its share, since all organisations divided one capacity.

Change: capacity is divided by priority of organisations, the highest first; what it leaves is divided among the next. An organisation alone in its priority never gives way to its share. Tests for a lost owner, orders of an older release, two owners at once, priorities and the number of runs.

--- a/packages/damsonlane/src/damsonlane/fairness/_shares.py
+++ b/packages/damsonlane/src/damsonlane/fairness/_shares.py
@@ -14,6 +14,8 @@
 WAITING_SECONDS: Final = 1.0
 #: Demand below which an organisation is forgotten, in units of work per second.
 MIN_DEMAND: Final = 1e-4
+#: Organisations whose priority is kept in any case.
+MIN_NAMES: Final = 64
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -26,6 +28,8 @@
     work: float
     #: Seconds until it must be complete.
     seconds: float
+    #: Priority of the organisation; 0 comes first.
+    priority: int = 0
 
 
 def equal_weight(_: str) -> float:
@@ -42,6 +46,9 @@
     a rate: nothing is saved up while an organisation is idle, so it can't displace others with a
     burst later.
 
+    Only organisations of the same priority compete: the capacity that those of a higher priority
+    leave is divided.
+
     Args:
         find_weight: returns the weight of an organisation by its name.
     """
@@ -52,15 +59,17 @@
         self._demanded: dict[str, float] = {}
         self._started: dict[str, float] = {}
         self._updated_at = 0.0
+        self._priorities: dict[str, int] = {}
         #: Entitlement of each organisation by the last division, in units of work per second;
-        #: infinite while all demands fit.
+        #: infinite while it need not give way.
         self.entitlements: Mapping[str, float] = {}
         self._capacity = 0.0
+        #: Part of the capacity that was divided among the organisations of each priority.
+        self._parts: dict[int, float] = {}
 
-    @property
-    def is_contended(self) -> bool:
-        """Whether several organisations together asked for more than the capacity."""
-        return len(self.entitlements) > 1 and math.isfinite(max(self.entitlements.values()))
+    def is_contended(self, name: str) -> bool:
+        """Return whether an organisation and others of its priority ask for more than there is."""
+        return math.isfinite(self.entitlements.get(name, math.inf))
 
     def record_started(self, name: str, work: float, now: float) -> None:
         """Record work of an organisation that was started.
@@ -88,10 +97,7 @@
             now: the monotonic clock, in seconds.
         """
         self._decay(now)
-        self._capacity = capacity
-        self.entitlements = divide_capacity(capacity, self._list_demands(claims))
-        if not self.is_contended:
-            return [False] * len(claims)
+        self._divide(capacity, claims)
         planned = self._list_overdrafts()
         excess: list[bool] = []
         for claim in claims:
@@ -111,10 +117,32 @@
             The part, at most 1; None while all demands fit.
         """
         entitlement = self.entitlements.get(name, math.inf)
-        if not self.is_contended or not self._capacity or math.isinf(entitlement):
+        if not self._capacity or math.isinf(entitlement):
             return None
         return min(1.0, entitlement / self._capacity)
 
+    def find_part(self, name: str) -> float:
+        """Return the part of the capacity that higher priorities leave to an organisation."""
+        return self._parts.get(self._priorities.get(name, 0), 1.0)
+
+    def _divide(self, capacity: float, claims: Sequence[Claim]) -> None:
+        """Divide a capacity among organisations, those of the highest priority first."""
+        self._priorities.update((claim.organisation, claim.priority) for claim in claims)
+        demands = self._list_demands(claims)
+        by_priority: dict[int, dict[str, Demand]] = {}
+        for name, demand in demands.items():
+            by_priority.setdefault(self._priorities.get(name, 0), {})[name] = demand
+        entitlements: dict[str, float] = {}
+        left = self._capacity = capacity
+        for priority, group in sorted(by_priority.items()):
+            self._parts[priority] = left / capacity if capacity > 0 else 1.0
+            # One organisation has nobody to share with.
+            parts = divide_capacity(left if len(group) > 1 else math.inf, group)
+            entitlements.update(parts)
+            left -= sum(min(demand.amount, parts[name]) for name, demand in group.items())
+            left = max(0.0, left)
+        self.entitlements = entitlements
+
     def _list_overdrafts(self) -> dict[str, float]:
         """Return the work that each organisation has recently used beyond its share."""
         return {
@@ -142,6 +170,9 @@
         self._started = {
             name: rate * factor for name, rate in self._started.items() if name in self._demanded
         }
+        if len(self._priorities) > 2 * len(self._demanded) + MIN_NAMES:
+            self._priorities = {name: self._priorities.get(name, 0) for name in self._demanded}
+            self._parts = {}
 
 
 def _scale(rates: Mapping[str, float], factor: float) -> dict[str, float]:
--- a/packages/damsonlane/src/damsonlane/fairness/tests/test_shares.py
+++ b/packages/damsonlane/src/damsonlane/fairness/tests/test_shares.py
@@ -1,6 +1,7 @@
 """Which waiting work is within the share of its organisation."""
 
 import unittest
+from dataclasses import replace
 
 from damsonlane.fairness import Claim, OrganisationShares, OrganisationUsage
 from damsonlane.fairness._usage import MAX_NAMES, OTHERS
@@ -50,6 +51,14 @@
         self.shares.find_excess([], CAPACITY, 60.0)
         self.assertEqual(len(self.shares.entitlements), 0)
 
+    def test_organisations_of_a_higher_priority_do_not_give_way_to_others(self) -> None:
+        """Guards against shares that override the configured priorities."""
+        claims = [*list_claims("first", 8), *list_claims("a", 8), *list_claims("b", 8)]
+        claims = [replace(c, priority=int(c.organisation != "first")) for c in claims]
+        self.assertEqual(self.count_within(claims), {"first": 8, "a": 2, "b": 2})
+        self.assertFalse(self.shares.is_contended("first"))
+        self.assertAlmostEqual(self.shares.find_part("a"), 0.2)
+
     def test_time_that_goes_back_changes_nothing(self) -> None:
         self.shares.record_started("a", 1.0, 10.0)
         self.shares.record_started("a", 1.0, 5.0)
--- a/packages/damsonlane/src/damsonlane/pools/_organisation_shares.py
+++ b/packages/damsonlane/src/damsonlane/pools/_organisation_shares.py
@@ -69,12 +69,13 @@
                 organisation=stage.organisation,
                 work=len(stage.pieces) * self._piece_seconds,
                 seconds=_needed_at(stage, earliest) - now,
+                priority=stage.rank // ROUTE_PRIORITY_LEVELS,
             )
             for stage in in_order
         ]
         capacity_rate = SHARED_CAPACITY * capacity.pieces_per_second * self._piece_seconds
         flags = self._shares.find_excess(claims, capacity_rate, now)
-        self._is_contended = self._shares.is_contended
+        self._is_contended = any(map(self._shares.is_contended, self._shares.entitlements))
         self._excess = {
             stage.pieces[0].group
             for stage, is_excess in zip(in_order, flags, strict=True)
@@ -87,19 +88,20 @@
     def capacity_share(self, stage: WaitingStage, usual: float, capacity: CallCapacity) -> float:
         """Return the share of the nominal throughput that is left for a stage.
 
-        While organisations compete, nothing is kept free for later work of higher priority from
-        what is within the shares: that work may be a wave of another organisation.
+        While organisations compete, less is kept free from what is within the shares: no more than
+        organisations of a higher priority ask for.  The usual share is that of a rank, which a wave
+        of another organisation may have filled.
 
         Args:
             stage: the stage.
             usual: the share that is left for its rank without shares of organisations.
             capacity: the capacity of the pool.
         """
-        if not self._is_contended:
+        if not self._is_contended or not self._shares.is_contended(stage.organisation):
             return usual
         if stage.pieces[0].group in self._excess:
             return usual * EXCESS_CAPACITY
-        return capacity.throughput_ratio
+        return max(usual, capacity.throughput_ratio * self._shares.find_part(stage.organisation))
 
     def order_late(self, stages: Sequence[WaitingStage]) -> list[WaitingStage]:
         """Return stages that are not in time, in the order in which they are kept.
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_fair_shares.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_fair_shares.py
@@ -1,12 +1,19 @@
 """Fair shares of organisations in the queue of a pool."""
 
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from unittest import mock
 
-from damsonlane.pools import CallCapacity, PieceQueue, Selection, WaitingPiece
+from damsonlane.pools import (
+    ROUTE_PRIORITY_LEVELS,
+    CallCapacity,
+    PieceQueue,
+    Selection,
+    WaitingPiece,
+)
 from damsonlane.pools._organisation_shares import PoolShares
+from damsonlane.pools._schedule import Schedule
 from damsonlane.pools.tests.simulation import (
     LoadPattern,
     LoadPeak,
@@ -40,12 +47,17 @@
     return (replace(classes[0], rank=wave_rank), *classes[1:])
 
 
+PEAK = LoadPeak(request_class=0, start=2, end=9, times=10.0)
+#: Four organisations, the first of which sends ten times its usual load.
+WAVE = LoadPattern(pool=POOL, classes=list_classes(is_named=True), peaks=(PEAK,))
+
+
 def simulate_wave(*, is_named: bool, times: float, wave_rank: int = 2) -> list[Outcome]:
     """Return the outcomes of four organisations, the first of which sends a wave."""
-    pattern = LoadPattern(
-        pool=POOL,
+    pattern = replace(
+        WAVE,
         classes=list_classes(is_named=is_named, wave_rank=wave_rank),
-        peaks=(LoadPeak(request_class=0, start=2, end=9, times=times),),
+        peaks=(replace(PEAK, times=times),),
     )
     return simulate(pattern, SEEDS)
 
@@ -115,6 +127,64 @@
                 self.assertGreater(worst, 0.25 * share_served(outcomes))
 
 
+class FailureTest(unittest.TestCase):
+    """One failure at a time during the wave."""
+
+    def simulate_seeds(self, make: Callable[[LoadPattern, int], Simulation]) -> list[Outcome]:
+        """Return the outcomes of the organisations beside the one that sends the wave."""
+        outcomes = [make(WAVE, seed).run() for seed in range(SEEDS)]
+        return [outcome for run in outcomes for outcome in run[1:]]
+
+    def test_a_new_owner_protects_the_others_at_once(self) -> None:
+        """Guards against a wave that displaces others until a new owner has learned their use."""
+
+        class ReplacedOwner(Simulation):
+            """The state of the owner is lost in the middle of the wave."""
+
+            def run(self) -> list[Outcome]:
+                self._schedule(5.0, self._replace_owner)
+                return super().run()
+
+            def _replace_owner(self, _: float) -> None:
+                waiting = self._queue.take_all()
+                self._queue.__init__()  # type: ignore[misc]
+                for piece in waiting:
+                    self._queue.add(piece)
+
+        outcomes = self.simulate_seeds(ReplacedOwner)
+        in_time = sum(outcome.in_time for outcome in outcomes)
+        self.assertGreater(in_time / sum(outcome.arrived for outcome in outcomes), 0.95)
+
+    def test_orders_of_an_older_release_count_as_those_of_one_organisation(self) -> None:
+        """Guards against unnamed orders that displace others, or are displaced."""
+        unnamed_small = (replace(USUAL, organisation="large"), replace(USUAL, organisation=""))
+        unnamed_wave = (replace(USUAL, organisation=""), replace(USUAL, organisation="small"))
+        for classes in (unnamed_small, unnamed_wave):
+            pattern = replace(WAVE, classes=classes)
+            with self.subTest(small=classes[1].organisation):
+                outcomes = simulate(replace(pattern, peaks=(replace(PEAK, times=16.0),)), SEEDS)
+                self.assertGreater(share_served(outcomes[1:]), 0.98)
+                self.assertGreater(outcomes[1].attained, 0.9)
+
+    def test_two_owners_share_fairly_what_each_of_them_receives(self) -> None:
+        """Guards against unfair shares while entries disagree on the owner."""
+
+        class HalfOfTheOrders(Simulation):
+            """The other half of the requests and of the time of each target is another owner's."""
+
+            def _order_pieces(self, index: int, count: int, **times: float) -> None:
+                if self._random.random() < 0.5:
+                    super()._order_pieces(index, count, **times)
+                else:
+                    self.outcomes[index].arrived -= 1
+
+        slow = replace(POOL, call_seconds=0.37, piece_seconds=0.0189)
+        outcomes = self.simulate_seeds(
+            lambda pattern, seed: HalfOfTheOrders(replace(pattern, pool=slow), seed)
+        )
+        self.assertGreater(share_served(outcomes), 0.95)
+
+
 class ShareOrderTest(unittest.TestCase):
     def fill(self, names: Sequence[str]) -> PieceQueue:
         """Return a queue with much work of one organisation, and a piece of another one.
@@ -138,6 +208,36 @@
         self.assertNotIn(99, late)
         self.assertGreater(len(late), 10)
 
+    def test_an_organisation_of_higher_priority_goes_first_beyond_its_share(self) -> None:
+        """Guards against shares that override the configured priority of organisations."""
+        queue = PieceQueue()
+        for number in range(40):
+            queue.add(make_piece(number, "first", objective_at=0.9))
+        for number in range(40, 43):
+            piece = make_piece(number, "second", objective_at=0.9)
+            order = replace(piece.order, rank=ROUTE_PRIORITY_LEVELS)
+            queue.add(replace(piece, order=order))
+        late = [piece.order.number for piece in queue.select(0.0, CAPACITY).late]
+        self.assertTrue({40, 41, 42} <= set(late))
+
+    def test_shares_add_at_most_one_run_for_each_rank(self) -> None:
+        """Guards against a search that costs a pass over the steps for each organisation."""
+        queue = PieceQueue()
+        for number in range(240):
+            piece = make_piece(number, f"o{min(7, number % 40)}", 0.8 + number % 9 / 10)
+            queue.add(replace(piece, order=replace(piece.order, rank=number % 3)))
+        runs = 0
+        begin_run = Schedule._begin_run
+
+        def count(schedule: Schedule, share: float) -> None:
+            nonlocal runs
+            runs += 1
+            begin_run(schedule, share)
+
+        with mock.patch.object(Schedule, "_begin_run", count):
+            queue.select(0.0, CAPACITY)
+        self.assertLessEqual(runs, 2 * 3)
+
     def test_without_names_the_latest_objective_gives_way(self) -> None:
         """Guards against an effect on deployments without fair shares."""
         self.assertIn(99, self.list_late("", ""))
