Shares cost little while nobody competes

Cause: a search of a queue with named orders executed 6,678 lines of Python for 60 stages of 16 organisations and 5,312 for one organisation, instead of 3,250 without names, also while no organisation had to give way.

Change: the division comes first, from the waiting work of each organisation; claims of single stages are examined only while organisations compete.

--- a/packages/damsonlane/src/damsonlane/fairness/_shares.py
+++ b/packages/damsonlane/src/damsonlane/fairness/_shares.py
@@ -28,6 +28,14 @@
     work: float
     #: Seconds until it must be complete.
     seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class WaitingWork:
+    """All waiting work of one organisation."""
+
+    #: The work, in seconds of a target or in tokens.
+    work: float
     #: Priority of the organisation; 0 comes first.
     priority: int = 0
 
@@ -88,16 +96,40 @@
         self._decay(now)
         self._demanded[name] = self._demanded.get(name, 0.0) + work / DECAY_SECONDS
 
-    def find_excess(self, claims: Sequence[Claim], capacity: float, now: float) -> list[bool]:
-        """Return for each claim whether it is beyond the share of its organisation.
+    def divide(self, waiting: Mapping[str, WaitingWork], capacity: float, now: float) -> bool:
+        """Divide a capacity by recent and waiting work, the highest priority first.
 
         Args:
-            claims: the waiting work; of each organisation, the most urgent work comes first.
+            waiting: the waiting work by name of the organisation.
             capacity: the capacity, in units of work per second.
             now: the monotonic clock, in seconds.
+
+        Returns:
+            Whether any organisations compete.
         """
         self._decay(now)
-        self._divide(capacity, claims)
+        self._priorities.update((name, work.priority) for name, work in waiting.items())
+        by_priority: dict[int, dict[str, Demand]] = {}
+        for name, demand in self._list_demands(waiting).items():
+            by_priority.setdefault(self._priorities.get(name, 0), {})[name] = demand
+        entitlements: dict[str, float] = {}
+        left = self._capacity = capacity
+        for priority, group in sorted(by_priority.items()):
+            self._parts[priority] = left / capacity if capacity > 0 else 1.0
+            # One organisation has nobody to share with.
+            parts = divide_capacity(left if len(group) > 1 else math.inf, group)
+            entitlements.update(parts)
+            left -= sum(min(demand.amount, parts[name]) for name, demand in group.items())
+            left = max(0.0, left)
+        self.entitlements = entitlements
+        return math.isfinite(min(entitlements.values(), default=math.inf))
+
+    def find_excess(self, claims: Sequence[Claim]) -> list[bool]:
+        """Return for each claim whether it is beyond the share by the last division.
+
+        Args:
+            claims: the waiting work; of each organisation, the most urgent work comes first.
+        """
         planned = self._list_overdrafts()
         excess: list[bool] = []
         for claim in claims:
@@ -125,24 +157,6 @@
         """Return the part of the capacity that higher priorities leave to an organisation."""
         return self._parts.get(self._priorities.get(name, 0), 1.0)
 
-    def _divide(self, capacity: float, claims: Sequence[Claim]) -> None:
-        """Divide a capacity among organisations, those of the highest priority first."""
-        self._priorities.update((claim.organisation, claim.priority) for claim in claims)
-        demands = self._list_demands(claims)
-        by_priority: dict[int, dict[str, Demand]] = {}
-        for name, demand in demands.items():
-            by_priority.setdefault(self._priorities.get(name, 0), {})[name] = demand
-        entitlements: dict[str, float] = {}
-        left = self._capacity = capacity
-        for priority, group in sorted(by_priority.items()):
-            self._parts[priority] = left / capacity if capacity > 0 else 1.0
-            # One organisation has nobody to share with.
-            parts = divide_capacity(left if len(group) > 1 else math.inf, group)
-            entitlements.update(parts)
-            left -= sum(min(demand.amount, parts[name]) for name, demand in group.items())
-            left = max(0.0, left)
-        self.entitlements = entitlements
-
     def _list_overdrafts(self) -> dict[str, float]:
         """Return the work that each organisation has recently used beyond its share."""
         return {
@@ -150,12 +164,11 @@
             for name, rate in self._started.items()
         }
 
-    def _list_demands(self, claims: Sequence[Claim]) -> Mapping[str, Demand]:
+    def _list_demands(self, waiting: Mapping[str, WaitingWork]) -> Mapping[str, Demand]:
         """Return the demand of each organisation that has recent or waiting work."""
         amounts = dict(self._demanded)
-        for claim in claims:
-            name = claim.organisation
-            amounts[name] = amounts.get(name, 0.0) + claim.work / WAITING_SECONDS
+        for name, work in waiting.items():
+            amounts[name] = amounts.get(name, 0.0) + work.work / WAITING_SECONDS
         return {
             name: Demand(amount=amount, weight=self._find_weight(name))
             for name, amount in amounts.items()
--- a/packages/damsonlane/src/damsonlane/fairness/tests/test_shares.py
+++ b/packages/damsonlane/src/damsonlane/fairness/tests/test_shares.py
@@ -1,9 +1,10 @@
 """Which waiting work is within the share of its organisation."""
 
 import unittest
-from dataclasses import replace
+from collections import Counter
+from collections.abc import Collection
 
-from damsonlane.fairness import Claim, OrganisationShares, OrganisationUsage
+from damsonlane.fairness import Claim, OrganisationShares, OrganisationUsage, WaitingWork
 from damsonlane.fairness._usage import MAX_NAMES, OTHERS
 
 #: Capacity in units of work per second.
@@ -17,9 +18,17 @@
 class OrganisationSharesTest(unittest.TestCase):
     def setUp(self) -> None:
         self.shares = OrganisationShares()
+        #: Organisations of a lower priority than the others.
+        self.later: Collection[str] = ()
 
     def count_within(self, claims: list[Claim], now: float = 0.0) -> dict[str, int]:
-        flags = self.shares.find_excess(claims, CAPACITY, now)
+        work = Counter(claim.organisation for claim in claims)
+        waiting = {
+            name: WaitingWork(work=count, priority=int(name in self.later))
+            for name, count in work.items()
+        }
+        self.shares.divide(waiting, CAPACITY, now)
+        flags = self.shares.find_excess(claims)
         within = [claim.organisation for claim, flag in zip(claims, flags, strict=True) if not flag]
         return {name: within.count(name) for name in {claim.organisation for claim in claims}}
 
@@ -48,13 +57,13 @@
         """Guards against memory that grows with the number of organisations ever seen."""
         for number in range(5_000):
             self.shares.record_refused(f"o{number}", 0.04, 0.0)
-        self.shares.find_excess([], CAPACITY, 60.0)
+        self.shares.divide({}, CAPACITY, 60.0)
         self.assertEqual(len(self.shares.entitlements), 0)
 
     def test_organisations_of_a_higher_priority_do_not_give_way_to_others(self) -> None:
         """Guards against shares that override the configured priorities."""
         claims = [*list_claims("first", 8), *list_claims("a", 8), *list_claims("b", 8)]
-        claims = [replace(c, priority=int(c.organisation != "first")) for c in claims]
+        self.later = ("a", "b")
         self.assertEqual(self.count_within(claims), {"first": 8, "a": 2, "b": 2})
         self.assertFalse(self.shares.is_contended("first"))
         self.assertAlmostEqual(self.shares.find_part("a"), 0.2)
--- a/packages/damsonlane/src/damsonlane/placement/_engine_shares.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_shares.py
@@ -15,6 +15,7 @@
     OrganisationShares,
     OrganisationUsage,
     UsageTotals,
+    WaitingWork,
     equal_weight,
 )
 from damsonlane.placement._prefill_pace import PrefillPace
@@ -73,17 +74,18 @@
         """
         if not (self._is_used or request.organisation) or not engines:
             return False
+        name, own = request.organisation, request.tokens
+        waiting = {other: WaitingWork(work=tokens) for other, tokens in self._awaited.items()} | {
+            name: WaitingWork(work=self._awaited.get(name, 0) + own)
+        }
+        capacity = engines / self._pace.seconds(1.0)
+        if not self._shares.divide(waiting, capacity, now):
+            return False
         claims = [
-            Claim(organisation=name, work=tokens, seconds=math.inf)
-            for name, tokens in self._awaited.items()
+            Claim(organisation=name, work=self._awaited.get(name, 0), seconds=math.inf),
+            Claim(organisation=name, work=own, seconds=request.aim_left_seconds),
         ]
-        own = Claim(
-            organisation=request.organisation,
-            work=request.tokens,
-            seconds=request.aim_left_seconds,
-        )
-        capacity = engines / self._pace.seconds(1.0)
-        return self._shares.find_excess([*claims, own], capacity, now)[-1]
+        return self._shares.find_excess(claims)[-1]
 
     def record_placed(
         self,
--- a/packages/damsonlane/src/damsonlane/pools/_organisation_shares.py
+++ b/packages/damsonlane/src/damsonlane/pools/_organisation_shares.py
@@ -9,6 +9,7 @@
     OrganisationShares,
     OrganisationUsage,
     UsageTotals,
+    WaitingWork,
     equal_weight,
 )
 from damsonlane.pools._priorities import ROUTE_PRIORITY_LEVELS
@@ -46,7 +47,7 @@
 
     def order(
         self, stages: Sequence[WaitingStage], now: float, capacity: CallCapacity
-    ) -> list[WaitingStage]:
+    ) -> Sequence[WaitingStage]:
         """Return stages with those within the shares first, for each priority of organisations.
 
         Args:
@@ -54,36 +55,47 @@
             now: the monotonic clock, in seconds.
             capacity: the capacity of the pool.
         """
-        if not any(stage.organisation for stage in stages):
-            self._excess = frozenset()
-            self._is_contended = False
-            return list(stages)
+        self._excess = frozenset()
+        self._is_contended = False
+        waiting = _count_pieces(stages)
+        if waiting.keys() <= {""}:
+            return stages
         self._is_used = True
         self._piece_seconds = capacity.full_seconds / capacity.batch
+        works = {
+            name: WaitingWork(
+                work=pieces * self._piece_seconds, priority=rank // ROUTE_PRIORITY_LEVELS
+            )
+            for name, (pieces, rank) in waiting.items()
+        }
+        capacity_rate = SHARED_CAPACITY * capacity.pieces_per_second * self._piece_seconds
+        self._is_contended = self._shares.divide(works, capacity_rate, now)
+        if not self._is_contended:
+            return stages
+        self._excess = self._find_excess(stages, now, capacity.earliest_completion(now))
+        return sorted(stages, key=self._share_key) if self._excess else stages
+
+    def _find_excess(
+        self, stages: Sequence[WaitingStage], now: float, earliest: float
+    ) -> Collection[tuple[str, str, int]]:
+        """Return the groups of the stages that are beyond the share of their organisation."""
         # A stage that misses its objective anyway takes nothing from the share of the others, so
         # it comes after them, and is needed by its deadline.
-        earliest = capacity.earliest_completion(now)
         in_order = sorted(stages, key=lambda stage: stage.objective_at < earliest)
         claims = [
             Claim(
                 organisation=stage.organisation,
                 work=len(stage.pieces) * self._piece_seconds,
                 seconds=_needed_at(stage, earliest) - now,
-                priority=stage.rank // ROUTE_PRIORITY_LEVELS,
             )
             for stage in in_order
         ]
-        capacity_rate = SHARED_CAPACITY * capacity.pieces_per_second * self._piece_seconds
-        flags = self._shares.find_excess(claims, capacity_rate, now)
-        self._is_contended = any(map(self._shares.is_contended, self._shares.entitlements))
-        self._excess = {
+        flags = self._shares.find_excess(claims)
+        return {
             stage.pieces[0].group
             for stage, is_excess in zip(in_order, flags, strict=True)
             if is_excess
         }
-        if not self._excess:
-            return list(stages)
-        return sorted(stages, key=self._share_key)
 
     def capacity_share(self, stage: WaitingStage, usual: float, capacity: CallCapacity) -> float:
         """Return the share of the nominal throughput that is left for a stage.
@@ -149,6 +161,16 @@
         return (organisation_rank, stage.pieces[0].group in self._excess)
 
 
+def _count_pieces(stages: Sequence[WaitingStage]) -> Mapping[str, tuple[int, int]]:
+    """Return the number of waiting pieces and a rank of each organisation."""
+    counts: dict[str, tuple[int, int]] = {}
+    for stage in stages:
+        order = stage.pieces[0].order
+        before, _ = counts.get(order.organisation, (0, 0))
+        counts[order.organisation] = (before + len(stage.pieces), order.rank)
+    return counts
+
+
 def _needed_at(stage: WaitingStage, earliest: float) -> float:
     """Return when a stage must be complete: in time, or at its deadline if that is too late."""
     return stage.objective_at if stage.objective_at >= earliest else stage.deadline_at
