--- a/packages/damsonlane/src/damsonlane/fairness/tests/test_shares.py
+++ b/packages/damsonlane/src/damsonlane/fairness/tests/test_shares.py
@@ -68,6 +68,11 @@
         self.assertFalse(self.shares.is_contended("first"))
         self.assertAlmostEqual(self.shares.find_part("a"), 0.2)
 
+    def test_weights_divide_the_shares(self) -> None:
+        self.shares = OrganisationShares({"a": 3.0, "b": 1.0}.__getitem__)
+        within = self.count_within([*list_claims("a", 50), *list_claims("b", 50)])
+        self.assertEqual(within, {"a": 8, "b": 3})
+
     def test_time_that_goes_back_changes_nothing(self) -> None:
         self.shares.record_started("a", 1.0, 10.0)
         self.shares.record_started("a", 1.0, 5.0)
