--- a/packages/damsonlane/src/damsonlane/fairness/_shares.py
+++ b/packages/damsonlane/src/damsonlane/fairness/_shares.py
@@ -135,7 +135,8 @@
         for claim in claims:
             name = claim.organisation
             before = planned.get(name, 0.0)
-            # The first claim is within the share, however small that is.
+            # Of an organisation that kept to its share, the first claim is within it, however
+            # small the share is.
             is_excess = before > self.entitlements[name] * max(0.0, claim.seconds)
             if not is_excess:
                 planned[name] = before + claim.work
