--- a/packages/damsonlane/src/damsonlane/placement/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placement/_prompts.py
@@ -1,6 +1,10 @@
 """Messages by which one box asks another to place its prompts."""
 
+import operator
 from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import Field
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -59,6 +63,9 @@
     #: Name of an engine that has cached more of the prompt, from which its segments should be
     #: fetched; empty for none.
     source: str = ""
+    #: Whether the prompt is beyond the share of its organisation, so that others go first.
+    #: Messages omit it otherwise, so that those of deployments without shares stay as they are.
+    is_beyond_share: Annotated[bool, Field(exclude_if=operator.not_)] = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
@@ -7,6 +7,7 @@
 
 from damsonlane.pools import OwnedWork
 from damsonlane.targets import Shard
+from damsonlaned.fairness import ShareReporter
 from damsonlaned.gateway._owner_activity import OwnerActivity
 from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._prompt_placer import PromptPlacers
@@ -37,6 +38,7 @@
         metrics: the metrics of the process.
         find_cores: returns the capacity of the box, in cores; 0 if unknown.
         on_load: called with the load once for each report.
+        shares: logs and counts the work of organisations.
     """
 
     def __init__(
@@ -48,9 +50,11 @@
         metrics: Metrics,
         find_cores: Callable[[], float],
         on_load: Callable[[float], None],
+        shares: ShareReporter,
     ) -> None:
         self._find_cores: Final = find_cores
         self._on_load: Final = on_load
+        self._shares: Final = shares
         self._view: Final = view
         self._owners: Final = owners
         self._placers: Final = placers
@@ -83,6 +87,8 @@
             self._division.consider(share, self._list_works(pools, now - reported_at))
             reported_at = now
             self._on_load(share)
+            usage = {**self._owners.take_usage(), **self._placers.take_usage()}
+            self._shares.record(usage, now)
             if share >= LOGGED_SHARE:
                 self._log(share, {**pools, **self._placers.take_activities()})
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -19,6 +19,7 @@
 from damsonlaned.admin import AdminServer
 from damsonlaned.clock import read_clock
 from damsonlaned.dialects import DIALECTS
+from damsonlaned.fairness import ShareReporter
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._caller_service import CallerService, HandlerDependencies
 from damsonlaned.gateway._control_follower import ControlFollower
@@ -93,7 +94,13 @@
             self._shares,
         )
         owners = PoolOwners(
-            self._view, targets, self._dialect, self._metrics, exit_detector, self._quarantine
+            self._view,
+            targets,
+            self._dialect,
+            self._metrics,
+            exit_detector,
+            self._quarantine,
+            find_weight=gateway.find_weight,
         )
         self._owners: Final = owners
         self._pools: Final = PoolClient(
@@ -103,7 +110,7 @@
             context,
             self._dialect.read_result_address,
         )
-        placers = self._placers = PromptPlacers(self._view)
+        placers = self._placers = PromptPlacers(self._view, gateway.find_weight)
         self._pool_service: Final = PoolService(owners, placers, self._view.limits)
         placements = PlacementClient(placers, self._pools, settings.internal_address)
         self._pools.on_placements = placements.receive
@@ -117,6 +124,7 @@
             self._metrics,
             lambda: self._control_follower.capacity,
             self._check_overload,
+            ShareReporter(self._metrics),
         )
         self._overload: Final = OverloadDetector()
         self._limit_reports: Final = LimitReports(self._view, self._control)
@@ -139,6 +147,7 @@
                 dialect=self._dialect,
                 metrics=self._metrics,
                 count_entries=self._count_equivalents,
+                fair_shares=gateway.fair_shares,
             )
         )
         self._guard: Final = (
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -282,6 +282,7 @@
         control: Control | None = None,
         address: str = "127.0.0.1:9",
         guard: BufferGuard | None = None,
+        fair_shares: bool = False,
     ) -> None:
         dialect = NativeDialect()
         self.address = address
@@ -316,6 +317,7 @@
                 dialect=dialect,
                 metrics=self.metrics,
                 count_entries=lambda: 1,
+                fair_shares=fair_shares,
             )
         )
         self._listener = HttpListener(
