Serve late requests in the capacity that in-time work leaves

Cause: an owner refuses each stage that has no slot within its latency objective, although nearly all such requests of a wave could still meet their deadline, since capacity is free again some seconds later.

Change: PieceOrder.may_be_late (default false, which means refuse) says that a late result is wanted. Such a stage is kept as late work while it can meet its deadline, and refused at once otherwise. Late work runs before in-time work only if that work and the arrivals of the last second, repeated, keep their objectives; otherwise it fills calls. It leaves half of the targets and half of the free result memory of a target to in-time work.

Ruled out: judging late stages again with each call.

--- a/packages/damsonlane/src/damsonlane/pools/_batch.py
+++ b/packages/damsonlane/src/damsonlane/pools/_batch.py
@@ -20,7 +20,7 @@
 
 
 def fill_batch(
-    ordered: Sequence[WaitingStage], now: float, capacity: CallCapacity
+    ordered: Sequence[WaitingStage], now: float, capacity: CallCapacity, slots: int | None = None
 ) -> list[WaitingPiece]:
     """Return the pieces of one call, within its batch size and the free result memory.
 
@@ -28,13 +28,15 @@
         ordered: the stages whose pieces may run, most urgent first.
         now: the monotonic clock, in seconds.
         capacity: the target that takes the call.
+        slots: maximum number of pieces to return; the batch size if None.
     """
+    limit = capacity.batch if slots is None else slots
     batch: list[WaitingPiece] = []
     memory_bytes = float(capacity.result_memory_bytes)
     first: WaitingStage | None = None
     for stage in _prefer_local(ordered, now, capacity):
         first = first or stage
-        left = capacity.batch - len(batch)
+        left = limit - len(batch)
         if len(stage.pieces) > left and not _may_split(stage, now, capacity):
             continue
         taken = _take(stage, left, memory_bytes)
@@ -42,11 +44,11 @@
             continue
         memory_bytes -= sum(map(_estimate_size, taken))
         batch.extend(taken)
-        if len(batch) >= capacity.batch:
+        if len(batch) >= limit:
             break
     if not batch and first is not None:
         # Running a part of the most urgent stage is better than leaving the target idle.
-        return _take(first, capacity.batch, capacity.result_memory_bytes)
+        return _take(first, limit, capacity.result_memory_bytes)
     return batch
 
 
@@ -61,7 +63,7 @@
     wave: list[WaitingStage] = []
     pieces = 0
     for stage in ordered:
-        if not _may_run_at(stage, now, capacity):
+        if not may_run_at(stage, now, capacity):
             continue
         wave.append(stage)
         pieces += len(stage.pieces)
@@ -101,7 +103,7 @@
     return is_too_large or is_short_of_time
 
 
-def _may_run_at(stage: WaitingStage, now: float, capacity: CallCapacity) -> bool:
+def may_run_at(stage: WaitingStage, now: float, capacity: CallCapacity) -> bool:
     """Return whether a stage may run here rather than wait for a target in its home data centre."""
     home = stage.home
     if home in ("", capacity.data_centre) or home not in capacity.seconds_until_free:
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -47,6 +47,8 @@
     home: str = ""
     #: Organisation of the caller where organisations share the pool fairly; empty otherwise.
     organisation: str = ""
+    #: Whether a result that misses the latency objective is wanted if it meets the deadline.
+    may_be_late: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -1,10 +1,12 @@
 """The queue of a pool: order, load shedding and wait estimates."""
 
+import heapq
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
-from typing import Final
+from dataclasses import dataclass, field, replace
+from typing import Final, TypeVar
 
 from damsonlane.pools._batch import fill_batch
+from damsonlane.pools._late_work import LateStage, LateWork
 from damsonlane.pools._pieces import PieceOrder
 from damsonlane.pools._priorities import ClassPriorities
 from damsonlane.pools._recent_work import RecentWork
@@ -16,6 +18,8 @@
 #: Their load peaks last a few seconds; a larger share refuses pieces that could be in time.
 MAX_HIGHER_PRIORITY_SHARE: Final = 0.5
 
+_Stage = TypeVar("_Stage", bound=WaitingStage)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Selection:
@@ -35,22 +39,15 @@
     ordered: list[WaitingStage]
     #: Pieces that were removed from the queue, since they are too late or will be.
     late: tuple[WaitingPiece, ...]
+    #: Late stages that only fill calls which the others leave; earliest deadline first.
+    spare: list[LateStage] = field(default_factory=list)
 
     def remove(self, batch: Sequence[WaitingPiece]) -> None:
         """Remove the pieces of a call."""
         if not batch:
             return
-        taken = {piece.identity for piece in batch}
-        groups = {piece.group for piece in batch}
-        left: list[WaitingStage] = []
-        for stage in self.ordered:
-            if stage.pieces[0].group not in groups:
-                left.append(stage)
-                continue
-            pieces = tuple(piece for piece in stage.pieces if piece.identity not in taken)
-            if pieces:
-                left.append(WaitingStage(pieces=pieces))
-        self.ordered = left
+        self.ordered = _list_remaining(self.ordered, batch)
+        self.spare = _list_remaining(self.spare, batch)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -70,30 +67,31 @@
         self._waiting: Final = WaitingStages()
         self._recent_work: Final = RecentWork()
         self._priorities: Final = ClassPriorities()
+        self._late_work: Final = LateWork()
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._waiting) + len(self._late_work.waiting)
 
     def add(self, piece: WaitingPiece) -> None:
         """Add a piece unless it is in the queue already."""
-        self._waiting.add(piece)
+        if piece.identity not in self._late_work.waiting:
+            self._waiting.add(piece)
+            self._late_work.record_arrival(piece)
 
     def cancel(self, sender: str, number: int) -> None:
         """Remove a piece that its sender no longer needs."""
         self._waiting.remove((sender, number))
+        self._late_work.waiting.remove((sender, number))
 
     def cancel_all(self, sender: str) -> None:
         """Remove all pieces of a sender that is disconnected."""
         self._remove(
-            piece
-            for stage in self._waiting.list_all()
-            for piece in stage.pieces
-            if piece.sender == sender
+            piece for piece in _list_pieces(self._list_waiting()) if piece.sender == sender
         )
 
     def take_all(self) -> tuple[WaitingPiece, ...]:
         """Remove and return all pieces."""
-        pieces = _list_pieces(self._waiting.list_all())
+        pieces = _list_pieces(self._list_waiting())
         self._remove(pieces)
         return tuple(pieces)
 
@@ -129,11 +127,17 @@
         evaluation = self._evaluate(now, capacity)
         refused = self._list_refused(evaluation, now, capacity)
         late = _list_pieces(refused)
-        self._record_refused(late, now)
+        self._record_refused([piece for piece in late if not piece.order.may_be_late], now)
         self._remove(late)
         dropped = {id(stage) for stage in refused}
-        kept = [stage for stage in evaluation.not_in_time if id(stage) not in dropped]
-        return CallPlan(ordered=[*evaluation.in_time, *kept], late=(*expired, *late))
+        kept = [
+            stage
+            for stage in evaluation.not_in_time
+            if id(stage) not in dropped and not stage.may_be_late
+        ]
+        among, spare = self._late_work.split(evaluation.in_time, now, capacity)
+        first = heapq.merge(evaluation.in_time, among, key=lambda stage: stage.objective_at)
+        return CallPlan(ordered=[*first, *kept], late=(*expired, *late), spare=spare)
 
     def take_batch(
         self, plan: CallPlan, now: float, capacity: CallCapacity
@@ -146,26 +150,30 @@
             capacity: the target that takes the call.
         """
         batch = fill_batch(plan.ordered, now, capacity)
+        if len(self._late_work.waiting):
+            batch = self._late_work.complete(batch, plan.ordered, plan.spare, now, capacity)
         plan.remove(batch)
-        self._remove(batch)
         for piece in batch:
+            if piece.identity in self._late_work.waiting:
+                continue
             self._recent_work.record(piece.order.rank, now)
             if not piece.order.is_late_return:
                 self._priorities.record_served(piece.order.rank, now)
+        self._remove(batch)
         return tuple(batch)
 
     def take_late(self, now: float, capacity: CallCapacity) -> tuple[WaitingPiece, ...]:
         """Remove and return the pieces that are too late, or will be before their turn."""
         expired = self.take_expired(now, capacity)
         refused = _list_pieces(self._list_refused(self._evaluate(now, capacity), now, capacity))
-        self._record_refused(refused, now)
+        self._record_refused([piece for piece in refused if not piece.order.may_be_late], now)
         self._remove(refused)
         return (*expired, *refused)
 
     def take_expired(self, now: float, capacity: CallCapacity) -> tuple[WaitingPiece, ...]:
         """Remove and return the pieces whose deadline passes before a call could compute them."""
         earliest = capacity.earliest_completion(now)
-        stages = [stage for stage in self._waiting.list_all() if stage.deadline_at < earliest]
+        stages = [stage for stage in self._list_waiting() if stage.deadline_at < earliest]
         expired = _list_pieces(stages)
         self._remove(expired)
         return tuple(expired)
@@ -196,11 +204,22 @@
         Those begun are abandoned as well, since their results occupy result memory that
         requests in time need, but not once their callers have waited for long.  Stages that
         the targets can take at once are not refused, unless no target can be used.
+
+        Those whose orders allow a late result are late work from now on, and refused only if they
+        can't meet their deadline.
         """
         at_once = capacity.pieces_within_call
         ahead = sum(len(stage.pieces) for stage in evaluation.in_time)
-        refused: list[WaitingStage] = []
         for stage in evaluation.not_in_time:
+            if stage.may_be_late:
+                # Counted as refused, so that priorities are the same as if it were.
+                self._record_refused(stage.pieces, now)
+                self._remove(stage.pieces)
+                self._late_work.add(stage)
+        refused = self._late_work.list_refused(evaluation.in_time, now, capacity, _late_key)
+        for stage in evaluation.not_in_time:
+            if stage.may_be_late:
+                continue
             if ahead >= at_once and stage.may_be_refused(now):
                 refused.append(stage)
             else:
@@ -228,6 +247,12 @@
     def _remove(self, pieces: Iterable[WaitingPiece]) -> None:
         for piece in pieces:
             self._waiting.remove(piece.identity)
+            self._late_work.waiting.remove(piece.identity)
+
+    def _list_waiting(self) -> Sequence[WaitingStage]:
+        """Return all stages, those that are served late included."""
+        late = self._late_work.waiting.list_all()
+        return [*self._waiting.list_all(), *late] if late else self._waiting.list_all()
 
 
 def _priority_key(
@@ -248,3 +273,18 @@
 def _list_pieces(stages: Sequence[WaitingStage]) -> list[WaitingPiece]:
     """Return the pieces of stages, in order."""
     return [piece for stage in stages for piece in stage.pieces]
+
+
+def _list_remaining(stages: Sequence[_Stage], batch: Sequence[WaitingPiece]) -> list[_Stage]:
+    """Return the stages without the pieces of a call."""
+    taken = {piece.identity for piece in batch}
+    groups = {piece.group for piece in batch}
+    remaining: list[_Stage] = []
+    for stage in stages:
+        if stage.pieces[0].group not in groups:
+            remaining.append(stage)
+            continue
+        pieces = tuple(piece for piece in stage.pieces if piece.identity not in taken)
+        if pieces:
+            remaining.append(replace(stage, pieces=pieces))
+    return remaining
--- a/packages/damsonlane/src/damsonlane/pools/_schedule.py
+++ b/packages/damsonlane/src/damsonlane/pools/_schedule.py
@@ -56,6 +56,11 @@
         """Whether no work has been done for the request yet."""
         return all(piece.is_unstarted for piece in self.pieces)
 
+    @property
+    def may_be_late(self) -> bool:
+        """Whether a result that misses the latency objective is wanted."""
+        return self.pieces[0].order.may_be_late
+
     def may_be_refused(self, now: float) -> bool:
         """Return whether the request may still be refused or abandoned."""
         return self.is_unstarted or now < self.pieces[0].abandonable_until
@@ -91,6 +96,13 @@
         self._spare: list[float] = []
         self._least_spare: list[float] = []
 
+    def reserve(self, pieces: int, ends_by: float) -> None:
+        """Reserve capacity for pieces until a time, whether or not there is enough."""
+        step = max(0, self._find_step(ends_by))
+        self._reserved[step] += pieces
+        self._last = max(step, self._last)
+        self._run_step = len(self._reserved)
+
     def try_add(self, stage: WaitingStage, share: float) -> bool:
         """Reserve capacity for a stage if it and all stages added before stay in time.
 
--- a/packages/damsonlane/src/damsonlane/pools/_stages.py
+++ b/packages/damsonlane/src/damsonlane/pools/_stages.py
@@ -22,6 +22,10 @@
         """Return the number of pieces."""
         return len(self._pieces)
 
+    def __contains__(self, identity: tuple[str, int]) -> bool:
+        """Return whether a piece is present, by its sender and number."""
+        return identity in self._pieces
+
     def add(self, piece: WaitingPiece) -> None:
         """Add a piece unless it is present already."""
         identity = piece.identity
