Forecast the ends of answers; refuse requests that can't end in time

Deadlines of pieces left no time for the stream after its first event.

Change: damsonlane/lateness learns the time from the first event to the end of a stream (from sending to the end of another answer) by route and range of output tokens, as a low quantile that halves in 10 s without an answer. With late_requests = "serve" it is part of the deadlines of pieces, and a request whose answer would end after its deadline is refused as not run before its stages and before its target is chosen, also without stages. While nothing is learned, nothing is refused. damsonlaned/lateness logs and counts by route. With "refuse" nothing is learned, forecast or logged.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -19,6 +19,7 @@
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import HttpRequest, HttpResponse, ListenerLimits, ResponseWriter
+from damsonlaned.lateness import LateRequests
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine
 
@@ -66,6 +67,8 @@
     metrics: Metrics
     #: Returns how many entries share the fleet's retry budget.
     count_entries: Callable[[], int]
+    #: The policy for late requests.
+    late_requests: LateRequests
 
 
 class CallerService:
@@ -131,6 +134,7 @@
             dependencies.quarantine,
             dependencies.dialect,
             dependencies.count_entries,
+            dependencies.late_requests,
         )
         _LOG.info("accepted", extra=_accepted_fields(call))
         try:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -33,6 +33,7 @@
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.lateness import LateRequests
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine, QuarantineClient
 
@@ -110,16 +111,18 @@
             gateway.retry_window_seconds,
             gateway.retry_slack,
         )
+        late_requests = LateRequests(gateway.late_requests, self._metrics)
         self._caller_service: Final = CallerService(
             HandlerDependencies(
                 view=self._view,
                 attempts=attempts,
-                stages=StageRunner(self._pools, self._find_data_centre),
+                stages=StageRunner(self._pools, self._find_data_centre, late_requests),
                 exit_detector=exit_detector,
                 quarantine=self._quarantine,
                 dialect=self._dialect,
                 metrics=self._metrics,
                 count_entries=self._count_entries,
+                late_requests=late_requests,
             )
         )
         self._listener: Final = HttpListener(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -31,6 +31,7 @@
     NotSentError,
     ResponseWriter,
 )
+from damsonlaned.lateness import LateRequests
 from damsonlaned.quarantine import LostTarget, Quarantine
 
 _LOG: Final = logging.getLogger(__name__)
@@ -48,6 +49,7 @@
         quarantine: lists requests under which targets exited.
         dialect: renders responses that are not a target's.
         count_entries: returns how many entries share the fleet's retry budget.
+        late_requests: the policy for late requests.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         quarantine: Quarantine,
         dialect: Dialect,
         count_entries: Callable[[], int],
+        late_requests: LateRequests,
     ) -> None:
         self._call: Final = call
         self._attempts: Final = attempts
@@ -67,6 +70,7 @@
         self._exit_detector: Final = exit_detector
         self._quarantine: Final = quarantine
         self._is_stopped = False
+        self._late_requests: Final = late_requests
         self._count_entries: Final = count_entries
         #: Results of the stages; None until they are computed and after they are released.
         self._results: StageResults | None = None
@@ -76,7 +80,7 @@
         self._response: Final = FinalResponse(call.request.request_id, writer, dialect)
         self._responder: Final = FailureResponder(self._response, self._history)
         self._target_wait: Final = TargetWait(
-            call, attempts, stages, self._history, self._response, self._responder
+            call, attempts, stages, self._history, self._response, self._responder, late_requests
         )
 
     @property
@@ -250,6 +254,8 @@
             self._response.send_response(response)
             if response.status < 300:
                 self._quarantine.record_served(self._call.fingerprint)
+                if self._call.service.engine is None:
+                    self._record_duration(self._times.seconds_since_sent())
         return failure
 
     def _find_failure(self, opened: OpenedExchange, response: HttpResponse) -> FailedAttempt | None:
@@ -284,6 +290,8 @@
             if not self._response.has_started():
                 self._response.start(opened.head)
             self._response.finish()
+            if self._history.attempt_count == 1:
+                self._record_duration(self._times.seconds_since_first_event())
             self._quarantine.record_served(self._call.fingerprint)
             health = "good"
             return None
@@ -313,6 +321,11 @@
         if event_id is not None:
             self._last_event = event_id
 
+    def _record_duration(self, seconds: float) -> None:
+        """Record the duration of a complete answer, from which others are forecast."""
+        tokens = self._call.request.max_output_tokens
+        self._late_requests.record_duration(self._call.route.name, tokens, seconds)
+
     async def _read_chunks(self, opened: OpenedExchange) -> AsyncIterator[bytes]:
         """Yield the body of a stream as it arrives.
 
@@ -363,6 +376,9 @@
 
     def _log_outcome(self) -> None:
         call = self._call
+        late_seconds = call.arrived_at + self._times.seconds_to_answer() - call.objective_at
+        if self.outcome == "answered" and late_seconds > 0:
+            self._late_requests.record_served(call.route.name, call.log_fields(), late_seconds)
         _LOG.info(
             "ended",
             extra={
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_times.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_times.py
@@ -35,6 +35,16 @@
         """Return the seconds since it was last sent to a target."""
         return self.age() - self._sent_seconds
 
+    def seconds_since_first_event(self) -> float:
+        """Return the seconds since the first event; 0 if there was none."""
+        first = self._first_event_seconds
+        return self.age() - first if first is not None else 0.0
+
+    def seconds_to_answer(self) -> float:
+        """Return the seconds until the first event, or until now for an answer without events."""
+        first = self._first_event_seconds
+        return first if first is not None else self.age()
+
     def record_first_event(self) -> float:
         """Record the first event and return the seconds since the stages completed."""
         self._first_event_seconds = self.age()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
@@ -13,6 +13,7 @@
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._pool_client import PoolClient
 from damsonlaned.gateway._stage_attempt import StageAttempt
+from damsonlaned.lateness import LateRequests
 
 #: Share of its time after which a request whose stages have begun is served even if
 #: it misses its objective: its caller has waited too long for a retry to succeed.
@@ -37,6 +38,9 @@
     queues: float
     #: Time from the start of the last step to the first event of its answer.
     first_event: float
+    #: Further time by which the deadline of late work must be met: that of calls in progress at
+    #: the later pools, and that from the first event to the end of the answer.
+    late: float
 
 
 class StageOrders:
@@ -45,10 +49,14 @@
     Args:
         client: provides the queueing time of each pool.
         locate: returns the data centre that holds a result, by its handle.
+        late_requests: the policy for late requests, which forecasts the ends of answers.
     """
 
-    def __init__(self, client: PoolClient, locate: Callable[[str], str]) -> None:
+    def __init__(
+        self, client: PoolClient, locate: Callable[[str], str], late_requests: LateRequests
+    ) -> None:
         self._client: Final = client
+        self._late_requests: Final = late_requests
         self._locate: Final = locate
         self._first_events: Final[dict[str, FirstEventForecast]] = {}
 
@@ -56,6 +64,16 @@
         """Record the seconds from sending a request to the first event of its answer."""
         self._find_forecast(call).record(call.request.prompt_tokens, seconds)
 
+    def estimate_last_step(self, call: Call) -> float | None:
+        """Return the estimated seconds from sending a request to the end of its answer.
+
+        None while nothing is learned about its route, or if late requests are refused.
+        """
+        duration = self._find_duration(call)
+        if duration is None or call.service.engine is None:
+            return duration
+        return duration + self._estimate_first_event(call)
+
     def estimate_seconds(self, call: Call, stage: Stage) -> float:
         """Return the estimated seconds of a stage, including the last reported queueing time."""
         wait = self._client.wait_seconds(stage.service, call.priority)
@@ -97,6 +115,7 @@
         now = asyncio.get_running_loop().time()
         remaining = after.stages + after.queues + after.first_event
         aim_left = _find_objective(call, now) - now - remaining
+        left = call.deadline_at - now - after.stages - after.first_event - after.late
         is_late_return = call.earlier_wait_seconds > 0 and aim_left < _typical_seconds(
             call, ready.stage
         )
@@ -104,6 +123,10 @@
             # A retried request that will be late anyway gets the objective of a new one, so that
             # it is served as soon as that or refused.
             aim_left += call.earlier_wait_seconds
+        may_be_late = self._late_requests.are_served and not call.has_response_begun
+        if may_be_late:
+            # A long answer may have its deadline before its latency objective.
+            aim_left = min(aim_left, left)
         return PieceOrder(
             number=0,
             request=call.request.request_id,
@@ -111,7 +134,7 @@
             piece=piece,
             material_key=call.request.material_key if not ready.stage.after else "",
             inputs=ready.inputs,
-            left_seconds=call.deadline_at - now - after.stages - after.first_event,
+            left_seconds=left,
             aim_left_seconds=aim_left,
             is_late_return=is_late_return,
             give_up_left_seconds=_abandonable_until(call) - now,
@@ -120,6 +143,7 @@
             is_begun=call.has_response_begun or bool(attempt.services_by_handle),
             fingerprint=call.fingerprint,
             home=home,
+            may_be_late=may_be_late,
         )
 
     def _estimate_after(self, attempt: StageAttempt, ready: ReadyStage) -> _RemainingTime:
@@ -129,11 +153,26 @@
         return _RemainingTime(
             stages=sum(_typical_seconds(call, stage) for stage in chain),
             queues=sum(self._client.wait_seconds(stage.service, call.priority) for stage in chain),
-            first_event=self._find_forecast(call).seconds(
-                call.request.prompt_tokens, call.route.aim_seconds
-            ),
+            first_event=self._estimate_first_event(call),
+            late=self._estimate_late(call, chain),
         )
 
+    def _estimate_late(self, call: Call, chain: Sequence[Stage]) -> float:
+        """Return the further time that late work needs; 0 if it is resumed or refused."""
+        if not self._late_requests.are_served or call.has_response_begun:
+            return 0.0
+        return sum(_full_seconds(call, stage) for stage in chain) + (
+            self._find_duration(call) or 0.0
+        )
+
+    def _find_duration(self, call: Call) -> float | None:
+        """Return the forecast time from the first event to the end, or None if unknown."""
+        return self._late_requests.find_duration(call.route.name, call.request.max_output_tokens)
+
+    def _estimate_first_event(self, call: Call) -> float:
+        """Return the forecast time from sending a request to its first event."""
+        return self._find_forecast(call).seconds(call.request.prompt_tokens, call.route.aim_seconds)
+
     def _find_forecast(self, call: Call) -> FirstEventForecast:
         """Return the first-event forecast for the service of a request."""
         return self._first_events.setdefault(call.service.name, FirstEventForecast())
@@ -170,10 +209,18 @@
 
 def _typical_seconds(call: Call, stage: Stage) -> float:
     """Return the typical seconds of a stage, from the routing document."""
+    return _call_seconds(call, stage, TYPICAL_BATCH_SHARE)
+
+
+def _full_seconds(call: Call, stage: Stage) -> float:
+    """Return the seconds of a full call for a stage, from the routing document."""
+    return _call_seconds(call, stage, 1.0)
+
+
+def _call_seconds(call: Call, stage: Stage, batch_share: float) -> float:
+    """Return the seconds of a call with a share of a full batch, from the routing document."""
     service = call.table.service(stage.service)
     if service is None or service.pool is None:
         return 0.0
     properties = service.pool
-    return (
-        properties.call_seconds + TYPICAL_BATCH_SHARE * properties.batch * properties.piece_seconds
-    )
+    return properties.call_seconds + batch_share * properties.batch * properties.piece_seconds
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_runner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_runner.py
@@ -14,6 +14,7 @@
 from damsonlaned.gateway._pool_client import PoolClient
 from damsonlaned.gateway._stage_attempt import StageAttempt, StageResults
 from damsonlaned.gateway._stage_orders import StageOrders
+from damsonlaned.lateness import LateRequests
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -51,11 +52,15 @@
     Args:
         client: orders pieces.
         locate: returns the data centre that holds a result, by its handle.
+        late_requests: the policy for late requests.
     """
 
-    def __init__(self, client: PoolClient, locate: Callable[[str], str]) -> None:
+    def __init__(
+        self, client: PoolClient, locate: Callable[[str], str], late_requests: LateRequests
+    ) -> None:
         self._client: Final = client
-        self._orders: Final = StageOrders(client, locate)
+        self._late_requests: Final = late_requests
+        self._orders: Final = StageOrders(client, locate, late_requests)
 
     async def run(self, call: Call, *, is_begun: bool = False) -> StageResults:
         """Run all stages of a request and return their results.
@@ -95,6 +100,13 @@
         """Record the seconds from sending a request to the first event of its answer."""
         self._orders.record_first_event(call, seconds)
 
+    def estimate_last_step(self, call: Call) -> float | None:
+        """Return the estimated seconds from sending a request to the end of its answer.
+
+        None while nothing is learned about its route, or if late requests are refused.
+        """
+        return self._orders.estimate_last_step(call)
+
     def has_memory_contention(self, results: StageResults) -> bool:
         """Return whether pieces wait at a pool whose targets hold some of the results."""
         return any(self._client.has_queue(service) for service in _find_services(results))
@@ -174,7 +186,7 @@
             for piece, future in enumerate(futures):
                 result = await future
                 if not result.handle:
-                    self._raise_fault(ready, result)
+                    self._raise_fault(attempt.call, ready, result)
                 attempt.record(ready, piece, result.handle)
         finally:
             self._settle_remaining(attempt, ready, futures)
@@ -192,12 +204,19 @@
             elif not future.cancelled() and future.result().handle:
                 attempt.services_by_handle[future.result().handle] = ready.stage.service
 
-    def _raise_fault(self, ready: ReadyStage, result: PieceResult) -> NoReturn:
+    def _raise_fault(self, call: Call, ready: ReadyStage, result: PieceResult) -> NoReturn:
         """Raise the error for a piece that has no result."""
         if result.fault == "lost-input":
             raise _LostInputError
         reason = _FAULT_TEXTS[result.fault] if result.fault is not None else "no result"
+        is_refused = result.fault == "late" and self._late_requests.are_served
+        if is_refused:
+            reason = "with the queue there it would miss its deadline"
         detail = f"stage {ready.index} of service {ready.stage.service}: {reason}"
+        if is_refused:
+            self._late_requests.record_refused(
+                call.route.name, call.log_fields(), call.remaining(), detail
+            )
         raise StageError(detail, RETRY_SECONDS + result.wait_seconds)
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
@@ -13,6 +13,7 @@
 from damsonlaned.gateway._stage_attempt import StageResults
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import ChosenTarget
+from damsonlaned.lateness import LateRequests
 
 
 class TargetWait:
@@ -28,6 +29,7 @@
         history: attempts of the request so far.
         response: the response to the caller.
         responder: ends the request.
+        late_requests: the policy for late requests.
     """
 
     def __init__(
@@ -38,7 +40,9 @@
         history: AttemptHistory,
         response: FinalResponse,
         responder: FailureResponder,
+        late_requests: LateRequests,
     ) -> None:
+        self._late_requests: Final = late_requests
         self._call: Final = call
         self._attempts: Final = attempts
         self._stages: Final = stages
@@ -52,11 +56,20 @@
         Args:
             results: results of its stages; None where they are not computed yet.
         """
-        return await self._end_if_backed_off(results) or await self._end_if_rate_limited(results)
+        return (
+            self._end_if_too_long()
+            or await self._end_if_backed_off(results)
+            or await self._end_if_rate_limited(results)
+        )
 
     async def find_target(self, results: StageResults) -> ChosenTarget | NoTarget:
-        """Choose a target; wait for one if otherwise work for the request would be lost."""
+        """Choose a target; wait for one if otherwise work for the request would be lost.
+
+        There is none for a request whose answer can't end before its deadline.
+        """
         while True:
+            if (overrun := self._find_overrun()) is not None:
+                return NoTarget(detail=overrun)
             chosen = await self._attempts.choose(
                 self._call, self._history.tried_targets, results.input_locations
             )
@@ -66,6 +79,24 @@
                 return chosen
             await asyncio.sleep(max(MIN_PERMIT_INTERVAL_SECONDS, chosen.wait_seconds))
 
+    def _find_overrun(self) -> str | None:
+        """Return why a request can't end before its deadline; None if it can."""
+        call = self._call
+        seconds = self._stages.estimate_last_step(call)
+        if seconds is None or seconds <= call.remaining() or self._response.has_started():
+            return None
+        detail = f"its answer would take {seconds:.2f} s, longer than the time to its deadline"
+        fields = call.log_fields()
+        self._late_requests.record_refused(call.route.name, fields, call.remaining(), detail)
+        return detail
+
+    def _end_if_too_long(self) -> bool:
+        """End the request if it can't end before its deadline; return whether it ended."""
+        overrun = self._find_overrun()
+        if overrun is not None:
+            self._responder.end_failed(make_no_target_failure(NoTarget(detail=overrun)))
+        return overrun is not None
+
     async def _end_if_backed_off(self, results: StageResults | None) -> bool:
         """End the request if all targets back off for too long; return whether it ended."""
         backoff = self._attempts.find_backoff_seconds(self._call)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -18,6 +18,7 @@
     Stage,
     WeightedService,
 )
+from damsonlane.settings import LatePolicy
 from damsonlane.targets import TargetChanges, TargetRecord
 from damsonlaned.dialects import NativeDialect
 from damsonlaned.gateway._attempts import Attempts
@@ -32,6 +33,7 @@
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import HttpHead, HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.lateness import LateRequests
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import LostTarget, Quarantine, QuarantineReport
 
@@ -274,6 +276,7 @@
         slack: float = 20.0,
         control: Control | None = None,
         address: str = "127.0.0.1:9",
+        late_policy: LatePolicy = "refuse",
     ) -> None:
         dialect = NativeDialect()
         self.address = address
@@ -298,16 +301,18 @@
         permits = PermitClient(self.view, self.pools, address)
         self.pools.on_permits = permits.receive
         self.attempts = Attempts(targets, placements, permits, dialect, 0.2, 10.0, slack)
+        self.late_requests = LateRequests(late_policy, self.metrics)
         self.callers = CallerService(
             HandlerDependencies(
                 view=self.view,
                 attempts=self.attempts,
-                stages=StageRunner(self.pools, lambda handle: "gulberg"),
+                stages=StageRunner(self.pools, lambda handle: "gulberg", self.late_requests),
                 exit_detector=self.exit_detector,
                 quarantine=self.quarantine,
                 dialect=dialect,
                 metrics=self.metrics,
                 count_entries=lambda: 1,
+                late_requests=self.late_requests,
             )
         )
         self._listener = HttpListener(
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -28,6 +28,16 @@
         self.attempts: Final = Counter(
             "damsonlane_attempts_total", "Attempts at targets.", registry=self.registry
         )
+        self.served_late: Final = Counter(
+            "damsonlane_served_late_total",
+            "Requests served after their latency objective, by route.",
+            registry=self.registry,
+        )
+        self.cannot_end: Final = Counter(
+            "damsonlane_cannot_end_total",
+            "Requests refused since they can't end before their deadline, by route.",
+            registry=self.registry,
+        )
         self.in_flight: Final = Gauge(
             "damsonlane_in_flight", "Requests that the entry is handling.", registry=self.registry
         )
