Replay overlapping waves; bound what late work may plan

Cause: late work that uses all capacity between two waves leaves the second wave less room, so that requests in time become late.

Change: PLANNED_SHARE is 0.6: in-time work, the expected arrivals and late work together plan no more of a pool. Planned late pieces are not cut by result memory, which split their stages; those that merely fill a call take half of the free memory. Late pieces that wait do not make a call count as one that could have been full, in the throughput of a pool.

--- a/packages/damsonlane/src/damsonlane/pools/_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/_late_work.py
@@ -17,12 +17,12 @@
 from damsonlane.pools._waiting import CallCapacity, WaitingPiece
 
 #: Largest share of the usable targets that run calls with late pieces only, and of the free result
-#: memory of a target that late pieces of one call take.
+#: memory of a target that is taken by late pieces that merely fill a call.
 LATE_SHARE: Final = 0.5
 #: Share of the capacity that is planned for in-time work, expected arrivals and late work together.
 #: The rest absorbs a wave that begins while late work runs; docs/design/late-requests.md has the
 #: replay of other shares.
-PLANNED_SHARE: Final = 0.8
+PLANNED_SHARE: Final = 0.6
 #: Period whose arrivals are expected again, in seconds.
 ARRIVAL_SECONDS: Final = 1.0
 
@@ -164,15 +164,10 @@
         slots = _count_slots(in_time, now, capacity)
         if slots <= 0 or (not in_time and not self._may_hold_another(now, capacity)):
             return in_time
-        memory_bytes = LATE_SHARE * (capacity.result_memory_bytes - _sum_bytes(in_time))
-        added: list[WaitingPiece] = []
-        for piece in batch:
-            is_small = _sum_bytes(added) + piece.order.result_bytes <= memory_bytes
-            if piece.identity in self.waiting and len(added) < slots and is_small:
-                added.append(piece)
+        added = [piece for piece in batch if piece.identity in self.waiting][:slots]
         if late and not _has_contention(waiting, batch, now, capacity):
-            left = max(0, int(memory_bytes - _sum_bytes(added)))
-            limited = replace(capacity, result_memory_bytes=left)
+            free_bytes = capacity.result_memory_bytes - _sum_bytes([*in_time, *added])
+            limited = replace(capacity, result_memory_bytes=int(LATE_SHARE * max(0, free_bytes)))
             added.extend(fill_batch(late, now, limited, slots - len(added)))
         if added and not in_time:
             seconds = capacity.call_seconds + len(added) * capacity.piece_seconds
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -72,6 +72,10 @@
     def __len__(self) -> int:
         return len(self._waiting) + len(self._late_work.waiting)
 
+    def count_in_time(self) -> int:
+        """Return the number of pieces that are not late work."""
+        return len(self._waiting)
+
     def add(self, piece: WaitingPiece) -> None:
         """Add a piece unless it is in the queue already."""
         if piece.identity not in self._late_work.waiting:
--- a/packages/damsonlane/src/damsonlane/pools/tests/late_replay.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/late_replay.py
@@ -196,7 +196,7 @@
                 continue
             pool = state.pool
             seconds = pool.call_seconds + len(batch) * pool.piece_seconds
-            if len(batch) + len(state.queue) >= pool.batch:
+            if len(batch) + state.queue.count_in_time() >= pool.batch:
                 full_seconds = pool.call_seconds + pool.batch * pool.piece_seconds
                 state.throughput.record_call(len(batch), pool.batch, seconds, full_seconds)
             state.memories[target].reserve(sum(piece.order.result_bytes for piece in batch))
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
@@ -2,12 +2,22 @@
 
 import hashlib
 import unittest
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import replace
 
 from damsonlane.codec import decode_bytes, encode_bytes
 from damsonlane.pools import CallCapacity, PieceOrder, PieceQueue, Selection, WaitingPiece
-from damsonlane.pools.tests.simulation import LoadPattern, LoadPeak, RequestClass, Simulation
+from damsonlane.pools._late_work import LateStage, LateWork
+from damsonlane.pools._schedule import WaitingStage
+from damsonlane.pools.tests.late_replay import ChainClass, ChainPattern, replay
+from damsonlane.pools.tests.simulation import (
+    LoadPattern,
+    LoadPeak,
+    Pool,
+    RequestClass,
+    Simulation,
+)
 
 ORDER = PieceOrder(
     number=1,
@@ -115,11 +125,19 @@
         taken = [numbers(self.select(0.0, capacity).batch) for _ in range(4)]
         self.assertEqual([bool(batch) for batch in taken], [True, True, False, False])
 
-    def test_late_results_leave_memory_for_work_in_time(self) -> None:
-        for number in range(1, 3):
-            self.queue.add(make_piece(number))
+    def test_late_pieces_that_fill_a_call_leave_memory_for_work_in_time(self) -> None:
+        """Guards against results of late work that keep in-time work from running."""
+        late = [LateStage(pieces=(make_piece(number),)) for number in (1, 2)]
+        waiting = WaitingStage(pieces=(make_piece(100, aim_left=0.25),))
         capacity = replace(CAPACITY, result_memory_bytes=30)
-        self.assertEqual(numbers(self.select(0.0, capacity).batch), [1])
+        cases: tuple[tuple[str, list[WaitingStage], list[int]], ...] = (
+            ("nothing waits", [], [1]),
+            ("in-time work waits for memory", [waiting], []),
+        )
+        for name, stages, expected in cases:
+            with self.subTest(name):
+                added = LateWork().complete([], stages, late, 0.0, capacity)
+                self.assertEqual(numbers(added), expected)
 
     def test_late_work_is_withdrawn_and_returned_like_other_work(self) -> None:
         """Guards against pieces that stay at an owner whose sender or role is gone."""
@@ -151,6 +169,11 @@
         self.assertNotIn(b"may_be_late", data)
         self.assertFalse(decode_bytes(data, PieceOrder).may_be_late)
 
+    def test_fields_of_later_releases_are_ignored(self) -> None:
+        """An owner of an earlier release gets orders with fields that it does not know."""
+        data = encode_bytes(ORDER, PieceOrder).replace(b'"rank"', b'"unknown":true,"rank"')
+        self.assertEqual(decode_bytes(data, PieceOrder), ORDER)
+
     def test_choices_are_those_of_the_queue_without_the_policy(self) -> None:
         """Guards against a change of choices where the policy is off; the digest is older."""
         classes = (
@@ -172,3 +195,78 @@
         simulation._queue.select = record  # type: ignore[method-assign]
         simulation.run()
         self.assertEqual(digest.hexdigest()[:16], "bf7593e26c693ea4")
+
+
+class WaveTest(unittest.TestCase):
+    """Overlapping waves of two classes, of which one needs three pools in sequence."""
+
+    POOLS = (
+        Pool(
+            data_centres=("a",) * 9, batch=9, piece_seconds=0.0189, result_memory_bytes=20_000_000
+        ),
+        Pool(
+            data_centres=("a",) * 8, batch=36, piece_seconds=0.00475, result_memory_bytes=4_750_000
+        ),
+        Pool(
+            data_centres=("a",) * 9, batch=54, piece_seconds=0.0032, result_memory_bytes=10_000_000
+        ),
+    )
+    URGENT = ChainClass(
+        rank=0,
+        rate=13.9,
+        pieces=(3,),
+        result_bytes=(1_500_000,),
+        aim_seconds=1.235,
+        deadline_seconds=6.2,
+        last_step_seconds=0.4,
+    )
+    MIDDLE = ChainClass(
+        rank=2,
+        rate=43.9,
+        pieces=(1, 6, 10),
+        result_bytes=(8_000, 60_000, 6_000),
+        aim_seconds=4.0,
+        deadline_seconds=6.0,
+    )
+    STREAM = replace(
+        MIDDLE, rank=1, rate=24.0, aim_seconds=2.0, deadline_seconds=15.1, stream_seconds=3.0
+    )
+
+    def play(
+        self, *peaks: LoadPeak, seconds: float, may_be_late: bool, seeds: int = 1
+    ) -> list[Counter[str]]:
+        classes = tuple(
+            replace(kind, may_be_late=may_be_late)
+            for kind in (self.URGENT, self.MIDDLE, self.STREAM)
+        )
+        pattern = ChainPattern(pools=self.POOLS, classes=classes, peaks=peaks, seconds=seconds)
+        return replay(pattern, seeds)
+
+    def check(self, *peaks: LoadPeak, seconds: float) -> None:
+        refusing = self.play(*peaks, seconds=seconds, may_be_late=False)
+        serving = self.play(*peaks, seconds=seconds, may_be_late=True)
+        for before, after in zip(refusing, serving, strict=True):
+            self.assertGreaterEqual(after["in time"], before["in time"])
+        unserved = [sum(map(_count_unserved, counts)) for counts in (refusing, serving)]
+        self.assertGreater(unserved[0], 8)
+        self.assertLess(unserved[1], 0.25 * unserved[0])
+
+    def test_requests_refused_in_a_wave_are_served_after_it(self) -> None:
+        wave = LoadPeak(request_class=1, start=2, end=7, times=3.2)
+        urgent = LoadPeak(request_class=0, start=4, end=9, times=2.4)
+        self.check(wave, urgent, seconds=11.0)
+
+    def test_late_work_of_a_wave_makes_no_work_of_the_next_one_late(self) -> None:
+        """Guards against a backlog of late work that takes the slots of requests in time."""
+        waves = (
+            LoadPeak(request_class=1, start=start, end=start + 5, times=2.6) for start in (4, 12)
+        )
+        self.check(*waves, LoadPeak(request_class=0, start=6, end=11, times=2.4), seconds=22.0)
+
+
+def _count_unserved(counts: Counter[str]) -> int:
+    return sum(counts[outcome] for outcome in ("refused", "refused begun", "failed"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -210,7 +210,8 @@
         batch = self._isolate_suspects(self._queue.take_batch(plan, now, capacity))
         if not batch:
             return None
-        is_saturated = len(batch) + len(self._queue) >= properties.batch
+        # Late work may have to wait although the call is not full.
+        is_saturated = len(batch) + self._queue.count_in_time() >= properties.batch
         call = BatchCall.plan(target, batch, properties, now, is_saturated=is_saturated)
         target.record_call(call.reserved_bytes, now + call.seconds)
         return call
