Wait for targets that back off until the deadline where late requests are served

Cause: a request whose stages were computed was refused if all targets of its last step backed off beyond its latency objective, so its results were lost.

Change: with late_requests = "serve" such a request waits as long as its answer can still end before its deadline.

Measured: in a test a target that backs off for 0.2 s once gives 200 instead of 503 for a request past its objective; with "refuse" it gives 503 as before.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
@@ -135,6 +135,8 @@
         """Return for how long the request may wait for a target."""
         if self._response.has_started():
             return self._call.remaining()
+        if self._late_requests.are_served:
+            return self._call.remaining() - (self._stages.estimate_last_step(self._call) or 0.0)
         return self._call.objective_at - asyncio.get_running_loop().time()
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_late_requests.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_late_requests.py
@@ -17,9 +17,10 @@
     Response,
     answer_ok,
     make_piece_handler,
+    read_id,
     stream_events,
 )
-from damsonlaned.http import HttpRequest, ResponseWriter
+from damsonlaned.http import HttpRequest, HttpResponse, ResponseWriter
 from damsonlaned.lateness import LateRequests
 
 #: Every request of these tests allows as many output tokens, so that one forecast applies.
@@ -28,6 +29,25 @@
 STAGED_HEADERS = HEADERS + "Damsonlane-Pieces: 1,1\r\nDamsonlane-Material-Key: m\r\n"
 
 
+class BackoffOnce:
+    """A target that requests back-off in response to its first request."""
+
+    def __init__(self) -> None:
+        self._has_rejected = False
+
+    async def answer(self, request: HttpRequest, writer: ResponseWriter) -> None:
+        if self._has_rejected:
+            await answer_ok(request, writer)
+            return
+        self._has_rejected = True
+        headers = (
+            (b"Damsonlane-Request-Id", read_id(request)),
+            (b"Damsonlane-Run-No", b"1"),
+            (b"Retry-After", b"0.2"),
+        )
+        writer.send_response(HttpResponse(status=503, headers=headers))
+
+
 class LateRequestsTest(unittest.IsolatedAsyncioTestCase):
     async def start(self, policy: LatePolicy, answer: AnswerHandler = answer_ok) -> Entry:
         self.desk = FakeTarget("t1", answer)
@@ -97,6 +117,15 @@
             self.check_refusal(await entry.call("/staged-chat/a", headers=headers))
         self.assertEqual((len(self.orders), self.desk.requests), (1, []))
 
+    async def test_a_request_with_results_waits_for_a_target_beyond_its_objective(self) -> None:
+        """Otherwise its results would be thrown away although it could be served late."""
+        cases: tuple[tuple[LatePolicy, int], ...] = (("refuse", 503), ("serve", 200))
+        for policy, status in cases:
+            with self.subTest(policy):
+                entry = await self.start(policy, BackoffOnce().answer)
+                response = await entry.call("/staged/a", headers=STAGED_HEADERS)
+                self.assertEqual(response.status, status)
+
     async def test_a_new_route_is_served_while_nothing_is_learned(self) -> None:
         entry = await self.start("serve", stream_events(1, 3))
         self.assertEqual((await entry.call("/chat/a", headers=HEADERS)).status, 200)
