Measure the processor time of a start by role

Cause: nothing showed what a start or an idle entry costs, by role. Change: 'make box-cost' starts an entry of the gateway and a control replica through platform/run.py in child processes, and prints the median of their processor time at the log line 'started', the modules imported then, and the use of an idle entry.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := damsonlane damsonlane_rpc damsonlaned damsonlane_cli damsonlane_bench
 SOURCES := packages platform tools
 
-.PHONY: demo test check fuzz soak capacity measure clean
+.PHONY: demo test check fuzz soak capacity measure box-cost clean
 
 demo: $(VENV)/made
 	$(RUN) -m damsonlane_bench.demo
@@ -33,6 +33,9 @@
 	$(RUN) -m damsonlane_bench.policy
 	$(RUN) -m damsonlane_bench.overhead
 
+box-cost: $(VENV)/made
+	$(RUN) -m damsonlane_bench.box_cost
+
 fuzz: $(VENV)/made
 	$(RUN) tools/fuzz.py
 
