Build type adapters at their first use

Cause: adapters of settings, documents and messages of the adapter in platform/ were built at import, also for documents that the process never reads. Change: damsonlane.codec.find_adapter builds an adapter when it is first used.

--- a/packages/damsonlane/src/damsonlane/codec.py
+++ b/packages/damsonlane/src/damsonlane/codec.py
@@ -13,6 +13,11 @@
     return TypeAdapter(shape)
 
 
+def find_adapter(shape: type[Value]) -> TypeAdapter[Value]:
+    """Return the adapter of a shape, built at its first use: that takes long on small boxes."""
+    return _adapter(cast(Any, shape))
+
+
 def encode_bytes(value: Any, shape: Any) -> bytes:
     """Return ``value`` as JSON, encoded as its declared ``shape``."""
     return _adapter(shape).dump_json(value)
--- a/packages/damsonlane/src/damsonlane/settings/_box.py
+++ b/packages/damsonlane/src/damsonlane/settings/_box.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Annotated, Final, Literal
+from typing import Annotated, Literal
 
-from pydantic import Field, TypeAdapter
+from pydantic import Field
 
+from damsonlane.codec import find_adapter
 from damsonlane.errors import SettingsError
 from damsonlane.findings import Finding, Place
 from damsonlane.settings._text import Document
@@ -161,16 +162,13 @@
     capacity: Capacity | None = None
 
 
-_ADAPTER: Final = TypeAdapter(BoxSettings)
-
-
 def read_box_settings(document: Document) -> BoxSettings:
     """Read a document as the settings of a box.
 
     Raises:
         SettingsError: the settings are invalid; carries all findings with line, column, path.
     """
-    checked = check_value(document.value, _ADAPTER, BoxSettings)
+    checked = check_value(document.value, find_adapter(BoxSettings), BoxSettings)
     if not isinstance(checked, BoxSettings):
         raise SettingsError(locate(checked, document))
     findings = tuple(_check_role(checked))
--- a/packages/damsonlane/src/damsonlane/settings/_tree.py
+++ b/packages/damsonlane/src/damsonlane/settings/_tree.py
@@ -4,10 +4,11 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from datetime import datetime
-from typing import Annotated, Final, Literal
+from typing import Annotated, Literal
 
-from pydantic import AwareDatetime, Field, JsonValue, TypeAdapter
+from pydantic import AwareDatetime, Field, JsonValue
 
+from damsonlane.codec import find_adapter
 from damsonlane.errors import SettingsError
 from damsonlane.findings import Finding, Place
 from damsonlane.routing import POLICIES
@@ -205,16 +206,13 @@
         return min(ends, default=None)
 
 
-_ADAPTER: Final = TypeAdapter(SettingsTree)
-
-
 def check_tree(value: JsonValue) -> SettingsTree | tuple[Finding, ...]:
     """Check a whole tree, including the references between its parts.
 
     Returns:
         The tree, or all findings with their paths.
     """
-    checked = check_value(value, _ADAPTER, SettingsTree)
+    checked = check_value(value, find_adapter(SettingsTree), SettingsTree)
     if not isinstance(checked, SettingsTree):
         return checked
     findings = tuple(_check_references(checked))
--- a/packages/damsonlane_cli/src/damsonlane_cli/_context.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_context.py
@@ -9,9 +9,10 @@
 from pathlib import Path
 from typing import Annotated, Any, Final, NoReturn, TypeVar
 
-from pydantic import Field, TypeAdapter
+from pydantic import Field
 from tabulate import tabulate
 
+from damsonlane.codec import find_adapter
 from damsonlane.errors import DamsonlaneError, SettingsError
 from damsonlane.findings import Finding, Place
 from damsonlane.settings import Document, TlsFiles, read_document
@@ -51,9 +52,6 @@
     tls: TlsFiles | None = None
 
 
-_ADAPTER: Final = TypeAdapter(OperatorSettings)
-
-
 def fail(message: str, code: int) -> NoReturn:
     """Print an error message to standard error, with a prefix on each line, and exit."""
     for line in message.splitlines():
@@ -87,7 +85,7 @@
 
 
 def _parse_settings(document: Document) -> OperatorSettings:
-    checked = check_value(document.value, _ADAPTER, OperatorSettings)
+    checked = check_value(document.value, find_adapter(OperatorSettings), OperatorSettings)
     if isinstance(checked, OperatorSettings):
         return checked
     raise SettingsError(locate(checked, document))
--- a/packages/damsonlaned/src/damsonlaned/entry/_platform_list.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_platform_list.py
@@ -9,8 +9,9 @@
 from typing import Final
 
 import urllib3
-from pydantic import TypeAdapter, ValidationError
+from pydantic import ValidationError
 
+from damsonlane.codec import find_adapter
 from damsonlane.settings import BoxSettings
 from damsonlaned.entry._draining_targets import DrainingTargets
 from damsonlaned.entry._settings_view import SettingsView
@@ -21,7 +22,6 @@
 POLL_SECONDS: Final = 2.0
 #: Time-out of reading it by HTTP, in seconds.
 READ_TIMEOUT_SECONDS: Final = 2.0
-_ADAPTER: Final = TypeAdapter(dict[str, list[str]])
 
 #: Reads a list from the path or URL in the settings.
 ListSource = Callable[[str], bytes]
@@ -87,7 +87,9 @@
             await asyncio.sleep(POLL_SECONDS)
 
     def _apply(self, data: bytes) -> None:
-        draining = set(_ADAPTER.validate_python(json.loads(data)).get("leaving", []))
+        draining = set(
+            find_adapter(dict[str, list[str]]).validate_python(json.loads(data)).get("leaving", [])
+        )
         for service, definition in self._view.current.tree.services.items():
             for target in draining & set(definition.targets):
                 self._draining.record(service, target)
