--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -3,11 +3,11 @@
 import asyncio
 import logging
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.placement import InputLocation, PlacementRequest, PromptSegment
 from damsonlane.pools import ROUTE_PRIORITY_LEVELS
+from damsonlane.records import dataclass
 from damsonlane.requests import WindowedRetryBudget
 from damsonlane.routing import HealthSignal
 from damsonlaned.dialects import Attempt, Dialect, ResponseSignals
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
@@ -3,10 +3,10 @@
 import asyncio
 import logging
 from collections.abc import Collection
-from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.membership import SILENCE_SECONDS, are_uneven, choose_owner
+from damsonlane.records import dataclass
 from damsonlane.targets import Shard
 from damsonlaned.gateway._view import FleetView
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -4,11 +4,12 @@
 import logging
 import random
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final
 
 from damsonlane.backoff import TargetIncarnation
 from damsonlane.membership import CapacityShares
+from damsonlane.records import dataclass
 from damsonlane.routes import Service
 from damsonlane.routing import (
     EngineLocation,
