--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_runner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_runner.py
@@ -209,7 +209,8 @@
         if result.fault == "lost-input":
             raise _LostInputError
         reason = _FAULT_TEXTS[result.fault] if result.fault is not None else "no result"
-        is_refused = result.fault == "late" and self._late_requests.are_served
+        is_late = result.fault == "late" and self._late_requests.are_served
+        is_refused = is_late and not call.has_response_begun
         if is_refused:
             reason = "with the queue there it would miss its deadline"
         detail = f"stage {ready.index} of service {ready.stage.service}: {reason}"
