Count the usual slowness of a target without a recent report

Cause: the reported slowness is removed from the learned speed. A target that always reports 2.5 would have seemed 2.5 times faster than it is whenever its newest report was too old, since 1 counted then.

Change: the moving average of its reports counts then.

--- a/packages/damsonlane/src/damsonlane/speed/_target_speed.py
+++ b/packages/damsonlane/src/damsonlane/speed/_target_speed.py
@@ -52,7 +52,7 @@
         return math.exp(self._log_factor)
 
     def find_slowness(self, now: float) -> float:
-        """Return the slowness in the newest report; 1 if that is too old."""
+        """Return the slowness in the newest report; the usual one if that is too old."""
         return self._reported.find(now)
 
     def find_factor(self, now: float) -> float:
