Rank boxes for single parts once for each list

Cause: a request ranked all boxes for each target that was warming up, and each request set the sizes of the kernel's buffers of its connections.

Change: CapacityShares keeps which single parts the box has until its lists change; a connection gets the sizes once. An entry whose capacity is removed from its settings no longer reports that it is overloaded.

Measured: 61 tests of membership, buffers and gateway pass.

--- a/packages/damsonlane/src/damsonlane/membership/_shares.py
+++ b/packages/damsonlane/src/damsonlane/membership/_shares.py
@@ -53,6 +53,8 @@
         #: The least weight of this box and the largest of each other one; None if outdated.
         self._merged: Mapping[str, float] | None = None
         self._total = 0.0
+        #: Results of `split_singly` for these weights; ranking all boxes for each request is slow.
+        self._singles: dict[tuple[str, int], bool] = {}
 
     def record(self, records: Sequence[BoxRecord], now: float) -> None:
         """Record the list that is in force from now on."""
@@ -100,8 +102,10 @@
         if not weights.get(self._address):
             return 0
         singles = min(limit, MAX_SINGLE_PARTS)
-        is_chosen = self._address in rank_boxes(subject, weights)[:singles]
-        return is_chosen + int((limit - singles) * self.find_share(now))
+        key = (subject, singles)
+        if key not in self._singles:
+            self._singles[key] = self._address in rank_boxes(subject, weights)[:singles]
+        return self._singles[key] + int((limit - singles) * self.find_share(now))
 
     def _merge(self, now: float) -> Mapping[str, float]:
         """Return the least weight of this box and the largest of each other one."""
@@ -116,6 +120,7 @@
                     known.weights.get(self._address, 0.0) for known in self._lists
                 )
             self._merged = merged
+            self._singles.clear()
             self._total = math.fsum(merged.values())
         return self._merged
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
@@ -218,7 +218,7 @@
             address=self._settings.internal_address,
             is_leaving=self._is_draining,
             capacity=self.capacity,
-            is_overloaded=self._is_overloaded,
+            is_overloaded=self._is_overloaded and self.capacity > 0,
         )
         return FollowReport(
             box=box,
--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -36,6 +36,7 @@
         self._writer: asyncio.Future[None] | None = None
         self._may_write = True
         self._meter: BufferMeter | None = None
+        self._has_small_buffers = False
         #: Called once when the other side closed or the connection broke.
         self.on_closed: Callable[[], None] | None = None
 
@@ -179,7 +180,8 @@
 
     def _limit_kernel_buffers(self) -> None:
         connection = self._transport.get_extra_info("socket") if self._transport else None
-        if connection is not None and not self._is_lost:
+        if connection is not None and not self._is_lost and not self._has_small_buffers:
+            self._has_small_buffers = True
             for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
                 connection.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
 
