Test overload, shares and buffers of an assembled entry

Cause: no test showed that an entry reports the overload that it detects, or that buffers are counted only with their setting.

Change: tests of GatewayNode and of the reports to control.

Measured: test_node_capacity and FleetLinkTest pass.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -26,6 +26,7 @@
     PoolOrders,
     PoolResults,
     RpcService,
+    WatchReport,
 )
 from damsonlaned.dialects import NativeDialect
 from damsonlaned.gateway._control_follower import ControlFollower
@@ -76,7 +77,7 @@
         self.state_age: float | None = 0.0
         self.is_silent = False
         self.followers = 0
-        self.capacities: list[float] = []
+        self.reports: list[WatchReport] = []
 
     def service(self) -> RpcService:
         return RpcService({FOLLOW.path: FOLLOW.handler(self._follow)})
@@ -85,7 +86,7 @@
         report = await stream.recv_message()
         assert report is not None
         self.followers += 1
-        self.capacities.append(report.box.capacity)
+        self.reports.append(report.box)
         receiver = asyncio.create_task(self._receive(stream))
         sent_version = report.box.version
         try:
@@ -103,7 +104,7 @@
 
     async def _receive(self, stream: Stream[FollowReport, FollowUpdate]) -> None:
         while (report := await stream.recv_message()) is not None:
-            self.capacities.append(report.box.capacity)
+            self.reports.append(report.box)
 
 
 class FleetLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -127,20 +128,34 @@
         )
         self.addAsyncCleanup(self.follower.stop)
 
-    def has_reported(self, cores: float) -> bool:
-        return cores in self.first.capacities + self.second.capacities
+    def has_reported(self, cores: float, *, is_overloaded: bool = False) -> bool:
+        """Return whether the newest report to either replica has these values."""
+        newest = [control.reports[-1] for control in (self.first, self.second) if control.reports]
+        return (cores, is_overloaded) in [
+            (report.capacity, report.is_overloaded) for report in newest
+        ]
 
     async def test_it_reports_the_capacity_after_a_reload(self) -> None:
         """Guards against a box that keeps the capacity with which it started."""
-        capacities = [self.first.capacities, self.second.capacities]
         self.follower.start()
-        await wait_until(lambda: [0.0] in [reported[:1] for reported in capacities])
+        await wait_until(partial(self.has_reported, 0.0))
         for cores in (0.387, 1.29):
             capacity = Capacity(cores=cores, memory_bytes=2**28, link_bits=1e7)
             self.follower.apply_settings(replace(self.settings, capacity=capacity))
             await wait_until(partial(self.has_reported, cores))
         self.follower.apply_settings(self.settings)
-        await wait_until(lambda: [0.0] in [reported[-1:] for reported in capacities])
+        await wait_until(partial(self.has_reported, 0.0))
+
+    async def test_it_reports_an_overload_while_its_capacity_is_known(self) -> None:
+        """Guards against an owner that stays chosen while it is short of processor time."""
+        capacity = Capacity(cores=0.516, memory_bytes=2**28, link_bits=1e7)
+        self.follower.apply_settings(replace(self.settings, capacity=capacity))
+        self.follower.start()
+        for is_overloaded in (False, True, False, True):
+            self.follower.report_overload(is_overloaded=is_overloaded)
+            await wait_until(partial(self.has_reported, 0.516, is_overloaded=is_overloaded))
+        self.follower.apply_settings(self.settings)
+        await wait_until(partial(self.has_reported, 0.0, is_overloaded=False))
 
     async def test_it_leaves_a_replica_with_stale_state(self) -> None:
         self.first.state_age = None
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
@@ -0,0 +1,75 @@
+"""Assembly of an entry: its overload, its shares and its buffers."""
+
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from damsonlane.membership._overload import OVERLOAD_SECONDS
+from damsonlane.settings import BoxSettings, Capacity, Gateway
+from damsonlaned.gateway import _node
+from damsonlaned.gateway._node import GatewayNode
+from damsonlaned.gateway.tests.test_links import make_box_record
+
+SETTINGS = BoxSettings(
+    name="entry-1",
+    data_centre="dha",
+    role="entry",
+    data_folder="/tmp/none",
+    internal_address="127.0.0.1:1",
+    admin_address="127.0.0.1:2",
+    caller_address="127.0.0.1:3",
+    control=("127.0.0.1:4",),
+    capacity=Capacity(cores=0.516, memory_bytes=2**28, link_bits=1e7),
+)
+GATEWAY = Gateway(dialect="damsonlane", ready_address="127.0.0.1:5")
+
+
+class NodeCapacityTest(unittest.IsolatedAsyncioTestCase):
+    async def make_node(
+        self, settings: BoxSettings = SETTINGS, gateway: Gateway = GATEWAY
+    ) -> GatewayNode:
+        node = GatewayNode(settings, gateway, None)
+        self.addCleanup(node._control.close)
+        return node
+
+    def report_load(self, node: GatewayNode, load: float) -> bool:
+        """Report a load for long enough; return whether the entry then reports an overload."""
+        with mock.patch.object(node._pools, "count_owned", lambda: 1):
+            for now in (100.0, 100.0 + OVERLOAD_SECONDS):
+                with mock.patch.object(_node, "read_clock", lambda now=now: now):
+                    node._check_overload(load)
+        return node._control_follower._report().box.is_overloaded
+
+    async def test_an_overloaded_owner_reports_it(self) -> None:
+        """Guards against an entry that detects its overload and tells nobody."""
+        self.assertTrue(self.report_load(await self.make_node(), 0.9))
+        self.assertFalse(self.report_load(await self.make_node(), 0.6))
+
+    async def test_an_entry_of_unknown_capacity_reports_no_overload(self) -> None:
+        """Guards against deployments without the setting that change their owners."""
+        node = await self.make_node(replace(SETTINGS, capacity=None))
+        self.assertFalse(self.report_load(node, 1.0))
+
+    async def test_only_the_setting_starts_the_counting_of_buffers(self) -> None:
+        """Guards against a budget that applies where none is set, and the reverse."""
+        self.assertIsNone((await self.make_node())._guard)
+        node = await self.make_node(gateway=replace(GATEWAY, buffer_bytes=2**20))
+        self.assertIs(node._listener._guard, node._guard)
+        self.assertIsNotNone(node._guard)
+
+    async def test_the_retry_budget_is_divided_by_capacity_only_where_it_differs(self) -> None:
+        """Guards against entries of one size that divide limits differently than before."""
+        node = await self.make_node()
+        records = tuple(make_box_record(f"127.0.0.1:{number}") for number in range(1, 50))
+        node._view.put_entries(records)
+        self.assertEqual(node._count_equivalents(), 49)
+        node._view.put_entries((replace(records[0], capacity=1.29), *records[1:]))
+        self.assertEqual(node._count_equivalents(), 49)
+        smaller = [replace(record, capacity=0.387) for record in records[1:]]
+        node._view.put_entries((replace(records[0], capacity=1.29), *smaller))
+        # The entry has just started, and has no share until the others know it.
+        self.assertEqual(node._count_equivalents(), float("inf"))
+
+
+if __name__ == "__main__":
+    unittest.main()
