Messages and overload of earlier deployments stay as they were

Cause: the new optional fields of orders and prompts made every message longer, and owners on boxes of equal capacity were to hand over their pools when overloaded, though such boxes divide their services instead.

Change: the fields are left out of messages unless they are set, and only boxes of different capacities report an overload.

Checked: test_node_capacity has a case with equal boxes now.

--- a/packages/damsonlane/src/damsonlane/placement/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placement/_prompts.py
@@ -44,7 +44,8 @@
     #: Locations of its inputs.
     inputs: tuple[InputLocation, ...] = ()
     #: Organisation of the caller where organisations share the engines fairly; empty otherwise.
-    organisation: str = ""
+    #: Messages omit an empty one, so that those of deployments without shares stay as they are.
+    organisation: Annotated[str, Field(exclude_if=operator.not_)] = ""
 
     @property
     def shared_tokens(self) -> int:
@@ -79,6 +80,6 @@
     seconds: float | None
     #: Factor by which work takes longer at the engine than usual, as it reported with the head of
     #: its response; None if it reports none.
-    slowness: float | None = None
+    slowness: Annotated[float | None, Field(exclude_if=operator.not_)] = None
     #: Seconds from the arrival of that report to the sending of this outcome.
     slowness_age_seconds: float = 0.0
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -1,7 +1,10 @@
 """Messages by which one box orders pieces of stages from another."""
 
+import operator
 from dataclasses import dataclass
-from typing import Literal
+from typing import Annotated, Literal
+
+from pydantic import Field
 
 #: Why a piece was not computed: it was too late for its deadline or its latency objective,
 #: one of its inputs is lost, or no target could compute it.
@@ -46,9 +49,11 @@
     #: result are there; empty when little data would have to be transferred.
     home: str = ""
     #: Organisation of the caller where organisations share the pool fairly; empty otherwise.
-    organisation: str = ""
+    #: Messages omit this field and the next one unless they are set, so that those of deployments
+    #: without these policies stay as they are.
+    organisation: Annotated[str, Field(exclude_if=operator.not_)] = ""
     #: Whether a result that misses the latency objective is wanted if it meets the deadline.
-    may_be_late: bool = False
+    may_be_late: Annotated[bool, Field(exclude_if=operator.not_)] = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -12,7 +12,7 @@
 
 from damsonlane.buffers import EvictionReason
 from damsonlane.ledger import Holder
-from damsonlane.membership import CapacityShares, OverloadDetector
+from damsonlane.membership import CapacityShares, OverloadDetector, are_uneven
 from damsonlane.settings import BoxSettings, Gateway
 from damsonlane.warmup import WarmupAllowance
 from damsonlane_rpc import ControlClient
@@ -256,7 +256,8 @@
 
     def _check_overload(self, load: float) -> None:
         """Have other entries own the shards of this one while it is short of processor time."""
-        if not self._control_follower.capacity:
+        if not are_uneven(self._view.entries):
+            # Boxes of equal capacity divide their services instead.
             return
         owned = self._pools.count_owned()
         if self._overload.update(read_clock(), load, is_owner=owned > 0):
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
@@ -32,6 +32,14 @@
         self.addCleanup(node._control.close)
         return node
 
+    async def make_uneven_node(self) -> GatewayNode:
+        """Return an entry whose list has boxes of different capacities."""
+        node = await self.make_node()
+        record = make_box_record("127.0.0.1:1")
+        other = make_box_record("127.0.0.1:6")
+        node._view.put_entries((replace(record, capacity=0.516), replace(other, capacity=1.29)))
+        return node
+
     def report_load(self, node: GatewayNode, load: float) -> bool:
         """Report a load for long enough; return whether the entry then reports an overload."""
         with mock.patch.object(node._pools, "count_owned", lambda: 1):
@@ -42,13 +50,16 @@
 
     async def test_an_overloaded_owner_reports_it(self) -> None:
         """Guards against an entry that detects its overload and tells nobody."""
-        self.assertTrue(self.report_load(await self.make_node(), 0.9))
-        self.assertFalse(self.report_load(await self.make_node(), 0.6))
+        self.assertTrue(self.report_load(await self.make_uneven_node(), 0.9))
+        self.assertFalse(self.report_load(await self.make_uneven_node(), 0.6))
 
-    async def test_an_entry_of_unknown_capacity_reports_no_overload(self) -> None:
-        """Guards against deployments without the setting that change their owners."""
-        node = await self.make_node(replace(SETTINGS, capacity=None))
-        self.assertFalse(self.report_load(node, 1.0))
+    async def test_an_entry_among_equal_ones_reports_no_overload(self) -> None:
+        """Guards against deployments with boxes of one size that change their owners."""
+        for settings in (replace(SETTINGS, capacity=None), SETTINGS):
+            node = await self.make_node(settings)
+            records = [make_box_record(f"127.0.0.1:{number}") for number in (1, 6)]
+            node._view.put_entries(tuple(replace(record, capacity=0.516) for record in records))
+            self.assertFalse(self.report_load(node, 1.0))
 
     async def test_only_the_setting_starts_the_counting_of_buffers(self) -> None:
         """Guards against a budget that applies where none is set, and the reverse."""
