Name the test of callers without a budget after its failure

Cause: the name of the test said the opposite of what it checks.

Change: the name and the description.

Measured: test_slow_callers passes.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_slow_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_slow_callers.py
@@ -80,8 +80,8 @@
         await wait_until(lambda: self.guard.budget.total == 0)
         await wait_until(lambda: entry.callers.in_flight() == 0)
 
-    async def test_a_caller_that_does_not_read_delays_nobody_without_a_budget_either(self) -> None:
-        """Guards against a change where the setting is off: the target waits, as before."""
+    async def test_without_a_budget_the_target_waits_until_the_deadline(self) -> None:
+        """Guards against deployments without the setting that disconnect callers earlier than before."""
         desk = FakeTarget("t1", stream_forever)
         entry = await self.start(None, desk=desk)
         _, writer = await entry.send("/chat/a", deadline_ms=1_500)
