--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_slow_callers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_slow_callers.py
@@ -81,7 +81,7 @@
         await wait_until(lambda: entry.callers.in_flight() == 0)
 
     async def test_without_a_budget_the_target_waits_until_the_deadline(self) -> None:
-        """Guards against deployments without the setting that disconnect callers earlier than before."""
+        """Guards against callers that are disconnected earlier though the setting is off."""
         desk = FakeTarget("t1", stream_forever)
         entry = await self.start(None, desk=desk)
         _, writer = await entry.send("/chat/a", deadline_ms=1_500)
