Boxes of equal capacity measure their load as before

Cause: the load of a box with less than one core counted its processor time, so fleets of equal boxes divided their services at another load than before.

Change: the capacity counts for the load only among boxes of different capacities, as for the choice of owners.

Checked: test_node_capacity.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -123,7 +123,7 @@
             placers,
             ShardDivision(self._control, read_clock),
             self._metrics,
-            lambda: self._control_follower.capacity,
+            self._find_cores,
             self._check_overload,
             ShareReporter(self._metrics),
         )
@@ -254,6 +254,15 @@
     def _count_eviction(self, reason: EvictionReason) -> None:
         self._metrics.slow_callers.inc({"reason": reason})
 
+    def _find_cores(self) -> float:
+        """Return the capacity by which the load is measured, in cores; 0 for none.
+
+        Boxes of equal capacity divide their services at the load of their event loops.
+        """
+        if not are_uneven(self._view.entries):
+            return 0.0
+        return self._control_follower.capacity
+
     def _check_overload(self, load: float) -> None:
         """Have other entries own the shards of this one while it is short of processor time."""
         if not are_uneven(self._view.entries):
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
@@ -60,6 +60,8 @@
             records = [make_box_record(f"127.0.0.1:{number}") for number in (1, 6)]
             node._view.put_entries(tuple(replace(record, capacity=0.516) for record in records))
             self.assertFalse(self.report_load(node, 1.0))
+            self.assertEqual(node._find_cores(), 0.0)
+        self.assertEqual((await self.make_uneven_node())._find_cores(), 0.516)
 
     async def test_only_the_setting_starts_the_counting_of_buffers(self) -> None:
         """Guards against a budget that applies where none is set, and the reverse."""
