--- a/packages/damsonlane/src/damsonlane/placement/_engine_table.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_table.py
@@ -194,8 +194,9 @@
             engine.speed.record_slowness(outcome.slowness, now - _find_report_age(outcome))
             self._follows_speed = self._follows_speed or engine.speed.reports_slowness
         if self.follows_speed:
-            self._record_speed(engine, (sender, outcome.number), outcome)
+            self._record_speed(engine, (sender, outcome.number), outcome, now)
             return
+        engine.work.remove((sender, outcome.number))
         self._pace.record(pending.tokens, outcome.seconds)
         engine.record_ratio(outcome.seconds / pending.seconds, now)
 
@@ -210,13 +211,13 @@
         return summarise_speeds(speeds, self._moved, now)
 
     def _record_speed(
-        self, engine: Engine, prompt: tuple[str, int], outcome: PromptOutcome
+        self, engine: Engine, prompt: tuple[str, int], outcome: PromptOutcome, now: float
     ) -> None:
         """Record an outcome for the pace of the service and for the speed of its engine."""
         slowness = outcome.slowness
         if slowness is None or not is_plausible(slowness):
             slowness = 1.0
-        sample = engine.work.finish(prompt, outcome.seconds or 0.0, slowness)
+        sample = engine.work.finish(prompt, outcome.seconds or 0.0, slowness, now)
         if sample is None:
             return
         engine.speed.record_duration(
--- a/packages/damsonlane/src/damsonlane/placement/_engine_work.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_work.py
@@ -62,7 +62,7 @@
         self._awaited_tokens = self._awaited_tokens - tokens if self._awaited else 0.0
 
     def finish(
-        self, prompt: tuple[str, int], seconds: float, slowness: float
+        self, prompt: tuple[str, int], seconds: float, slowness: float, now: float
     ) -> SpeedSample | None:
         """Record the first event of a prompt.
 
@@ -70,6 +70,7 @@
             prompt: its sender and number.
             seconds: time from its placement to the event.
             slowness: the slowness that the engine reported; 1 for none.
+            now: the monotonic clock, in seconds.
 
         Returns:
             A sample of the engine's speed; None if more work is needed for one.
@@ -78,7 +79,8 @@
             return None
         tokens, placed_at = self._awaited[prompt]
         self.remove(prompt)
-        done_at = placed_at + seconds
+        # A wrong duration must not extend the measured time into the future.
+        done_at = min(now, placed_at + seconds)
         busy = max(0.0, done_at - self._measured_until)
         self._measured_until = max(self._measured_until, done_at)
         self._tokens += tokens
--- a/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
+++ b/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
@@ -130,6 +130,19 @@
         table.update([EngineLocation(target="e0", data_centre="", start=2)])
         self.assertEqual(table._engines["e0"].speed.time_factor, 1.0)
 
+    def test_wrong_durations_do_not_stop_the_learning(self) -> None:
+        # Guards against one outcome with an impossible duration that hides all later ones.
+        table = EngineTable(CACHE_TOKENS)
+        table.update([EngineLocation(target="e0", data_centre="")])
+        order = PlacementRequest(number=0, shared=(), tokens=9_000, aim_left_seconds=1.0)
+        wrong = (math.inf, math.nan, -1.0, 1e9)
+        for number in range(20):
+            table.place("e", replace(order, number=number), ("e0",), float(number))
+            seconds = wrong[number] if number < len(wrong) else 0.9
+            outcome = PromptOutcome(number=number, seconds=seconds, slowness=1.0)
+            table.record_outcome("e", outcome, number + 0.95)
+        self.assertGreater(table._engines["e0"].speed.time_factor, 1.1)
+
     def test_a_prompt_without_an_outcome_is_forgotten(self) -> None:
         # Guards against an engine that seems busy for ever after a lost message or cancellation.
         table = EngineTable(CACHE_TOKENS)
