Import the messages and stores of other roles at their first use

Cause: an entry imported consensus, the replicated state, the settings tree, the ledger, storage, the TLS modules and the rendering of metrics, since packages import all their modules and all messages stood in one module. The bytes on the wire are unchanged. Seen: one run of nine test modules in one process (damsonlane_rpc, settings, cli context, gateway links and start, control group and process, programs) did not end within ten minutes. Each of links, start, group, process, programs and exports passed alone afterwards.

--- a/packages/damsonlane/src/damsonlane/settings/_box.py
+++ b/packages/damsonlane/src/damsonlane/settings/_box.py
@@ -1,7 +1,7 @@
 """Settings of one box, read from a file when its process starts."""
 
 from collections.abc import Iterator
-from typing import Annotated, Literal
+from typing import TYPE_CHECKING, Annotated, Literal
 
 from pydantic import Field
 
@@ -9,10 +9,12 @@
 from damsonlane.errors import SettingsError
 from damsonlane.findings import Finding, Place
 from damsonlane.records import dataclass
-from damsonlane.settings._text import Document
-from damsonlane.settings._tree import Address, Name
+from damsonlane.settings._names import Address, Name
 from damsonlane.settings._validation import FORBID_UNKNOWN_KEYS, check_value, locate
 
+if TYPE_CHECKING:
+    from damsonlane.settings._text import Document
+
 #: Role of a process.
 Role = Literal["entry", "control"]
 
@@ -162,7 +164,7 @@
     capacity: Capacity | None = None
 
 
-def read_box_settings(document: Document) -> BoxSettings:
+def read_box_settings(document: "Document") -> BoxSettings:
     """Read a document as the settings of a box.
 
     Raises:
--- a/packages/damsonlane/src/damsonlane/settings/_text.py
+++ b/packages/damsonlane/src/damsonlane/settings/_text.py
@@ -1,17 +1,17 @@
 """Parsing of JSON with comments, and lookup of the line of a path."""
 
 import re
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-import json_source_map
-import json_source_map.types
-import pyjson5
 from pydantic import JsonValue
 
 from damsonlane.errors import SettingsError
 from damsonlane.findings import Finding, Place
 from damsonlane.records import dataclass
 
+if TYPE_CHECKING:
+    import json_source_map.types
+
 _STRING_OR_COMMENT: Final = re.compile(r'"(?:\\.|[^"\\])*"|//[^\n]*|/\*.*?\*/', re.DOTALL)
 
 
@@ -47,6 +47,9 @@
     Raises:
         SettingsError: the text is not JSON with comments; carries line and column.
     """
+    # Imported here: a box with settings in another format reads none of these documents.
+    import pyjson5
+
     try:
         value = pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
@@ -64,7 +67,10 @@
     return Finding(place=place, message=f"not JSON with comments: {message}")
 
 
-def _locate(text: str, path: str) -> json_source_map.types.Location | None:
+def _locate(text: str, path: str) -> "json_source_map.types.Location | None":
+    # Imported here: only faulty documents need it.
+    import json_source_map
+
     try:
         entries = json_source_map.calculate(_blank_comments(text))
     except (ValueError, RecursionError):
--- a/packages/damsonlane/src/damsonlane/settings/_tree.py
+++ b/packages/damsonlane/src/damsonlane/settings/_tree.py
@@ -13,6 +13,7 @@
 from damsonlane.findings import Finding, Place
 from damsonlane.records import dataclass
 from damsonlane.routing import POLICIES
+from damsonlane.settings._names import Address, Name
 from damsonlane.settings._policy import (
     INHERIT,
     EffectivePolicy,
@@ -25,8 +26,6 @@
 from damsonlane.settings._text import Document
 from damsonlane.settings._validation import FORBID_UNKNOWN_KEYS, check_value, locate
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-Address = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$")]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 
 #: Kinds of target, by the protocol used to call them.
--- a/packages/damsonlane/src/damsonlane/settings/_validation.py
+++ b/packages/damsonlane/src/damsonlane/settings/_validation.py
@@ -1,15 +1,16 @@
 """Validation of parsed documents against data classes."""
 
 import dataclasses
-import difflib
 from collections.abc import Iterator, Mapping, Sequence
-from typing import Any, Final, TypeVar, get_args, get_type_hints
+from typing import TYPE_CHECKING, Any, Final, TypeVar, get_args, get_type_hints
 
 from pydantic import ConfigDict, JsonValue, TypeAdapter, ValidationError
 from pydantic_core import ErrorDetails
 
 from damsonlane.findings import Finding, Place
-from damsonlane.settings._text import Document
+
+if TYPE_CHECKING:
+    from damsonlane.settings._text import Document
 
 Checked = TypeVar("Checked")
 
@@ -41,7 +42,7 @@
         return tuple(dict.fromkeys(described))
 
 
-def locate(findings: Sequence[Finding], document: Document) -> tuple[Finding, ...]:
+def locate(findings: Sequence[Finding], document: "Document") -> tuple[Finding, ...]:
     """Return the findings with their lines and columns in ``document``."""
     return tuple(
         dataclasses.replace(finding, place=document.place(finding.place.path))
@@ -54,6 +55,9 @@
     place = Place(path="".join(f"/{segment}" for segment in segments))
     if detail["type"] not in _UNKNOWN_KEYS:
         return Finding(place=place, message=detail["msg"])
+    # Imported here: only faulty settings need it.
+    import difflib
+
     near = difflib.get_close_matches(segments[-1], names, n=1)
     hint = f"; the nearest known name is '{near[0]}'" if near else ""
     return Finding(place=place, message=f"unknown key '{segments[-1]}'{hint}")
--- a/packages/damsonlane_bench/src/damsonlane_bench/box_start.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/box_start.py
@@ -109,7 +109,7 @@
     assert process.stderr is not None
     line = process.stderr.readline()
     seconds, _, modules = line.partition(" ")
-    if not modules:
+    if not seconds[:1].isdigit():
         raise RuntimeError(f"the box did not start: {line}{process.stderr.read()}")
     return BoxStart(seconds=float(seconds), modules=frozenset(modules.split()))
 
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -1,84 +1,186 @@
 """gRPC calls between the processes of damsonlane, carried by grpclib."""
 
-from damsonlane_rpc._addresses import Endpoint
-from damsonlane_rpc._client import (
-    CALL_ERRORS,
-    TOKEN_METADATA_KEY,
-    ControlClient,
-    ForbiddenError,
-    open_channel,
-)
-from damsonlane_rpc._codec import MESSAGE_COUNTERS, DataclassCodec, MessageCounters
-from damsonlane_rpc._fleet_messages import (
-    FollowReport,
-    FollowUpdate,
-    HeartbeatReport,
-    HeartbeatReportReply,
-    JoinReply,
-    JoinRequest,
-    NotAMember,
-    PoolOrders,
-    PoolResults,
-)
-from damsonlane_rpc._messages import (
-    AddReplicaRequest,
-    BoxesQuery,
-    BoxesView,
-    BoxStatus,
-    ChangeQuery,
-    ChangeView,
-    Committed,
-    CostsQuery,
-    CostsView,
-    DocumentQuery,
-    DocumentView,
-    Done,
-    EvacuationsQuery,
-    EvacuationsView,
-    ExchangeEnd,
-    Forbidden,
-    FoundGroupRequest,
-    GroupChangeDenied,
-    GroupReply,
-    HistoryQuery,
-    HistoryView,
-    NotLeader,
-    QueryReply,
-    QueryRequest,
-    RemoveReplicaRequest,
-    SettingsQuery,
-    SettingsView,
-    StatusReply,
-    StatusRequest,
-    SubmitReply,
-    SubmitRequest,
-    Unconfirmed,
-    WatchReport,
-    WatchUpdate,
-)
-from damsonlane_rpc._methods import (
-    ADD_REPLICA,
-    COMPARE,
-    EXCHANGE,
-    FOLLOW,
-    FOUND_GROUP,
-    JOIN,
-    PERMIT,
-    POOL,
-    QUERY,
-    REMOVE_REPLICA,
-    REPORT_HEARTBEATS,
-    STATUS,
-    SUBMIT,
-    WATCH,
-    Method,
-    RpcService,
-)
-from damsonlane_rpc._peer_messages import DrainingTarget, PeerReply, PeerRequest
-from damsonlane_rpc._permit_messages import PermitBatchReply, PermitBatchRequest, Permits
-from damsonlane_rpc._quarantine_messages import QuarantineQuery, QuarantineView
-from damsonlane_rpc._tls import make_client_context, make_server_context
-from damsonlane_rpc._tls_reloader import TlsReloader
+from typing import TYPE_CHECKING
+
+from damsonlane.deferred import import_at_use
+
+if TYPE_CHECKING:
+    from damsonlane_rpc._addresses import Endpoint
+    from damsonlane_rpc._client import (
+        CALL_ERRORS,
+        TOKEN_METADATA_KEY,
+        ControlClient,
+        ForbiddenError,
+        open_channel,
+    )
+    from damsonlane_rpc._codec import MESSAGE_COUNTERS, DataclassCodec, MessageCounters
+    from damsonlane_rpc._fleet_messages import (
+        EXCHANGE,
+        JOIN,
+        REPORT_HEARTBEATS,
+        HeartbeatReport,
+        HeartbeatReportReply,
+        JoinReply,
+        JoinRequest,
+        NotAMember,
+    )
+    from damsonlane_rpc._follow_messages import FOLLOW, FollowReport, FollowUpdate
+    from damsonlane_rpc._messages import (
+        ADD_REPLICA,
+        FOUND_GROUP,
+        QUERY,
+        REMOVE_REPLICA,
+        STATUS,
+        SUBMIT,
+        WATCH,
+        AddReplicaRequest,
+        BoxesQuery,
+        BoxesView,
+        BoxStatus,
+        ChangeQuery,
+        ChangeView,
+        Committed,
+        CostsQuery,
+        CostsView,
+        DocumentQuery,
+        DocumentView,
+        EvacuationsQuery,
+        EvacuationsView,
+        ExchangeEnd,
+        FoundGroupRequest,
+        GroupChangeDenied,
+        GroupReply,
+        HistoryQuery,
+        HistoryView,
+        QueryReply,
+        QueryRequest,
+        RemoveReplicaRequest,
+        SettingsQuery,
+        SettingsView,
+        StatusReply,
+        StatusRequest,
+        SubmitReply,
+        SubmitRequest,
+        WatchUpdate,
+    )
+    from damsonlane_rpc._methods import (
+        Method,
+        RpcService,
+    )
+    from damsonlane_rpc._outcomes import Done, Forbidden, NotLeader, Unconfirmed
+    from damsonlane_rpc._peer_messages import COMPARE, DrainingTarget, PeerReply, PeerRequest
+    from damsonlane_rpc._permit_messages import (
+        PERMIT,
+        PermitBatchReply,
+        PermitBatchRequest,
+        Permits,
+    )
+    from damsonlane_rpc._pool_messages import POOL, PoolOrders, PoolResults
+    from damsonlane_rpc._quarantine_messages import QuarantineQuery, QuarantineView
+    from damsonlane_rpc._tls import make_client_context, make_server_context
+    from damsonlane_rpc._tls_reloader import TlsReloader
+    from damsonlane_rpc._watch_messages import WatchReport
+else:
+    __getattr__ = import_at_use(
+        __name__,
+        {
+            "_addresses": ("Endpoint",),
+            "_client": (
+                "CALL_ERRORS",
+                "TOKEN_METADATA_KEY",
+                "ControlClient",
+                "ForbiddenError",
+                "open_channel",
+            ),
+            "_codec": (
+                "MESSAGE_COUNTERS",
+                "DataclassCodec",
+                "MessageCounters",
+            ),
+            "_fleet_messages": (
+                "EXCHANGE",
+                "JOIN",
+                "REPORT_HEARTBEATS",
+                "HeartbeatReport",
+                "HeartbeatReportReply",
+                "JoinReply",
+                "JoinRequest",
+                "NotAMember",
+            ),
+            "_follow_messages": (
+                "FOLLOW",
+                "FollowReport",
+                "FollowUpdate",
+            ),
+            "_messages": (
+                "SUBMIT",
+                "QUERY",
+                "STATUS",
+                "FOUND_GROUP",
+                "ADD_REPLICA",
+                "REMOVE_REPLICA",
+                "WATCH",
+                "AddReplicaRequest",
+                "BoxesQuery",
+                "BoxesView",
+                "BoxStatus",
+                "ChangeQuery",
+                "ChangeView",
+                "Committed",
+                "CostsQuery",
+                "CostsView",
+                "DocumentQuery",
+                "DocumentView",
+                "EvacuationsQuery",
+                "EvacuationsView",
+                "ExchangeEnd",
+                "FoundGroupRequest",
+                "GroupChangeDenied",
+                "GroupReply",
+                "HistoryQuery",
+                "HistoryView",
+                "QueryReply",
+                "QueryRequest",
+                "RemoveReplicaRequest",
+                "SettingsQuery",
+                "SettingsView",
+                "StatusReply",
+                "StatusRequest",
+                "SubmitReply",
+                "SubmitRequest",
+                "WatchUpdate",
+            ),
+            "_methods": ("Method", "RpcService"),
+            "_outcomes": ("Done", "Forbidden", "NotLeader", "Unconfirmed"),
+            "_peer_messages": (
+                "COMPARE",
+                "DrainingTarget",
+                "PeerReply",
+                "PeerRequest",
+            ),
+            "_permit_messages": (
+                "PERMIT",
+                "PermitBatchReply",
+                "PermitBatchRequest",
+                "Permits",
+            ),
+            "_pool_messages": (
+                "POOL",
+                "PoolOrders",
+                "PoolResults",
+            ),
+            "_quarantine_messages": (
+                "QuarantineQuery",
+                "QuarantineView",
+            ),
+            "_tls": (
+                "make_client_context",
+                "make_server_context",
+            ),
+            "_tls_reloader": ("TlsReloader",),
+            "_watch_messages": ("WatchReport",),
+        },
+    )
 
 __all__ = [
     "ADD_REPLICA",
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
@@ -1,38 +1,36 @@
 """A client of the control group that finds the leader."""
 
+from __future__ import annotations
+
 import asyncio
 import random
 import socket
 import ssl
 from collections.abc import Sequence
-from typing import Final, TypeVar
+from typing import TYPE_CHECKING, Final, TypeVar
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.protocol import H2Protocol
 from h2.exceptions import StreamClosedError
 
-from damsonlane.cluster import Command, Reply
 from damsonlane.errors import UnavailableError
-from damsonlane.ratelimit import Permit
 from damsonlane_rpc._addresses import Endpoint
 from damsonlane_rpc._codec import DataclassCodec
-from damsonlane_rpc._fleet_messages import HeartbeatReport, HeartbeatReportReply
-from damsonlane_rpc._messages import (
-    Committed,
-    Forbidden,
-    GroupReply,
-    NotLeader,
-    QueryReply,
-    QueryRequest,
-    StatusReply,
-    StatusRequest,
-    SubmitReply,
-    SubmitRequest,
-    Unconfirmed,
-)
-from damsonlane_rpc._methods import PERMIT, QUERY, REPORT_HEARTBEATS, STATUS, SUBMIT, Method
-from damsonlane_rpc._permit_messages import PermitBatchReply, PermitBatchRequest, Permits
+
+if TYPE_CHECKING:
+    from damsonlane.cluster import Command, Reply
+    from damsonlane.ratelimit import Permit
+    from damsonlane_rpc._fleet_messages import HeartbeatReportReply
+    from damsonlane_rpc._messages import (
+        GroupReply,
+        QueryReply,
+        QueryRequest,
+        StatusReply,
+        SubmitReply,
+    )
+    from damsonlane_rpc._methods import Method
+    from damsonlane_rpc._permit_messages import PermitBatchReply, PermitBatchRequest
 
 #: Seconds after which an unanswered call is retried at another replica.
 ATTEMPT_SECONDS: Final = 2.0
@@ -56,7 +54,12 @@
 
 Request = TypeVar("Request")
 Answer = TypeVar(
-    "Answer", SubmitReply, QueryReply, GroupReply, HeartbeatReportReply, PermitBatchReply
+    "Answer",
+    "SubmitReply",
+    "QueryReply",
+    "GroupReply",
+    "HeartbeatReportReply",
+    "PermitBatchReply",
 )
 
 
@@ -112,6 +115,8 @@
 class ControlClient:
     """Calls the leader of the control group.
 
+    The messages of a call are imported with the first call: a gateway calls control rarely.
+
     Every command carries a unique id, so it is safe to retry one whose reply was lost.
 
     Args:
@@ -159,6 +164,8 @@
             UnavailableError: not confirmed in time; the outcome is unknown.
             ForbiddenError: the operator may not submit these commands.
         """
+        from damsonlane_rpc._messages import SUBMIT, Committed, SubmitRequest
+
         request = SubmitRequest(commands=tuple(commands))
         outcome = (await self._call_leader(SUBMIT, request, seconds, attempt_seconds)).outcome
         if isinstance(outcome, Committed):
@@ -179,6 +186,8 @@
             UnavailableError: no leader confirmed a reply in time.
             ForbiddenError: the operator may not read.
         """
+        from damsonlane_rpc._messages import QUERY
+
         return await self._call_leader(QUERY, request, seconds, attempt_seconds)
 
     async def report_heartbeats(self, targets: Sequence[str], seconds: float) -> None:
@@ -187,6 +196,8 @@
         Raises:
             UnavailableError: no leader accepted the report in time.
         """
+        from damsonlane_rpc._fleet_messages import REPORT_HEARTBEATS, HeartbeatReport
+
         request = HeartbeatReport(targets=tuple(targets))
         await self._call_leader(REPORT_HEARTBEATS, request, seconds, ATTEMPT_SECONDS)
 
@@ -198,6 +209,8 @@
         Raises:
             UnavailableError: no leader answered in time.
         """
+        from damsonlane_rpc._permit_messages import PERMIT, Permits
+
         reply = await self._call_leader(PERMIT, request, seconds, seconds)
         return reply.outcome.permits if isinstance(reply.outcome, Permits) else ()
 
@@ -213,6 +226,8 @@
         Raises:
             UnavailableError: the replica did not answer in time.
         """
+        from damsonlane_rpc._messages import STATUS, StatusRequest
+
         try:
             return await STATUS.unary(self.channel(address))(StatusRequest(), timeout=seconds)
         except CALL_ERRORS as error:
@@ -237,6 +252,8 @@
         seconds: float,
         attempt_seconds: float,
     ) -> Answer:
+        from damsonlane_rpc._outcomes import Forbidden, NotLeader, Unconfirmed
+
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         last_error = "no control address is known"
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -1,7 +1,8 @@
 """Messages between processes that the core does not define."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
+from grpclib.const import Cardinality
 from pydantic import Field, JsonValue
 
 from damsonlane.burn import CompletionCount
@@ -14,7 +15,10 @@
 from damsonlane.ratelimit import RateLimitList
 from damsonlane.records import dataclass
 from damsonlane.settings import Role
+from damsonlane_rpc._methods import Method, unary_method
+from damsonlane_rpc._outcomes import Done, Forbidden, NotLeader, Unconfirmed
 from damsonlane_rpc._quarantine_messages import QuarantineQuery, QuarantineView
+from damsonlane_rpc._watch_messages import WatchReport
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -34,31 +38,6 @@
     replies: tuple[Reply, ...]
 
 
-@dataclass(frozen=True, kw_only=True)
-class NotLeader:
-    """Only the leader can answer, and this replica is not the leader."""
-
-    kind: Literal["not-leader"] = "not-leader"
-    #: Internal address of the leader; empty if unknown.
-    leader: str
-
-
-@dataclass(frozen=True, kw_only=True)
-class Unconfirmed:
-    """The outcome is unknown, since no quorum answered in time."""
-
-    kind: Literal["unconfirmed"] = "unconfirmed"
-
-
-@dataclass(frozen=True, kw_only=True)
-class Forbidden:
-    """The operator may not do this."""
-
-    kind: Literal["forbidden"] = "forbidden"
-    #: The reason.
-    detail: str
-
-
 @dataclass(frozen=True, kw_only=True)
 class SubmitReply:
     """Reply to submitted commands."""
@@ -225,28 +204,6 @@
     ]
 
 
-@dataclass(frozen=True, kw_only=True)
-class WatchReport:
-    """A box's report of the settings in force there."""
-
-    #: Name of the box.
-    box: str
-    #: Random id, drawn at each start of its process.
-    incarnation: str
-    #: Its data centre.
-    data_centre: str
-    #: Version of the settings in force there.
-    version: int
-    #: Start of its process by its own clock, in seconds since 1970.
-    started_at: float
-    #: Its internal address.
-    address: str
-    #: Whether it is draining.
-    is_leaving: bool = False
-    #: Its capacity, in cores; 0 if unknown.
-    capacity: float = 0.0
-
-
 @dataclass(frozen=True, kw_only=True)
 class WatchUpdate:
     """Newer settings: as changes if the history reaches back far enough, else as a whole."""
@@ -343,13 +300,6 @@
     replica: str
 
 
-@dataclass(frozen=True, kw_only=True)
-class Done:
-    """The request was accepted; a change of the group may still be under way."""
-
-    kind: Literal["done"] = "done"
-
-
 @dataclass(frozen=True, kw_only=True)
 class GroupChangeDenied:
     """The members of the group can't be changed now."""
@@ -371,3 +321,17 @@
 @dataclass(frozen=True, kw_only=True)
 class ExchangeEnd:
     """Reply at the end of a stream of envelopes."""
+
+
+SUBMIT: Final = unary_method("/damsonlane.Control/Submit", SubmitRequest, SubmitReply)
+QUERY: Final = unary_method("/damsonlane.Control/Query", QueryRequest, QueryReply)
+STATUS: Final = unary_method("/damsonlane.Control/Status", StatusRequest, StatusReply)
+FOUND_GROUP: Final = unary_method("/damsonlane.Control/Found", FoundGroupRequest, GroupReply)
+ADD_REPLICA: Final = unary_method("/damsonlane.Control/Add", AddReplicaRequest, GroupReply)
+REMOVE_REPLICA: Final = unary_method("/damsonlane.Control/Remove", RemoveReplicaRequest, GroupReply)
+WATCH: Final = Method(
+    path="/damsonlane.Control/Watch",
+    cardinality=Cardinality.STREAM_STREAM,
+    request=WatchReport,
+    reply=WatchUpdate,
+)
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_methods.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_methods.py
@@ -1,41 +1,13 @@
-"""The RPC methods of the processes."""
+"""RPC methods; each is defined beside its messages, so that a role imports only its own."""
 
 from collections.abc import Awaitable, Callable
-from typing import Any, Final, Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 from grpclib.client import Channel, StreamStreamMethod, StreamUnaryMethod, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Stream
 
-from damsonlane.consensus import Envelope
 from damsonlane.records import dataclass
-from damsonlane_rpc._fleet_messages import (
-    FollowReport,
-    FollowUpdate,
-    HeartbeatReport,
-    HeartbeatReportReply,
-    JoinReply,
-    JoinRequest,
-    PoolOrders,
-    PoolResults,
-)
-from damsonlane_rpc._messages import (
-    AddReplicaRequest,
-    ExchangeEnd,
-    FoundGroupRequest,
-    GroupReply,
-    QueryReply,
-    QueryRequest,
-    RemoveReplicaRequest,
-    StatusReply,
-    StatusRequest,
-    SubmitReply,
-    SubmitRequest,
-    WatchReport,
-    WatchUpdate,
-)
-from damsonlane_rpc._peer_messages import PeerReply, PeerRequest
-from damsonlane_rpc._permit_messages import PermitBatchReply, PermitBatchRequest
 
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
@@ -71,48 +43,11 @@
         return StreamUnaryMethod(channel, self.path, self.request, self.reply)
 
 
-def _unary(path: str, request: type[Request], reply: type[Reply]) -> Method[Request, Reply]:
+def unary_method(path: str, request: type[Request], reply: type[Reply]) -> Method[Request, Reply]:
+    """Return a method with one request and one reply."""
     return Method(path=path, cardinality=Cardinality.UNARY_UNARY, request=request, reply=reply)
 
 
-SUBMIT: Final = _unary("/damsonlane.Control/Submit", SubmitRequest, SubmitReply)
-QUERY: Final = _unary("/damsonlane.Control/Query", QueryRequest, QueryReply)
-STATUS: Final = _unary("/damsonlane.Control/Status", StatusRequest, StatusReply)
-FOUND_GROUP: Final = _unary("/damsonlane.Control/Found", FoundGroupRequest, GroupReply)
-ADD_REPLICA: Final = _unary("/damsonlane.Control/Add", AddReplicaRequest, GroupReply)
-REMOVE_REPLICA: Final = _unary("/damsonlane.Control/Remove", RemoveReplicaRequest, GroupReply)
-WATCH: Final = Method(
-    path="/damsonlane.Control/Watch",
-    cardinality=Cardinality.STREAM_STREAM,
-    request=WatchReport,
-    reply=WatchUpdate,
-)
-EXCHANGE: Final = Method(
-    path="/damsonlane.Replication/Exchange",
-    cardinality=Cardinality.STREAM_UNARY,
-    request=Envelope,
-    reply=ExchangeEnd,
-)
-JOIN: Final = _unary("/damsonlane.Replication/Join", JoinRequest, JoinReply)
-PERMIT: Final = _unary("/damsonlane.Control/Permit", PermitBatchRequest, PermitBatchReply)
-REPORT_HEARTBEATS: Final = _unary(
-    "/damsonlane.Control/Heard", HeartbeatReport, HeartbeatReportReply
-)
-FOLLOW: Final = Method(
-    path="/damsonlane.Control/Follow",
-    cardinality=Cardinality.STREAM_STREAM,
-    request=FollowReport,
-    reply=FollowUpdate,
-)
-POOL: Final = Method(
-    path="/damsonlane.Pool/Exchange",
-    cardinality=Cardinality.STREAM_STREAM,
-    request=PoolOrders,
-    reply=PoolResults,
-)
-COMPARE: Final = _unary("/damsonlane.Peer/Compare", PeerRequest, PeerReply)
-
-
 class RpcService:
     """The methods that a process serves, in the form that grpclib expects.
 
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_peer_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_peer_messages.py
@@ -1,7 +1,10 @@
 """Messages between entries."""
 
+from typing import Final
+
 from damsonlane.records import dataclass
 from damsonlane_rpc._messages import WatchUpdate
+from damsonlane_rpc._methods import unary_method
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -34,3 +37,6 @@
     update: WatchUpdate | None
     #: Targets that the peer knows to be draining.
     leaving: tuple[DrainingTarget, ...] = ()
+
+
+COMPARE: Final = unary_method("/damsonlane.Peer/Compare", PeerRequest, PeerReply)
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_permit_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_permit_messages.py
@@ -1,12 +1,13 @@
 """Messages by which boxes report rate limits to control and request permits."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
 from pydantic import Field
 
 from damsonlane.ratelimit import Permit, PermitRequest, RateLimitReport
 from damsonlane.records import dataclass
-from damsonlane_rpc._messages import NotLeader
+from damsonlane_rpc._methods import unary_method
+from damsonlane_rpc._outcomes import NotLeader
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -36,3 +37,6 @@
 
     #: The permits, or which replica is the leader.
     outcome: Annotated[Permits | NotLeader, Field(discriminator="kind")]
+
+
+PERMIT: Final = unary_method("/damsonlane.Control/Permit", PermitBatchRequest, PermitBatchReply)
--- /dev/null
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_watch_messages.py
@@ -0,0 +1,25 @@
+"""A box's report of itself to control."""
+
+from damsonlane.records import dataclass
+
+
+@dataclass(frozen=True, kw_only=True)
+class WatchReport:
+    """A box's report of the settings in force there."""
+
+    #: Name of the box.
+    box: str
+    #: Random id, drawn at each start of its process.
+    incarnation: str
+    #: Its data centre.
+    data_centre: str
+    #: Version of the settings in force there.
+    version: int
+    #: Start of its process by its own clock, in seconds since 1970.
+    started_at: float
+    #: Its internal address.
+    address: str
+    #: Whether it is draining.
+    is_leaving: bool = False
+    #: Its capacity, in cores; 0 if unknown.
+    capacity: float = 0.0
--- a/packages/damsonlaned/src/damsonlaned/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/_process.py
@@ -12,19 +12,12 @@
 
 from grpclib.server import Server
 
+import damsonlane_rpc
 from damsonlane.errors import DamsonlaneError, SettingsError, StorageError
 from damsonlane.findings import Finding, Place
-from damsonlane.settings import BoxSettings, read_box_settings, read_document
-from damsonlane_rpc import (
-    DataclassCodec,
-    Endpoint,
-    RpcService,
-    TlsReloader,
-    make_client_context,
-    make_server_context,
-)
+from damsonlane.settings import BoxSettings
+from damsonlane_rpc import DataclassCodec, Endpoint, RpcService
 from damsonlaned.logs import configure_logs
-from damsonlaned.storage import DataFolder
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -47,6 +40,9 @@
         reason = getattr(error, "strerror", None) or str(error)
         place = Place(path="", file=path)
         raise SettingsError([Finding(place=place, message=f"cannot be read: {reason}")]) from None
+    # Imported here: a box with settings in another format has its own reader.
+    from damsonlane.settings import read_box_settings, read_document
+
     return read_box_settings(read_document(text, path))
 
 
@@ -70,6 +66,7 @@
         # Each role imports only what it uses, which saves memory and start-up time on small boxes.
         if settings.role == "control":
             from damsonlaned.control._process import run_control
+            from damsonlaned.storage import DataFolder
 
             with DataFolder(settings.data_folder) as folder:
                 await run_control(settings, folder, tls_contexts, reload)
@@ -79,6 +76,7 @@
             await run_gateway(settings, settings.gateway, tls_contexts, reload)
         else:
             from damsonlaned.entry._process import run_entry
+            from damsonlaned.storage import DataFolder
 
             with DataFolder(settings.data_folder):
                 await run_entry(settings, tls_contexts)
@@ -92,11 +90,12 @@
     def __init__(self, settings: BoxSettings) -> None:
         self.server: ssl.SSLContext | None = None
         self.client: ssl.SSLContext | None = None
-        self._reloader: TlsReloader | None = None
+        self._reloader: damsonlane_rpc.TlsReloader | None = None
         if settings.tls is not None:
-            self.server = make_server_context(settings.tls)
-            self.client = make_client_context(settings.tls)
-            self._reloader = TlsReloader(settings.tls, [self.server, self.client])
+            # The names are looked up here, since boxes without TLS don't import their modules.
+            self.server = damsonlane_rpc.make_server_context(settings.tls)
+            self.client = damsonlane_rpc.make_client_context(settings.tls)
+            self._reloader = damsonlane_rpc.TlsReloader(settings.tls, [self.server, self.client])
             self._reloader.start()
 
     async def stop(self) -> None:
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
 
 from damsonlane_rpc import MESSAGE_COUNTERS
 
@@ -95,6 +94,9 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        # Imported here: it is needed only when metrics are read.
+        from aioprometheus.renderer import render
+
         self.messages.set({"direction": "sent"}, MESSAGE_COUNTERS.messages_sent)
         self.messages.set({"direction": "received"}, MESSAGE_COUNTERS.messages_received)
         self.bytes.set({"direction": "sent"}, MESSAGE_COUNTERS.bytes_sent)
