Wake streams of pools only while something is awaited

Cause: each stream of an owner woke four times a second for a keepalive that was seldom due, and each link of an entry five times a second for a check that had nothing to check. Change: both wait without a timer until an order is outstanding. An order by itself sends nothing. Keepalives are as far apart as before, and silence is measured from the first awaited order. Left: one timer for all streams with outstanding orders; owners computed only for what changed.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
@@ -70,6 +70,8 @@
         self._outgoing: list[PoolOrders] = []
         self._has_more: Final = asyncio.Event()
         self._awaited: set[int] = set()
+        #: Set while orders are awaited, so that an idle stream is not checked.
+        self._is_awaiting: Final = asyncio.Event()
         now = asyncio.get_running_loop().time()
         self._silence_detector: Final = SilenceDetector(now, silence_seconds)
         self._task: Final = start_task(self._run(), "stream to a pool owner")
@@ -79,6 +81,8 @@
         if not self._awaited:
             self._silence_detector.restart(asyncio.get_running_loop().time())
         self._awaited.update(order.number for order in message.orders)
+        if self._awaited:
+            self._is_awaiting.set()
         self._outgoing.append(message)
         self._has_more.set()
 
@@ -149,7 +153,10 @@
     async def _watch_for_silence(self) -> None:
         """Raise OwnerSilentError when the owner sends nothing while results are awaited."""
         while True:
+            await self._is_awaiting.wait()
             await asyncio.sleep(CHECK_SECONDS)
             now = asyncio.get_running_loop().time()
-            if self._awaited and self._silence_detector.is_silent(now):
+            if not self._awaited:
+                self._is_awaiting.clear()
+            elif self._silence_detector.is_silent(now):
                 raise OwnerSilentError("the owner sent nothing while results were awaited")
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_service.py
@@ -9,7 +9,7 @@
 from grpclib.server import Stream
 
 from damsonlane.placement import Placement
-from damsonlane.pools import PieceResult
+from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane.ratelimit import Permit
 from damsonlane_rpc import CALL_ERRORS, POOL, PoolOrders, PoolResults
 from damsonlaned.gateway._pool_owners import PoolOwners
@@ -67,7 +67,7 @@
     def _process_pieces(self, sender: str, message: PoolOrders, outgoing: "_SendBuffer") -> None:
         owner = self._owners.get(message.service, message.shard)
         owner.attach(sender, outgoing)
-        outgoing.awaited.update(order.number for order in message.orders)
+        outgoing.await_orders(message.orders)
         if message.freed:
             owner.free(message.freed)
         if message.withdrawn:
@@ -89,6 +89,13 @@
         #: Numbers of the orders whose results the entry awaits.
         self.awaited: set[int] = set()
 
+    def await_orders(self, orders: Sequence[PieceOrder]) -> None:
+        """Send keepalives until the results of these orders are queued."""
+        if orders and not self.awaited:
+            # Starts the timer of keepalives, without a message.
+            self._has_more.set()
+        self.awaited.update(order.number for order in orders)
+
     def receive_reads(self, numbers: Sequence[int]) -> None:
         """Queue the numbers of orders whose inputs were read."""
         self._read.extend(numbers)
@@ -114,14 +121,19 @@
     async def push(self, stream: Stream[PoolOrders, PoolResults]) -> None:
         """Send queued items and keepalives until cancelled."""
         while True:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._has_more.wait(), KEEPALIVE_SECONDS)
+            is_due = False
+            try:
+                # Without a time-out while nothing is awaited, so that idle streams cost nothing.
+                timeout = KEEPALIVE_SECONDS if self.awaited else None
+                await asyncio.wait_for(self._has_more.wait(), timeout)
+            except TimeoutError:
+                is_due = bool(self.awaited)
             self._has_more.clear()
             results, self._results = tuple(self._results), []
             read, self._read = tuple(self._read), []
             placements, self._placements = tuple(self._placements), []
             permits, self._permits = tuple(self._permits), []
-            if results or read or placements or permits or self.awaited:
+            if results or read or placements or permits or is_due:
                 await stream.send_message(
                     PoolResults(results=results, read=read, placements=placements, permits=permits)
                 )
