Compile the methods of further data classes at their first use

Cause: pools, placement, routing, membership, http and the new packages still used the standard decorator, which compiles six methods for each class.

Change: their frozen, keyword-only classes use damsonlane.records. Classes that inherit from a data class or are mutable keep the standard decorator.

--- a/packages/damsonlane/src/damsonlane/buffers/_budget.py
+++ b/packages/damsonlane/src/damsonlane/buffers/_budget.py
@@ -1,10 +1,10 @@
 """Decides which connections may buffer more, and which callers are disconnected."""
 
 from collections import Counter
-from dataclasses import dataclass
 from typing import Final, Literal
 
 from damsonlane.buffers._account import BufferAccount
+from damsonlane.records import dataclass
 
 #: Bytes that any connection may buffer, also while the budget is short: about one event.
 LEAST_WINDOW: Final = 16 * 1024
--- a/packages/damsonlane/src/damsonlane/fairness/_division.py
+++ b/packages/damsonlane/src/damsonlane/fairness/_division.py
@@ -2,9 +2,10 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.records import dataclass
+
 #: Least part of its demand that an organisation gets, as a multiple of the part of all demand that
 #: is served.  Without it, an organisation that sends ten times its share would be served a tenth
 #: as often as the others.
--- a/packages/damsonlane/src/damsonlane/fairness/_shares.py
+++ b/packages/damsonlane/src/damsonlane/fairness/_shares.py
@@ -2,10 +2,10 @@
 
 import math
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.fairness._division import Demand, divide_capacity
+from damsonlane.records import dataclass
 
 #: Time constant of the decay of recent demand, in seconds: several calls of a pool, so that one
 #: call has little weight, but short against a wave of some seconds.
--- a/packages/damsonlane/src/damsonlane/membership/_boxes.py
+++ b/packages/damsonlane/src/damsonlane/membership/_boxes.py
@@ -1,9 +1,11 @@
 """Membership of boxes, as reported by the control replicas that they connect to."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Literal
 
+from damsonlane.records import dataclass
+
 #: A box is live until it announces that it is draining ("leaving"); a silent one is deleted.
 BoxStanding = Literal["live", "leaving"]
 
--- a/packages/damsonlane/src/damsonlane/membership/_shares.py
+++ b/packages/damsonlane/src/damsonlane/membership/_shares.py
@@ -3,12 +3,13 @@
 import math
 from collections import deque
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final
 
 from damsonlane.membership._boxes import BoxRecord
 from damsonlane.membership._capacity import is_plausible_capacity
 from damsonlane.membership._owners import rank_boxes
+from damsonlane.records import dataclass
 
 #: Seconds for which a share does not grow after a change of the list of boxes, by default.  An
 #: entry that reaches any control replica has a list within 2 s, the time allowed for documents.
--- a/packages/damsonlane/src/damsonlane/placement/_engine_shares.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_shares.py
@@ -7,7 +7,7 @@
 
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final
 
 from damsonlane.fairness import (
@@ -20,6 +20,7 @@
 )
 from damsonlane.placement._prefill_pace import PrefillPace
 from damsonlane.placement._prompts import Placement, PlacementRequest, PromptOutcome
+from damsonlane.records import dataclass
 
 #: Maximum number of placements whose outcome is awaited; older ones are dropped.
 MAX_PENDING: Final = 2_048
--- a/packages/damsonlane/src/damsonlane/placement/_engine_table.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_table.py
@@ -13,7 +13,6 @@
 
 import functools
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.placement._engine import Engine
@@ -21,6 +20,7 @@
 from damsonlane.placement._prompts import Placement, PlacementRequest, PromptOutcome
 from damsonlane.placement._speed_summary import SpeedSummary, summarise_speeds
 from damsonlane.placement._transfers import NO_TRANSFER, Transfer, plan_transfers
+from damsonlane.records import dataclass
 from damsonlane.routing import EngineLocation, rank_target
 from damsonlane.speed import MAX_REPORT_AGE_SECONDS, is_plausible
 
--- a/packages/damsonlane/src/damsonlane/placement/_engine_work.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_work.py
@@ -6,10 +6,10 @@
 prompts beside it, which come and go while it is prefilled.
 """
 
-from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.placement._prefill_pace import BASE_SECONDS
+from damsonlane.records import dataclass
 
 #: Tokens of one sample of the speed.  Smaller samples vary with the time of single steps.
 SAMPLE_TOKENS: Final = 8_000
--- a/packages/damsonlane/src/damsonlane/placement/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placement/_prompts.py
@@ -1,11 +1,12 @@
 """Messages by which one box asks another to place its prompts."""
 
 import operator
-from dataclasses import dataclass
 from typing import Annotated
 
 from pydantic import Field
 
+from damsonlane.records import dataclass
+
 
 @dataclass(frozen=True, kw_only=True)
 class PromptSegment:
--- a/packages/damsonlane/src/damsonlane/placement/_speed_summary.py
+++ b/packages/damsonlane/src/damsonlane/placement/_speed_summary.py
@@ -1,9 +1,9 @@
 """Summary of the learned speeds of the engines of one service, for logs and metrics."""
 
 from collections.abc import Collection
-from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.records import dataclass
 from damsonlane.speed import TargetSpeed
 
 #: Slowness from which an engine counts as slow in the summary.
--- a/packages/damsonlane/src/damsonlane/placement/_transfers.py
+++ b/packages/damsonlane/src/damsonlane/placement/_transfers.py
@@ -5,11 +5,11 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.placement._engine import Engine
 from damsonlane.placement._prompts import PlacementRequest
+from damsonlane.records import dataclass
 
 #: Minimum number of tokens that are transferred: starting a transfer takes about as long as
 #: prefilling as many.
--- a/packages/damsonlane/src/damsonlane/pools/_division.py
+++ b/packages/damsonlane/src/damsonlane/pools/_division.py
@@ -2,9 +2,9 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.records import dataclass
 from damsonlane.targets import DivideService, Shard
 
 #: Share of its time in which a box is busy from which its work is divided.  Load peaks of twice
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -1,11 +1,12 @@
 """Messages by which one box orders pieces of stages from another."""
 
 import operator
-from dataclasses import dataclass
 from typing import Annotated, Literal
 
 from pydantic import Field
 
+from damsonlane.records import dataclass
+
 #: Why a piece was not computed: it was too late for its deadline or its latency objective,
 #: one of its inputs is lost, or no target could compute it.
 PieceFault = Literal["late", "lost-input", "failed"]
--- a/packages/damsonlane/src/damsonlane/pools/_plan.py
+++ b/packages/damsonlane/src/damsonlane/pools/_plan.py
@@ -1,9 +1,9 @@
 """Progress of one request through its stages: which may start, and which results are needed."""
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.records import dataclass
 from damsonlane.routes import Stage
 
 #: Seconds by which a stage starts earlier than its slack allows, since queues may grow.
--- a/packages/damsonlane/src/damsonlane/pools/_result_memory.py
+++ b/packages/damsonlane/src/damsonlane/pools/_result_memory.py
@@ -1,8 +1,9 @@
 """Accounting of the result memory of one target by the box that sends it work."""
 
-from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.records import dataclass
+
 #: Seconds for which results unknown to this box are assumed to stay at a target.  They were
 #: ordered by an earlier owner of the pool, or are larger than announced.  Most are consumed
 #: within this time; a further rejection reports the rest.
--- a/packages/damsonlane/src/damsonlane/pools/_waiting.py
+++ b/packages/damsonlane/src/damsonlane/pools/_waiting.py
@@ -1,9 +1,9 @@
 """Pieces in the queue of a pool, and the capacity of the pool when a target is free."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from damsonlane.pools._pieces import PieceOrder
+from damsonlane.records import dataclass
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane/src/damsonlane/routing/_partition.py
+++ b/packages/damsonlane/src/damsonlane/routing/_partition.py
@@ -2,9 +2,10 @@
 
 import hashlib
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.records import dataclass
+
 #: Tokens at and above which a prompt counts as long.  An engine processes about as many prompt
 #: tokens between two output tokens of the other streams; a longer prompt stalls those streams
 #: several times, for longer than callers accept.
--- a/packages/damsonlane/src/damsonlane/routing/_table.py
+++ b/packages/damsonlane/src/damsonlane/routing/_table.py
@@ -2,9 +2,9 @@
 
 import random
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Final, Literal
 
+from damsonlane.records import dataclass
 from damsonlane.routing._policies import POLICIES
 from damsonlane.routing._views import Origin, TargetView
 from damsonlane.speed import TargetSpeed, WorkBaselines
--- a/packages/damsonlane/src/damsonlane/routing/_views.py
+++ b/packages/damsonlane/src/damsonlane/routing/_views.py
@@ -1,6 +1,6 @@
 """The input of routing policies."""
 
-from dataclasses import dataclass
+from damsonlane.records import dataclass
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -5,12 +5,12 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Final
 
 import h11
 
 from damsonlane.errors import StorageError
+from damsonlane.records import dataclass
 from damsonlane_rpc import Endpoint
 from damsonlaned.http._buffer_guard import BufferGuard
 from damsonlaned.http._errors import CallerDisconnectedError
--- a/packages/damsonlaned/src/damsonlaned/http/_messages.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_messages.py
@@ -1,8 +1,9 @@
 """HTTP requests and responses as data."""
 
-from dataclasses import dataclass
 from typing import Final
 
+from damsonlane.records import dataclass
+
 #: Headers in the order and spelling in which they are sent.
 HeaderList = tuple[tuple[bytes, bytes], ...]
 
