Run in-time work where late work may hold no further target

A call that was filled with late pieces alone was dropped if late work held its share of the targets, so the target stayed idle while in-time work waited.

--- a/packages/damsonlane/src/damsonlane/pools/_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/_late_work.py
@@ -161,8 +161,14 @@
             capacity: the target that takes the call.
         """
         in_time = [piece for piece in batch if piece.identity not in self.waiting]
+        if not in_time and not self._may_hold_another(now, capacity):
+            # The target would be idle although work in time may wait behind the late pieces.
+            waiting = [stage for stage in waiting if stage.pieces[0].identity not in self.waiting]
+            batch = in_time = fill_batch(waiting, now, capacity)
+            if not in_time:
+                return []
         slots = _count_slots(in_time, now, capacity)
-        if slots <= 0 or (not in_time and not self._may_hold_another(now, capacity)):
+        if slots <= 0:
             return in_time
         added = [piece for piece in batch if piece.identity in self.waiting][:slots]
         if late and not _has_contention(waiting, batch, now, capacity):
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
@@ -125,6 +125,15 @@
         taken = [numbers(self.select(0.0, capacity).batch) for _ in range(4)]
         self.assertEqual([bool(batch) for batch in taken], [True, True, False, False])
 
+    def test_work_in_time_runs_where_late_work_may_hold_no_further_target(self) -> None:
+        """Guards against an idle target while in-time work waits behind late work."""
+        capacity = replace(CAPACITY, busy_seconds=(0.0, 0.0))
+        for number in range(1, 5):
+            self.queue.add(make_piece(number, left=2.0))
+        self.queue.add(make_piece(100, aim_left=3.0))
+        taken = [numbers(self.select(0.0, capacity).batch) for _ in range(2)]
+        self.assertEqual(taken, [[1, 2], [100]])
+
     def test_late_pieces_that_fill_a_call_leave_memory_for_work_in_time(self) -> None:
         """Guards against results of late work that keep in-time work from running."""
         late = [LateStage(pieces=(make_piece(number),)) for number in (1, 2)]
