--- a/packages/damsonlane/src/damsonlane/pools/_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/_late_work.py
@@ -85,12 +85,13 @@
             now: the monotonic clock, in seconds.
             capacity: the capacity of the pool.
         """
-        # The call that takes a late stage may be full.
+        # The call that takes a late stage may be full.  A stage that may no longer be refused is
+        # not left to expire for this reason, since its call may well be shorter.
         earliest = now + capacity.full_seconds
         stages = [
             LateStage(pieces=stage.pieces)
             for stage in self.waiting.list_all()
-            if stage.deadline_at >= earliest
+            if stage.deadline_at >= earliest or not stage.may_be_refused(now)
         ]
         if not stages:
             return [], []
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
@@ -165,6 +165,13 @@
         self.queue.cancel_all("e")
         self.assertEqual(len(self.queue), 0)
 
+    def test_late_work_that_may_not_be_refused_runs_if_a_short_call_ends_in_time(self) -> None:
+        """Guards against begun requests that expire at an idle target."""
+        piece = make_piece(1, left=0.3)
+        order = replace(piece.order, is_begun=True, give_up_left_seconds=-1.0)
+        self.queue.add(replace(piece, order=order, abandonable_until=-1.0))
+        self.assertEqual(numbers(self.select(0.0, replace(CAPACITY, batch=20)).batch), [1])
+
     def test_late_work_expires_at_its_deadline(self) -> None:
         self.add_in_time(2)
         self.queue.add(make_piece(1, left=2.0))
