Apply shares of organisations to late work

All late stages were kept by rank and objective, so the backlog of a wave had the late stages of organisations within their share refused. Late stages did not count for the demand of their organisation either, until they ran or were refused. Without names the order is the same. A test double of PoolShares.order gets its new argument.

--- a/packages/damsonlane/src/damsonlane/pools/_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/_late_work.py
@@ -73,17 +73,23 @@
             self.waiting.add(piece)
 
     def split(
-        self, in_time: Sequence[WaitingStage], now: float, capacity: CallCapacity
+        self,
+        in_time: Sequence[WaitingStage],
+        now: float,
+        capacity: CallCapacity,
+        gives_way: Callable[[WaitingStage], bool],
     ) -> tuple[list[LateStage], list[LateStage]]:
         """Return the stages that may run among in-time work, and the others.
 
-        Both are sorted by deadline.  The former leave enough capacity for the in-time stages and
-        for as many arrivals as there were recently.
+        The former are sorted by deadline, and leave enough capacity for the in-time stages and
+        for as many arrivals as there were recently.  The latter are sorted in the same way, but
+        those that give way come last.
 
         Args:
             in_time: the stages that meet their latency objective.
             now: the monotonic clock, in seconds.
             capacity: the capacity of the pool.
+            gives_way: returns whether a late stage gives way to the other late ones.
         """
         # The call that takes a late stage may be full.  A stage that may no longer be refused is
         # not left to expire for this reason, since its call may well be shorter.
@@ -99,9 +105,10 @@
         self._reserve_arrivals(schedule, now, capacity)
         among: list[LateStage] = []
         after: list[LateStage] = []
-        for late in sorted(stages, key=operator.attrgetter("deadline_at")):
+        for late in sorted(stages, key=lambda stage: (gives_way(stage), stage.deadline_at)):
             may_run = schedule.try_add(late, capacity.throughput_ratio * PLANNED_SHARE)
             (among if may_run else after).append(late)
+        among.sort(key=operator.attrgetter("deadline_at"))
         return among, after
 
     def list_refused(
@@ -109,7 +116,7 @@
         in_time: Sequence[WaitingStage],
         now: float,
         capacity: CallCapacity,
-        key: Callable[[WaitingStage], tuple[bool, int, float]],
+        late: Sequence[WaitingStage],
     ) -> list[WaitingStage]:
         """Return the stages that can't meet their deadline and may still be refused.
 
@@ -117,17 +124,16 @@
             in_time: the stages that meet their latency objective.
             now: the monotonic clock, in seconds.
             capacity: the capacity of the pool.
-            key: sort key of a stage; if not all can meet their deadline, the greatest is refused.
+            late: the late stages; if not all can meet their deadline, the last ones are refused.
         """
-        if not len(self.waiting):
+        if not late:
             return []
         schedule = _reserve_in_time(in_time, now, capacity)
         earliest = now + capacity.backoff_seconds + capacity.full_seconds
         refused: list[WaitingStage] = []
-        for stage in sorted(self.waiting.list_all(), key=key):
-            late = LateStage(pieces=stage.pieces)
-            is_kept = late.deadline_at >= earliest and schedule.try_add(
-                late, capacity.throughput_ratio
+        for stage in late:
+            is_kept = stage.deadline_at >= earliest and schedule.try_add(
+                LateStage(pieces=stage.pieces), capacity.throughput_ratio
             )
             if not is_kept and stage.may_be_refused(now):
                 refused.append(stage)
--- a/packages/damsonlane/src/damsonlane/pools/_organisation_shares.py
+++ b/packages/damsonlane/src/damsonlane/pools/_organisation_shares.py
@@ -44,9 +44,15 @@
         self._piece_seconds = 0.0
         #: Groups of the stages beyond the share of their organisation, by the last evaluation.
         self._excess: Collection[tuple[str, str, int]] = frozenset()
+        #: Groups of late stages that were beyond the share when they became late.
+        self._late_excess: Collection[tuple[str, str, int]] = frozenset()
 
     def order(
-        self, stages: Sequence[WaitingStage], now: float, capacity: CallCapacity
+        self,
+        stages: Sequence[WaitingStage],
+        now: float,
+        capacity: CallCapacity,
+        late: Sequence[WaitingStage] = (),
     ) -> Sequence[WaitingStage]:
         """Return stages with those within the shares first, for each priority of organisations.
 
@@ -54,10 +60,11 @@
             stages: the stages, in the order in which they would run without shares.
             now: the monotonic clock, in seconds.
             capacity: the capacity of the pool.
+            late: stages that are served late; they count for the demand of their organisations.
         """
         self._excess = frozenset()
         self._is_contended = False
-        waiting = _count_pieces(stages)
+        waiting = _count_pieces([*late, *stages])
         if waiting.keys() <= {""}:
             return stages
         self._is_used = True
@@ -122,10 +129,26 @@
             stages: the stages, in the order in which they would be kept without shares; those of
                 requests already begun come first.
         """
-        if not self._excess:
+        if not (self._excess or self._late_excess):
             return list(stages)
         return sorted(stages, key=lambda stage: (stage.is_unstarted, self._share_key(stage)))
 
+    def record_late(self, late: Sequence[WaitingStage]) -> None:
+        """Remember which late stages are beyond the share of their organisation.
+
+        Late stages are not evaluated again, so they stay as they were when they became late.
+
+        Args:
+            late: all late stages.
+        """
+        if self._excess or self._late_excess:
+            groups = {stage.pieces[0].group for stage in late}
+            self._late_excess = {group for group in groups if self._is_excess(group)}
+
+    def is_beyond_share(self, stage: WaitingStage) -> bool:
+        """Return whether a stage, late or not, is beyond the share of its organisation."""
+        return self._is_excess(stage.pieces[0].group)
+
     def record_started(self, pieces: Sequence[WaitingPiece], now: float) -> None:
         """Record pieces that were taken from the queue to run."""
         if not self._is_used:
@@ -136,7 +159,7 @@
                 piece.order.organisation,
                 self._piece_seconds,
                 now - piece.queued_at,
-                is_excess=piece.group in self._excess,
+                is_excess=self._is_excess(piece.group),
             )
 
     def record_refused(self, pieces: Sequence[WaitingPiece], now: float) -> None:
@@ -146,7 +169,7 @@
         for piece in pieces:
             self._shares.record_refused(piece.order.organisation, self._piece_seconds, now)
             self._usage.record_refused(
-                piece.order.organisation, is_excess=piece.group in self._excess
+                piece.order.organisation, is_excess=self._is_excess(piece.group)
             )
 
     def take_usage(self) -> Mapping[str, UsageTotals]:
@@ -158,7 +181,10 @@
 
     def _share_key(self, stage: WaitingStage) -> tuple[int, bool]:
         organisation_rank = stage.rank // ROUTE_PRIORITY_LEVELS
-        return (organisation_rank, stage.pieces[0].group in self._excess)
+        return (organisation_rank, self.is_beyond_share(stage))
+
+    def _is_excess(self, group: tuple[str, str, int]) -> bool:
+        return group in self._excess or group in self._late_excess
 
 
 def _count_pieces(stages: Sequence[WaitingStage]) -> Mapping[str, tuple[int, int]]:
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -146,7 +146,9 @@
             for stage in evaluation.not_in_time
             if id(stage) not in dropped and not stage.may_be_late
         ]
-        among, spare = self._late_work.split(evaluation.in_time, now, capacity)
+        among, spare = self._late_work.split(
+            evaluation.in_time, now, capacity, self._shares.is_beyond_share
+        )
         first = heapq.merge(evaluation.in_time, among, key=lambda stage: stage.objective_at)
         return CallPlan(ordered=[*first, *kept], late=(*expired, *late), spare=spare)
 
@@ -205,7 +207,8 @@
         # Computed once per rank and not per stage, to keep evaluations cheap.
         shares = {rank: self._capacity_share(rank, now, capacity) for rank in ranks}
         ordered = sorted(stages, key=lambda stage: _priority_key(stage, priorities[stage.rank]))
-        for stage in self._shares.order(ordered, now, capacity):
+        late = self._late_work.waiting.list_all()
+        for stage in self._shares.order(ordered, now, capacity, late):
             share = self._shares.capacity_share(stage, shares[stage.rank], capacity)
             is_scheduled = schedule.try_add(stage, share)
             (in_time if is_scheduled else not_in_time).append(stage)
@@ -234,7 +237,11 @@
                 self._record_late(stage.pieces, now)
                 self._remove(stage.pieces)
                 self._late_work.add(stage)
-        refused = self._late_work.list_refused(evaluation.in_time, now, capacity, _late_key)
+        late = sorted(self._late_work.waiting.list_all(), key=_late_key)
+        self._shares.record_late(late)
+        refused = self._late_work.list_refused(
+            evaluation.in_time, now, capacity, self._shares.order_late(late)
+        )
         for stage in evaluation.not_in_time:
             if stage.may_be_late:
                 continue
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_fair_shares.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_fair_shares.py
@@ -267,7 +267,7 @@
             self.assertTrue(any(selection.late for selection in selections))
             with mock.patch.multiple(
                 PoolShares,
-                order=lambda _, stages, now, capacity: stages,
+                order=lambda _, stages, now, capacity, late: stages,
                 order_late=lambda _, stages: stages,
                 capacity_share=lambda _, stage, usual, capacity: usual,
                 record_started=lambda _, pieces, now: None,
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
@@ -179,6 +179,37 @@
         self.assertEqual(numbers(self.queue.take_expired(1.9, CAPACITY)), [1])
 
 
+class OrganisationTest(unittest.TestCase):
+    """Late work of organisations that share a pool fairly."""
+
+    def setUp(self) -> None:
+        self.queue = PieceQueue()
+
+    def add(self, number: int, name: str, **times: float) -> None:
+        piece = make_piece(number, **times)  # type: ignore[arg-type]
+        self.queue.add(replace(piece, order=replace(piece.order, organisation=name)))
+
+    def test_late_work_within_a_share_is_kept_first(self) -> None:
+        """Guards against a wave whose late work has all late work of others refused."""
+        for number in range(1, 41):
+            self.add(number, "large", left=3.0)
+        self.add(99, "small", left=3.01, aim_left=0.11)
+        late = numbers(self.queue.select(0.0, CAPACITY).late)
+        self.assertTrue(late)
+        self.assertNotIn(99, late)
+
+    def test_late_work_counts_for_the_demand_of_its_organisation(self) -> None:
+        """Guards against a large backlog that leaves its organisation without a share."""
+        capacity = replace(CAPACITY, batch=40)
+        for number in range(1, 150):
+            self.add(number, "large")
+        self.queue.plan_calls(0.0, capacity)
+        self.assertGreater(len(self.queue), 100)
+        self.add(200, "small", aim_left=3.0)
+        self.queue.take_batch(self.queue.plan_calls(0.1, capacity), 0.1, capacity)
+        self.assertIsNotNone(self.queue.take_usage()["large"].share)
+
+
 class RefusePolicyTest(unittest.TestCase):
     def test_orders_of_earlier_releases_are_refused_when_late(self) -> None:
         data = encode_bytes(ORDER, PieceOrder).replace(b',"may_be_late":false', b"")
