--- a/packages/damsonlane/src/damsonlane/lateness/_durations.py
+++ b/packages/damsonlane/src/damsonlane/lateness/_durations.py
@@ -20,6 +20,9 @@
 HALF_LIFE_SECONDS: Final = 10.0
 #: Routes whose durations are remembered; the one that was used least recently is forgotten.
 MAX_ROUTES: Final = 512
+#: Output tokens up to which requests are told apart.  Callers may announce any number, which
+#: floating-point numbers can't hold.
+MAX_TOKENS: Final = 2**32
 
 
 @dataclass(kw_only=True)
@@ -79,7 +82,7 @@
         if len(self._routes) > MAX_ROUTES:
             del self._routes[next(iter(self._routes))]
         estimate = estimates.setdefault(_find_range(tokens), _Estimate())
-        estimate.record(seconds / max(1, tokens), now)
+        estimate.record(seconds / _clamp(tokens), now)
 
     def find_seconds(self, route: str, tokens: int, now: float) -> float | None:
         """Return the forecast duration of an answer, or None while nothing is learned.
@@ -102,9 +105,14 @@
             return None
         index = max(learned)
         least_tokens = tokens if index == own else 2 ** (index - 1)
-        return learned[index].find_pace(now) * max(1, least_tokens)
+        return learned[index].find_pace(now) * _clamp(least_tokens)
 
 
 def _find_range(tokens: int) -> int:
     """Return the index of a range of output tokens, each twice as wide as the one before."""
-    return max(0, tokens).bit_length()
+    return min(max(0, tokens), MAX_TOKENS).bit_length()
+
+
+def _clamp(tokens: float) -> float:
+    """Return the output tokens by which the duration of an answer is divided."""
+    return min(max(1, tokens), MAX_TOKENS)
--- a/packages/damsonlane/src/damsonlane/lateness/tests/test_durations.py
+++ b/packages/damsonlane/src/damsonlane/lateness/tests/test_durations.py
@@ -36,6 +36,13 @@
         )
         self.assertIsNone(self.durations.find_seconds("chat", 100, 0.0))
 
+    def test_any_number_of_tokens_has_a_forecast(self) -> None:
+        """Guards against requests that fail because they announce more than a float can hold."""
+        learn(self.durations, 5.0)
+        self.assertIsNotNone(self.durations.find_seconds("chat", 10**400, 0.0))
+        learn(self.durations, 5.0, tokens=10**400)
+        self.assertAlmostEqual(self.durations.find_seconds("chat", 10**400, 0.0) or 0.0, 5.0)
+
     def test_the_forecast_follows_a_low_quantile(self) -> None:
         randomness = random.Random(5)
         for median in (1.0, 4.0):
