Count the arrivals of a stage once in the schedule of late work

Orders for the pieces of a stage are made one after the other, so their times differ and each piece was reserved by itself in each evaluation of the queue.

--- a/packages/damsonlane/src/damsonlane/pools/_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/_late_work.py
@@ -49,6 +49,8 @@
         self.waiting: Final = WaitingStages()
         #: Arrival time, time until the objective and number of recently ordered pieces.
         self._arrivals: Final[deque[tuple[float, float, int]]] = deque()
+        #: Group of the newest arrival.
+        self._newest: tuple[str, str, int] | None = None
         #: When each call with late pieces only ends, by the monotonic clock.
         self._ends: list[float] = []
         self._is_used = False
@@ -59,11 +61,14 @@
         if not self._is_used or piece.attempts:
             return
         arrived_at = piece.deadline_at - piece.order.left_seconds
-        slack = piece.order.aim_left_seconds
-        if self._arrivals and self._arrivals[-1][:2] == (arrived_at, slack):
-            self._arrivals[-1] = (arrived_at, slack, self._arrivals[-1][2] + 1)
+        # The pieces of a stage are ordered together, but the times in their orders differ slightly.
+        # Counted one by one they would lengthen each evaluation of the queue several times.
+        if self._arrivals and piece.group == self._newest:
+            first_at, slack, pieces = self._arrivals[-1]
+            self._arrivals[-1] = (first_at, slack, pieces + 1)
         else:
-            self._arrivals.append((arrived_at, slack, 1))
+            self._arrivals.append((arrived_at, piece.order.aim_left_seconds, 1))
+            self._newest = piece.group
         while self._arrivals[0][0] < arrived_at - ARRIVAL_SECONDS:
             self._arrivals.popleft()
 
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
@@ -5,11 +5,12 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import replace
+from unittest import mock
 
 from damsonlane.codec import decode_bytes, encode_bytes
 from damsonlane.pools import CallCapacity, PieceOrder, PieceQueue, Selection, WaitingPiece
 from damsonlane.pools._late_work import LateStage, LateWork
-from damsonlane.pools._schedule import WaitingStage
+from damsonlane.pools._schedule import Schedule, WaitingStage
 from damsonlane.pools.tests.late_replay import ChainClass, ChainPattern, replay
 from damsonlane.pools.tests.simulation import (
     LoadPattern,
@@ -134,6 +135,19 @@
         taken = [numbers(self.select(0.0, capacity).batch) for _ in range(2)]
         self.assertEqual(taken, [[1, 2], [100]])
 
+    def test_expected_arrivals_cost_a_step_for_each_stage(self) -> None:
+        """Guards against evaluations whose cost grows with the pieces of recent stages."""
+        self.queue.add(make_piece(1, left=20.0))
+        for number in range(100, 150):
+            # An entry makes the orders of a stage one after the other.
+            piece = make_piece(number, aim_left=0.3 - number * 1e-6, left=6.0 - number * 1e-6)
+            self.queue.add(replace(piece, order=replace(piece.order, request="r100")))
+        with mock.patch.object(Schedule, "reserve", autospec=True) as reserve:
+            self.queue.plan_calls(0.0, CAPACITY)
+        pieces = sum(call.args[1] for call in reserve.mock_calls)
+        self.assertGreaterEqual(pieces, 50)
+        self.assertLess(reserve.call_count, 10)
+
     def test_late_pieces_that_fill_a_call_leave_memory_for_work_in_time(self) -> None:
         """Guards against results of late work that keep in-time work from running."""
         late = [LateStage(pieces=(make_piece(number),)) for number in (1, 2)]
