--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -189,6 +189,7 @@
         earliest = capacity.earliest_completion(now)
         stages = [stage for stage in self._list_waiting() if stage.deadline_at < earliest]
         expired = _list_pieces(stages)
+        self._shares.record_refused(expired, now)
         self._remove(expired)
         return tuple(expired)
 
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
@@ -223,6 +223,18 @@
         self.queue.take_batch(self.queue.plan_calls(0.1, capacity), 0.1, capacity)
         self.assertIsNotNone(self.queue.take_usage()["large"].share)
 
+    def test_expired_work_counts_once_as_refused(self) -> None:
+        """Guards against late work that an organisation loses but operators do not see."""
+        for number, name in enumerate(("large", "small")):
+            self.add(number, name, left=1.0)
+        self.queue.plan_calls(0.0, replace(CAPACITY, busy_seconds=(0.3,)))
+        self.assertEqual(len(self.queue.take_expired(0.9, CAPACITY)), 2)
+        self.queue.plan_calls(1.0, CAPACITY)
+        usage = self.queue.take_usage()
+        self.assertEqual(
+            {name: totals.refused for name, totals in usage.items()}, {"large": 1, "small": 1}
+        )
+
 
 class RefusePolicyTest(unittest.TestCase):
     def test_orders_of_earlier_releases_are_refused_when_late(self) -> None:
