Treat counts of more than 15 digits as malformed

A caller that announced more tokens than a float can hold caused an error at the owner of engines, and counts of more than 4,300 digits were errors instead of malformed hints.

--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -41,6 +41,9 @@
 _MAX_DEADLINE_SECONDS: Final = 86_400.0
 #: Most pieces that one stage of one request may have.
 _MAX_PIECES: Final = 10_000
+#: Longest count, in digits.  Longer ones are beyond the range of floats or of the conversion from
+#: text, and would fail the calculations that use them.
+_MAX_DIGITS: Final = 15
 #: Status of a target that is overloaded.  Only with it is ``Retry-After`` read as a back-off of
 #: the target: 429 is about the caller, and its ``Retry-After`` is forwarded to the caller unread.
 _OVERLOADED_STATUS: Final = 503
@@ -265,7 +268,7 @@
     def _read_pieces(self, request: HttpRequest) -> tuple[int, ...]:
         value = self._find_header(request, "pieces") or ""
         counts = [item.strip() for item in value.split(",") if item.strip()]
-        if any(not count.isdecimal() or int(count) > _MAX_PIECES for count in counts):
+        if any(not _is_count(count) or int(count) > _MAX_PIECES for count in counts):
             raise BadRequestError(f"{self.headers.pieces} must hold numbers up to {_MAX_PIECES}")
         return tuple(int(count) for count in counts)
 
@@ -285,7 +288,12 @@
 def _read_count(text: str) -> int:
     """Return a count, or 0 for a malformed one: counts are hints and fail no request."""
     text = text.strip()
-    return int(text) if text.isdecimal() else 0
+    return int(text) if _is_count(text) else 0
+
+
+def _is_count(text: str) -> bool:
+    """Return whether a text is a plausible count."""
+    return text.isdecimal() and len(text) <= _MAX_DIGITS
 
 
 def _read_backoff(head: HttpHead) -> float:
