--- a/packages/damsonlane/src/damsonlane/pools/_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/_late_work.py
@@ -25,6 +25,10 @@
 PLANNED_SHARE: Final = 0.6
 #: Period whose arrivals are expected again, in seconds.
 ARRIVAL_SECONDS: Final = 1.0
+#: Seconds for which such arrivals take the capacity that late work needs to be kept.  Without them,
+#: late work of a wave is kept until it expires; with those of all later calls, a wave is taken to
+#: last, and hardly any late work is kept.  docs/design/late-requests.md has the replay.
+KEEP_SECONDS: Final = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -107,7 +111,7 @@
         if not stages:
             return [], []
         schedule = _reserve_in_time(in_time, now, capacity)
-        self._reserve_arrivals(schedule, now, capacity)
+        self._reserve_arrivals(schedule, now, capacity, CALLS_AHEAD * capacity.full_seconds)
         among: list[LateStage] = []
         after: list[LateStage] = []
         for late in sorted(stages, key=lambda stage: (gives_way(stage), stage.deadline_at)):
@@ -134,6 +138,7 @@
         if not late:
             return []
         schedule = _reserve_in_time(in_time, now, capacity)
+        self._reserve_arrivals(schedule, now, capacity, KEEP_SECONDS)
         earliest = now + capacity.backoff_seconds + capacity.full_seconds
         refused: list[WaitingStage] = []
         for stage in late:
@@ -144,14 +149,16 @@
                 refused.append(stage)
         return refused
 
-    def _reserve_arrivals(self, schedule: Schedule, now: float, capacity: CallCapacity) -> None:
-        """Reserve capacity for arrivals like the recent ones until the planning horizon."""
+    def _reserve_arrivals(
+        self, schedule: Schedule, now: float, capacity: CallCapacity, seconds: float
+    ) -> None:
+        """Reserve capacity for arrivals like the recent ones within the next seconds."""
         horizon = CALLS_AHEAD * capacity.full_seconds
         for arrived_at, slack, pieces in self._arrivals:
             if slack < capacity.call_seconds or arrived_at < now - ARRIVAL_SECONDS:
                 continue
             again_at = arrived_at + ARRIVAL_SECONDS
-            while again_at + slack < now + horizon:
+            while again_at < now + seconds and again_at + slack < now + horizon:
                 schedule.reserve(pieces, again_at + slack)
                 again_at += ARRIVAL_SECONDS
 
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
@@ -96,6 +96,19 @@
         self.assertEqual(numbers(selection.batch), [100, 101])
         self.assertEqual(numbers(selection.late), [7, 8, 9, 10])
 
+    def test_expected_arrivals_have_late_work_refused_that_would_only_expire(self) -> None:
+        """Guards against refusals seconds after it is known that a wave leaves no room."""
+        for arrivals, refused in ((0, []), (8, [13, 14])):
+            with self.subTest(arrivals=arrivals):
+                self.queue = PieceQueue()
+                for number in range(100, 100 + arrivals):
+                    # These left the queue, but as many are expected again.
+                    self.queue.add(make_piece(number, aim_left=1.0))
+                    self.queue.cancel("e", number)
+                for number in range(1, 15):
+                    self.queue.add(make_piece(number, left=3.0))
+                self.assertEqual(numbers(self.select(0.6).late), refused)
+
     def test_work_of_entries_with_other_settings_is_refused_as_before(self) -> None:
         """An owner serves entries with and without the setting while they are restarted."""
         self.add_in_time(2)
