Keep late pieces late when their call fails

A late piece that was queued again, mostly for lack of result memory, was judged as new work and counted as refused by its class a second time.

--- a/packages/damsonlane/src/damsonlane/pools/_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/_late_work.py
@@ -79,7 +79,7 @@
     def add(self, stage: WaitingStage) -> None:
         """Add a stage that can't meet its latency objective."""
         for piece in stage.pieces:
-            self.waiting.add(piece)
+            self.waiting.add(replace(piece, is_late=True))
 
     def split(
         self,
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -84,8 +84,13 @@
         return len(self._waiting)
 
     def add(self, piece: WaitingPiece) -> None:
-        """Add a piece unless it is in the queue already."""
-        if piece.identity not in self._late_work.waiting:
+        """Add a piece unless it is in the queue already.
+
+        A late one that is added again, since its call failed, stays late.
+        """
+        if piece.is_late:
+            self._late_work.waiting.add(piece)
+        elif piece.identity not in self._late_work.waiting:
             self._waiting.add(piece)
             self._late_work.record_arrival(piece)
 
--- a/packages/damsonlane/src/damsonlane/pools/_waiting.py
+++ b/packages/damsonlane/src/damsonlane/pools/_waiting.py
@@ -22,6 +22,8 @@
     abandonable_until: float = float("inf")
     #: Number of times that the piece was sent to a target.
     attempts: int = 0
+    #: Whether it was found to miss its latency objective and is served late.
+    is_late: bool = False
 
     @property
     def identity(self) -> tuple[str, int]:
--- a/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
+++ b/packages/damsonlane/src/damsonlane/pools/tests/test_late_work.py
@@ -199,6 +199,14 @@
         self.queue.add(replace(piece, order=order, abandonable_until=-1.0))
         self.assertEqual(numbers(self.select(0.0, replace(CAPACITY, batch=20)).batch), [1])
 
+    def test_late_work_that_is_added_again_stays_late(self) -> None:
+        """Guards against late work that counts twice or takes the slots of newer stages."""
+        self.queue.add(make_piece(1))
+        (piece,) = self.select().batch
+        self.queue.add(replace(piece, attempts=1))
+        self.assertEqual((len(self.queue), self.queue.count_in_time()), (1, 0))
+        self.assertEqual(numbers(self.select(0.3).batch), [1])
+
     def test_late_work_expires_at_its_deadline(self) -> None:
         self.add_in_time(2)
         self.queue.add(make_piece(1, left=2.0))
