Give each started box of the measurement its own loopback address

Cause: all boxes have the same port for metrics, and the addresses 127.0.0.1 and 127.0.0.2 were fixed: two measurements at once failed with 'address already in use'. Change: the loopback addresses are drawn at random. Measured: test_start_modules passes while all modules are being tested.

--- a/packages/damsonlane_bench/src/damsonlane_bench/box_start.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/box_start.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import subprocess
 import sys
 import tempfile
@@ -65,9 +66,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class BoxAddresses:
-    """Addresses of the only control replica of a box's system."""
+    """Addresses of a system of one control replica and one entry."""
 
-    #: For heartbeats and documents.
+    #: Host of each role.  The port for metrics is the same on all boxes, so each box of each
+    #: process that runs boxes has a loopback address of its own.
+    hosts: dict[BoxRole, str]
+    #: Of the control replica, for heartbeats and documents.
     registry: str
     #: For other boxes; the same port is the internal port of all boxes.
     internal_port: int
@@ -75,11 +79,20 @@
 
 def allocate_addresses() -> BoxAddresses:
     """Return free addresses for a system."""
+    hosts: dict[BoxRole, str] = {"front": _draw_host(), "control": _draw_host()}
+    port = allocate_address().rpartition(":")[2]
     return BoxAddresses(
-        registry=allocate_address(), internal_port=int(allocate_address().rpartition(":")[2])
+        hosts=hosts,
+        registry=f"{hosts['control']}:{port}",
+        internal_port=int(allocate_address().rpartition(":")[2]),
     )
 
 
+def _draw_host() -> str:
+    draw = random.SystemRandom().randint
+    return f"127.{draw(1, 254)}.{draw(1, 254)}.{draw(1, 254)}"
+
+
 @contextmanager
 def run_box(role: BoxRole, addresses: BoxAddresses) -> Iterator[StartedBox]:
     """Run a box, from the moment when it listens.
@@ -115,8 +128,7 @@
 
 
 def _make_settings(role: BoxRole, addresses: BoxAddresses, folder: str) -> str:
-    # Boxes have the same port for metrics, so each role has a loopback address of its own.
-    host = "127.0.0.1" if role == "control" else "127.0.0.2"
+    host = addresses.hosts[role]
     port = addresses.internal_port
     listen = {"control": addresses.registry}
     if role == "front":
