A control replica stops although a cancellation was lost

What was seen: nine test modules in one process hung twice out of two tries, the second time while a replica of test_group was stopped. It was not reproduced with fewer modules, so the cause is probable and not proven.

Cause, by reading: grpclib may replace a cancellation by the error of a connection that fails at the same moment. The maintenance of the group, the list of boxes, the rate limits and the checks of targets handle such errors and go on, and stop() waits for them forever.

Change: stop_task cancels a task again until it has ended.

--- a/packages/damsonlaned/src/damsonlaned/control/_group_manager.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_group_manager.py
@@ -1,7 +1,6 @@
 """Automatic founding and repair of the control group."""
 
 import asyncio
-import contextlib
 import logging
 import random
 import ssl
@@ -34,7 +33,7 @@
     NotLeader,
 )
 from damsonlaned.control._node import ControlNode
-from damsonlaned.tasks import start_task
+from damsonlaned.tasks import start_task, stop_task
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -88,9 +87,7 @@
     async def stop(self) -> None:
         """Stop checking the group."""
         if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+            await stop_task(self._task)
         self._join_client.close()
 
     def replace_seeds(self, seeds: tuple[str, ...]) -> None:
--- a/packages/damsonlaned/src/damsonlaned/control/_membership.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_membership.py
@@ -10,7 +10,7 @@
 from damsonlane_rpc import ControlClient, WatchReport
 from damsonlaned.control._node import ControlNode
 from damsonlaned.metrics import Metrics
-from damsonlaned.tasks import start_task
+from damsonlaned.tasks import start_task, stop_task
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -50,9 +50,7 @@
     async def stop(self) -> None:
         """Stop the updates."""
         if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+            await stop_task(self._task)
         self._client.close()
 
     async def _run(self) -> None:
--- a/packages/damsonlaned/src/damsonlaned/control/_rate_limits.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_rate_limits.py
@@ -22,7 +22,7 @@
 )
 from damsonlane_rpc import PERMIT, NotLeader, PermitBatchReply, PermitBatchRequest, Permits
 from damsonlaned.control._node import ControlNode
-from damsonlaned.tasks import start_task
+from damsonlaned.tasks import start_task, stop_task
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -59,8 +59,7 @@
     async def stop(self) -> None:
         """Stop committing changed limits."""
         if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            await stop_task(self._task)
 
     async def _serve(self, stream: Stream[PermitBatchRequest, PermitBatchReply]) -> None:
         request = await stream.recv_message()
--- a/packages/damsonlaned/src/damsonlaned/control/_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_registry.py
@@ -50,7 +50,7 @@
 )
 from damsonlaned.http import HttpListener, HttpRequest, HttpResponse, ResponseWriter
 from damsonlaned.logs import LogRateLimiter
-from damsonlaned.tasks import start_task
+from damsonlaned.tasks import start_task, stop_task
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -122,7 +122,7 @@
     async def stop(self) -> None:
         """Stop listening."""
         if self._check_task is not None:
-            self._check_task.cancel()
+            await stop_task(self._check_task)
         await self._listener.stop()
 
     # Calls.
--- a/packages/damsonlaned/src/damsonlaned/tasks.py
+++ b/packages/damsonlaned/src/damsonlaned/tasks.py
@@ -7,6 +7,9 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+#: Seconds after which a task that is still running is cancelled again.
+CANCEL_SECONDS: Final = 0.5
+
 Result = TypeVar("Result")
 
 
@@ -25,3 +28,14 @@
 def _log_failure(task: asyncio.Task[Any]) -> None:
     if not task.cancelled() and task.exception() is not None:
         _LOG.error("task failed", extra={"task": task.get_name()}, exc_info=task.exception())
+
+
+async def stop_task(task: "asyncio.Task[None]") -> None:
+    """Cancel a task and wait until it has ended, whatever it raises.
+
+    A library may replace a cancellation by the error of a connection that fails at the same moment.
+    A task that handles such errors then goes on, so it is cancelled again.
+    """
+    while not task.done():
+        task.cancel()
+        await asyncio.wait({task}, timeout=CANCEL_SECONDS)
