Decode messages whose capacity, overload or slowness is no number

A null or a text in capacity, is_overloaded, slowness or slowness_age_seconds made the whole report, list of entries or message to an owner undecodable, so the box was removed or all other outcomes were lost. Such a value now counts as unknown; control still logs an implausible capacity.

--- a/packages/damsonlane/src/damsonlane/membership/_boxes.py
+++ b/packages/damsonlane/src/damsonlane/membership/_boxes.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, replace
 from typing import Literal
 
+from damsonlane.hints import FlagHint, NumberHint
+
 #: A box is live until it announces that it is draining ("leaving"); a silent one is deleted.
 BoxStanding = Literal["live", "leaving"]
 
@@ -29,9 +31,9 @@
     #: Its position in the order in which incarnations joined, assigned by `Membership`.
     place: int = 0
     #: Its capacity, in cores; 0 if unknown.
-    capacity: float = 0.0
+    capacity: NumberHint = 0.0
     #: Whether it should own nothing while another box can, since it is short of processor time.
-    is_overloaded: bool = False
+    is_overloaded: FlagHint = False
 
     def is_same_report(self, other: "BoxRecord") -> bool:
         """Return whether two records are equal, apart from their positions."""
--- a/packages/damsonlane/src/damsonlane/placement/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placement/_prompts.py
@@ -6,6 +6,8 @@
 
 from pydantic import Field
 
+from damsonlane.hints import NumberHint, OptionalNumberHint
+
 
 @dataclass(frozen=True, kw_only=True)
 class PromptSegment:
@@ -80,6 +82,6 @@
     seconds: float | None
     #: Factor by which work takes longer at the engine than usual, as it reported with the head of
     #: its response; None if it reports none.
-    slowness: Annotated[float | None, Field(exclude_if=operator.not_)] = None
+    slowness: Annotated[OptionalNumberHint, Field(exclude_if=operator.not_)] = None
     #: Seconds from the arrival of that report to the sending of this outcome.
-    slowness_age_seconds: float = 0.0
+    slowness_age_seconds: NumberHint = 0.0
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_watch_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_watch_messages.py
@@ -1,5 +1,6 @@
 """A box's report of itself to control."""
 
+from damsonlane.hints import FlagHint, NumberHint
 from damsonlane.records import dataclass
 
 
@@ -21,7 +22,7 @@
     address: str
     #: Whether it is draining.
     is_leaving: bool = False
-    #: Its capacity, in cores; 0 if unknown.
-    capacity: float = 0.0
+    #: Its capacity, in cores; 0 if unknown, NaN if the report has something else than a number.
+    capacity: NumberHint = 0.0
     #: Whether it should own nothing while another box can, since it is short of processor time.
-    is_overloaded: bool = False
+    is_overloaded: FlagHint = False
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_codec.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_codec.py
@@ -1,9 +1,21 @@
 """Tests of the encoding of messages between boxes."""
 
+import json
+import math
 import unittest
+from typing import Any
 
+from damsonlane.membership import BoxRecord, is_plausible_capacity
+from damsonlane.placement import PromptOutcome
 from damsonlane.pools import PieceOrder
-from damsonlane_rpc import MESSAGE_COUNTERS, DataclassCodec, PoolOrders
+from damsonlane_rpc import (
+    MESSAGE_COUNTERS,
+    DataclassCodec,
+    FollowReport,
+    FollowUpdate,
+    PoolOrders,
+    WatchReport,
+)
 from damsonlane_rpc._codec import MIN_COMPRESSED_BYTES
 
 _ORDER = PieceOrder(
@@ -21,6 +33,71 @@
 )
 
 
+_RECORD = BoxRecord(
+    box="b",
+    incarnation="i",
+    started_at=1.0,
+    data_centre="d",
+    address="127.0.0.1:1",
+    standing="live",
+    via="c",
+)
+_REPORT = FollowReport(
+    box=WatchReport(
+        box="b", incarnation="i", data_centre="d", version=1, started_at=1.0, address="127.0.0.1:1"
+    ),
+    targets_revision=1,
+)
+#: JSON texts that are neither a number nor a flag, or not a plausible one.
+_ODD_VALUES = ("null", '"fast"', "[1]", "{}", "-1", "1e400", "1" + "0" * 400, "NaN", "Infinity")
+
+
+class HintTest(unittest.TestCase):
+    """Guards against a whole message that is lost since one hint in it is invalid."""
+
+    def decode_with(self, message: Any, path: tuple[str | int, ...], text: str) -> Any:
+        """Return a message decoded with some JSON in place of the field at a path."""
+        codec = DataclassCodec()
+        data = json.loads(codec.encode(message, type(message)))
+        holder = data
+        for step in path[:-1]:
+            holder = holder[step]
+        holder[path[-1]] = "@"
+        odd = json.dumps(data).replace('"@"', text).encode()
+        return codec.decode(odd, type(message))
+
+    def test_odd_values_of_a_box_leave_the_rest_of_its_report_valid(self) -> None:
+        for text in _ODD_VALUES:
+            with self.subTest(text[:10]):
+                capacity = self.decode_with(_REPORT, ("box", "capacity"), text).box.capacity
+                self.assertFalse(is_plausible_capacity(capacity))
+                flagged = self.decode_with(_REPORT, ("box", "is_overloaded"), text)
+                self.assertEqual(flagged, _REPORT)
+
+    def test_odd_values_of_a_box_leave_the_list_of_entries_valid(self) -> None:
+        update = FollowUpdate(state_age=0.0, entries=(_RECORD, _RECORD))
+        for text in _ODD_VALUES:
+            with self.subTest(text[:10]):
+                entries = self.decode_with(update, ("entries", 0, "capacity"), text).entries
+                self.assertFalse(is_plausible_capacity(entries[0].capacity))
+                self.assertEqual(entries[1], _RECORD)
+                flagged = self.decode_with(update, ("entries", 0, "is_overloaded"), text)
+                self.assertEqual(flagged, update)
+
+    def test_odd_values_of_an_outcome_leave_the_others_valid(self) -> None:
+        outcome = PromptOutcome(number=1, seconds=0.1, slowness=2.5, slowness_age_seconds=0.1)
+        orders = PoolOrders(service="s", reads=(outcome, outcome))
+        for field in ("slowness", "slowness_age_seconds"):
+            for text in _ODD_VALUES:
+                with self.subTest(field, text=text[:10]):
+                    reads = self.decode_with(orders, ("reads", 0, field), text).reads
+                    self.assertEqual(reads[0].seconds, 0.1)
+                    value = getattr(reads[0], field)
+                    is_usable = value is not None and math.isfinite(value) and value >= 0
+                    self.assertFalse(is_usable)
+                    self.assertEqual(reads[1], outcome)
+
+
 class DataclassCodecTest(unittest.TestCase):
     def test_messages_survive_a_round_trip(self) -> None:
         codec = DataclassCodec()
