Send no age of a slowness where none is reported

Outcomes of services without a reported slowness carried the field slowness_age_seconds, so their messages were not the same as before. The test compares the encoded outcome and failed before.

--- a/packages/damsonlane/src/damsonlane/placement/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placement/_prompts.py
@@ -84,4 +84,4 @@
     #: its response; None if it reports none.
     slowness: Annotated[OptionalNumberHint, Field(exclude_if=operator.not_)] = None
     #: Seconds from the arrival of that report to the sending of this outcome.
-    slowness_age_seconds: NumberHint = 0.0
+    slowness_age_seconds: Annotated[NumberHint, Field(exclude_if=operator.not_)] = 0.0
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_codec.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_codec.py
@@ -97,6 +97,12 @@
                     self.assertFalse(is_usable)
                     self.assertEqual(reads[1], outcome)
 
+    def test_outcomes_without_a_slowness_are_encoded_as_before(self) -> None:
+        """Guards against other messages in services that report no slowness."""
+        orders = PoolOrders(service="s", reads=(PromptOutcome(number=1, seconds=0.1),))
+        data = json.loads(DataclassCodec().encode(orders, PoolOrders))
+        self.assertEqual(data["reads"], [{"number": 1, "seconds": 0.1}])
+
 
 class DataclassCodecTest(unittest.TestCase):
     def test_messages_survive_a_round_trip(self) -> None:
