Pass responses on in parts while their bytes are counted

All unread bytes of a target's connection, up to 256 KiB and more, were read at once and passed on at the pace of the caller. The pause of the next ones lasted that long, so a caller that reads steadily was disconnected as blocked. Without a budget, reads are as before.

--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -1,6 +1,7 @@
 """One TCP connection as a stream of bytes, with the ways in which it can end."""
 
 import asyncio
+import itertools
 import socket
 from collections.abc import Callable
 from typing import Final, cast
@@ -14,6 +15,9 @@
 #: Size of the kernel's buffers of a connection whose bytes are counted.  Otherwise the kernel
 #: buffers megabytes for a caller that doesn't read, and delays the time at which that shows.
 KERNEL_BUFFER_BYTES: Final = 64 * 1024
+#: Most bytes of a response that are read at once if they are counted for a caller.  While they are
+#: passed on, the target may have to wait; it would wait for seconds if all unread bytes were.
+MAX_COUNTED_READ_BYTES: Final = 16 * 1024
 
 
 class TcpStream(asyncio.Protocol):
@@ -115,16 +119,30 @@
                 return b""
             self._reader = asyncio.get_running_loop().create_future()
             await self._reader
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._size = 0
+        data = self._take_unread()
+        self._size -= len(data)
         self._record_unread()
-        if self._is_paused and self._transport is not None and not self._is_lost:
+        may_resume = not self._chunks or self._may_read()
+        if self._is_paused and may_resume and self._transport is not None and not self._is_lost:
             self._is_paused = False
             self._transport.resume_reading()
             self._record_paused(is_paused=False)
         return data
 
+    def _take_unread(self) -> bytes:
+        """Remove and return the bytes that arrived; only the first ones if they are counted."""
+        count = len(self._chunks)
+        if self._meter is not None and self._meter.caller is not self:
+            first = self._chunks[0]
+            if len(first) > MAX_COUNTED_READ_BYTES:
+                self._chunks[0] = first[MAX_COUNTED_READ_BYTES:]
+                return first[:MAX_COUNTED_READ_BYTES]
+            sizes = itertools.accumulate(len(chunk) for chunk in self._chunks)
+            count = sum(1 for _ in itertools.takewhile(MAX_COUNTED_READ_BYTES.__ge__, sizes))
+        data = b"".join(self._chunks[:count])
+        del self._chunks[:count]
+        return data
+
     def write(self, data: bytes) -> None:
         """Queue bytes; they are dropped if the connection is lost."""
         if self._transport is not None and not self._is_lost:
