Count a prompt once whose sender uses its number again

The tokens of the earlier prompt stayed counted as awaited until the engine had none, so an engine seemed busy after an entry had restarted within 5 s. The test failed before.

--- a/packages/damsonlane/src/damsonlane/placement/_engine_work.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_work.py
@@ -46,6 +46,8 @@
     def add(self, prompt: tuple[str, int], tokens: float, now: float) -> None:
         """Add a prompt of which some tokens will be prefilled."""
         self._remove_expired(now)
+        # A sender that has restarted uses the same numbers again.
+        self.remove(prompt)
         if not self._awaited:
             self._measured_until = max(self._measured_until, now + BASE_SECONDS)
         self._awaited[prompt] = (tokens, now)
--- a/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
+++ b/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
@@ -154,6 +154,17 @@
         self.assertGreater(work.min_left_tokens(1.0), 0.0)
         self.assertEqual(work.min_left_tokens(6.0), 0.0)
 
+    def test_a_sender_that_restarts_uses_numbers_again(self) -> None:
+        # Guards against tokens that are counted as awaited although their prompt was replaced.
+        table = EngineTable(CACHE_TOKENS)
+        table.update([EngineLocation(target="e0", data_centre="")])
+        order = PlacementRequest(number=1, shared=(), tokens=9_000, aim_left_seconds=1.0)
+        work = table._engines["e0"].work
+        table.place("e", order, ("e0",), 0.0)
+        awaited = work.min_left_tokens(0.0)
+        table.place("e", order, ("e0",), 1.0)
+        self.assertEqual(work.min_left_tokens(1.0), awaited)
+
 
 if __name__ == "__main__":
     unittest.main()
