Close connections to a target beyond a lowered share

An entry whose share of a target's connections had become smaller kept the idle ones and reused all that were open, so entries together could hold more than the target allows long after the change. Idle ones beyond the share are now closed at its next use, others after their response.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -313,7 +313,7 @@
         connections = self._connections.get(target)
         if connections is None:
             connections = self._connections[target] = ConnectionPool(address, most)
-        connections.max_connections = most
+        connections.set_limit(most)
         return connections
 
     def _find_max_connections(self, limit: float) -> int:
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -72,6 +72,12 @@
         self._is_closed = False
         self._open = 0
 
+    def set_limit(self, most: int) -> None:
+        """Set the largest number of open connections; idle ones beyond it are closed."""
+        self.max_connections = most
+        while self._idle and self._open > most:
+            self._drop(self._idle.popleft())
+
     def count_open(self) -> int:
         """Return the number of open connections, idle ones included."""
         return self._open
@@ -89,7 +95,12 @@
     def release(self, connection: TargetConnection, *, is_complete: bool) -> None:
         """Keep a connection after a complete response; otherwise close it at once."""
         now = asyncio.get_running_loop().time()
-        may_keep = is_complete and not self._is_closed and len(self._idle) < _MAX_IDLE
+        may_keep = (
+            is_complete
+            and not self._is_closed
+            and len(self._idle) < _MAX_IDLE
+            and self._open <= self.max_connections
+        )
         if may_keep and connection.make_idle(now, lambda: self._forget(connection)):
             self._idle.append(connection)
             return
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
@@ -203,6 +203,24 @@
             exchange.finish()
         self.assertEqual(pool.count_open(), 0)
 
+    async def test_connections_beyond_a_lowered_limit_are_closed(self) -> None:
+        """Guards against entries that together keep more connections than a target may have."""
+        _, pool = await self.open([COMPLETE, COMPLETE])
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            exchanges = [await pool.send(REQUEST, 1.0) for _ in range(4)]
+            for exchange in exchanges:
+                await exchange.read_head()
+                await exchange.body.read_all()
+        for exchange in exchanges[:2]:
+            exchange.finish()
+        pool.set_limit(3)
+        self.assertEqual(pool.count_open(), 3)
+        pool.set_limit(1)
+        self.assertEqual(pool.count_open(), 2)
+        for exchange in exchanges[2:]:
+            exchange.finish()
+        self.assertEqual(pool.count_open(), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
