End an overload when all boxes become equal

The overload of an owner is not updated in a list of equal boxes, so one that was reported before stayed in control's list, and its box owned nothing for as long as the list was even. The test failed before.

--- a/packages/damsonlane/src/damsonlane/membership/_overload.py
+++ b/packages/damsonlane/src/damsonlane/membership/_overload.py
@@ -21,6 +21,13 @@
         self.is_overloaded = False
         self._since: float | None = None
 
+    def reset(self) -> bool:
+        """Forget what was recorded; return whether `is_overloaded` changed."""
+        was_overloaded = self.is_overloaded
+        self.is_overloaded = False
+        self._since = None
+        return was_overloaded
+
     def update(self, now: float, load: float, *, is_owner: bool) -> bool:
         """Record the load; return whether `is_overloaded` changed.
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -265,11 +265,13 @@
 
     def _check_overload(self, load: float) -> None:
         """Have other entries own the shards of this one while it is short of processor time."""
-        if not are_uneven(self._view.entries):
-            # Boxes of equal capacity divide their services instead.
-            return
         owned = self._pools.count_owned()
-        if self._overload.update(read_clock(), load, is_owner=owned > 0):
+        if are_uneven(self._view.entries):
+            is_changed = self._overload.update(read_clock(), load, is_owner=owned > 0)
+        else:
+            # Boxes of equal capacity divide their services instead.
+            is_changed = self._overload.reset()
+        if is_changed:
             is_overloaded = self._overload.is_overloaded
             fields = {"is_overloaded": is_overloaded, "load": round(load, 3), "shards": owned}
             _LOG.warning("overload changed", extra=fields)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
@@ -53,6 +53,14 @@
         self.assertTrue(self.report_load(await self.make_uneven_node(), 0.9))
         self.assertFalse(self.report_load(await self.make_uneven_node(), 0.6))
 
+    async def test_an_overload_ends_when_all_boxes_become_equal(self) -> None:
+        """Guards against an entry that owns nothing for ever after the small boxes were removed."""
+        node = await self.make_uneven_node()
+        self.assertTrue(self.report_load(node, 0.9))
+        records = [make_box_record(f"127.0.0.1:{number}") for number in (1, 6)]
+        node._view.put_entries(tuple(replace(record, capacity=0.516) for record in records))
+        self.assertFalse(self.report_load(node, 0.9))
+
     async def test_an_entry_among_equal_ones_reports_no_overload(self) -> None:
         """Guards against deployments with boxes of one size that change their owners."""
         for settings in (replace(SETTINGS, capacity=None), SETTINGS):
