Ignore counts of more than nine digits

A target that reported a load with 400 digits overflowed a float, and one with 5,000 digits was refused by int, so its response was lost and the request stayed in flight there. Such a count is now malformed, as other texts are.

--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -41,6 +41,8 @@
 _MAX_DEADLINE_SECONDS: Final = 86_400.0
 #: Most pieces that one stage of one request may have.
 _MAX_PIECES: Final = 10_000
+#: Most digits of a plausible count.  Longer ones overflow a float, or are refused by `int`.
+_MAX_COUNT_DIGITS: Final = 9
 #: Status of a target that is overloaded.  Only with it is ``Retry-After`` read as a back-off of
 #: the target: 429 is about the caller, and its ``Retry-After`` is forwarded to the caller unread.
 _OVERLOADED_STATUS: Final = 503
@@ -285,7 +287,7 @@
 def _read_count(text: str) -> int:
     """Return a count, or 0 for a malformed one: counts are hints and fail no request."""
     text = text.strip()
-    return int(text) if text.isdecimal() else 0
+    return int(text) if text.isdecimal() and len(text) <= _MAX_COUNT_DIGITS else 0
 
 
 def _read_backoff(head: HttpHead) -> float:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_target_speed.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_target_speed.py
@@ -51,6 +51,15 @@
         self.assertEqual(len(logs.records), 1)
         self.assertEqual(entry.attempts._targets.implausible_slowness, 3)
 
+    async def test_counts_of_many_digits_fail_no_request(self) -> None:
+        # Guards against a response that is lost since its load is no float, or no int, any more.
+        for digits in (400, 5_000):
+            for load in (b"%s,0,4,100", b"1,0,%s,100", b"%s,0,4"):
+                with self.subTest(load, digits=digits):
+                    entry = await self.call(load % (b"9" * digits), 2)
+                    record = entry.attempts._targets._tables["desk"]._records["t1"]
+                    self.assertEqual(record.in_flight, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
