--- a/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
@@ -52,7 +52,9 @@
         self._address: Final = address
         self._numbers: Final = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Placement]] = {}
-        self._reads: dict[tuple[str, str], list[PromptOutcome]] = {}
+        #: Outcomes to send, by owner and service, each with the time at which it was reported.
+        self._reads: dict[tuple[str, str], list[tuple[PromptOutcome, float]]] = {}
+        self._timers: dict[tuple[str, str], asyncio.TimerHandle] = {}
         self._skipped_until: dict[str, float] = {}
 
     async def place(self, service: str, order: PlacementRequest) -> "PlacedPrompt | None":
@@ -83,15 +85,23 @@
             if placer is not None:
                 placer.record_reads(_SELF, (read,))
             return
-        batch = self._reads.setdefault((owner, service), [])
-        if not batch:
-            loop = asyncio.get_running_loop()
-            seconds = BATCH_SECONDS if read.slowness is None else SLOWNESS_BATCH_SECONDS
-            loop.call_later(seconds, self._send_reads, owner, service)
-        batch.append(read)
+        loop = asyncio.get_running_loop()
+        key = (owner, service)
+        self._reads.setdefault(key, []).append((read, loop.time()))
+        seconds = BATCH_SECONDS if read.slowness is None else SLOWNESS_BATCH_SECONDS
+        timer = self._timers.get(key)
+        if timer is None or timer.when() > loop.time() + seconds:
+            if timer is not None:
+                timer.cancel()
+            self._timers[key] = loop.call_later(seconds, self._send_reads, owner, service)
 
     def _send_reads(self, owner: str, service: str) -> None:
-        reads = tuple(self._reads.pop((owner, service), ()))
+        now = asyncio.get_running_loop().time()
+        self._timers.pop((owner, service), None)
+        reads = tuple(
+            _add_age(read, now - reported_at)
+            for read, reported_at in self._reads.pop((owner, service), ())
+        )
         self._links.send(owner, PoolOrders(service=service, reads=reads))
 
     async def _ask(self, owner: str, service: str, order: PlacementRequest) -> Placement | None:
@@ -116,6 +126,13 @@
             self._pending.pop(order.number, None)
 
 
+def _add_age(read: PromptOutcome, seconds: float) -> PromptOutcome:
+    """Return an outcome whose slowness, if any, is older by the time in its batch."""
+    if read.slowness is None:
+        return read
+    return replace(read, slowness_age_seconds=read.slowness_age_seconds + seconds)
+
+
 class PlacedPrompt:
     """A prompt that an owner placed, whose outcome is reported back to that owner.
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_placement.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_placement.py
@@ -120,6 +120,26 @@
         placer.record_reads("e", (replace(outcome, number=99),))
         self.assertIsNone(placer.summarise_speeds())
 
+    async def test_a_slowness_does_not_wait_for_outcomes_without_one(self) -> None:
+        # Guards against a report that arrives late, and as newer than it is, since it joined a
+        # batch that was begun by a failed prompt.
+        links = mock.Mock()
+        client = PlacementClient(self.placers, links, "127.0.0.1:9")
+        with (
+            mock.patch.object(_placement_client, "BATCH_SECONDS", 3_600.0),
+            mock.patch.object(_placement_client, "SLOWNESS_BATCH_SECONDS", 0.1),
+        ):
+            client.report_read("owner", "engines", PromptOutcome(number=1, seconds=None))
+            for number in (2, 3):
+                outcome = PromptOutcome(number=number, seconds=0.2, slowness=2.5)
+                client.report_read("owner", "engines", outcome)
+            await wait_until(lambda: links.send.called)
+        links.send.assert_called_once()
+        reads = links.send.call_args.args[1].reads
+        self.assertEqual([read.number for read in reads], [1, 2, 3])
+        self.assertEqual(reads[0].slowness_age_seconds, 0.0)
+        self.assertGreater(reads[1].slowness_age_seconds, 0.05)
+
     async def test_learned_speeds_are_logged_once_per_interval(self) -> None:
         # Guards against a log line for each of many thousand outcomes.
         placer = self.placers.find("engines")
