Compare the capacities of boxes once for each list

Every sample of the load compared the records of all boxes again, so idle wake-ups cost more the more boxes there are.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -84,9 +84,8 @@
         self._shares: Final = CapacityShares(
             settings.internal_address, HOLD_RATIO * gateway.apply_seconds
         )
-        self._view.on_entries(
-            lambda: self._shares.record(self._view.entries, asyncio.get_running_loop().time())
-        )
+        self._is_uneven = False
+        self._view.on_entries(self._record_entries)
         targets = self._targets = TargetSelector(
             self._view,
             settings.data_centre,
@@ -240,6 +239,11 @@
     def _find_data_centre(self, handle: str) -> str:
         return self._view.data_centre_at(self._dialect.read_result_address(handle))
 
+    def _record_entries(self) -> None:
+        """Compute what depends only on control's list of entries."""
+        self._shares.record(self._view.entries, asyncio.get_running_loop().time())
+        self._is_uneven = are_uneven(self._view.entries)
+
     def _count_entries(self) -> int:
         return max(1, len(self._view.entries))
 
@@ -259,14 +263,14 @@
 
         Boxes of equal capacity divide their services at the load of their event loops.
         """
-        if not are_uneven(self._view.entries):
+        if not self._is_uneven:
             return 0.0
         return self._control_follower.capacity
 
     def _check_overload(self, load: float) -> None:
         """Have other entries own the shards of this one while it is short of processor time."""
         owned = self._pools.count_owned()
-        if are_uneven(self._view.entries):
+        if self._is_uneven:
             is_changed = self._overload.update(read_clock(), load, is_owner=owned > 0)
         else:
             # Boxes of equal capacity divide their services instead.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -164,12 +164,12 @@
         bound = self._view.find_warmup_limit(service.name) if warming_up else None
         if bound is None:
             return []
-        entries = {entry.address for entry in self._view.entries}
         limit = bound.entries_limit()
         now = self._now()
         if self._shares is not None and self._shares.is_uneven(now):
             shares = {name: self._shares.split_singly(name, limit, now) for name in warming_up}
         else:
+            entries = {entry.address for entry in self._view.entries}
             shares = {
                 name: find_entry_share(name, self._own_address, entries, limit)
                 for name in warming_up
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
@@ -53,6 +53,14 @@
         self.assertTrue(self.report_load(await self.make_uneven_node(), 0.9))
         self.assertFalse(self.report_load(await self.make_uneven_node(), 0.6))
 
+    async def test_capacities_are_compared_once_for_each_list(self) -> None:
+        """Guards against idle wake-ups whose cost grows with the number of boxes."""
+        node = await self.make_uneven_node()
+        with mock.patch.object(_node, "are_uneven") as are_uneven:
+            self.assertEqual(node._find_cores(), 0.516)
+            self.assertTrue(self.report_load(node, 0.9))
+        are_uneven.assert_not_called()
+
     async def test_an_overload_ends_when_all_boxes_become_equal(self) -> None:
         """Guards against an entry that owns nothing for ever after the small boxes were removed."""
         node = await self.make_uneven_node()
