Keep the effect of older lists of boxes beyond the most that are kept

While all boxes restart, more than 64 lists can arrive within the 3 s in which a share must not grow. The oldest ones were dropped, so a box that had just started got a share at once. The two oldest lists now become one with their combined effect. The test failed before: a share of 0.03 instead of 0.

--- a/packages/damsonlane/src/damsonlane/membership/_shares.py
+++ b/packages/damsonlane/src/damsonlane/membership/_shares.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -13,7 +13,8 @@
 #: Seconds for which a share does not grow after a change of the list of boxes, by default.  An
 #: entry that reaches any control replica has a list within 2 s, the time allowed for documents.
 HOLD_SECONDS: Final = 3.0
-#: Most lists that are kept.  Control commits at most a few changes a second.
+#: Most lists that are kept; the two oldest become one beyond it.  Control commits a few changes a
+#: second, and more while all boxes restart.
 MAX_LISTS: Final = 64
 #: Most whole parts of a limit that are given to one box each.  Rounded down, the shares of many
 #: boxes in a small limit would all be 0.
@@ -68,6 +69,9 @@
         self._lists.append(_BoxList(until=math.inf, weights=weights, is_uneven=is_uneven))
         self._merged = None
         self._drop_expired(now)
+        if len(self._lists) > MAX_LISTS:
+            first, second = self._lists.popleft(), self._lists.popleft()
+            self._lists.appendleft(self._combine(first, second))
 
     def is_uneven(self, now: float) -> bool:
         """Return whether a list of the last seconds has boxes of different capacities."""
@@ -111,23 +115,31 @@
         """Return the least weight of this box and the largest of each other one."""
         self._drop_expired(now)
         if self._merged is None:
-            merged: dict[str, float] = {}
-            for known in self._lists:
-                for address, weight in known.weights.items():
-                    merged[address] = max(weight, merged.get(address, 0.0))
-            if self._address in merged:
-                merged[self._address] = min(
-                    known.weights.get(self._address, 0.0) for known in self._lists
-                )
-            self._merged = merged
+            self._merged = self._merge_weights(self._lists)
             self._singles.clear()
-            self._total = math.fsum(merged.values())
+            self._total = math.fsum(self._merged.values())
         return self._merged
 
+    def _merge_weights(self, lists: Collection[_BoxList]) -> Mapping[str, float]:
+        """Return the least weight of this box in some lists and the largest of each other one."""
+        merged: dict[str, float] = {}
+        for known in lists:
+            for address, weight in known.weights.items():
+                merged[address] = max(weight, merged.get(address, 0.0))
+        if self._address in merged:
+            merged[self._address] = min(known.weights.get(self._address, 0.0) for known in lists)
+        return merged
+
+    def _combine(self, first: _BoxList, second: _BoxList) -> _BoxList:
+        """Return one list that restricts the share of the box as two do, until both are old."""
+        return _BoxList(
+            until=max(first.until, second.until),
+            weights=self._merge_weights((first, second)),
+            is_uneven=first.is_uneven or second.is_uneven,
+        )
+
     def _drop_expired(self, now: float) -> None:
-        while self._lists and (
-            self._lists[0].until <= now - self._hold_seconds or len(self._lists) > MAX_LISTS
-        ):
+        while self._lists and self._lists[0].until <= now - self._hold_seconds:
             self._lists.popleft()
             self._merged = None
 
--- a/packages/damsonlane/src/damsonlane/membership/tests/test_shares.py
+++ b/packages/damsonlane/src/damsonlane/membership/tests/test_shares.py
@@ -84,6 +84,21 @@
             shares.find_share(number * 0.001)
         self.assertLessEqual(len(shares._lists), MAX_LISTS + 1)
 
+    def test_many_lists_at_once_do_not_make_a_share_grow_early(self) -> None:
+        """Guards against a sum above the limit while all boxes restart after a power loss."""
+        shares = CapacityShares(UNEVEN[0].address)
+        for number in range(3 * MAX_LISTS):
+            shares.record(UNEVEN[: 1 + number % len(UNEVEN)], 0.001 * number)
+        self.assertEqual(shares.find_share(0.9 * HOLD_SECONDS), 0.0)
+        shares = _follow(UNEVEN)[0]
+        many = (*UNEVEN, *(_make_record(number, 1.29) for number in range(66, 99)))
+        shares.record(many, 0.0)
+        share = shares.find_share(0.0)
+        for number in range(3 * MAX_LISTS):
+            shares.record(UNEVEN, 0.001 * number)
+        self.assertAlmostEqual(shares.find_share(1.0), share)
+        self.assertGreater(shares.find_share(2.0 * HOLD_SECONDS), share)
+
 
 class DifferentListsTest(unittest.TestCase):
     def test_sums_stay_within_limits_while_lists_arrive_at_different_times(self) -> None:
