Ignore durations of prompts that are not finite

Where no engine reports its slowness, an infinite duration on the wire made the moving average of its engine infinite for ever, and the cost of a prompt that is wholly cached there no number, for which the choice among the least costs of this branch then failed.

--- a/packages/damsonlane/src/damsonlane/placement/_engine.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine.py
@@ -1,5 +1,6 @@
 """Estimated state of one engine: prefix cache, load and speed."""
 
+import math
 from typing import Final
 
 from damsonlane.placement._engine_work import EngineWork
@@ -55,7 +56,9 @@
         return slowness if slowness >= SLOW_RATIO else 1.0
 
     def record_ratio(self, ratio: float, now: float) -> None:
-        """Record the ratio of a measured to the expected time."""
+        """Record the ratio of a measured to the expected time, if it is finite."""
+        if not math.isfinite(ratio):
+            return
         known = self.find_slowness(now)
         self._slowness = known + SLOWNESS_WEIGHT * (ratio - known)
         self._updated_at = now
--- a/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
+++ b/packages/damsonlane/src/damsonlane/placement/tests/test_uneven_engines.py
@@ -154,6 +154,20 @@
         self.assertGreater(work.min_left_tokens(1.0), 0.0)
         self.assertEqual(work.min_left_tokens(6.0), 0.0)
 
+    def test_infinite_durations_do_not_stop_the_placement(self) -> None:
+        # Guards against an engine that is avoided for ever, and against a failed placement, after
+        # one infinite duration where no engine reports its slowness.
+        table = EngineTable(CACHE_TOKENS)
+        table.update([EngineLocation(target="e0", data_centre="")])
+        segment = PromptSegment(identity="s", tokens=9_000)
+        order = PlacementRequest(number=0, shared=(segment,), tokens=9_000, aim_left_seconds=1.0)
+        for number, seconds in enumerate((math.inf, math.nan, 0.2)):
+            now = 10.0 * number
+            placement = table.place("e", replace(order, number=number), ("e0",), now)
+            self.assertEqual(placement.target, "e0")
+            table.record_outcome("e", PromptOutcome(number=number, seconds=seconds), now)
+        self.assertLess(table._engines["e0"].find_slowness(20.0), 10.0)
+
     def test_a_sender_that_restarts_uses_numbers_again(self) -> None:
         # Guards against tokens that are counted as awaited although their prompt was replaced.
         table = EngineTable(CACHE_TOKENS)
