--- a/packages/damsonlane/src/damsonlane/placement/_engine_work.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_work.py
@@ -46,6 +46,8 @@
     def add(self, prompt: tuple[str, int], tokens: float, now: float) -> None:
         """Add a prompt of which some tokens will be prefilled."""
         self._remove_expired(now)
+        # A sender that has restarted uses the same numbers again.
+        self.remove(prompt)
         if not self._awaited:
             self._measured_until = max(self._measured_until, now + BASE_SECONDS)
         self._awaited[prompt] = (tokens, now)
@@ -53,6 +55,8 @@
 
     def min_left_tokens(self, now: float) -> float:
         """Return the tokens that are certainly left to prefill, by the prompts awaited."""
+        if not self._awaited:
+            return 0.0
         self._remove_expired(now)
         return MIN_LEFT_SHARE * self._awaited_tokens
 
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -41,9 +41,8 @@
 _MAX_DEADLINE_SECONDS: Final = 86_400.0
 #: Most pieces that one stage of one request may have.
 _MAX_PIECES: Final = 10_000
-#: Longest count, in digits.  Longer ones are beyond the range of floats or of the conversion from
-#: text, and would fail the calculations that use them.
-_MAX_DIGITS: Final = 15
+#: Most digits of a plausible count.  Longer ones overflow a float, or are refused by `int`.
+_MAX_COUNT_DIGITS: Final = 9
 #: Status of a target that is overloaded.  Only with it is ``Retry-After`` read as a back-off of
 #: the target: 429 is about the caller, and its ``Retry-After`` is forwarded to the caller unread.
 _OVERLOADED_STATUS: Final = 503
@@ -293,7 +292,7 @@
 
 def _is_count(text: str) -> bool:
     """Return whether a text is a plausible count."""
-    return text.isdecimal() and len(text) <= _MAX_DIGITS
+    return text.isdecimal() and len(text) <= _MAX_COUNT_DIGITS
 
 
 def _read_backoff(head: HttpHead) -> float:
