--- a/packages/damsonlane/src/damsonlane/placement/_engine.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine.py
@@ -1,8 +1,11 @@
 """Estimated state of one engine: prefix cache, load and speed."""
 
+import math
 from typing import Final
 
+from damsonlane.placement._engine_work import EngineWork
 from damsonlane.placement._prefix_cache import PrefixCache
+from damsonlane.speed import TargetSpeed
 
 #: Ratio of measured to expected time from which an engine counts as slow.
 SLOW_RATIO: Final = 2.0
@@ -31,6 +34,10 @@
         self.link_free_at = 0.0
         #: Until when it is ejected.
         self.ejected_until = 0.0
+        #: Prompts there whose first event is awaited.
+        self.work: Final = EngineWork()
+        #: Its inherent speed and reported slowness.
+        self.speed: Final = TargetSpeed()
         self._slowness = 1.0
         self._updated_at = 0.0
 
@@ -49,7 +56,9 @@
         return slowness if slowness >= SLOW_RATIO else 1.0
 
     def record_ratio(self, ratio: float, now: float) -> None:
-        """Record the ratio of a measured to the expected time."""
+        """Record the ratio of a measured to the expected time, if it is finite."""
+        if not math.isfinite(ratio):
+            return
         known = self.find_slowness(now)
         self._slowness = known + SLOWNESS_WEIGHT * (ratio - known)
         self._updated_at = now
--- a/packages/damsonlane/src/damsonlane/placement/_prompts.py
+++ b/packages/damsonlane/src/damsonlane/placement/_prompts.py
@@ -1,6 +1,12 @@
 """Messages by which one box asks another to place its prompts."""
 
-from dataclasses import dataclass
+import operator
+from typing import Annotated
+
+from pydantic import Field
+
+from damsonlane.hints import NumberHint, OptionalNumberHint
+from damsonlane.records import dataclass
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -40,7 +46,8 @@
     #: Locations of its inputs.
     inputs: tuple[InputLocation, ...] = ()
     #: Organisation of the caller where organisations share the engines fairly; empty otherwise.
-    organisation: str = ""
+    #: Messages omit an empty one, so that those of deployments without shares stay as they are.
+    organisation: Annotated[str, Field(exclude_if=operator.not_)] = ""
 
     @property
     def shared_tokens(self) -> int:
@@ -59,6 +66,9 @@
     #: Name of an engine that has cached more of the prompt, from which its segments should be
     #: fetched; empty for none.
     source: str = ""
+    #: Whether the prompt is beyond the share of its organisation, so that others go first.
+    #: Messages omit it otherwise, so that those of deployments without shares stay as they are.
+    is_beyond_share: Annotated[bool, Field(exclude_if=operator.not_)] = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -72,4 +82,6 @@
     seconds: float | None
     #: Factor by which work takes longer at the engine than usual, as it reported with the head of
     #: its response; None if it reports none.
-    slowness: float | None = None
+    slowness: Annotated[OptionalNumberHint, Field(exclude_if=operator.not_)] = None
+    #: Seconds from the arrival of that report to the sending of this outcome.
+    slowness_age_seconds: Annotated[NumberHint, Field(exclude_if=operator.not_)] = 0.0
--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -1,10 +1,14 @@
 """The queue of a pool: order, load shedding and wait estimates."""
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
-from typing import Final
+import heapq
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Final, TypeVar
 
+from damsonlane.fairness import UsageTotals, equal_weight
 from damsonlane.pools._batch import fill_batch
+from damsonlane.pools._late_work import LateStage, LateWork
+from damsonlane.pools._organisation_shares import PoolShares
 from damsonlane.pools._pieces import PieceOrder
 from damsonlane.pools._priorities import ClassPriorities
 from damsonlane.pools._recent_work import RecentWork
@@ -16,6 +20,8 @@
 #: Their load peaks last a few seconds; a larger share refuses pieces that could be in time.
 MAX_HIGHER_PRIORITY_SHARE: Final = 0.5
 
+_Stage = TypeVar("_Stage", bound=WaitingStage)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Selection:
@@ -35,22 +41,15 @@
     ordered: list[WaitingStage]
     #: Pieces that were removed from the queue, since they are too late or will be.
     late: tuple[WaitingPiece, ...]
+    #: Late stages that only fill calls which the others leave; earliest deadline first.
+    spare: list[LateStage] = field(default_factory=list)
 
     def remove(self, batch: Sequence[WaitingPiece]) -> None:
         """Remove the pieces of a call."""
         if not batch:
             return
-        taken = {piece.identity for piece in batch}
-        groups = {piece.group for piece in batch}
-        left: list[WaitingStage] = []
-        for stage in self.ordered:
-            if stage.pieces[0].group not in groups:
-                left.append(stage)
-                continue
-            pieces = tuple(piece for piece in stage.pieces if piece.identity not in taken)
-            if pieces:
-                left.append(WaitingStage(pieces=pieces))
-        self.ordered = left
+        self.ordered = _list_remaining(self.ordered, batch)
+        self.spare = _list_remaining(self.spare, batch)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -64,36 +63,51 @@
 
 
 class PieceQueue:
-    """Waiting pieces of one pool."""
+    """Waiting pieces of one pool.
+
+    Args:
+        find_weight: returns the weight of an organisation by its name.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, find_weight: Callable[[str], float] = equal_weight) -> None:
+        self._shares: Final = PoolShares(find_weight)
         self._waiting: Final = WaitingStages()
         self._recent_work: Final = RecentWork()
         self._priorities: Final = ClassPriorities()
+        self._late_work: Final = LateWork()
 
     def __len__(self) -> int:
+        return len(self._waiting) + len(self._late_work.waiting)
+
+    def count_in_time(self) -> int:
+        """Return the number of pieces that are not late work."""
         return len(self._waiting)
 
     def add(self, piece: WaitingPiece) -> None:
-        """Add a piece unless it is in the queue already."""
-        self._waiting.add(piece)
+        """Add a piece unless it is in the queue already.
+
+        A late one that is added again, since its call failed, stays late.
+        """
+        if piece.is_late:
+            self._late_work.waiting.add(piece)
+        elif piece.identity not in self._late_work.waiting:
+            self._waiting.add(piece)
+            self._late_work.record_arrival(piece)
 
     def cancel(self, sender: str, number: int) -> None:
         """Remove a piece that its sender no longer needs."""
         self._waiting.remove((sender, number))
+        self._late_work.waiting.remove((sender, number))
 
     def cancel_all(self, sender: str) -> None:
         """Remove all pieces of a sender that is disconnected."""
         self._remove(
-            piece
-            for stage in self._waiting.list_all()
-            for piece in stage.pieces
-            if piece.sender == sender
+            piece for piece in _list_pieces(self._list_waiting()) if piece.sender == sender
         )
 
     def take_all(self) -> tuple[WaitingPiece, ...]:
         """Remove and return all pieces."""
-        pieces = _list_pieces(self._waiting.list_all())
+        pieces = _list_pieces(self._list_waiting())
         self._remove(pieces)
         return tuple(pieces)
 
@@ -132,8 +146,16 @@
         self._record_refused(late, now)
         self._remove(late)
         dropped = {id(stage) for stage in refused}
-        kept = [stage for stage in evaluation.not_in_time if id(stage) not in dropped]
-        return CallPlan(ordered=[*evaluation.in_time, *kept], late=(*expired, *late))
+        kept = [
+            stage
+            for stage in evaluation.not_in_time
+            if id(stage) not in dropped and not stage.may_be_late
+        ]
+        among, spare = self._late_work.split(
+            evaluation.in_time, now, capacity, self._shares.is_beyond_share
+        )
+        first = heapq.merge(evaluation.in_time, among, key=lambda stage: stage.objective_at)
+        return CallPlan(ordered=[*first, *kept], late=(*expired, *late), spare=spare)
 
     def take_batch(
         self, plan: CallPlan, now: float, capacity: CallCapacity
@@ -146,12 +168,17 @@
             capacity: the target that takes the call.
         """
         batch = fill_batch(plan.ordered, now, capacity)
+        if len(self._late_work.waiting):
+            batch = self._late_work.complete(batch, plan.ordered, plan.spare, now, capacity)
         plan.remove(batch)
-        self._remove(batch)
+        self._shares.record_started(batch, now)
         for piece in batch:
+            if piece.identity in self._late_work.waiting:
+                continue
             self._recent_work.record(piece.order.rank, now)
             if not piece.order.is_late_return:
                 self._priorities.record_served(piece.order.rank, now)
+        self._remove(batch)
         return tuple(batch)
 
     def take_late(self, now: float, capacity: CallCapacity) -> tuple[WaitingPiece, ...]:
@@ -165,11 +192,16 @@
     def take_expired(self, now: float, capacity: CallCapacity) -> tuple[WaitingPiece, ...]:
         """Remove and return the pieces whose deadline passes before a call could compute them."""
         earliest = capacity.earliest_completion(now)
-        stages = [stage for stage in self._waiting.list_all() if stage.deadline_at < earliest]
+        stages = [stage for stage in self._list_waiting() if stage.deadline_at < earliest]
         expired = _list_pieces(stages)
+        self._shares.record_refused(expired, now)
         self._remove(expired)
         return tuple(expired)
 
+    def take_usage(self) -> Mapping[str, UsageTotals]:
+        """Return the work of each organisation since the last call of this method."""
+        return self._shares.take_usage()
+
     def _evaluate(self, now: float, capacity: CallCapacity) -> _Evaluation:
         """Order the waiting stages and separate those that can meet their latency objective."""
         schedule = Schedule(capacity, now)
@@ -180,12 +212,15 @@
         priorities = {rank: self._priorities.sort_key(rank) for rank in ranks}
         # Computed once per rank and not per stage, to keep evaluations cheap.
         shares = {rank: self._capacity_share(rank, now, capacity) for rank in ranks}
-        for stage in sorted(stages, key=lambda stage: _priority_key(stage, priorities[stage.rank])):
-            is_scheduled = schedule.try_add(stage, shares[stage.rank])
+        ordered = sorted(stages, key=lambda stage: _priority_key(stage, priorities[stage.rank]))
+        late = self._late_work.waiting.list_all()
+        for stage in self._shares.order(ordered, now, capacity, late):
+            share = self._shares.capacity_share(stage, shares[stage.rank], capacity)
+            is_scheduled = schedule.try_add(stage, share)
             (in_time if is_scheduled else not_in_time).append(stage)
         in_time.sort(key=lambda stage: stage.objective_at)
         not_in_time.sort(key=_late_key)
-        return _Evaluation(in_time=in_time, not_in_time=not_in_time)
+        return _Evaluation(in_time=in_time, not_in_time=self._shares.order_late(not_in_time))
 
     def _list_refused(
         self, evaluation: _Evaluation, now: float, capacity: CallCapacity
@@ -196,11 +231,26 @@
         Those begun are abandoned as well, since their results occupy result memory that
         requests in time need, but not once their callers have waited for long.  Stages that
         the targets can take at once are not refused, unless no target can be used.
+
+        Those whose orders allow a late result are late work from now on, and refused only if they
+        can't meet their deadline.
         """
         at_once = capacity.pieces_within_call
         ahead = sum(len(stage.pieces) for stage in evaluation.in_time)
-        refused: list[WaitingStage] = []
         for stage in evaluation.not_in_time:
+            if stage.may_be_late:
+                # Counted as refused, so that priorities are the same as if it were.
+                self._record_late(stage.pieces, now)
+                self._remove(stage.pieces)
+                self._late_work.add(stage)
+        late = sorted(self._late_work.waiting.list_all(), key=_late_key)
+        self._shares.record_late(late)
+        refused = self._late_work.list_refused(
+            evaluation.in_time, now, capacity, self._shares.order_late(late)
+        )
+        for stage in evaluation.not_in_time:
+            if stage.may_be_late:
+                continue
             if ahead >= at_once and stage.may_be_refused(now):
                 refused.append(stage)
             else:
@@ -221,6 +271,12 @@
         return 1.0 / (1.0 - min(MAX_HIGHER_PRIORITY_SHARE, share))
 
     def _record_refused(self, pieces: Sequence[WaitingPiece], now: float) -> None:
+        """Record pieces that are refused; late work was recorded when it became late."""
+        self._shares.record_refused(pieces, now)
+        self._record_late([piece for piece in pieces if not piece.order.may_be_late], now)
+
+    def _record_late(self, pieces: Sequence[WaitingPiece], now: float) -> None:
+        """Record that a rank gives way with some pieces."""
         for piece in pieces:
             if not piece.order.is_late_return:
                 self._priorities.record_refused(piece.order.rank, now)
@@ -228,6 +284,12 @@
     def _remove(self, pieces: Iterable[WaitingPiece]) -> None:
         for piece in pieces:
             self._waiting.remove(piece.identity)
+            self._late_work.waiting.remove(piece.identity)
+
+    def _list_waiting(self) -> Sequence[WaitingStage]:
+        """Return all stages, those that are served late included."""
+        late = self._late_work.waiting.list_all()
+        return [*self._waiting.list_all(), *late] if late else self._waiting.list_all()
 
 
 def _priority_key(
@@ -248,3 +310,18 @@
 def _list_pieces(stages: Sequence[WaitingStage]) -> list[WaitingPiece]:
     """Return the pieces of stages, in order."""
     return [piece for stage in stages for piece in stage.pieces]
+
+
+def _list_remaining(stages: Sequence[_Stage], batch: Sequence[WaitingPiece]) -> list[_Stage]:
+    """Return the stages without the pieces of a call."""
+    taken = {piece.identity for piece in batch}
+    groups = {piece.group for piece in batch}
+    remaining: list[_Stage] = []
+    for stage in stages:
+        if stage.pieces[0].group not in groups:
+            remaining.append(stage)
+            continue
+        pieces = tuple(piece for piece in stage.pieces if piece.identity not in taken)
+        if pieces:
+            remaining.append(replace(stage, pieces=pieces))
+    return remaining
--- a/packages/damsonlane/src/damsonlane/pools/_waiting.py
+++ b/packages/damsonlane/src/damsonlane/pools/_waiting.py
@@ -1,9 +1,9 @@
 """Pieces in the queue of a pool, and the capacity of the pool when a target is free."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from damsonlane.pools._pieces import PieceOrder
+from damsonlane.records import dataclass
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -22,12 +22,19 @@
     abandonable_until: float = float("inf")
     #: Number of times that the piece was sent to a target.
     attempts: int = 0
+    #: Whether it was found to miss its latency objective and is served late.
+    is_late: bool = False
 
     @property
     def identity(self) -> tuple[str, int]:
         """Sender and number of the order."""
         return (self.sender, self.order.number)
 
+    @property
+    def queued_at(self) -> float:
+        """When its order arrived, by the same clock."""
+        return self.deadline_at - self.order.left_seconds
+
     @property
     def is_unstarted(self) -> bool:
         """Whether no work has been done for the request yet."""
--- a/packages/damsonlane/src/damsonlane/settings/_box.py
+++ b/packages/damsonlane/src/damsonlane/settings/_box.py
@@ -1,17 +1,21 @@
 """Settings of one box, read from a file when its process starts."""
 
-from collections.abc import Iterator
-from dataclasses import dataclass
-from typing import Annotated, Final, Literal
+from collections.abc import Iterator, Mapping
+from dataclasses import field
+from typing import TYPE_CHECKING, Annotated, Literal
 
-from pydantic import Field, TypeAdapter
+from pydantic import Field
 
+from damsonlane.codec import find_adapter
 from damsonlane.errors import SettingsError
 from damsonlane.findings import Finding, Place
-from damsonlane.settings._text import Document
-from damsonlane.settings._tree import Address, Name
+from damsonlane.records import dataclass
+from damsonlane.settings._names import Address, Name
 from damsonlane.settings._validation import FORBID_UNKNOWN_KEYS, check_value, locate
 
+if TYPE_CHECKING:
+    from damsonlane.settings._text import Document
+
 #: Role of a process.
 Role = Literal["entry", "control"]
 
@@ -113,9 +117,17 @@
     late_requests: LatePolicy = "refuse"
     #: Whether organisations share pools and engines fairly.
     fair_shares: bool = False
+    #: Weights of the shares by name of the organisation; others have a weight of 1.
+    share_weights: Mapping[Name, Annotated[float, Field(ge=0.001, le=1000)]] = field(
+        default_factory=dict
+    )
     #: Limit of the bytes buffered for callers and targets; 0 for none.
     buffer_bytes: Annotated[int, Field(ge=0, le=2**46)] = 0
 
+    def find_weight(self, organisation: str) -> float:
+        """Return the weight of an organisation's share of pools and engines."""
+        return self.share_weights.get(organisation, 1.0)
+
 
 @dataclass(frozen=True, kw_only=True)
 class BoxSettings:
@@ -161,16 +173,13 @@
     capacity: Capacity | None = None
 
 
-_ADAPTER: Final = TypeAdapter(BoxSettings)
-
-
-def read_box_settings(document: Document) -> BoxSettings:
+def read_box_settings(document: "Document") -> BoxSettings:
     """Read a document as the settings of a box.
 
     Raises:
         SettingsError: the settings are invalid; carries all findings with line, column, path.
     """
-    checked = check_value(document.value, _ADAPTER, BoxSettings)
+    checked = check_value(document.value, find_adapter(BoxSettings), BoxSettings)
     if not isinstance(checked, BoxSettings):
         raise SettingsError(locate(checked, document))
     findings = tuple(_check_role(checked))
--- a/packages/damsonlane/src/damsonlane/settings/_tree.py
+++ b/packages/damsonlane/src/damsonlane/settings/_tree.py
@@ -2,15 +2,18 @@
 
 import re
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import field
 from datetime import datetime
-from typing import Annotated, Final, Literal
+from typing import Annotated, Literal
 
-from pydantic import AwareDatetime, Field, JsonValue, TypeAdapter
+from pydantic import AwareDatetime, Field, JsonValue
 
+from damsonlane.codec import find_adapter
 from damsonlane.errors import SettingsError
 from damsonlane.findings import Finding, Place
+from damsonlane.records import dataclass
 from damsonlane.routing import POLICIES
+from damsonlane.settings._names import Address, Name
 from damsonlane.settings._policy import (
     INHERIT,
     EffectivePolicy,
@@ -23,8 +26,6 @@
 from damsonlane.settings._text import Document
 from damsonlane.settings._validation import FORBID_UNKNOWN_KEYS, check_value, locate
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-Address = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$")]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 
 #: Kinds of target, by the protocol used to call them.
@@ -205,16 +206,13 @@
         return min(ends, default=None)
 
 
-_ADAPTER: Final = TypeAdapter(SettingsTree)
-
-
 def check_tree(value: JsonValue) -> SettingsTree | tuple[Finding, ...]:
     """Check a whole tree, including the references between its parts.
 
     Returns:
         The tree, or all findings with their paths.
     """
-    checked = check_value(value, _ADAPTER, SettingsTree)
+    checked = check_value(value, find_adapter(SettingsTree), SettingsTree)
     if not isinstance(checked, SettingsTree):
         return checked
     findings = tuple(_check_references(checked))
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -8,6 +8,7 @@
 from urllib.parse import unquote
 
 from damsonlane.routing import LoadReport
+from damsonlane.speed import is_plausible
 from damsonlane.targets import TargetRecord
 from damsonlaned.dialects._interface import Dialect
 from damsonlaned.dialects._names import HeaderNames, PathNames
@@ -40,6 +41,8 @@
 _MAX_DEADLINE_SECONDS: Final = 86_400.0
 #: Most pieces that one stage of one request may have.
 _MAX_PIECES: Final = 10_000
+#: Most digits of a plausible count.  Longer ones overflow a float, or are refused by `int`.
+_MAX_COUNT_DIGITS: Final = 9
 #: Status of a target that is overloaded.  Only with it is ``Retry-After`` read as a back-off of
 #: the target: 429 is about the caller, and its ``Retry-After`` is forwarded to the caller unread.
 _OVERLOADED_STATUS: Final = 503
@@ -264,7 +267,7 @@
     def _read_pieces(self, request: HttpRequest) -> tuple[int, ...]:
         value = self._find_header(request, "pieces") or ""
         counts = [item.strip() for item in value.split(",") if item.strip()]
-        if any(not count.isdecimal() or int(count) > _MAX_PIECES for count in counts):
+        if any(not _is_count(count) or int(count) > _MAX_PIECES for count in counts):
             raise BadRequestError(f"{self.headers.pieces} must hold numbers up to {_MAX_PIECES}")
         return tuple(int(count) for count in counts)
 
@@ -284,7 +287,12 @@
 def _read_count(text: str) -> int:
     """Return a count, or 0 for a malformed one: counts are hints and fail no request."""
     text = text.strip()
-    return int(text) if text.isdecimal() else 0
+    return int(text) if _is_count(text) else 0
+
+
+def _is_count(text: str) -> bool:
+    """Return whether a text is a plausible count."""
+    return text.isdecimal() and len(text) <= _MAX_COUNT_DIGITS
 
 
 def _read_backoff(head: HttpHead) -> float:
@@ -295,8 +303,28 @@
 
 
 def _read_load(text: str | None) -> LoadReport | None:
-    """Return a load of the form "running,waiting,slots", or None for a malformed one."""
-    counts = [_read_count(item) for item in (text or "").split(",")]
-    if len(counts) != 3 or counts[2] == 0:
+    """Return a load of the form "running,waiting,slots" or "running,waiting,slots,percent".
+
+    The fourth number is the time that work takes now, as a percentage of the usual one.  Without
+    a plausible one the other three are still valid.  Returns None for a malformed load.
+    """
+    items = (text or "").split(",")
+    counts = [_read_count(item) for item in items[:3]]
+    if len(items) not in (3, 4) or counts[2] == 0:
+        return None
+    slowness = _read_slowness(items[3]) if len(items) == 4 else None
+    return LoadReport(
+        held=counts[0] + counts[1],
+        slots=counts[2],
+        slowness=slowness,
+        has_implausible_slowness=len(items) == 4 and slowness is None,
+    )
+
+
+def _read_slowness(text: str) -> float | None:
+    """Return a slowness reported in percent, or None for an implausible one."""
+    try:
+        slowness = float(text) / 100
+    except ValueError:
         return None
-    return LoadReport(held=counts[0] + counts[1], slots=counts[2])
+    return slowness if is_plausible(slowness) else None
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -3,10 +3,11 @@
 import asyncio
 import logging
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.placement import InputLocation, PlacementRequest, PromptSegment
+from damsonlane.pools import ROUTE_PRIORITY_LEVELS
+from damsonlane.records import dataclass
 from damsonlane.requests import WindowedRetryBudget
 from damsonlane.routing import HealthSignal
 from damsonlaned.dialects import Attempt, Dialect, ResponseSignals
@@ -44,6 +45,16 @@
     head: HttpHead
     #: Signals of the target in the head.
     signals: ResponseSignals
+    #: The class of its work: the name of its route.
+    work: str
+    #: When the request was sent and when the head arrived, by the loop's clock.
+    sent_at: float
+    head_at: float
+
+    @property
+    def slowness(self) -> float | None:
+        """The slowness that the target reported; None if it reported none."""
+        return self.signals.load.slowness if self.signals.load is not None else None
 
 
 class Attempts:
@@ -120,7 +131,7 @@
         """Count the first attempt of a request, which adds to the retry budget."""
         self._budget(call).count_first(self._now())
 
-    def try_spend_retry(self, call: Call, entries: int) -> bool:
+    def try_spend_retry(self, call: Call, entries: float) -> bool:
         """Return whether a request may be retried, and charge the retry budget for it."""
         slack = BUDGET_SHARE * self._slack / max(1, entries)
         is_allowed = self._budget(call).try_spend(self._now(), slack)
@@ -153,7 +164,7 @@
             target=chosen.target,
             remaining_seconds=call.remaining() - RESPONSE_TRANSIT_SECONDS,
             organisation=call.organisation.name if call.organisation is not None else "",
-            urgency=min(LEAST_URGENT, call.priority) if call.service.engine is not None else None,
+            urgency=_find_urgency(call, chosen),
             inputs=inputs,
             last_event_id=last_event,
             cache_source=chosen.source_address,
@@ -161,6 +172,7 @@
         request = self._dialect.make_request(call.request, attempt)
         exchange = await chosen.connections.send(request, CONNECT_SECONDS)
         on_sent()
+        sent_at = self._now()
         _LOG.info(
             "sent",
             extra={
@@ -169,6 +181,7 @@
                 "address": chosen.address,
                 "source": chosen.source_address,
                 "left_ms": int(attempt.remaining_seconds * 1000),
+                **({"beyond_share": True} if _is_beyond_share(chosen) else {}),
             },
         )
         try:
@@ -176,7 +189,15 @@
         except BaseException:
             exchange.finish()
             raise
-        return OpenedExchange(chosen=chosen, exchange=exchange, head=head, signals=signals)
+        return OpenedExchange(
+            chosen=chosen,
+            exchange=exchange,
+            head=head,
+            signals=signals,
+            work=call.route.name,
+            sent_at=sent_at,
+            head_at=self._now(),
+        )
 
     def finish(self, opened: OpenedExchange, health: HealthSignal) -> None:
         """End an attempt: return its connection and record the health of the target."""
@@ -187,7 +208,14 @@
             # The target is healthy and announced a back-off or a rate limit.  Ejected for three
             # such responses, it would get nothing for longer than it requested.
             health = "neutral"
-        self._targets.finish(opened.chosen, health, load=opened.signals.load)
+        self._targets.finish(
+            opened.chosen,
+            health,
+            load=opened.signals.load,
+            reported_at=opened.head_at,
+            work=opened.work,
+            seconds=_find_work_seconds(opened) if health == "good" else None,
+        )
 
     def finish_unopened(self, chosen: ChosenTarget, health: HealthSignal) -> None:
         """End an attempt without a response."""
@@ -227,6 +255,30 @@
         return asyncio.get_running_loop().time()
 
 
+def _find_work_seconds(opened: OpenedExchange) -> float | None:
+    """Return the seconds of work for a whole response; None for the head of a stream."""
+    return None if opened.signals.is_stream else opened.head_at - opened.sent_at
+
+
+def _is_beyond_share(chosen: ChosenTarget) -> bool:
+    """Return whether the owner of the engines found a prompt beyond its organisation's share."""
+    return chosen.placed is not None and chosen.placed.is_beyond_share
+
+
+def _find_urgency(call: Call, chosen: ChosenTarget) -> int | None:
+    """Return the urgency of a request at an engine, 0 comes first; None at other targets.
+
+    A prompt beyond the share of its organisation gets the last level of the organisation's
+    priority, so that it still goes before those of less urgent organisations.
+    """
+    if call.service.engine is None:
+        return None
+    priority = call.priority
+    if _is_beyond_share(chosen):
+        priority += ROUTE_PRIORITY_LEVELS - 1 - priority % ROUTE_PRIORITY_LEVELS
+    return min(LEAST_URGENT, priority)
+
+
 def _find_prompt(call: Call) -> Prompt:
     """Return what the choice of an engine depends on."""
     shared = call.request.prefix_segments[:-1]
@@ -249,6 +301,7 @@
         aim_left_seconds=call.objective_at - now,
         avoid=avoid,
         inputs=input_locations,
+        organisation=call.share_name,
     )
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -5,11 +5,11 @@
 import logging
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 from damsonlane.admission import CallerWaitEstimator
 from damsonlane.quarantine import find_fingerprint
+from damsonlane.records import dataclass
 from damsonlane.routes import Organisation, Route, RouteTable, Service
 from damsonlaned.dialects import BadRequestError, CallerRequest, Dialect, Refusal
 from damsonlaned.gateway._attempts import Attempts
@@ -19,6 +19,7 @@
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import HttpRequest, HttpResponse, ListenerLimits, ResponseWriter
+from damsonlaned.lateness import LateRequests
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine
 
@@ -64,8 +65,12 @@
     dialect: Dialect
     #: Metrics of this entry.
     metrics: Metrics
-    #: Returns how many entries share the fleet's retry budget.
-    count_entries: Callable[[], int]
+    #: Returns how many entries with the capacity of this one would share the retry budget.
+    count_entries: Callable[[], float]
+    #: The policy for late requests.
+    late_requests: LateRequests
+    #: Whether pools and engines are shared fairly among organisations.
+    fair_shares: bool = False
 
 
 class CallerService:
@@ -131,8 +136,12 @@
             dependencies.quarantine,
             dependencies.dialect,
             dependencies.count_entries,
+            dependencies.late_requests,
         )
         _LOG.info("accepted", extra=_accepted_fields(call))
+        if writer.meter is not None:
+            organisation = call.organisation.name if call.organisation is not None else ""
+            writer.meter.assign(organisation, call.request.request_id)
         try:
             await handler.run()
         finally:
@@ -182,6 +191,7 @@
             earlier_wait_seconds=self._earlier_waits.estimate_seconds(
                 route.name, request.deadline_seconds
             ),
+            is_shared_fairly=self._dependencies.fair_shares,
         )
 
     def _find_table(self) -> RouteTable:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_entry_load.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 from damsonlane.pools import OwnedWork
 from damsonlane.targets import Shard
+from damsonlaned.fairness import ShareReporter
 from damsonlaned.gateway._owner_activity import OwnerActivity
 from damsonlaned.gateway._pool_owners import PoolOwners
 from damsonlaned.gateway._prompt_placer import PromptPlacers
@@ -35,6 +36,9 @@
         placers: place the prompts of the engine services that this entry owns.
         division: requests that pools are divided.
         metrics: the metrics of the process.
+        find_cores: returns the capacity of the box, in cores; 0 if unknown.
+        on_load: called with the load once for each report.
+        shares: logs and counts the work of organisations.
     """
 
     def __init__(
@@ -44,7 +48,13 @@
         placers: PromptPlacers,
         division: ShardDivision,
         metrics: Metrics,
+        find_cores: Callable[[], float],
+        on_load: Callable[[float], None],
+        shares: ShareReporter,
     ) -> None:
+        self._find_cores: Final = find_cores
+        self._on_load: Final = on_load
+        self._shares: Final = shares
         self._view: Final = view
         self._owners: Final = owners
         self._placers: Final = placers
@@ -70,12 +80,15 @@
         while True:
             for _ in range(SAMPLES_PER_REPORT):
                 await asyncio.sleep(SAMPLE_SECONDS)
-                share = load.sample()
+                share = load.sample(self._find_cores())
                 self._metrics.loop_load.set({}, share)
             pools = self._owners.take_activities()
             now = loop.time()
             self._division.consider(share, self._list_works(pools, now - reported_at))
             reported_at = now
+            self._on_load(share)
+            usage = {**self._owners.take_usage(), **self._placers.take_usage()}
+            self._shares.record(usage, now)
             if share >= LOGGED_SHARE:
                 self._log(share, {**pools, **self._placers.take_activities()})
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import secrets
 import ssl
 from collections.abc import Mapping
@@ -9,13 +10,16 @@
 
 from grpclib.const import Handler
 
+from damsonlane.buffers import EvictionReason
 from damsonlane.ledger import Holder
+from damsonlane.membership import CapacityShares, OverloadDetector, are_uneven
 from damsonlane.settings import BoxSettings, Gateway
 from damsonlane.warmup import WarmupAllowance
 from damsonlane_rpc import ControlClient
 from damsonlaned.admin import AdminServer
 from damsonlaned.clock import read_clock
 from damsonlaned.dialects import DIALECTS
+from damsonlaned.fairness import ShareReporter
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._caller_service import CallerService, HandlerDependencies
 from damsonlaned.gateway._control_follower import ControlFollower
@@ -32,7 +36,8 @@
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
-from damsonlaned.http import HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.http import BufferGuard, HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.lateness import LateRequests
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine, QuarantineClient
 
@@ -43,6 +48,9 @@
 DRAIN_ACCEPT_SECONDS: Final = 2.5
 #: Seconds reserved at the end of the grace period.
 STOP_MARGIN_SECONDS: Final = 0.4
+#: Time after a change of the list of entries for which a share of a limit does not grow, as a
+#: multiple of the time within which a document is in force everywhere.
+HOLD_RATIO: Final = 1.5
 #: Seconds between checks whether all requests have completed.
 DRAIN_POLL_SECONDS: Final = 0.05
 
@@ -73,11 +81,26 @@
             self._view.quarantine, QuarantineClient(self._control).submit
         )
         exit_detector = ExitDetector(self._view, self._quarantine.record_exit)
-        targets = TargetSelector(
-            self._view, settings.data_centre, self._count_entries, settings.internal_address
+        self._shares: Final = CapacityShares(
+            settings.internal_address, HOLD_RATIO * gateway.apply_seconds
+        )
+        self._is_uneven = False
+        self._view.on_entries(self._record_entries)
+        targets = self._targets = TargetSelector(
+            self._view,
+            settings.data_centre,
+            self._count_entries,
+            settings.internal_address,
+            self._shares,
         )
         owners = PoolOwners(
-            self._view, targets, self._dialect, self._metrics, exit_detector, self._quarantine
+            self._view,
+            targets,
+            self._dialect,
+            self._metrics,
+            exit_detector,
+            self._quarantine,
+            find_weight=gateway.find_weight,
         )
         self._owners: Final = owners
         self._pools: Final = PoolClient(
@@ -87,7 +110,7 @@
             context,
             self._dialect.read_result_address,
         )
-        placers = PromptPlacers(self._view)
+        placers = self._placers = PromptPlacers(self._view, gateway.find_weight)
         self._pool_service: Final = PoolService(owners, placers, self._view.limits)
         placements = PlacementClient(placers, self._pools, settings.internal_address)
         self._pools.on_placements = placements.receive
@@ -99,7 +122,11 @@
             placers,
             ShardDivision(self._control, read_clock),
             self._metrics,
+            self._find_cores,
+            self._check_overload,
+            ShareReporter(self._metrics),
         )
+        self._overload: Final = OverloadDetector()
         self._limit_reports: Final = LimitReports(self._view, self._control)
         attempts = Attempts(
             targets,
@@ -110,23 +137,32 @@
             gateway.retry_window_seconds,
             gateway.retry_slack,
         )
+        late_requests = LateRequests(gateway.late_requests, self._metrics)
         self._caller_service: Final = CallerService(
             HandlerDependencies(
                 view=self._view,
                 attempts=attempts,
-                stages=StageRunner(self._pools, self._find_data_centre),
+                stages=StageRunner(self._pools, self._find_data_centre, late_requests),
                 exit_detector=exit_detector,
                 quarantine=self._quarantine,
                 dialect=self._dialect,
                 metrics=self._metrics,
-                count_entries=self._count_entries,
+                count_entries=self._count_equivalents,
+                fair_shares=gateway.fair_shares,
+                late_requests=late_requests,
             )
         )
+        self._guard: Final = (
+            BufferGuard(gateway.buffer_bytes, self._count_eviction)
+            if gateway.buffer_bytes
+            else None
+        )
         self._listener: Final = HttpListener(
             settings.caller_address,
             self._caller_service.serve,
             limits=self._caller_service.limits,
             render_refusal=self._caller_service.render_bad_bytes,
+            guard=self._guard,
         )
         self._ready_listener: Final = HttpListener(
             gateway.ready_address,
@@ -158,9 +194,9 @@
         self._control_follower.start()
         self._load.start()
 
-    def replace_seeds(self, addresses: tuple[str, ...]) -> None:
-        """Add the control addresses of reloaded settings."""
-        self._control_follower.add_control_addresses(addresses)
+    def apply_settings(self, newer: BoxSettings) -> None:
+        """Apply the control addresses and the capacity of reloaded settings."""
+        self._control_follower.apply_settings(newer)
 
     async def stop(self) -> None:
         """Accept requests until the load balancer sends none, let them complete, then stop."""
@@ -203,9 +239,49 @@
     def _find_data_centre(self, handle: str) -> str:
         return self._view.data_centre_at(self._dialect.read_result_address(handle))
 
+    def _record_entries(self) -> None:
+        """Compute what depends only on control's list of entries."""
+        self._shares.record(self._view.entries, asyncio.get_running_loop().time())
+        self._is_uneven = are_uneven(self._view.entries)
+
     def _count_entries(self) -> int:
         return max(1, len(self._view.entries))
 
+    def _count_equivalents(self) -> float:
+        """Return how many entries with the capacity of this one would share the limits."""
+        now = asyncio.get_running_loop().time()
+        if not self._shares.is_uneven(now):
+            return self._count_entries()
+        share = self._shares.find_share(now)
+        return 1 / share if share else math.inf
+
+    def _count_eviction(self, reason: EvictionReason) -> None:
+        self._metrics.slow_callers.inc({"reason": reason})
+
+    def _find_cores(self) -> float:
+        """Return the capacity by which the load is measured, in cores; 0 for none.
+
+        Boxes of equal capacity divide their services at the load of their event loops.
+        """
+        if not self._is_uneven:
+            return 0.0
+        return self._control_follower.capacity
+
+    def _check_overload(self, load: float) -> None:
+        """Have other entries own the shards of this one while it is short of processor time."""
+        owned = self._pools.count_owned()
+        if self._is_uneven:
+            is_changed = self._overload.update(read_clock(), load, is_owner=owned > 0)
+        else:
+            # Boxes of equal capacity divide their services instead.
+            is_changed = self._overload.reset()
+        if is_changed:
+            is_overloaded = self._overload.is_overloaded
+            fields = {"is_overloaded": is_overloaded, "load": round(load, 3), "shards": owned}
+            _LOG.warning("overload changed", extra=fields)
+            self._metrics.overloaded.set({}, is_overloaded)
+            self._control_follower.report_overload(is_overloaded=is_overloaded)
+
     def _refresh(self) -> None:
         self._metrics.in_flight.set({}, self._caller_service.in_flight())
         self._metrics.settings_version.set({}, self._view.version())
@@ -214,5 +290,19 @@
         backing_off = self._view.announcements.list_backing_off()
         listed = [incarnation for incarnation in backing_off if self._view.is_listed(incarnation)]
         self._metrics.backing_off.set({}, len(listed))
+        if self._guard is not None:
+            self._metrics.buffered_bytes.set({}, self._guard.budget.total)
+        self._metrics.capacity_share.set({}, 1 / self._count_equivalents())
+        self._metrics.owned_shards.set({}, self._pools.count_owned())
         self._metrics.rate_limited.set({}, len(self._view.limits.list_reports()))
         self._owners.update_metrics()
+        self._metrics.implausible_slowness.set({}, self._targets.implausible_slowness)
+        for service, summary in self._placers.summarise_speeds().items():
+            labels = {"service": service}
+            self._metrics.slow_engines.set(labels, summary.slow)
+            self._metrics.moved_prompts.set(labels, summary.moved)
+            for bound, factor in (
+                ("least", summary.least_factor),
+                ("most", summary.largest_factor),
+            ):
+                self._metrics.engine_time_factor.set({**labels, "bound": bound}, factor)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_placement_client.py
@@ -20,6 +20,9 @@
 OWNER_BACKOFF_SECONDS: Final = 1.0
 #: Seconds for which the outcomes of prompts are collected into one message.
 BATCH_SECONDS: Final = 0.1
+#: The same for outcomes with a slowness: it changes within 0.6 s, and a report that arrives 0.2 s
+#: late does more harm than good.
+SLOWNESS_BATCH_SECONDS: Final = 0.02
 #: Sender name for requests of this entry to its own placer.
 _SELF: Final = "self"
 
@@ -49,7 +52,9 @@
         self._address: Final = address
         self._numbers: Final = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Placement]] = {}
-        self._reads: dict[tuple[str, str], list[PromptOutcome]] = {}
+        #: Outcomes to send, by owner and service, each with the time at which it was reported.
+        self._reads: dict[tuple[str, str], list[tuple[PromptOutcome, float]]] = {}
+        self._timers: dict[tuple[str, str], asyncio.TimerHandle] = {}
         self._skipped_until: dict[str, float] = {}
 
     async def place(self, service: str, order: PlacementRequest) -> "PlacedPrompt | None":
@@ -80,14 +85,23 @@
             if placer is not None:
                 placer.record_reads(_SELF, (read,))
             return
-        batch = self._reads.setdefault((owner, service), [])
-        if not batch:
-            loop = asyncio.get_running_loop()
-            loop.call_later(BATCH_SECONDS, self._send_reads, owner, service)
-        batch.append(read)
+        loop = asyncio.get_running_loop()
+        key = (owner, service)
+        self._reads.setdefault(key, []).append((read, loop.time()))
+        seconds = BATCH_SECONDS if read.slowness is None else SLOWNESS_BATCH_SECONDS
+        timer = self._timers.get(key)
+        if timer is None or timer.when() > loop.time() + seconds:
+            if timer is not None:
+                timer.cancel()
+            self._timers[key] = loop.call_later(seconds, self._send_reads, owner, service)
 
     def _send_reads(self, owner: str, service: str) -> None:
-        reads = tuple(self._reads.pop((owner, service), ()))
+        now = asyncio.get_running_loop().time()
+        self._timers.pop((owner, service), None)
+        reads = tuple(
+            _add_age(read, now - reported_at)
+            for read, reported_at in self._reads.pop((owner, service), ())
+        )
         self._links.send(owner, PoolOrders(service=service, reads=reads))
 
     async def _ask(self, owner: str, service: str, order: PlacementRequest) -> Placement | None:
@@ -112,6 +126,13 @@
             self._pending.pop(order.number, None)
 
 
+def _add_age(read: PromptOutcome, seconds: float) -> PromptOutcome:
+    """Return an outcome whose slowness, if any, is older by the time in its batch."""
+    if read.slowness is None:
+        return read
+    return replace(read, slowness_age_seconds=read.slowness_age_seconds + seconds)
+
+
 class PlacedPrompt:
     """A prompt that an owner placed, whose outcome is reported back to that owner.
 
@@ -132,16 +153,25 @@
         self.target: Final = placement.target
         #: Name of the engine from which cached prompt segments are copied, or an empty string.
         self.source: Final = placement.source
+        #: Whether the prompt is beyond the share of its organisation.
+        self.is_beyond_share: Final = placement.is_beyond_share
         self._is_reported = False
 
-    def report_read(self, seconds: float | None) -> None:
+    def report_read(
+        self, seconds: float | None, slowness: float | None = None, reported_at: float = 0.0
+    ) -> None:
         """Report the time until the first event to the owner; only the first call has an effect.
 
         Args:
             seconds: time from sending the prompt to its first event; None if none will come.
+            slowness: the slowness that the engine reported with the head of its response.
+            reported_at: when it reported that, by the loop's clock.
         """
         if self._is_reported:
             return
         self._is_reported = True
-        read = PromptOutcome(number=self._number, seconds=seconds)
+        read = PromptOutcome(number=self._number, seconds=seconds, slowness=slowness)
+        if slowness is not None:
+            age = asyncio.get_running_loop().time() - reported_at
+            read = replace(read, slowness_age_seconds=max(0.0, age))
         self._client.report_read(self._owner, self._service, read)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -5,12 +5,13 @@
 import logging
 import ssl
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 from typing import Final
 
 from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane.ratelimit import NON_OWNER_SHARE, RateLimitReport
+from damsonlane.records import dataclass
 from damsonlane.targets import Shard
 from damsonlane_rpc import PoolOrders
 from damsonlaned.gateway._owner_choice import OwnerChoice
@@ -170,6 +171,10 @@
         """Return the address of the entry that owns the targets of a shard of a service."""
         return self._choice.find_owner(Shard(service=service, index=index))
 
+    def count_owned(self) -> int:
+        """Return the number of shards that this entry owns by control's lists."""
+        return len(self._choice.owned)
+
     def find_owners(self, service: str, index: int = 0) -> tuple[str, ...]:
         """Return the address of the owner of a shard, followed by that of its fallback."""
         shard = Shard(service=service, index=index)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
@@ -1,11 +1,21 @@
 """Places the prompts of all entries at the engines of a service."""
 
 import asyncio
-from collections.abc import Mapping, Sequence
+import logging
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import asdict, replace
 from typing import Final
 
 from damsonlane.backoff import TargetIncarnation
-from damsonlane.placement import EngineTable, Placement, PlacementRequest, PromptOutcome
+from damsonlane.fairness import UsageTotals, equal_weight
+from damsonlane.placement import (
+    EngineShares,
+    EngineTable,
+    Placement,
+    PlacementRequest,
+    PromptOutcome,
+    SpeedSummary,
+)
 from damsonlane.routes import EngineProperties
 from damsonlane.routing import EngineLocation, PromptPartition
 from damsonlane.targets import Shard
@@ -13,6 +23,11 @@
 from damsonlaned.gateway._owner_activity import ActivityMeter, OwnerActivity
 from damsonlaned.gateway._view import FleetView
 
+_LOG: Final = logging.getLogger(__name__)
+
+#: Minimum seconds between two log lines about the speeds of the engines of one service.
+SPEED_LOG_SECONDS: Final = 10.0
+
 
 class PromptPlacer:
     """Places prompts at the engines of one service that control lists as live.
@@ -21,9 +36,17 @@
         service: name of the service.
         properties: cache size and transfer speed of its engines.
         view: lists the engines.
+        find_weight: returns the weight of an organisation's share by its name.
     """
 
-    def __init__(self, service: str, properties: EngineProperties, view: FleetView) -> None:
+    def __init__(
+        self,
+        service: str,
+        properties: EngineProperties,
+        view: FleetView,
+        find_weight: Callable[[str], float] = equal_weight,
+    ) -> None:
+        self._shares: Final = EngineShares(find_weight)
         self._service: Final = service
         self._view: Final = view
         seconds_per_token = (
@@ -33,6 +56,7 @@
         self._partition: Final = PromptPartition()
         self._warm_up_gate: Final = WarmupLimiter()
         self._engines: tuple[EngineLocation, ...] = ()
+        self._speeds_logged_at = float("-inf")
         #: Work of this placer, for its log.
         self.activity: Final = ActivityMeter()
         view.on_change(self._update_engines)
@@ -49,6 +73,27 @@
         now = asyncio.get_running_loop().time()
         for read in reads:
             self._engine_table.record_outcome(sender, read, now)
+            self._shares.record_outcome(sender, read)
+        self._log_speeds(now)
+
+    def take_usage(self) -> Mapping[str, UsageTotals]:
+        """Return the work of each organisation since the last call of this method."""
+        return self._shares.take_usage()
+
+    def summarise_speeds(self) -> SpeedSummary | None:
+        """Return a summary of the learned speeds; None if the engines report no slowness."""
+        if not self._engine_table.follows_speed:
+            return None
+        return self._engine_table.summarise_speeds(asyncio.get_running_loop().time())
+
+    def _log_speeds(self, now: float) -> None:
+        """Log the learned speeds, once in a while."""
+        if now - self._speeds_logged_at < SPEED_LOG_SECONDS:
+            return
+        summary = self.summarise_speeds()
+        if summary is not None:
+            self._speeds_logged_at = now
+            _LOG.info("engine speeds", extra={"service": self._service, **asdict(summary)})
 
     def _place_one(self, sender: str, order: PlacementRequest) -> Placement:
         self._partition.record(order.tokens)
@@ -60,7 +105,11 @@
             *self._list_at_warm_up_limit(warming_up, now),
             *self._list_at_rate_limit(limited),
         ]
-        placement = self._engine_table.place(sender, order, engines, now, excluded, limited)
+        placement = replace(
+            self._engine_table.place(sender, order, engines, now, excluded, limited),
+            is_beyond_share=self._shares.is_beyond_share(order, len(self._engines), now),
+        )
+        self._shares.record_placed(sender, order, placement, now)
         if placement.target in warming_up:
             self._warm_up_gate.record(placement.target, now)
         if placement.target in limited:
@@ -100,9 +149,11 @@
 
     Args:
         view: lists services and targets.
+        find_weight: returns the weight of an organisation's share by its name.
     """
 
-    def __init__(self, view: FleetView) -> None:
+    def __init__(self, view: FleetView, find_weight: Callable[[str], float] = equal_weight) -> None:
+        self._find_weight: Final = find_weight
         self._view: Final = view
         self._placers: dict[str, PromptPlacer] = {}
 
@@ -113,9 +164,22 @@
             known = table.service(service) if table is not None else None
             if known is None or known.engine is None:
                 return None
-            self._placers[service] = PromptPlacer(service, known.engine, self._view)
+            self._placers[service] = PromptPlacer(
+                service, known.engine, self._view, self._find_weight
+            )
         return self._placers[service]
 
+    def summarise_speeds(self) -> dict[str, SpeedSummary]:
+        """Return the learned speeds of the services whose engines report their slowness."""
+        summaries = {name: placer.summarise_speeds() for name, placer in self._placers.items()}
+        return {name: summary for name, summary in summaries.items() if summary is not None}
+
+    def take_usage(self) -> dict[Shard, Mapping[str, UsageTotals]]:
+        """Return the work of organisations at each service since the last call of this method."""
+        return {
+            Shard(service=service): placer.take_usage() for service, placer in self._placers.items()
+        }
+
     def take_activities(self) -> dict[Shard, OwnerActivity]:
         """Return the work of each placer since the last call of this method."""
         return {
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -1,12 +1,15 @@
 """Select targets for requests; track their health and the connections to them."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final
 
 from damsonlane.backoff import TargetIncarnation
+from damsonlane.membership import CapacityShares
+from damsonlane.records import dataclass
 from damsonlane.routes import Service
 from damsonlane.routing import (
     EngineLocation,
@@ -25,6 +28,8 @@
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import ConnectionPool
 
+_LOG: Final = logging.getLogger(__name__)
+
 #: Least number of connections that one entry may open to a target, however many entries share it.
 MIN_CONNECTIONS: Final = 2
 #: Share of a target's connections that the fleet uses, so that entries which
@@ -80,6 +85,7 @@
         entries: returns how many entries share the targets.
         own_address: internal address of this entry, which decides its share of the requests to
             targets that warm up.
+        shares: the shares of this entry by capacity; None if limits are divided evenly.
     """
 
     def __init__(
@@ -88,7 +94,9 @@
         data_centre: str,
         entries: Callable[[], int],
         own_address: str = "",
+        shares: CapacityShares | None = None,
     ) -> None:
+        self._shares: Final = shares
         self._own_address: Final = own_address
         self._warm_up_gate: Final = WarmupLimiter()
         self._incarnations: dict[str, int] = {}
@@ -100,6 +108,9 @@
         self._connections: dict[str, ConnectionPool] = {}
         self._misdirected: set[str] = set()
         self._randomness: Final = random.Random()
+        self._logged_slowness: set[TargetIncarnation] = set()
+        #: Reports of a slowness that were ignored as implausible.
+        self.implausible_slowness = 0
         view.on_change(self._update)
         self._update()
 
@@ -153,12 +164,16 @@
         bound = self._view.find_warmup_limit(service.name) if warming_up else None
         if bound is None:
             return []
-        entries = {entry.address for entry in self._view.entries}
         limit = bound.entries_limit()
         now = self._now()
-        shares = {
-            name: find_entry_share(name, self._own_address, entries, limit) for name in warming_up
-        }
+        if self._shares is not None and self._shares.is_uneven(now):
+            shares = {name: self._shares.split_singly(name, limit, now) for name in warming_up}
+        else:
+            entries = {entry.address for entry in self._view.entries}
+            shares = {
+                name: find_entry_share(name, self._own_address, entries, limit)
+                for name in warming_up
+            }
         return [
             name for name in warming_up if not self._warm_up_gate.admits(name, shares[name], now)
         ]
@@ -239,13 +254,31 @@
         health: HealthSignal,
         *,
         load: LoadReport | None = None,
-        pace: float | None = None,
+        reported_at: float | None = None,
+        work: str = "",
+        seconds: float | None = None,
     ) -> None:
-        """Record that a request at a target has completed, and how."""
+        """Record that a request at a target has completed, and how.
+
+        Args:
+            chosen: the target.
+            health: what the outcome says about its health.
+            load: the load that it reported in its response.
+            reported_at: when that report arrived, by the loop's clock.
+            work: the class of the work.
+            seconds: duration of the work; None if unknown.
+        """
         target_table = self._tables.get(chosen.service)
         if target_table is not None:
             target_table.finish(
-                chosen.target, health, self._now(), report=load, pace=pace, start=chosen.start
+                chosen.target,
+                health,
+                self._now(),
+                report=load,
+                reported_at=reported_at,
+                work=work,
+                seconds=seconds,
+                start=chosen.start,
             )
 
     def record_signals(
@@ -259,6 +292,16 @@
             is_own: whether it is the response to the request that was just sent there.
         """
         self._view.announcements.record(chosen.incarnation, signals, is_work=is_own)
+        if signals.load is not None and signals.load.has_implausible_slowness:
+            self._record_implausible_slowness(chosen)
+
+    def _record_implausible_slowness(self, chosen: ChosenTarget) -> None:
+        """Count an implausible slowness; log the first one of each incarnation."""
+        self.implausible_slowness += 1
+        if chosen.incarnation not in self._logged_slowness:
+            self._logged_slowness.add(chosen.incarnation)
+            extra = {"service": chosen.service, "target": chosen.target, "address": chosen.address}
+            _LOG.warning("ignored an implausible slowness", extra=extra)
 
     def record_misdirected(self, chosen: ChosenTarget) -> None:
         """Record that another target responds at the address of this one."""
@@ -266,14 +309,20 @@
 
     def connections(self, service: Service, target: str, address: str) -> ConnectionPool:
         """Return the connections to a target."""
-        share = int(CONNECTION_SHARE * service.most_connections / max(1, self._entries()))
-        most = max(MIN_CONNECTIONS, share)
+        most = self._find_max_connections(CONNECTION_SHARE * service.most_connections)
         connections = self._connections.get(target)
         if connections is None:
             connections = self._connections[target] = ConnectionPool(address, most)
-        connections.max_connections = most
+        connections.set_limit(most)
         return connections
 
+    def _find_max_connections(self, limit: float) -> int:
+        """Return the connections to a target that this entry may open of those of the fleet."""
+        now = self._now()
+        if self._shares is not None and self._shares.is_uneven(now):
+            return self._shares.split(limit, MIN_CONNECTIONS, now)
+        return max(MIN_CONNECTIONS, int(limit / max(1, self._entries())))
+
     def _make_chosen(self, service: Service, choice: TargetChoice) -> ChosenTarget:
         return ChosenTarget(
             service=service.name,
@@ -307,6 +356,9 @@
         for target in set(self._connections) - known:
             self._connections.pop(target).close()
         self._misdirected &= known
+        self._logged_slowness = {
+            logged for logged in self._logged_slowness if logged.target in known
+        }
         self._warm_up_gate.retain_only(known)
         self._incarnations = incarnations
 
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from damsonlane_rpc import Endpoint
+from damsonlaned.http._buffer_guard import BufferMeter
 from damsonlaned.http._errors import NotSentError
 from damsonlaned.http._messages import HttpHead, HttpRequest
 from damsonlaned.http._target_connection import ResponseBody, TargetConnection
@@ -41,8 +42,18 @@
         """
         await self._connection.skip_response()
 
+    def charge_to(self, meter: BufferMeter | None) -> None:
+        """Count the buffered bytes of the response for a caller."""
+        if meter is not None:
+            self._connection.charge_to(meter)
+
+    def record_collected(self, size: int) -> None:
+        """Record how many bytes of the response are kept until more of it arrives."""
+        self._connection.record_collected(size)
+
     def finish(self) -> None:
         """Return the connection to the pool if the response is complete; otherwise close it."""
+        self._connection.charge_to(None)
         self._pool.release(self._connection, is_complete=self.body.is_complete)
 
 
@@ -61,6 +72,12 @@
         self._is_closed = False
         self._open = 0
 
+    def set_limit(self, most: int) -> None:
+        """Set the largest number of open connections; idle ones beyond it are closed."""
+        self.max_connections = most
+        while self._idle and self._open > most:
+            self._drop(self._idle.popleft())
+
     def count_open(self) -> int:
         """Return the number of open connections, idle ones included."""
         return self._open
@@ -78,7 +95,12 @@
     def release(self, connection: TargetConnection, *, is_complete: bool) -> None:
         """Keep a connection after a complete response; otherwise close it at once."""
         now = asyncio.get_running_loop().time()
-        may_keep = is_complete and not self._is_closed and len(self._idle) < _MAX_IDLE
+        may_keep = (
+            is_complete
+            and not self._is_closed
+            and len(self._idle) < _MAX_IDLE
+            and self._open <= self.max_connections
+        )
         if may_keep and connection.make_idle(now, lambda: self._forget(connection)):
             self._idle.append(connection)
             return
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
 
 from damsonlane_rpc import MESSAGE_COUNTERS
 
@@ -28,6 +27,16 @@
         self.attempts: Final = Counter(
             "damsonlane_attempts_total", "Attempts at targets.", registry=self.registry
         )
+        self.served_late: Final = Counter(
+            "damsonlane_served_late_total",
+            "Requests served after their latency objective, by route.",
+            registry=self.registry,
+        )
+        self.cannot_end: Final = Counter(
+            "damsonlane_cannot_end_total",
+            "Requests refused since they can't end before their deadline, by route.",
+            registry=self.registry,
+        )
         self.in_flight: Final = Gauge(
             "damsonlane_in_flight", "Requests that the entry is handling.", registry=self.registry
         )
@@ -56,6 +65,26 @@
             "Targets that announced a rate limit for the requests of all boxes.",
             registry=self.registry,
         )
+        self.implausible_slowness: Final = Gauge(
+            "damsonlane_implausible_slowness",
+            "Reports of a slowness by targets that were ignored as implausible, since the start.",
+            registry=self.registry,
+        )
+        self.slow_engines: Final = Gauge(
+            "damsonlane_slow_engines",
+            "Engines of an owned service that reported recently that they are slow.",
+            registry=self.registry,
+        )
+        self.engine_time_factor: Final = Gauge(
+            "damsonlane_engine_time_factor",
+            "Least and largest learned time factor of the engines of an owned service.",
+            registry=self.registry,
+        )
+        self.moved_prompts: Final = Gauge(
+            "damsonlane_moved_prompts",
+            "Prompts placed away from the engine that cached most of them, since the start.",
+            registry=self.registry,
+        )
         self.commit_index: Final = Gauge(
             "damsonlane_commit_index",
             "Index of the last committed log entry.",
@@ -64,7 +93,11 @@
         self.is_leader: Final = Gauge(
             "damsonlane_is_leader", "1 while this replica is the leader.", registry=self.registry
         )
-
+        self.ignored_capacities: Final = Counter(
+            "damsonlane_ignored_capacities_total",
+            "Boxes that reported an implausible capacity, which was ignored.",
+            registry=self.registry,
+        )
         self.pool_pieces: Final = Counter(
             "damsonlane_pool_pieces_total",
             "Pieces of the stage pools that this box owns, by outcome.",
@@ -81,9 +114,51 @@
             "Queued pieces of the stage pools that this box owns.",
             registry=self.registry,
         )
+        self.capacity_share: Final = Gauge(
+            "damsonlane_limit_share",
+            "Share of this box in the limits that boxes divide.",
+            registry=self.registry,
+        )
+        self.overloaded: Final = Gauge(
+            "damsonlane_overloaded",
+            "1 while this box owns nothing if another can, since it is short of processor time.",
+            registry=self.registry,
+        )
+        self.buffered_bytes: Final = Gauge(
+            "damsonlane_buffered_bytes",
+            "Bytes that are buffered for callers and targets, where a budget limits them.",
+            registry=self.registry,
+        )
+        self.slow_callers: Final = Counter(
+            "damsonlane_slow_callers_total",
+            "Callers that were disconnected since they read too slowly, by reason.",
+            registry=self.registry,
+        )
+        self.owned_shards: Final = Gauge(
+            "damsonlane_owned_shards",
+            "Shards of services that this box owns, by the list of boxes.",
+            registry=self.registry,
+        )
+        self.organisation_work: Final = Counter(
+            "damsonlane_organisation_work_total",
+            "Work of organisations that this box started as owner, in seconds of pool targets or "
+            "in prompt tokens.",
+            registry=self.registry,
+        )
+        self.organisation_items: Final = Counter(
+            "damsonlane_organisation_items_total",
+            "Pieces and prompts of organisations by outcome; excess: beyond the share.",
+            registry=self.registry,
+        )
+        self.organisation_wait: Final = Counter(
+            "damsonlane_organisation_wait_seconds_total",
+            "Waits of the started pieces of organisations, in seconds.",
+            registry=self.registry,
+        )
         self.loop_load: Final = Gauge(
             "damsonlane_loop_load",
-            "Share of its time in which the process is busy, or kept waiting by its box.",
+            "Share of its time in which the process is busy, or kept waiting by its box, or of the "
+            "processor time that the box may use.",
             registry=self.registry,
         )
         self.messages: Final = Gauge(
@@ -95,6 +170,9 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        # Imported here: it is needed only when metrics are read.
+        from aioprometheus.renderer import render
+
         self.messages.set({"direction": "sent"}, MESSAGE_COUNTERS.messages_sent)
         self.messages.set({"direction": "received"}, MESSAGE_COUNTERS.messages_received)
         self.bytes.set({"direction": "sent"}, MESSAGE_COUNTERS.bytes_sent)
