Measure the cost of a box beside the adapter that starts it

Cause: the profile of a start writes the platform's settings file, so the platform's names stood outside platform/.

Change: the profile, its lists and their test are among the tests of the adapter. Nothing else changed.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(RUN) -m damsonlane_bench.overhead
 
 box-cost: $(VENV)/made
-	$(RUN) -m damsonlane_bench.box_cost
+	$(RUN) -m damsonlane_platform.tests.box_cost
 
 fuzz: $(VENV)/made
 	$(RUN) tools/fuzz.py
