Soak: targets that report load, slow periods and implausible reports

Cause: the soak's targets reported no load, so no run reached the code that follows the fourth number of Damsonlane-Load.

Change: in seeds that switch it on, targets report four numbers; periods in which work takes 2.5 times as long, for one target or a service, and periods of implausible reports (0, -1, 1e9, nan, five numbers) are drawn apart from the other faults.

Not checked: that entries log an implausible report.

--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__init__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__init__.py
@@ -3,8 +3,12 @@
 from damsonlane_bench.registered_target._target import (
     BACKOFF_SIGNAL,
     DRAINING_SIGNAL,
+    IMPLAUSIBLE_LOAD_END_SIGNAL,
+    IMPLAUSIBLE_LOAD_SIGNAL,
     RATE_LIMIT_END_SIGNAL,
     RATE_LIMIT_SIGNAL,
+    SLOW_END_SIGNAL,
+    SLOW_SIGNAL,
     RegisteredTarget,
     TargetKind,
 )
@@ -12,8 +16,12 @@
 __all__ = [
     "BACKOFF_SIGNAL",
     "DRAINING_SIGNAL",
+    "IMPLAUSIBLE_LOAD_END_SIGNAL",
+    "IMPLAUSIBLE_LOAD_SIGNAL",
     "RATE_LIMIT_END_SIGNAL",
     "RATE_LIMIT_SIGNAL",
+    "SLOW_END_SIGNAL",
+    "SLOW_SIGNAL",
     "RegisteredTarget",
     "TargetKind",
 ]
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
@@ -8,15 +8,21 @@
 from damsonlane_bench.registered_target._target import (
     BACKOFF_SIGNAL,
     DRAINING_SIGNAL,
+    IMPLAUSIBLE_LOAD_END_SIGNAL,
+    IMPLAUSIBLE_LOAD_SIGNAL,
     RATE_LIMIT_END_SIGNAL,
     RATE_LIMIT_SIGNAL,
+    SLOW_END_SIGNAL,
+    SLOW_SIGNAL,
     RegisteredTarget,
     TargetKind,
 )
 
 
-async def _run(service: str, kind: TargetKind, address: str, registries: list[str]) -> None:
-    target = RegisteredTarget(service, kind, address, registries)
+async def _run(
+    service: str, kind: TargetKind, address: str, registries: list[str], reports_load: bool
+) -> None:
+    target = RegisteredTarget(service, kind, address, registries, reports_load=reports_load)
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
@@ -24,12 +30,18 @@
     loop.add_signal_handler(DRAINING_SIGNAL, target.announce_draining)
     loop.add_signal_handler(RATE_LIMIT_SIGNAL, target.announce_next_rate_limit)
     loop.add_signal_handler(RATE_LIMIT_END_SIGNAL, target.end_rate_limit)
+    loop.add_signal_handler(SLOW_SIGNAL, target.load.begin_slow_period)
+    loop.add_signal_handler(SLOW_END_SIGNAL, target.load.end_slow_period)
+    loop.add_signal_handler(IMPLAUSIBLE_LOAD_SIGNAL, target.load.begin_implausible_reports)
+    loop.add_signal_handler(IMPLAUSIBLE_LOAD_END_SIGNAL, target.load.end_implausible_reports)
     await target.start()
     await stop_requested.wait()
     await target.drain()
 
 
-def run(service: str, kind: TargetKind, address: str, registries: str) -> None:
+def run(
+    service: str, kind: TargetKind, address: str, registries: str, reports_load: bool = False
+) -> None:
     """Run a stand-in.
 
     Args:
@@ -37,8 +49,9 @@
         kind: plain, engine or pool.
         address: IP address and port at which it listens.
         registries: addresses of control replicas for heartbeats, separated by semicolons.
+        reports_load: whether responses report its load.
     """
-    asyncio.run(_run(service, kind, address, registries.split(";")))
+    asyncio.run(_run(service, kind, address, registries.split(";"), reports_load))
 
 
 if __name__ == "__main__":
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -13,6 +13,7 @@
 
 from damsonlane.codec import encode_bytes
 from damsonlane.targets import TargetRecord
+from damsonlane_bench.registered_target._load import ReportedLoad
 from damsonlaned.http import (
     ConnectionPool,
     HttpHead,
@@ -51,6 +52,12 @@
 #: Signals at which a target announces the next of `RATE_LIMITS`, and at which it announces none.
 RATE_LIMIT_SIGNAL: Final = signal.SIGRTMIN
 RATE_LIMIT_END_SIGNAL: Final = signal.SIGRTMIN + 1
+#: Signals at which a target becomes slow and normal again.
+SLOW_SIGNAL: Final = signal.SIGRTMIN + 2
+SLOW_END_SIGNAL: Final = signal.SIGRTMIN + 3
+#: Signals at which a target begins to report the next implausible load, and plausible ones again.
+IMPLAUSIBLE_LOAD_SIGNAL: Final = signal.SIGRTMIN + 4
+IMPLAUSIBLE_LOAD_END_SIGNAL: Final = signal.SIGRTMIN + 5
 #: Rate limits that a target announces one after the other: the value of the header, and the
 #: requests per second that it means; None for an invalid value.
 RATE_LIMITS: Final[tuple[tuple[str, float | None], ...]] = (
@@ -78,9 +85,18 @@
         kind: what it serves.
         address: IP address and port at which it listens.
         registries: addresses of control replicas for heartbeats.
+        reports_load: whether responses report its load.
     """
 
-    def __init__(self, service: str, kind: TargetKind, address: str, registries: list[str]) -> None:
+    def __init__(
+        self,
+        service: str,
+        kind: TargetKind,
+        address: str,
+        registries: list[str],
+        *,
+        reports_load: bool = False,
+    ) -> None:
         self._kind: Final = kind
         self._registries = registries
         self._record = TargetRecord(
@@ -100,6 +116,9 @@
         self._rate_limit_header = ""
         self._rate_limit: float | None = None
         self._has_announced_rate_limit = False
+        self._reports_load: Final = reports_load
+        #: Load of this target; its slow periods have effect even if it is not reported.
+        self.load: Final = ReportedLoad(self._record.slots)
         #: Ids of the requests that ran, in order.
         self.ran: list[str] = []
 
@@ -173,6 +192,13 @@
     # Requests.
 
     async def _serve(self, request: HttpRequest, reply: ResponseWriter) -> None:
+        self.load.running += 1
+        try:
+            await self._handle(request, reply)
+        finally:
+            self.load.running -= 1
+
+    async def _handle(self, request: HttpRequest, reply: ResponseWriter) -> None:
         if request.path == "/ran":
             reply.send_response(HttpResponse(status=200, body=json.dumps(self.ran).encode()))
             return
@@ -194,7 +220,7 @@
         elif self._kind == "engine":
             await self._stream(request, reply)
         else:
-            await asyncio.sleep(_WORK_SECONDS)
+            await asyncio.sleep(_WORK_SECONDS * self.load.slowness)
             self._record_run(request)
             reply.send_response(
                 HttpResponse(status=200, headers=self._make_headers(request), body=b"ok")
@@ -222,7 +248,7 @@
         if request.path == "/v1/pieces/free":
             reply.send_response(HttpResponse(status=200, headers=self._make_headers(request)))
             return
-        await asyncio.sleep(_WORK_SECONDS)
+        await asyncio.sleep(_WORK_SECONDS * self.load.slowness)
         pieces = [
             {"handle": f"{self._record.address}/{secrets.token_hex(6)}"}
             for _ in json.loads(request.body)["pieces"]
@@ -238,7 +264,7 @@
         reply.start(HttpHead(status=200, headers=headers))
         first = int(request.find(b"last-event-id") or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
-            await asyncio.sleep(_EVENT_SECONDS)
+            await asyncio.sleep(_EVENT_SECONDS * self.load.slowness)
             await reply.send(f"id: {number}\ndata: token {number}\n\n".encode())
         reply.finish()
 
@@ -256,13 +282,23 @@
             if self._rate_limit_header
             else ()
         )
+        load = ((b"Damsonlane-Load", self._report_load().encode()),) if self._reports_load else ()
         return (
             (b"Damsonlane-Request-Id", request_id.encode()),
             (b"Served-By", self._record.target.encode()),
             *draining,
             *rate_limit,
+            *load,
         )
 
+    def _report_load(self) -> str:
+        """Return the load for the head of a response, and log it unless it is an ordinary one."""
+        value = self.load.render()
+        if self.load.is_implausible or self.load.slowness != 1.0:
+            line = {"load": value, "implausible": self.load.is_implausible, "at": time.time()}
+            print(json.dumps(line), flush=True)
+        return value
+
     def _log_rate_limit(self, request_id: str) -> None:
         """Log the rate limit that a response announces, or that it announces none."""
         line = {
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -21,9 +21,8 @@
 )
 from damsonlane_bench.registered_target import TargetKind
 from damsonlane_bench.registered_target._target import EVENT_COUNT
+from damsonlane_bench.routes_document import CALLER_KEY, make_document
 
-#: Caller key of the only organisation.
-CALLER_KEY: Final = "florists-key"
 #: Timeout of callers, in seconds.
 _CALLER_TIMEOUT_SECONDS: Final = 20.0
 #: Targets of the demonstration: name, service and kind.
@@ -81,7 +80,9 @@
         command = [find_program("damsonlaned"), f"--settings={path}"]
         self.processes[name] = Process(name, command, self.folder / f"{name}.log")
 
-    def start_target(self, name: str, service: str, kind: TargetKind) -> None:
+    def start_target(
+        self, name: str, service: str, kind: TargetKind, *, reports_load: bool = False
+    ) -> None:
         """Start a target that registers itself."""
         registries = ";".join(self.addresses[f"{control}/front"] for control in self.controls)
         command = [
@@ -90,6 +91,7 @@
             f"--kind={kind}",
             f"--address={self.addresses[f'{name}/front']}",
             f"--registries={registries}",
+            *(("--reports-load",) if reports_load else ()),
         ]
         self.processes[name] = Process(name, command, self.folder / f"{name}.log")
 
@@ -208,51 +210,6 @@
         return settings
 
 
-def make_document() -> dict[str, Any]:
-    """Return the routing document of the demonstration, without its version."""
-
-    def route(name: str, service: str, repeat: str, **more: Any) -> dict[str, Any]:
-        return {
-            "name": name,
-            "host": "shop.example",
-            "prefix": f"/{name}/",
-            "repeat": repeat,
-            "timeout_seconds": 10.0,
-            "aim_seconds": 1.0,
-            "priority": 0,
-            "services": [{"service": service, "weight": 1.0}],
-            **more,
-        }
-
-    pool = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 8,
-        "call_seconds": 0.02,
-        "piece_seconds": 0.001,
-        "room_bytes": 1_000_000,
-        "keep_seconds": 4.0,
-    }
-    stages = [{"service": "encode"}, {"service": "encode", "after": [0]}]
-    return {
-        "routes": [
-            route("ping", "desk", "safe", most_targets=2),
-            route("refund", "desk", "once"),
-            route("chat", "model", "stream", is_resumable=True, most_targets=2, stages=stages),
-        ],
-        "services": [
-            {"name": "desk", "most_connections": 50},
-            {
-                "name": "model",
-                "most_connections": 50,
-                "engine": {"slots": 8, "cache_tokens": 90_000},
-            },
-            {"name": "encode", "most_connections": 50, "pool": pool},
-        ],
-        "organisations": [{"name": "florists", "keys": [CALLER_KEY]}],
-    }
-
-
 class RoutesDemonstration:
     """Runs the steps of the demonstration and collects the checks that failed."""
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
@@ -6,8 +6,10 @@
 
 from damsonlane_bench.soak._fleet_size import FleetSize
 from damsonlane_bench.soak._guarantees import Violation
+from damsonlane_bench.soak._parts import Parts
 from damsonlane_bench.soak._plan import (
     ANNOUNCEMENT_KINDS,
+    LOAD_KINDS,
     PROCESS_FAULT_KINDS,
     RATE_LIMIT_KINDS,
     Fault,
@@ -18,10 +20,12 @@
 
 __all__ = [
     "ANNOUNCEMENT_KINDS",
+    "LOAD_KINDS",
     "PROCESS_FAULT_KINDS",
     "RATE_LIMIT_KINDS",
     "Fault",
     "FleetSize",
+    "Parts",
     "Plan",
     "SoakResult",
     "SoakRun",
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
@@ -77,6 +77,7 @@
     print(
         f"seed {plan.seed}: {len(plan.faults)} faults, responses {json.dumps(result.statuses)}, "
         f"{result.crash_count} targets exited on the crash request, "
+        f"{_describe_parts(result)}"
         f"{time.monotonic() - began_at:.0f} s, {len(result.violations)} violations",
         flush=True,
     )
@@ -85,5 +86,15 @@
     return result
 
 
+def _describe_parts(result: SoakResult) -> str:
+    """Return what the parts that the seed switches on did; empty if it switches none on."""
+    texts = []
+    if result.plan.parts.has_reported_load:
+        texts.append(
+            f"{result.slow_reports} slow and {result.implausible_reports} implausible loads, "
+        )
+    return "".join(texts)
+
+
 if __name__ == "__main__":
     fire.Fire(run)
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
@@ -7,7 +7,8 @@
 from typing import Final
 
 from damsonlane_bench.registered_target._target import CRASH_INPUT
-from damsonlane_bench.routes import CALLER_KEY, RoutesFleet
+from damsonlane_bench.routes import RoutesFleet
+from damsonlane_bench.routes_document import CALLER_KEY
 from damsonlane_bench.soak._observations import CallerResponse, Observations, VersionRead
 
 #: Seconds for which a caller waits for a response.
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
@@ -171,6 +171,13 @@
             )
 
 
+def count_load_reports(logs: Iterable[Path]) -> tuple[int, int]:
+    """Return the number of reports of slowness and of implausible loads, from the targets' logs."""
+    reports = [json.loads(line) for line in _read_lines(logs) if line.startswith('{"load"')]
+    implausible = sum(bool(report["implausible"]) for report in reports)
+    return len(reports) - implausible, implausible
+
+
 def _read_lines(logs: Iterable[Path]) -> Iterator[str]:
     for log in logs:
         yield from log.read_text(encoding="utf-8", errors="replace").splitlines()
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from damsonlane_bench.soak._fleet_size import FleetSize
+from damsonlane_bench.soak._parts import Parts, draw_parts
 
 #: Draws the name of the process that a fault affects; empty for all boxes.
 DrawProcess = Callable[[random.Random, "ProcessNames"], str]
@@ -47,7 +48,8 @@
 
     #: Begin, in seconds from the start of the run.
     at: float
-    #: Kind; a name in `PROCESS_FAULT_KINDS`, `ANNOUNCEMENT_KINDS` or `RATE_LIMIT_KINDS`.
+    #: Kind; a name in `PROCESS_FAULT_KINDS`, `ANNOUNCEMENT_KINDS`, `RATE_LIMIT_KINDS` or
+    #: `LOAD_KINDS`.
     kind: str
     #: Name of the affected process; empty for all boxes.
     process: str
@@ -67,6 +69,8 @@
     faults: tuple[Fault, ...]
     #: Size of the fleet.
     size: FleetSize = FleetSize()
+    #: Parts that the seed switches on.
+    parts: Parts = Parts()
 
     def with_faults(self, faults: tuple[Fault, ...]) -> "Plan":
         """Return the plan with other faults, to find out which of them cause a violation."""
@@ -74,7 +78,7 @@
 
 
 # Plan files store the names of the kinds, and a seed draws from them in sorted order.  Each of the
-# three groups is drawn from a generator of its own, so that a new kind in one of them does not
+# groups is drawn from a generator of its own, so that a new kind in one of them does not
 # change what a seed draws from the others.
 
 #: Faults of processes: how the process of each kind is drawn.
@@ -83,6 +87,8 @@
 ANNOUNCEMENT_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for announcements of rate limits by targets.
 RATE_LIMIT_KINDS: Final[dict[str, DrawProcess]] = {}
+#: The same for slow periods and implausible reports of load by targets.
+LOAD_KINDS: Final[dict[str, DrawProcess]] = {}
 
 
 def fault_kind(
@@ -155,6 +161,22 @@
     return randomness.choice(names.targets)
 
 
+@fault_kind("slow", LOAD_KINDS)
+def _draw_slow(randomness: random.Random, names: ProcessNames) -> str:
+    return randomness.choice(names.targets)
+
+
+@fault_kind("slow all", LOAD_KINDS)
+def _draw_slow_service(randomness: random.Random, names: ProcessNames) -> str:
+    """Return one target; all targets of its service are affected."""
+    return randomness.choice(names.targets)
+
+
+@fault_kind("implausible load", LOAD_KINDS)
+def _draw_implausible_load(randomness: random.Random, names: ProcessNames) -> str:
+    return randomness.choice(names.targets)
+
+
 def draw_plan(seed: int, seconds: float, size: FleetSize | None = None) -> Plan:
     """Return the plan of a seed.
 
@@ -168,8 +190,12 @@
     faults = _draw_faults(random.Random(seed), seconds, names, PROCESS_FAULT_KINDS)
     announcements = _draw_faults(random.Random(f"words {seed}"), seconds, names, ANNOUNCEMENT_KINDS)
     rate_limits = _draw_faults(random.Random(f"limits {seed}"), seconds, names, RATE_LIMIT_KINDS)
-    ordered = sorted((*faults, *announcements, *rate_limits), key=lambda fault: fault.at)
-    return Plan(seed=seed, seconds=seconds, faults=tuple(ordered), size=fleet)
+    parts = draw_parts(seed)
+    loads: list[Fault] = []
+    if parts.has_reported_load:
+        loads = _draw_faults(random.Random(f"load {seed}"), seconds, names, LOAD_KINDS)
+    ordered = sorted((*faults, *announcements, *rate_limits, *loads), key=lambda fault: fault.at)
+    return Plan(seed=seed, seconds=seconds, faults=tuple(ordered), size=fleet, parts=parts)
 
 
 def _draw_faults(
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -12,20 +12,32 @@
 from damsonlane_bench.registered_target import (
     BACKOFF_SIGNAL,
     DRAINING_SIGNAL,
+    IMPLAUSIBLE_LOAD_END_SIGNAL,
+    IMPLAUSIBLE_LOAD_SIGNAL,
     RATE_LIMIT_END_SIGNAL,
     RATE_LIMIT_SIGNAL,
+    SLOW_END_SIGNAL,
+    SLOW_SIGNAL,
 )
-from damsonlane_bench.routes import RoutesFleet, make_document
+from damsonlane_bench.routes import RoutesFleet
+from damsonlane_bench.routes_document import make_document
 from damsonlane_bench.soak._callers import Caller, OperatorThread
 from damsonlane_bench.soak._evaluation import find_violations
 from damsonlane_bench.soak._guarantees import Violation
 from damsonlane_bench.soak._observations import (
     Observations,
+    count_load_reports,
     read_arrivals,
     read_rate_limits,
     read_target_runs,
 )
-from damsonlane_bench.soak._plan import ANNOUNCEMENT_KINDS, RATE_LIMIT_KINDS, Fault, Plan
+from damsonlane_bench.soak._plan import (
+    ANNOUNCEMENT_KINDS,
+    LOAD_KINDS,
+    RATE_LIMIT_KINDS,
+    Fault,
+    Plan,
+)
 
 #: Number of callers that draw from all routes in a fleet of two entries; one more for each further
 #: entry.
@@ -53,6 +65,9 @@
     statuses: dict[int, int]
     #: Number of targets that exited on the crash request.
     crash_count: int
+    #: Number of responses that reported slowness, and that reported an implausible load.
+    slow_reports: int = 0
+    implausible_reports: int = 0
 
 
 class SoakRun:
@@ -95,11 +110,14 @@
         statuses: dict[int, int] = {}
         for response in self._observations.responses:
             statuses[response.status] = statuses.get(response.status, 0) + 1
+        slow_reports, implausible_reports = count_load_reports(logs)
         return SoakResult(
             plan=self._plan,
             violations=(*find_violations(self._observations, runs), *not_recovered),
             statuses=dict(sorted(statuses.items())),
             crash_count=sum(run.is_crash for run in runs),
+            slow_reports=slow_reports,
+            implausible_reports=implausible_reports,
         )
 
     def _start(self) -> None:
@@ -115,7 +133,12 @@
 
     def _start_target(self, name: str) -> None:
         target = self._targets[name]
-        self._fleet.start_target(name, target.service, target.kind)
+        self._fleet.start_target(
+            name,
+            target.service,
+            target.kind,
+            reports_load=self._plan.parts.has_reported_load,
+        )
 
     def _is_served(self) -> bool:
         """Return whether all entries serve all routes."""
@@ -166,6 +189,9 @@
         if fault.kind in RATE_LIMIT_KINDS:
             self._announce_rate_limit(fault)
             return
+        if fault.kind in LOAD_KINDS:
+            self._change_load(fault)
+            return
         boxes = (*self._fleet.controls, *self._fleet.entries)
         names = (fault.process,) if fault.process else boxes
         reserved = self._reserve(names)
@@ -215,6 +241,17 @@
         if fault.kind != "lasting limit":
             self._signal(names, RATE_LIMIT_END_SIGNAL)
 
+    def _change_load(self, fault: Fault) -> None:
+        """Have targets be slow, or report an implausible load, for the length of the fault.
+
+        This is not recorded as a fault, since no guarantee may depend on reports of load.
+        """
+        names = self._list_service_targets(fault) if fault.kind == "slow all" else [fault.process]
+        is_slow = fault.kind != "implausible load"
+        self._signal(names, SLOW_SIGNAL if is_slow else IMPLAUSIBLE_LOAD_SIGNAL)
+        self._stopped.wait(fault.seconds)
+        self._signal(names, SLOW_END_SIGNAL if is_slow else IMPLAUSIBLE_LOAD_END_SIGNAL)
+
     def _list_service_targets(self, fault: Fault) -> list[str]:
         """Return the names of all targets of the service that a fault affects."""
         service = self._targets[fault.process].service
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_crash_requests.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_crash_requests.py
@@ -18,7 +18,8 @@
 from damsonlane_bench.fleet import wait_until
 from damsonlane_bench.registered_target import TargetKind
 from damsonlane_bench.registered_target._target import CRASH_INPUT, EVENT_COUNT
-from damsonlane_bench.routes import RoutesFleet, make_document
+from damsonlane_bench.routes import RoutesFleet
+from damsonlane_bench.routes_document import make_document
 
 #: Number of times that the caller sends the request.
 REQUEST_COUNT = 8
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -5,11 +5,14 @@
 from pathlib import Path
 
 from damsonlane.codec import decode_bytes, encode_text
+from damsonlane_bench.registered_target._load import IMPLAUSIBLE_ENDINGS, ReportedLoad
 from damsonlane_bench.soak import (
     ANNOUNCEMENT_KINDS,
+    LOAD_KINDS,
     PROCESS_FAULT_KINDS,
     RATE_LIMIT_KINDS,
     FleetSize,
+    Parts,
     Plan,
     SoakRun,
     draw_plan,
@@ -87,7 +90,9 @@
     def test_fifty_seeds_cover_all_kinds_and_have_overlapping_faults(self) -> None:
         plans = [draw_plan(seed, 20.0) for seed in range(50)]
         kinds = {fault.kind for plan in plans for fault in plan.faults}
-        self.assertEqual(kinds, {*PROCESS_FAULT_KINDS, *ANNOUNCEMENT_KINDS, *RATE_LIMIT_KINDS})
+        self.assertEqual(
+            kinds, {*PROCESS_FAULT_KINDS, *ANNOUNCEMENT_KINDS, *RATE_LIMIT_KINDS, *LOAD_KINDS}
+        )
         overlapping = sum(
             later.at < earlier.at + earlier.seconds
             for plan in plans
@@ -95,6 +100,35 @@
         )
         self.assertGreater(overlapping, 50)
 
+    def test_seeds_without_reported_load_have_no_faults_of_load(self) -> None:
+        """A part that is off must not act: a failure could not be attributed to it."""
+        plans = [draw_plan(seed, 20.0) for seed in range(50)]
+        on = [plan for plan in plans if plan.parts.has_reported_load]
+        self.assertTrue(0 < len(on) < len(plans))
+        kinds = {fault.kind for plan in plans if plan not in on for fault in plan.faults}
+        self.assertFalse(kinds & set(LOAD_KINDS))
+
+    def test_a_stored_plan_without_parts_switches_none_on(self) -> None:
+        """Plans of failures found before a part existed must still play as they did."""
+        stored = b'{"seed": 1, "seconds": 2.0, "faults": []}'
+        self.assertEqual(decode_bytes(stored, Plan).parts, Parts())
+
+
+class ReportedLoadTest(unittest.TestCase):
+    def test_periods_begin_and_end_independently(self) -> None:
+        """The end of an implausible report must not end a slow period that overlaps it."""
+        load = ReportedLoad(4)
+        load.running = 6
+        load.begin_slow_period()
+        self.assertEqual(load.render(), "4,2,4,250")
+        for ending in IMPLAUSIBLE_ENDINGS:
+            load.begin_implausible_reports()
+            self.assertEqual(load.render(), f"4,2,4,{ending}")
+        load.end_implausible_reports()
+        self.assertEqual(load.render(), "4,2,4,250")
+        load.end_slow_period()
+        self.assertEqual(load.render(), "4,2,4,100")
+
 
 class CheckTest(unittest.TestCase):
     """Each guarantee is violated alone, and no other check reports a violation."""
