Soak: callers that stop reading large streams

Cause: no run set gateway.buffer_bytes, and every caller read its answer.

Change: in seeds that switch it on, entries have a budget of 1 MiB, and three callers stop in the middle of streams of 1.3 MB for 0.5 to 7 s and read on. Each event holds the id of its request. Three new checks: such a caller receives only its own stream, no target waits more than 5 s for an event to be taken, and requests without a stream are answered within 5.5 s (the last one in all runs).

--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -13,6 +13,7 @@
 
 from damsonlane.codec import encode_bytes
 from damsonlane.targets import TargetRecord
+from damsonlane_bench.registered_target._events import EVENT_COUNT, LARGE_INPUT, render_event
 from damsonlane_bench.registered_target._load import ReportedLoad
 from damsonlaned.http import (
     ConnectionPool,
@@ -36,8 +37,7 @@
 _HEARTBEAT_TIMEOUT_SECONDS: Final = 1.0
 #: Duration of a plain request and of a call to a pool, in seconds.
 _WORK_SECONDS: Final = 0.02
-#: Number of events of a stream, and the seconds between them.
-EVENT_COUNT: Final = 20
+#: Seconds between the events of a stream.
 _EVENT_SECONDS: Final = 0.05
 #: Body of a request, or material key of a piece, at which a target exits.
 CRASH_INPUT: Final = "end the target"
@@ -71,6 +71,8 @@
     ("0.05", 0.05),
     ("1e9", 1e9),
 )
+#: Seconds from which the wait of a target for one part of a stream to be taken is logged.
+_LOGGED_WAIT_SECONDS: Final = 0.5
 #: Seconds of back-off that a target requests, and for which it rejects requests.
 BACKOFF_SECONDS: Final = 1.5
 #: Seconds for which a draining target continues to serve.
@@ -263,11 +265,29 @@
         headers = (*self._make_headers(request), (b"Content-Type", b"text/event-stream"))
         reply.start(HttpHead(status=200, headers=headers))
         first = int(request.find(b"last-event-id") or 0) + 1
+        request_id = request.find(b"damsonlane-request-id") or ""
+        large_request = request_id if request.body.startswith(LARGE_INPUT.encode()) else ""
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(_EVENT_SECONDS * self.load.slowness)
-            await reply.send(f"id: {number}\ndata: token {number}\n\n".encode())
+            await self._send_event(reply, render_event(number, large_request), request_id)
         reply.finish()
 
+    async def _send_event(self, reply: ResponseWriter, event: str, request_id: str) -> None:
+        """Send one event, and log for how long this target had to wait if it was long."""
+        began_at = time.monotonic()
+        try:
+            await reply.send(event.encode())
+        finally:
+            seconds = time.monotonic() - began_at
+            if seconds >= _LOGGED_WAIT_SECONDS:
+                line = {
+                    "waited": request_id,
+                    "target": self._record.target,
+                    "seconds": seconds,
+                    "at": time.time(),
+                }
+                print(json.dumps(line), flush=True)
+
     def _record_run(self, request: HttpRequest) -> None:
         self.ran.append(request.find(b"damsonlane-request-id") or "")
         _log_run(request)
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -6,7 +6,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from threading import Thread
 from typing import Any, Final
@@ -20,7 +20,7 @@
     wait_until,
 )
 from damsonlane_bench.registered_target import TargetKind
-from damsonlane_bench.registered_target._target import EVENT_COUNT
+from damsonlane_bench.registered_target._events import EVENT_COUNT
 from damsonlane_bench.routes_document import CALLER_KEY, make_document
 
 #: Timeout of callers, in seconds.
@@ -45,6 +45,8 @@
         controls: names of the control replicas.
         entries: names of the entries.
         targets: names of the targets.
+        entry_settings: settings of entries by name; they replace the usual ones, and those of the
+            gateway one by one.
     """
 
     def __init__(
@@ -53,8 +55,10 @@
         controls: Sequence[str] = ("control-1", "control-2", "control-3"),
         entries: Sequence[str] = ("entry-1", "entry-2"),
         targets: Sequence[str] = _TARGET_NAMES,
+        entry_settings: Mapping[str, Mapping[str, Any]] | None = None,
     ) -> None:
         self.folder: Final = folder
+        self._entry_settings: Final = entry_settings or {}
         self._issuer: Final = CertificateIssuer(folder / "keys")
         self.controls: Final = list(controls)
         self.entries: Final = list(entries)
@@ -207,6 +211,9 @@
             settings["founding"] = {"seeds": seeds, "is_first_start": is_first_start}
         else:
             settings["caller_address"] = self.addresses[f"{name}/front"]
+        more = dict(self._entry_settings.get(name, {}))
+        gateway.update(more.pop("gateway", {}))
+        settings.update(more)
         return settings
 
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
@@ -93,6 +93,8 @@
         texts.append(
             f"{result.slow_reports} slow and {result.implausible_reports} implausible loads, "
         )
+    if result.plan.parts.has_stalled_readers:
+        texts.append(f"{result.stalled_reads} stalled reads of which {result.cut_reads} cut off, ")
     return "".join(texts)
 
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import random
+import time
 from threading import Event, Thread
 from typing import Final
 
@@ -85,6 +86,7 @@
             headers |= {"Damsonlane-Pieces": "1,1", "Damsonlane-Material-Key": "soak"}
         connection = self._connections.get(entry) or self._connect(entry)
         status, data, is_complete = 0, b"", False
+        began_at = time.monotonic()
         try:
             connection.request("POST", f"/{route}/a", body=body.encode(), headers=headers)
             response = connection.getresponse()
@@ -99,7 +101,13 @@
             connection.close()
             self._connections.pop(entry, None)
         return CallerResponse(
-            request=request, route=route, status=status, is_complete=is_complete, body=data.decode()
+            request=request,
+            route=route,
+            status=status,
+            is_complete=is_complete,
+            body=data.decode(),
+            seconds=time.monotonic() - began_at,
+            at=time.time(),
         )
 
     def _connect(self, entry: str) -> http.client.HTTPConnection:
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_checks.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Final
 
-from damsonlane_bench.registered_target._target import EVENT_COUNT
+from damsonlane_bench.registered_target._events import render_stream
 from damsonlane_bench.soak._guarantees import guarantee
 from damsonlane_bench.soak._observations import Arrival, Observations, TargetRun
 
@@ -30,9 +30,7 @@
 STREAM_ROUTE: Final = "chat"
 
 #: Body of a complete stream.
-COMPLETE_STREAM: Final = "".join(
-    f"id: {number}\ndata: token {number}\n\n" for number in range(1, EVENT_COUNT + 1)
-)
+COMPLETE_STREAM: Final = render_stream()
 
 
 @guarantee("a non-repeatable request runs at most once")
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_evaluation.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_evaluation.py
@@ -5,6 +5,7 @@
 # Imported for their side effect: each module registers its checks.
 from damsonlane_bench.soak import _checks as _checks
 from damsonlane_bench.soak import _rate_limit_check as _rate_limit_check
+from damsonlane_bench.soak import _stalled_readers as _stalled_readers
 from damsonlane_bench.soak._guarantees import GUARANTEES, Violation
 from damsonlane_bench.soak._observations import Observations, TargetRun
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
@@ -23,6 +23,43 @@
     is_complete: bool
     #: Body, as far as it arrived.
     body: str
+    #: Time from the request to the end of the response, in seconds.
+    seconds: float = 0.0
+    #: End of the response, in seconds since the epoch.
+    at: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class StalledRead:
+    """Large stream that a caller stopped reading for a while."""
+
+    #: Id of the request.
+    request: str
+    #: HTTP status; 0 if no response arrived.
+    status: int
+    #: Whether the body arrived completely by the framing that its head announced.
+    is_complete: bool
+    #: Body, as far as it arrived.
+    body: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class TargetWait:
+    """Time for which a target waited until one event of a stream was taken."""
+
+    #: Id of the request.
+    request: str
+    #: Name of the target, a new one for each incarnation.
+    target: str
+    #: Length of the wait, in seconds.
+    seconds: float
+    #: End of the wait, in seconds since the epoch.
+    at: float
+
+    @property
+    def entry(self) -> str:
+        """Entry that received the stream, as the id of the request says."""
+        return self.request.partition("@")[2]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -104,6 +141,10 @@
         self._lock: Final = threading.Lock()
         #: Responses that callers received.
         self.responses: Final[list[CallerResponse]] = []
+        #: Large streams that callers stopped reading.
+        self.stalled_reads: Final[list[StalledRead]] = []
+        #: Waits of targets; read from their logs after the run.
+        self.target_waits: Final[list[TargetWait]] = []
         #: Versions that the operator read.
         self.version_reads: Final[list[VersionRead]] = []
         #: Begins and ends of faults.
@@ -120,6 +161,11 @@
         with self._lock:
             self.responses.append(response)
 
+    def record_stalled_read(self, read: StalledRead) -> None:
+        """Record a large stream that a caller stopped reading."""
+        with self._lock:
+            self.stalled_reads.append(read)
+
     def record_version_read(self, version_read: VersionRead) -> None:
         """Record a version that the operator read."""
         with self._lock:
@@ -171,6 +217,19 @@
             )
 
 
+def read_target_waits(logs: Iterable[Path]) -> Iterator[TargetWait]:
+    """Yield the waits of targets for events to be taken, from the logs of the targets."""
+    for line in _read_lines(logs):
+        if line.startswith('{"waited"'):
+            fields = json.loads(line)
+            yield TargetWait(
+                request=str(fields["waited"]),
+                target=str(fields["target"]),
+                seconds=float(fields["seconds"]),
+                at=float(fields["at"]),
+            )
+
+
 def count_load_reports(logs: Iterable[Path]) -> tuple[int, int]:
     """Return the number of reports of slowness and of implausible loads, from the targets' logs."""
     reports = [json.loads(line) for line in _read_lines(logs) if line.startswith('{"load"')]
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
@@ -1,12 +1,15 @@
 """Parts of a soak run that some seeds switch on."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 #: Probability that a seed switches a part on: most runs have some parts, and all combinations occur
 #: within a few dozen seeds.
 _PROBABILITY: Final = 0.6
+#: Budget of buffered bytes of an entry: less than one large stream (1.3 MB).
+_BUFFER_BYTES: Final = 1024 * 1024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -15,11 +18,24 @@
 
     #: Targets report their load, with slow periods and implausible reports.
     has_reported_load: bool = False
+    #: Entries have a budget of buffered bytes, and some callers stop reading large streams.
+    has_stalled_readers: bool = False
 
 
 def draw_parts(seed: int) -> Parts:
     """Return the parts of a seed; each is drawn alone, so a new one does not change the others."""
-    return Parts(has_reported_load=_draw("reported load", seed))
+    return Parts(
+        has_reported_load=_draw("reported load", seed),
+        has_stalled_readers=_draw("stalled readers", seed),
+    )
+
+
+def make_entry_settings(parts: Parts, entries: Sequence[str]) -> dict[str, dict[str, Any]]:
+    """Return the settings of each entry that the parts of a run need."""
+    gateway: dict[str, Any] = {}
+    if parts.has_stalled_readers:
+        gateway["buffer_bytes"] = _BUFFER_BYTES
+    return {entry: {"gateway": gateway} for entry in entries}
 
 
 def _draw(part: str, seed: int) -> bool:
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -30,7 +30,9 @@
     read_arrivals,
     read_rate_limits,
     read_target_runs,
+    read_target_waits,
 )
+from damsonlane_bench.soak._parts import make_entry_settings
 from damsonlane_bench.soak._plan import (
     ANNOUNCEMENT_KINDS,
     LOAD_KINDS,
@@ -38,6 +40,7 @@
     Fault,
     Plan,
 )
+from damsonlane_bench.soak._stalled_readers import READER_COUNT, StalledReader
 
 #: Number of callers that draw from all routes in a fleet of two entries; one more for each further
 #: entry.
@@ -68,6 +71,9 @@
     #: Number of responses that reported slowness, and that reported an implausible load.
     slow_reports: int = 0
     implausible_reports: int = 0
+    #: Number of streams that began and that callers stopped reading, and of those cut off.
+    stalled_reads: int = 0
+    cut_reads: int = 0
 
 
 class SoakRun:
@@ -83,7 +89,11 @@
         size = plan.size
         self._targets: Final = {target.name: target for target in size.list_targets()}
         self._fleet: Final = RoutesFleet(
-            folder, size.list_controls(), size.list_entries(), tuple(self._targets)
+            folder,
+            size.list_controls(),
+            size.list_entries(),
+            tuple(self._targets),
+            make_entry_settings(plan.parts, size.list_entries()),
         )
         self._folder: Final = folder
         self._observations: Final = Observations()
@@ -107,6 +117,7 @@
         runs = tuple(read_target_runs(logs))
         self._observations.arrivals.extend(read_arrivals(logs))
         self._observations.rate_limits.extend(read_rate_limits(logs))
+        self._observations.target_waits.extend(read_target_waits(logs))
         statuses: dict[int, int] = {}
         for response in self._observations.responses:
             statuses[response.status] = statuses.get(response.status, 0) + 1
@@ -117,6 +128,11 @@
             statuses=dict(sorted(statuses.items())),
             crash_count=sum(run.is_crash for run in runs),
             slow_reports=slow_reports,
+            stalled_reads=sum(read.status == 200 for read in self._observations.stalled_reads),
+            cut_reads=sum(
+                read.status == 200 and not read.is_complete
+                for read in self._observations.stalled_reads
+            ),
             implausible_reports=implausible_reports,
         )
 
@@ -159,13 +175,18 @@
 
     def _execute(self) -> None:
         seed = self._plan.seed
-        callers = [
+        callers: list[Caller | StalledReader] = [
             Caller(self._fleet, self._observations, f"c{number}", seed + number)
             for number in range(CALLER_COUNT + self._plan.size.entries - 2)
         ]
         callers.append(
             Caller(self._fleet, self._observations, "deadly", seed, sends_crash_request=True)
         )
+        if self._plan.parts.has_stalled_readers:
+            callers += [
+                StalledReader(self._fleet, self._observations, f"stalled{number}", seed)
+                for number in range(READER_COUNT)
+            ]
         operator = OperatorThread(self._fleet, self._observations, seed)
         faults = [Thread(target=self._inject, args=(fault,)) for fault in self._plan.faults]
         for caller in callers:
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from damsonlane.codec import decode_bytes, encode_text
+from damsonlane_bench.registered_target._events import render_stream
 from damsonlane_bench.registered_target._load import IMPLAUSIBLE_ENDINGS, ReportedLoad
 from damsonlane_bench.soak import (
     ANNOUNCEMENT_KINDS,
@@ -26,7 +27,9 @@
     FaultEvent,
     Observations,
     RateLimitAnnouncement,
+    StalledRead,
     TargetRun,
+    TargetWait,
     VersionRead,
     read_target_runs,
 )
@@ -281,12 +284,57 @@
         self._arrive("", 14.9)
         self.assertEqual(self._find(), [RATE_LIMIT])
 
+    def test_bytes_of_another_stream(self) -> None:
+        """Guards against delivery of buffered bytes of one caller to another one."""
+        own = render_stream("chat-1")
+        cases = ((own, True, 0), (own[:9000], False, 0), (own[:9000], True, 1))
+        other = own[:9000] + render_stream("chat-2")[9000:]
+        for body, is_complete, count in (*cases, (other, False, 1)):
+            with self.subTest(length=len(body), is_complete=is_complete):
+                self.observations.stalled_reads[:] = [
+                    StalledRead(request="chat-1", status=200, is_complete=is_complete, body=body)
+                ]
+                name = "a caller that stops reading receives only its own stream"
+                self.assertEqual(self._find(), [name] * count)
+
+    def test_a_target_that_waits_for_a_caller(self) -> None:
+        """Guards against a reader that holds its target for longer than the entry allows."""
+        for seconds in (4.9, 5.1):
+            self.observations.target_waits.append(
+                TargetWait(request="chat-1@entry-1", target="model-ab", seconds=seconds, at=20.0)
+            )
+        name = "a caller that stops reading does not hold up its target"
+        self.assertEqual(self._find(), [name])
+        for process in ("entry-1", "model-2"):
+            self.observations.fault_events[:] = [FaultEvent(process=process, at=16.0)]
+            self.assertEqual(self._find(), [])
+        self.observations.fault_events[:] = [FaultEvent(process="entry-2", at=16.0)]
+        self.assertEqual(self._find(), [name])
+
+    def test_a_caller_that_is_held_up(self) -> None:
+        """Guards against other callers that wait for one which stops reading."""
+        for seconds in (5.4, 5.6):
+            self.observations.record_response(
+                CallerResponse(
+                    request="ping-1@entry-1",
+                    route="ping",
+                    status=0,
+                    is_complete=False,
+                    body="",
+                    seconds=seconds,
+                    at=20.0,
+                )
+            )
+        self.assertEqual(self._find(), ["a caller without a stream is not held up"])
+        self.observations.fault_events.append(FaultEvent(process="entry-1", at=16.0))
+        self.assertEqual(self._find(), [])
+
     def test_an_unexpected_exit(self) -> None:
         self.observations.unexpected_exits.append("entry-1 exited by itself")
         self.assertEqual(self._find(), ["control replicas and entries do not exit by themselves"])
 
     def test_every_guarantee_is_tested(self) -> None:
-        self.assertEqual(len(GUARANTEES), 8)
+        self.assertEqual(len(GUARANTEES), 11)
 
     def test_target_runs_are_read_from_logs(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
