Soak: organisations that surge, with late requests and fair shares

Cause: all callers of the soak were one organisation, and no run set gateway.late_requests or gateway.fair_shares.

Change: in seeds that switch it on, entries serve late requests and share fairly, the callers belong to three organisations, and surges of ten times the usual number of callers are drawn apart from the other faults. The test of a larger fleet compares the names of processes without surges, which name organisations, and compares those too. The result of a run is a module of its own.

Not checked: that an organisation within its share is not affected at all.

--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -47,6 +47,7 @@
         targets: names of the targets.
         entry_settings: settings of entries by name; they replace the usual ones, and those of the
             gateway one by one.
+        organisations: keys of callers by the name of their organisation.
     """
 
     def __init__(
@@ -56,9 +57,15 @@
         entries: Sequence[str] = ("entry-1", "entry-2"),
         targets: Sequence[str] = _TARGET_NAMES,
         entry_settings: Mapping[str, Mapping[str, Any]] | None = None,
+        organisations: Mapping[str, str] | None = None,
     ) -> None:
         self.folder: Final = folder
         self._entry_settings: Final = entry_settings or {}
+        self._document: Final = make_document()
+        if organisations:
+            self._document["organisations"] = [
+                {"name": name, "keys": [key]} for name, key in organisations.items()
+            ]
         self._issuer: Final = CertificateIssuer(folder / "keys")
         self.controls: Final = list(controls)
         self.entries: Final = list(entries)
@@ -104,15 +111,15 @@
 
         Args:
             version: version of the document.
-            changes: top-level fields that replace those of `make_document`.
+            changes: top-level fields that replace those of the document.
         """
-        text = json.dumps({**make_document(), "version": version, **changes})
+        text = json.dumps({**self._document, "version": version, **changes})
         wait_until(lambda: self._put(text) == 200, f"version {version} is accepted")
 
     def try_document(self, version: int) -> bool:
         """Send a routing document once and return whether a control replica accepted it."""
         try:
-            return self._put(json.dumps({**make_document(), "version": version})) == 200
+            return self._put(json.dumps({**self._document, "version": version})) == 200
         except (OSError, http.client.HTTPException):
             return False
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
@@ -12,17 +12,20 @@
     LOAD_KINDS,
     PROCESS_FAULT_KINDS,
     RATE_LIMIT_KINDS,
+    SURGE_KINDS,
     Fault,
     Plan,
     draw_plan,
 )
-from damsonlane_bench.soak._soak_run import SoakResult, SoakRun
+from damsonlane_bench.soak._result import SoakResult
+from damsonlane_bench.soak._soak_run import SoakRun
 
 __all__ = [
     "ANNOUNCEMENT_KINDS",
     "LOAD_KINDS",
     "PROCESS_FAULT_KINDS",
     "RATE_LIMIT_KINDS",
+    "SURGE_KINDS",
     "Fault",
     "FleetSize",
     "Parts",
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
@@ -95,6 +95,8 @@
         )
     if result.plan.parts.has_stalled_readers:
         texts.append(f"{result.stalled_reads} stalled reads of which {result.cut_reads} cut off, ")
+    if result.plan.parts.has_organisations:
+        texts.append(f"{sum(fault.kind == 'surge' for fault in result.plan.faults)} surges, ")
     return "".join(texts)
 
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
@@ -9,8 +9,8 @@
 
 from damsonlane_bench.registered_target._target import CRASH_INPUT
 from damsonlane_bench.routes import RoutesFleet
-from damsonlane_bench.routes_document import CALLER_KEY
 from damsonlane_bench.soak._observations import CallerResponse, Observations, VersionRead
+from damsonlane_bench.soak._parts import ORGANISATIONS
 
 #: Seconds for which a caller waits for a response.
 _TIMEOUT_SECONDS: Final = 6.0
@@ -32,6 +32,7 @@
         observations: records the responses.
         name: part of the ids of its requests.
         seed: seed of its random choices.
+        organisation: organisation that it belongs to.
         sends_crash_request: whether it repeatedly sends the one request on which targets exit.
     """
 
@@ -42,12 +43,14 @@
         name: str,
         seed: int,
         *,
+        organisation: str = "florists",
         sends_crash_request: bool = False,
     ) -> None:
         self._fleet: Final = fleet
         self._observations: Final = observations
         self._name: Final = name
         self._randomness: Final = random.Random(seed)
+        self._organisation: Final = organisation
         self._sends_crash_request: Final = sends_crash_request
         self._numbers: Final = itertools.count()
         self._connections: Final[dict[str, http.client.HTTPConnection]] = {}
@@ -78,7 +81,7 @@
         body = CRASH_INPUT if self._sends_crash_request else f"of {request}"
         headers = {
             "Host": "shop.example",
-            "Authorization": f"Bearer {CALLER_KEY}",
+            "Authorization": f"Bearer {ORGANISATIONS[self._organisation]}",
             "Damsonlane-Request-Id": request,
             "Damsonlane-Deadline-Ms": "4000",
         }
@@ -108,6 +111,7 @@
             body=data.decode(),
             seconds=time.monotonic() - began_at,
             at=time.time(),
+            organisation="" if self._sends_crash_request else self._organisation,
         )
 
     def _connect(self, entry: str) -> http.client.HTTPConnection:
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
@@ -27,6 +27,8 @@
     seconds: float = 0.0
     #: End of the response, in seconds since the epoch.
     at: float = 0.0
+    #: Organisation of the caller; empty for requests that organisations are not compared by.
+    organisation: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from damsonlane_bench.routes_document import CALLER_KEY
+
 #: Probability that a seed switches a part on: most runs have some parts, and all combinations occur
 #: within a few dozen seeds.
 _PROBABILITY: Final = 0.6
@@ -12,6 +14,14 @@
 _BUFFER_BYTES: Final = 1024 * 1024
 
 
+#: Keys of callers by the name of their organisation, in runs that have several.
+ORGANISATIONS: Final[dict[str, str]] = {
+    "florists": CALLER_KEY,
+    "bakers": "bakers-key",
+    "grocers": "grocers-key",
+}
+
+
 @dataclass(frozen=True, kw_only=True)
 class Parts:
     """Parts that a run has; none in plan files that were stored before there were parts."""
@@ -20,6 +30,8 @@
     has_reported_load: bool = False
     #: Entries have a budget of buffered bytes, and some callers stop reading large streams.
     has_stalled_readers: bool = False
+    #: Entries serve late requests and share fairly among organisations, some of which surge.
+    has_organisations: bool = False
 
 
 def draw_parts(seed: int) -> Parts:
@@ -27,6 +39,7 @@
     return Parts(
         has_reported_load=_draw("reported load", seed),
         has_stalled_readers=_draw("stalled readers", seed),
+        has_organisations=_draw("organisations", seed),
     )
 
 
@@ -35,6 +48,8 @@
     gateway: dict[str, Any] = {}
     if parts.has_stalled_readers:
         gateway["buffer_bytes"] = _BUFFER_BYTES
+    if parts.has_organisations:
+        gateway |= {"late_requests": "serve", "fair_shares": True}
     return {entry: {"gateway": gateway} for entry in entries}
 
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from damsonlane_bench.soak._fleet_size import FleetSize
-from damsonlane_bench.soak._parts import Parts, draw_parts
+from damsonlane_bench.soak._parts import ORGANISATIONS, Parts, draw_parts
 
 #: Draws the name of the process that a fault affects; empty for all boxes.
 DrawProcess = Callable[[random.Random, "ProcessNames"], str]
@@ -48,10 +48,10 @@
 
     #: Begin, in seconds from the start of the run.
     at: float
-    #: Kind; a name in `PROCESS_FAULT_KINDS`, `ANNOUNCEMENT_KINDS`, `RATE_LIMIT_KINDS` or
-    #: `LOAD_KINDS`.
+    #: Kind; a name in `PROCESS_FAULT_KINDS`, `ANNOUNCEMENT_KINDS`, `RATE_LIMIT_KINDS`,
+    #: `LOAD_KINDS` or `SURGE_KINDS`.
     kind: str
-    #: Name of the affected process; empty for all boxes.
+    #: Name of the affected process, or of the organisation that surges; empty for all boxes.
     process: str
     #: Duration, in seconds.
     seconds: float
@@ -89,6 +89,8 @@
 RATE_LIMIT_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for slow periods and implausible reports of load by targets.
 LOAD_KINDS: Final[dict[str, DrawProcess]] = {}
+#: The same for organisations that send more than usual.
+SURGE_KINDS: Final[dict[str, DrawProcess]] = {}
 
 
 def fault_kind(
@@ -177,6 +179,11 @@
     return randomness.choice(names.targets)
 
 
+@fault_kind("surge", SURGE_KINDS)
+def _draw_surging(randomness: random.Random, names: ProcessNames) -> str:
+    return randomness.choice(sorted(ORGANISATIONS))
+
+
 def draw_plan(seed: int, seconds: float, size: FleetSize | None = None) -> Plan:
     """Return the plan of a seed.
 
@@ -194,10 +201,24 @@
     loads: list[Fault] = []
     if parts.has_reported_load:
         loads = _draw_faults(random.Random(f"load {seed}"), seconds, names, LOAD_KINDS)
-    ordered = sorted((*faults, *announcements, *rate_limits, *loads), key=lambda fault: fault.at)
+    surges: list[Fault] = []
+    if parts.has_organisations:
+        surges = _draw_surges(random.Random(f"surges {seed}"), seconds, names)
+    ordered = sorted(
+        (*faults, *announcements, *rate_limits, *loads, *surges), key=lambda fault: fault.at
+    )
     return Plan(seed=seed, seconds=seconds, faults=tuple(ordered), size=fleet, parts=parts)
 
 
+def _draw_surges(randomness: random.Random, seconds: float, names: ProcessNames) -> list[Fault]:
+    """Return surges of which none begins during another one."""
+    surges: list[Fault] = []
+    for surge in _draw_faults(randomness, seconds, names, SURGE_KINDS):
+        if not surges or surge.at > surges[-1].at + surges[-1].seconds:
+            surges.append(surge)
+    return surges
+
+
 def _draw_faults(
     randomness: random.Random, seconds: float, names: ProcessNames, kinds: Mapping[str, DrawProcess]
 ) -> list[Fault]:
--- /dev/null
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_result.py
@@ -0,0 +1,26 @@
+"""Result of a soak run."""
+
+from dataclasses import dataclass
+
+from damsonlane_bench.soak._guarantees import Violation
+from damsonlane_bench.soak._plan import Plan
+
+
+@dataclass(frozen=True, kw_only=True)
+class SoakResult:
+    """Result of a run."""
+
+    #: Plan of the run.
+    plan: Plan
+    #: Guarantees that were violated.
+    violations: tuple[Violation, ...]
+    #: Number of responses that callers received, by status; 0 if no response arrived.
+    statuses: dict[int, int]
+    #: Number of targets that exited on the crash request.
+    crash_count: int
+    #: Number of responses that reported slowness, and that reported an implausible load.
+    slow_reports: int = 0
+    implausible_reports: int = 0
+    #: Number of streams that began and that callers stopped reading, and of those cut off.
+    stalled_reads: int = 0
+    cut_reads: int = 0
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -3,7 +3,6 @@
 import signal
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from threading import Event, Lock, Thread
 from typing import Final
@@ -32,19 +31,23 @@
     read_target_runs,
     read_target_waits,
 )
-from damsonlane_bench.soak._parts import make_entry_settings
+from damsonlane_bench.soak._parts import ORGANISATIONS, make_entry_settings
 from damsonlane_bench.soak._plan import (
     ANNOUNCEMENT_KINDS,
     LOAD_KINDS,
     RATE_LIMIT_KINDS,
+    SURGE_KINDS,
     Fault,
     Plan,
 )
+from damsonlane_bench.soak._result import SoakResult
 from damsonlane_bench.soak._stalled_readers import READER_COUNT, StalledReader
 
 #: Number of callers that draw from all routes in a fleet of two entries; one more for each further
 #: entry.
 CALLER_COUNT: Final = 5
+#: Multiple of its usual load that an organisation sends during a surge.
+SURGE_FACTOR: Final = 10
 #: Seconds after which the supervisor restarts a process that exited.
 _RESTART_SECONDS: Final = 0.5
 #: Seconds after the last fault within which the fleet must serve again.
@@ -56,26 +59,6 @@
 _POLL_SECONDS: Final = 0.05
 
 
-@dataclass(frozen=True, kw_only=True)
-class SoakResult:
-    """Result of a run."""
-
-    #: Plan of the run.
-    plan: Plan
-    #: Guarantees that were violated.
-    violations: tuple[Violation, ...]
-    #: Number of responses that callers received, by status; 0 if no response arrived.
-    statuses: dict[int, int]
-    #: Number of targets that exited on the crash request.
-    crash_count: int
-    #: Number of responses that reported slowness, and that reported an implausible load.
-    slow_reports: int = 0
-    implausible_reports: int = 0
-    #: Number of streams that began and that callers stopped reading, and of those cut off.
-    stalled_reads: int = 0
-    cut_reads: int = 0
-
-
 class SoakRun:
     """One run of the soak.
 
@@ -94,9 +77,11 @@
             size.list_entries(),
             tuple(self._targets),
             make_entry_settings(plan.parts, size.list_entries()),
+            ORGANISATIONS if plan.parts.has_organisations else None,
         )
         self._folder: Final = folder
         self._observations: Final = Observations()
+        self._caller_count: Final = CALLER_COUNT + size.entries - 2
         self._lock: Final = Lock()
         self._reserved: set[str] = set()
         self._stopped: Final = Event()
@@ -176,8 +161,14 @@
     def _execute(self) -> None:
         seed = self._plan.seed
         callers: list[Caller | StalledReader] = [
-            Caller(self._fleet, self._observations, f"c{number}", seed + number)
-            for number in range(CALLER_COUNT + self._plan.size.entries - 2)
+            Caller(
+                self._fleet,
+                self._observations,
+                f"c{number}",
+                seed + number,
+                organisation=self._find_organisation(number),
+            )
+            for number in range(self._caller_count)
         ]
         callers.append(
             Caller(self._fleet, self._observations, "deadly", seed, sends_crash_request=True)
@@ -201,6 +192,32 @@
             caller.stop()
         operator.stop()
 
+    def _find_organisation(self, number: int) -> str:
+        """Return the organisation of a caller."""
+        names = list(ORGANISATIONS) if self._plan.parts.has_organisations else ["florists"]
+        return names[number % len(names)]
+
+    def _surge(self, fault: Fault) -> None:
+        """Have an organisation send ten times its usual load: nine more callers for each of its."""
+        usual = sum(
+            self._find_organisation(number) == fault.process for number in range(self._caller_count)
+        )
+        callers = [
+            Caller(
+                self._fleet,
+                self._observations,
+                f"surge{fault.at:g}x{number}",
+                self._plan.seed + number,
+                organisation=fault.process,
+            )
+            for number in range(usual * (SURGE_FACTOR - 1))
+        ]
+        for caller in callers:
+            caller.start()
+        self._stopped.wait(fault.seconds)
+        for caller in callers:
+            caller.stop()
+
     def _inject(self, fault: Fault) -> None:
         """Begin a fault at its time and end it after its duration."""
         self._stopped.wait(fault.at)
@@ -210,6 +227,9 @@
         if fault.kind in RATE_LIMIT_KINDS:
             self._announce_rate_limit(fault)
             return
+        if fault.kind in SURGE_KINDS:
+            self._surge(fault)
+            return
         if fault.kind in LOAD_KINDS:
             self._change_load(fault)
             return
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from damsonlane.codec import decode_bytes, encode_text
@@ -12,6 +13,7 @@
     LOAD_KINDS,
     PROCESS_FAULT_KINDS,
     RATE_LIMIT_KINDS,
+    SURGE_KINDS,
     FleetSize,
     Parts,
     Plan,
@@ -33,6 +35,7 @@
     VersionRead,
     read_target_runs,
 )
+from damsonlane_bench.soak._parts import ORGANISATIONS
 
 #: Seed of the short run.
 SEED = 7
@@ -85,7 +88,10 @@
     def test_faults_affect_all_processes_of_a_larger_fleet(self) -> None:
         size = FleetSize(controls=5, entries=9, targets=7)
         plans = [draw_plan(seed, 60.0, size) for seed in range(50)]
-        drawn = {fault.process for plan in plans for fault in plan.faults} - {""}
+        faults = [fault for plan in plans for fault in plan.faults]
+        surging = {fault.process for fault in faults if fault.kind in SURGE_KINDS}
+        self.assertEqual(surging, set(ORGANISATIONS))
+        drawn = {fault.process for fault in faults if fault.kind not in SURGE_KINDS} - {""}
         targets = {target.name for target in size.list_targets()}
         self.assertEqual(drawn, {*size.list_controls(), *size.list_entries(), *targets})
         self.assertEqual(decode_bytes(encode_text(plans[0], Plan), Plan), plans[0])
@@ -94,7 +100,14 @@
         plans = [draw_plan(seed, 20.0) for seed in range(50)]
         kinds = {fault.kind for plan in plans for fault in plan.faults}
         self.assertEqual(
-            kinds, {*PROCESS_FAULT_KINDS, *ANNOUNCEMENT_KINDS, *RATE_LIMIT_KINDS, *LOAD_KINDS}
+            kinds,
+            {
+                *PROCESS_FAULT_KINDS,
+                *ANNOUNCEMENT_KINDS,
+                *RATE_LIMIT_KINDS,
+                *LOAD_KINDS,
+                *SURGE_KINDS,
+            },
         )
         overlapping = sum(
             later.at < earlier.at + earlier.seconds
@@ -329,12 +342,33 @@
         self.observations.fault_events.append(FaultEvent(process="entry-1", at=16.0))
         self.assertEqual(self._find(), [])
 
+    def test_an_organisation_that_is_served_less_than_the_others(self) -> None:
+        """Guards against a surge of one organisation that displaces another one."""
+        for organisation, served in (("florists", 100), ("bakers", 20)):
+            for number in range(100):
+                self.observations.record_response(
+                    CallerResponse(
+                        request="ping-1",
+                        route="ping",
+                        status=200 if number < served else 503,
+                        is_complete=True,
+                        body="",
+                        organisation=organisation,
+                    )
+                )
+        self.assertEqual(self._find(), [])
+        for index, response in enumerate(self.observations.responses):
+            if response.organisation == "bakers" and index % 2 == 0:
+                self.observations.responses[index] = replace(response, status=503)
+        name = "no organisation is served less than a quarter as often as all of them"
+        self.assertEqual(self._find(), [name])
+
     def test_an_unexpected_exit(self) -> None:
         self.observations.unexpected_exits.append("entry-1 exited by itself")
         self.assertEqual(self._find(), ["control replicas and entries do not exit by themselves"])
 
     def test_every_guarantee_is_tested(self) -> None:
-        self.assertEqual(len(GUARANTEES), 11)
+        self.assertEqual(len(GUARANTEES), 12)
 
     def test_target_runs_are_read_from_logs(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
