Soak: entries of different capacities

Cause: no run set the capacity of an entry, so owners were always chosen among entries of unknown, equal capacity.

Change: in seeds that switch it on, the settings of each entry hold a capacity drawn from 0.2 to 2.58 cores, with memory and bandwidth in proportion.

Not covered: a capacity that changes at a reload.

--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
@@ -97,6 +97,9 @@
         texts.append(f"{result.stalled_reads} stalled reads of which {result.cut_reads} cut off, ")
     if result.plan.parts.has_organisations:
         texts.append(f"{sum(fault.kind == 'surge' for fault in result.plan.faults)} surges, ")
+    if result.plan.parts.capacities:
+        cores = ", ".join(f"{cores:g}" for cores in result.plan.parts.capacities)
+        texts.append(f"entries of {cores} cores, ")
     return "".join(texts)
 
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
@@ -14,6 +14,11 @@
 _BUFFER_BYTES: Final = 1024 * 1024
 
 
+#: Capacities that are drawn, in cores: below and above the 0.3 core that an owner uses.
+_CORES: Final = (0.2, 0.387, 0.516, 1.29, 2.58)
+#: Memory and bandwidth of an entry for each of its cores.
+_MEMORY_BYTES_PER_CORE: Final = 400e6
+_LINK_BITS_PER_CORE: Final = 10e6
 #: Keys of callers by the name of their organisation, in runs that have several.
 ORGANISATIONS: Final[dict[str, str]] = {
     "florists": CALLER_KEY,
@@ -32,14 +37,17 @@
     has_stalled_readers: bool = False
     #: Entries serve late requests and share fairly among organisations, some of which surge.
     has_organisations: bool = False
+    #: Capacities of entries in cores, in the order of the entries; empty if they are unknown.
+    capacities: tuple[float, ...] = ()
 
 
-def draw_parts(seed: int) -> Parts:
+def draw_parts(seed: int, entry_count: int) -> Parts:
     """Return the parts of a seed; each is drawn alone, so a new one does not change the others."""
     return Parts(
         has_reported_load=_draw("reported load", seed),
         has_stalled_readers=_draw("stalled readers", seed),
         has_organisations=_draw("organisations", seed),
+        capacities=_draw_capacities(seed, entry_count) if _draw("capacities", seed) else (),
     )
 
 
@@ -50,7 +58,20 @@
         gateway["buffer_bytes"] = _BUFFER_BYTES
     if parts.has_organisations:
         gateway |= {"late_requests": "serve", "fair_shares": True}
-    return {entry: {"gateway": gateway} for entry in entries}
+    settings: dict[str, dict[str, Any]] = {entry: {"gateway": gateway} for entry in entries}
+    for entry, cores in zip(entries, parts.capacities, strict=False):
+        settings[entry]["capacity"] = {
+            "cores": cores,
+            "memory_bytes": round(cores * _MEMORY_BYTES_PER_CORE),
+            "link_bits": cores * _LINK_BITS_PER_CORE,
+        }
+    return settings
+
+
+def _draw_capacities(seed: int, entry_count: int) -> tuple[float, ...]:
+    """Return capacities of which the first ones, one for each known capacity, all differ."""
+    shuffled = random.Random(f"capacities of {seed}").sample(_CORES, len(_CORES))
+    return tuple(shuffled[number % len(shuffled)] for number in range(entry_count))
 
 
 def _draw(part: str, seed: int) -> bool:
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -197,7 +197,7 @@
     faults = _draw_faults(random.Random(seed), seconds, names, PROCESS_FAULT_KINDS)
     announcements = _draw_faults(random.Random(f"words {seed}"), seconds, names, ANNOUNCEMENT_KINDS)
     rate_limits = _draw_faults(random.Random(f"limits {seed}"), seconds, names, RATE_LIMIT_KINDS)
-    parts = draw_parts(seed)
+    parts = draw_parts(seed, len(names.entries))
     loads: list[Fault] = []
     if parts.has_reported_load:
         loads = _draw_faults(random.Random(f"load {seed}"), seconds, names, LOAD_KINDS)
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -129,6 +129,11 @@
         stored = b'{"seed": 1, "seconds": 2.0, "faults": []}'
         self.assertEqual(decode_bytes(stored, Plan).parts, Parts())
 
+    def test_capacities_of_entries_differ(self) -> None:
+        """With equal capacities, owners are chosen as without any, and the part tests nothing."""
+        drawn = [draw_plan(seed, 20.0).parts.capacities for seed in range(50)]
+        self.assertEqual({len(set(capacities)) for capacities in drawn}, {0, 2})
+
 
 class ReportedLoadTest(unittest.TestCase):
     def test_periods_begin_and_end_independently(self) -> None:
