--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -6,7 +6,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from threading import Thread
 from typing import Any, Final
@@ -20,10 +20,9 @@
     wait_until,
 )
 from damsonlane_bench.registered_target import TargetKind
-from damsonlane_bench.registered_target._target import EVENT_COUNT
+from damsonlane_bench.registered_target._events import EVENT_COUNT
+from damsonlane_bench.routes_document import CALLER_KEY, make_document
 
-#: Caller key of the only organisation.
-CALLER_KEY: Final = "florists-key"
 #: Timeout of callers, in seconds.
 _CALLER_TIMEOUT_SECONDS: Final = 20.0
 #: Targets of the demonstration: name, service and kind.
@@ -46,6 +45,9 @@
         controls: names of the control replicas.
         entries: names of the entries.
         targets: names of the targets.
+        entry_settings: settings of entries by name; they replace the usual ones, and those of the
+            gateway one by one.
+        organisations: keys of callers by the name of their organisation.
     """
 
     def __init__(
@@ -54,8 +56,16 @@
         controls: Sequence[str] = ("control-1", "control-2", "control-3"),
         entries: Sequence[str] = ("entry-1", "entry-2"),
         targets: Sequence[str] = _TARGET_NAMES,
+        entry_settings: Mapping[str, Mapping[str, Any]] | None = None,
+        organisations: Mapping[str, str] | None = None,
     ) -> None:
         self.folder: Final = folder
+        self._entry_settings: Final = entry_settings or {}
+        self._document: Final = make_document()
+        if organisations:
+            self._document["organisations"] = [
+                {"name": name, "keys": [key]} for name, key in organisations.items()
+            ]
         self._issuer: Final = CertificateIssuer(folder / "keys")
         self.controls: Final = list(controls)
         self.entries: Final = list(entries)
@@ -81,7 +91,9 @@
         command = [find_program("damsonlaned"), f"--settings={path}"]
         self.processes[name] = Process(name, command, self.folder / f"{name}.log")
 
-    def start_target(self, name: str, service: str, kind: TargetKind) -> None:
+    def start_target(
+        self, name: str, service: str, kind: TargetKind, *, reports_load: bool = False
+    ) -> None:
         """Start a target that registers itself."""
         registries = ";".join(self.addresses[f"{control}/front"] for control in self.controls)
         command = [
@@ -90,6 +102,7 @@
             f"--kind={kind}",
             f"--address={self.addresses[f'{name}/front']}",
             f"--registries={registries}",
+            *(("--reports-load",) if reports_load else ()),
         ]
         self.processes[name] = Process(name, command, self.folder / f"{name}.log")
 
@@ -98,15 +111,15 @@
 
         Args:
             version: version of the document.
-            changes: top-level fields that replace those of `make_document`.
+            changes: top-level fields that replace those of the document.
         """
-        text = json.dumps({**make_document(), "version": version, **changes})
+        text = json.dumps({**self._document, "version": version, **changes})
         wait_until(lambda: self._put(text) == 200, f"version {version} is accepted")
 
     def try_document(self, version: int) -> bool:
         """Send a routing document once and return whether a control replica accepted it."""
         try:
-            return self._put(json.dumps({**make_document(), "version": version})) == 200
+            return self._put(json.dumps({**self._document, "version": version})) == 200
         except (OSError, http.client.HTTPException):
             return False
 
@@ -205,54 +218,12 @@
             settings["founding"] = {"seeds": seeds, "is_first_start": is_first_start}
         else:
             settings["caller_address"] = self.addresses[f"{name}/front"]
+        more = dict(self._entry_settings.get(name, {}))
+        gateway.update(more.pop("gateway", {}))
+        settings.update(more)
         return settings
 
 
-def make_document() -> dict[str, Any]:
-    """Return the routing document of the demonstration, without its version."""
-
-    def route(name: str, service: str, repeat: str, **more: Any) -> dict[str, Any]:
-        return {
-            "name": name,
-            "host": "shop.example",
-            "prefix": f"/{name}/",
-            "repeat": repeat,
-            "timeout_seconds": 10.0,
-            "aim_seconds": 1.0,
-            "priority": 0,
-            "services": [{"service": service, "weight": 1.0}],
-            **more,
-        }
-
-    pool = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 8,
-        "call_seconds": 0.02,
-        "piece_seconds": 0.001,
-        "room_bytes": 1_000_000,
-        "keep_seconds": 4.0,
-    }
-    stages = [{"service": "encode"}, {"service": "encode", "after": [0]}]
-    return {
-        "routes": [
-            route("ping", "desk", "safe", most_targets=2),
-            route("refund", "desk", "once"),
-            route("chat", "model", "stream", is_resumable=True, most_targets=2, stages=stages),
-        ],
-        "services": [
-            {"name": "desk", "most_connections": 50},
-            {
-                "name": "model",
-                "most_connections": 50,
-                "engine": {"slots": 8, "cache_tokens": 90_000},
-            },
-            {"name": "encode", "most_connections": 50, "pool": pool},
-        ],
-        "organisations": [{"name": "florists", "keys": [CALLER_KEY]}],
-    }
-
-
 class RoutesDemonstration:
     """Runs the steps of the demonstration and collects the checks that failed."""
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
@@ -6,22 +6,29 @@
 
 from damsonlane_bench.soak._fleet_size import FleetSize
 from damsonlane_bench.soak._guarantees import Violation
+from damsonlane_bench.soak._parts import Parts
 from damsonlane_bench.soak._plan import (
     ANNOUNCEMENT_KINDS,
+    LOAD_KINDS,
     PROCESS_FAULT_KINDS,
     RATE_LIMIT_KINDS,
+    SURGE_KINDS,
     Fault,
     Plan,
     draw_plan,
 )
-from damsonlane_bench.soak._soak_run import SoakResult, SoakRun
+from damsonlane_bench.soak._result import SoakResult
+from damsonlane_bench.soak._soak_run import SoakRun
 
 __all__ = [
     "ANNOUNCEMENT_KINDS",
+    "LOAD_KINDS",
     "PROCESS_FAULT_KINDS",
     "RATE_LIMIT_KINDS",
+    "SURGE_KINDS",
     "Fault",
     "FleetSize",
+    "Parts",
     "Plan",
     "SoakResult",
     "SoakRun",
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -3,7 +3,6 @@
 import signal
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from threading import Event, Lock, Thread
 from typing import Final
@@ -12,24 +11,43 @@
 from damsonlane_bench.registered_target import (
     BACKOFF_SIGNAL,
     DRAINING_SIGNAL,
+    IMPLAUSIBLE_LOAD_END_SIGNAL,
+    IMPLAUSIBLE_LOAD_SIGNAL,
     RATE_LIMIT_END_SIGNAL,
     RATE_LIMIT_SIGNAL,
+    SLOW_END_SIGNAL,
+    SLOW_SIGNAL,
 )
-from damsonlane_bench.routes import RoutesFleet, make_document
+from damsonlane_bench.routes import RoutesFleet
+from damsonlane_bench.routes_document import make_document
 from damsonlane_bench.soak._callers import Caller, OperatorThread
 from damsonlane_bench.soak._evaluation import find_violations
 from damsonlane_bench.soak._guarantees import Violation
 from damsonlane_bench.soak._observations import (
     Observations,
+    count_load_reports,
     read_arrivals,
     read_rate_limits,
     read_target_runs,
+    read_target_waits,
 )
-from damsonlane_bench.soak._plan import ANNOUNCEMENT_KINDS, RATE_LIMIT_KINDS, Fault, Plan
+from damsonlane_bench.soak._parts import ORGANISATIONS, make_entry_settings
+from damsonlane_bench.soak._plan import (
+    ANNOUNCEMENT_KINDS,
+    LOAD_KINDS,
+    RATE_LIMIT_KINDS,
+    SURGE_KINDS,
+    Fault,
+    Plan,
+)
+from damsonlane_bench.soak._result import SoakResult
+from damsonlane_bench.soak._stalled_readers import READER_COUNT, StalledReader
 
 #: Number of callers that draw from all routes in a fleet of two entries; one more for each further
 #: entry.
 CALLER_COUNT: Final = 5
+#: Multiple of its usual load that an organisation sends during a surge.
+SURGE_FACTOR: Final = 10
 #: Seconds after which the supervisor restarts a process that exited.
 _RESTART_SECONDS: Final = 0.5
 #: Seconds after the last fault within which the fleet must serve again.
@@ -41,20 +59,6 @@
 _POLL_SECONDS: Final = 0.05
 
 
-@dataclass(frozen=True, kw_only=True)
-class SoakResult:
-    """Result of a run."""
-
-    #: Plan of the run.
-    plan: Plan
-    #: Guarantees that were violated.
-    violations: tuple[Violation, ...]
-    #: Number of responses that callers received, by status; 0 if no response arrived.
-    statuses: dict[int, int]
-    #: Number of targets that exited on the crash request.
-    crash_count: int
-
-
 class SoakRun:
     """One run of the soak.
 
@@ -68,10 +72,16 @@
         size = plan.size
         self._targets: Final = {target.name: target for target in size.list_targets()}
         self._fleet: Final = RoutesFleet(
-            folder, size.list_controls(), size.list_entries(), tuple(self._targets)
+            folder,
+            size.list_controls(),
+            size.list_entries(),
+            tuple(self._targets),
+            make_entry_settings(plan.parts, size.list_entries()),
+            ORGANISATIONS if plan.parts.has_organisations else None,
         )
         self._folder: Final = folder
         self._observations: Final = Observations()
+        self._caller_count: Final = CALLER_COUNT + size.entries - 2
         self._lock: Final = Lock()
         self._reserved: set[str] = set()
         self._stopped: Final = Event()
@@ -92,14 +102,23 @@
         runs = tuple(read_target_runs(logs))
         self._observations.arrivals.extend(read_arrivals(logs))
         self._observations.rate_limits.extend(read_rate_limits(logs))
+        self._observations.target_waits.extend(read_target_waits(logs))
         statuses: dict[int, int] = {}
         for response in self._observations.responses:
             statuses[response.status] = statuses.get(response.status, 0) + 1
+        slow_reports, implausible_reports = count_load_reports(logs)
         return SoakResult(
             plan=self._plan,
             violations=(*find_violations(self._observations, runs), *not_recovered),
             statuses=dict(sorted(statuses.items())),
             crash_count=sum(run.is_crash for run in runs),
+            slow_reports=slow_reports,
+            stalled_reads=sum(read.status == 200 for read in self._observations.stalled_reads),
+            cut_reads=sum(
+                read.status == 200 and not read.is_complete
+                for read in self._observations.stalled_reads
+            ),
+            implausible_reports=implausible_reports,
         )
 
     def _start(self) -> None:
@@ -115,7 +134,12 @@
 
     def _start_target(self, name: str) -> None:
         target = self._targets[name]
-        self._fleet.start_target(name, target.service, target.kind)
+        self._fleet.start_target(
+            name,
+            target.service,
+            target.kind,
+            reports_load=self._plan.parts.has_reported_load,
+        )
 
     def _is_served(self) -> bool:
         """Return whether all entries serve all routes."""
@@ -136,13 +160,24 @@
 
     def _execute(self) -> None:
         seed = self._plan.seed
-        callers = [
-            Caller(self._fleet, self._observations, f"c{number}", seed + number)
-            for number in range(CALLER_COUNT + self._plan.size.entries - 2)
+        callers: list[Caller | StalledReader] = [
+            Caller(
+                self._fleet,
+                self._observations,
+                f"c{number}",
+                seed + number,
+                organisation=self._find_organisation(number),
+            )
+            for number in range(self._caller_count)
         ]
         callers.append(
             Caller(self._fleet, self._observations, "deadly", seed, sends_crash_request=True)
         )
+        if self._plan.parts.has_stalled_readers:
+            callers += [
+                StalledReader(self._fleet, self._observations, f"stalled{number}", seed)
+                for number in range(READER_COUNT)
+            ]
         operator = OperatorThread(self._fleet, self._observations, seed)
         faults = [Thread(target=self._inject, args=(fault,)) for fault in self._plan.faults]
         for caller in callers:
@@ -157,6 +192,32 @@
             caller.stop()
         operator.stop()
 
+    def _find_organisation(self, number: int) -> str:
+        """Return the organisation of a caller."""
+        names = list(ORGANISATIONS) if self._plan.parts.has_organisations else ["florists"]
+        return names[number % len(names)]
+
+    def _surge(self, fault: Fault) -> None:
+        """Have an organisation send ten times its usual load: nine more callers for each of its."""
+        usual = sum(
+            self._find_organisation(number) == fault.process for number in range(self._caller_count)
+        )
+        callers = [
+            Caller(
+                self._fleet,
+                self._observations,
+                f"surge{fault.at:g}x{number}",
+                self._plan.seed + number,
+                organisation=fault.process,
+            )
+            for number in range(usual * (SURGE_FACTOR - 1))
+        ]
+        for caller in callers:
+            caller.start()
+        self._stopped.wait(fault.seconds)
+        for caller in callers:
+            caller.stop()
+
     def _inject(self, fault: Fault) -> None:
         """Begin a fault at its time and end it after its duration."""
         self._stopped.wait(fault.at)
@@ -166,6 +227,12 @@
         if fault.kind in RATE_LIMIT_KINDS:
             self._announce_rate_limit(fault)
             return
+        if fault.kind in SURGE_KINDS:
+            self._surge(fault)
+            return
+        if fault.kind in LOAD_KINDS:
+            self._change_load(fault)
+            return
         boxes = (*self._fleet.controls, *self._fleet.entries)
         names = (fault.process,) if fault.process else boxes
         reserved = self._reserve(names)
@@ -215,6 +282,17 @@
         if fault.kind != "lasting limit":
             self._signal(names, RATE_LIMIT_END_SIGNAL)
 
+    def _change_load(self, fault: Fault) -> None:
+        """Have targets be slow, or report an implausible load, for the length of the fault.
+
+        This is not recorded as a fault, since no guarantee may depend on reports of load.
+        """
+        names = self._list_service_targets(fault) if fault.kind == "slow all" else [fault.process]
+        is_slow = fault.kind != "implausible load"
+        self._signal(names, SLOW_SIGNAL if is_slow else IMPLAUSIBLE_LOAD_SIGNAL)
+        self._stopped.wait(fault.seconds)
+        self._signal(names, SLOW_END_SIGNAL if is_slow else IMPLAUSIBLE_LOAD_END_SIGNAL)
+
     def _list_service_targets(self, fault: Fault) -> list[str]:
         """Return the names of all targets of the service that a fault affects."""
         service = self._targets[fault.process].service
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -2,14 +2,20 @@
 
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from damsonlane.codec import decode_bytes, encode_text
+from damsonlane_bench.registered_target._events import render_stream
+from damsonlane_bench.registered_target._load import IMPLAUSIBLE_ENDINGS, ReportedLoad
 from damsonlane_bench.soak import (
     ANNOUNCEMENT_KINDS,
+    LOAD_KINDS,
     PROCESS_FAULT_KINDS,
     RATE_LIMIT_KINDS,
+    SURGE_KINDS,
     FleetSize,
+    Parts,
     Plan,
     SoakRun,
     draw_plan,
@@ -23,10 +29,13 @@
     FaultEvent,
     Observations,
     RateLimitAnnouncement,
+    StalledRead,
     TargetRun,
+    TargetWait,
     VersionRead,
     read_target_runs,
 )
+from damsonlane_bench.soak._parts import ORGANISATIONS
 
 #: Seed of the short run.
 SEED = 7
@@ -79,7 +88,10 @@
     def test_faults_affect_all_processes_of_a_larger_fleet(self) -> None:
         size = FleetSize(controls=5, entries=9, targets=7)
         plans = [draw_plan(seed, 60.0, size) for seed in range(50)]
-        drawn = {fault.process for plan in plans for fault in plan.faults} - {""}
+        faults = [fault for plan in plans for fault in plan.faults]
+        surging = {fault.process for fault in faults if fault.kind in SURGE_KINDS}
+        self.assertEqual(surging, set(ORGANISATIONS))
+        drawn = {fault.process for fault in faults if fault.kind not in SURGE_KINDS} - {""}
         targets = {target.name for target in size.list_targets()}
         self.assertEqual(drawn, {*size.list_controls(), *size.list_entries(), *targets})
         self.assertEqual(decode_bytes(encode_text(plans[0], Plan), Plan), plans[0])
@@ -87,7 +99,16 @@
     def test_fifty_seeds_cover_all_kinds_and_have_overlapping_faults(self) -> None:
         plans = [draw_plan(seed, 20.0) for seed in range(50)]
         kinds = {fault.kind for plan in plans for fault in plan.faults}
-        self.assertEqual(kinds, {*PROCESS_FAULT_KINDS, *ANNOUNCEMENT_KINDS, *RATE_LIMIT_KINDS})
+        self.assertEqual(
+            kinds,
+            {
+                *PROCESS_FAULT_KINDS,
+                *ANNOUNCEMENT_KINDS,
+                *RATE_LIMIT_KINDS,
+                *LOAD_KINDS,
+                *SURGE_KINDS,
+            },
+        )
         overlapping = sum(
             later.at < earlier.at + earlier.seconds
             for plan in plans
@@ -95,6 +116,40 @@
         )
         self.assertGreater(overlapping, 50)
 
+    def test_seeds_without_reported_load_have_no_faults_of_load(self) -> None:
+        """A part that is off must not act: a failure could not be attributed to it."""
+        plans = [draw_plan(seed, 20.0) for seed in range(50)]
+        on = [plan for plan in plans if plan.parts.has_reported_load]
+        self.assertTrue(0 < len(on) < len(plans))
+        kinds = {fault.kind for plan in plans if plan not in on for fault in plan.faults}
+        self.assertFalse(kinds & set(LOAD_KINDS))
+
+    def test_a_stored_plan_without_parts_switches_none_on(self) -> None:
+        """Plans of failures found before a part existed must still play as they did."""
+        stored = b'{"seed": 1, "seconds": 2.0, "faults": []}'
+        self.assertEqual(decode_bytes(stored, Plan).parts, Parts())
+
+    def test_capacities_of_entries_differ(self) -> None:
+        """With equal capacities, owners are chosen as without any, and the part tests nothing."""
+        drawn = [draw_plan(seed, 20.0).parts.capacities for seed in range(50)]
+        self.assertEqual({len(set(capacities)) for capacities in drawn}, {0, 2})
+
+
+class ReportedLoadTest(unittest.TestCase):
+    def test_periods_begin_and_end_independently(self) -> None:
+        """The end of an implausible report must not end a slow period that overlaps it."""
+        load = ReportedLoad(4)
+        load.running = 6
+        load.begin_slow_period()
+        self.assertEqual(load.render(), "4,2,4,250")
+        for ending in IMPLAUSIBLE_ENDINGS:
+            load.begin_implausible_reports()
+            self.assertEqual(load.render(), f"4,2,4,{ending}")
+        load.end_implausible_reports()
+        self.assertEqual(load.render(), "4,2,4,250")
+        load.end_slow_period()
+        self.assertEqual(load.render(), "4,2,4,100")
+
 
 class CheckTest(unittest.TestCase):
     """Each guarantee is violated alone, and no other check reports a violation."""
@@ -247,12 +302,78 @@
         self._arrive("", 14.9)
         self.assertEqual(self._find(), [RATE_LIMIT])
 
+    def test_bytes_of_another_stream(self) -> None:
+        """Guards against delivery of buffered bytes of one caller to another one."""
+        own = render_stream("chat-1")
+        cases = ((own, True, 0), (own[:9000], False, 0), (own[:9000], True, 1))
+        other = own[:9000] + render_stream("chat-2")[9000:]
+        for body, is_complete, count in (*cases, (other, False, 1)):
+            with self.subTest(length=len(body), is_complete=is_complete):
+                self.observations.stalled_reads[:] = [
+                    StalledRead(request="chat-1", status=200, is_complete=is_complete, body=body)
+                ]
+                name = "a caller that stops reading receives only its own stream"
+                self.assertEqual(self._find(), [name] * count)
+
+    def test_a_target_that_waits_for_a_caller(self) -> None:
+        """Guards against a reader that holds its target for longer than the entry allows."""
+        for seconds in (4.9, 5.1):
+            self.observations.target_waits.append(
+                TargetWait(request="chat-1@entry-1", target="model-ab", seconds=seconds, at=20.0)
+            )
+        name = "a caller that stops reading does not hold up its target"
+        self.assertEqual(self._find(), [name])
+        for process in ("entry-1", "model-2"):
+            self.observations.fault_events[:] = [FaultEvent(process=process, at=16.0)]
+            self.assertEqual(self._find(), [])
+        self.observations.fault_events[:] = [FaultEvent(process="entry-2", at=16.0)]
+        self.assertEqual(self._find(), [name])
+
+    def test_a_caller_that_is_held_up(self) -> None:
+        """Guards against other callers that wait for one which stops reading."""
+        for seconds in (5.4, 5.6):
+            self.observations.record_response(
+                CallerResponse(
+                    request="ping-1@entry-1",
+                    route="ping",
+                    status=0,
+                    is_complete=False,
+                    body="",
+                    seconds=seconds,
+                    at=20.0,
+                )
+            )
+        self.assertEqual(self._find(), ["a caller without a stream is not held up"])
+        self.observations.fault_events.append(FaultEvent(process="entry-1", at=16.0))
+        self.assertEqual(self._find(), [])
+
+    def test_an_organisation_that_is_served_less_than_the_others(self) -> None:
+        """Guards against a surge of one organisation that displaces another one."""
+        for organisation, served in (("florists", 100), ("bakers", 20)):
+            for number in range(100):
+                self.observations.record_response(
+                    CallerResponse(
+                        request="ping-1",
+                        route="ping",
+                        status=200 if number < served else 503,
+                        is_complete=True,
+                        body="",
+                        organisation=organisation,
+                    )
+                )
+        self.assertEqual(self._find(), [])
+        for index, response in enumerate(self.observations.responses):
+            if response.organisation == "bakers" and index % 2 == 0:
+                self.observations.responses[index] = replace(response, status=503)
+        name = "no organisation is served less than a quarter as often as all of them"
+        self.assertEqual(self._find(), [name])
+
     def test_an_unexpected_exit(self) -> None:
         self.observations.unexpected_exits.append("entry-1 exited by itself")
         self.assertEqual(self._find(), ["control replicas and entries do not exit by themselves"])
 
     def test_every_guarantee_is_tested(self) -> None:
-        self.assertEqual(len(GUARANTEES), 8)
+        self.assertEqual(len(GUARANTEES), 12)
 
     def test_target_runs_are_read_from_logs(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
