The version of a target's software and a caller's first attempt are read and logged

Heartbeats carry the version into the registry: a change without a restart is taken and logged as a warning, one that is not text of at most 200 printable characters is refused like any malformed heartbeat. The lines 'sent', 'target updated' and 'target recorded' name it, 'accepted' the first attempt and the last event of a request that resumes a stream. No decision changes.

--- a/packages/damsonlane/src/damsonlane/targets/_checks.py
+++ b/packages/damsonlane/src/damsonlane/targets/_checks.py
@@ -8,6 +8,8 @@
 
 #: Longest name of a target, a service or a data centre, in characters.
 MAX_NAME_LENGTH: Final = 200
+#: Longest version of a target's software, in characters.
+MAX_VERSION_LENGTH: Final = 200
 #: Longest warm-up that a target may announce, in seconds.
 MAX_WARMUP_SECONDS: Final = 86_400.0
 
@@ -32,6 +34,8 @@
         return "slots, count and start must not be negative"
     if not 0.0 <= record.cold_seconds <= MAX_WARMUP_SECONDS or math.isnan(record.cold_seconds):
         return f"the time left cold must be 0 to {MAX_WARMUP_SECONDS:.0f} seconds"
+    if len(record.version) > MAX_VERSION_LENGTH or not record.version.isprintable():
+        return f"the version must be at most {MAX_VERSION_LENGTH} printable characters"
     return ""
 
 
--- a/packages/damsonlane/src/damsonlane/targets/_records.py
+++ b/packages/damsonlane/src/damsonlane/targets/_records.py
@@ -35,6 +35,9 @@
     #: Seconds of warm-up that are left at the heartbeat; until then it can serve only a few
     #: requests a second.
     cold_seconds: float = 0.0
+    #: Version of its software; empty where it is not reported.  Versions are only compared for
+    #: equality.
+    version: str = ""
     #: Shard of its service, assigned by the registry; each shard has its own owner.
     shard: int = 0
 
--- a/packages/damsonlaned/src/damsonlaned/control/_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_registry.py
@@ -185,6 +185,7 @@
                     "standing": record.standing,
                     "sequence": record.sequence,
                     "start": record.start,
+                    "target_version": record.version,
                     "cold_seconds": record.cold_seconds,
                 },
             )
@@ -195,6 +196,16 @@
             return record.start > known.start
         if record.sequence <= known.sequence or known.standing == "leaving":
             return False
+        if record.version != known.version:
+            _LOG.warning(
+                "target reports another version without a restart",
+                extra={
+                    "target": record.target,
+                    "before": known.version,
+                    "target_version": record.version,
+                },
+            )
+            return True
         unchanged = (known.standing, known.address, known.service, known.slots)
         if (record.standing, record.address, record.service, record.slots) != unchanged:
             return True
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -99,6 +99,8 @@
             max_output_tokens=max_output_tokens,
             pieces=self._read_pieces(request),
             material_key=self._find_header(request, "material_key") or "",
+            last_event_id=self._find_header(request, "last_event"),
+            first_attempt=self._find_header(request, "resumes") or "",
         )
 
     def render_refusal(self, refusal: Refusal, request_id: str) -> HttpResponse:
--- a/packages/damsonlaned/src/damsonlaned/dialects/_names.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_names.py
@@ -41,6 +41,8 @@
     inputs: str
     #: Id of the last event that the caller received.
     last_event: str
+    #: Id of the caller's attempt that brought the first event of a stream that is resumed.
+    resumes: str
     #: Address of an engine that has more of the prompt in its prefix cache.
     source: str
     #: Prefix of the key in its header, with its trailing space; may be empty.
--- a/packages/damsonlaned/src/damsonlaned/dialects/_native.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_native.py
@@ -43,6 +43,7 @@
         material_key="Damsonlane-Material-Key",
         inputs="Damsonlane-Inputs",
         last_event="Last-Event-Id",
+        resumes="Damsonlane-Resumes",
         source="Damsonlane-Source",
     )
     paths = PathNames(
--- a/packages/damsonlaned/src/damsonlaned/dialects/_types.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_types.py
@@ -47,6 +47,10 @@
     pieces: tuple[int, ...] = ()
     #: Key of the input material of its first stages, or an empty string.
     material_key: str = ""
+    #: Id of the last event that its caller has, where it resumes an event stream; else None.
+    last_event_id: str | None = None
+    #: Id of the caller's attempt that brought the first event of that stream; empty if not named.
+    first_attempt: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -183,6 +183,8 @@
                 **call.log_fields(),
                 "target": chosen.target,
                 "address": chosen.address,
+                "target_version": chosen.version,
+                "last_event": last_event,
                 "source": chosen.source_address,
                 "left_ms": int(attempt.remaining_seconds * 1000),
                 **({"beyond_share": True} if _is_beyond_share(chosen) else {}),
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -320,10 +320,19 @@
         "waited_ms": int(1000 * call.earlier_wait_seconds),
         "pieces": call.request.pieces,
         "tokens": call.request.prompt_tokens,
+        **_resumed_fields(call),
         **({"passed_on_by": call.relayed_by} if call.relayed_by else {}),
     }
 
 
+def _resumed_fields(call: Call) -> dict[str, object]:
+    """Return the log fields of a request that resumes an event stream; none for others."""
+    request = call.request
+    if request.last_event_id is None and not request.first_attempt:
+        return {}
+    return {"first_attempt": request.first_attempt, "caller_event": request.last_event_id}
+
+
 def _choose_service(table: RouteTable, route: Route, request_id: str) -> Service:
     """Choose one of a route's services by weight; the same one whenever a request is retried."""
     total = sum(share.weight for share in route.services)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -54,6 +54,8 @@
     address: str
     #: Start time of its incarnation.
     start: int
+    #: Version of its software; empty where it is not reported.
+    version: str
     #: Connections to it.
     connections: ConnectionPool
     #: The placement that is reported back to the owner that placed the prompt, or None.
@@ -342,11 +344,13 @@
         return max(MIN_CONNECTIONS, int(limit / sharing))
 
     def _make_chosen(self, service: Service, choice: TargetChoice) -> ChosenTarget:
+        record = self._view.find_target(choice.target)
         return ChosenTarget(
             service=service.name,
             target=choice.target,
             address=choice.address,
             start=choice.start,
+            version=record.version if record is not None else "",
             connections=self.connections(service, choice.target, choice.address),
         )
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -314,11 +314,12 @@
         return self.table.document.services if self.table is not None else ()
 
     def _is_changed(self, record: TargetRecord) -> bool:
-        """Return whether a target is new, or has another standing or incarnation than before."""
+        """Return whether a target is new or changed in what is logged of it."""
         known = self._targets.get(record.target)
         if known is None:
             return True
-        return (known.standing, known.start) != (record.standing, record.start)
+        before = (known.standing, known.start, known.version)
+        return before != (record.standing, record.start, record.version)
 
     def _notify(self) -> None:
         self._shards = {}
@@ -341,6 +342,7 @@
                     "service": record.service,
                     "standing": record.standing,
                     "start": record.start,
+                    "target_version": record.version,
                     "cold_seconds": record.cold_seconds,
                     "revision": changes.revision,
                 },
