--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -383,20 +383,34 @@
         self.view.put_targets(changes)
 
     async def send(
-        self, path: str, *, headers: str = "", deadline_ms: int = 2000, key: str = KEY
+        self,
+        path: str,
+        *,
+        headers: str = "",
+        deadline_ms: int = 2000,
+        key: str = KEY,
+        request_id: str = "r1",
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         reader, writer = await asyncio.open_connection("127.0.0.1", self._listener.port())
         writer.write(
             f"GET {path} HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n"
-            f"Damsonlane-Request-Id: r1\r\nDamsonlane-Deadline-Ms: {deadline_ms}\r\n"
+            f"Damsonlane-Request-Id: {request_id}\r\nDamsonlane-Deadline-Ms: {deadline_ms}\r\n"
             f"Authorization: Bearer {key}\r\n{headers}\r\n".encode()
         )
         return reader, writer
 
     async def call(
-        self, path: str, *, headers: str = "", deadline_ms: int = 2000, key: str = KEY
+        self,
+        path: str,
+        *,
+        headers: str = "",
+        deadline_ms: int = 2000,
+        key: str = KEY,
+        request_id: str = "r1",
     ) -> Response:
-        reader, writer = await self.send(path, headers=headers, deadline_ms=deadline_ms, key=key)
+        reader, writer = await self.send(
+            path, headers=headers, deadline_ms=deadline_ms, key=key, request_id=request_id
+        )
         data = b""
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             try:
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of streams and the software versions of targets."""
