A stream goes on within one answer only at targets of the version that began it

Cause: an entry that resumes a stream chose among all targets of the service.

The first event binds the request to the service and version of its target. Every later choice leaves out targets of other versions: the entry's own, the placement of prompts, permits, and the address to copy prompt segments from. Where no target of the version may get work the stream is cut, or refused with 503, not run, before its stages.

--- a/packages/damsonlane/src/damsonlane/membership/__init__.py
+++ b/packages/damsonlane/src/damsonlane/membership/__init__.py
@@ -10,7 +10,7 @@
 )
 from damsonlane.membership._capacity import MAX_CORES, is_plausible_capacity
 from damsonlane.membership._overload import OverloadDetector
-from damsonlane.membership._owners import are_uneven, choose_owner
+from damsonlane.membership._owners import are_uneven, choose_owner, rank_boxes
 from damsonlane.membership._shares import CapacityShares
 from damsonlane.membership._silence import CHECK_SECONDS, SILENCE_SECONDS, SilenceDetector
 
@@ -30,4 +30,5 @@
     "are_uneven",
     "choose_owner",
     "is_plausible_capacity",
+    "rank_boxes",
 ]
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempt_history.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempt_history.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from damsonlane.versions import StreamOrigin
 from damsonlaned.gateway._call import Call
 
 #: Share of the time left that one attempt gets where a retry may follow.
@@ -33,6 +34,8 @@
         self._call: Final = call
         self._possible_runs = 0
         self._throttled = 0
+        #: Where the stream began that further attempts go on with; None before the first event.
+        self.origin: StreamOrigin | None = call.origin
         #: Attempts so far.
         self.attempt_count = 0
         #: Names of the targets that it was sent to.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -90,7 +90,11 @@
         self._budgets: dict[str, WindowedRetryBudget] = {}
 
     async def choose(
-        self, call: Call, avoid: Collection[str], input_locations: Sequence[InputLocation] = ()
+        self,
+        call: Call,
+        avoid: Collection[str],
+        input_locations: Sequence[InputLocation] = (),
+        version: str | None = None,
     ) -> ChosenTarget | NoTarget:
         """Choose a target for a request.
 
@@ -98,9 +102,20 @@
             call: the request.
             avoid: targets that failed it already.
             input_locations: where its stage results are stored.
+            version: version that the target's software must have; None for any.
         """
-        placed = await self._place_prompt(call, avoid, input_locations)
-        return placed or await self._limited_targets.choose(call.service, _find_prompt(call), avoid)
+        excluded: set[str] = set()
+        if version is not None:
+            excluded = self._targets.list_other_versions(call.service, version)
+        placed = await self._place_prompt(call, {*avoid, *excluded}, input_locations)
+        if placed is not None:
+            return placed
+        prompt = _find_prompt(call)
+        return await self._limited_targets.choose(call.service, prompt, avoid, excluded)
+
+    def count_open(self, call: Call, version: str) -> int:
+        """Return how many targets of a version may get the request."""
+        return self._targets.count_open(call.service, version)
 
     async def check_admission(self, call: Call) -> NoTarget | None:
         """Return why a request may not begin its stages yet; None if it may begin now."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -5,6 +5,7 @@
 from damsonlane.pools import ROUTE_PRIORITY_LEVELS
 from damsonlane.records import dataclass
 from damsonlane.routes import Organisation, Route, RouteTable, Service
+from damsonlane.versions import StreamOrigin
 from damsonlaned.dialects import CallerRequest
 
 
@@ -42,6 +43,8 @@
     has_response_begun: bool = False
     #: Name of the box that passed it on to this one, or an empty string.
     relayed_by: str = ""
+    #: Where the stream began that it resumes; None for a new request.
+    origin: StreamOrigin | None = None
     #: Id of the last event that its caller has, where an event stream is resumed here.
     last_event_id: str | None = None
     #: Seconds that its caller has waited before this try, since an earlier one was refused.
@@ -69,6 +72,11 @@
             return ""
         return self.organisation.name
 
+    @property
+    def first_attempt(self) -> str:
+        """Id of the caller's attempt that brings or brought the first event of its stream."""
+        return self.request.first_attempt or self.request.request_id
+
     def remaining(self) -> float:
         """Return the seconds until its deadline."""
         return self.deadline_at - asyncio.get_running_loop().time()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_limited_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_limited_targets.py
@@ -49,16 +49,32 @@
         self._limited_until: dict[TargetIncarnation, float] = {}
 
     async def choose(
-        self, service: Service, prompt: Prompt, avoid: Collection[str]
+        self,
+        service: Service,
+        prompt: Prompt,
+        avoid: Collection[str],
+        excluded: Collection[str] = (),
     ) -> ChosenTarget | NoTarget:
-        """Return a target for a request that is sent immediately."""
-        limited = self._targets.list_rate_limited(service)
+        """Return a target for a request that is sent immediately.
+
+        Args:
+            service: the service.
+            prompt: what the choice of an engine depends on.
+            avoid: targets that failed the request already.
+            excluded: targets that may not get it.
+        """
+        limited = {
+            name: incarnation
+            for name, incarnation in self._targets.list_rate_limited(service).items()
+            if name not in excluded
+        }
         if not limited:
-            return self._targets.choose(service, prompt, avoid) or self._explain_none(service)
-        if self._targets.are_all_rate_limited(service):
+            found = self._targets.choose(service, prompt, avoid, excluded)
+            return found or self._explain_none(service)
+        if self._targets.are_all_rate_limited(service, excluded):
             return await self._choose_among_limited(service, limited, avoid)
         at_rate_limit = self._list_at_rate_limit(limited)
-        chosen = self._targets.choose(service, prompt, avoid, at_rate_limit)
+        chosen = self._targets.choose(service, prompt, avoid, {*at_rate_limit, *excluded})
         if chosen is None or chosen.target not in limited:
             return chosen or NoTarget()
         # A rate-limited target is preferred like any other until it is at its limit.
@@ -70,7 +86,9 @@
         ]
         others.sort(key=lambda incarnation: incarnation.target != chosen.target)
         permitted = await self._choose_with_permit(service, others)
-        return permitted or self._targets.choose(service, prompt, avoid, limited) or NoTarget()
+        if permitted is not None:
+            return permitted
+        return self._targets.choose(service, prompt, avoid, {*limited, *excluded}) or NoTarget()
 
     def _explain_none(self, service: Service) -> NoTarget:
         """Return why no target was chosen."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -8,6 +8,7 @@
 
 from damsonlane.quarantine import InterruptedRequest
 from damsonlane.routing import HealthSignal
+from damsonlane.versions import StreamOrigin
 from damsonlaned.dialects import Dialect
 from damsonlaned.gateway._attempt_history import AttemptHistory
 from damsonlaned.gateway._attempts import Attempts, OpenedExchange
@@ -92,7 +93,13 @@
             relay, call, self._history, self._response, EventSplitter().feed
         )
         self._target_wait: Final = TargetWait(
-            call, attempts, stages, self._history, self._response, self._responder, late_requests
+            call,
+            attempts,
+            stages,
+            self._history,
+            self._response,
+            self._responder,
+            late_requests,
         )
 
     @property
@@ -331,6 +338,7 @@
         if not self._response.has_started():
             # The first event shows that the target has read its inputs.
             self._release_results()
+            self._record_origin(opened)
             self._response.start(opened.head)
             seconds = self._times.record_first_event()
             if opened.chosen.placed is not None:
@@ -344,6 +352,13 @@
         if event_id is not None:
             self._last_event = event_id
 
+    def _record_origin(self, opened: OpenedExchange) -> None:
+        """Record where the stream began, before its caller has an event of it."""
+        chosen = opened.chosen
+        self._history.origin = StreamOrigin(
+            attempt=self._call.first_attempt, service=chosen.service, version=chosen.version
+        )
+
     def _record_duration(self, seconds: float) -> None:
         """Record the duration of a complete answer, from which others are forecast."""
         tokens = self._call.request.max_output_tokens
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -116,7 +116,7 @@
         service: Service,
         prompt: Prompt,
         avoid: Collection[str],
-        at_rate_limit: Collection[str] = (),
+        excluded: Collection[str] = (),
     ) -> ChosenTarget | None:
         """Choose a target, or return None when the service has none that may be used.
 
@@ -124,17 +124,17 @@
             service: the service.
             prompt: what the choice of an engine depends on.
             avoid: targets that failed the request already.
-            at_rate_limit: targets that get nothing now, since they are at their rate limits.
+            excluded: further targets that may not get it now.
         """
         records = self._view.targets_of(service.name)
         warming_up = self._view.list_warming_up(service.name)
         closed = self._list_closed(records) | self._view.list_backing_off(service.name)
-        excluded = {
+        unusable = {
             *closed,
             *self.list_full(service),
             *self._misdirected,
             *self._list_over_warm_up_limit(service, warming_up),
-            *at_rate_limit,
+            *excluded,
         }
         silent = {record.target for record in records if record.standing == "silent"}
         choice = self._table(service.name).choose(
@@ -143,7 +143,7 @@
             prefer=self._find_side(service, prompt, records),
             avoid=avoid,
             silent=silent,
-            leaving=excluded,
+            leaving=unusable,
             now=self._now(),
             randomness=self._randomness,
         )
@@ -183,7 +183,9 @@
             return None
         chosen = self._make_chosen(service, choice)
         return replace(
-            chosen, placed=placed, source_address=self._find_source_address(service, placed)
+            chosen,
+            placed=placed,
+            source_address=self._find_source_address(service, placed, chosen.version),
         )
 
     def choose_permitted(self, service: Service, target: str) -> ChosenTarget | None:
@@ -203,17 +205,24 @@
         unusable = self.list_unusable(service)
         return {name: incarnation for name, incarnation in limited.items() if name not in unusable}
 
-    def are_all_rate_limited(self, service: Service) -> bool:
-        """Return whether all usable targets announced a rate limit."""
-        limited = self.list_rate_limited(service)
-        unusable = {*self.list_unusable(service), *limited}
+    def are_all_rate_limited(self, service: Service, excluded: Collection[str] = ()) -> bool:
+        """Return whether all usable targets, apart from some, announced a rate limit."""
+        limited = set(self.list_rate_limited(service)) - set(excluded)
+        unusable = {*self.list_unusable(service), *limited, *excluded}
         records = self._view.targets_of(service.name)
         return bool(limited) and all(record.target in unusable for record in records)
 
-    def _find_source_address(self, service: Service, placed: PlacedPrompt) -> str:
-        """Return the address of the engine to copy prompt segments from, or an empty string."""
+    def _find_source_address(self, service: Service, placed: PlacedPrompt, version: str) -> str:
+        """Return the address of the engine to copy prompt segments from, or an empty string.
+
+        Engines of another version may store them in another form.
+        """
         records = self._view.open_targets_of(service.name)
-        addresses = [record.address for record in records if record.target == placed.source]
+        addresses = [
+            record.address
+            for record in records
+            if record.target == placed.source and record.version == version
+        ]
         return addresses[0] if addresses else ""
 
     def list_unusable(self, service: Service) -> set[str]:
@@ -223,6 +232,16 @@
         backing_off = self._view.list_backing_off(service.name)
         return ejected | closed | backing_off | self._misdirected
 
+    def list_other_versions(self, service: Service, version: str) -> set[str]:
+        """Return the targets whose software has another version than this one."""
+        records = self._view.targets_of(service.name)
+        return {record.target for record in records if record.version != version}
+
+    def count_open(self, service: Service, version: str) -> int:
+        """Return how many targets of a version may get new work."""
+        records = self._view.open_targets_of(service.name)
+        return sum(record.version == version for record in records)
+
     def list_full(self, service: Service) -> set[str]:
         """Return the targets that would fail if they rejected more, and get nothing more now."""
         rejections = self._view.announcements.rejections
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
@@ -1,6 +1,7 @@
 """Wait for a target that accepts a request, or end the request while none does."""
 
 import asyncio
+import logging
 from typing import Final
 
 from damsonlaned.gateway._attempt_history import AttemptHistory
@@ -15,8 +16,12 @@
 from damsonlaned.gateway._target_selector import ChosenTarget
 from damsonlaned.lateness import LateRequests
 
+_LOG: Final = logging.getLogger(__name__)
+
 #: Share of the latency objective for which a request waits for room at a target.
 BRIEF_WAIT_SHARE: Final = 0.15
+#: Seconds after which the caller of a stream should return when no target has its version.
+VERSION_RETURN_SECONDS: Final = 1.0
 
 
 class TargetWait:
@@ -60,7 +65,8 @@
             results: results of its stages; None where they are not computed yet.
         """
         return (
-            self._end_if_too_long()
+            self._end_if_version_gone()
+            or self._end_if_too_long()
             or await self._end_if_backed_off(results)
             or await self._end_if_rate_limited(results)
         )
@@ -74,8 +80,12 @@
         while True:
             if (overrun := self._find_overrun()) is not None:
                 return NoTarget(detail=overrun)
+            origin = self._history.origin
             chosen = await self._attempts.choose(
-                self._call, self._history.tried_targets, results.input_locations
+                self._call,
+                self._history.tried_targets,
+                results.input_locations,
+                origin.version if origin is not None else None,
             )
             if not isinstance(chosen, NoTarget) or chosen.wait_seconds <= 0:
                 return chosen
@@ -96,6 +106,23 @@
         self._late_requests.record_refused(call.route.name, fields, call.remaining(), detail)
         return detail
 
+    def _end_if_version_gone(self) -> bool:
+        """End a stream that no target can go on with; return whether it ended."""
+        origin = self._history.origin
+        if origin is None or self._attempts.count_open(self._call, origin.version):
+            return False
+        fields = {
+            **self._call.log_fields(),
+            "first_attempt": origin.attempt,
+            "service": origin.service,
+            "target_version": origin.version,
+        }
+        _LOG.warning("no target has the version of the stream", extra=fields)
+        detail = "no target is left of the version that began the stream"
+        no_target = NoTarget(detail=detail, return_seconds=VERSION_RETURN_SECONDS)
+        self._responder.end_failed(make_no_target_failure(no_target), no_target.return_seconds)
+        return True
+
     def _end_if_too_long(self) -> bool:
         """End the request if it can't end before its deadline; return whether it ended."""
         overrun = self._find_overrun()
