Streams that callers resume go on at the version that began them, at any entry

Cause: nobody read the first attempt that a caller names, and no entry but the one that began a stream could know its version.

The entry tells two others, chosen by the hash of the first attempt, beside the first event; nothing waits for it. An entry that gets a resumed stream asks four of them at once, then all holders (24 at most), and refuses at once, not run, what stays unknown. Only where control reports that a single version has served for longer than streams are remembered, and that report is fresh, the version is certain without any origin. A stream goes on at the service that began it, if its route still leads there.

--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/versions/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the versions of targets."""
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -67,6 +67,14 @@
         Method,
         RpcService,
     )
+    from damsonlane_rpc._origin_messages import (
+        FIND_ORIGIN,
+        RECORD_ORIGINS,
+        OriginBatch,
+        OriginBatchReply,
+        OriginQuery,
+        OriginReply,
+    )
     from damsonlane_rpc._outcomes import Done, Forbidden, NotLeader, Unconfirmed
     from damsonlane_rpc._peer_messages import COMPARE, DrainingTarget, PeerReply, PeerRequest
     from damsonlane_rpc._permit_messages import (
@@ -160,6 +168,14 @@
                 "WatchUpdate",
             ),
             "_methods": ("Method", "RpcService"),
+            "_origin_messages": (
+                "FIND_ORIGIN",
+                "RECORD_ORIGINS",
+                "OriginBatch",
+                "OriginBatchReply",
+                "OriginQuery",
+                "OriginReply",
+            ),
             "_outcomes": ("Done", "Forbidden", "NotLeader", "Unconfirmed"),
             "_peer_messages": (
                 "COMPARE",
@@ -212,6 +228,12 @@
     "PERMIT",
     "POOL",
     "QUERY",
+    "FIND_ORIGIN",
+    "RECORD_ORIGINS",
+    "OriginBatch",
+    "OriginBatchReply",
+    "OriginQuery",
+    "OriginReply",
     "REACH",
     "RELAY",
     "REMOVE_REPLICA",
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_follow_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_follow_messages.py
@@ -11,6 +11,7 @@
 from damsonlane.ratelimit import RateLimitList
 from damsonlane.records import dataclass
 from damsonlane.targets import TargetChanges
+from damsonlane.versions import SteadyVersion
 from damsonlane_rpc._methods import Method
 from damsonlane_rpc._watch_messages import WatchReport
 
@@ -42,6 +43,8 @@
     document: PackedDocument | None = None
     #: Changes of the registry of targets, or None.
     targets: TargetChanges | None = None
+    #: Services that a single version of targets has served, or None if unchanged.
+    steady_versions: tuple[SteadyVersion, ...] | None = None
     #: Evacuated data centres, or None if unchanged.
     evacuations: EvacuationList | None = None
     #: Quarantined requests, or None if unchanged.
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_relay_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_relay_messages.py
@@ -7,6 +7,7 @@
 
 from damsonlane.reach import ProbeResult
 from damsonlane.records import dataclass
+from damsonlane.versions import StreamOrigin
 from damsonlane_rpc._methods import Method, unary_method
 
 
@@ -60,6 +61,8 @@
     is_resumed: bool = False
     #: Id of the last event that the caller has; None if its stream is not resumed by an id.
     last_event_id: str | None = None
+    #: Where the stream began that is resumed, if the sender knows it.
+    origin: StreamOrigin | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_codec.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_codec.py
@@ -5,6 +5,7 @@
 import unittest
 from typing import Any
 
+from damsonlane.codec import encode_bytes
 from damsonlane.membership import BoxRecord, is_plausible_capacity
 from damsonlane.placement import PromptOutcome
 from damsonlane.pools import PieceOrder
@@ -58,7 +59,7 @@
     def decode_with(self, message: Any, path: tuple[str | int, ...], text: str) -> Any:
         """Return a message decoded with some JSON in place of the field at a path."""
         codec = DataclassCodec()
-        data = json.loads(codec.encode(message, type(message)))
+        data = json.loads(encode_bytes(message, type(message)))
         holder = data
         for step in path[:-1]:
             holder = holder[step]
--- a/packages/damsonlaned/src/damsonlaned/control/_follow_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_follow_service.py
@@ -12,6 +12,7 @@
 
 from damsonlane.membership import BoxRecord
 from damsonlane.records import dataclass
+from damsonlane.versions import SteadyVersion
 from damsonlane_rpc import CALL_ERRORS, FOLLOW, FollowReport, FollowUpdate
 from damsonlaned.control._node import ControlNode
 from damsonlaned.tasks import start_task
@@ -101,10 +102,12 @@
         has_new_rate_limits = limits.revision != sent.rate_limits_revision
         entries = state.membership.records()
         control = self._list_control_addresses()
+        is_first = sent.entries is None
         return FollowUpdate(
             state_age=self._node.state_age(),
             document=document if document.version > sent.document_version else None,
             targets=targets.changes_after(sent.targets_revision) if has_new_targets else None,
+            steady_versions=self._list_steady() if has_new_targets or is_first else None,
             evacuations=evacuations.list_for_entries() if has_new_evacuations else None,
             quarantine=quarantine.list_for_entries() if has_new_quarantine else None,
             rate_limits=limits.list_all() if has_new_rate_limits else None,
@@ -112,6 +115,9 @@
             control=control if control != sent.control else None,
         )
 
+    def _list_steady(self) -> tuple[SteadyVersion, ...]:
+        return self._node.versions.list_steady(self._node.now())
+
     def _list_control_addresses(self) -> tuple[str, ...]:
         replica = self._node.replica
         return tuple(member.address for member in replica.members.voters) if replica else ()
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -33,6 +33,7 @@
 )
 from damsonlane.records import dataclass
 from damsonlane.settings import BoxSettings
+from damsonlane.versions import VersionHistory
 from damsonlaned.control._peer_streams import PeerStreams
 from damsonlaned.control._watchers import Watchers
 from damsonlaned.storage import (
@@ -86,6 +87,8 @@
         self.settings: Final = settings
         self.watchers: Final = Watchers()
         self.state = ClusterState()
+        #: Which versions of targets have served while this process applied changes.
+        self.versions: Final = VersionHistory()
         self.replica: Replica | None = None
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._folder: Final = folder.path
@@ -300,10 +303,12 @@
     def _install(self, snapshot: Snapshot) -> None:
         self.state = ClusterState.from_text(snapshot.state)
         self._applied = snapshot.index
+        self._restart_versions()
         self.watchers.notify_all()
 
     def _apply(self, entry: LogEntry) -> None:
         before = self._pushed_versions()
+        targets_revision = self.state.targets.revision
         reply: Reply | None = None
         if isinstance(entry.body, Opaque):
             reply = self.state.apply(decode_command(entry.body.text))
@@ -315,9 +320,16 @@
                 proposed.future.set_result(reply)
             else:
                 proposed.future.set_exception(UnavailableError("another leader took over"))
+        if self.state.targets.revision != targets_revision:
+            self.versions.observe(self.state.targets.records(), self.now())
         if self._pushed_versions() != before:
             self.watchers.notify_all()
 
+    def _restart_versions(self) -> None:
+        """Track the versions of targets anew, since changes may have been skipped."""
+        self.versions.restart()
+        self.versions.observe(self.state.targets.records(), self.now())
+
     def _pushed_versions(self) -> tuple[int, ...]:
         """Return the versions and counts of everything that is pushed to watching boxes."""
         state = self.state
@@ -390,6 +402,7 @@
         self.replica = None
         self.state = ClusterState()
         self._applied = 0
+        self._restart_versions()
         # The identity is replaced first: it makes the content of the old journal invalid.
         self.identity = draw_identity(self.settings.name)
         write_identity(self._folder, self.identity)
@@ -405,6 +418,7 @@
     def _start_replica(self, stored: PersistentState) -> None:
         self.state = ClusterState.from_text(stored.snapshot.state)
         self._applied = stored.snapshot.index
+        self._restart_versions()
         self.replica = Replica(
             cluster=self.identity.cluster,
             name=self.identity.replica,
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
@@ -244,6 +244,9 @@
             {"data_centre": "", "target": "t2"},
             {"cold_seconds": -1.0},
             {"address": ""},
+            {"version": "v" * 201},
+            {"version": "v1\n"},
+            {"version": "v1\x00", "target": "t2"},
         )
         for number, changes in enumerate(cases, start=2):
             with self.subTest(changes):
@@ -253,6 +256,29 @@
         await self.call("PUT", "/v1/routes", make_text(8, services=[{**DESK, "name": "other"}]))
         self.assertEqual(await self.send_heartbeat(sequence=20, standing="leaving"), 200)
 
+    async def test_the_newest_version_of_a_target_counts(self) -> None:
+        await self.send_heartbeat(sequence=1, version="v1")
+        with self.assertLogs("damsonlaned.control._registry", "WARNING") as logs:
+            await self.send_heartbeat(sequence=3, version="v2 (é)")
+        self.assertIn("another version", logs.records[0].message)
+        await self.send_heartbeat(sequence=2, version="v1")
+        record = self.node.state.targets.find("t1")
+        self.assertEqual(record.version if record else None, "v2 (é)")
+
+    async def test_a_late_heartbeat_of_an_earlier_start_brings_its_version_not_back(self) -> None:
+        await self.send_heartbeat(sequence=1, start=5, version="v1")
+        await self.send_heartbeat(sequence=1, start=9, version="v2")
+        await self.send_heartbeat(sequence=7, start=5, version="v1")
+        record = self.node.state.targets.find("t1")
+        self.assertEqual(record.version if record else None, "v2")
+
+    async def test_entries_learn_which_version_has_served_alone(self) -> None:
+        await self.send_heartbeat(sequence=1, version="v1")
+        first = self.node.versions.list_steady(self.node.now())
+        self.assertEqual([(item.service, item.version) for item in first], [("desk", "v1")])
+        await self.send_heartbeat(sequence=1, target="t2", address="10.0.0.2:80", version="v2")
+        self.assertEqual(self.node.versions.list_steady(self.node.now()), ())
+
     async def test_the_log_rate_of_invalid_heartbeats_is_limited(self) -> None:
         with self.assertLogs("damsonlaned.control._registry", "WARNING") as logs:
             for _ in range(50):
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -24,6 +24,7 @@
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine
 from damsonlaned.relay import Relay, RelayedRequest
+from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -37,6 +38,8 @@
 START_HOLD_SECONDS: Final = 0.7
 #: Least Retry-After of an entry that starts or stops, in seconds.
 START_RETRY_SECONDS: Final = 0.2
+#: Seconds after which the caller of a stream that can't go on here should return.
+STREAM_RETURN_SECONDS: Final = 1.0
 #: Resolution of the weights of a route's services.
 _WEIGHT_STEPS: Final = 10_000
 
@@ -73,6 +76,8 @@
     late_requests: LateRequests
     #: Passes requests on to other entries.
     relay: Relay
+    #: Records where streams began, and finds it.
+    origins: StreamOrigins
     #: Whether pools and engines are shared fairly among organisations.
     fair_shares: bool = False
 
@@ -164,6 +169,7 @@
                     last_event_id=relayed.last_event_id,
                     has_response_begun=relayed.is_resumed,
                 )
+            call = await self._bind_stream(call, relayed)
         except _RefusedError as error:
             self._refuse(error.refusal, request_id, http, writer)
             return
@@ -172,6 +178,29 @@
         finally:
             self._in_flight -= 1
 
+    async def _bind_stream(self, call: Call, relayed: RelayedRequest | None) -> Call:
+        """Bind a request that resumes a stream to the service and version that began it.
+
+        Raises:
+            _RefusedError: these are not known, or the route leads to other services now.
+        """
+        request = call.request
+        is_resumed = request.last_event_id is not None or bool(request.first_attempt)
+        if not (call.route.repeat == "stream" and is_resumed) and not call.has_response_begun:
+            return call
+        origins = self._dependencies.origins
+        origin = relayed.origin if relayed is not None else None
+        if origin is None:
+            attempt = call.first_attempt if call.has_response_begun else request.first_attempt
+            origin = await origins.resolve(attempt, call.route, request.request_id)
+        if origin is None:
+            raise _make_stream_refusal("the version that began the stream is not known here")
+        service = call.table.service(origin.service)
+        if service is None or all(share.service != origin.service for share in call.route.services):
+            origins.count("other-service")
+            raise _make_stream_refusal("the stream began at a service that the route has left")
+        return replace(call, service=service, origin=origin)
+
     async def _run_handler(self, call: Call, writer: ResponseSink) -> None:
         dependencies = self._dependencies
         handler = RequestHandler(
@@ -185,6 +214,7 @@
             dependencies.count_entries,
             dependencies.late_requests,
             dependencies.relay,
+            dependencies.origins,
         )
         _LOG.info("accepted", extra=_accepted_fields(call))
         if writer.meter is not None:
@@ -297,6 +327,12 @@
         )
 
 
+def _make_stream_refusal(detail: str) -> _RefusedError:
+    """Return the refusal of a request whose stream can't go on here."""
+    seconds = STREAM_RETURN_SECONDS
+    return _RefusedError(Refusal(status=503, detail=detail, retry_after_seconds=seconds))
+
+
 def _find_fingerprint(request: CallerRequest, organisation: Organisation | None) -> str:
     """Return the fingerprint that identical requests of one organisation share."""
     return find_fingerprint(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
@@ -175,6 +175,7 @@
                     _LOG.info("following control", extra={"address": address, "age": age})
                 was_fresh = True
                 fresh_at = now
+                self._view.steady_versions.confirm(now - age)
             self._apply(update, is_fresh=age is not None and age <= MAX_INITIAL_STATE_AGE)
             if now - fresh_at > (
                 self._freshness_timeout if was_fresh else INITIAL_FRESHNESS_SECONDS
@@ -196,6 +197,8 @@
     def _apply_to_view(self, update: FollowUpdate) -> None:
         if update.targets is not None:
             self._view.put_targets(update.targets)
+        if update.steady_versions is not None:
+            self._view.put_steady_versions(update.steady_versions)
         if update.evacuations is not None:
             self._view.put_evacuations(update.evacuations)
         if update.quarantine is not None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -41,6 +41,7 @@
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine, QuarantineClient
 from damsonlaned.relay import ReachMonitor, Relay, RelayClient, RelayService
+from damsonlaned.versions import OriginService, StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -148,6 +149,11 @@
             gateway.retry_slack,
         )
         late_requests = LateRequests(gateway.late_requests, self._metrics)
+        self._origins: Final = StreamOrigins(
+            self._view, settings.internal_address, context, self._metrics
+        )
+        self._view.on_entries(self._origins.follow_entries)
+        self._origin_service: Final = OriginService(self._origins)
         self._relay_client: Final = RelayClient(self._reach, context, self._metrics)
         self._caller_service: Final = CallerService(
             HandlerDependencies(
@@ -162,6 +168,7 @@
                 fair_shares=gateway.fair_shares,
                 late_requests=late_requests,
                 relay=Relay(box=settings.name, reach=self._reach, client=self._relay_client),
+                origins=self._origins,
             )
         )
         self._relay_service: Final = RelayService(self._caller_service.serve_relayed, self._reach)
@@ -189,7 +196,11 @@
 
     def handlers(self) -> Mapping[str, Handler]:
         """Return the handlers of calls from other boxes."""
-        return {**self._pool_service.handlers(), **self._relay_service.handlers()}
+        return {
+            **self._pool_service.handlers(),
+            **self._relay_service.handlers(),
+            **self._origin_service.handlers(),
+        }
 
     def is_ready(self) -> bool:
         """Return whether this entry accepts new requests."""
@@ -242,6 +253,7 @@
         await self._pools.stop()
         await self._reach.stop()
         self._relay_client.close()
+        await self._origins.stop()
         await self._admin.stop()
 
     async def _serve_readiness(self, request: HttpRequest, writer: ResponseWriter) -> None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import Final
 
@@ -40,6 +41,7 @@
 from damsonlaned.lateness import LateRequests
 from damsonlaned.quarantine import LostTarget, Quarantine
 from damsonlaned.relay import Relay, RequestRelay
+from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -59,6 +61,7 @@
             fleet's retry budget.
         late_requests: the policy for late requests.
         relay: passes requests on to other entries.
+        origins: records where streams began, and finds it.
     """
 
     def __init__(
@@ -73,7 +76,9 @@
         count_entries: Callable[[], float],
         late_requests: LateRequests,
         relay: Relay,
+        origins: StreamOrigins,
     ) -> None:
+        self._origins: Final = origins
         self._call: Final = call
         self._attempts: Final = attempts
         self._stages: Final = stages
@@ -100,6 +105,7 @@
             self._response,
             self._responder,
             late_requests,
+            origins,
         )
 
     @property
@@ -207,6 +213,14 @@
             return None
         failure = make_relay_failure(failed)
         self._log_failure(failure)
+        if self._response.has_started() and self._history.origin is None:
+            # The other entry chose the target, and told where the stream began.
+            call = self._call
+            self._history.origin = await self._origins.resolve(
+                call.first_attempt, call.route, call.request.request_id
+            )
+            if self._history.origin is None:
+                return replace(failure, has_no_target=True)
         return failure
 
     async def _report_loss(self, failure: FailedAttempt, chosen: ChosenTarget) -> None:
@@ -355,9 +369,12 @@
     def _record_origin(self, opened: OpenedExchange) -> None:
         """Record where the stream began, before its caller has an event of it."""
         chosen = opened.chosen
-        self._history.origin = StreamOrigin(
+        origin = StreamOrigin(
             attempt=self._call.first_attempt, service=chosen.service, version=chosen.version
         )
+        self._history.origin = origin
+        if self._call.route.is_resumable:
+            self._origins.record(origin)
 
     def _record_duration(self, seconds: float) -> None:
         """Record the duration of a complete answer, from which others are forecast."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
@@ -15,6 +15,7 @@
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import ChosenTarget
 from damsonlaned.lateness import LateRequests
+from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -38,6 +39,7 @@
         response: the response to the caller.
         responder: ends the request.
         late_requests: the policy for late requests.
+        origins: counts streams that no target can go on with.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         response: FinalResponse,
         responder: FailureResponder,
         late_requests: LateRequests,
+        origins: StreamOrigins,
     ) -> None:
+        self._origins: Final = origins
         self._late_requests: Final = late_requests
         self._call: Final = call
         self._attempts: Final = attempts
@@ -118,6 +122,7 @@
             "target_version": origin.version,
         }
         _LOG.warning("no target has the version of the stream", extra=fields)
+        self._origins.count("no-target")
         detail = "no target is left of the version that began the stream"
         no_target = NoTarget(detail=detail, return_seconds=VERSION_RETURN_SECONDS)
         self._responder.end_failed(make_no_target_failure(no_target), no_target.return_seconds)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -13,6 +13,7 @@
 from damsonlane.records import dataclass
 from damsonlane.routes import RouteTable, Service
 from damsonlane.targets import Shard, TargetChanges, TargetRecord
+from damsonlane.versions import SteadyVersion, SteadyVersions
 from damsonlane.warmup import WarmupAllowance, WarmupLimit
 from damsonlaned.clock import read_clock
 from damsonlaned.dialects import Dialect
@@ -27,6 +28,11 @@
 MAX_LOGGED_TARGETS: Final = 40
 
 
+#: Age of the confirmed state of control, in seconds, up to which no target of a version that is not
+#: listed here has begun streams elsewhere.
+MAX_CONFIRMED_AGE: Final = 0.6
+
+
 @dataclass(frozen=True, kw_only=True)
 class ShardSize:
     """A shard with targets that may get new work."""
@@ -76,6 +82,8 @@
         self.announcements: Final = TargetAnnouncements(
             clock, lambda: len(self.entries), self._notify, self.limits
         )
+        #: Services that a single version of targets has served.
+        self.steady_versions: Final = SteadyVersions(MAX_CONFIRMED_AGE)
         #: Entries that accept requests, including this one once control lists it.
         self.entries: tuple[BoxRecord, ...] = ()
         self._targets: dict[str, TargetRecord] = {}
@@ -263,6 +271,10 @@
         _log_targets(changed, changes)
         self._notify()
 
+    def put_steady_versions(self, steady: Sequence[SteadyVersion]) -> None:
+        """Apply a list of the services that a single version of targets has served."""
+        self.steady_versions.replace(steady, self._clock())
+
     def put_evacuations(self, evacuations: EvacuationList) -> None:
         """Apply a list of evacuated data centres if it is newer than the current one."""
         if evacuations.revision <= self.evacuations_revision:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/fleet.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/fleet.py
@@ -13,6 +13,7 @@
 from damsonlaned.gateway.tests.harness import Entry
 from damsonlaned.gateway.tests.test_links import make_box_record, serve
 from damsonlaned.tests.addresses import find_free_addresses
+from damsonlaned.versions import OriginService
 
 
 class Fleet:
@@ -36,7 +37,11 @@
         """Start all entries; the test stops them."""
         for entry in self.entries:
             service = PoolService(entry.owners, entry.placers, entry.view.limits)
-            handlers = {**service.handlers(), **entry.relay_service.handlers()}
+            handlers = {
+                **service.handlers(),
+                **entry.relay_service.handlers(),
+                **OriginService(entry.origins).handlers(),
+            }
             entry.on_reach = lambda _: self.list_entries(self.listed)
             self._servers.append(await serve(test, entry.address, RpcService(handlers)))
         for entry in self.entries:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -44,6 +44,7 @@
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import LostTarget, Quarantine, QuarantineReport
 from damsonlaned.relay import ReachMonitor, Relay, RelayClient, RelayService
+from damsonlaned.versions import StreamOrigins
 
 #: Time-out of tests, in seconds.
 TEST_TIMEOUT_SECONDS = 20.0
@@ -333,6 +334,8 @@
         self.pools.on_permits = permits.receive
         self.attempts = Attempts(targets, placements, permits, dialect, 0.2, 10.0, slack)
         self.late_requests = LateRequests(late_policy, self.metrics)
+        self.origins = StreamOrigins(self.view, address, None, self.metrics)
+        self.view.on_entries(self.origins.follow_entries)
         self.relay_client = RelayClient(self.reach, None, self.metrics)
         self.callers = CallerService(
             HandlerDependencies(
@@ -347,6 +350,7 @@
                 fair_shares=fair_shares,
                 late_requests=self.late_requests,
                 relay=Relay(box=address, reach=self.reach, client=self.relay_client),
+                origins=self.origins,
             )
         )
         self.relay_service = RelayService(self.callers.serve_relayed, self.reach)
@@ -372,10 +376,15 @@
         text = encode_bytes(self._document, RoutingDocument)
         self.view.put_document(PackedDocument.pack(self._document.version, text))
 
+    def replace_document(self, document: RoutingDocument) -> None:
+        self._document = document
+        self.put_document()
+
     async def stop(self) -> None:
         await self._listener.stop()
         await self.reach.stop()
         self.relay_client.close()
+        await self.origins.stop()
 
     def put_targets(self, *records: TargetRecord) -> None:
         self._revision += 1
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -37,6 +37,11 @@
             "Requests refused since they can't end before their deadline, by route.",
             registry=self.registry,
         )
+        self.resumed_streams: Final = Counter(
+            "damsonlane_resumed_streams_total",
+            "Streams that callers resume, by how their version was found or why none serves them.",
+            registry=self.registry,
+        )
         self.in_flight: Final = Gauge(
             "damsonlane_in_flight", "Requests that the entry is handling.", registry=self.registry
         )
--- a/packages/damsonlaned/src/damsonlaned/relay/_messages.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_messages.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from damsonlane.records import dataclass
+from damsonlane.versions import StreamOrigin
 from damsonlane_rpc import RelayPart, RelayRequest, TextHeader
 from damsonlaned.http import HeaderList, HttpHead, HttpRequest
 
@@ -27,6 +28,8 @@
     is_resumed: bool = False
     #: Id of the last event that its caller has; None if there is none.
     last_event_id: str | None = None
+    #: Where the stream began that is resumed, if that is known.
+    origin: StreamOrigin | None = None
 
     def encode(self) -> RelayRequest:
         """Return the message."""
@@ -40,6 +43,7 @@
             elapsed_seconds=self.elapsed_seconds,
             is_resumed=self.is_resumed,
             last_event_id=self.last_event_id,
+            origin=self.origin,
         )
 
     @classmethod
@@ -57,6 +61,7 @@
             elapsed_seconds=message.elapsed_seconds,
             is_resumed=message.is_resumed,
             last_event_id=message.last_event_id,
+            origin=message.origin,
         )
 
 
--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -119,6 +119,7 @@
             elapsed_seconds=asyncio.get_running_loop().time() - call.arrived_at + TRANSIT_SECONDS,
             is_resumed=self._response.has_started(),
             last_event_id=last_event,
+            origin=self._history.origin,
         )
         failure = await self._relay.client.serve(
             request, call.service.name, call.request.request_id, self._take
--- a/packages/damsonlaned/src/damsonlaned/versions/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/__init__.py
@@ -1,1 +1,6 @@
 """Keeps event streams at targets of the software version that began them."""
+
+from damsonlaned.versions._service import OriginService
+from damsonlaned.versions._stream_origins import StreamOrigins
+
+__all__ = ["OriginService", "StreamOrigins"]
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
@@ -0,0 +1,131 @@
+"""Where event streams began, as this box and others know it."""
+
+import asyncio
+import logging
+import ssl
+from collections.abc import Iterable
+from typing import Final, Protocol
+
+from damsonlane.membership import BoxRecord
+from damsonlane.routes import Route, RouteTable
+from damsonlane.versions import (
+    HolderRanking,
+    OriginTable,
+    SteadyVersions,
+    StreamOrigin,
+    find_retention_seconds,
+)
+from damsonlaned.metrics import Metrics
+from damsonlaned.versions._client import OriginClient
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+class Fleet(Protocol):
+    """What is needed of the view of the fleet."""
+
+    @property
+    def entries(self) -> tuple[BoxRecord, ...]:
+        """The entries that control lists."""
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The routing document in force."""
+
+    @property
+    def steady_versions(self) -> SteadyVersions:
+        """The services that a single version has served."""
+
+
+class StreamOrigins:
+    """Records the origins of streams and finds those of streams that are resumed.
+
+    Args:
+        fleet: entries, routes and versions of the fleet.
+        address: internal address of this box.
+        context: TLS context towards other boxes, or None.
+        metrics: metrics of the process.
+    """
+
+    def __init__(
+        self, fleet: Fleet, address: str, context: ssl.SSLContext | None, metrics: Metrics
+    ) -> None:
+        self._fleet: Final = fleet
+        self._metrics: Final = metrics
+        self._table: Final = OriginTable()
+        self._ranking: Final = HolderRanking(address)
+        self._client: Final = OriginClient(self._ranking, context)
+
+    def follow_entries(self) -> None:
+        """Choose the boxes that hold origins anew, after a change of the list of entries."""
+        self._ranking.update(self._fleet.entries)
+
+    def record(self, origin: StreamOrigin) -> None:
+        """Record the origin of a stream whose first event is about to be sent to its caller."""
+        self.record_told((origin,))
+        self._client.tell(origin)
+
+    def record_told(self, origins: Iterable[StreamOrigin]) -> None:
+        """Record origins that another box told."""
+        now = asyncio.get_running_loop().time()
+        for origin in origins:
+            self._table.record(origin, now)
+        self._table.remove_older(now - self._retention_seconds())
+
+    def find_here(self, attempt: str) -> StreamOrigin | None:
+        """Return an origin that this box knows, or None."""
+        return self._table.find(attempt)
+
+    async def resolve(self, attempt: str, route: Route, request: str) -> StreamOrigin | None:
+        """Return the origin of a stream that is resumed; None if it is not certain.
+
+        Args:
+            attempt: id of the caller's attempt that brought its first event; may be empty.
+            route: route of the request.
+            request: id of the request, for logs.
+        """
+        origin, source = self.find_here(attempt), "here"
+        if origin is None and attempt:
+            origin, source = await self._client.find(attempt), "told"
+        if origin is None:
+            origin, source = self._find_certain(attempt, route), "certain"
+        fields = {"request": request, "route": route.name, "first_attempt": attempt}
+        if origin is None:
+            self.count("unknown")
+            _LOG.warning("stream of unknown version", extra={**fields, **self._describe(route)})
+            return None
+        self.count(source)
+        found = {"service": origin.service, "target_version": origin.version, "source": source}
+        _LOG.info("stream resumed", extra={**fields, **found})
+        return origin
+
+    def count(self, outcome: str) -> None:
+        """Count a stream that is resumed, by how its version was found or why it was refused."""
+        self._metrics.resumed_streams.inc({"outcome": outcome})
+
+    async def stop(self) -> None:
+        """Stop telling other boxes."""
+        await self._client.stop()
+
+    def _find_certain(self, attempt: str, route: Route) -> StreamOrigin | None:
+        """Return the origin that follows from the routes and targets alone, or None."""
+        if len(route.services) != 1:
+            return None
+        now = asyncio.get_running_loop().time()
+        service = route.services[0].service
+        steady = self._fleet.steady_versions
+        version = steady.find_sole(service, self._retention_seconds(), now)
+        if version is None:
+            return None
+        return StreamOrigin(attempt=attempt, service=service, version=version)
+
+    def _retention_seconds(self) -> float:
+        table = self._fleet.table
+        return find_retention_seconds(table.document.routes if table is not None else ())
+
+    def _describe(self, route: Route) -> dict[str, object]:
+        """Return what is known of the services of a route, for logs."""
+        return {
+            "services": [share.service for share in route.services],
+            "holders": len(self._fleet.entries),
+        }
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/streams.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/streams.py
@@ -61,14 +61,24 @@
     return answer
 
 
-def make_target(name: str, version: str, *, cut_after: int = 0) -> FakeTarget:
-    """Return a target that streams events with its version."""
-    return FakeTarget(name, make_stream(version, cut_after=cut_after))
+class VersionedTarget(FakeTarget):
+    """A target that streams events with its version, and registers with it.
 
+    Args:
+        name: its name.
+        version: the version.
+        cut_after: number of events after which its first stream breaks off; 0 if none does.
+        service: name of its service.
+    """
+
+    def __init__(
+        self, name: str, version: str, *, cut_after: int = 0, service: str = "desk"
+    ) -> None:
+        super().__init__(name, make_stream(version, cut_after=cut_after), service)
+        self._version = version
 
-async def start_target(target: FakeTarget, version: str) -> TargetRecord:
-    """Start a target; return its record with the version."""
-    return replace(await target.start(), version=version)
+    async def start(self) -> TargetRecord:
+        return replace(await super().start(), version=self._version)
 
 
 def read_events(response: Response) -> list[Event]:
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
@@ -0,0 +1,229 @@
+"""Streams that callers resume: where they go on, and when they are refused."""
+
+import asyncio
+import json
+import unittest
+from dataclasses import replace
+
+from damsonlane.routes import RoutingDocument, Service, WeightedService
+from damsonlane.targets import TargetRecord
+from damsonlane.versions import SteadyVersion, StreamOrigin
+from damsonlaned.gateway.tests.fleet import Fleet
+from damsonlaned.gateway.tests.harness import DOCUMENT, Entry, Response
+from damsonlaned.versions.tests.streams import (
+    EVENT_COUNT,
+    Event,
+    VersionedTarget,
+    begin,
+    read_events,
+    resume,
+)
+
+#: A stream that broke off after its second event.
+BROKEN = [Event(number=1, version="v1"), Event(number=2, version="v1")]
+#: Time for which a version must have served alone, in seconds.
+LONG = 1_000.0
+
+
+def split_chat(version: int, *names: str) -> RoutingDocument:
+    """Return a document whose resumable route leads to these services."""
+    shares = tuple(WeightedService(service=name, weight=1.0) for name in names)
+    return replace(
+        DOCUMENT,
+        version=version,
+        routes=tuple(
+            replace(route, services=shares) if route.name == "chat" else route
+            for route in DOCUMENT.routes
+        ),
+        services=(*DOCUMENT.services, Service(name="desk2", most_connections=20)),
+    )
+
+
+class ResumedStreamsTest(unittest.IsolatedAsyncioTestCase):
+    async def start_fleet(
+        self, *targets: VersionedTarget, count: int = 3, document: RoutingDocument = DOCUMENT
+    ) -> None:
+        self.targets = targets
+        records: list[TargetRecord] = []
+        for target in targets:
+            self.addAsyncCleanup(target.stop)
+            records.append(await target.start())
+        self.records = records
+        self.fleet = Fleet(count, document)
+        await self.fleet.start(self, records)
+        self.entry = self.fleet.entries[0]
+
+    def report_steady(self, entry: Entry, *, seconds: float = LONG, service: str = "desk") -> None:
+        """Let control report that v1 alone has served at an entry."""
+        steady = SteadyVersion(service=service, version="v1", seconds=seconds)
+        entry.view.put_steady_versions([steady])
+        entry.view.steady_versions.confirm(asyncio.get_running_loop().time())
+
+    def check_refused(self, response: Response) -> None:
+        """Check that a request was refused, not run, with a time to return."""
+        self.assertEqual(response.status, 503)
+        head, _, body = response.data.partition(b"\r\n\r\n")
+        self.assertIn(b"retry-after:", head.lower())
+        self.assertEqual(json.loads(body)["run"], "no")
+
+    def check_went_on(self, events: list[Event], response: Response) -> None:
+        events = [*events, *read_events(response)]
+        self.assertEqual([event.number for event in events], list(range(1, EVENT_COUNT + 1)))
+        self.assertEqual(len({event.version for event in events}), 1, events)
+
+    def count_runs(self) -> int:
+        return sum(len(target.requests) for target in self.targets)
+
+    def find_outcomes(self, entry: Entry) -> dict[str, float]:
+        """Return the counts of resumed streams by outcome."""
+        values = entry.metrics.resumed_streams.values
+        return {
+            labels["outcome"]: values[labels]
+            for labels in (
+                {"outcome": name}
+                for name in ("here", "told", "certain", "unknown", "no-target", "other-service")
+            )
+            if labels in values
+        }
+
+    async def test_a_stream_of_unknown_version_is_refused_at_once(self) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2"))
+        self.check_refused(await resume(self.entry, "b", "a", BROKEN))
+        self.assertEqual(self.count_runs(), 0)
+
+    async def test_a_stream_without_a_first_attempt_is_refused_among_versions(self) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2"))
+        self.check_refused(await resume(self.entry, "b", "", BROKEN))
+
+    async def test_a_stream_goes_on_where_one_version_alone_has_served(self) -> None:
+        for first_attempt in ("a", ""):
+            await self.start_fleet(VersionedTarget("t1", "v1"))
+            self.report_steady(self.entry)
+            self.check_went_on(BROKEN, await resume(self.entry, "b", first_attempt, BROKEN))
+
+    async def test_a_version_that_has_served_alone_for_too_short_a_time_is_not_certain(
+        self,
+    ) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1"))
+        self.report_steady(self.entry, seconds=5.0)
+        self.check_refused(await resume(self.entry, "b", "a", BROKEN))
+
+    async def test_a_single_version_is_not_certain_on_a_split_route(self) -> None:
+        await self.start_fleet(
+            VersionedTarget("t1", "v1"), document=split_chat(1, "desk", "desk2"), count=1
+        )
+        self.report_steady(self.entry)
+        self.check_refused(await resume(self.entry, "b", "a", BROKEN))
+
+    async def test_a_stream_on_a_split_route_goes_on_at_its_service(self) -> None:
+        await self.start_fleet(
+            VersionedTarget("t1", "desk"),
+            VersionedTarget("t2", "desk2", service="desk2"),
+            document=split_chat(1, "desk", "desk2"),
+        )
+        for number in range(8):
+            events = await begin(self.entry, f"a{number}")
+            response = await resume(self.fleet.entries[1], f"b{number}", f"a{number}", events)
+            self.check_went_on(events, response)
+
+    async def test_a_stream_is_refused_if_its_route_has_left_its_service(self) -> None:
+        await self.start_fleet(
+            VersionedTarget("t1", "v1"), VersionedTarget("t2", "v1", service="desk2")
+        )
+        events = await begin(self.entry, "a")
+        for entry in self.fleet.entries:
+            entry.replace_document(split_chat(2, "desk2"))
+        self.check_refused(await resume(self.fleet.entries[1], "b", "a", events))
+
+    async def test_a_stream_whose_version_has_left_is_refused(self) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2"))
+        begun = [await begin(self.entry, f"a{number}") for number in range(6)]
+        self.fleet.put_targets(self.records[0].with_standing("leaving"), self.records[1])
+        for number, events in enumerate(begun):
+            response = await resume(self.fleet.entries[1], f"b{number}", f"a{number}", events)
+            if events[0].version == "v1":
+                self.check_refused(response)
+            else:
+                self.check_went_on(events, response)
+        self.assertEqual({events[0].version for events in begun}, {"v1", "v2"})
+
+    async def test_a_broken_stream_whose_version_has_left_is_cut_at_a_whole_event(self) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1", cut_after=2), count=1)
+        target = VersionedTarget("t2", "v2")
+        self.addAsyncCleanup(target.stop)
+        other = await target.start()
+        reader, writer = await self.entry.send("/chat/a")
+        await reader.readuntil(b"id: 1\n")
+        self.entry.put_targets(self.records[0].with_standing("leaving"), other)
+        with self.assertRaises((ConnectionResetError, asyncio.IncompleteReadError)):
+            await reader.readuntil(b"id: 6\n")
+        writer.close()
+        self.assertEqual(target.requests, [])
+
+    async def test_two_tries_of_a_stream_at_once_go_on_at_one_version(self) -> None:
+        await self.start_fleet(
+            *(VersionedTarget(f"t{number}", f"v{number % 2}") for number in range(4))
+        )
+        for number in range(6):
+            events = await begin(self.entry, f"a{number}")
+            responses = await asyncio.gather(
+                *(
+                    resume(entry, f"{entry.address}-{number}", f"a{number}", events)
+                    for entry in self.fleet.entries[1:]
+                )
+            )
+            for response in responses:
+                self.check_went_on(events, response)
+
+    async def test_three_tries_at_three_entries_name_the_first_one(self) -> None:
+        await self.start_fleet(
+            *(VersionedTarget(f"t{number}", f"v{number % 2}") for number in range(4))
+        )
+        for number in range(6):
+            events = await begin(self.entry, f"a{number}", 1)
+            reader, writer = await self.fleet.entries[1].send(
+                "/chat/a",
+                request_id=f"b{number}",
+                headers=f"Last-Event-Id: 1\r\nDamsonlane-Resumes: a{number}\r\n",
+            )
+            data = await reader.readuntil(b"id: 3\n")
+            writer.close()
+            events += read_events(Response(status=200, data=data))
+            response = await resume(self.fleet.entries[2], f"c{number}", f"a{number}", events)
+            self.check_went_on(events, response)
+
+    async def test_a_lost_holder_is_replaced_by_the_next_one(self) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2"), count=6)
+        for index in (1, 2):
+            await self.fleet.stop_serving(index)
+        for number in range(12):
+            events = await begin(self.entry, f"a{number}")
+            response = await resume(
+                self.fleet.entries[3 + number % 3], f"b{number}", f"a{number}", events
+            )
+            self.check_went_on(events, response)
+
+    async def test_a_target_that_restarted_with_another_version_is_another_one(self) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2"))
+        begun = [await begin(self.entry, f"a{number}") for number in range(6)]
+        restarted = replace(self.records[0], start=5, version="v2")
+        self.fleet.put_targets(restarted, self.records[1])
+        for number, events in enumerate(begun):
+            response = await resume(self.fleet.entries[1], f"b{number}", f"a{number}", events)
+            if events[0].version == "v1":
+                self.check_refused(response)
+
+    async def test_the_outcome_of_resumed_streams_is_counted(self) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2"))
+        events = await begin(self.entry, "a")
+        await resume(self.entry, "b", "a", events)
+        await resume(self.entry, "c", "unheard of", events)
+        origin = StreamOrigin(attempt="d", service="desk", version="v3")
+        self.entry.origins.record_told([origin])
+        self.check_refused(await resume(self.entry, "e", "d", events))
+        outcomes = self.find_outcomes(self.entry)
+        self.assertEqual(outcomes, {"here": 2, "unknown": 1, "no-target": 1})
+
+
+if __name__ == "__main__":
+    unittest.main()
