The soak learns versions of targets and callers that resume streams

Part has_versions: engines start with one of two versions, also at the same address after a kill, and write it into their events; three callers break streams off after 1 to 8 events and resume them at random entries, at once or up to a second later. Two guarantees: a stream holds events of one version, in one answer and over its attempts, and each event once.

--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
@@ -29,6 +29,7 @@
     registries: list[str],
     reports_load: bool,
     senders: str,
+    version: str,
 ) -> None:
     target = RegisteredTarget(
         service,
@@ -37,6 +38,7 @@
         registries,
         reports_load=reports_load,
         senders=Path(senders) if senders else None,
+        version=version,
     )
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -63,6 +65,7 @@
     registries: str,
     reports_load: bool = False,
     senders: str = "",
+    version: str = "",
 ) -> None:
     """Run a stand-in.
 
@@ -74,8 +77,9 @@
         reports_load: whether responses report its load.
         senders: file that names the processes of entries, and those that are cut off; empty for
             none.
+        version: version of its software; empty if it reports none.
     """
-    asyncio.run(_run(service, kind, address, registries.split(";"), reports_load, senders))
+    asyncio.run(_run(service, kind, address, registries.split(";"), reports_load, senders, version))
 
 
 if __name__ == "__main__":
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -101,6 +101,7 @@
         registries: addresses of control replicas for heartbeats.
         reports_load: whether responses report its load.
         senders: file that names the processes of entries, and those that are cut off.
+        version: version of its software, which its events name; empty if it reports none.
     """
 
     def __init__(
@@ -112,6 +113,7 @@
         *,
         reports_load: bool = False,
         senders: Path | None = None,
+        version: str = "",
     ) -> None:
         self._senders: Final = Senders(senders)
         self._kind: Final = kind
@@ -124,6 +126,7 @@
             slots=4,
             standing="live",
             sequence=0,
+            version=version,
         )
         self._listener: Final = HttpListener(address, self._serve, render_refusal=_render)
         self._heartbeats: asyncio.Task[None] | None = None
@@ -306,7 +309,8 @@
         large_request = request_id if request.body.startswith(LARGE_INPUT.encode()) else ""
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(_EVENT_SECONDS * self.load.slowness)
-            await self._send_event(reply, render_event(number, large_request), request_id)
+            event = render_event(number, large_request, self._record.version)
+            await self._send_event(reply, event, request_id)
         reply.finish()
 
     async def _send_event(self, reply: ResponseWriter, event: str, request_id: str) -> None:
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -99,6 +99,7 @@
         *,
         reports_load: bool = False,
         senders: str = "",
+        version: str = "",
     ) -> None:
         """Start a target that registers itself."""
         registries = ";".join(self.addresses[f"{control}/front"] for control in self.controls)
@@ -110,6 +111,7 @@
             f"--registries={registries}",
             *(("--reports-load",) if reports_load else ()),
             *((f"--senders={senders}",) if senders else ()),
+            *((f"--version={version}",) if version else ()),
         ]
         self.processes[name] = Process(name, command, self.folder / f"{name}.log")
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
@@ -102,6 +102,9 @@
         texts.append(f"{cuts} cuts, {result.relayed} requests passed on, ")
     if result.plan.parts.has_rejection_limits:
         texts.append(f"{result.falls} falls, ")
+    if result.plan.parts.has_versions:
+        tries = result.resumed + result.refused_tries
+        texts.append(f"{result.resumed} of {tries} streams went on at their version, ")
     if result.plan.parts.capacities:
         cores = ", ".join(f"{cores:g}" for cores in result.plan.parts.capacities)
         texts.append(f"entries of {cores} cores, ")
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_evaluation.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_evaluation.py
@@ -7,6 +7,7 @@
 from damsonlane_bench.soak import _organisation_check as _organisation_check
 from damsonlane_bench.soak import _rate_limit_check as _rate_limit_check
 from damsonlane_bench.soak import _rejection_check as _rejection_check
+from damsonlane_bench.soak import _resuming_callers as _resuming_callers
 from damsonlane_bench.soak import _stalled_readers as _stalled_readers
 from damsonlane_bench.soak._guarantees import GUARANTEES, Violation
 from damsonlane_bench.soak._observations import Observations, TargetRun
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
@@ -45,6 +45,21 @@
     body: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class ResumedStream:
+    """Stream that a caller broke off and tried to resume, at several entries."""
+
+    #: Id of the attempt that brought its first event.
+    request: str
+    #: Events of all attempts, one after the other.
+    body: str
+    #: Whether the last attempt ended normally.
+    is_complete: bool
+    #: Number of further attempts that brought events, and that were refused.
+    resumed: int
+    refused: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class TargetWait:
     """Time for which a target waited until one event of a stream was taken."""
@@ -147,6 +162,8 @@
         self.responses: Final[list[CallerResponse]] = []
         #: Large streams that callers stopped reading.
         self.stalled_reads: Final[list[StalledRead]] = []
+        #: Streams that callers resumed.
+        self.resumed_streams: Final[list[ResumedStream]] = []
         #: Waits of targets; read from their logs after the run.
         self.target_waits: Final[list[TargetWait]] = []
         #: Versions that the operator read.
@@ -175,6 +192,11 @@
         with self._lock:
             self.stalled_reads.append(read)
 
+    def record_resumed_stream(self, stream: ResumedStream) -> None:
+        """Record a stream that a caller resumed."""
+        with self._lock:
+            self.resumed_streams.append(stream)
+
     def record_version_read(self, version_read: VersionRead) -> None:
         """Record a version that the operator read."""
         with self._lock:
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
@@ -41,6 +41,8 @@
     has_cuts: bool = False
     #: Targets announce limits of rejections and fail beyond them.
     has_rejection_limits: bool = False
+    #: Engines get a version at each start, and callers resume the streams that they break off.
+    has_versions: bool = False
     #: Capacities of entries in cores, in the order of the entries; empty if they are unknown.
     capacities: tuple[float, ...] = ()
 
@@ -53,6 +55,7 @@
         has_organisations=_draw("organisations", seed),
         has_cuts=_draw("cuts", seed),
         has_rejection_limits=_draw("rejection limits", seed),
+        has_versions=_draw("versions", seed),
         capacities=_draw_capacities(seed, entry_count) if _draw("capacities", seed) else (),
     )
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_result.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_result.py
@@ -28,3 +28,6 @@
     #: they rejected too much.
     relayed: int = 0
     falls: int = 0
+    #: Tries of callers to resume a stream that went on, and that were refused.
+    resumed: int = 0
+    refused_tries: int = 0
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -20,6 +20,7 @@
     SLOW_END_SIGNAL,
     SLOW_SIGNAL,
     CutForm,
+    TargetKind,
     write_senders,
 )
 from damsonlane_bench.routes import RoutesFleet
@@ -48,8 +49,11 @@
     Plan,
 )
 from damsonlane_bench.soak._result import SoakResult
+from damsonlane_bench.soak._resuming_callers import RESUMING_COUNT, ResumingCaller
 from damsonlane_bench.soak._stalled_readers import READER_COUNT, StalledReader
 
+#: Versions that engines get in turn; two starts in a row get the same one.
+VERSION_COUNT: Final = 2
 #: Number of callers that draw from all routes in a fleet of two entries; one more for each further
 #: entry.
 CALLER_COUNT: Final = 5
@@ -95,6 +99,7 @@
         self._caller_count: Final = CALLER_COUNT + size.entries - 2
         self._lock: Final = Lock()
         self._reserved: set[str] = set()
+        self._start_count = 0
         self._stopped: Final = Event()
         self._senders: Final = folder / "senders.json" if plan.parts.has_cuts else None
         self._cuts: Final[dict[str, CutForm]] = {}
@@ -135,6 +140,8 @@
             implausible_reports=implausible_reports,
             relayed=self._count_relayed(),
             falls=self._observations.falls,
+            resumed=sum(stream.resumed for stream in self._observations.resumed_streams),
+            refused_tries=sum(stream.refused for stream in self._observations.resumed_streams),
         )
 
     def _count_relayed(self) -> int:
@@ -162,8 +169,17 @@
             target.kind,
             reports_load=self._plan.parts.has_reported_load,
             senders=str(self._senders) if self._senders is not None else "",
+            version=self._draw_version(target.kind),
         )
 
+    def _draw_version(self, kind: TargetKind) -> str:
+        """Return the version with which a target starts; empty if it reports none."""
+        if kind != "engine" or not self._plan.parts.has_versions:
+            return ""
+        with self._lock:
+            self._start_count += 1
+            return f"v{self._start_count // 2 % VERSION_COUNT}"
+
     def _is_served(self) -> bool:
         """Return whether all entries serve all routes."""
         return all(
@@ -183,7 +199,7 @@
 
     def _execute(self) -> None:
         seed = self._plan.seed
-        callers: list[Caller | StalledReader] = [
+        callers: list[Caller | StalledReader | ResumingCaller] = [
             Caller(
                 self._fleet,
                 self._observations,
@@ -201,6 +217,11 @@
                 StalledReader(self._fleet, self._observations, f"stalled{number}", seed)
                 for number in range(READER_COUNT)
             ]
+        if self._plan.parts.has_versions:
+            callers += [
+                ResumingCaller(self._fleet, self._observations, f"resuming{number}", seed)
+                for number in range(RESUMING_COUNT)
+            ]
         operator = OperatorThread(self._fleet, self._observations, seed)
         faults = [Thread(target=self._inject, args=(fault,)) for fault in self._plan.faults]
         for caller in callers:
