--- a/packages/damsonlane/src/damsonlane/targets/__init__.py
+++ b/packages/damsonlane/src/damsonlane/targets/__init__.py
@@ -9,13 +9,19 @@
     TargetRecorded,
     TargetStanding,
 )
-from damsonlane.targets._registry import TargetChanges, TargetRegistry, TargetsSnapshot
+from damsonlane.targets._registry import (
+    ServiceVersion,
+    TargetChanges,
+    TargetRegistry,
+    TargetsSnapshot,
+)
 from damsonlane.targets._shards import DivideService, Shard
 
 __all__ = [
     "DivideService",
     "Shard",
     "RegisterTarget",
+    "ServiceVersion",
     "RemoveTarget",
     "MarkTargetsSilent",
     "TargetChanges",
--- a/packages/damsonlane/src/damsonlane/targets/_registry.py
+++ b/packages/damsonlane/src/damsonlane/targets/_registry.py
@@ -55,6 +55,18 @@
     revision: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class ServiceVersion:
+    """The version that all registered targets of a service have."""
+
+    #: Name of the service.
+    service: str
+    #: The version; None while targets of several versions are registered.
+    version: str | None
+    #: Revision of the registry since which no target had another one; 0 if none ever had.
+    revision: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class TargetsSnapshot:
     """The complete registry."""
@@ -69,6 +81,8 @@
     forgotten_revision: int = 0
     #: Services that are divided into several shards.
     divided: tuple[ServiceShards, ...] = ()
+    #: Versions of the services that have had targets.
+    versions: tuple[ServiceVersion, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -95,6 +109,9 @@
         self._removed = {removed.target: removed for removed in start.gone}
         self._forgotten_revision = start.forgotten_revision
         self._shards = {divided.service: divided.shards for divided in start.divided}
+        self._versions = {item.service: item for item in start.versions}
+        for service in {known.record.service for known in start.known} - set(self._versions):
+            self._versions[service] = self._find_version(service)
 
     def snapshot(self) -> TargetsSnapshot:
         """Return the complete registry."""
@@ -107,12 +124,17 @@
                 ServiceShards(service=service, shards=shards)
                 for service, shards in sorted(self._shards.items())
             ),
+            versions=self.list_versions(),
         )
 
     def records(self) -> tuple[TargetRecord, ...]:
         """Return all records, sorted by name."""
         return tuple(self._known[name].record for name in sorted(self._known))
 
+    def list_versions(self) -> tuple[ServiceVersion, ...]:
+        """Return the versions of the services that have had targets, sorted by service."""
+        return tuple(self._versions[service] for service in sorted(self._versions))
+
     def find(self, target: str) -> TargetRecord | None:
         """Return the record of a target, or None."""
         known = self._known.get(target)
@@ -252,7 +274,9 @@
             sequence=sequence,
             start=self._find_last_start(target, start),
         )
-        self._known.pop(target, None)
+        former = self._known.pop(target, None)
+        if former is not None:
+            self._update_version(former.record.service)
         while len(self._removed) > MAX_REMOVED:
             oldest = next(iter(self._removed))
             self._forgotten_revision = self._removed.pop(oldest).revision
@@ -276,7 +300,34 @@
 
     def _store(self, record: TargetRecord) -> None:
         self.revision += 1
+        former = self._known.get(record.target)
         self._known[record.target] = RegisteredTarget(record=record, revision=self.revision)
+        self._update_version(record.service)
+        if former is not None and former.record.service != record.service:
+            self._update_version(former.record.service)
+
+    def _update_version(self, service: str) -> None:
+        """Record the version of a service after a change of its targets."""
+        before = self._versions.get(service)
+        found = self._find_version(service)
+        if before is None:
+            # Nothing served before its first target.
+            self._versions[service] = replace(found, revision=0)
+        elif found.version != before.version and not self._is_empty(service):
+            self._versions[service] = found
+
+    def _is_empty(self, service: str) -> bool:
+        return all(known.record.service != service for known in self._known.values())
+
+    def _find_version(self, service: str) -> ServiceVersion:
+        """Return the version of a service, as of now."""
+        versions = {
+            known.record.version
+            for known in self._known.values()
+            if known.record.service == service
+        }
+        sole = next(iter(versions)) if len(versions) == 1 else None
+        return ServiceVersion(service=service, version=sole, revision=self.revision)
 
 
 def _is_newer(record: TargetRecord, known: TargetRecord) -> bool:
--- a/packages/damsonlane/src/damsonlane/targets/tests/test_registry.py
+++ b/packages/damsonlane/src/damsonlane/targets/tests/test_registry.py
@@ -110,6 +110,48 @@
         self.registry = TargetRegistry(decode_bytes(text, TargetsSnapshot))
         self.assertTrue(self.register(sequence=9))
 
+    def list_versions(self) -> dict[str, tuple[str | None, int]]:
+        return {
+            item.service: (item.version, item.revision) for item in self.registry.list_versions()
+        }
+
+    def test_the_first_version_of_a_service_has_always_been_its_only_one(self) -> None:
+        self.register(version="v1")
+        self.register(target="t2", address="10.0.0.2:80", version="v1")
+        self.assertEqual(self.list_versions(), {"desk": ("v1", 0)})
+
+    def test_a_second_version_ends_the_first_one(self) -> None:
+        self.register(version="v1")
+        self.register(target="t2", address="10.0.0.2:80", version="v2")
+        self.assertEqual(self.list_versions(), {"desk": (None, 2)})
+        self.registry.apply(RemoveTarget(target="t1"))
+        self.assertEqual(self.list_versions(), {"desk": ("v2", 3)})
+
+    def test_a_version_that_follows_the_last_target_of_another_one_is_a_new_one(self) -> None:
+        self.register(version="v1")
+        self.registry.apply(RemoveTarget(target="t1"))
+        self.assertEqual(self.list_versions(), {"desk": ("v1", 0)})
+        self.register(target="t2", version="v2")
+        self.assertEqual(self.list_versions(), {"desk": ("v2", 3)})
+
+    def test_a_target_that_restarts_with_another_version_ends_the_first_one(self) -> None:
+        self.register(version="v1", start=1)
+        self.register(version="v2", start=2)
+        self.assertEqual(self.list_versions(), {"desk": ("v2", 2)})
+
+    def test_versions_are_kept_across_a_snapshot(self) -> None:
+        self.register(version="v1")
+        self.register(target="t2", address="10.0.0.2:80", version="v2")
+        text = encode_bytes(self.registry.snapshot(), TargetsSnapshot)
+        self.registry = TargetRegistry(decode_bytes(text, TargetsSnapshot))
+        self.assertEqual(self.list_versions(), {"desk": (None, 2)})
+
+    def test_nothing_is_known_of_the_time_before_a_snapshot_without_versions(self) -> None:
+        self.register(version="v1")
+        stored = replace(self.registry.snapshot(), versions=())
+        self.registry = TargetRegistry(stored)
+        self.assertEqual(self.list_versions(), {"desk": ("v1", 1)})
+
     def test_a_heartbeat_makes_a_silent_target_live_again(self) -> None:
         self.register()
         self.registry.apply(MarkTargetsSilent(targets=("t1", "unknown")))
--- a/packages/damsonlane/src/damsonlane/versions/_steady.py
+++ b/packages/damsonlane/src/damsonlane/versions/_steady.py
@@ -4,7 +4,10 @@
 from typing import Final
 
 from damsonlane.records import dataclass
-from damsonlane.targets import TargetRecord
+from damsonlane.targets import ServiceVersion
+
+#: Seconds that stand for a version that has served alone since the first target of its service.
+ALWAYS_SECONDS: Final = 1e9
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -28,40 +31,42 @@
 
 
 class VersionHistory:
-    """Tracks, where the registry of targets is applied, which versions have served.
+    """Tracks at one replica since when each service has had a single version.
 
-    It covers the time since it was created: what served before is not known.
+    The registry counts changes; this adds when this process applied them.
     """
 
     def __init__(self) -> None:
-        self._periods: dict[str, _Period] = {}
+        self._versions: dict[str, ServiceVersion] = {}
+        self._since: dict[str, float] = {}
 
-    def observe(self, records: Iterable[TargetRecord], now: float) -> None:
-        """Record the registered targets after a change.
+    def observe(self, versions: Iterable[ServiceVersion], now: float) -> None:
+        """Record the versions of services after a change of the registry.
 
         Args:
-            records: all of them.
+            versions: those of all services.
             now: the clock, in seconds.
         """
-        versions: dict[str, set[str]] = {}
-        for record in records:
-            versions.setdefault(record.service, set()).add(record.version)
-        for service, serving in versions.items():
-            known = self._periods.get(service)
-            if len(serving) > 1:
-                self._periods.pop(service, None)
-            elif known is None or known.version not in serving:
-                self._periods[service] = _Period(version=next(iter(serving)), since=now)
+        for item in versions:
+            if self._versions.get(item.service) != item:
+                self._versions[item.service] = item
+                self._since[item.service] = now
 
     def restart(self) -> None:
-        """Forget all, after a time in which changes may have been missed."""
-        self._periods.clear()
+        """Forget all times, after changes that this process did not apply one by one."""
+        self._versions.clear()
+        self._since.clear()
 
     def list_steady(self, now: float) -> tuple[SteadyVersion, ...]:
         """Return the services that a single version has served, and for how long."""
         return tuple(
-            SteadyVersion(service=service, version=period.version, seconds=now - period.since)
-            for service, period in sorted(self._periods.items())
+            SteadyVersion(
+                service=service,
+                version=item.version,
+                seconds=now - self._since[service] if item.revision else ALWAYS_SECONDS,
+            )
+            for service, item in sorted(self._versions.items())
+            if item.version is not None
         )
 
 
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -321,14 +321,14 @@
             else:
                 proposed.future.set_exception(UnavailableError("another leader took over"))
         if self.state.targets.revision != targets_revision:
-            self.versions.observe(self.state.targets.records(), self.now())
+            self.versions.observe(self.state.targets.list_versions(), self.now())
         if self._pushed_versions() != before:
             self.watchers.notify_all()
 
     def _restart_versions(self) -> None:
         """Track the versions of targets anew, since changes may have been skipped."""
         self.versions.restart()
-        self.versions.observe(self.state.targets.records(), self.now())
+        self.versions.observe(self.state.targets.list_versions(), self.now())
 
     def _pushed_versions(self) -> tuple[int, ...]:
         """Return the versions and counts of everything that is pushed to watching boxes."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -30,7 +30,7 @@
 
 #: Age of the confirmed state of control, in seconds, up to which no target of a version that is not
 #: listed here has begun streams elsewhere.
-MAX_CONFIRMED_AGE: Final = 0.6
+MAX_CONFIRMED_AGE: Final = 1.5
 
 
 @dataclass(frozen=True, kw_only=True)
