--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
@@ -55,9 +55,11 @@
     body: str
     #: Whether the last attempt ended normally.
     is_complete: bool
-    #: Number of further attempts that brought events, and that were refused.
+    #: Number of further attempts that were accepted, and that were refused.
     resumed: int
     refused: int
+    #: Number of attempts before the first event that were refused.
+    refused_first: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_resuming_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_resuming_callers.py
@@ -63,7 +63,7 @@
 
     def _read_stream(self, name: str) -> ResumedStream:
         first, body, is_complete = "", "", False
-        resumed = refused = 0
+        resumed = refused = refused_first = 0
         for attempt in range(_MAX_ATTEMPTS):
             entry = self._randomness.choice(self._fleet.entries)
             request = f"chat-{name}-{attempt}@{entry}"
@@ -75,11 +75,18 @@
                 refused += status == 503
             elif events:
                 first = request
+            else:
+                refused_first += status == 503
             body += events
             if is_complete or self._stopped.wait(self._randomness.choice(_PAUSES_SECONDS)):
                 break
         return ResumedStream(
-            request=first, body=body, is_complete=is_complete, resumed=resumed, refused=refused
+            request=first,
+            body=body,
+            is_complete=is_complete,
+            resumed=resumed,
+            refused=refused,
+            refused_first=refused_first,
         )
 
     def _attempt(
