Cached prompt segments are fetched only from engines of the same version

An engine that fetched segments of another version would read what may be stored in another form. The entry left such a source out; now the owner that places prompts plans none, so that its expectations are right as well.

--- a/packages/damsonlane/src/damsonlane/placement/_engine.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine.py
@@ -22,10 +22,14 @@
         cache_tokens: capacity of its memory, in tokens.
         data_centre: its data centre.
         start: its incarnation.
+        version: version of its software.
     """
 
-    def __init__(self, cache_tokens: int, data_centre: str, start: int = 0) -> None:
+    def __init__(
+        self, cache_tokens: int, data_centre: str, start: int = 0, version: str = ""
+    ) -> None:
         self.start: Final = start
+        self.version: Final = version
         self.data_centre: Final = data_centre
         self.cache: Final = PrefixCache(cache_tokens)
         #: When it will have prefilled all prompts placed at it.
--- a/packages/damsonlane/src/damsonlane/placement/_engine_table.py
+++ b/packages/damsonlane/src/damsonlane/placement/_engine_table.py
@@ -95,8 +95,9 @@
             del self._engines[removed]
         for location in locations:
             known = self._engines.get(location.target)
-            if known is None or known.start != location.start:
-                engine = Engine(self._cache_tokens, location.data_centre, location.start)
+            incarnation = (location.start, location.version)
+            if known is None or (known.start, known.version) != incarnation:
+                engine = Engine(self._cache_tokens, location.data_centre, *incarnation)
                 self._engines[location.target] = engine
         self._follows_speed = any(
             engine.speed.reports_slowness for engine in self._engines.values()
--- a/packages/damsonlane/src/damsonlane/placement/_transfers.py
+++ b/packages/damsonlane/src/damsonlane/placement/_transfers.py
@@ -50,11 +50,16 @@
     prefilled = {
         name: engine.cache.count_prefilled(request.shared, now) for name, engine in engines.items()
     }
-    # The best two suffice: an engine does not fetch from itself.
-    sources = sorted(engines, key=lambda name: -prefilled[name])[:2]
+    # The best two of each version suffice: an engine does not fetch from itself, and another version
+    # may store segments in another form.
+    sources: dict[str, list[str]] = {}
+    for name in sorted(engines, key=lambda name: -prefilled[name]):
+        best = sources.setdefault(engines[name].version, [])
+        if len(best) < 2:
+            best.append(name)
     transfers: dict[str, Transfer] = {}
     for name, engine in engines.items():
-        source = next((other for other in sources if other != name), "")
+        source = next((other for other in sources[engine.version] if other != name), "")
         tokens = prefilled.get(source, 0) - cached[name]
         if tokens < MIN_TRANSFER_TOKENS:
             transfers[name] = NO_TRANSFER
--- a/packages/damsonlane/src/damsonlane/placement/tests/test_placement.py
+++ b/packages/damsonlane/src/damsonlane/placement/tests/test_placement.py
@@ -107,6 +107,22 @@
         second = self.place(replace(make_order(2), inputs=inputs), now=5.0)
         self.assertEqual((second.target, second.source), (other, first))
 
+    def test_no_segments_are_fetched_from_an_engine_of_another_version(self) -> None:
+        first = self.place(make_order(1)).target
+        other = next(name for name in ENGINES if name != first)
+        versions = {name: "v2" if name == other else "v1" for name in ENGINES}
+        table = EngineTable(300_000, TRANSFER_PACE)
+        table.update(
+            [
+                EngineLocation(target=name, data_centre=name, version=version)
+                for name, version in versions.items()
+            ]
+        )
+        table.place("e", make_order(1), ENGINES, 0.0)
+        inputs = (InputLocation(data_centre=other, size=40_000_000),)
+        second = table.place("e", replace(make_order(2), inputs=inputs), ENGINES, 5.0)
+        self.assertEqual((second.target, second.source), (other, ""))
+
     def test_segments_not_prefilled_yet_are_not_fetched(self) -> None:
         first = self.place(make_order(1)).target
         other = next(name for name in ENGINES if name != first)
--- a/packages/damsonlane/src/damsonlane/routing/_partition.py
+++ b/packages/damsonlane/src/damsonlane/routing/_partition.py
@@ -32,6 +32,8 @@
     data_centre: str
     #: Its start.
     start: int = 0
+    #: Version of its software.
+    version: str = ""
 
 
 class PromptPartition:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_prompt_placer.py
@@ -136,7 +136,12 @@
         """Replace the known engines by those that are live."""
         records = self._view.open_targets_of(self._service)
         self._engines = tuple(
-            EngineLocation(target=record.target, data_centre=record.data_centre, start=record.start)
+            EngineLocation(
+                target=record.target,
+                data_centre=record.data_centre,
+                start=record.start,
+                version=record.version,
+            )
             for record in records
             if record.standing == "live"
         )
