Models that targets report are read: requests go to targets that serve theirs

Of the two parts of a report's models, the name decides where a request can be served: targets that report models without the requested one get nothing of it while another target reports it. The version of the weights is a preference for streams that go on: targets with the weights that began it come first; engines may exchange weights within a stream by the published protocol, so others are used if none is left.

--- a/packages/damsonlane/src/damsonlane/placement/_transfers.py
+++ b/packages/damsonlane/src/damsonlane/placement/_transfers.py
@@ -50,8 +50,8 @@
     prefilled = {
         name: engine.cache.count_prefilled(request.shared, now) for name, engine in engines.items()
     }
-    # The best two of each version suffice: an engine does not fetch from itself, and another version
-    # may store segments in another form.
+    # The best two of each version suffice: an engine does not fetch from itself, and another
+    # version may store segments in another form.
     sources: dict[str, list[str]] = {}
     for name in sorted(engines, key=lambda name: -prefilled[name]):
         best = sources.setdefault(engines[name].version, [])
--- a/packages/damsonlane/src/damsonlane/targets/_checks.py
+++ b/packages/damsonlane/src/damsonlane/targets/_checks.py
@@ -10,6 +10,8 @@
 MAX_NAME_LENGTH: Final = 200
 #: Longest version of a target's software, in characters.
 MAX_VERSION_LENGTH: Final = 200
+#: Most models that a target may report.
+MAX_MODELS: Final = 64
 #: Longest warm-up that a target may announce, in seconds.
 MAX_WARMUP_SECONDS: Final = 86_400.0
 
@@ -36,6 +38,8 @@
         return f"the time left cold must be 0 to {MAX_WARMUP_SECONDS:.0f} seconds"
     if len(record.version) > MAX_VERSION_LENGTH or not record.version.isprintable():
         return f"the version must be at most {MAX_VERSION_LENGTH} printable characters"
+    if len(record.models) > MAX_MODELS or not all(_is_name(known.name) for known in record.models):
+        return f"there must be at most {MAX_MODELS} models with names like those of targets"
     return ""
 
 
--- a/packages/damsonlane/src/damsonlane/targets/_records.py
+++ b/packages/damsonlane/src/damsonlane/targets/_records.py
@@ -8,6 +8,16 @@
 TargetStanding = Literal["live", "silent", "leaving"]
 
 
+@dataclass(frozen=True, kw_only=True)
+class ServedModel:
+    """A model that a target serves."""
+
+    #: Its name, as requests name it.
+    name: str
+    #: Version of its weights; only compared for equality.
+    weights: int = 0
+
+
 @dataclass(frozen=True, kw_only=True)
 class TargetRecord:
     """One incarnation of a target.
@@ -38,9 +48,15 @@
     #: Version of its software; empty where it is not reported.  Versions are only compared for
     #: equality.
     version: str = ""
+    #: Models that it serves; empty where it reports none.
+    models: tuple[ServedModel, ...] = ()
     #: Shard of its service, assigned by the registry; each shard has its own owner.
     shard: int = 0
 
+    def find_weights(self, model: str) -> int | None:
+        """Return the version of the weights of a model; None if it does not report the model."""
+        return next((known.weights for known in self.models if known.name == model), None)
+
     def with_standing(self, standing: TargetStanding) -> "TargetRecord":
         """Return the record with another standing."""
         return replace(self, standing=standing)
--- a/packages/damsonlane/src/damsonlane/versions/_origins.py
+++ b/packages/damsonlane/src/damsonlane/versions/_origins.py
@@ -27,6 +27,8 @@
     service: str
     #: Version of the target's software; empty where it reports none.
     version: str
+    #: Version of the weights of its model; None if it does not report them.
+    weights: int | None = None
 
 
 def find_retention_seconds(routes: Iterable[Route]) -> float:
--- a/packages/damsonlaned/src/damsonlaned/control/_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_registry.py
@@ -206,8 +206,9 @@
                 },
             )
             return True
-        unchanged = (known.standing, known.address, known.service, known.slots)
-        if (record.standing, record.address, record.service, record.slots) != unchanged:
+        unchanged = (known.standing, known.address, known.service, known.slots, known.models)
+        reported = (record.standing, record.address, record.service, record.slots, record.models)
+        if reported != unchanged:
             return True
         return self._warmups.is_change(record, known, self._node.now())
 
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -95,6 +95,7 @@
             key=(self._find_header(request, "key") or "").removeprefix(self.headers.key_scheme),
             deadline_seconds=self._read_deadline(request),
             prefix_segments=self._read_prefix(request),
+            model=self._find_header(request, "model") or "",
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
             pieces=self._read_pieces(request),
--- a/packages/damsonlaned/src/damsonlaned/dialects/_names.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_names.py
@@ -29,6 +29,8 @@
     load: str
     #: Urgency of the request at the target.
     urgency: str
+    #: Name of the model that the caller requests.
+    model: str
     #: Segments of the prompt that other requests may share, each with its tokens.
     prefix: str
     #: Tokens of the prompt, and most tokens of the output.
--- a/packages/damsonlaned/src/damsonlaned/dialects/_native.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_native.py
@@ -37,6 +37,7 @@
         rejection_limit="Damsonlane-Rejection-Limit",
         load="Damsonlane-Load",
         urgency="Damsonlane-Urgency",
+        model="Damsonlane-Model",
         prefix="Damsonlane-Prefix",
         tokens="Damsonlane-Tokens",
         pieces="Damsonlane-Pieces",
--- a/packages/damsonlaned/src/damsonlaned/dialects/_types.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_types.py
@@ -41,6 +41,8 @@
     prefix_segments: tuple[PrefixSegment, ...] = ()
     #: Length of its prompt, in tokens.
     prompt_tokens: int = 0
+    #: Model that it requests, or an empty string.
+    model: str = ""
     #: Most tokens that the caller wants in return.
     max_output_tokens: int = 0
     #: Number of pieces of each stage.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -10,6 +10,7 @@
 from damsonlane.records import dataclass
 from damsonlane.requests import WindowedRetryBudget
 from damsonlane.routing import HealthSignal
+from damsonlane.versions import StreamOrigin
 from damsonlaned.dialects import Attempt, Dialect, ResponseSignals
 from damsonlaned.gateway._call import Call, Prompt
 from damsonlaned.gateway._limited_targets import LimitedTargetSelector, NoTarget
@@ -94,7 +95,7 @@
         call: Call,
         avoid: Collection[str],
         input_locations: Sequence[InputLocation] = (),
-        version: str | None = None,
+        origin: StreamOrigin | None = None,
     ) -> ChosenTarget | NoTarget:
         """Choose a target for a request.
 
@@ -102,17 +103,28 @@
             call: the request.
             avoid: targets that failed it already.
             input_locations: where its stage results are stored.
-            version: version that the target's software must have; None for any.
+            origin: where the stream began that the target goes on with; None for a new one.
         """
-        excluded: set[str] = set()
-        if version is not None:
-            excluded = self._targets.list_other_versions(call.service, version)
+        model = call.request.model
+        excluded = self._targets.list_without_model(call.service, model)
+        if origin is not None:
+            excluded |= self._targets.list_other_versions(call.service, origin.version)
+            avoid = {*avoid, *self._list_other_weights(call, origin)}
         placed = await self._place_prompt(call, {*avoid, *excluded}, input_locations)
         if placed is not None:
             return placed
         prompt = _find_prompt(call)
         return await self._limited_targets.choose(call.service, prompt, avoid, excluded)
 
+    def _list_other_weights(self, call: Call, origin: StreamOrigin) -> set[str]:
+        """Return the targets with other weights than those that began a stream.
+
+        They are used if there are no others: engines may exchange weights within a stream.
+        """
+        if origin.weights is None:
+            return set()
+        return self._targets.list_other_weights(call.service, call.request.model, origin.weights)
+
     def count_open(self, call: Call, version: str) -> int:
         """Return how many targets of a version may get the request."""
         return self._targets.count_open(call.service, version)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -370,7 +370,10 @@
         """Record where the stream began, before its caller has an event of it."""
         chosen = opened.chosen
         origin = StreamOrigin(
-            attempt=self._call.first_attempt, service=chosen.service, version=chosen.version
+            attempt=self._call.first_attempt,
+            service=chosen.service,
+            version=chosen.version,
+            weights=chosen.find_weights(self._call.request.model),
         )
         self._history.origin = origin
         if self._call.route.is_resumable:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -21,7 +21,7 @@
     TargetLocation,
     TargetTable,
 )
-from damsonlane.targets import TargetRecord
+from damsonlane.targets import ServedModel, TargetRecord
 from damsonlane.warmup import WarmupLimiter, find_entry_share
 from damsonlaned.dialects import ResponseSignals
 from damsonlaned.gateway._call import Prompt
@@ -56,6 +56,8 @@
     start: int
     #: Version of its software; empty where it is not reported.
     version: str
+    #: Its models.
+    models: tuple[ServedModel, ...]
     #: Connections to it.
     connections: ConnectionPool
     #: The placement that is reported back to the owner that placed the prompt, or None.
@@ -63,6 +65,10 @@
     #: Address of the engine from which it should copy cached prompt segments, or an empty string.
     source_address: str = ""
 
+    def find_weights(self, model: str) -> int | None:
+        """Return the version of the weights of a model; None if it is not reported."""
+        return next((known.weights for known in self.models if known.name == model), None)
+
     @property
     def incarnation(self) -> TargetIncarnation:
         """The incarnation that was chosen."""
@@ -237,6 +243,28 @@
         records = self._view.targets_of(service.name)
         return {record.target for record in records if record.version != version}
 
+    def list_without_model(self, service: Service, model: str) -> set[str]:
+        """Return the targets that report models without this one.
+
+        Empty if no target that may get new work reports it: the name may be an alias.
+        """
+        records = self._view.targets_of(service.name) if model else ()
+        if not any(
+            record.find_weights(model) is not None and self._view.is_open(record)
+            for record in records
+        ):
+            return set()
+        return {
+            record.target
+            for record in records
+            if record.models and record.find_weights(model) is None
+        }
+
+    def list_other_weights(self, service: Service, model: str, weights: int) -> set[str]:
+        """Return the targets that report other weights of a model."""
+        records = self._view.targets_of(service.name)
+        return {record.target for record in records if record.find_weights(model) != weights}
+
     def count_open(self, service: Service, version: str) -> int:
         """Return how many targets of a version may get new work."""
         records = self._view.open_targets_of(service.name)
@@ -370,6 +398,7 @@
             address=choice.address,
             start=choice.start,
             version=record.version if record is not None else "",
+            models=record.models if record is not None else (),
             connections=self.connections(service, choice.target, choice.address),
         )
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
@@ -84,12 +84,11 @@
         while True:
             if (overrun := self._find_overrun()) is not None:
                 return NoTarget(detail=overrun)
-            origin = self._history.origin
             chosen = await self._attempts.choose(
                 self._call,
                 self._history.tried_targets,
                 results.input_locations,
-                origin.version if origin is not None else None,
+                self._history.origin,
             )
             if not isinstance(chosen, NoTarget) or chosen.wait_seconds <= 0:
                 return chosen
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/streams.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/streams.py
@@ -89,9 +89,9 @@
     ]
 
 
-async def begin(entry: Entry, request_id: str, count: int = 2) -> list[Event]:
+async def begin(entry: Entry, request_id: str, count: int = 2, *, model: str = "") -> list[Event]:
     """Begin a stream at an entry, and close the connection after some events."""
-    reader, writer = await entry.send("/chat/a", request_id=request_id)
+    reader, writer = await entry.send("/chat/a", headers=_name_model(model), request_id=request_id)
     data = b""
     async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
         while len(_EVENT.findall(data)) < count:
@@ -104,12 +104,15 @@
 
 
 async def resume(
-    entry: Entry, request_id: str, first_attempt: str, events: list[Event]
+    entry: Entry, request_id: str, first_attempt: str, events: list[Event], *, model: str = ""
 ) -> Response:
     """Take a stream up again after some events."""
-    headers = (
-        f"Last-Event-Id: {events[-1].number}\r\nDamsonlane-Resumes: {first_attempt}\r\n"
-        if first_attempt
-        else f"Last-Event-Id: {events[-1].number}\r\n"
-    )
+    headers = f"Last-Event-Id: {events[-1].number}\r\n{_name_model(model)}"
+    if first_attempt:
+        headers += f"Damsonlane-Resumes: {first_attempt}\r\n"
     return await entry.call("/chat/a", headers=headers, request_id=request_id)
+
+
+def _name_model(model: str) -> str:
+    """Return the header that names a model; empty for none."""
+    return f"Damsonlane-Model: {model}\r\n" if model else ""
