Operators see targets by version, and the tries of a stream as one story

damsonlane targets versions counts the targets of each service by version and standing, damsonlane targets list shows each with its models. damsonlane explain follows the first attempt that log lines name, so that the tries of a caller at several entries are shown together.

--- a/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/__init__.py
@@ -8,12 +8,13 @@
 from damsonlane_cli._quarantine import QuarantineCommands
 from damsonlane_cli._reports import ReportCommands
 from damsonlane_cli._settings import SettingsCommands
+from damsonlane_cli._targets import TargetCommands
 
 __all__ = ["main"]
 
 
 class Commands:
-    """Operate damsonlane: settings, replicas, data centres, quarantined requests, reports."""
+    """Operate damsonlane: settings, replicas, data centres, quarantine, targets, reports."""
 
     def __init__(self) -> None:
         self.settings = SettingsCommands()
@@ -21,6 +22,7 @@
         self.data_centre = DataCentreCommands()
         self.quarantine = QuarantineCommands()
         self.report = ReportCommands()
+        self.targets = TargetCommands()
         self.explain = explain
 
 
--- a/packages/damsonlane_cli/src/damsonlane_cli/_explain.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_explain.py
@@ -33,17 +33,29 @@
     box: str
     #: The message.
     message: str
+    #: Id of the request.
+    request: str
     #: The other fields.
     fields: dict[str, Any]
 
-    def render(self) -> str:
-        """Return the line as text for an operator."""
+    @property
+    def first_attempt(self) -> str:
+        """Id of the attempt whose stream the request resumes; empty for other requests."""
+        return str(self.fields.get("first_attempt") or "")
+
+    def render(self, *, shows_request: bool = False) -> str:
+        """Return the line as text for an operator.
+
+        Args:
+            shows_request: whether it begins with the id of the request, after the time.
+        """
         rendered = " ".join(f"{name}={value}" for name, value in self.fields.items())
-        return f"{self.time}  {self.box}  {self.message}  {rendered}".rstrip()
+        request = f"{self.request}  " if shows_request else ""
+        return f"{self.time}  {request}{self.box}  {self.message}  {rendered}".rstrip()
 
 
 def read_lines(texts: Iterable[str], request: str) -> Iterator[LogLine]:
-    """Yield the log lines of a request; other text is ignored."""
+    """Yield the log lines of a request, and of those that resume its stream; ignore other text."""
     for text in texts:
         if request not in text:
             continue
@@ -52,15 +64,33 @@
             value = json.loads(text[start:]) if start >= 0 else None
         except ValueError:
             continue
-        if isinstance(value, dict) and value.get("request") == request:
+        if isinstance(value, dict) and request in (value.get("request"), _find_first(value)):
             yield LogLine(
                 time=str(value.get("time", "")),
                 box=str(value.get("box", "")),
                 message=str(value.get("message", "")),
+                request=str(value.get("request", "")),
                 fields={name: item for name, item in value.items() if name not in _OMITTED_FIELDS},
             )
 
 
+def _find_first(value: dict[str, Any]) -> str | None:
+    """Return the attempt whose stream a log line resumes; None if it resumes none."""
+    return value.get("first_attempt") or None
+
+
+def collect_tries(texts: Sequence[str], request: str) -> list[LogLine]:
+    """Return the lines of a request and of all tries of the same stream, sorted by time."""
+    own = list(read_lines(texts, request))
+    firsts = {line.first_attempt for line in own if line.request == request} - {""}
+    first = firsts.pop() if firsts else request
+    tries = {first, request, *(line.request for line in read_lines(texts, first))}
+    lines = [
+        line for name in sorted(tries) for line in read_lines(texts, name) if line.request == name
+    ]
+    return sorted(lines, key=lambda line: line.time)
+
+
 def explain_outcome(outcome: str) -> str:
     """Return the meaning of an outcome and where to look next."""
     for prefix, meaning in _OUTCOMES:
@@ -72,33 +102,40 @@
 def explain(request: str, *files: str) -> None:
     """Show what happened to a request, from the log files of all boxes.
 
+    The tries of a caller to resume a stream are shown as one story.
+
     Args:
         request: id of the request.
         files: log files; standard input if there are none.
     """
-    lines = sorted(_read_files(str(request), files), key=lambda line: line.time)
+    lines = collect_tries(_read_files(files), str(request))
     if not lines:
         fail(
             f"no log line of the request {request} was found; give the logs of all entries",
             EXIT_INPUT,
         )
+    is_resumed = len({line.request for line in lines}) > 1
     for line in lines:
-        print(line.render())
+        print(line.render(shows_request=is_resumed))
     for line in lines:
         if line.message == "ended":
-            print(f"ended at {line.box}: {explain_outcome(str(line.fields.get('outcome', '')))}")
+            name = f"{line.request} " if is_resumed else ""
+            print(
+                f"{name}ended at {line.box}: {explain_outcome(str(line.fields.get('outcome', '')))}"
+            )
     if not any(line.message in ("ended", "refused") for line in lines):
         print("no entry logged its outcome: the process was lost while it handled the request")
 
 
-def _read_files(request: str, files: Sequence[str]) -> list[LogLine]:
+def _read_files(files: Sequence[str]) -> list[str]:
+    """Return the lines of log files, or of standard input if there are none."""
     if not files:
-        return list(read_lines(sys.stdin, request))
-    lines: list[LogLine] = []
+        return list(sys.stdin)
+    texts: list[str] = []
     for name in files:
         try:
             with Path(name).open(encoding="utf-8", errors="replace") as file:
-                lines.extend(read_lines(file, request))
+                texts.extend(file)
         except OSError as error:
             fail(f"{name}: {error.strerror}", EXIT_INPUT)
-    return lines
+    return texts
--- a/packages/damsonlane_cli/src/damsonlane_cli/tests/test_explain.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/tests/test_explain.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from damsonlane_cli._explain import explain, explain_outcome, read_lines
+from damsonlane_cli._explain import collect_tries, explain, explain_outcome, read_lines
 
 
 def make_line(time: str, box: str, message: str, request: str = "r1", **fields: object) -> str:
@@ -34,6 +34,19 @@
         self.assertIn("it may have run there", shown[3])
         self.assertEqual(len(shown), 4)
 
+    def test_the_tries_of_a_stream_are_one_story(self) -> None:
+        texts = [
+            make_line("10:00:00", "entry-1", "sent", target="t1", target_version="v1"),
+            make_line("10:00:01", "entry-2", "accepted", request="r2", first_attempt="r1"),
+            make_line("10:00:02", "entry-2", "sent", request="r2", target="t2"),
+            make_line("10:00:03", "entry-3", "accepted", request="r3", first_attempt="r1"),
+            make_line("10:00:04", "entry-3", "accepted", request="r4", first_attempt="r9"),
+        ]
+        for request in ("r1", "r2", "r3"):
+            story = [(line.request, line.message) for line in collect_tries(texts, request)]
+            expected = [("r1", "sent"), ("r2", "accepted"), ("r2", "sent"), ("r3", "accepted")]
+            self.assertEqual(story, expected)
+
     def test_a_missing_outcome_means_that_the_entry_was_lost(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "a.log"
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -94,6 +94,7 @@
         RelayRequest,
         TextHeader,
     )
+    from damsonlane_rpc._target_messages import TargetsQuery, TargetsView
     from damsonlane_rpc._tls import make_client_context, make_server_context
     from damsonlane_rpc._tls_reloader import TlsReloader
     from damsonlane_rpc._watch_messages import WatchReport
@@ -207,6 +208,7 @@
                 "RelayRequest",
                 "TextHeader",
             ),
+            "_target_messages": ("TargetsQuery", "TargetsView"),
             "_tls": (
                 "make_client_context",
                 "make_server_context",
@@ -296,6 +298,8 @@
     "StatusRequest",
     "SubmitReply",
     "SubmitRequest",
+    "TargetsQuery",
+    "TargetsView",
     "Committed",
     "MessageCounters",
     "Unconfirmed",
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -18,6 +18,7 @@
 from damsonlane_rpc._methods import Method, unary_method
 from damsonlane_rpc._outcomes import Done, Forbidden, NotLeader, Unconfirmed
 from damsonlane_rpc._quarantine_messages import QuarantineQuery, QuarantineView
+from damsonlane_rpc._target_messages import TargetsQuery, TargetsView
 from damsonlane_rpc._watch_messages import WatchReport
 
 
@@ -129,7 +130,8 @@
         | CostsQuery
         | BoxesQuery
         | EvacuationsQuery
-        | QuarantineQuery,
+        | QuarantineQuery
+        | TargetsQuery,
         Field(discriminator="kind"),
     ]
 
@@ -197,6 +199,7 @@
         | BoxesView
         | EvacuationsView
         | QuarantineView
+        | TargetsView
         | NotLeader
         | Unconfirmed
         | Forbidden,
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -62,6 +62,8 @@
     StatusRequest,
     SubmitReply,
     SubmitRequest,
+    TargetsQuery,
+    TargetsView,
     Unconfirmed,
     WatchReport,
     WatchUpdate,
@@ -248,6 +250,8 @@
                 return QueryReply(
                     outcome=QuarantineView(quarantine=state.quarantine.list_for_entries())
                 )
+            case TargetsQuery():
+                return QueryReply(outcome=TargetsView(targets=state.targets.records()))
             case CostsQuery():
                 return QueryReply(
                     outcome=CostsView(
