Requests name the incarnation of their target, and refusals the versions that serve

A target that restarts under its name at its address with another version could take a request that was meant for the earlier process, and its events would count as those of the earlier version. The native dialect sends the start that the target reported (Damsonlane-Target-Start); the stand-in answers 421 to another one. Names are never reused on the platform, so its dialect sends nothing.

A stream that is refused for want of a version logs how many targets of each version serve, and how many boxes can be asked.

--- a/packages/damsonlane/src/damsonlane/versions/_holders.py
+++ b/packages/damsonlane/src/damsonlane/versions/_holders.py
@@ -30,6 +30,10 @@
         chosen = rank_boxes(_SUBJECT, weights)[:MAX_HOLDERS]
         self._holders = tuple(address for address in chosen if address != self._own_address)
 
+    def count(self) -> int:
+        """Return the number of other boxes that hold origins."""
+        return len(self._holders)
+
     def rank(self, attempt: str) -> list[str]:
         """Return the addresses of other boxes that hold origins, in the order for an attempt."""
         return sorted(self._holders, key=lambda address: _hash(attempt, address))
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -241,7 +241,7 @@
             reply.send_response(
                 HttpResponse(status=503, headers=self._make_rejection_headers(request))
             )
-        elif self._kind != "pool" and request.find(b"damsonlane-target") != self._record.target:
+        elif self._kind != "pool" and not self._is_addressed(request):
             # Checked first: a request for another target never runs here, not even a crashing one.
             reply.send_response(HttpResponse(status=421))
         elif _crashes_target(request, self._kind):
@@ -259,6 +259,12 @@
                 HttpResponse(status=200, headers=self._make_headers(request), body=b"ok")
             )
 
+    def _is_addressed(self, request: HttpRequest) -> bool:
+        """Return whether a request is for this incarnation of this target."""
+        start = request.find(b"damsonlane-target-start") or str(self._record.start)
+        is_own_name = request.find(b"damsonlane-target") == self._record.target
+        return is_own_name and start == str(self._record.start)
+
     def _reject(self, request: HttpRequest, reply: ResponseWriter) -> None:
         """Reject a request for lack of room, and exit if that is more than this target bears."""
         if self.rejections.record_rejection():
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -73,6 +73,7 @@
             names.key,
             names.organisation,
             names.target,
+            names.target_start,
             names.deadline_ms,
             names.urgency,
             names.source,
@@ -144,6 +145,8 @@
         names = self.headers
         milliseconds = max(1, int(attempt.remaining_seconds * 1000))
         values = [(names.deadline_ms, str(milliseconds)), (names.target, attempt.target)]
+        if names.target_start and attempt.start:
+            values.append((names.target_start, str(attempt.start)))
         if attempt.organisation:
             values.append((names.organisation, attempt.organisation))
         if attempt.urgency is not None:
--- a/packages/damsonlaned/src/damsonlaned/dialects/_names.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_names.py
@@ -47,6 +47,8 @@
     resumes: str
     #: Address of an engine that has more of the prompt in its prefix cache.
     source: str
+    #: Start of the incarnation that a request is for; empty where names are never reused.
+    target_start: str = ""
     #: Prefix of the key in its header, with its trailing space; may be empty.
     key_scheme: str = ""
     #: Further headers that are never forwarded from callers.
--- a/packages/damsonlaned/src/damsonlaned/dialects/_native.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_native.py
@@ -31,6 +31,7 @@
         key_scheme="Bearer ",
         organisation="Damsonlane-Organisation",
         target="Damsonlane-Target",
+        target_start="Damsonlane-Target-Start",
         not_run="Damsonlane-Run-No",
         leaving="Damsonlane-Leaving",
         rate_limit="Damsonlane-Rate-Limit",
--- a/packages/damsonlaned/src/damsonlaned/dialects/_types.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_types.py
@@ -65,6 +65,8 @@
     remaining_seconds: float
     #: Name of the caller's organisation, or an empty string.
     organisation: str
+    #: Start of the target's incarnation, in Unix milliseconds; 0 where it is not reported.
+    start: int = 0
     #: Urgency at the target, 0 (first) to 9, or None.
     urgency: int | None = None
     #: Handles of the stage results that it needs.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -125,9 +125,9 @@
             return set()
         return self._targets.list_other_weights(call.service, call.request.model, origin.weights)
 
-    def count_open(self, call: Call, version: str) -> int:
-        """Return how many targets of a version may get the request."""
-        return self._targets.count_open(call.service, version)
+    def count_versions(self, call: Call) -> dict[str, int]:
+        """Return how many targets of each version may get the request."""
+        return self._targets.count_versions(call.service)
 
     async def check_admission(self, call: Call) -> NoTarget | None:
         """Return why a request may not begin its stages yet; None if it may begin now."""
@@ -193,6 +193,7 @@
         """
         attempt = Attempt(
             target=chosen.target,
+            start=chosen.start,
             remaining_seconds=call.remaining() - RESPONSE_TRANSIT_SECONDS,
             organisation=call.organisation.name if call.organisation is not None else "",
             urgency=_find_urgency(call, chosen),
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace
 from typing import Final
@@ -265,10 +266,10 @@
         records = self._view.targets_of(service.name)
         return {record.target for record in records if record.find_weights(model) != weights}
 
-    def count_open(self, service: Service, version: str) -> int:
-        """Return how many targets of a version may get new work."""
+    def count_versions(self, service: Service) -> dict[str, int]:
+        """Return how many targets of each version may get new work."""
         records = self._view.open_targets_of(service.name)
-        return sum(record.version == version for record in records)
+        return dict(Counter(record.version for record in records))
 
     def list_full(self, service: Service) -> set[str]:
         """Return the targets that would fail if they rejected more, and get nothing more now."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
@@ -112,13 +112,15 @@
     def _end_if_version_gone(self) -> bool:
         """End a stream that no target can go on with; return whether it ended."""
         origin = self._history.origin
-        if origin is None or self._attempts.count_open(self._call, origin.version):
+        versions = self._attempts.count_versions(self._call) if origin is not None else {}
+        if origin is None or versions.get(origin.version):
             return False
         fields = {
             **self._call.log_fields(),
             "first_attempt": origin.attempt,
             "service": origin.service,
             "target_version": origin.version,
+            "targets": versions,
         }
         _LOG.warning("no target has the version of the stream", extra=fields)
         self._origins.count("no-target")
--- a/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
@@ -3,11 +3,13 @@
 import asyncio
 import logging
 import ssl
+from collections import Counter
 from collections.abc import Iterable
 from typing import Final, Protocol
 
 from damsonlane.membership import BoxRecord
 from damsonlane.routes import Route, RouteTable
+from damsonlane.targets import TargetRecord
 from damsonlane.versions import (
     HolderRanking,
     OriginTable,
@@ -36,6 +38,9 @@
     def table(self) -> RouteTable | None:
         """The routing document in force."""
 
+    def open_targets_of(self, service: str) -> tuple[TargetRecord, ...]:
+        """Return the targets of a service that may get new work."""
+
     @property
     def steady_versions(self) -> SteadyVersions:
         """The services that a single version has served."""
@@ -156,7 +161,10 @@
 
     def _describe(self, route: Route) -> dict[str, object]:
         """Return what is known of the services of a route, for logs."""
-        return {
-            "services": [share.service for share in route.services],
-            "holders": len(self._fleet.entries),
+        versions = {
+            share.service: Counter(
+                record.version for record in self._fleet.open_targets_of(share.service)
+            )
+            for share in route.services
         }
+        return {"targets": versions, "asked": self._ranking.count()}
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
@@ -240,6 +240,13 @@
             if events[0].version == "v1":
                 self.check_refused(response)
 
+    async def test_a_request_names_the_incarnation_that_it_is_for(self) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1"), count=1)
+        self.entry.put_targets(replace(self.records[0], start=1_700_000_000_000))
+        await begin(self.entry, "a")
+        start = self.targets[0].requests[0].find(b"damsonlane-target-start")
+        self.assertEqual(start, "1700000000000")
+
     async def test_the_outcome_of_resumed_streams_is_counted(self) -> None:
         await self.start_fleet(VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2"))
         events = await begin(self.entry, "a")
