A path that accepts connections and resets the requests on them is found

Cause: an entry in doubt takes a connection for a path, unless several targets are silent; here each connection came up. Connections that broke at the request lead to the full check now, which compares health checks with other entries'.

CutForm accept: test_requests_at_an_entry_without_a_path_to_targets_are_served failed with it before (served, then not, by turns) and passes, as does the test of owners of pools.

--- a/packages/damsonlane/src/damsonlane/reach/_evidence.py
+++ b/packages/damsonlane/src/damsonlane/reach/_evidence.py
@@ -73,9 +73,9 @@
             kinds.add("connect")
         return frozenset(kinds)
 
-    def has_silence(self) -> bool:
-        """Return whether a target accepted a request and was silent."""
-        return any(kind == "silent" for _, kind in self._failed.values())
+    def has_lost_requests(self) -> bool:
+        """Return whether a target accepted a connection, and not the request sent on it."""
+        return any(kind != "connect" for _, kind in self._failed.values())
 
     def is_doubtful(self, targets: Collection[str], now: float) -> bool:
         """Return whether the failures may be due to the path to all targets.
--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -291,11 +291,11 @@
     ) -> bool:
         """Return whether connections alone show that this box has a path to targets.
 
-        They don't where several targets are silent: a proxy or a firewall may accept connections
-        in their place.
+        They don't where several targets are silent, or break connections at the first request: a
+        proxy or a firewall may accept connections in their place.
         """
         names = self._list_names(service)
-        if reach.evidence.is_doubtful(names, self._now()) and reach.evidence.has_silence():
+        if reach.evidence.is_doubtful(names, self._now()) and reach.evidence.has_lost_requests():
             return False
         results = await self._prober.probe("", records[-QUICK_PROBES:], is_fresh=True)
         return any(result is not ProbeResult.FAILED for result in results.values())
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/cuts.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/cuts.py
@@ -11,8 +11,8 @@
 from damsonlane.targets import TargetRecord
 
 #: What becomes of connections during a cut: bytes are held back, connections are reset, or new
-#: ones are refused while open ones live.
-CutForm = Literal["hang", "reset", "refuse"]
+#: ones are refused, or accepted and reset at the first bytes, while open ones live.
+CutForm = Literal["hang", "reset", "refuse", "accept"]
 
 
 class CuttableProxy:
@@ -79,6 +79,10 @@
         if self._form == "reset":
             _reset(writer)
             return
+        if self._form == "accept":
+            await reader.read(1)
+            _reset(writer)
+            return
         host, _, port = self._record.address.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
