Requests that are given up one after another count as one silence

Cause: a call to a pool is given up after 0.45 to 0.65 s, before it counts as silence (0.5 s, and twice the slowest response of late), so it left no evidence.

A request that is given up without a byte is reported, and those at one target with less than 0.25 s between them count together until a byte arrives from any target of the service; where several targets are silent at once, 1.25 times the slowest response is enough.

test_an_owner_whose_calls_end_before_they_count_as_silent_is_replaced failed before ([503, 503, 503, 200, 200] at the end) and passes.

--- a/packages/damsonlane/src/damsonlane/reach/_evidence.py
+++ b/packages/damsonlane/src/damsonlane/reach/_evidence.py
@@ -13,8 +13,14 @@
 #: Seconds for which a failure counts.
 EVIDENCE_SECONDS: Final = 5.0
 
-#: Multiple of the time of the slowest recent response from which a target counts as silent.
+#: Multiple of the time of the slowest recent response from which a target counts as silent, and the
+#: same while several targets are silent at once.
 SILENCE_RATIO: Final = 2.0
+SHARED_SILENCE_RATIO: Final = 1.25
+#: Seconds between two requests without a response from which they do not count together.
+MAX_GAP_SECONDS: Final = 0.25
+#: Least silence that counts, in seconds.
+MIN_SILENCE_SECONDS: Final = 0.5
 #: Half-life of that time, in seconds.
 SLOWEST_HALF_LIFE: Final = 30.0
 
@@ -30,6 +36,9 @@
         self._not_connected: dict[str, float] = {}
         #: When a byte last arrived from a target, in seconds; 0 if none did.
         self.reached_at = 0.0
+        #: By target, the time since which requests wait one after another without any byte, and
+        #: the time up to which they did.
+        self._unanswered: dict[str, tuple[float, float]] = {}
         self._slowest = 0.0
         self._slowest_at = 0.0
 
@@ -39,9 +48,25 @@
             self._slowest = seconds
             self._slowest_at = now
 
-    def is_silence(self, seconds: float, now: float) -> bool:
-        """Return whether so many seconds without a byte are unusual for the service."""
-        return seconds >= SILENCE_RATIO * self._find_slowest(now)
+    def record_unanswered(self, target: str, sent_at: float, now: float) -> bool:
+        """Record a request without a response; return whether its target counts as silent.
+
+        Requests that were given up one after another count together, until a byte arrives from
+        any target of the service.
+
+        Args:
+            target: its target.
+            sent_at: when it was sent.
+            now: the clock, in seconds.
+        """
+        if self.reached_at >= sent_at:
+            return False
+        since, until = self._unanswered.get(target, (sent_at, sent_at))
+        first = min(sent_at, since) if sent_at <= until + MAX_GAP_SECONDS else sent_at
+        self._unanswered[target] = (first, now)
+        ratio = SILENCE_RATIO if len(self._unanswered) == 1 else SHARED_SILENCE_RATIO
+        least = max(MIN_SILENCE_SECONDS, ratio * self._find_slowest(now))
+        return now - first >= least
 
     def _find_slowest(self, now: float) -> float:
         """Return the time to the first byte of the slowest response, which decays."""
@@ -55,6 +80,7 @@
             is_new: whether it is the first one on its connection.
         """
         self.reached_at = now
+        self._unanswered.clear()
         if self._failed:
             self._failed.clear()
         if is_new and self._not_connected:
@@ -98,5 +124,6 @@
 
     def clear(self) -> None:
         """Forget all failures."""
+        self._unanswered.clear()
         self._failed.clear()
         self._not_connected.clear()
--- a/packages/damsonlane/src/damsonlane/reach/tests/test_reach.py
+++ b/packages/damsonlane/src/damsonlane/reach/tests/test_reach.py
@@ -80,11 +80,38 @@
 
     def test_a_silence_is_unusual_only_for_services_that_respond_sooner(self) -> None:
         evidence = self.reach.evidence
-        self.assertTrue(evidence.is_silence(0.5, 0.0))
-        evidence.record_response(0.6, 0.0)
-        self.assertFalse(evidence.is_silence(1.0, 0.0))
-        self.assertTrue(evidence.is_silence(1.3, 0.0))
-        self.assertTrue(evidence.is_silence(0.5, 120.0))
+        self.assertTrue(evidence.record_unanswered("a", 1.0, 1.5))
+        evidence.record_reached(2.0, is_new=False)
+        evidence.record_response(0.6, 2.0)
+        self.assertFalse(evidence.record_unanswered("a", 2.1, 3.1))
+        self.assertTrue(evidence.record_unanswered("a", 2.1, 3.4))
+        evidence.record_reached(120.0, is_new=False)
+        self.assertTrue(evidence.record_unanswered("a", 121.0, 121.5))
+
+    def test_requests_that_were_given_up_one_after_another_count_together(self) -> None:
+        evidence = self.reach.evidence
+        evidence.record_reached(1.0, is_new=False)
+        evidence.record_response(0.35, 1.0)
+        self.assertFalse(evidence.record_unanswered("a", 1.1, 1.5))
+        self.assertTrue(evidence.record_unanswered("a", 1.6, 2.0))
+
+    def test_several_silent_targets_count_sooner(self) -> None:
+        evidence = self.reach.evidence
+        evidence.record_response(0.5, 1.0)
+        self.assertFalse(evidence.record_unanswered("a", 1.1, 1.8))
+        self.assertTrue(evidence.record_unanswered("b", 1.1, 1.8))
+
+    def test_requests_with_a_pause_between_them_do_not_count_together(self) -> None:
+        evidence = self.reach.evidence
+        self.assertFalse(evidence.record_unanswered("a", 1.0, 1.1))
+        self.assertFalse(evidence.record_unanswered("a", 9.0, 9.1))
+
+    def test_a_byte_of_any_target_ends_the_silence(self) -> None:
+        evidence = self.reach.evidence
+        evidence.record_unanswered("a", 1.0, 1.4)
+        evidence.record_reached(1.45, is_new=False)
+        self.assertFalse(evidence.record_unanswered("a", 1.4, 2.0))
+        self.assertFalse(evidence.record_unanswered("a", 1.6, 2.0))
 
     def test_a_trial_admits_one_request_until_a_response_ends_it(self) -> None:
         self.reach.confirm(1.0)
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -52,6 +52,10 @@
             if not self._connection.has_received:
                 self._observer.record_failed("broken")
             raise
+        except asyncio.CancelledError:
+            # Given up before the timer reported the silence, or between two of its reports.
+            self._observer.record_silent(self._sent_at)
+            raise
         finally:
             self._silence_timer.cancel()
 
--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -228,7 +228,7 @@
         """Record a request without a response, unless that is usual or another target responded."""
         evidence = self._services.setdefault(service, ServiceReach()).evidence
         now = self._now()
-        if evidence.reached_at < sent_at and evidence.is_silence(now - sent_at, now):
+        if evidence.record_unanswered(target, sent_at, now):
             self.record_failed(service, target, "silent")
 
     # Checks.
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
@@ -29,6 +29,8 @@
 REQUEST_COUNT = 10
 #: Of these, the first ones may fail before the entry knows of the cut.
 UNAWARE_COUNT = 1
+#: Duration of a call to a pool of which the double is longer than the time-out of its calls.
+SLOW_CALL_SECONDS = 0.35
 #: Deadline of requests: one attempt that is held back leaves time for another entry.
 DEADLINE_MS = 4_000
 CUT_DOCUMENT = replace(
@@ -85,7 +87,7 @@
     return [FakeTarget(f"t{index}", answer) for index in range(count)]
 
 
-def make_pool(count: int = 2) -> list[FakeTarget]:
+def make_pool(count: int = 2, *, seconds: float = 0.0) -> list[FakeTarget]:
     pool: list[FakeTarget] = []
 
     def find_address(index: int) -> str:
@@ -93,7 +95,11 @@
 
     for index in range(count):
         pool.append(
-            FakeTarget(f"p{index}", make_piece_handler(partial(find_address, index)), "pool")
+            FakeTarget(
+                f"p{index}",
+                make_piece_handler(partial(find_address, index), seconds=seconds),
+                "pool",
+            )
         )
     return pool
 
@@ -134,6 +140,21 @@
                     await asyncio.sleep(0.1)
                 self.assertEqual(statuses[-REQUEST_COUNT // 2 :], [200] * (REQUEST_COUNT // 2))
 
+    async def test_an_owner_whose_calls_end_before_they_count_as_silent_is_replaced(self) -> None:
+        await self.start_fleet(*make_targets(), *make_pool(3, seconds=SLOW_CALL_SECONDS))
+        owner = self.find_owner("pool")
+        entry = self.fleet.entries[1 - owner]
+        for _ in range(3):
+            before = await entry.call("/staged/a", headers=ONE_PIECE, deadline_ms=DEADLINE_MS)
+            self.assertEqual(before.status, 200)
+        await self.cut(owner, "hang")
+        statuses = []
+        for _ in range(REQUEST_COUNT):
+            response = await entry.call("/staged/a", headers=ONE_PIECE, deadline_ms=DEADLINE_MS)
+            statuses.append(response.status)
+            await asyncio.sleep(0.1)
+        self.assertEqual(statuses[-REQUEST_COUNT // 2 :], [200] * (REQUEST_COUNT // 2))
+
     def find_owner(self, service: str) -> int:
         address = self.fleet.entries[0].pools.find_owner(service)
         return [entry.address for entry in self.fleet.entries].index(address)
