A repeatable request shows whether a service without a health check is reached

What callers saw: behind a path that accepts connections and holds bytes back, where the document names no health check, all requests of the entry ended at their time-outs (0 of 10). Cause: probes can't tell such a path from targets that hang, so no check confirmed it.

Where several targets took requests without a response, a request that may be repeated goes to another entry after its first attempt; a response to it confirms that the service is not reached here. If targets hang for all, the other entry gets none, and nothing changes.

--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -140,6 +140,24 @@
             await asyncio.wait({task}, timeout=CHECK_SECONDS)
         return reach.state == "reached"
 
+    def is_suspect(self, service: str) -> bool:
+        """Return whether only a request to another box can show whether a service is reached.
+
+        Several targets took requests without a response, and no health check tells whether the path
+        or the targets are at fault.
+        """
+        reach = self._services.get(service)
+        if reach is None or reach.state != "reached" or self._find_health_path(service):
+            return False
+        is_doubtful = reach.evidence.is_doubtful(self._list_names(service), self._now())
+        return is_doubtful and reach.evidence.has_lost_requests()
+
+    def record_served_elsewhere(self, service: str) -> None:
+        """Record that another box got a response to a request which had none here."""
+        reach = self._services.get(service)
+        if reach is not None and self.is_suspect(service) and reach.confirm(self._now()):
+            self._publish(service, reach, "a request was answered at another box")
+
     def admit_trial(self, service: str) -> bool:
         """Return whether a request may be sent to targets that are perhaps reached again."""
         reach = self._services.get(service)
--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -76,6 +76,8 @@
         self._split: Final = split
         self._count = 0
         self._fault = ""
+        #: Whether the request is passed on next to find out whether another entry gets a response.
+        self._is_comparison = False
         #: Id of the last event that the caller has, if an event that was passed on had one.
         self.last_event: str | None = None
 
@@ -83,7 +85,11 @@
         """Return whether the request is passed on next, rather than sent to a target."""
         reach = self._relay.reach
         service = self._call.service.name
-        if reach.is_reached(service) or not self._may_be_passed_on():
+        if not self._may_be_passed_on():
+            return False
+        if self._is_comparison:
+            return True
+        if reach.is_reached(service):
             return False
         # The trial may be lost, so it must be a request that can be repeated.
         return not (self._call.route.is_retryable() and reach.admit_trial(service))
@@ -100,7 +106,12 @@
             return False
         if is_started and not route.is_resumable:
             return False
-        return not await self._relay.reach.check(self._call.service.name)
+        service = self._call.service.name
+        if not await self._relay.reach.check(service):
+            return True
+        # Only the response to another entry tells whether the path is at fault.
+        self._is_comparison = self._relay.reach.is_suspect(service)
+        return self._is_comparison
 
     async def run(self, last_event: str | None) -> RelayFailure | None:
         """Pass the request on; return None once the response is complete.
@@ -109,6 +120,7 @@
             last_event: id of the last event that its caller has, or None.
         """
         self._count += 1
+        self._is_comparison = False
         self.last_event = last_event
         self._history.record_relay()
         call = self._call
@@ -149,6 +161,8 @@
 
     async def _take(self, part: RelayPart) -> None:
         """Copy a part of the response to the caller."""
+        if 0 < part.status < 500:
+            self._relay.reach.record_served_elsewhere(self._call.service.name)
         if part.is_whole:
             self._take_whole(part)
             return
