The test of invalid limits of rejections holds the target's slots

test_an_invalid_limit_holds_nothing_back failed once beside a load of 8 (limit '-1', 0 of a wave of 30 rejected): the wave came in slowly enough not to fill the target. The target holds its slots until it has rejected a request; without a rejection the test fails at its time-out, as strictly as before.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_rejection_limits.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_rejection_limits.py
@@ -11,7 +11,13 @@
 
 from damsonlane.targets import TargetRecord
 from damsonlaned.gateway.tests.fleet import Fleet
-from damsonlaned.gateway.tests.harness import DOCUMENT, FakeTarget, Response, read_id
+from damsonlaned.gateway.tests.harness import (
+    DOCUMENT,
+    TEST_TIMEOUT_SECONDS,
+    FakeTarget,
+    Response,
+    read_id,
+)
 from damsonlaned.http import HttpRequest, HttpResponse, ResponseWriter
 
 #: Requests that a target runs at once.
@@ -34,6 +40,9 @@
         self.running = 0
         self.most_running = 0
         self.rejected = 0
+        #: Cleared to have it hold its slots until it is set again.
+        self.is_free = asyncio.Event()
+        self.is_free.set()
 
     async def _answer_and_count(self, request: HttpRequest, writer: ResponseWriter) -> None:
         headers = [(b"Damsonlane-Request-Id", read_id(request))]
@@ -48,6 +57,7 @@
         self.most_running = max(self.most_running, self.running)
         try:
             await asyncio.sleep(SECONDS)
+            await self.is_free.wait()
         finally:
             self.running -= 1
         writer.send_response(HttpResponse(status=200, headers=tuple(headers), body=b"done"))
@@ -98,8 +108,13 @@
             with self.subTest(limit=limit):
                 targets = [FragileTarget("t0", limit)]
                 await self.start(targets, count=1)
-                await self.send_wave(30)
-                self.assertGreater(targets[0].rejected, 0)
+                targets[0].is_free.clear()
+                wave = asyncio.create_task(self.send_wave(30))
+                async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                    while not targets[0].rejected:
+                        await asyncio.sleep(0.01)
+                targets[0].is_free.set()
+                await wave
 
     async def test_the_limit_ends_with_the_first_response_without_it(self) -> None:
         targets = [FragileTarget("t0", "2")]
