--- a/packages/damsonlane/src/damsonlane/reach/_helpers.py
+++ b/packages/damsonlane/src/damsonlane/reach/_helpers.py
@@ -64,7 +64,7 @@
         drawn = self._randomness.sample(list(candidates), len(candidates))
         drawn.sort(key=lambda candidate: candidate.data_centre == self._data_centre)
         rest = drawn[1:]
-        return drawn[:1] + self._randomness.sample(rest, min(count - 1, len(rest)))
+        return drawn[:1] + self._randomness.sample(rest, max(0, min(count - 1, len(rest))))
 
     def begin(self, address: str) -> None:
         """Count a request as in flight at a box."""
--- a/packages/damsonlane/src/damsonlane/reach/tests/test_reach.py
+++ b/packages/damsonlane/src/damsonlane/reach/tests/test_reach.py
@@ -184,6 +184,9 @@
         chosen = self.choice.choose(self.near, 0.0)
         self.assertEqual(chosen, self.near[1])
 
+    def test_nobody_is_asked_in_a_fleet_of_one(self) -> None:
+        self.assertEqual(self.choice.sample([], 0), [])
+
     def test_a_box_of_another_data_centre_is_asked_as_well(self) -> None:
         for _ in range(20):
             asked = self.choice.sample([*self.near, *self.far[:1]], 2)
--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -149,6 +149,8 @@
         reach = self._services.get(service)
         if reach is None or reach.state != "reached" or self._find_health_path(service):
             return False
+        if not self.list_candidates(service):
+            return False
         is_doubtful = reach.evidence.is_doubtful(self._list_names(service), self._now())
         return is_doubtful and reach.evidence.has_lost_requests()
 
