--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -18,6 +18,7 @@
 from damsonlaned.gateway._placement_client import PlacementClient
 from damsonlaned.gateway._target_selector import ChosenTarget, TargetSelector
 from damsonlaned.http import HttpExchange, HttpHead, IncompleteResponseError
+from damsonlaned.versions import TargetFilter
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -66,6 +67,7 @@
         placements: requests the placement of prompts at engines.
         permits: requests permits for targets that announced rate limits.
         dialect: renders requests and reads responses.
+        target_filter: leaves out targets by their versions and models.
         share: retries that the fleet may make, as a share of the number of first attempts.
         window: seconds over which that share is counted.
         slack: retries that the fleet may make in one window besides that share.
@@ -77,6 +79,7 @@
         placements: PlacementClient,
         permits: PermitClient,
         dialect: Dialect,
+        target_filter: TargetFilter,
         share: float,
         window: float,
         slack: float,
@@ -85,6 +88,7 @@
         self._placements: Final = placements
         self._limited_targets: Final = LimitedTargetSelector(targets, permits)
         self._dialect: Final = dialect
+        self._filter: Final = target_filter
         self._share: Final = share
         self._window: Final = window
         self._slack: Final = slack
@@ -106,28 +110,17 @@
             origin: where the stream began that the target goes on with; None for a new one.
         """
         model = call.request.model
-        excluded = self._targets.list_without_model(call.service, model)
-        if origin is not None:
-            excluded |= self._targets.list_other_versions(call.service, origin.version)
-            avoid = {*avoid, *self._list_other_weights(call, origin)}
+        excluded = self._filter.list_excluded(call.service, model, origin)
+        avoid = {*avoid, *self._filter.list_other_weights(call.service, model, origin)}
         placed = await self._place_prompt(call, {*avoid, *excluded}, input_locations)
         if placed is not None:
             return placed
         prompt = _find_prompt(call)
         return await self._limited_targets.choose(call.service, prompt, avoid, excluded)
 
-    def _list_other_weights(self, call: Call, origin: StreamOrigin) -> set[str]:
-        """Return the targets with other weights than those that began a stream.
-
-        They are used if there are no others: engines may exchange weights within a stream.
-        """
-        if origin.weights is None:
-            return set()
-        return self._targets.list_other_weights(call.service, call.request.model, origin.weights)
-
     def count_versions(self, call: Call) -> dict[str, int]:
         """Return how many targets of each version may get the request."""
-        return self._targets.count_versions(call.service)
+        return self._filter.count_versions(call.service)
 
     async def check_admission(self, call: Call) -> NoTarget | None:
         """Return why a request may not begin its stages yet; None if it may begin now."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -41,7 +41,7 @@
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine, QuarantineClient
 from damsonlaned.relay import ReachMonitor, Relay, RelayClient, RelayService
-from damsonlaned.versions import OriginService, StreamOrigins
+from damsonlaned.versions import OriginService, StreamOrigins, TargetFilter
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -144,6 +144,7 @@
             placements,
             permits,
             self._dialect,
+            TargetFilter(self._view),
             gateway.retry_share,
             gateway.retry_window_seconds,
             gateway.retry_slack,
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace
 from typing import Final
@@ -239,38 +238,6 @@
         backing_off = self._view.list_backing_off(service.name)
         return ejected | closed | backing_off | self._misdirected
 
-    def list_other_versions(self, service: Service, version: str) -> set[str]:
-        """Return the targets whose software has another version than this one."""
-        records = self._view.targets_of(service.name)
-        return {record.target for record in records if record.version != version}
-
-    def list_without_model(self, service: Service, model: str) -> set[str]:
-        """Return the targets that report models without this one.
-
-        Empty if no target that may get new work reports it: the name may be an alias.
-        """
-        records = self._view.targets_of(service.name) if model else ()
-        if not any(
-            record.find_weights(model) is not None and self._view.is_open(record)
-            for record in records
-        ):
-            return set()
-        return {
-            record.target
-            for record in records
-            if record.models and record.find_weights(model) is None
-        }
-
-    def list_other_weights(self, service: Service, model: str, weights: int) -> set[str]:
-        """Return the targets that report other weights of a model."""
-        records = self._view.targets_of(service.name)
-        return {record.target for record in records if record.find_weights(model) != weights}
-
-    def count_versions(self, service: Service) -> dict[str, int]:
-        """Return how many targets of each version may get new work."""
-        records = self._view.open_targets_of(service.name)
-        return dict(Counter(record.version for record in records))
-
     def list_full(self, service: Service) -> set[str]:
         """Return the targets that would fail if they rejected more, and get nothing more now."""
         rejections = self._view.announcements.rejections
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -44,7 +44,7 @@
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import LostTarget, Quarantine, QuarantineReport
 from damsonlaned.relay import ReachMonitor, Relay, RelayClient, RelayService
-from damsonlaned.versions import StreamOrigins
+from damsonlaned.versions import StreamOrigins, TargetFilter
 
 #: Time-out of tests, in seconds.
 TEST_TIMEOUT_SECONDS = 20.0
@@ -332,7 +332,10 @@
         self.pools.on_placements = placements.receive
         permits = PermitClient(self.view, self.pools, address)
         self.pools.on_permits = permits.receive
-        self.attempts = Attempts(targets, placements, permits, dialect, 0.2, 10.0, slack)
+        target_filter = TargetFilter(self.view)
+        self.attempts = Attempts(
+            targets, placements, permits, dialect, target_filter, 0.2, 10.0, slack
+        )
         self.late_requests = LateRequests(late_policy, self.metrics)
         self.origins = StreamOrigins(self.view, address, None, self.metrics)
         self.view.on_entries(self.origins.follow_entries)
--- a/packages/damsonlaned/src/damsonlaned/versions/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/__init__.py
@@ -2,5 +2,6 @@
 
 from damsonlaned.versions._service import OriginService
 from damsonlaned.versions._stream_origins import StreamOrigins
+from damsonlaned.versions._target_filter import TargetFilter
 
-__all__ = ["OriginService", "StreamOrigins"]
+__all__ = ["OriginService", "StreamOrigins", "TargetFilter"]
--- a/packages/damsonlaned/src/damsonlaned/versions/_client.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_client.py
@@ -69,14 +69,15 @@
         for position in range(min(COPIES, len(holders))):
             self._send_to(holders[position], _Tell(origin=origin, position=position))
 
-    async def find(self, attempt: str) -> StreamOrigin | None:
+    async def find(self, attempt: str, *, is_needed: bool = True) -> StreamOrigin | None:
         """Return the origin of a stream; None if no box that answers knows it.
 
         Args:
             attempt: id of the caller's attempt that brought its first event.
+            is_needed: whether all holders are asked if the first ones don't know it.
         """
         holders = self._ranking.rank(attempt)
-        for number in range(ROUNDS):
+        for number in range(ROUNDS if is_needed else 1):
             if number:
                 await asyncio.sleep(ROUND_PAUSE_SECONDS)
             origin = await self._ask(holders if number else holders[:FIRST_ASKED], attempt)
--- a/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
@@ -118,10 +118,11 @@
             request: id of the request, for logs.
         """
         origin, source = self.find_here(attempt), "here"
+        certain = self._find_certain(attempt, route)
         if origin is None and attempt:
-            origin, source = await self._client.find(attempt), "told"
+            origin, source = await self._client.find(attempt, is_needed=certain is None), "told"
         if origin is None:
-            origin, source = self._find_certain(attempt, route), "certain"
+            origin, source = certain, "certain"
         fields = {"request": request, "route": route.name, "first_attempt": attempt}
         if origin is None:
             self.count("unknown")
