Tasks of followers are cancelled until they end, so that a stop ends

Cause: in Python 3.11 asyncio.wait_for returns a result that arrives at the moment of a cancellation, and the cancellation is lost; the loop that takes updates goes on, and stop() waits for it for ever. stop_task, which cancels again, was there for the same fault of a library; now followers of control and of settings, their reporters and streams to owners use it.

test_a_follower_stops_though_a_cancellation_was_lost failed before (time-out).

--- a/packages/damsonlaned/src/damsonlaned/entry/_settings_follower.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_settings_follower.py
@@ -31,6 +31,7 @@
 from damsonlaned.entry._draining_targets import DrainingTargets
 from damsonlaned.entry._settings_view import SettingsView
 from damsonlaned.quarantine import KnownQuarantine
+from damsonlaned.tasks import stop_task
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -94,9 +95,7 @@
 
     async def stop(self) -> None:
         """Stop following."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*(stop_task(task) for task in self._tasks))
 
     def announce_draining(self) -> None:
         """Report to control that this box accepts no new requests."""
@@ -133,8 +132,7 @@
                 try:
                     await self._apply_updates(stream)
                 finally:
-                    reporter.cancel()
-                    await asyncio.gather(reporter, return_exceptions=True)
+                    await stop_task(reporter)
         finally:
             channel.close()
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_control_follower.py
@@ -22,7 +22,7 @@
     open_channel,
 )
 from damsonlaned.gateway._view import FleetView
-from damsonlaned.tasks import start_task
+from damsonlaned.tasks import start_task, stop_task
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -92,8 +92,7 @@
         # moment, so a flag ends the loop as well.
         self._is_stopped = True
         if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            await stop_task(self._task)
 
     def announce_draining(self) -> None:
         """Report to control that this box accepts no new requests."""
@@ -152,8 +151,7 @@
                 try:
                     await self._take_updates(stream, address)
                 finally:
-                    reporter.cancel()
-                    await asyncio.gather(reporter, return_exceptions=True)
+                    await stop_task(reporter)
         finally:
             channel.close()
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
@@ -13,7 +13,7 @@
 from damsonlane.ratelimit import Permit
 from damsonlane.targets import Shard
 from damsonlane_rpc import CALL_ERRORS, POOL, PoolOrders, PoolResults, open_channel
-from damsonlaned.tasks import start_task
+from damsonlaned.tasks import start_task, stop_task
 
 #: Fault of a stream that ended without an error.
 _STREAM_ENDED: Final = "the stream ended"
@@ -95,8 +95,7 @@
 
     async def stop(self) -> None:
         """Close the stream."""
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await stop_task(self._task)
 
     async def _run(self) -> None:
         channel = open_channel(self._owner, self._context)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -131,6 +131,22 @@
         )
         self.addAsyncCleanup(self.follower.stop)
 
+    async def test_a_follower_stops_though_a_cancellation_was_lost(self) -> None:
+        lost = asyncio.Event()
+
+        async def follow(address: str) -> None:
+            try:
+                await asyncio.sleep(TEST_TIMEOUT_SECONDS)
+            except asyncio.CancelledError:
+                lost.set()
+            await asyncio.sleep(TEST_TIMEOUT_SECONDS)
+
+        with mock.patch.object(self.follower, "_follow", follow):
+            self.follower.start()
+            await asyncio.sleep(0)
+            await asyncio.wait_for(self.follower.stop(), TEST_TIMEOUT_SECONDS / 2)
+        self.assertTrue(lost.is_set())
+
     def has_reported(self, cores: float, *, is_overloaded: bool = False) -> bool:
         """Return whether the newest report to either replica has these values."""
         newest = [control.reports[-1] for control in (self.first, self.second) if control.reports]
--- a/packages/damsonlaned/src/damsonlaned/tasks.py
+++ b/packages/damsonlaned/src/damsonlaned/tasks.py
@@ -33,8 +33,9 @@
 async def stop_task(task: "asyncio.Task[None]") -> None:
     """Cancel a task and wait until it has ended, whatever it raises.
 
-    A library may replace a cancellation by the error of a connection that fails at the same moment.
-    A task that handles such errors then goes on, so it is cancelled again.
+    A library may replace a cancellation by the error of a connection that fails at the same moment,
+    and `asyncio.wait_for` by a result that arrives then.  The task goes on, so it is cancelled
+    again.
     """
     while not task.done():
         task.cancel()
