A target that registers during the choice for a stream is checked for its version

Cause: targets of other versions are listed before the owner is asked where to place the prompt; a target that registers meanwhile is not on the list, and the owner knows it. The same holds for a wait for permits.

The version of the chosen target is compared with that of the stream after the last wait; a choice that does not fit is undone and made again, three times.

test_a_target_that_registers_during_the_choice_is_not_chosen failed before.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -31,6 +31,8 @@
 MAX_SKIPPED_RESPONSES: Final = 3
 #: Share of the allowed retries that is used, since boxes do not see the retries of each other.
 BUDGET_SHARE: Final = 0.7
+#: Choices of a target for one attempt while targets of another version register.
+MAX_CHOICES: Final = 3
 #: Largest urgency value that targets accept; it is the least urgent.
 LEAST_URGENT: Final = 9
 
@@ -109,6 +111,21 @@
             input_locations: where its stage results are stored.
             origin: where the stream began that the target goes on with; None for a new one.
         """
+        for _ in range(MAX_CHOICES):
+            chosen = await self._choose_once(call, avoid, input_locations, origin)
+            if isinstance(chosen, NoTarget) or origin is None or chosen.version == origin.version:
+                return chosen
+            # It registered or restarted after the targets of other versions had been listed.
+            self._targets.release_unused(chosen)
+        return NoTarget(detail="the targets of the version that began the stream change")
+
+    async def _choose_once(
+        self,
+        call: Call,
+        avoid: Collection[str],
+        input_locations: Sequence[InputLocation],
+        origin: StreamOrigin | None,
+    ) -> ChosenTarget | NoTarget:
         model = call.request.model
         excluded = self._filter.list_excluded(call.service, model, origin)
         avoid = {*avoid, *self._filter.list_other_weights(call.service, model, origin)}
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
@@ -6,7 +6,8 @@
 from dataclasses import replace
 from unittest import mock
 
-from damsonlane.routes import RoutingDocument, Service, WeightedService
+from damsonlane.placement import PlacementRequest
+from damsonlane.routes import EngineProperties, RoutingDocument, Service, WeightedService
 from damsonlane.targets import TargetRecord
 from damsonlane.versions import SteadyVersion, StreamOrigin
 from damsonlaned.gateway.tests.fleet import Fleet
@@ -26,6 +27,15 @@
 LONG = 1_000.0
 
 
+WITH_ENGINES = replace(
+    DOCUMENT,
+    services=(
+        replace(DOCUMENT.services[0], engine=EngineProperties(slots=4, cache_tokens=100_000)),
+        *DOCUMENT.services[1:],
+    ),
+)
+
+
 def split_chat(version: int, *names: str) -> RoutingDocument:
     """Return a document whose resumable route leads to these services."""
     shares = tuple(WeightedService(service=name, weight=1.0) for name in names)
@@ -187,6 +197,25 @@
         writer.close()
         self.assertEqual(target.requests, [])
 
+    async def test_a_target_that_registers_during_the_choice_is_not_chosen(self) -> None:
+        await self.start_fleet(VersionedTarget("t1", "v1"), count=1, document=WITH_ENGINES)
+        later = VersionedTarget("t2", "v2")
+        self.addAsyncCleanup(later.stop)
+        record = await later.start()
+        origin = StreamOrigin(attempt="a", service="desk", version="v1")
+        self.entry.origins.record_told([origin])
+        placed = mock.Mock(target="t2", source="")
+
+        async def place(service: str, order: PlacementRequest) -> mock.Mock | None:
+            if "t2" in order.avoid:
+                return None
+            self.entry.put_targets(*self.records, record)
+            return placed
+
+        with mock.patch.object(self.entry.attempts._placements, "place", place):
+            self.check_went_on(BROKEN, await resume(self.entry, "b", "a", BROKEN))
+        self.assertEqual(later.requests, [])
+
     async def test_two_tries_of_a_stream_at_once_go_on_at_one_version(self) -> None:
         await self.start_fleet(
             *(VersionedTarget(f"t{number}", f"v{number % 2}") for number in range(4))
