Accepted requests log the shared parts of their prompts and their material key

The logs of the incident could not show what the requests under exits of engines have in common: the line 'accepted' named a fingerprint of the whole request, and no other line names a part. At most 16 parts are logged.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -40,6 +40,8 @@
 START_RETRY_SECONDS: Final = 0.2
 #: Seconds after which the caller of a stream that can't go on here should return.
 STREAM_RETURN_SECONDS: Final = 1.0
+#: Most shared prompt segments that the log line of a request names.
+MAX_LOGGED_PARTS: Final = 16
 #: Resolution of the weights of a route's services.
 _WEIGHT_STEPS: Final = 10_000
 
@@ -356,11 +358,20 @@
         "waited_ms": int(1000 * call.earlier_wait_seconds),
         "pieces": call.request.pieces,
         "tokens": call.request.prompt_tokens,
+        **_describe_prompt(call),
         **_resumed_fields(call),
         **({"passed_on_by": call.relayed_by} if call.relayed_by else {}),
     }
 
 
+def _describe_prompt(call: Call) -> dict[str, object]:
+    """Return the log fields that name what a request shares with others; none for others."""
+    request = call.request
+    shared = [segment.identity for segment in request.prefix_segments[:-1]]
+    parts = {"parts": shared[:MAX_LOGGED_PARTS]} if shared else {}
+    return parts | ({"material": request.material_key} if request.material_key else {})
+
+
 def _resumed_fields(call: Call) -> dict[str, object]:
     """Return the log fields of a request that resumes an event stream; none for others."""
     request = call.request
