Parts of prompts under which engines exit are quarantined, whatever else requests hold

Cause: exits were counted by the fingerprint of a whole request. Requests that share only a part never met in one count. Class: a count for one request where what fails is something that requests share. Ruled out: reports of exits that are late or missing (each reached control within 0.2 s) and attribution to bystanders (the list held few names, each with three exits of its own).

Change: the runs of an exit name each shared part, with and without the service, model and version where it ran. One attribution covers whole requests and parts. Names that one request always held together are quarantined together: a request is refused if it holds all of them, so that the next exit or answer tells them apart. A part is cleared by an answer, by a stream that has been written for a second, and by other entries that served it in the last ten seconds: they answer for it within 0.2 s of its first listing, and until then nothing with it is sent or stopped. An earlier answer counts no longer once exits go on for two seconds without another one. A version that does not bear a part gets no request with it; the others do.

Why it works: a deadly part is in every exit that it causes and in no answer; innocent ones are answered, or separated by the next exit.

The stand-in logs a run under a deadly part when the prompt is read, as engines do; the run under a deadly body is logged at its beginning, as before.

--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -46,6 +46,9 @@
     is_begun: bool = False
     #: Fingerprint of the request, the same for every retry of it.
     fingerprint: str = ""
+    #: Names of what the pieces of the request share with those of others.  Messages omit this field
+    #: where there is nothing.
+    shared_causes: Annotated[tuple[str, ...], Field(exclude_if=operator.not_)] = ()
     #: Data centre where the piece should run, since its inputs or the consumer of its
     #: result are there; empty when little data would have to be transferred.
     home: str = ""
--- a/packages/damsonlane/src/damsonlane/quarantine/__init__.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/__init__.py
@@ -1,10 +1,11 @@
-"""Quarantine of requests that crash their targets.
+"""Quarantine of requests that crash their targets, and of what such requests share.
 
 Reports of targets that exited, with the requests that were interrupted there, and of requests that
-were served determine the list of requests that are sent to no target.
+were served determine the list of requests and shared causes that are sent to no target.
 """
 
 from damsonlane.quarantine._attribution import EXITS_TO_QUARANTINE, EXITS_TO_QUARANTINE_TIED
+from damsonlane.quarantine._causes import RequestCauses, is_shared, list_shared_causes
 from damsonlane.quarantine._exits import (
     ForgetTargetExits,
     InterruptedRequest,
@@ -24,9 +25,10 @@
     QuarantineRegistry,
     QuarantineSnapshot,
 )
-from damsonlane.quarantine._served import SERVED_SECONDS, RecentlyServed
+from damsonlane.quarantine._served import CONFIRMED_SECONDS, SERVED_SECONDS, RecentlyServed
 
 __all__ = [
+    "CONFIRMED_SECONDS",
     "EXIT_WINDOW_SECONDS",
     "EXITS_TO_QUARANTINE",
     "EXITS_TO_QUARANTINE_TIED",
@@ -43,7 +45,10 @@
     "QuarantineRecorded",
     "QuarantineSnapshot",
     "ReleaseRequest",
+    "RequestCauses",
     "RecentlyServed",
     "TargetExit",
     "find_fingerprint",
+    "is_shared",
+    "list_shared_causes",
 ]
--- a/packages/damsonlane/src/damsonlane/quarantine/_exits.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_exits.py
@@ -1,6 +1,11 @@
 """Exits of targets with the requests that were interrupted: commands and stored records."""
 
-from typing import Literal
+import operator
+from collections.abc import Collection
+from dataclasses import replace
+from typing import Annotated, Literal, Self
+
+from pydantic import Field
 
 from damsonlane.records import dataclass
 
@@ -9,10 +14,32 @@
 class InterruptedRequest:
     """A request whose answer was interrupted when its target exited."""
 
-    #: Fingerprint of the request.
+    #: Fingerprint of the request; empty if it is known not to be the cause.
     fingerprint: str
     #: Seconds from sending it until the interruption.
     seconds: float
+    #: Names of what it shares with other requests, those left out that are known not to be the
+    #: cause.
+    shared: Annotated[tuple[str, ...], Field(exclude_if=operator.not_)] = ()
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of all possible causes in it."""
+        return (self.fingerprint, *self.shared) if self.fingerprint else self.shared
+
+    def without(self, names: Collection[str]) -> Self:
+        """Return it without some names."""
+        if not any(name in names for name in self.names):
+            return self
+        return replace(
+            self,
+            fingerprint="" if self.fingerprint in names else self.fingerprint,
+            shared=tuple(name for name in self.shared if name not in names),
+        )
+
+    def limit_shared(self, most: int) -> Self:
+        """Return it with at most some names of what it shares."""
+        return self if len(self.shared) <= most else replace(self, shared=self.shared[:most])
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -38,16 +65,16 @@
     """Command: record that targets served requests, so that these are not the cause of exits."""
 
     kind: Literal["note-survived"] = "note-survived"
-    #: Fingerprints of the requests.
+    #: Fingerprints of the requests, and names of what they share with others.
     fingerprints: tuple[str, ...]
 
 
 @dataclass(frozen=True, kw_only=True)
 class ReleaseRequest:
-    """Command of an operator: release a request from the quarantine."""
+    """Command of an operator: release a request, or a shared cause, from the quarantine."""
 
     kind: Literal["release-request"] = "release-request"
-    #: Fingerprint of the request.
+    #: Fingerprint of the request, or name of the cause.
     fingerprint: str
     #: Who asks.
     operator: str
@@ -83,6 +110,13 @@
         """Name and start of the incarnation."""
         return (self.target, self.start)
 
-    def has(self, fingerprint: str) -> bool:
-        """Return whether a request was in progress there."""
-        return any(run.fingerprint == fingerprint for run in self.runs)
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of everything that may have caused it."""
+        return frozenset(name for run in self.runs for name in run.names)
+
+    def has_run_with(self, name: str, others: Collection[str]) -> bool:
+        """Return whether one request held a name and all of some others."""
+        return any(
+            name in run.names and all(other in run.names for other in others) for run in self.runs
+        )
--- a/packages/damsonlane/src/damsonlane/quarantine/_registry.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_registry.py
@@ -1,4 +1,4 @@
-"""The registry of quarantined requests: part of the replicated state."""
+"""The registry of quarantined requests and shared causes: part of the replicated state."""
 
 from collections.abc import Collection, Iterable
 from dataclasses import replace
@@ -6,6 +6,7 @@
 
 from damsonlane.quarantine._attribution import (
     EXITS_TO_QUARANTINE,
+    Cause,
     ExitsByIdentity,
     attribute_exits,
     find_oldest_removable,
@@ -25,6 +26,10 @@
 MAX_EXITS: Final = 256
 #: Most requests that are stored for one exit; those that ran for the shortest time are kept.
 MAX_RUNS: Final = 48
+#: Most names of shared causes that are stored for one exit.
+MAX_SHARED_NAMES: Final = 192
+#: Most targets that the list names as evidence for one cause, the newest exits first.
+MAX_LISTED_TARGETS: Final = 5
 #: Seconds for which an exit counts.  A request that crashes targets costs three of them in this
 #: time.
 EXIT_WINDOW_SECONDS: Final = 3_600.0
@@ -42,15 +47,24 @@
 
 @dataclass(frozen=True, kw_only=True)
 class QuarantinedRequest:
-    """A quarantined request."""
+    """A quarantined request, or something that requests share."""
 
-    #: Its fingerprint.
+    #: Its fingerprint, or the name of the shared cause.
     fingerprint: str
+    #: Names that a request must hold besides, for lack of evidence which one is the cause.
+    others: tuple[str, ...] = ()
+    #: Some of the targets that exited, the newest exit first.
+    targets: tuple[str, ...] = ()
     #: Number of exits that are attributed to it.
     ends: int
     #: When it is released unless more exits are attributed to it, in seconds since 1970.
     until: float
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """All its names; a request that holds all of them is refused."""
+        return (self.fingerprint, *self.others)
+
 
 @dataclass(frozen=True, kw_only=True)
 class QuarantineList:
@@ -58,9 +72,9 @@
 
     #: Number of changes so far; a lower one is older.
     revision: int = 0
-    #: Quarantined requests.
+    #: Quarantined requests and shared causes.
     held: tuple[QuarantinedRequest, ...] = ()
-    #: Fingerprints of other requests that are part of several exits.
+    #: Names of others that are part of several exits.
     suspects: tuple[str, ...] = ()
 
 
@@ -89,8 +103,8 @@
     def __init__(self, snapshot: QuarantineSnapshot | None = None) -> None:
         start = snapshot or QuarantineSnapshot()
         self._exits: dict[tuple[str, int], TargetExit] = {}
-        self._exits_by_request: dict[str, set[tuple[str, int]]] = {}
-        #: Whether a request of several exits has lost one since the list was built.
+        self._exits_by_name: dict[str, set[tuple[str, int]]] = {}
+        #: Whether a name of several exits has lost one since the list was built.
         self._is_list_outdated = False
         self._replace_exits(start.ends)
         self._list = self._make_list(start.revision)
@@ -126,7 +140,7 @@
             case RecordServed(fingerprints=fingerprints):
                 self._release(fingerprints)
             case ReleaseRequest(fingerprint=fingerprint):
-                self._release((fingerprint,))
+                self._release(self._find_group(fingerprint))
             case ForgetTargetExits(before=before):
                 self._replace_exits(
                     [
@@ -154,7 +168,7 @@
         self._store(replace(target_exit, runs=_keep_shortest(target_exit.runs)))
         while len(self._exits) > MAX_EXITS:
             exits = list(self._exits.values())
-            quarantined = [request.fingerprint for request in self._list.held]
+            quarantined = [name for request in self._list.held for name in request.names]
             self._remove(exits[find_oldest_removable(exits, quarantined)])
 
     def _store(self, target_exit: TargetExit) -> None:
@@ -164,41 +178,42 @@
         """
         known = self._exits.get(target_exit.identity)
         self._exits[target_exit.identity] = target_exit
-        for run in target_exit.runs:
-            self._exits_by_request.setdefault(run.fingerprint, set()).add(target_exit.identity)
-        for run in known.runs if known is not None else ():
-            if not target_exit.has(run.fingerprint):
-                self._remove_from_index(run.fingerprint, target_exit.identity)
+        for name in target_exit.names:
+            self._exits_by_name.setdefault(name, set()).add(target_exit.identity)
+        for name in known.names - target_exit.names if known is not None else ():
+            self._remove_from_index(name, target_exit.identity)
 
     def _remove(self, target_exit: TargetExit) -> None:
         del self._exits[target_exit.identity]
-        for run in target_exit.runs:
-            self._remove_from_index(run.fingerprint, target_exit.identity)
+        for name in target_exit.names:
+            self._remove_from_index(name, target_exit.identity)
 
-    def _remove_from_index(self, fingerprint: str, identity: tuple[str, int]) -> None:
-        """Remove an exit from those of a request."""
-        identities = self._exits_by_request[fingerprint]
+    def _remove_from_index(self, name: str, identity: tuple[str, int]) -> None:
+        """Remove an exit from those of a name."""
+        identities = self._exits_by_name[name]
         if len(identities) >= EXITS_TO_SUSPECT:
             self._is_list_outdated = True
         identities.discard(identity)
         if not identities:
-            del self._exits_by_request[fingerprint]
+            del self._exits_by_name[name]
 
     def _replace_exits(self, exits: Iterable[TargetExit]) -> None:
         """Replace all exits."""
         self._exits.clear()
-        self._exits_by_request.clear()
+        self._exits_by_name.clear()
         for target_exit in exits:
             self._store(target_exit)
 
     def _has_suspects(self, runs: Iterable[InterruptedRequest]) -> bool:
-        """Return whether some requests are part of several exits; if not, the list is unchanged.
+        """Return whether some names are part of several exits; if not, the list is unchanged.
 
         When a rack of targets is lost, hundreds of reports come, and hardly a request is part of
         two exits.  Rebuilding the list for each of them would take seconds.
         """
         return any(
-            len(self._exits_by_request.get(run.fingerprint, ())) >= EXITS_TO_SUSPECT for run in runs
+            len(self._exits_by_name.get(name, ())) >= EXITS_TO_SUSPECT
+            for run in runs
+            for name in run.names
         )
 
     def _find_start(self, command: RecordTargetExit) -> int:
@@ -209,13 +224,15 @@
                 return target_exit.start
         return -round(1_000 * command.at)
 
-    def _release(self, fingerprints: Collection[str]) -> None:
-        """Remove some requests from all exits."""
+    def _find_group(self, name: str) -> frozenset[str]:
+        """Return a name with all that are quarantined together with it."""
+        groups = [request.names for request in self._list.held if name in request.names]
+        return frozenset((name, *(other for group in groups for other in group)))
+
+    def _release(self, names: Collection[str]) -> None:
+        """Remove some names from all exits."""
         released = [
-            replace(
-                target_exit,
-                runs=tuple(run for run in target_exit.runs if run.fingerprint not in fingerprints),
-            )
+            replace(target_exit, runs=_drop_empty(run.without(names) for run in target_exit.runs))
             for target_exit in self._exits.values()
         ]
         self._replace_exits([target_exit for target_exit in released if target_exit.runs])
@@ -228,38 +245,65 @@
 
     def _make_list(self, revision: int) -> QuarantineList:
         """Build the list from the exits that count."""
-        exits_by_request = self._find_candidates()
-        causes = attribute_exits(exits_by_request)
-        quarantined = tuple(_quarantine(name, causes[name]) for name in sorted(causes))
-        others = {name: exits for name, exits in exits_by_request.items() if name not in causes}
+        exits_by_name = self._find_candidates()
+        causes = attribute_exits(exits_by_name)
+        quarantined = sorted(map(_quarantine, causes), key=lambda request: request.fingerprint)
+        names = {name for cause in causes for name in cause.names}
+        others = {name: exits for name, exits in exits_by_name.items() if name not in names}
         suspects = list_suspects(others, MAX_SUSPECTS)
-        return QuarantineList(revision=revision, held=quarantined, suspects=suspects)
+        return QuarantineList(revision=revision, held=tuple(quarantined), suspects=suspects)
 
     def _find_candidates(self) -> dict[str, ExitsByIdentity]:
-        """Return the requests that are part of several exits, each with its exits."""
+        """Return the names that are part of several exits, each with its exits."""
         return {
             name: {identity: self._exits[identity] for identity in sorted(identities)}
-            for name, identities in self._exits_by_request.items()
+            for name, identities in self._exits_by_name.items()
             if len(identities) >= EXITS_TO_SUSPECT
         }
 
 
-def _quarantine(fingerprint: str, exits: tuple[TargetExit, ...]) -> QuarantinedRequest:
-    """Return a quarantined request; its release is when too few of its exits count."""
-    times = sorted((target_exit.at for target_exit in exits), reverse=True)
+def _quarantine(cause: Cause) -> QuarantinedRequest:
+    """Return a quarantined cause; its release is when too few of its exits count."""
+    exits = sorted(cause.exits, key=lambda target_exit: (-target_exit.at, target_exit.identity))
     return QuarantinedRequest(
-        fingerprint=fingerprint,
+        fingerprint=cause.names[0],
+        others=cause.names[1:],
+        targets=tuple(target_exit.target for target_exit in exits[:MAX_LISTED_TARGETS]),
         ends=len(exits),
-        until=times[EXITS_TO_QUARANTINE - 1] + EXIT_WINDOW_SECONDS,
+        until=exits[EXITS_TO_QUARANTINE - 1].at + EXIT_WINDOW_SECONDS,
     )
 
 
+def _drop_empty(runs: Iterable[InterruptedRequest]) -> tuple[InterruptedRequest, ...]:
+    """Return the runs that still name a possible cause."""
+    return tuple(run for run in runs if run.names)
+
+
 def _keep_shortest(runs: tuple[InterruptedRequest, ...]) -> tuple[InterruptedRequest, ...]:
     """Return the shortest run of each request, limited to the number that is stored."""
-    shortest: dict[str, InterruptedRequest] = {}
+    shortest: dict[tuple[str, ...], InterruptedRequest] = {}
     for run in runs:
-        known = shortest.get(run.fingerprint)
+        key = (run.fingerprint,) if run.fingerprint else run.shared
+        known = shortest.get(key)
         if known is None or run.seconds < known.seconds:
-            shortest[run.fingerprint] = run
-    ordered = sorted(shortest.values(), key=lambda run: (run.seconds, run.fingerprint))
-    return tuple(ordered[:MAX_RUNS])
+            shortest[key] = run
+    # Runs with the same shared causes say as much as one of them, and go after the others.
+    ordered = sorted(shortest.values(), key=lambda run: (run.seconds, run.names))
+    seen: set[str] = set()
+    repeated: list[InterruptedRequest] = []
+    first: list[InterruptedRequest] = []
+    for run in ordered:
+        is_new = not run.shared or not seen.issuperset(run.shared)
+        (first if is_new else repeated).append(run)
+        seen.update(run.shared)
+    return _limit_names((*first, *repeated)[:MAX_RUNS])
+
+
+def _limit_names(runs: tuple[InterruptedRequest, ...]) -> tuple[InterruptedRequest, ...]:
+    """Return runs with as many names of shared causes as are stored for one exit."""
+    left = MAX_SHARED_NAMES
+    limited: list[InterruptedRequest] = []
+    for run in runs:
+        limited.append(replace(run, shared=run.shared[:left]) if run.shared else run)
+        left -= len(limited[-1].shared)
+    return _drop_empty(limited)
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -14,6 +14,7 @@
 
 from damsonlane.codec import encode_bytes
 from damsonlane.targets import TargetRecord
+from damsonlane_bench.registered_target._crashes import CRASH_DELAY_SECONDS, Crash, find_crash
 from damsonlane_bench.registered_target._events import EVENT_COUNT, LARGE_INPUT, render_event
 from damsonlane_bench.registered_target._load import ReportedLoad
 from damsonlane_bench.registered_target._rejections import Rejections
@@ -44,10 +45,6 @@
 _WORK_SECONDS: Final = 0.02
 #: Seconds between the events of a stream.
 _EVENT_SECONDS: Final = 0.05
-#: Body of a request, or material key of a piece, at which a target exits.
-CRASH_INPUT: Final = "end the target"
-#: Seconds from the beginning of such a run until the process exits.
-_CRASH_DELAY_SECONDS: Final = 0.05
 #: Exit code of a process that exits at `CRASH_INPUT`.
 _CRASH_EXIT_CODE: Final = 70
 #: Signals at which a target rejects requests and requests a back-off, and at which it announces in
@@ -244,10 +241,8 @@
         elif self._kind != "pool" and not self._is_addressed(request):
             # Checked first: a request for another target never runs here, not even a crashing one.
             reply.send_response(HttpResponse(status=421))
-        elif _crashes_target(request, self._kind):
-            _log_run(request, is_crash=True)
-            await asyncio.sleep(_CRASH_DELAY_SECONDS)
-            os._exit(_CRASH_EXIT_CODE)
+        elif (crash := find_crash(request, is_pool=self._kind == "pool")) is not None:
+            await self._exit_under(request, reply, crash)
         elif self._kind == "pool":
             await self._compute_pieces(request, reply)
         elif self._kind == "engine":
@@ -259,6 +254,16 @@
                 HttpResponse(status=200, headers=self._make_headers(request), body=b"ok")
             )
 
+    async def _exit_under(self, request: HttpRequest, reply: ResponseWriter, crash: Crash) -> None:
+        await asyncio.sleep(crash.read_seconds)
+        _log_run(request, is_crash=True)
+        if crash.has_event:
+            headers = (*self._make_headers(request), (b"Content-Type", b"text/event-stream"))
+            reply.start(HttpHead(status=200, headers=headers))
+            await reply.send(render_event(1, "", self._record.version).encode())
+        await asyncio.sleep(CRASH_DELAY_SECONDS)
+        os._exit(_CRASH_EXIT_CODE)
+
     def _is_addressed(self, request: HttpRequest) -> bool:
         """Return whether a request is for this incarnation of this target."""
         start = request.find(b"damsonlane-target-start") or str(self._record.start)
@@ -390,15 +395,5 @@
     print(json.dumps(line), flush=True)
 
 
-def _crashes_target(request: HttpRequest, kind: TargetKind) -> bool:
-    """Return whether the target exits when it runs a request."""
-    if kind != "pool":
-        return request.body == CRASH_INPUT.encode()
-    is_piece_call = request.path == "/v1/pieces"
-    return is_piece_call and any(
-        piece["material_key"] == CRASH_INPUT for piece in json.loads(request.body)["pieces"]
-    )
-
-
 def _render(status: int, detail: str) -> HttpResponse:
     return HttpResponse(status=status, body=detail.encode())
--- a/packages/damsonlane_cli/src/damsonlane_cli/_quarantine.py
+++ b/packages/damsonlane_cli/src/damsonlane_cli/_quarantine.py
@@ -3,7 +3,7 @@
 from datetime import UTC, datetime
 from typing import Final
 
-from damsonlane.quarantine import QuarantineList, QuarantineRecorded, ReleaseRequest
+from damsonlane.quarantine import QuarantineList, QuarantineRecorded, ReleaseRequest, is_shared
 from damsonlane_cli._context import (
     EXIT_INPUT,
     EXIT_REFUSED,
@@ -27,15 +27,19 @@
 
 
 class QuarantineCommands:
-    """Show and release quarantined requests, under which targets repeatedly exited."""
+    """Show and release quarantined requests, and what they share, under which targets exited."""
 
     def list(self, json: bool = False) -> None:
-        """Show the quarantined requests, how many targets exited under each, and until when."""
+        """Show what is quarantined, how many targets exited under it and which, and until when.
+
+        Names of one row stand with a plus sign between them: requests that have all are refused.
+        """
         quarantine = _read_list()
         rows = [
             {
-                "fingerprint": request.fingerprint,
+                "fingerprint": "+".join(request.names),
                 "ends": request.ends,
+                "targets": ",".join(request.targets),
                 "until": datetime.fromtimestamp(request.until, UTC).isoformat(timespec="seconds"),
             }
             for request in quarantine.held
@@ -43,13 +47,14 @@
         print_rows(rows, json)
 
     def release(self, fingerprint: str, seconds: float = DEFAULT_SECONDS) -> None:
-        """Allow a request to be sent to targets again, for example after they were fixed.
+        """Allow requests to be sent to targets again, for example after they were fixed.
 
         Args:
-            fingerprint: its fingerprint, as `damsonlane quarantine list` and logs show it.
+            fingerprint: fingerprint of a request, or name of what requests share, as `damsonlane
+                quarantine list` and logs show it.  What stands in the same row is released too.
             seconds: time-out of the call to control, in seconds.
         """
-        name = _check_fingerprint(fingerprint)
+        name = _check_name(fingerprint)
         command = ReleaseRequest(fingerprint=name, operator="", at=0.0)
 
         async def work(client: ControlClient, _: OperatorSettings) -> QuarantineList:
@@ -60,7 +65,7 @@
             assert isinstance(reply, QuarantineRecorded)
             return reply.quarantine
 
-        quarantined = {request.fingerprint for request in _read_list().held}
+        quarantined = {name for request in _read_list().held for name in request.names}
         call_control(work)
         print(f"{name} is {'released' if name in quarantined else 'not held'}")
 
@@ -74,13 +79,16 @@
     return call_control(work)
 
 
-def _check_fingerprint(fingerprint: object) -> str:
-    """Return a fingerprint in lower case, or exit if it is invalid."""
-    text = str(fingerprint).lower()
+def _check_name(name: object) -> str:
+    """Return a fingerprint in lower case, or the name of a shared cause; exit if it is neither."""
+    text = str(name)
+    if is_shared(text):
+        return text
+    text = text.lower()
     if len(text) != _FINGERPRINT_LENGTH or any(digit not in "0123456789abcdef" for digit in text):
         fail(
-            f"{text!r} is not a fingerprint: expected {_FINGERPRINT_LENGTH} hexadecimal digits, as "
-            "'damsonlane quarantine list' shows them",
+            f"{text!r} is not a fingerprint: expected {_FINGERPRINT_LENGTH} hexadecimal digits, or "
+            "a name such as part:5c1e07a2, as 'damsonlane quarantine list' shows them",
             EXIT_INPUT,
         )
     return text
--- a/packages/damsonlaned/src/damsonlaned/entry/_caller_application.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_caller_application.py
@@ -27,10 +27,10 @@
     ProblemError,
     parse_request,
 )
-from damsonlaned.entry._request_runner import RequestRunner, describe_quarantined
+from damsonlaned.entry._request_runner import RequestRunner
 from damsonlaned.entry._settings_view import SettingsView
 from damsonlaned.metrics import Metrics
-from damsonlaned.quarantine import find_retry_seconds
+from damsonlaned.quarantine import describe_quarantined, find_retry_seconds
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_request_runner.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_request_runner.py
@@ -28,6 +28,7 @@
 from damsonlaned.entry._control_link import ControlLink
 from damsonlaned.entry._dispatcher import Dispatcher
 from damsonlaned.entry._request_parser import ParsedRequest
+from damsonlaned.quarantine import describe_quarantined
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -126,11 +127,6 @@
         return machine.take_result(read_clock(), target, result)
 
 
-def describe_quarantined(quarantined: QuarantinedRequest) -> str:
-    """Return the reason for the quarantine of a request, for its caller."""
-    return f"{quarantined.ends} targets ended while they had this request"
-
-
 def _find_fingerprint(parsed: ParsedRequest) -> str:
     """Return the fingerprint that identical requests of one organisation share.
 
--- a/packages/damsonlaned/src/damsonlaned/entry/_thread_safe_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_thread_safe_quarantine.py
@@ -35,7 +35,7 @@
     def find_quarantined(self, fingerprint: str) -> QuarantinedRequest | None:
         """Return the record of a quarantined request, or None if it may be sent to targets."""
         # Any thread may read: lists are replaced as a whole and never modified.
-        return self._quarantine.find_quarantined(fingerprint)
+        return self._quarantine.find_quarantined((fingerprint,))
 
     def report_interrupted(self, lost: LostTarget, run: InterruptedRequest) -> None:
         """Find out whether a target exited under a request, and report an exit to control."""
@@ -49,7 +49,7 @@
 
     def record_served(self, fingerprint: str) -> None:
         """Record a request that was served successfully."""
-        self._loop.call_soon_threadsafe(self._quarantine.record_served, fingerprint)
+        self._loop.call_soon_threadsafe(self._quarantine.record_served, (fingerprint,))
 
     async def stop(self) -> None:
         """Stop reporting to control."""
@@ -71,4 +71,4 @@
         fields = {"target": lost.target, "address": lost.address}
         _LOG.warning("target exited", extra={**fields, "fingerprints": [run.fingerprint]})
         self._quarantine.record_exit(lost, (run,))
-        await self._quarantine.wait_until_reported(run.fingerprint)
+        await self._quarantine.wait_until_reported((run.fingerprint,))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -102,6 +102,7 @@
         avoid: Collection[str],
         input_locations: Sequence[InputLocation] = (),
         origin: StreamOrigin | None = None,
+        excluded_versions: Collection[str] = (),
     ) -> ChosenTarget | NoTarget:
         """Choose a target for a request.
 
@@ -110,14 +111,20 @@
             avoid: targets that failed it already.
             input_locations: where its stage results are stored.
             origin: where the stream began that the target goes on with; None for a new one.
+            excluded_versions: versions whose targets may not get the request.
         """
         for _ in range(MAX_CHOICES):
-            chosen = await self._choose_once(call, avoid, input_locations, origin)
-            if isinstance(chosen, NoTarget) or origin is None or chosen.version == origin.version:
+            chosen = await self._choose_once(
+                call, avoid, input_locations, origin, excluded_versions
+            )
+            if isinstance(chosen, NoTarget) or (
+                chosen.version not in excluded_versions
+                and (origin is None or chosen.version == origin.version)
+            ):
                 return chosen
             # It registered or restarted after the targets of other versions had been listed.
             self._targets.release_unused(chosen)
-        return NoTarget(detail="the targets of the version that began the stream change")
+        return NoTarget(detail="the targets of the versions that may serve the request change")
 
     async def _choose_once(
         self,
@@ -125,9 +132,10 @@
         avoid: Collection[str],
         input_locations: Sequence[InputLocation],
         origin: StreamOrigin | None,
+        excluded_versions: Collection[str],
     ) -> ChosenTarget | NoTarget:
         model = call.request.model
-        excluded = self._filter.list_excluded(call.service, model, origin)
+        excluded = self._filter.list_excluded(call.service, model, origin, excluded_versions)
         avoid = {*avoid, *self._filter.list_other_weights(call.service, model, origin)}
         placed = await self._place_prompt(call, {*avoid, *excluded}, input_locations)
         if placed is not None:
@@ -135,6 +143,12 @@
         prompt = _find_prompt(call)
         return await self._limited_targets.choose(call.service, prompt, avoid, excluded)
 
+    def list_versions(self, call: Call) -> frozenset[str]:
+        """Return the versions of the targets that may get the request."""
+        if call.origin is not None:
+            return frozenset((call.origin.version,))
+        return frozenset(self._filter.count_versions(call.service))
+
     def count_versions(self, call: Call) -> dict[str, int]:
         """Return how many targets of each version may get the request."""
         return self._filter.count_versions(call.service)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -39,6 +39,10 @@
     deadline_at: float
     #: Fingerprint of the request, the same whenever its caller sends it again.
     fingerprint: str = ""
+    #: Names of what it shares with other requests and what may make its last target exit.
+    shared_causes: tuple[str, ...] = ()
+    #: The same for the targets of its stages.
+    stage_causes: tuple[str, ...] = ()
     #: Whether its response has begun and is resumed at another target.
     has_response_begun: bool = False
     #: Name of the box that passed it on to this one, or an empty string.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from damsonlane.admission import CallerWaitEstimator
-from damsonlane.quarantine import find_fingerprint
+from damsonlane.quarantine import find_fingerprint, list_shared_causes
 from damsonlane.records import dataclass
 from damsonlane.routes import Organisation, Route, RouteTable, Service
 from damsonlaned.dialects import BadRequestError, CallerRequest, Dialect, Refusal
@@ -268,6 +268,7 @@
             arrived_at=arrived_at,
             deadline_at=arrived_at + seconds - ANSWER_MARGIN_SECONDS,
             fingerprint=_find_fingerprint(request, organisation),
+            shared_causes=_list_shared_causes(request),
             earlier_wait_seconds=self._earlier_waits.estimate_seconds(
                 route.name, request.deadline_seconds
             ),
@@ -346,6 +347,16 @@
     )
 
 
+def _list_shared_causes(request: CallerRequest) -> tuple[str, ...]:
+    """Return what of a request may make the target of its last step exit.
+
+    The last segment of a prompt belongs to the request, which its fingerprint covers.
+    """
+    return list_shared_causes(
+        parts=(segment.identity for segment in request.prefix_segments[:-1]),
+    )
+
+
 def _accepted_fields(call: Call) -> dict[str, object]:
     """Return the log fields of an accepted request."""
     return {
--- a/packages/damsonlaned/src/damsonlaned/gateway/_failure_responder.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_failure_responder.py
@@ -8,7 +8,7 @@
 from damsonlaned.gateway._failed_attempt import FailedAttempt
 from damsonlaned.gateway._final_response import FinalResponse
 from damsonlaned.gateway._stage_runner import StageError
-from damsonlaned.quarantine import find_retry_seconds
+from damsonlaned.quarantine import describe_quarantined, find_retry_seconds
 
 #: Least Retry-After of a request that failed at all targets without having run, in seconds.
 MIN_RETRY_AFTER_SECONDS: Final = 0.5
@@ -72,7 +72,7 @@
         """
         if is_under_way:
             self._history.may_have_run = True
-        detail = f"{quarantined.ends} targets ended while they had this request"
+        detail = describe_quarantined(quarantined)
         if self._history.may_have_run:
             self._refuse(502, detail)
         else:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -9,7 +9,6 @@
 
 from damsonlane.fairness import UsageTotals
 from damsonlane.pools import CallPlan, PieceOrder, PieceQueue, WaitingPiece
-from damsonlane.quarantine import InterruptedRequest
 from damsonlane.routes import PoolProperties, Service
 from damsonlane.targets import Shard
 from damsonlane.warmup import WarmupLimiter
@@ -28,7 +27,7 @@
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.gateway._wait_forecasts import WaitForecasts
 from damsonlaned.http import ConnectionPool, IncompleteResponseError, NotSentError
-from damsonlaned.quarantine import LostTarget, Quarantine
+from damsonlaned.quarantine import LostTarget, PieceQuarantine, Quarantine
 from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
@@ -69,7 +68,7 @@
     ) -> None:
         self._is_reached: Final = is_reached
         self._exit_detector: Final = exit_detector
-        self._quarantine: Final = quarantine
+        self._quarantine: Final = PieceQuarantine(quarantine, shard.service)
         self._shard: Final = shard
         self._service: Final = shard.service
         self._shards = 0
@@ -125,7 +124,7 @@
                 objective_at=now + order.aim_left_seconds,
                 abandonable_until=now + order.give_up_left_seconds,
             )
-            if self._quarantine.find_quarantined(order.fingerprint) is not None:
+            if self._quarantine.is_quarantined(order):
                 self._answers.answer(piece, fault="failed")
             else:
                 self._queue.add(piece)
@@ -219,7 +218,11 @@
     ) -> BatchCall | None:
         """Dequeue a batch for a target and return its call; None if no piece fits."""
         capacity = self._pool_targets.find_capacity(target, properties, now)
-        batch = self._isolate_suspects(self._queue.take_batch(plan, now, capacity))
+        batch, others = self._quarantine.isolate_suspects(
+            self._queue.take_batch(plan, now, capacity)
+        )
+        for piece in others:
+            self._queue.add(piece)
         if not batch:
             return None
         # Late work may have to wait although the call is not full.
@@ -228,26 +231,6 @@
         target.record_call(call.reserved_bytes, now + call.seconds)
         return call
 
-    def _isolate_suspects(self, batch: tuple[WaitingPiece, ...]) -> tuple[WaitingPiece, ...]:
-        """Return the part of a batch that may run together, and queue the rest again.
-
-        A request suspected of crashing targets runs in calls of its own. A request that always
-        shared its calls could not be distinguished from it, and would be quarantined as well.
-        """
-        if not any(self._quarantine.is_suspect(piece.order.fingerprint) for piece in batch):
-            return batch
-        first = batch[0].order.fingerprint
-        is_first_suspect = self._quarantine.is_suspect(first)
-        taken: list[WaitingPiece] = []
-        others: list[WaitingPiece] = []
-        for piece in batch:
-            name = piece.order.fingerprint
-            suits = name == first if is_first_suspect else not self._quarantine.is_suspect(name)
-            (taken if suits else others).append(piece)
-        for piece in others:
-            self._queue.add(piece)
-        return tuple(taken)
-
     def _start(self, service: Service, call: BatchCall) -> None:
         self.activity.record_call()
         task = start_task(self._run(service, call), "call to a pool target")
@@ -312,7 +295,8 @@
             self._record_failed_call(call, str(error), has_run=False)
         except TimeoutError:
             self._exit_detector.report_silent(
-                LostTarget.of(target.incarnation), self._describe_runs(call, began_at)
+                LostTarget.of(target.incarnation),
+                self._quarantine.describe_runs(call.batch, self._now() - began_at),
             )
             self._record_failed_call(call, "no answer in time", has_run=True)
         except (IncompleteResponseError, BadRequestError) as error:
@@ -365,6 +349,9 @@
                 out_of_memory.append(piece)
             else:
                 failed.append(piece)
+        self._quarantine.record_computed(
+            piece.order for piece, result in zip(call.batch, computed, strict=True) if result.handle
+        )
         self._record_out_of_memory(call, out_of_memory, sum(sizes.values()))
         self._requeue(failed, has_run=True)
         self._requeue(out_of_memory, has_run=False)
@@ -383,17 +370,9 @@
 
     async def _record_broken_call(self, call: BatchCall, began_at: float) -> None:
         """Find out whether the target exited, before its pieces go to another one."""
-        runs = self._describe_runs(call, began_at)
+        runs = self._quarantine.describe_runs(call.batch, self._now() - began_at)
         if await self._exit_detector.report_broken(LostTarget.of(call.target.incarnation), runs):
-            await self._quarantine.wait_until_reported(*(run.fingerprint for run in runs))
-
-    def _describe_runs(self, call: BatchCall, began_at: float) -> tuple[InterruptedRequest, ...]:
-        """Return the requests of a call, with the time since it began."""
-        seconds = self._now() - began_at
-        names = {piece.order.fingerprint for piece in call.batch if piece.order.fingerprint}
-        return tuple(
-            InterruptedRequest(fingerprint=name, seconds=seconds) for name in sorted(names)
-        )
+            await self._quarantine.wait_until_reported(runs)
 
     def _record_failed_call(self, call: BatchCall, fault: str, *, has_run: bool) -> None:
         """Record a call without a valid answer, and queue its pieces again."""
@@ -411,18 +390,11 @@
         for piece in pieces:
             attempts = piece.attempts + (1 if has_run else 0)
             is_lost = attempts >= MAX_ATTEMPTS or not self._receivers.is_attached(piece.sender)
-            if is_lost or (has_run and self._is_crash_suspect(piece)):
+            if is_lost or (has_run and self._quarantine.is_suspect(piece.order)):
                 self._answers.answer(piece, fault="failed")
             else:
                 self._queue.add(replace(piece, attempts=attempts))
 
-    def _is_crash_suspect(self, piece: WaitingPiece) -> bool:
-        """Return whether targets exited while they ran the request of a piece, at any box."""
-        name = piece.order.fingerprint
-        return (
-            self._quarantine.is_suspect(name) or self._quarantine.find_quarantined(name) is not None
-        )
-
     def _estimate_wait(self, like: PieceOrder) -> float:
         """Return the estimated queueing time of a piece like the given one, in seconds."""
         service = self._find_service()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Final
 
-from damsonlane.quarantine import InterruptedRequest
+from damsonlane.quarantine import QuarantinedRequest, RequestCauses
 from damsonlane.routing import HealthSignal
 from damsonlane.versions import StreamOrigin
 from damsonlaned.dialects import Dialect
@@ -39,12 +39,16 @@
     ResponseSink,
 )
 from damsonlaned.lateness import LateRequests
-from damsonlaned.quarantine import LostTarget, Quarantine
+from damsonlaned.quarantine import LostTarget, Quarantine, RequestQuarantine
 from damsonlaned.relay import Relay, RequestRelay
 from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
 
+#: Seconds from the head of a stream after which an event of it shows that what the request shares
+#: with others does not make the target exit: that happens as it begins to write.
+WRITING_SECONDS: Final = 1.0
+
 
 class RequestHandler:
     """Serves one request until its final response is sent.
@@ -83,8 +87,11 @@
         self._attempts: Final = attempts
         self._stages: Final = stages
         self._exit_detector: Final = exit_detector
-        self._quarantine: Final = quarantine
-        self._is_stopped = False
+        self._quarantine: Final = _make_quarantine(quarantine, call, attempts)
+        #: Whether it was recorded that the target has been writing for a while.
+        self._is_writing_recorded = False
+        #: Why the request was stopped while a target had it; None if it was not.
+        self._stopped_by: QuarantinedRequest | None = None
         self._late_requests: Final = late_requests
         self._count_entries: Final = count_entries
         #: Results of the stages; None until they are computed and after they are released.
@@ -106,6 +113,7 @@
             self._responder,
             late_requests,
             origins,
+            self._quarantine,
         )
 
     @property
@@ -118,7 +126,7 @@
         self._attempts.record_arrival(self._call)
         try:
             async with asyncio.timeout_at(self._call.deadline_at) as limit:
-                with self._quarantine.watch(self._call.fingerprint, partial(self._stop, limit)):
+                with self._quarantine.watch(partial(self._stop, limit)):
                     await self._serve()
         except TimeoutError:
             self._end_timed_out()
@@ -142,24 +150,36 @@
         A target that has not begun it yet drops it from its queue, and so does not exit under it.
         """
         if not self._response.has_started() and not limit.expired():
-            self._is_stopped = True
+            self._stopped_by = self._quarantine.find()
             limit.reschedule(asyncio.get_running_loop().time())
 
     def _end_timed_out(self) -> None:
         """End a request that reached its deadline or was quarantined."""
-        is_quarantined = self._is_stopped and self._end_if_quarantined(
-            is_under_way=self._history.attempt_count > 0
-        )
-        if not is_quarantined:
+        if self._stopped_by is None:
             self._responder.end_timed_out()
+        else:
+            self._end_quarantined(self._stopped_by, is_under_way=self._history.attempt_count > 0)
 
-    def _end_if_quarantined(self, *, is_under_way: bool = False) -> bool:
+    def _end_if_quarantined(self) -> bool:
         """End the request if it is quarantined; return whether it is."""
-        quarantined = self._quarantine.find_quarantined(self._call.fingerprint)
-        if quarantined is None:
-            return False
+        quarantined = self._quarantine.find()
+        if quarantined is not None:
+            self._end_quarantined(quarantined)
+        return quarantined is not None
+
+    def _end_quarantined(
+        self, quarantined: QuarantinedRequest, *, is_under_way: bool = False
+    ) -> None:
+        _LOG.info(
+            "request is quarantined",
+            extra={
+                **self._call.log_fields(),
+                "held": quarantined.names,
+                "exits": quarantined.ends,
+                "targets": quarantined.targets,
+            },
+        )
         self._responder.end_quarantined(quarantined, is_under_way=is_under_way)
-        return True
 
     # Attempts.
 
@@ -167,9 +187,7 @@
         # Every attempt passes this check: the first one, retries, and resumed streams.  Targets
         # may have exited under the same request at other entries, which the limits on the
         # attempts of one request do not cover.
-        while not self._end_if_quarantined() and not await self._target_wait.end_if_unavailable(
-            self._results
-        ):
+        while not await self._end_if_unavailable():
             failure = await (self._relay_once() if self._relay.is_due() else self._attempt_once())
             if failure is None:
                 return
@@ -183,6 +201,13 @@
                 self._responder.end_failed(failure, max(backoff, failure.return_seconds))
                 return
 
+    async def _end_if_unavailable(self) -> bool:
+        """End the request if it may not be sent now; return whether it ended."""
+        await self._quarantine.wait_until_confirmed()
+        return self._end_if_quarantined() or await self._target_wait.end_if_unavailable(
+            self._results
+        )
+
     async def _attempt_once(self) -> FailedAttempt | None:
         """Send the request to one target; return None once the response is complete."""
         if self._results is None:
@@ -198,11 +223,16 @@
             self._attempts.count_first(self._call)
         self._history.record_attempt(chosen.target)
         self._times.record_sent()
-        failure = await self._send(chosen)
-        if failure is not None:
-            self._log_failure(failure, chosen)
-            await self._report_loss(failure, chosen)
-        return failure
+        self._quarantine.version = chosen.version
+        self._is_writing_recorded = False
+        try:
+            failure = await self._send(chosen)
+            if failure is not None:
+                self._log_failure(failure, chosen)
+                await self._report_loss(failure, chosen)
+            return failure
+        finally:
+            self._quarantine.version = None
 
     async def _relay_once(self) -> FailedAttempt | None:
         """Have another entry serve the request; return None once the response is complete."""
@@ -225,10 +255,10 @@
 
     async def _report_loss(self, failure: FailedAttempt, chosen: ChosenTarget) -> None:
         """Report a lost response, since the target may have exited under the request."""
-        runs = (self._make_broken_run(),)
+        runs = (self._quarantine.make_run(self._times.seconds_since_sent()),)
         if failure.loss == "broken":
             if await self._exit_detector.report_broken(LostTarget.of(chosen.incarnation), runs):
-                await self._quarantine.wait_until_reported(self._call.fingerprint)
+                await self._quarantine.wait_until_reported()
         elif failure.loss == "silent":
             self._exit_detector.report_silent(LostTarget.of(chosen.incarnation), runs)
 
@@ -308,7 +338,7 @@
             self._release_results()
             self._response.send_response(response)
             if response.status < 300:
-                self._quarantine.record_served(self._call.fingerprint)
+                self._quarantine.record_served()
                 if self._call.service.engine is None:
                     self._record_duration(self._times.seconds_since_sent())
         return failure
@@ -331,7 +361,7 @@
             self._response.finish()
             if self._history.attempt_count == 1:
                 self._record_duration(self._times.seconds_since_first_event())
-            self._quarantine.record_served(self._call.fingerprint)
+            self._quarantine.record_served()
             health = "good"
             return None
         except (IncompleteResponseError, EventTooLargeError) as error:
@@ -362,10 +392,18 @@
             if self._history.attempt_count == 1:
                 self._stages.record_first_event(self._call, seconds)
         self._times.record_event()
+        self._record_writing(opened)
         await self._response.send(data)
         if event_id is not None:
             self._last_event = event_id
 
+    def _record_writing(self, opened: OpenedExchange) -> None:
+        """Record that the target has been writing for a while, if it has."""
+        is_long = asyncio.get_running_loop().time() - opened.head_at >= WRITING_SECONDS
+        if is_long and not self._is_writing_recorded:
+            self._is_writing_recorded = True
+            self._quarantine.record_writing()
+
     def _record_origin(self, opened: OpenedExchange) -> None:
         """Record where the stream began, before its caller has an event of it."""
         chosen = opened.chosen
@@ -400,12 +438,6 @@
             results, self._results = self._results, None
             self._stages.free(results)
 
-    def _make_broken_run(self) -> InterruptedRequest:
-        """Return the record of a response that broke off."""
-        return InterruptedRequest(
-            fingerprint=self._call.fingerprint, seconds=self._times.seconds_since_sent()
-        )
-
     def _log_failure(self, failure: FailedAttempt, chosen: ChosenTarget | None = None) -> None:
         fields = {
             "target": chosen.target if chosen is not None else "",
@@ -433,3 +465,17 @@
                 "last_event": self._last_event,
             },
         )
+
+
+def _make_quarantine(quarantine: Quarantine, call: Call, attempts: Attempts) -> RequestQuarantine:
+    """Return what the quarantine says about a request."""
+    return RequestQuarantine(
+        quarantine,
+        causes=RequestCauses(
+            request=call.fingerprint, shared=call.shared_causes, model=call.request.model
+        ),
+        service=call.service.name,
+        stage_causes=RequestCauses(request=call.fingerprint, shared=call.stage_causes),
+        stages=[stage.service for stage in call.route.stages],
+        list_versions=lambda: attempts.list_versions(call),
+    )
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
@@ -15,6 +15,7 @@
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import ChosenTarget
 from damsonlaned.lateness import LateRequests
+from damsonlaned.quarantine import RequestQuarantine
 from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
@@ -40,6 +41,7 @@
         responder: ends the request.
         late_requests: the policy for late requests.
         origins: counts streams that no target can go on with.
+        quarantine: finds the versions whose targets may not get the request.
     """
 
     def __init__(
@@ -52,7 +54,9 @@
         responder: FailureResponder,
         late_requests: LateRequests,
         origins: StreamOrigins,
+        quarantine: RequestQuarantine,
     ) -> None:
+        self._quarantine: Final = quarantine
         self._origins: Final = origins
         self._late_requests: Final = late_requests
         self._call: Final = call
@@ -89,6 +93,7 @@
                 self._history.tried_targets,
                 results.input_locations,
                 self._history.origin,
+                self._quarantine.list_excluded_versions(),
             )
             if not isinstance(chosen, NoTarget) or chosen.wait_seconds <= 0:
                 return chosen
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_known.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_known.py
@@ -30,8 +30,9 @@
             return
         before, self.newest = self.newest, newer
         if before.held != newer.held:
-            quarantined = [request.fingerprint for request in newer.held]
-            fields = {"held": quarantined, "revision": newer.revision}
+            quarantined = ["+".join(request.names) for request in newer.held]
+            exits = {request.fingerprint: list(request.targets) for request in newer.held}
+            fields = {"held": quarantined, "exits": exits, "revision": newer.revision}
             _LOG.warning("list of quarantined requests changed", extra=fields)
         for listener in self._listeners:
             listener()
--- a/packages/damsonlaned/src/damsonlaned/versions/_target_filter.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_target_filter.py
@@ -1,6 +1,7 @@
 """Which targets may serve a request, by the versions and models that they report."""
 
 from collections import Counter
+from collections.abc import Collection
 from typing import Final, Protocol
 
 from damsonlane.routes import Service
@@ -29,7 +30,11 @@
         self._targets: Final = targets
 
     def list_excluded(
-        self, service: Service, model: str, origin: StreamOrigin | None
+        self,
+        service: Service,
+        model: str,
+        origin: StreamOrigin | None,
+        excluded_versions: Collection[str] = (),
     ) -> frozenset[str]:
         """Return the targets that may not serve a request.
 
@@ -37,14 +42,16 @@
             service: its service.
             model: the model that it requests, or an empty string.
             origin: where the stream began that it resumes; None for a new one.
+            excluded_versions: versions whose targets may not serve it.
         """
         without_model = self._list_without_model(service, model) if model else frozenset()
-        if origin is None:
+        if origin is None and not excluded_versions:
             return without_model
         return without_model | {
             record.target
             for record in self._targets.targets_of(service.name)
-            if record.version != origin.version
+            if record.version in excluded_versions
+            or (origin is not None and record.version != origin.version)
         }
 
     def list_other_weights(
