Material under which pool targets exit is quarantined, whatever requests hold it

Cause: the same as for parts of prompts. Pieces were counted by the fingerprint of their whole request, and the material key in the order of a piece by nobody.

Change: orders of pieces name the material of their request, at all stages, since later stages get what was made from it. Exits of pool targets and computed pieces count for it, entries refuse requests with it before any stage. Pieces of what is listed but not confirmed yet are not queued again after an exit, like those of suspects.

Why it works: a piece that is computed clears the material at that pool, so only material that no target computes stays in the count.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -268,7 +268,10 @@
             arrived_at=arrived_at,
             deadline_at=arrived_at + seconds - ANSWER_MARGIN_SECONDS,
             fingerprint=_find_fingerprint(request, organisation),
-            shared_causes=_list_shared_causes(request),
+            shared_causes=_list_shared_causes(request, route),
+            stage_causes=list_shared_causes(
+                material_key=request.material_key if route.stages else ""
+            ),
             earlier_wait_seconds=self._earlier_waits.estimate_seconds(
                 route.name, request.deadline_seconds
             ),
@@ -347,13 +350,14 @@
     )
 
 
-def _list_shared_causes(request: CallerRequest) -> tuple[str, ...]:
+def _list_shared_causes(request: CallerRequest, route: Route) -> tuple[str, ...]:
     """Return what of a request may make the target of its last step exit.
 
     The last segment of a prompt belongs to the request, which its fingerprint covers.
     """
     return list_shared_causes(
         parts=(segment.identity for segment in request.prefix_segments[:-1]),
+        material_key=request.material_key if route.stages else "",
     )
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
@@ -142,6 +142,7 @@
             result_bytes=ready.stage.result_bytes,
             is_begun=call.has_response_begun or bool(attempt.services_by_handle),
             fingerprint=call.fingerprint,
+            shared_causes=call.stage_causes,
             home=home,
             organisation=call.share_name,
             may_be_late=may_be_late,
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
@@ -100,12 +100,12 @@
             await asyncio.sleep(CONFIRM_SECONDS / 4)
 
     def is_suspect(self, names: Collection[str]) -> bool:
-        """Return whether something that is not quarantined is part of several exits."""
-        return any(name in names for name in self._known.newest.suspects)
+        """Return whether something is part of several exits, quarantined or not."""
+        return bool(self.list_suspects(names))
 
     def list_suspects(self, names: Collection[str]) -> frozenset[str]:
-        """Return those of some names that are part of several exits."""
-        return frozenset(self._known.newest.suspects).intersection(names)
+        """Return those of some names that are part of several exits, quarantined or not."""
+        return self._list_names().intersection(names)
 
     def record_exit(self, lost: LostTarget, runs: Sequence[InterruptedRequest]) -> None:
         """Record the exit of a target with the requests that were interrupted there.
@@ -150,8 +150,7 @@
 
         Returns at once if none of the names is a suspect: one more exit does not quarantine them.
         """
-        local = self._local.list_for_entries()
-        if not self.is_suspect(names) and not any(name in names for name in local.suspects):
+        if not self.is_suspect(names):
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(MAX_COMMIT_WAIT_SECONDS):
