A body under which targets exit is quarantined under any path, key and organisation

Ten requests with the same body and ten paths made ten targets exit; the fingerprint holds the path and the organisation, so each had a count of its own.

Change: the body of a request is a shared cause beside the parts of its prompt.

Evidence: test_requests_that_share_a_body_make_target_after_target_exit failed before (10 targets exited, 5 allowed) and passes.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -358,6 +358,7 @@
     return list_shared_causes(
         parts=(segment.identity for segment in request.prefix_segments[:-1]),
         material_key=request.material_key if route.stages else "",
+        body=request.http.body,
     )
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
@@ -1,9 +1,9 @@
-"""Requests, no two alike, that share a material key on which targets exit."""
+"""Requests, no two alike, that share a material key or a body on which targets exit."""
 
 import json
 import unittest
 
-from damsonlaned.gateway.tests.harness import FakeTarget, answer_ok, make_piece_handler
+from damsonlaned.gateway.tests.harness import FakeTarget, Response, answer_ok, make_piece_handler
 from damsonlaned.gateway.tests.test_crashing_parts import MAX_EXITS
 from damsonlaned.gateway.tests.test_quarantine import Fleet
 from damsonlaned.http import HttpRequest
@@ -41,5 +41,24 @@
         self.assertEqual(others, [200] * 6)
 
 
+class CrashingBodyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        self.fleet.is_deadly = lambda request: request.body == b"deadly"
+        await self.fleet.start()
+        self.addAsyncCleanup(self.fleet.stop)
+
+    async def _send(self, number: int, body: str) -> Response:
+        headers = f"Content-Length: {len(body)}\r\n\r\n{body}"
+        return await self.fleet.send(number, f"/once/{number}", headers)
+
+    async def test_requests_that_share_a_body_make_target_after_target_exit(self) -> None:
+        statuses = [(await self._send(number, "deadly")).status for number in range(10)]
+        self.assertLessEqual(len(self.fleet.exited), MAX_EXITS)
+        self.assertEqual(set(statuses[MAX_EXITS:]), {503})
+        others = [(await self._send(number, "sound")).status for number in range(6)]
+        self.assertEqual(others, [200] * 6)
+
+
 if __name__ == "__main__":
     unittest.main()
