Threads of callers read the quarantine without an event loop

test_it_is_quarantined_until_an_operator_releases_it failed on: the entry of pipelines looks for quarantined requests in threads of callers, which have no running loop; the check whether a shared cause is confirmed asked for its time. The time comes from the clock of the box now, and only where a shared cause is concerned.

--- a/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
@@ -20,6 +20,7 @@
     RecordTargetExit,
     is_shared,
 )
+from damsonlaned.clock import read_clock
 from damsonlaned.quarantine._known import KnownQuarantine
 from damsonlaned.quarantine._probe import LostTarget
 from damsonlaned.tasks import start_task
@@ -229,15 +230,16 @@
 
     def _is_confirmed(self, quarantined: QuarantinedRequest) -> bool:
         """Return whether entries have had the time to say that they served a shared cause."""
-        now = asyncio.get_running_loop().time()
-        return not is_shared(quarantined.fingerprint) or (
-            now - self._listed_at.get(quarantined.fingerprint, now) >= CONFIRM_SECONDS
-        )
+        if not is_shared(quarantined.fingerprint):
+            return True
+        # Callers' threads of pipelines, which have no loop, call this too.
+        now = read_clock()
+        return now - self._listed_at.get(quarantined.fingerprint, now) >= CONFIRM_SECONDS
 
     def _follow_list(self) -> None:
         """Follow a change of the lists: answer for what was served, and notify requests."""
         loop = asyncio.get_running_loop()
-        now = loop.time()
+        now = read_clock()
         listed = [name for name in self._list_names() if is_shared(name)]
         has_new = any(name not in self._listed_at for name in listed)
         self._listed_at = {name: self._listed_at.get(name, now) for name in listed}
