A crowded entry closes new connections unread while its event loop is late

Cause: the entry reads whatever comes. Reading a request, failing at three targets for lack of connections and refusing it costs most of serving it, so what is served falls as more comes.

Weighed: a rate of accepts by the cost of a request (needs the cost of each kind, and a target for the load); connections left to the backlog (their caller waits, and could be at another box); handing requests on after reading them (most of the cost of serving). It needs no knowledge of costs or capacity, and connections that are kept are served as ever. A box that is the only one left serves what it can and closes the rest. Readiness has a listener of its own and no gate.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -36,7 +36,14 @@
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
-from damsonlaned.http import BufferGuard, HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.http import (
+    AcceptGate,
+    BufferGuard,
+    HttpListener,
+    HttpRequest,
+    HttpResponse,
+    ResponseWriter,
+)
 from damsonlaned.lateness import LateRequests
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine, QuarantineClient
@@ -185,6 +192,7 @@
             limits=self._caller_service.limits,
             render_refusal=self._caller_service.render_bad_bytes,
             guard=self._guard,
+            gate=AcceptGate(lambda: self._metrics.closed_unread.inc({})),
         )
         self._ready_listener: Final = HttpListener(
             gateway.ready_address,
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -12,6 +12,7 @@
 from damsonlane.errors import StorageError
 from damsonlane.records import dataclass
 from damsonlane_rpc import Endpoint
+from damsonlaned.http._accept_gate import AcceptGate
 from damsonlaned.http._buffer_guard import BufferGuard
 from damsonlaned.http._errors import CallerDisconnectedError
 from damsonlaned.http._messages import HttpRequest, HttpResponse
@@ -239,6 +240,7 @@
         limits: returns the limits in force.
         render_refusal: returns the response to an invalid request.
         guard: enforces the budget of buffered bytes; None without one.
+        gate: decides whether a new connection is served; None to serve all.
     """
 
     def __init__(
@@ -249,7 +251,9 @@
         limits: Callable[[], ListenerLimits] = ListenerLimits,
         render_refusal: Callable[[int, str], HttpResponse],
         guard: BufferGuard | None = None,
+        gate: AcceptGate | None = None,
     ) -> None:
+        self._gate: Final = gate
         self._guard: Final = guard
         self._endpoint: Final = Endpoint.parse(address)
         self.handler: Final = handler
@@ -309,6 +313,9 @@
             await asyncio.wait(self._tasks)
 
     def _accept(self, stream: TcpStream) -> None:
+        if self._gate is not None and not self._gate.admit():
+            stream.abort()
+            return
         if self._guard is not None:
             self._guard.watch(stream)
         connection = _Connection(self, stream)
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -60,6 +60,11 @@
             "Quarantined requests, which targets do not get since targets exited under them.",
             registry=self.registry,
         )
+        self.closed_unread: Final = Counter(
+            "damsonlane_closed_unread_total",
+            "New connections closed unread, since the box was short of processor time.",
+            registry=self.registry,
+        )
         self.backing_off: Final = Gauge(
             "damsonlane_backing_off_targets",
             "Targets that requested back-off from this box, or announced that they are draining.",
