Requests that must run once find out whether held-back bytes are the path's fault

Cause: without a health check only a request that another entry gets an answer to shows that the path is at fault, and a request that may have run is passed on to nobody.

Change: once two targets have taken requests without a byte, the next request that must run once is passed on without an attempt here; its answer shows that the service is not reached. It has not run here, so it runs at most once.

Evidence: test_requests_that_must_run_once_end_at_their_time_outs_one_after_another failed before (0 of 10 served), and passes (7 of 10; the first ones go to targets that were not silent yet). Open: requests rarer than one in 5 s, after which a silence no longer counts.

--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -90,10 +90,19 @@
         if self._is_comparison:
             return True
         if reach.is_reached(service):
-            return False
+            return self._must_compare_first()
         # The trial may be lost, so it must be a request that can be repeated.
         return not (self._call.route.is_retryable() and reach.admit_trial(service))
 
+    def _must_compare_first(self) -> bool:
+        """Return whether the request is passed on without an attempt of this entry.
+
+        A request that must run once could not be passed on after one, and without a health check
+        nothing else would show whether the path or the targets are at fault.
+        """
+        is_new = self._history.attempt_count == 0 and not self._call.route.is_retryable()
+        return is_new and self._relay.reach.is_suspect(self._call.service.name)
+
     async def may_follow(self, *, may_have_run: bool) -> bool:
         """Return whether the request may be passed on after an attempt that failed.
 
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
@@ -33,6 +33,8 @@
 SLOW_CALL_SECONDS = 0.35
 #: Deadline of requests: one attempt that is held back leaves time for another entry.
 DEADLINE_MS = 4_000
+#: The same for requests that may not be sent again.
+ONCE_DEADLINE_MS = 1_000
 CUT_DOCUMENT = replace(
     DOCUMENT,
     services=tuple(replace(service, health_path=HEALTH_PATH) for service in DOCUMENT.services),
@@ -82,6 +84,10 @@
         for proxy in self.proxies[index]:
             await proxy.heal()
 
+    def find_owner(self, service: str) -> int:
+        address = self.fleet.entries[0].pools.find_owner(service)
+        return [entry.address for entry in self.fleet.entries].index(address)
+
 
 def make_targets(answer: AnswerHandler = answer_ok, count: int = 3) -> list[FakeTarget]:
     return [FakeTarget(f"t{index}", answer) for index in range(count)]
@@ -155,10 +161,6 @@
             await asyncio.sleep(0.1)
         self.assertEqual(statuses[-REQUEST_COUNT // 2 :], [200] * (REQUEST_COUNT // 2))
 
-    def find_owner(self, service: str) -> int:
-        address = self.fleet.entries[0].pools.find_owner(service)
-        return [entry.address for entry in self.fleet.entries].index(address)
-
 
 class UnreportedHealthTest(CutTestCase):
     document = DOCUMENT
@@ -174,6 +176,20 @@
         served = [response.status == 200 for response in responses]
         self.assertTrue(all(served[UNAWARE_COUNT:]), served)
 
+    async def test_requests_that_must_run_once_end_at_their_time_outs_one_after_another(
+        self,
+    ) -> None:
+        await self.start_fleet(*make_targets())
+        entry = self.fleet.entries[0]
+        await entry.call("/once/a")
+        await self.cut(0, "hang")
+        responses = [
+            await entry.call("/once/a", deadline_ms=ONCE_DEADLINE_MS) for _ in range(REQUEST_COUNT)
+        ]
+        statuses = [response.status for response in responses]
+        # Requests may go to one target again until two have been silent.
+        self.assertEqual(set(statuses[REQUEST_COUNT // 2 :]), {200}, statuses)
+
 
 if __name__ == "__main__":
     unittest.main()
