A pool without a health check is handed over by an owner that gets no byte of it

Cause: connections look the same at a cut owner and at others, and one entry calls all targets of a pool, so no other has evidence of them. Nothing found the owner, and it kept the pool.

Change: an owner whose calls to several targets got no byte counts the pool as not reached if another entry may own it. The next owner's calls show whether the path or the targets were at fault; the last entry keeps the pool.

Weighed: a request that no target may run (its answer shows the path; unasked work at targets, and rejections count where targets bear few); bytes that other entries got from the same targets (nobody but the owner has any).

--- a/packages/damsonlane/src/damsonlane/reach/_service.py
+++ b/packages/damsonlane/src/damsonlane/reach/_service.py
@@ -16,6 +16,10 @@
 CALM_SECONDS: Final = 30.0
 #: Seconds without a response after which the failure of one target is checked.
 QUIET_SECONDS: Final = 0.25
+#: Seconds after the end of an outage within which a new one is a relapse, and most relapses that
+#: count.
+RELAPSE_SECONDS: Final = 10.0
+MAX_RELAPSES: Final = 4
 #: Seconds after which the trial of a request that got no response ends.
 TRIAL_SECONDS: Final = 1.0
 
@@ -33,6 +37,15 @@
         self._dismissed_count = 0
         self._dismissal_seconds = FIRST_DISMISSAL_SECONDS
         self._trial_until = 0.0
+        self._relapses = 0
+
+    @property
+    def recovery_factor(self) -> int:
+        """Multiple of the usual rounds of probes after which targets are tried again.
+
+        Probes that get no response can't show the end of an outage; each try loses requests.
+        """
+        return int(2**self._relapses)
 
     def record_reached(self, now: float, *, is_new: bool) -> bool:
         """Record that a byte arrived from a target.
@@ -76,7 +89,10 @@
         )
 
     def confirm(self, now: float) -> bool:
-        """Record that another box reaches the targets; return whether the state changed."""
+        """Record that another box may reach the targets; return whether the state changed."""
+        if self.state == "reached":
+            is_relapse = self.since > 0 and now - self.since < RELAPSE_SECONDS
+            self._relapses = min(MAX_RELAPSES, self._relapses + 1) if is_relapse else 0
         return self._change("unreached", now)
 
     def dismiss(self, targets: Collection[str], now: float) -> None:
--- a/packages/damsonlane/src/damsonlane/reach/tests/test_reach.py
+++ b/packages/damsonlane/src/damsonlane/reach/tests/test_reach.py
@@ -10,10 +10,26 @@
     ServiceReach,
     is_reached_better,
 )
+from damsonlane.reach._service import RELAPSE_SECONDS
 
 TARGETS = ("a", "b", "c")
 
 
+class RelapseTest(unittest.TestCase):
+    def test_each_relapse_doubles_the_rounds_until_targets_are_tried_again(self) -> None:
+        reach = ServiceReach()
+        now = 100.0
+        factors = []
+        for _ in range(7):
+            reach.confirm(now)
+            factors.append(reach.recovery_factor)
+            reach.end_outage(now + 3.0)
+            now += 4.0
+        self.assertEqual(factors, [1, 2, 4, 8, 16, 16, 16])
+        reach.confirm(now + RELAPSE_SECONDS)
+        self.assertEqual(reach.recovery_factor, 1)
+
+
 class ServiceReachTest(unittest.TestCase):
     def setUp(self) -> None:
         self.reach = ServiceReach()
--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -301,11 +301,26 @@
         _LOG.info("path to targets checked", extra=fields)
         self._reaching[service] = reached_by
         if not reached_by:
+            if self._must_hand_over(service, reach) and reach.confirm(self._now()):
+                self._publish(service, reach, "no health check; another box may reach the pool")
+                return
             reach.dismiss(self._list_names(service), self._now())
         elif reach.confirm(self._now()):
             self._publish(service, reach, "another box reaches the targets")
             self._check_others()
 
+    def _must_hand_over(self, service: str, reach: ServiceReach) -> bool:
+        """Return whether another box should call the targets of a pool, to find out if it can.
+
+        One entry calls all targets of a pool, so that others have no evidence of them.
+        """
+        found = self._fleet.table.service(service) if self._fleet.table is not None else None
+        if found is None or found.pool is None or self._find_health_path(service):
+            return False
+        is_doubtful = reach.evidence.is_doubtful(self._list_names(service), self._now())
+        has_lost = is_doubtful and reach.evidence.has_lost_requests()
+        return has_lost and bool(self.list_candidates(service))
+
     async def _reaches_some(
         self, service: str, reach: ServiceReach, records: Sequence[TargetRecord]
     ) -> bool:
@@ -357,7 +372,7 @@
                     self._publish(service, reach, "no request came to try them")
                 continue
             rounds = rounds + progress if (progress := await self._try_targets(service)) else 0.0
-            if rounds >= 1.0:
+            if rounds >= reach.recovery_factor:
                 self._end_outage(service, reach)
 
     async def _try_targets(self, service: str) -> float:
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
@@ -176,9 +176,7 @@
         served = [response.status == 200 for response in responses]
         self.assertTrue(all(served[UNAWARE_COUNT:]), served)
 
-    async def test_requests_that_must_run_once_end_at_their_time_outs_one_after_another(
-        self,
-    ) -> None:
+    async def test_requests_that_must_run_once_end_at_their_time_outs_one_after_another(self) -> None:
         await self.start_fleet(*make_targets())
         entry = self.fleet.entries[0]
         await entry.call("/once/a")
@@ -190,6 +188,20 @@
         # Requests may go to one target again until two have been silent.
         self.assertEqual(set(statuses[REQUEST_COUNT // 2 :]), {200}, statuses)
 
+    async def test_a_pool_without_a_health_check_stays_with_an_owner_that_is_cut_off(self) -> None:
+        await self.start_fleet(*make_targets(), *make_pool(3))
+        owner = self.find_owner("pool")
+        entry = self.fleet.entries[1 - owner]
+        before = await entry.call("/staged/a", headers=ONE_PIECE)
+        self.assertEqual(before.status, 200)
+        await self.cut(owner, "hang")
+        statuses = []
+        for _ in range(2 * REQUEST_COUNT):
+            response = await entry.call("/staged/a", headers=ONE_PIECE, deadline_ms=DEADLINE_MS)
+            statuses.append(response.status)
+            await asyncio.sleep(0.1)
+        self.assertEqual(statuses[-REQUEST_COUNT:], [200] * REQUEST_COUNT, statuses)
+
 
 if __name__ == "__main__":
     unittest.main()
