Soak: parts of prompts that crash engines, and crowds of new connections

Two callers send streams, no two alike, that share a first part with nobody and one part on which engines exit (by the seed: as they begin to write, or after their first event). Guarantee: at most three engines exit on it from 3 s after the fifth exit on, faults apart. Crowds: forty callers open connections to one entry for the length of a fault; no guarantee of its own, since targets that request back-off or announce rate limits have requests refused at the same time. Both are drawn apart, so that seeds keep what they had. The check of the crash request counts all other crashes, as before.

Answers that end with their connection are not in the soak yet.

--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__init__.py
@@ -9,6 +9,7 @@
 from damsonlane_bench.soak._parts import Parts
 from damsonlane_bench.soak._plan import (
     ANNOUNCEMENT_KINDS,
+    CROWD_KINDS,
     CUT_KINDS,
     LOAD_KINDS,
     PROCESS_FAULT_KINDS,
@@ -24,6 +25,7 @@
 
 __all__ = [
     "ANNOUNCEMENT_KINDS",
+    "CROWD_KINDS",
     "CUT_KINDS",
     "LOAD_KINDS",
     "PROCESS_FAULT_KINDS",
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/__main__.py
@@ -76,7 +76,7 @@
                 (log_folder / log.name).write_bytes(log.read_bytes())
     print(
         f"seed {plan.seed}: {len(plan.faults)} faults, responses {json.dumps(result.statuses)}, "
-        f"{result.crash_count} targets exited on the crash request, "
+        f"{result.crash_count} targets exited on crash requests, "
         f"{_describe_parts(result)}"
         f"{time.monotonic() - began_at:.0f} s, {len(result.violations)} violations",
         flush=True,
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_checks.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_checks.py
@@ -24,6 +24,8 @@
 #: The same for calls to pools, which do not say which of two entries sent them: both may have
 #: received the announcement, the second one in the response to its first call.
 MAX_LATE_POOL_CALLS: Final = 2 * MAX_LATE_REQUESTS + 1
+#: Part of the ids of requests that share a part of their prompts that crashes engines.
+SHARED_PART_NAME: Final = "sharedpart"
 #: Route whose requests run at most once.
 AT_MOST_ONCE_ROUTE: Final = "refund"
 #: Route whose responses are event streams.
@@ -77,17 +79,19 @@
 
 @guarantee("a request that crashes targets is quarantined")
 def _check_quarantine(observations: Observations, runs: Sequence[TargetRun]) -> Iterator[str]:
-    exit_times = sorted(run.at for run in runs if run.is_crash)
+    exit_times = sorted(
+        run.at for run in runs if run.is_crash and SHARED_PART_NAME not in run.request
+    )
     if len(exit_times) <= EXITS_TO_QUARANTINE:
         return
     known_at = exit_times[EXITS_TO_QUARANTINE - 1] + PROPAGATION_SECONDS
     fault_times = sorted(event.at for event in observations.fault_events)
-    late = [at for at in exit_times if at > known_at and _is_settled(at, fault_times)]
+    late = [at for at in exit_times if at > known_at and is_settled(at, fault_times)]
     if len(late) > MAX_FURTHER_EXITS:
         yield f"{len(late)} more targets exited on one request, {len(exit_times)} in all"
 
 
-def _is_settled(at: float, fault_times: Sequence[float]) -> bool:
+def is_settled(at: float, fault_times: Sequence[float]) -> bool:
     """Return whether no fault began or ended during the propagation time before a moment."""
     index = bisect_left(fault_times, at)
     return index == 0 or at - fault_times[index - 1] > PROPAGATION_SECONDS
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_evaluation.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_evaluation.py
@@ -4,6 +4,7 @@
 
 # Imported for their side effect: each module registers its checks.
 from damsonlane_bench.soak import _checks as _checks
+from damsonlane_bench.soak import _crashing_callers as _crashing_callers
 from damsonlane_bench.soak import _organisation_check as _organisation_check
 from damsonlane_bench.soak import _rate_limit_check as _rate_limit_check
 from damsonlane_bench.soak import _rejection_check as _rejection_check
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
@@ -43,6 +43,10 @@
     has_rejection_limits: bool = False
     #: Engines get a version at each start, and callers resume the streams that they break off.
     has_versions: bool = False
+    #: Requests, no two alike, share a part of their prompts that crashes engines.
+    has_crashing_parts: bool = False
+    #: Callers crowd at one entry.
+    has_crowds: bool = False
     #: Capacities of entries in cores, in the order of the entries; empty if they are unknown.
     capacities: tuple[float, ...] = ()
 
@@ -56,6 +60,8 @@
         has_cuts=_draw("cuts", seed),
         has_rejection_limits=_draw("rejection limits", seed),
         has_versions=_draw("versions", seed),
+        has_crashing_parts=_draw("crashing parts", seed),
+        has_crowds=_draw("crowds", seed),
         capacities=_draw_capacities(seed, entry_count) if _draw("capacities", seed) else (),
     )
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -92,6 +92,8 @@
 SURGE_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for cuts between one entry and all targets.
 CUT_KINDS: Final[dict[str, DrawProcess]] = {}
+#: The same for crowds of new connections at one entry.
+CROWD_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for announcements of limits of rejections by targets.
 REJECTION_KINDS: Final[dict[str, DrawProcess]] = {}
 
@@ -197,6 +199,11 @@
     return randomness.choice(names.entries)
 
 
+@fault_kind("crowd", CROWD_KINDS)
+def _draw_crowded(randomness: random.Random, names: ProcessNames) -> str:
+    return randomness.choice(names.entries)
+
+
 @fault_kind("fragile", REJECTION_KINDS)
 def _draw_fragile_service(randomness: random.Random, names: ProcessNames) -> str:
     """Return one target; all targets of its service are affected."""
@@ -222,27 +229,32 @@
         loads = _draw_faults(random.Random(f"load {seed}"), seconds, names, LOAD_KINDS)
     surges: list[Fault] = []
     if parts.has_organisations:
-        surges = _draw_surges(random.Random(f"surges {seed}"), seconds, names)
+        surges = _draw_apart(random.Random(f"surges {seed}"), seconds, names, SURGE_KINDS)
     cuts: list[Fault] = []
     if parts.has_cuts:
         cuts = _draw_faults(random.Random(f"cuts {seed}"), seconds, names, CUT_KINDS)
     fragile: list[Fault] = []
     if parts.has_rejection_limits:
         fragile = _draw_faults(random.Random(f"fragile {seed}"), seconds, names, REJECTION_KINDS)
+    crowds: list[Fault] = []
+    if parts.has_crowds:
+        crowds = _draw_apart(random.Random(f"crowds {seed}"), seconds, names, CROWD_KINDS)
     ordered = sorted(
-        (*faults, *announcements, *rate_limits, *loads, *surges, *cuts, *fragile),
+        (*faults, *announcements, *rate_limits, *loads, *surges, *cuts, *fragile, *crowds),
         key=lambda fault: fault.at,
     )
     return Plan(seed=seed, seconds=seconds, faults=tuple(ordered), size=fleet, parts=parts)
 
 
-def _draw_surges(randomness: random.Random, seconds: float, names: ProcessNames) -> list[Fault]:
-    """Return surges of which none begins during another one."""
-    surges: list[Fault] = []
-    for surge in _draw_faults(randomness, seconds, names, SURGE_KINDS):
-        if not surges or surge.at > surges[-1].at + surges[-1].seconds:
-            surges.append(surge)
-    return surges
+def _draw_apart(
+    randomness: random.Random, seconds: float, names: ProcessNames, kinds: Mapping[str, DrawProcess]
+) -> list[Fault]:
+    """Return faults of which none begins during another one."""
+    apart: list[Fault] = []
+    for fault in _draw_faults(randomness, seconds, names, kinds):
+        if not apart or fault.at > apart[-1].at + apart[-1].seconds:
+            apart.append(fault)
+    return apart
 
 
 def _draw_faults(
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_result.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_result.py
@@ -16,7 +16,7 @@
     violations: tuple[Violation, ...]
     #: Number of responses that callers received, by status; 0 if no response arrived.
     statuses: dict[int, int]
-    #: Number of targets that exited on the crash request.
+    #: Number of targets that exited on crash requests, those that share a part among them.
     crash_count: int
     #: Number of responses that reported slowness, and that reported an implausible load.
     slow_reports: int = 0
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -26,6 +26,11 @@
 from damsonlane_bench.routes import RoutesFleet
 from damsonlane_bench.routes_document import make_document
 from damsonlane_bench.soak._callers import Caller, OperatorThread
+from damsonlane_bench.soak._crashing_callers import (
+    OneShotCaller,
+    make_crashing_callers,
+    make_crowd,
+)
 from damsonlane_bench.soak._evaluation import find_violations
 from damsonlane_bench.soak._guarantees import Violation
 from damsonlane_bench.soak._observations import (
@@ -40,6 +45,7 @@
 from damsonlane_bench.soak._parts import ORGANISATIONS, make_entry_settings
 from damsonlane_bench.soak._plan import (
     ANNOUNCEMENT_KINDS,
+    CROWD_KINDS,
     CUT_KINDS,
     LOAD_KINDS,
     RATE_LIMIT_KINDS,
@@ -199,7 +205,7 @@
 
     def _execute(self) -> None:
         seed = self._plan.seed
-        callers: list[Caller | StalledReader | ResumingCaller] = [
+        callers: list[Caller | StalledReader | ResumingCaller | OneShotCaller] = [
             Caller(
                 self._fleet,
                 self._observations,
@@ -222,6 +228,8 @@
                 ResumingCaller(self._fleet, self._observations, f"resuming{number}", seed)
                 for number in range(RESUMING_COUNT)
             ]
+        if self._plan.parts.has_crashing_parts:
+            callers += make_crashing_callers(self._fleet, self._observations, seed)
         operator = OperatorThread(self._fleet, self._observations, seed)
         faults = [Thread(target=self._inject, args=(fault,)) for fault in self._plan.faults]
         for caller in callers:
@@ -262,6 +270,16 @@
         for caller in callers:
             caller.stop()
 
+    def _crowd(self, fault: Fault) -> None:
+        """Have many callers open connections to one entry."""
+        name = f"crowd{fault.at:g}"
+        callers = make_crowd(self._fleet, self._observations, fault.process, name, self._plan.seed)
+        for caller in callers:
+            caller.start()
+        self._stopped.wait(fault.seconds)
+        for caller in callers:
+            caller.stop()
+
     def _inject(self, fault: Fault) -> None:
         """Begin a fault at its time and end it after its duration."""
         self._stopped.wait(fault.at)
@@ -274,6 +292,9 @@
         if fault.kind in SURGE_KINDS:
             self._surge(fault)
             return
+        if fault.kind in CROWD_KINDS:
+            self._crowd(fault)
+            return
         if fault.kind in LOAD_KINDS:
             self._change_load(fault)
             return
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -15,6 +15,7 @@
 from damsonlane_bench.registered_target._senders import Senders
 from damsonlane_bench.soak import (
     ANNOUNCEMENT_KINDS,
+    CROWD_KINDS,
     CUT_KINDS,
     LOAD_KINDS,
     PROCESS_FAULT_KINDS,
@@ -27,7 +28,7 @@
     SoakRun,
     draw_plan,
 )
-from damsonlane_bench.soak._checks import COMPLETE_STREAM
+from damsonlane_bench.soak._checks import COMPLETE_STREAM, SHARED_PART_NAME
 from damsonlane_bench.soak._evaluation import find_violations
 from damsonlane_bench.soak._guarantees import GUARANTEES
 from damsonlane_bench.soak._observations import (
@@ -149,6 +150,7 @@
                 *RATE_LIMIT_KINDS,
                 *LOAD_KINDS,
                 *SURGE_KINDS,
+                *CROWD_KINDS,
                 *CUT_KINDS,
                 *REJECTION_KINDS,
             },
@@ -412,12 +414,19 @@
         name = "no organisation is served less than a quarter as often as all of them"
         self.assertEqual(self._find(), [name])
 
+    def test_a_part_of_prompts_that_is_not_quarantined(self) -> None:
+        request = f"chat-{SHARED_PART_NAME}0-1@entry-1"
+        self.runs += [_run(request, at=float(at), is_crash=True) for at in range(6)]
+        self.assertEqual(self._find(), [])
+        self.runs += [_run(request, at=float(at), is_crash=True) for at in (8, 9, 10, 11)]
+        self.assertEqual(self._find(), ["a part of prompts that crashes engines is quarantined"])
+
     def test_an_unexpected_exit(self) -> None:
         self.observations.unexpected_exits.append("entry-1 exited by itself")
         self.assertEqual(self._find(), ["control replicas and entries do not exit by themselves"])
 
     def test_every_guarantee_is_tested(self) -> None:
-        self.assertEqual(len(GUARANTEES), 15)
+        self.assertEqual(len(GUARANTEES), 16)
 
     def test_target_runs_are_read_from_logs(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
@@ -176,7 +176,9 @@
         served = [response.status == 200 for response in responses]
         self.assertTrue(all(served[UNAWARE_COUNT:]), served)
 
-    async def test_requests_that_must_run_once_end_at_their_time_outs_one_after_another(self) -> None:
+    async def test_requests_that_must_run_once_end_at_their_time_outs_one_after_another(
+        self,
+    ) -> None:
         await self.start_fleet(*make_targets())
         entry = self.fleet.entries[0]
         await entry.call("/once/a")
