Engines that exit after they copied from one engine no longer copy from it

Found by going through what requests share. A prompt's shared segments may be copied from another engine's cache; if what that engine sends makes the receiver exit, the parts themselves are cleared by the engines that read them, and the exits had no cause that is counted.

Change: the address that an attempt copies from is a cause of that attempt. Once quarantined, prompts go to engines as before, which read the segments themselves.

Evidence: test_engines_that_copy_from_one_exit_one_after_the_other fails if the attempt does not name its source, and passes.

--- a/packages/damsonlane/src/damsonlane/quarantine/_causes.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_causes.py
@@ -11,7 +11,7 @@
 #: Bytes of a hash that stands for contents.
 _HASH_BYTES: Final = 12
 #: Identities that are used as they are; others are hashed, so that names stay short and readable.
-_PLAIN_IDENTITY: Final = re.compile(r"[0-9A-Za-z._-]{1,64}")
+_PLAIN_IDENTITY: Final = re.compile(r"[0-9A-Za-z.:_-]{1,64}")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -49,7 +49,11 @@
 
 
 def list_shared_causes(
-    *, parts: Iterable[str] = (), material_key: str = "", body: bytes = b""
+    *,
+    parts: Iterable[str] = (),
+    material_key: str = "",
+    body: bytes = b"",
+    copy_source: str = "",
 ) -> tuple[str, ...]:
     """Return the names of what a request shares with others, each once.
 
@@ -59,12 +63,15 @@
         parts: identities of the shared parts of its prompt; empty ones are ignored.
         material_key: key of the material of its stages, or an empty string.
         body: its body; an empty one is no cause.
+        copy_source: address of the engine from which its target copies cached prompt segments.
     """
     names = [_make_name("part", part) for part in parts if part]
     if material_key:
         names.append(_make_name("material", material_key))
     if body:
         names.append(f"body:{_hash(body)}")
+    if copy_source:
+        names.append(_make_name("copy", copy_source))
     return tuple(dict.fromkeys(names))
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -223,7 +223,9 @@
             self._attempts.count_first(self._call)
         self._history.record_attempt(chosen.target)
         self._times.record_sent()
-        self._quarantine.version = chosen.version
+        if not self._quarantine.may_copy(chosen.source_address, chosen.version):
+            chosen = replace(chosen, source_address="")
+        self._quarantine.begin_attempt(chosen.version, chosen.source_address)
         self._is_writing_recorded = False
         try:
             failure = await self._send(chosen)
@@ -232,7 +234,7 @@
                 await self._report_loss(failure, chosen)
             return failure
         finally:
-            self._quarantine.version = None
+            self._quarantine.end_attempt()
 
     async def _relay_once(self) -> FailedAttempt | None:
         """Have another entry serve the request; return None once the response is complete."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
@@ -1,12 +1,22 @@
-"""Requests, no two alike, that share a material key or a body on which targets exit."""
+"""Requests, no two alike, that share something else than a part on which targets exit."""
 
+import asyncio
 import json
 import unittest
 
-from damsonlaned.gateway.tests.harness import FakeTarget, Response, answer_ok, make_piece_handler
+from damsonlane.quarantine import EXITS_TO_QUARANTINE, RequestCauses, list_shared_causes
+from damsonlaned.gateway.tests.harness import (
+    Control,
+    FakeTarget,
+    Response,
+    answer_ok,
+    make_piece_handler,
+)
 from damsonlaned.gateway.tests.test_crashing_parts import MAX_EXITS
 from damsonlaned.gateway.tests.test_quarantine import Fleet
 from damsonlaned.http import HttpRequest
+from damsonlaned.quarantine import KnownQuarantine, LostTarget, Quarantine, RequestQuarantine
+from damsonlaned.quarantine._quarantine import CONFIRM_SECONDS
 
 
 class CrashingMaterialTest(unittest.IsolatedAsyncioTestCase):
@@ -60,5 +70,37 @@
         self.assertEqual(others, [200] * 6)
 
 
+class CrashingCopyTest(unittest.IsolatedAsyncioTestCase):
+    def _make(self, name: str) -> RequestQuarantine:
+        """Return what the quarantine says about a request that is like no other one."""
+        return RequestQuarantine(
+            self.quarantine,
+            causes=RequestCauses(request=name, shared=list_shared_causes(parts=["popular"])),
+            service="llm",
+            stage_causes=RequestCauses(),
+            stages=(),
+            list_versions=lambda: [""],
+        )
+
+    async def asyncSetUp(self) -> None:
+        self.quarantine = Quarantine(KnownQuarantine(), Control().submit)
+        served = self._make("served")
+        served.begin_attempt("", "")
+        served.record_served()
+
+    async def test_engines_that_copy_from_one_exit_one_after_the_other(self) -> None:
+        for number in range(EXITS_TO_QUARANTINE):
+            request = self._make(f"f{number}")
+            self.assertTrue(request.may_copy("10.0.0.1:80", ""))
+            request.begin_attempt("", "10.0.0.1:80")
+            lost = LostTarget(target=f"t{number}", address="", start=0)
+            self.quarantine.record_exit(lost, [request.make_run(0.2)])
+        await asyncio.sleep(2 * CONFIRM_SECONDS)
+        another = self._make("f9")
+        self.assertFalse(another.may_copy("10.0.0.1:80", ""))
+        self.assertTrue(another.may_copy("10.0.0.2:80", ""))
+        self.assertIsNone(another.find())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
@@ -2,9 +2,15 @@
 
 import contextlib
 from collections.abc import Callable, Collection
+from dataclasses import replace
 from typing import Final
 
-from damsonlane.quarantine import InterruptedRequest, QuarantinedRequest, RequestCauses
+from damsonlane.quarantine import (
+    InterruptedRequest,
+    QuarantinedRequest,
+    RequestCauses,
+    list_shared_causes,
+)
 from damsonlaned.quarantine._quarantine import Quarantine
 
 
@@ -37,14 +43,16 @@
         self._stages: Final = stages
         self._list_versions: Final = list_versions
         #: Version of the target that has the request now; None if none has it.
-        self.version: str | None = None
+        self._version: str | None = None
+        #: What that target copies cached prompt segments from, as a cause; none if it does not.
+        self._copies: tuple[str, ...] = ()
 
     def find(self) -> QuarantinedRequest | None:
         """Return why the request may be sent to no target, or why the one that has it may exit."""
         if self._quarantine.is_list_empty():
             return None
-        if self.version is not None:
-            return self._find_at(self.version)
+        if self._version is not None:
+            return self._find_at(self._version)
         for service in self._stages:
             found = self._quarantine.find_quarantined(self._list_stage_names(service))
             if found is not None:
@@ -65,6 +73,33 @@
             version for version in self._list_versions() if self._find_at(version) is not None
         )
 
+    def may_copy(self, source: str, version: str) -> bool:
+        """Return whether a target may copy cached prompt segments from another one.
+
+        Args:
+            source: address of the other one.
+            version: version of the target.
+        """
+        if self._quarantine.is_list_empty():
+            return True
+        causes = RequestCauses(shared=list_shared_causes(copy_source=source))
+        return self._quarantine.find_quarantined(causes.list_names(self._service, version)) is None
+
+    def begin_attempt(self, version: str, copy_source: str) -> None:
+        """Record that a target gets the request.
+
+        Args:
+            version: version of the target.
+            copy_source: address from which it copies cached prompt segments, or an empty string.
+        """
+        self._version = version
+        self._copies = list_shared_causes(copy_source=copy_source)
+
+    def end_attempt(self) -> None:
+        """Record that no target has the request any more."""
+        self._version = None
+        self._copies = ()
+
     async def wait_until_confirmed(self) -> None:
         """Wait until it is known whether what the request shares is quarantined."""
         if self._quarantine.is_list_empty():
@@ -76,7 +111,8 @@
 
     async def wait_until_reported(self) -> None:
         """Wait for a limited time until control has the exits that this entry saw."""
-        await self._quarantine.wait_until_reported(self._list_names(self.version or ""))
+        names = self._find_attempted().list_names(self._service, self._version or "")
+        await self._quarantine.wait_until_reported(names)
 
     def watch(self, notify: Callable[[], None]) -> contextlib.AbstractContextManager[None]:
         """Return a context in which a function is called when the request is quarantined."""
@@ -91,19 +127,25 @@
         return InterruptedRequest(
             fingerprint=self._causes.request,
             seconds=seconds,
-            shared=self._causes.list_shared(self._service, self.version or ""),
+            shared=self._find_attempted().list_shared(self._service, self._version or ""),
         )
 
     def record_served(self) -> None:
         """Record that the target that has the request served it."""
-        self._quarantine.record_served(self._list_names(self.version or ""))
+        names = self._find_attempted().list_names(self._service, self._version or "")
+        self._quarantine.record_served(names)
 
     def record_writing(self) -> None:
         """Record that the target has been writing the answer for a while.
 
         That shows nothing of the request as a whole, which may still exhaust the target's memory.
         """
-        self._quarantine.record_served(self._causes.list_shared(self._service, self.version or ""))
+        names = self._find_attempted().list_shared(self._service, self._version or "")
+        self._quarantine.record_served(names)
+
+    def _find_attempted(self) -> RequestCauses:
+        """Return what may make the target that has the request exit."""
+        return replace(self._causes, shared=(*self._causes.shared, *self._copies))
 
     def _find_at(self, version: str) -> QuarantinedRequest | None:
         return self._quarantine.find_quarantined(self._list_names(version))
