The stand-in that exits after an event goes on with the event that a resumed stream needs

Traced: the stand-in sent event 1 at each target, also where the request named the last event; the entry passed on what it got.

--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -260,7 +260,8 @@
         if crash.has_event:
             headers = (*self._make_headers(request), (b"Content-Type", b"text/event-stream"))
             reply.start(HttpHead(status=200, headers=headers))
-            await reply.send(render_event(1, "", self._record.version).encode())
+            number = int(request.find(b"last-event-id") or 0) + 1
+            await reply.send(render_event(number, "", self._record.version).encode())
         await asyncio.sleep(CRASH_DELAY_SECONDS)
         os._exit(_CRASH_EXIT_CODE)
 
