Entries check services that several others announce not to reach

Reproduced in one process, health checks named, six entries that send every 0.25 s: 0 of 180 in 7.5 s.

Cause: owners of a pool are chosen among entries that have not announced that they don't reach it. Each cut entry finds that out by requests that it loses, so the pool went from one cut owner to the next, one to two seconds each.

Change: once two entries announce a service, the others probe it with its health check, whether or not they have requests. Only those that get no answer ask others. Cost: two probes an entry, once for each such cut.

Evidence: test_an_entry_without_requests_loses_them_to_a_cut_that_others_announced failed before (timed out) and passes. Without a health check each owner still finds out by itself.

--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import ssl
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Final, Protocol
 
@@ -27,6 +28,8 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+#: Boxes that announce a service not to be reached from which the others check it, too.
+SHARED_CUT_BOXES: Final = 2
 #: Targets that are probed to compare this box with others.
 MAX_PROBED: Final = 3
 #: Boxes that are asked whether they reach the targets.
@@ -104,6 +107,8 @@
         #: Boxes that were last found to reach a service that this one does not.
         self._reaching: dict[str, tuple[str, ...]] = {}
         self._watchers: dict[str, set[Callable[[], None]]] = {}
+        #: Services that several boxes announced not to reach.
+        self._shared_cuts: set[str] = set()
         self._listeners: list[Callable[[str], None]] = []
 
     # What others ask.
@@ -193,13 +198,24 @@
         return self.helpers.choose(known, now) or self.helpers.choose(candidates, now)
 
     def follow_entries(self) -> None:
-        """Check services in doubt that another box has found not to be reached by itself alone."""
-        announced = {name for entry in self._fleet.entries for name in entry.unreached}
+        """Check services that other boxes have found not to be reached by themselves alone.
+
+        Those that are in doubt here are checked, and all that several boxes announce: of a cut
+        that most boxes share, each would otherwise find out by requests that it loses, one owner
+        of a pool after the other.
+        """
+        announced = Counter(name for entry in self._fleet.entries for name in entry.unreached)
         for service in announced:
             reach = self._services.get(service)
             if reach is not None and reach.state == "reached":
                 reach.end_dismissal()
                 self._check_if_doubtful(service, reach)
+        shared = {name for name, count in announced.items() if count >= SHARED_CUT_BOXES}
+        for service in shared - self._shared_cuts:
+            reach = self._services.setdefault(service, ServiceReach())
+            if reach.state == "reached" and self._list_names(service):
+                self._start_check(service, reach, is_thorough=True)
+        self._shared_cuts = shared
 
     async def answer(self, query: ReachQuery) -> ReachReply:
         """Probe targets for another box; return nothing if the own path is in doubt."""
@@ -258,9 +274,10 @@
         if reach.needs_check(self._list_names(service), self._now()):
             self._start_check(service, reach)
 
-    def _start_check(self, service: str, reach: ServiceReach) -> None:
+    def _start_check(self, service: str, reach: ServiceReach, *, is_thorough: bool = False) -> None:
         if service not in self._checks:
-            task = start_task(self._run_check(service, reach), "checking the path to targets")
+            check = self._run_check(service, reach, is_thorough=is_thorough)
+            task = start_task(check, "checking the path to targets")
             self._checks[service] = task
             task.add_done_callback(lambda _: self._checks.pop(service, None))
 
@@ -272,11 +289,19 @@
             if reach.state == "reached" and self._list_names(found.name):
                 self._start_check(found.name, reach)
 
-    async def _run_check(self, service: str, reach: ServiceReach) -> None:
-        """Find out whether other boxes reach targets that this one does not reach."""
+    async def _run_check(
+        self, service: str, reach: ServiceReach, *, is_thorough: bool = False
+    ) -> None:
+        """Find out whether other boxes reach targets that this one does not reach.
+
+        Args:
+            service: the service.
+            reach: its state.
+            is_thorough: whether a connection alone does not show that it is reached.
+        """
         records = self._draw_probed(service, reach)
         evidence = ",".join(sorted(reach.evidence.list_kinds()))
-        if await self._reaches_some(service, reach, records):
+        if await self._reaches_some(service, reach, records, is_thorough=is_thorough):
             reach.dismiss(self._list_names(service), self._now())
             return
         asked: list[str] = []
@@ -322,7 +347,12 @@
         return has_lost and bool(self.list_candidates(service))
 
     async def _reaches_some(
-        self, service: str, reach: ServiceReach, records: Sequence[TargetRecord]
+        self,
+        service: str,
+        reach: ServiceReach,
+        records: Sequence[TargetRecord],
+        *,
+        is_thorough: bool,
     ) -> bool:
         """Return whether connections alone show that this box has a path to targets.
 
@@ -332,8 +362,10 @@
         names = self._list_names(service)
         if reach.evidence.is_doubtful(names, self._now()) and reach.evidence.has_lost_requests():
             return False
-        results = await self._prober.probe("", records[-QUICK_PROBES:], is_fresh=True)
-        return any(result is not ProbeResult.FAILED for result in results.values())
+        path = self._find_health_path(service) if is_thorough else ""
+        least = ProbeResult.ANSWERED if path else ProbeResult.CONNECTED
+        results = await self._prober.probe(path, records[-QUICK_PROBES:], is_fresh=True)
+        return any(result >= least for result in results.values())
 
     def _draw_asked(self, service: str, hints: Sequence[str], asked: Sequence[str]) -> list[str]:
         """Return addresses of boxes to ask: those of hints, one that may know, and others."""
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
@@ -16,6 +16,7 @@
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
     HEALTH_PATH,
+    TEST_TIMEOUT_SECONDS,
     AnswerHandler,
     Entry,
     FakeTarget,
@@ -161,6 +162,20 @@
             await asyncio.sleep(0.1)
         self.assertEqual(statuses[-REQUEST_COUNT // 2 :], [200] * (REQUEST_COUNT // 2))
 
+    async def test_an_entry_without_requests_loses_them_to_a_cut_that_others_announced(
+        self,
+    ) -> None:
+        await self.start_fleet(*make_targets(), count=4)
+        for index in range(3):
+            await self.cut(index, "hang")
+        for entry in self.fleet.entries[:2]:
+            while entry.reach.is_reached("desk"):
+                await entry.call("/ping/a", deadline_ms=DEADLINE_MS)
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while self.fleet.entries[2].reach.is_reached("desk"):
+                await asyncio.sleep(0.01)
+        self.assertTrue(self.fleet.entries[3].reach.is_reached("desk"))
+
 
 class UnreportedHealthTest(CutTestCase):
     document = DOCUMENT
