--- a/packages/damsonlane_bench/src/damsonlane_bench/crashing_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/crashing_parts.py
@@ -51,6 +51,8 @@
     deadly: Parts | None
     #: Shared parts of sound requests.
     sound: Parts = lambda _: ("first", "second")
+    #: The same from the first deadly request on, if they differ.
+    later_sound: Parts | None = None
     #: Material key of requests that crash targets of the pool; empty for none.
     material: str = ""
     #: Entries and replicas that are killed and started again, and seconds after the first exit.
@@ -70,6 +72,10 @@
         deadly=lambda draw: ("first", "dead01", *(("mate",) if draw.random() < 0.9 else ())),
         sound=lambda _: ("first", "mate"),
     ),
+    "innocent part that is new": Scenario(
+        deadly=lambda draw: ("first", "dead01", *(("mate",) if draw.random() < 0.9 else ())),
+        later_sound=lambda _: ("first", "mate"),
+    ),
     "two deadly parts": Scenario(
         deadly=lambda draw: (
             "first",
@@ -105,6 +111,8 @@
         #: Times of the exits of targets by themselves, by target.
         self.exits: Final[list[tuple[float, str]]] = []
         self.stopped: Final = Event()
+        #: Whether deadly requests are sent.
+        self.is_deadly = False
         self._kinds: Final[dict[str, tuple[str, TargetKind]]] = {
             "desk-0": ("desk", "plain"),
             **dict.fromkeys(_POOL, ("encode", "pool")),
@@ -248,13 +256,19 @@
         fleet.start()
         supervisor = Thread(target=fleet.supervise)
         supervisor.start()
+
+        def make_sound(draw: random.Random) -> Sequence[str]:
+            later = scenario.later_sound if fleet.is_deadly else None
+            return (later or scenario.sound)(draw)
+
         callers = [
             Caller(fleet, kind, number, parts, "", sent[kind])
-            for kind, parts in (("same", scenario.sound), ("other", lambda _: ("another",)))
+            for kind, parts in (("same", make_sound), ("other", lambda _: ("another",)))
             for number in range(_CALLERS // 2)
         ]
         time.sleep(_QUIET_SECONDS)
         began_at = time.time()
+        fleet.is_deadly = True
         if scenario.deadly is not None:
             callers.extend(
                 Caller(fleet, "deadly", number, scenario.deadly, scenario.material, sent["deadly"])
