--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
@@ -30,6 +30,7 @@
     reports_load: bool,
     senders: str,
     version: str,
+    connections: int,
 ) -> None:
     target = RegisteredTarget(
         service,
@@ -39,6 +40,7 @@
         reports_load=reports_load,
         senders=Path(senders) if senders else None,
         version=version,
+        connections=connections,
     )
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -66,6 +68,7 @@
     reports_load: bool = False,
     senders: str = "",
     version: str = "",
+    connections: int = 0,
 ) -> None:
     """Run a stand-in.
 
@@ -78,8 +81,20 @@
         senders: file that names the processes of entries, and those that are cut off; empty for
             none.
         version: version of its software; empty if it reports none.
+        connections: most connections that it takes; 0 for any number.
     """
-    asyncio.run(_run(service, kind, address, registries.split(";"), reports_load, senders, version))
+    asyncio.run(
+        _run(
+            service,
+            kind,
+            address,
+            registries.split(";"),
+            reports_load,
+            senders,
+            version,
+            connections,
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -14,6 +14,7 @@
 
 from damsonlane.codec import encode_bytes
 from damsonlane.targets import TargetRecord
+from damsonlane_bench.registered_target._connections import ConnectionLimit
 from damsonlane_bench.registered_target._crashes import CRASH_DELAY_SECONDS, Crash, find_crash
 from damsonlane_bench.registered_target._events import EVENT_COUNT, LARGE_INPUT, render_event
 from damsonlane_bench.registered_target._load import ReportedLoad
@@ -99,6 +100,7 @@
         reports_load: whether responses report its load.
         senders: file that names the processes of entries, and those that are cut off.
         version: version of its software, which its events name; empty if it reports none.
+        connections: most connections that it takes; 0 for any number.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         reports_load: bool = False,
         senders: Path | None = None,
         version: str = "",
+        connections: int = 0,
     ) -> None:
         self._senders: Final = Senders(senders)
         self._kind: Final = kind
@@ -125,7 +128,10 @@
             sequence=0,
             version=version,
         )
-        self._listener: Final = HttpListener(address, self._serve, render_refusal=_render)
+        self._connections: Final = ConnectionLimit(connections, lambda: self._listener.count_open())
+        self._listener: Final = HttpListener(
+            address, self._serve, render_refusal=_render, gate=self._connections
+        )
         self._heartbeats: asyncio.Task[None] | None = None
         self._backoff_until = 0.0
         self._is_draining = False
@@ -230,6 +236,10 @@
         if request.path == "/ran":
             reply.send_response(HttpResponse(status=200, body=json.dumps(self.ran).encode()))
             return
+        if request.path == "/connections":
+            counts = (self._connections.peak, self._connections.reset_count)
+            reply.send_response(HttpResponse(status=200, body=json.dumps(counts).encode()))
+            return
         is_backing_off = time.monotonic() < self._backoff_until
         self._log_arrival(request, sender, is_backing_off=is_backing_off)
         if self.rejections.rejects(self.load.running):
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -100,6 +100,7 @@
         reports_load: bool = False,
         senders: str = "",
         version: str = "",
+        connections: int = 0,
     ) -> None:
         """Start a target that registers itself."""
         registries = ";".join(self.addresses[f"{control}/front"] for control in self.controls)
@@ -112,6 +113,7 @@
             *(("--reports-load",) if reports_load else ()),
             *((f"--senders={senders}",) if senders else ()),
             *((f"--version={version}",) if version else ()),
+            *((f"--connections={connections}",) if connections else ()),
         ]
         self.processes[name] = Process(name, command, self.folder / f"{name}.log")
 
@@ -172,13 +174,21 @@
 
     def read_run_ids(self, target: str) -> list[str]:
         """Return the ids of the requests that a target ran, in order."""
+        return [str(name) for name in self._read_target(target, "/ran")]
+
+    def read_connections(self, target: str) -> tuple[int, int]:
+        """Return the most connections that a target had open, and how many it has reset."""
+        most, reset = self._read_target(target, "/connections")
+        return int(most), int(reset)
+
+    def _read_target(self, target: str, path: str) -> list[Any]:
         connection = http.client.HTTPConnection(
             self.addresses[f"{target}/front"], timeout=_CALLER_TIMEOUT_SECONDS
         )
-        connection.request("GET", "/ran")
-        run_ids = json.loads(connection.getresponse().read())
+        connection.request("GET", path)
+        values: list[Any] = json.loads(connection.getresponse().read())
         connection.close()
-        return [str(name) for name in run_ids]
+        return values
 
     def read_log_lines(self, text: str) -> list[str]:
         """Return the log lines of all boxes that contain a text, and all warnings and errors."""
--- a/packages/damsonlaned/src/damsonlaned/http/_accept_gate.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_accept_gate.py
@@ -4,7 +4,7 @@
 import logging
 import math
 from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -17,6 +17,13 @@
 STALE_SECONDS: Final = 0.25
 
 
+class ConnectionGate(Protocol):
+    """Decides whether new connections are served."""
+
+    def admit(self) -> bool:
+        """Return whether a new connection should be served; otherwise it is closed unread."""
+
+
 class AcceptGate:
     """Closes new connections unread while the event loop is late.
 
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -12,7 +12,7 @@
 from damsonlane.errors import StorageError
 from damsonlane.records import dataclass
 from damsonlane_rpc import Endpoint
-from damsonlaned.http._accept_gate import AcceptGate
+from damsonlaned.http._accept_gate import ConnectionGate
 from damsonlaned.http._buffer_guard import BufferGuard
 from damsonlaned.http._errors import CallerDisconnectedError
 from damsonlaned.http._messages import HttpRequest, HttpResponse
@@ -251,7 +251,7 @@
         limits: Callable[[], ListenerLimits] = ListenerLimits,
         render_refusal: Callable[[int, str], HttpResponse],
         guard: BufferGuard | None = None,
-        gate: AcceptGate | None = None,
+        gate: ConnectionGate | None = None,
     ) -> None:
         self._gate: Final = gate
         self._guard: Final = guard
@@ -290,6 +290,10 @@
             return self._endpoint.port
         return int(self._server.sockets[0].getsockname()[1])
 
+    def count_open(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
     def count_busy(self) -> int:
         """Return the number of connections with a request in progress."""
         return sum(1 for connection in self._connections if not connection.is_idle)
