Entries lend each other connections to targets, and choose targets that they can connect to

Cause: a target's connections were divided ahead by the number of entries, with at least two for each, so a crowded entry had 3 of 50, and 74 entries had 148 connections to a target that takes 10. An entry chose targets without regard to its connections there; one that was in use up counted as a failure of the target, as one of its offers, and against the retry budget.

Change: the division stays the basis (now by the lists of the last seconds for all fleets, within the limit for any number of entries). A part beyond a small floor is lent for a time to entries that ask, who are asked ahead of need, several at once and renewed at a third of the time. Lenders count from their answer and borrowers from their question, so the sum is that of the division whoever is killed, starts anew or misses messages. Targets without a free connection are not chosen and not failed; requests wait a moment for one. Weighed: shares moved by control (3 s, and its log), an owner that gives out permits (its successor must wait, and an old list makes two owners), handing requests on (costs both boxes, and is kept for paths).

--- a/packages/damsonlane/src/damsonlane/membership/_shares.py
+++ b/packages/damsonlane/src/damsonlane/membership/_shares.py
@@ -55,7 +55,7 @@
         #: The least weight of this box and the largest of each other one; None if outdated.
         self._merged: Mapping[str, float] | None = None
         self._total = 0.0
-        #: Results of `split_singly` for these weights; ranking all boxes for each request is slow.
+        #: Results of `is_among_first` for these weights; ranking all boxes for each call is slow.
         self._singles: dict[tuple[str, int], bool] = {}
 
     def record(self, records: Sequence[BoxRecord], now: float) -> None:
@@ -79,6 +79,10 @@
         self._drop_expired(now)
         return any(known.is_uneven for known in self._lists)
 
+    def count(self, now: float) -> int:
+        """Return the number of boxes in the lists of the last seconds."""
+        return len(self._merge(now))
+
     def find_share(self, now: float) -> float:
         """Return the share of the box in a limit."""
         weights = self._merge(now)
@@ -103,14 +107,27 @@
             limit: the limit for all boxes together.
             now: the monotonic clock, in seconds.
         """
-        weights = self._merge(now)
-        if not weights.get(self._address):
+        if not self._merge(now).get(self._address):
             return 0
         singles = min(limit, MAX_SINGLE_PARTS)
-        key = (subject, singles)
+        is_single = self.is_among_first(subject, singles, now)
+        return is_single + int((limit - singles) * self.find_share(now))
+
+    def is_among_first(self, subject: str, number: int, now: float) -> bool:
+        """Return whether the box is one of the first boxes in the order that a subject decides.
+
+        Args:
+            subject: name that decides the order.
+            number: number of boxes that count as the first ones.
+            now: the monotonic clock, in seconds.
+        """
+        weights = self._merge(now)
+        if not weights.get(self._address):
+            return False
+        key = (subject, number)
         if key not in self._singles:
-            self._singles[key] = self._address in rank_boxes(subject, weights)[:singles]
-        return self._singles[key] + int((limit - singles) * self.find_share(now))
+            self._singles[key] = self._address in rank_boxes(subject, weights)[:number]
+        return self._singles[key]
 
     def _merge(self, now: float) -> Mapping[str, float]:
         """Return the least weight of this box and the largest of each other one."""
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -25,6 +25,7 @@
         NotAMember,
     )
     from damsonlane_rpc._follow_messages import FOLLOW, FollowReport, FollowUpdate
+    from damsonlane_rpc._loan_messages import BORROW, LoanReply, LoanRequest
     from damsonlane_rpc._messages import (
         ADD_REPLICA,
         FOUND_GROUP,
@@ -130,6 +131,7 @@
                 "FollowReport",
                 "FollowUpdate",
             ),
+            "_loan_messages": ("BORROW", "LoanReply", "LoanRequest"),
             "_messages": (
                 "SUBMIT",
                 "QUERY",
@@ -230,7 +232,10 @@
     "PERMIT",
     "POOL",
     "QUERY",
+    "BORROW",
     "FIND_ORIGIN",
+    "LoanReply",
+    "LoanRequest",
     "RECORD_ORIGINS",
     "OriginBatch",
     "OriginBatchReply",
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -167,13 +167,21 @@
             *avoid,
             *self._targets.list_unusable(call.service),
             *self._targets.list_full(call.service),
+            *self._targets.list_unconnectable(call.service),
         }
         order = _make_prompt_order(call, tuple(sorted(unusable)), tuple(input_locations))
         placed = await self._placements.place(call.service.name, order)
         if placed is None or placed.target in unusable:
             return None
+        if placed.target in self._targets.list_unconnectable(call.service):
+            # Other requests took the connections while the owner was asked.
+            return None
         return self._targets.choose_placed(call.service, placed)
 
+    async def wait_for_connection(self, call: Call, seconds: float) -> None:
+        """Wait until a connection to a target of a request may be free, at most for a time."""
+        await self._targets.fleet_connections.wait_for_free(call.service.name, seconds)
+
     def find_backoff_seconds(self, call: Call) -> float:
         """Return the seconds for which all targets of a request back off; 0 if one does not."""
         return self._targets.find_backoff_seconds(call.service)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_limited_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_limited_targets.py
@@ -33,6 +33,8 @@
     return_seconds: float = 0.0
     #: Whether a target is probably free within a fraction of the latency objective.
     is_brief: bool = False
+    #: Whether it only lacks a connection, which another request may release at any moment.
+    lacks_connection: bool = False
 
 
 class LimitedTargetSelector:
@@ -92,6 +94,14 @@
 
     def _explain_none(self, service: Service) -> NoTarget:
         """Return why no target was chosen."""
+        if self._targets.record_shortage(service):
+            return NoTarget(
+                detail="all connections of this entry to the targets of the service are in use",
+                wait_seconds=FULL_WAIT_SECONDS,
+                return_seconds=FULL_RETURN_SECONDS,
+                is_brief=True,
+                lacks_connection=True,
+            )
         if not self._targets.list_full(service):
             return NoTarget()
         return NoTarget(
@@ -136,6 +146,8 @@
     def _accept(self, service: Service, permit: Permit | None) -> ChosenTarget | None:
         if permit is None or not permit.target:
             return None
+        if permit.target in self._targets.list_unconnectable(service):
+            return None
         return self._targets.choose_permitted(service, permit.target)
 
     def _list_at_rate_limit(self, limited: dict[str, TargetIncarnation]) -> set[str]:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -18,6 +18,7 @@
 from damsonlane_rpc import ControlClient
 from damsonlaned.admin import AdminServer
 from damsonlaned.clock import read_clock
+from damsonlaned.connections import LoanClient, LoanService
 from damsonlaned.dialects import DIALECTS
 from damsonlaned.fairness import ShareReporter
 from damsonlaned.gateway._attempts import Attempts
@@ -60,6 +61,9 @@
 #: Time after a change of the list of entries for which a share of a limit does not grow, as a
 #: multiple of the time within which a document is in force everywhere.
 HOLD_RATIO: Final = 1.5
+#: Length of a loan of connections, as a multiple of the same time.  Loans of an entry that has not
+#: got the newest list end before another entry has its share by that list.
+LOAN_RATIO: Final = HOLD_RATIO - 1.0
 #: Load of the event loop from which requests of other entries are declined.
 MAX_HELPER_LOAD: Final = 0.9
 #: Seconds between checks whether all requests have completed.
@@ -109,7 +113,12 @@
             settings.internal_address,
             self._shares,
             self._reach.observe,
+            LOAN_RATIO * gateway.apply_seconds,
         )
+        self._loans: Final = LoanClient(
+            targets.fleet_connections, self._view, settings.internal_address, context
+        )
+        self._loan_service: Final = LoanService(targets.fleet_connections)
         owners = PoolOwners(
             self._view,
             targets,
@@ -209,6 +218,7 @@
         return {
             **self._pool_service.handlers(),
             **self._relay_service.handlers(),
+            **self._loan_service.handlers(),
             **self._origin_service.handlers(),
         }
 
@@ -227,6 +237,7 @@
         await self._listener.start()
         self._control_follower.start()
         self._load.start()
+        self._loans.start()
 
     def apply_settings(self, newer: BoxSettings) -> None:
         """Apply the control addresses and the capacity of reloaded settings."""
@@ -261,6 +272,7 @@
         await self._load.stop()
         self._control.close()
         await self._pools.stop()
+        await self._loans.stop()
         await self._reach.stop()
         self._relay_client.close()
         await self._origins.stop()
@@ -341,6 +353,11 @@
         self._metrics.rate_limited.set({}, len(self._view.limits.list_reports()))
         rejections = self._view.announcements.rejections
         self._metrics.rejection_limited.set({}, len(rejections.list_limited()))
+        for name, used in self._targets.fleet_connections.summarise().items():
+            for kind, count in used.list_counts():
+                self._metrics.connections.set({"service": name, "kind": kind}, count)
+        for name, count in self._targets.fleet_connections.shortage_counts.items():
+            self._metrics.connection_shortages.set({"service": name}, count)
         self._owners.update_metrics()
         self._metrics.implausible_slowness.set({}, self._targets.implausible_slowness)
         for service, summary in self._placers.summarise_speeds().items():
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -33,6 +33,7 @@
 from damsonlaned.gateway._target_wait import TargetWait, make_no_target_failure
 from damsonlaned.http import (
     CallerDisconnectedError,
+    ConnectionsInUseError,
     HttpResponse,
     IncompleteResponseError,
     NotSentError,
@@ -295,6 +296,9 @@
                     return await self._attempts.open(
                         self._call, chosen, inputs, self._last_event, read_timer.start
                     )
+        except ConnectionsInUseError:
+            self._attempts.finish_unopened(chosen, "neutral")
+            raise
         except (NotSentError, IncompleteResponseError, TimeoutError):
             self._attempts.finish_unopened(chosen, "bad")
             raise
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -23,6 +23,7 @@
 )
 from damsonlane.targets import ServedModel, TargetRecord
 from damsonlane.warmup import WarmupLimiter, find_entry_share
+from damsonlaned.connections import FleetConnections
 from damsonlaned.dialects import ResponseSignals
 from damsonlaned.gateway._call import Prompt
 from damsonlaned.gateway._placement_client import PlacedPrompt
@@ -31,11 +32,8 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Least number of connections that one entry may open to a target, however many entries share it.
-MIN_CONNECTIONS: Final = 2
-#: Share of a target's connections that the fleet uses, so that entries which
-#: do not know each other yet stay within its limit together.
-CONNECTION_SHARE: Final = 0.9
+#: Length of a loan of connections by default, in seconds.
+LOAN_SECONDS: Final = 1.0
 #: Routing policy for engines, which cache prompt prefixes.
 ENGINE_POLICY: Final = "prefix-affinity"
 #: Routing policy for all other targets.
@@ -84,9 +82,11 @@
         entries: returns how many entries share the targets.
         own_address: internal address of this entry, which decides its share of the requests to
             targets that warm up.
-        shares: the shares of this entry by capacity; None if limits are divided evenly.
+        shares: the shares of this entry in the limits that entries divide; None for one that knows
+            no other entry.
         observe: returns the observer of the connections to a target of a service, by their names;
             None if nobody observes them.
+        loan_seconds: length of a loan of connections to targets, in seconds.
     """
 
     def __init__(
@@ -97,9 +97,11 @@
         own_address: str = "",
         shares: CapacityShares | None = None,
         observe: Callable[[str, str], ConnectionObserver] | None = None,
+        loan_seconds: float = LOAN_SECONDS,
     ) -> None:
-        self._observe: Final = observe
-        self._shares: Final = shares
+        self._shares: Final = shares or CapacityShares(own_address)
+        #: The connections to targets, and loans of them.
+        self.fleet_connections: Final = FleetConnections(view, self._shares, loan_seconds, observe)
         self._own_address: Final = own_address
         self._warm_up_gate: Final = WarmupLimiter()
         self._incarnations: dict[str, int] = {}
@@ -108,7 +110,6 @@
         self._entries: Final = entries
         self._tables: dict[str, TargetTable] = {}
         self._partitions: dict[str, PromptPartition] = {}
-        self._connections: dict[str, ConnectionPool] = {}
         self._misdirected: set[str] = set()
         self._randomness: Final = random.Random()
         self._logged_slowness: set[TargetIncarnation] = set()
@@ -138,6 +139,7 @@
         unusable = {
             *closed,
             *self.list_full(service),
+            *self.list_unconnectable(service),
             *self._misdirected,
             *self._list_over_warm_up_limit(service, warming_up),
             *excluded,
@@ -170,7 +172,7 @@
             return []
         limit = bound.entries_limit()
         now = self._now()
-        if self._shares is not None and self._shares.is_uneven(now):
+        if self._shares.is_uneven(now):
             shares = {name: self._shares.split_singly(name, limit, now) for name in warming_up}
         else:
             entries = {entry.address for entry in self._view.entries}
@@ -247,6 +249,21 @@
         work = self._table(service.name).list_work(records, self._now())
         return rejections.list_full(service.name, work, self._entries(), self._now())
 
+    def list_unconnectable(self, service: Service) -> set[str]:
+        """Return the targets to which all connections that this entry may open are in use."""
+        names = [record.target for record in self._view.targets_of(service.name)]
+        return self.fleet_connections.list_full(service, names)
+
+    def record_shortage(self, service: Service) -> bool:
+        """Record it if only connections lack for a request; return whether that is so."""
+        unusable = self.list_unusable(service) | self.list_full(service)
+        records = self._view.targets_of(service.name)
+        usable = {record.target for record in records} - unusable
+        is_short = bool(usable) and usable <= self.list_unconnectable(service)
+        if is_short:
+            self.fleet_connections.record_shortage(service, usable)
+        return is_short
+
     def find_backoff_seconds(self, service: Service) -> float:
         """Return the seconds for which all targets of a service back off; 0 if one does not."""
         return self._view.find_backoff_seconds(service.name)
@@ -340,23 +357,7 @@
 
     def connections(self, service: Service, target: str, address: str) -> ConnectionPool:
         """Return the connections to a target."""
-        most = self._find_max_connections(service)
-        connections = self._connections.get(target)
-        if connections is None:
-            connections = self._connections[target] = ConnectionPool(
-                address, most, self._observe(service.name, target) if self._observe else None
-            )
-        connections.set_limit(most)
-        return connections
-
-    def _find_max_connections(self, service: Service) -> int:
-        """Return the connections to a target that this entry may open of those of the fleet."""
-        limit = CONNECTION_SHARE * service.most_connections
-        if self._shares is not None and self._shares.is_uneven(self._now()):
-            return self._shares.split(limit, MIN_CONNECTIONS, self._now())
-        # Entries that don't reach the targets leave their part to those that help them.
-        sharing = max(1, self._entries() - self._view.count_unreaching(service.name))
-        return max(MIN_CONNECTIONS, int(limit / sharing))
+        return self.fleet_connections.find_pool(service, target, address)
 
     def _make_chosen(self, service: Service, choice: TargetChoice) -> ChosenTarget:
         record = self._view.find_target(choice.target)
@@ -391,8 +392,7 @@
             if self._incarnations.get(name, start) == start
         }
         # Drop the connections to and the records of earlier incarnations.
-        for target in set(self._connections) - known:
-            self._connections.pop(target).close()
+        self.fleet_connections.retain_only(known)
         self._misdirected &= known
         self._logged_slowness = {
             logged for logged in self._logged_slowness if logged.target in known
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
@@ -22,6 +22,8 @@
 
 #: Share of the latency objective for which a request waits for room at a target.
 BRIEF_WAIT_SHARE: Final = 0.15
+#: Seconds after which a request that waits for a connection looks for a target again in any case.
+CONNECTION_WAIT_SECONDS: Final = 0.1
 #: Seconds after which the caller of a stream should return when no target has its version.
 VERSION_RETURN_SECONDS: Final = 1.0
 
@@ -101,7 +103,10 @@
             may_wait = is_brief or self._has_progress(results)
             if not may_wait or chosen.wait_seconds >= self._max_wait_seconds():
                 return chosen
-            await asyncio.sleep(max(MIN_PERMIT_INTERVAL_SECONDS, chosen.wait_seconds))
+            if chosen.lacks_connection:
+                await self._attempts.wait_for_connection(self._call, CONNECTION_WAIT_SECONDS)
+            else:
+                await asyncio.sleep(max(MIN_PERMIT_INTERVAL_SECONDS, chosen.wait_seconds))
 
     def _find_overrun(self) -> str | None:
         """Return why a request can't end before its deadline; None if it can."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/fleet.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/fleet.py
@@ -9,9 +9,10 @@
 from damsonlane.routes import RoutingDocument
 from damsonlane.targets import TargetRecord
 from damsonlane_rpc import RpcService
+from damsonlaned.connections import LoanService
 from damsonlaned.gateway._pool_service import PoolService
-from damsonlaned.gateway.tests.harness import Entry
-from damsonlaned.gateway.tests.test_links import make_box_record, serve
+from damsonlaned.gateway.tests.harness import Entry, make_box_record
+from damsonlaned.gateway.tests.test_links import serve
 from damsonlaned.tests.addresses import find_free_addresses
 from damsonlaned.versions import OriginService
 
@@ -41,6 +42,7 @@
                 **service.handlers(),
                 **entry.relay_service.handlers(),
                 **OriginService(entry.origins).handlers(),
+                **LoanService(entry.connections).handlers(),
             }
             entry.on_reach = lambda _: self.list_entries(self.listed)
             self._servers.append(await serve(test, entry.address, RpcService(handlers)))
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -13,7 +13,7 @@
 from damsonlane.cluster import PackedDocument
 from damsonlane.codec import encode_bytes
 from damsonlane.ledger import Holder
-from damsonlane.membership import BoxRecord, _owners
+from damsonlane.membership import _owners
 from damsonlane.pools import PieceOrder
 from damsonlane.routes import RoutingDocument
 from damsonlane.settings import BoxSettings, Capacity, Gateway
@@ -40,6 +40,7 @@
     FakeTarget,
     answer_ok,
     hang,
+    make_box_record,
     make_piece_handler,
 )
 from damsonlaned.tests.addresses import find_free_address
@@ -237,18 +238,6 @@
 )
 
 
-def make_box_record(address: str, standing: str = "live") -> BoxRecord:
-    return BoxRecord(
-        box=address,
-        incarnation="i",
-        started_at=0.0,
-        data_centre="dha",
-        address=address,
-        standing="live" if standing == "live" else "leaving",
-        via="control-1",
-    )
-
-
 class PoolLinkTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.pool = FakeTarget("p1", make_piece_handler(lambda: self.pool.address), "pool")
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
@@ -8,7 +8,7 @@
 from damsonlane.settings import BoxSettings, Capacity, Gateway
 from damsonlaned.gateway import _node
 from damsonlaned.gateway._node import GatewayNode
-from damsonlaned.gateway.tests.test_links import make_box_record
+from damsonlaned.gateway.tests.harness import make_box_record
 
 SETTINGS = BoxSettings(
     name="entry-1",
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_placement.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_placement.py
@@ -19,8 +19,8 @@
 from damsonlaned.gateway._placement_client import PlacedPrompt, PlacementClient
 from damsonlaned.gateway._pool_service import PoolService
 from damsonlaned.gateway._prompt_placer import PromptPlacers
-from damsonlaned.gateway.tests.harness import DOCUMENT, TEST_TIMEOUT_SECONDS, Entry
-from damsonlaned.gateway.tests.test_links import make_box_record, serve, wait_until
+from damsonlaned.gateway.tests.harness import DOCUMENT, TEST_TIMEOUT_SECONDS, Entry, make_box_record
+from damsonlaned.gateway.tests.test_links import serve, wait_until
 from damsonlaned.tests.addresses import find_free_address
 
 ENGINES = RouteService(
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_shards.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_shards.py
@@ -19,9 +19,10 @@
     Entry,
     FakeTarget,
     answer_ok,
+    make_box_record,
     make_piece_handler,
 )
-from damsonlaned.gateway.tests.test_links import ORDER, make_box_record, serve, wait_until
+from damsonlaned.gateway.tests.test_links import ORDER, serve, wait_until
 from damsonlaned.tests.addresses import find_free_address
 
 #: Requests of the tests; each has one piece.
--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -7,7 +7,12 @@
 from damsonlaned.http._buffer_guard import BufferGuard, BufferMeter
 from damsonlaned.http._connection_observer import SILENCE_SECONDS, ConnectionObserver
 from damsonlaned.http._connection_pool import ConnectionPool, HttpExchange
-from damsonlaned.http._errors import CallerDisconnectedError, IncompleteResponseError, NotSentError
+from damsonlaned.http._errors import (
+    CallerDisconnectedError,
+    ConnectionsInUseError,
+    IncompleteResponseError,
+    NotSentError,
+)
 from damsonlaned.http._listener import HttpListener, ListenerLimits
 from damsonlaned.http._messages import (
     HeaderList,
@@ -28,6 +33,7 @@
     "BufferMeter",
     "CallerDisconnectedError",
     "ConnectionObserver",
+    "ConnectionsInUseError",
     "ConnectionPool",
     "HeaderList",
     "HttpHead",
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 from damsonlane_rpc import Endpoint
@@ -12,7 +13,11 @@
     ConnectionObserver,
     NoObserver,
 )
-from damsonlaned.http._errors import IncompleteResponseError, NotSentError
+from damsonlaned.http._errors import (
+    ConnectionsInUseError,
+    IncompleteResponseError,
+    NotSentError,
+)
 from damsonlaned.http._messages import HttpHead, HttpRequest
 from damsonlaned.http._target_connection import ResponseBody, TargetConnection
 from damsonlaned.http._tcp_stream import TcpStream
@@ -94,9 +99,17 @@
         address: address of the target.
         most: largest number of open connections.
         observer: learns whether the target is reached; None for nobody.
+        on_free: called when a connection may be used by another request.
     """
 
-    def __init__(self, address: str, most: int, observer: ConnectionObserver | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        most: int,
+        observer: ConnectionObserver | None = None,
+        on_free: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._on_free: Final = on_free
         self._observer: Final = observer or NoObserver()
         self._endpoint: Final = Endpoint.parse(address)
         self.max_connections = most
@@ -114,11 +127,20 @@
         """Return the number of open connections, idle ones included."""
         return self._open
 
+    def count_busy(self) -> int:
+        """Return the number of connections with a request, or that are being opened."""
+        return self._open - len(self._idle)
+
+    def has_free(self) -> bool:
+        """Return whether one more request may be sent."""
+        return self.count_busy() < self.max_connections
+
     async def send(self, request: HttpRequest, connect_seconds: float) -> HttpExchange:
         """Send a request on an idle connection, or on a new one.
 
         Raises:
-            NotSentError: no connection is available.
+            NotSentError: no connection could be opened.
+            ConnectionsInUseError: all connections that may be open are in use.
         """
         connection = self._take_idle() or await self._connect(connect_seconds)
         connection.send(request)
@@ -135,9 +157,10 @@
         )
         if may_keep and connection.make_idle(now, lambda: self._forget(connection)):
             self._idle.append(connection)
-            return
-        self._open -= 1
-        connection.abort()
+        else:
+            self._open -= 1
+            connection.abort()
+        self._on_free()
 
     def close(self) -> None:
         """Close the idle connections, and the others when they are released."""
@@ -167,12 +190,14 @@
 
     async def _connect(self, seconds: float) -> TargetConnection:
         if self._open >= self.max_connections:
-            raise NotSentError(f"all {self.max_connections} connections to the target are in use")
+            detail = f"all {self.max_connections} connections to the target are in use"
+            raise ConnectionsInUseError(detail)
         self._open += 1
         try:
             return TargetConnection(await self._open_stream(seconds), self._observer)
         except BaseException:
             self._open -= 1
+            self._on_free()
             raise
 
     async def _open_stream(self, seconds: float) -> TcpStream:
--- a/packages/damsonlaned/src/damsonlaned/http/_errors.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_errors.py
@@ -11,5 +11,9 @@
     """No byte of the request was sent, so it has not run."""
 
 
+class ConnectionsInUseError(NotSentError):
+    """This box may open no further connection to the target, which has not failed."""
+
+
 class IncompleteResponseError(DamsonlaneError):
     """The request was sent and no complete response arrived, so it may have run."""
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -65,6 +65,18 @@
             "New connections closed unread, since the box was short of processor time.",
             registry=self.registry,
         )
+        self.connections: Final = Gauge(
+            "damsonlane_connections",
+            "Connections to the target of a service at which most are in use: in use, most that "
+            "may be open, and of these the borrowed ones; and the lent ones.",
+            registry=self.registry,
+        )
+        self.connection_shortages: Final = Gauge(
+            "damsonlane_connection_shortages",
+            "Times that a request found all connections to the targets of a service in use, since "
+            "the start.",
+            registry=self.registry,
+        )
         self.backing_off: Final = Gauge(
             "damsonlane_backing_off_targets",
             "Targets that requested back-off from this box, or announced that they are draining.",
