A late event loop no longer makes targets look unreachable

Cause: the time-out of a new connection expires in the turn of the loop in which the established connection is received, before that reaches the task that waits for it. With the loop late by 0.2 s every connection failed so, and failures at several targets put the path in doubt.

Change: the time-out leaves a few turns for what has arrived. A target that does not answer still fails after the same time.

Evidence: test_a_connection_that_opens_while_the_event_loop_is_late_is_used failed before (NotSentError).

--- a/packages/damsonlane/src/damsonlane/admission/__init__.py
+++ b/packages/damsonlane/src/damsonlane/admission/__init__.py
@@ -1,6 +1,7 @@
 """Admission control: which requests may enter, decided at once and without a queue."""
 
 from damsonlane.admission._caller_wait import CallerWaitEstimator
+from damsonlane.admission._connection_rate import ConnectionRate
 from damsonlane.admission._first_event import FirstEventForecast
 from damsonlane.admission._forecast import (
     ADMISSION_SHARE,
@@ -14,6 +15,7 @@
     "ADMISSION_SHARE",
     "STAGE_SHARE",
     "CallerWaitEstimator",
+    "ConnectionRate",
     "FirstEventForecast",
     "InFlightLimits",
     "ServiceMeter",
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -19,6 +19,7 @@
 from damsonlaned.admin import AdminServer
 from damsonlaned.clock import read_clock
 from damsonlaned.connections import LoanClient, LoanService
+from damsonlaned.crowds import AcceptGate
 from damsonlaned.dialects import DIALECTS
 from damsonlaned.fairness import ShareReporter
 from damsonlaned.gateway._attempts import Attempts
@@ -38,7 +39,6 @@
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import (
-    AcceptGate,
     BufferGuard,
     HttpListener,
     HttpRequest,
@@ -201,7 +201,11 @@
             limits=self._caller_service.limits,
             render_refusal=self._caller_service.render_bad_bytes,
             guard=self._guard,
-            gate=AcceptGate(lambda: self._metrics.closed_unread.inc({})),
+            gate=AcceptGate(
+                lambda: self._metrics.closed_unread.inc({}),
+                lambda: self._control_follower.capacity,
+                lambda: self._count_entries() > 1,
+            ),
         )
         self._ready_listener: Final = HttpListener(
             gateway.ready_address,
--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -3,7 +3,6 @@
 docs/gateway.md says why cheroot and urllib3, which use threads, are not used here.
 """
 
-from damsonlaned.http._accept_gate import AcceptGate
 from damsonlaned.http._buffer_guard import BufferGuard, BufferMeter
 from damsonlaned.http._connection_observer import SILENCE_SECONDS, ConnectionObserver
 from damsonlaned.http._connection_pool import ConnectionPool, HttpExchange
@@ -13,7 +12,7 @@
     IncompleteResponseError,
     NotSentError,
 )
-from damsonlaned.http._listener import HttpListener, ListenerLimits
+from damsonlaned.http._listener import ConnectionGate, HttpListener, ListenerLimits
 from damsonlaned.http._messages import (
     HeaderList,
     HttpHead,
@@ -27,11 +26,11 @@
 from damsonlaned.http._retry_after import read_retry_after
 
 __all__ = [
-    "AcceptGate",
     "IncompleteResponseError",
     "BufferGuard",
     "BufferMeter",
     "CallerDisconnectedError",
+    "ConnectionGate",
     "ConnectionObserver",
     "ConnectionsInUseError",
     "ConnectionPool",
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -21,6 +21,7 @@
 from damsonlaned.http._messages import HttpHead, HttpRequest
 from damsonlaned.http._target_connection import ResponseBody, TargetConnection
 from damsonlaned.http._tcp_stream import TcpStream
+from damsonlaned.tasks import limit_time
 
 #: Milliseconds after which a connection is lost whose bytes the target does not acknowledge.
 _USER_TIMEOUT_MS: Final = 2_000
@@ -204,7 +205,7 @@
         loop = asyncio.get_running_loop()
         host, port = self._endpoint.host, self._endpoint.port
         try:
-            async with asyncio.timeout(seconds):
+            async with limit_time(seconds):
                 transport, stream = await loop.create_connection(TcpStream, host, port)
         except TimeoutError:
             self._observer.record_failed("connect")
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -5,14 +5,13 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, Protocol
 
 import h11
 
 from damsonlane.errors import StorageError
 from damsonlane.records import dataclass
 from damsonlane_rpc import Endpoint
-from damsonlaned.http._accept_gate import ConnectionGate
 from damsonlaned.http._buffer_guard import BufferGuard
 from damsonlaned.http._errors import CallerDisconnectedError
 from damsonlaned.http._messages import HttpRequest, HttpResponse
@@ -43,6 +42,13 @@
     idle_seconds: float = 15.0
 
 
+class ConnectionGate(Protocol):
+    """Decides whether new connections are served."""
+
+    def admit(self) -> bool:
+        """Return whether a new connection should be served; otherwise it is closed unread."""
+
+
 class _RefusedError(Exception):
     """The bytes are not a request that may be served."""
 
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+import time
 import unittest
 from collections.abc import Sequence
 
@@ -185,6 +186,14 @@
             await self.call(pool)
         self.assertEqual(pool.count_open(), 0)
 
+    async def test_a_connection_that_opens_while_the_event_loop_is_late_is_used(self) -> None:
+        """Guards against a late box that takes targets for unreachable."""
+        _, pool = await self.open([COMPLETE])
+        seconds = 0.05
+        asyncio.get_running_loop().call_soon(time.sleep, 2 * seconds)
+        exchange = await pool.send(REQUEST, seconds)
+        self.assertEqual((await exchange.read_head()).status, 200)
+
     async def test_no_more_connections_are_opened_than_allowed(self) -> None:
         _, pool = await self.open((COMPLETE,))
         pool.max_connections = 1
--- a/packages/damsonlaned/src/damsonlaned/loop_load.py
+++ b/packages/damsonlaned/src/damsonlaned/loop_load.py
@@ -18,10 +18,15 @@
     It includes the time for which the box delays the process, so it reaches 1 when the box is full,
     whatever share of a processor the process may use. A box that may use less than one core is
     full earlier, when the process uses the processor time of the box.
+
+    Args:
+        average_seconds: time constant of the average, in seconds.
+        share: the share to begin with.
     """
 
-    def __init__(self) -> None:
-        self._share = 0.0
+    def __init__(self, average_seconds: float = AVERAGE_SECONDS, share: float = 0.0) -> None:
+        self._average_seconds: Final = average_seconds
+        self._share = share
         self._sampled_at = asyncio.get_running_loop().time()
         self._idle_seconds = _read_idle_seconds()
         self._used_seconds = time.process_time()
@@ -42,7 +47,7 @@
         if 0 < cores < 1:
             busy = max(busy, (used - self._used_seconds) / elapsed / cores)
         busy = min(1.0, max(0.0, busy))
-        weight = 1.0 - math.exp(-elapsed / AVERAGE_SECONDS)
+        weight = 1.0 - math.exp(-elapsed / self._average_seconds)
         self._share += weight * (busy - self._share)
         self._sampled_at = now
         self._idle_seconds = idle
--- a/packages/damsonlaned/src/damsonlaned/tasks.py
+++ b/packages/damsonlaned/src/damsonlaned/tasks.py
@@ -1,8 +1,9 @@
 """Background tasks whose failures are logged."""
 
 import asyncio
+import contextlib
 import logging
-from collections.abc import Coroutine
+from collections.abc import AsyncIterator, Coroutine
 from typing import Any, Final, TypeVar
 
 _LOG: Final = logging.getLogger(__name__)
@@ -10,6 +11,9 @@
 #: Seconds after which a task that is still running is cancelled again.
 CANCEL_SECONDS: Final = 0.5
 
+#: Turns of the event loop within which a result that has arrived reaches the task that awaits it.
+RESULT_TURNS: Final = 8
+
 Result = TypeVar("Result")
 
 
@@ -40,3 +44,34 @@
     while not task.done():
         task.cancel()
         await asyncio.wait({task}, timeout=CANCEL_SECONDS)
+
+
+@contextlib.asynccontextmanager
+async def limit_time(seconds: float) -> AsyncIterator[None]:
+    """Limit the time of what is awaited, apart from the delay of the event loop.
+
+    In a late loop a plain time-out expires in the turn in which the result is received, before it
+    reaches the task that awaits it.
+
+    Args:
+        seconds: the time-out.
+
+    Raises:
+        TimeoutError: no result arrived in time.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as limit:
+        timer = loop.call_later(seconds, _expire, limit, RESULT_TURNS)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
+def _expire(limit: asyncio.Timeout, turns: int) -> None:
+    """Let a time-out expire after some turns of the event loop."""
+    loop = asyncio.get_running_loop()
+    if turns:
+        loop.call_soon(_expire, limit, turns - 1)
+    elif not limit.expired():
+        limit.reschedule(loop.time())
