A crowded box limits its requests in progress by its load instead of reading by turns

Cause: new connections were closed unread only while the event loop was late. In between all were read, so work came in bursts of hundreds; a stream takes time until it ends, so the loop was late again for seconds, and time-outs of our own expired: connections, placements, contact with control.

A box that is alone has no limit.

--- a/packages/damsonlane/src/damsonlane/admission/__init__.py
+++ b/packages/damsonlane/src/damsonlane/admission/__init__.py
@@ -1,7 +1,7 @@
 """Admission control: which requests may enter, decided at once and without a queue."""
 
 from damsonlane.admission._caller_wait import CallerWaitEstimator
-from damsonlane.admission._connection_rate import ConnectionRate
+from damsonlane.admission._concurrency import ConcurrencyLimit
 from damsonlane.admission._first_event import FirstEventForecast
 from damsonlane.admission._forecast import (
     ADMISSION_SHARE,
@@ -15,7 +15,7 @@
     "ADMISSION_SHARE",
     "STAGE_SHARE",
     "CallerWaitEstimator",
-    "ConnectionRate",
+    "ConcurrencyLimit",
     "FirstEventForecast",
     "InFlightLimits",
     "ServiceMeter",
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -203,6 +203,7 @@
             guard=self._guard,
             gate=AcceptGate(
                 lambda: self._metrics.closed_unread.inc({}),
+                lambda: self._caller_service.in_flight() + self._listener.count_unread(),
                 lambda: self._control_follower.capacity,
                 lambda: self._count_entries() > 1,
             ),
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -72,6 +72,8 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._handler_task: asyncio.Task[None] | None = None
+        #: Whether a byte of a request has arrived.
+        self.has_begun = False
         #: Whether no request is being read or served.
         self.is_idle = True
 
@@ -175,6 +177,7 @@
         except TimeoutError:
             return False
         self.is_idle = False
+        self.has_begun = True
         self._parser.receive_data(data)
         return bool(data)
 
@@ -300,6 +303,10 @@
         """Return the number of open connections."""
         return len(self._connections)
 
+    def count_unread(self) -> int:
+        """Return the number of connections on which no byte has arrived yet."""
+        return sum(1 for connection in self._connections if not connection.has_begun)
+
     def count_busy(self) -> int:
         """Return the number of connections with a request in progress."""
         return sum(1 for connection in self._connections if not connection.is_idle)
