Requests that were not sent are tried elsewhere without charge to the retry budget

Cause: the slack of the budget is divided by the number of entries (1.8 retries in ten seconds for one of 74), and a request that was never sent was charged like one that a target had. The budget guards targets from more work than first attempts bring; these reached none.

Change: only a retry after a request that was sent is charged. The rest of the budget grows with the first attempts of the box, so it follows the load.

Evidence: test_a_request_that_was_not_sent_needs_no_retry_budget failed before (503).

--- a/packages/damsonlaned/src/damsonlaned/gateway/_failed_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_failed_attempt.py
@@ -25,6 +25,8 @@
     needs_inputs: bool = False
     #: Whether the target rejected it and announced a back-off or a rate limit.
     is_throttled: bool = False
+    #: Whether the request was sent.  Retries of others load no target more than once.
+    was_sent: bool = True
     #: How the response was lost, if the target may have exited under the request.
     loss: Loss | None = None
     #: Whether there was no target to send it to.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -269,7 +269,7 @@
         try:
             opened = await self._open(chosen)
         except NotSentError as error:
-            return FailedAttempt(detail=str(error), may_have_run=False)
+            return FailedAttempt(detail=str(error), may_have_run=False, was_sent=False)
         except IncompleteResponseError as error:
             return FailedAttempt(detail=str(error), may_have_run=True, loss="broken")
         except TimeoutError:
@@ -314,12 +314,10 @@
         may_have_run = self._history.may_have_run
         if failure.response is None and await self._relay.may_follow(may_have_run=may_have_run):
             return not may_have_run or self._spend_retry()
-        return self._may_retry()
-
-    def _may_retry(self) -> bool:
-        """Return whether the request may be retried, and charge the retry budget for it."""
         has_started = self._response.has_started()
-        return self._history.may_retry(has_started=has_started) and self._spend_retry()
+        if not self._history.may_retry(has_started=has_started):
+            return False
+        return not failure.was_sent or self._spend_retry()
 
     def _spend_retry(self) -> bool:
         return self._attempts.try_spend_retry(self._call, self._count_entries())
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -227,6 +227,14 @@
             self.assertEqual((await entry.call("/ping/a")).status, 200)
         self.assertEqual((len(first.requests), len(second.requests)), (0, 6))
 
+    async def test_a_request_that_was_not_sent_needs_no_retry_budget(self) -> None:
+        """Guards against a box that uses up its retries for targets which it does not reach."""
+        for _ in range(4):
+            lost, target = FakeTarget("t1", answer_ok), FakeTarget("t2", answer_ok)
+            entry = await self.start_entry(lost, target, slack=0.0)
+            await lost.stop()
+            self.assertEqual((await entry.call("/ping/a")).status, 200)
+
     async def test_retries_stop_when_their_budget_is_exhausted(self) -> None:
         targets = [FakeTarget("t1", close_without_answer), FakeTarget("t2", close_without_answer)]
         entry = await self.start_entry(*targets, slack=0.0)
