--- a/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
@@ -38,7 +38,12 @@
 )
 
 
-class CrowdedEntryTest(unittest.IsolatedAsyncioTestCase):
+class ConnectionsTestCase(unittest.IsolatedAsyncioTestCase):
+    """Entries with one target that answers when the test releases it."""
+
+    entry_count = ENTRY_COUNT
+    document = CROWD_DOCUMENT
+
     async def asyncSetUp(self) -> None:
         # The stack of each callback, which the debug mode records, takes more time than the work.
         asyncio.get_running_loop().set_debug(False)
@@ -46,7 +51,7 @@
         self.target = FakeTarget("t1", self.answer_when_released)
         record = await self.target.start()
         self.addAsyncCleanup(self.target.stop)
-        self.fleet = Fleet(ENTRY_COUNT, CROWD_DOCUMENT)
+        self.fleet = Fleet(self.entry_count, self.document)
         await self.fleet.start(self, [record])
 
     async def answer_when_released(self, request: HttpRequest, writer: ResponseWriter) -> None:
@@ -61,6 +66,11 @@
             for number in range(count)
         ]
 
+    def count_open_at_entries(self) -> int:
+        return sum(entry.connections.count_open("t1") for entry in self.fleet.entries)
+
+
+class CrowdedEntryTest(ConnectionsTestCase):
     async def test_an_entry_uses_connections_that_the_others_leave_unused(self) -> None:
         """Guards against a crowded entry that refuses requests for connections others hold."""
         for path in ("/ping/a", "/once/a"):
@@ -111,9 +121,6 @@
         self.assertEqual({(await call).status for call in calls}, {200})
         return most
 
-    def count_open_at_entries(self) -> int:
-        return sum(entry.connections.count_open("t1") for entry in self.fleet.entries)
-
     async def test_entries_never_open_more_connections_than_a_target_takes(self) -> None:
         """Guards against entries that exceed the limit of a target together while all need more."""
         most = await self.measure_most(0.1, self.count_open_at_entries)
@@ -125,5 +132,27 @@
         self.assertLessEqual(most, MOST_CONNECTIONS)
 
 
+class FewConnectionsTest(ConnectionsTestCase):
+    entry_count = 16
+    document = replace(
+        CROWD_DOCUMENT,
+        services=(
+            Service(name="desk", most_connections=10),
+            *(service for service in CROWD_DOCUMENT.services if service.name != "desk"),
+        ),
+    )
+
+    async def test_entries_share_a_target_that_takes_fewer_connections_than_they_are(self) -> None:
+        """Guards against a least number for each entry that exceeds the limit of the target."""
+        self.is_held.set()
+        most = 0
+        for number in range(3):
+            for entry in self.fleet.entries:
+                response = await self.call(entry, f"/once/{number}/", 1)[0]
+                self.assertEqual(response.status, 200)
+                most = max(most, self.count_open_at_entries())
+        self.assertLessEqual(most, 9)
+
+
 if __name__ == "__main__":
     unittest.main()
