Soak: crowds at one to three entries, also beside cuts; stand-ins ask the kernel for one connection

Stand-ins read the list of all sockets of the machine for each new connection, 0.1 s while a crowd leaves thousands behind, so crowds were drawn without cuts only. They ask for one connection now (sock_diag), and the draw of other parts is as it was.

--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_senders.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_senders.py
@@ -4,13 +4,12 @@
 from pathlib import Path
 from typing import Final, Literal
 
+from damsonlane_bench.registered_target._sockets import find_inode
+
 #: What becomes of the requests of an entry that is cut off: held back until the end of the cut, or
 #: their connections reset.
 CutForm = Literal["hang", "reset"]
 
-#: The states of sockets in `/proc/net/tcp` that are of interest: established.
-_ESTABLISHED: Final = "01"
-
 
 def write_senders(path: Path, pids: dict[str, int], cuts: dict[str, CutForm]) -> None:
     """Write the file that targets read.
@@ -30,10 +29,12 @@
 
     Args:
         path: the file that `write_senders` writes; None where nothing is cut.
+        port: port at which the target listens.
     """
 
-    def __init__(self, path: Path | None) -> None:
+    def __init__(self, path: Path | None, port: int) -> None:
         self._path: Final = path
+        self._port: Final = port
         self._pids: dict[str, int] = {}
         self._cuts: dict[str, CutForm] = {}
         self._read_at = 0
@@ -64,23 +65,14 @@
             self._known.clear()
 
     def _find_by_process(self, port: int) -> str:
-        inode = _find_inode(port)
+        inode = find_inode(port, self._port)
         for entry, pid in self._pids.items():
             if inode and _has_socket(pid, inode):
                 return entry
         return ""
 
 
-def _find_inode(port: int) -> str:
-    """Return the inode of the established socket with a local port, or an empty string."""
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        fields = line.split()
-        if int(fields[1].partition(":")[2], 16) == port and fields[3] == _ESTABLISHED:
-            return fields[9]
-    return ""
-
-
-def _has_socket(pid: int, inode: str) -> bool:
+def _has_socket(pid: int, inode: int) -> bool:
     """Return whether a process has a socket open."""
     name = f"socket:[{inode}]"
     try:
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -115,7 +115,7 @@
         version: str = "",
         connections: int = 0,
     ) -> None:
-        self._senders: Final = Senders(senders)
+        self._senders: Final = Senders(senders, int(address.rpartition(":")[2]))
         self._kind: Final = kind
         self._registries = registries
         self._record = TargetRecord(
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_crashing_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_crashing_callers.py
@@ -143,16 +143,16 @@
 
 
 def make_crowd(
-    fleet: RoutesFleet, observations: Observations, entry: str, name: str, seed: int
+    fleet: RoutesFleet, observations: Observations, entries: Sequence[str], name: str, seed: int
 ) -> list[OneShotCaller]:
-    """Return callers that open many connections to one entry."""
+    """Return callers that open many connections to few entries."""
     return [
         OneShotCaller(
             fleet,
             observations,
             f"{name}x{number}",
             seed,
-            entry=entry,
+            entry=entries[number % len(entries)],
             pause_seconds=_CROWD_PAUSE_SECONDS,
         )
         for number in range(CROWD_COUNT)
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
@@ -45,8 +45,10 @@
     has_versions: bool = False
     #: Requests, no two alike, share a part of their prompts that crashes engines.
     has_crashing_parts: bool = False
-    #: Callers crowd at one entry.
+    #: Callers crowd at few entries.
     has_crowds: bool = False
+    #: Entries at which they do at once.
+    crowded_entries: int = 1
     #: Capacities of entries in cores, in the order of the entries; empty if they are unknown.
     capacities: tuple[float, ...] = ()
 
@@ -61,9 +63,8 @@
         has_rejection_limits=_draw("rejection limits", seed),
         has_versions=_draw("versions", seed),
         has_crashing_parts=_draw("crashing parts", seed),
-        # In a run with cuts, targets search the sockets of the machine for the sender of each new
-        # connection, which takes a tenth of a second while a crowd leaves thousands behind.
-        has_crowds=_draw("crowds", seed) and not _draw("cuts", seed),
+        has_crowds=_draw("crowds", seed),
+        crowded_entries=random.Random(f"crowded entries {seed}").randint(1, 3),
         capacities=_draw_capacities(seed, entry_count) if _draw("capacities", seed) else (),
     )
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -92,7 +92,7 @@
 SURGE_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for cuts between one entry and all targets.
 CUT_KINDS: Final[dict[str, DrawProcess]] = {}
-#: The same for crowds of new connections at one entry.
+#: The same for crowds of new connections at one entry or several.
 CROWD_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for announcements of limits of rejections by targets.
 REJECTION_KINDS: Final[dict[str, DrawProcess]] = {}
@@ -201,6 +201,7 @@
 
 @fault_kind("crowd", CROWD_KINDS)
 def _draw_crowded(randomness: random.Random, names: ProcessNames) -> str:
+    """Return the first entry; others are the next ones in the list."""
     return randomness.choice(names.entries)
 
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -271,9 +271,13 @@
             caller.stop()
 
     def _crowd(self, fault: Fault) -> None:
-        """Have many callers open connections to one entry."""
+        """Have many callers open connections to few entries."""
+        entries = self._fleet.entries
+        first = entries.index(fault.process)
+        count = min(self._plan.parts.crowded_entries, len(entries))
+        crowded = [entries[(first + number) % len(entries)] for number in range(count)]
         name = f"crowd{fault.at:g}"
-        callers = make_crowd(self._fleet, self._observations, fault.process, name, self._plan.seed)
+        callers = make_crowd(self._fleet, self._observations, crowded, name, self._plan.seed)
         for caller in callers:
             caller.start()
         self._stopped.wait(fault.seconds)
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -103,7 +103,7 @@
             tempfile.TemporaryDirectory() as name,
         ):
             path = Path(name) / "senders.json"
-            senders = Senders(path)
+            senders = Senders(path, server.getsockname()[1])
             with socket.create_connection(server.getsockname()) as connection:
                 port = connection.getsockname()[1]
                 self.assertEqual(senders.find(port), "")
