--- a/packages/damsonlane_bench/src/damsonlane_bench/crowded_entry/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/crowded_entry/__main__.py
@@ -74,6 +74,7 @@
     slots: int = 40,
     pools: int = 4,
     half: bool = False,
+    owners: bool = False,
     keep: str = "",
 ) -> None:
     """Play each number of callers, and print a row for each phase and kind of request.
@@ -90,6 +91,7 @@
         slots: slots of each engine.
         pools: number of targets of the pool.
         half: whether entries are held to half a core.
+        owners: whether the entries that own most are crowded.
         keep: folder for the logs; empty to delete them.
     """
     size = FleetSize(
@@ -105,7 +107,8 @@
         with CrowdedFleet(place, size) as fleet:
             fleet.start()
             for count in counts:
-                crowd = Crowd(fleet.list_addresses(), count, names, crowded, move_seconds)
+                addresses = fleet.list_addresses(owners_first=owners)
+                crowd = Crowd(addresses, count, names, crowded, move_seconds)
                 crowded_at = asyncio.run(crowd.run(_CALM_SECONDS, _CROWDED_SECONDS))
                 rows += _list_rows(crowd, crowded_at, str(count))
                 began_at = crowded_at + time.time() - time.monotonic()
--- a/packages/damsonlane_bench/src/damsonlane_bench/crowded_entry/_fleet.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/crowded_entry/_fleet.py
@@ -93,9 +93,16 @@
             for index, entry in enumerate(fleet.entries):
                 threading.Thread(target=self._hold, args=(entry, index), daemon=True).start()
 
-    def list_addresses(self) -> list[str]:
-        """Return the addresses of the entries for callers."""
-        return [self.fleet.addresses[f"{entry}/front"] for entry in self.fleet.entries]
+    def list_addresses(self, *, owners_first: bool = False) -> list[str]:
+        """Return the addresses of the entries for callers.
+
+        Args:
+            owners_first: whether those of entries that own most come first.
+        """
+        entries = list(self.fleet.entries)
+        if owners_first:
+            entries.sort(key=self._count_owned, reverse=True)
+        return [self.fleet.addresses[f"{entry}/front"] for entry in entries]
 
     def count_reasons(self, after: float, before: float) -> Counter[str]:
         """Return the reasons of the requests that entries ended with a refusal, by wall clock."""
@@ -118,6 +125,12 @@
             peaks[service] = max(known[0], open_most), known[1] + reset
         return peaks
 
+    def _count_owned(self, entry: str) -> int:
+        """Return how many shards an entry owns, by the last line of its log about them."""
+        lines = (self.fleet.folder / f"{entry}.log").read_text().splitlines()
+        changes = [json.loads(line) for line in lines if '"owned shards changed"' in line]
+        return len(changes[-1]["shards"]) if changes else 0
+
     def _make_changes(self) -> dict[str, Sequence[object]]:
         document = make_document()
         for service in document["services"]:
