Soak: requests that a cut holds back count from when they were sent

Traced in its logs: all were sent from 0.009 s before to 0.206 s after the announcement, which the entry read at 0.195 s; the stand-in held them back for a cut by silence until 0.94 s later, and logged them then. Stand-ins log for how long they held a request, and the check counts from when it was sent. Requests that are sent later count as before, whether held back or not (test).

--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -218,6 +218,7 @@
 
     async def _serve(self, request: HttpRequest, reply: ResponseWriter) -> None:
         sender = self._senders.find(reply.peer_port)
+        came_at = time.monotonic()
         while (form := self._senders.find_cut(sender)) is not None:
             if form == "reset":
                 reply.abort()
@@ -225,11 +226,13 @@
             await asyncio.sleep(_CUT_POLL_SECONDS)
         self.load.running += 1
         try:
-            await self._handle(request, reply, sender)
+            await self._handle(request, reply, sender, time.monotonic() - came_at)
         finally:
             self.load.running -= 1
 
-    async def _handle(self, request: HttpRequest, reply: ResponseWriter, sender: str) -> None:
+    async def _handle(
+        self, request: HttpRequest, reply: ResponseWriter, sender: str, held_seconds: float
+    ) -> None:
         if request.path == HEALTH_PATH:
             reply.send_response(HttpResponse(status=200, body=b"healthy"))
             return
@@ -241,7 +244,7 @@
             reply.send_response(HttpResponse(status=200, body=json.dumps(counts).encode()))
             return
         is_backing_off = time.monotonic() < self._backoff_until
-        self._log_arrival(request, sender, is_backing_off=is_backing_off)
+        self._log_arrival(request, sender, held_seconds, is_backing_off=is_backing_off)
         if self.rejections.rejects(self.load.running):
             self._reject(request, reply)
         elif is_backing_off:
@@ -289,7 +292,9 @@
         headers = (*self._make_headers(request), (b"Damsonlane-Run-No", b"1"))
         reply.send_response(HttpResponse(status=503, headers=headers))
 
-    def _log_arrival(self, request: HttpRequest, sender: str, *, is_backing_off: bool) -> None:
+    def _log_arrival(
+        self, request: HttpRequest, sender: str, held_seconds: float, *, is_backing_off: bool
+    ) -> None:
         """Log a request and the back-off and draining that its response announces."""
         line = {
             "came": request.find(b"damsonlane-request-id") or "",
@@ -297,6 +302,7 @@
             "rest": BACKOFF_SECONDS if is_backing_off else 0.0,
             "leaves": self._is_draining,
             "from": sender,
+            "held": held_seconds,
             "at": time.time(),
         }
         print(json.dumps(line), flush=True)
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_checks.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_checks.py
@@ -150,9 +150,9 @@
     begins, ends = announced.at + IN_FLIGHT_SECONDS, announced.at + announced.backoff_seconds
     if announced.is_draining:
         begins, ends = announced.at + DRAINING_IN_FLIGHT_SECONDS, float("inf")
-    if not begins < later.at < ends:
+    if not begins < later.sent_at < ends:
         return False
-    return bisect_left(fault_times, announced.at) == bisect_left(fault_times, later.at)
+    return bisect_left(fault_times, announced.at) == bisect_left(fault_times, later.sent_at)
 
 
 @guarantee("control replicas and entries do not exit by themselves")
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_observations.py
@@ -105,11 +105,18 @@
     backoff_seconds: float
     #: Whether the target announced that it is draining.
     is_draining: bool
-    #: Time of arrival, in seconds since the epoch.
+    #: When the target handled it, in seconds since the epoch.
     at: float
+    #: Seconds for which a cut held it back before that.
+    held_seconds: float = 0.0
     #: Entry that sent it, where targets find that out; a request may have been passed on.
     sender: str = ""
 
+    @property
+    def sent_at(self) -> float:
+        """When it was sent, apart from its way."""
+        return self.at - self.held_seconds
+
     @property
     def entry(self) -> str:
         """Entry that sent the request, or that its caller sent it to; empty if unknown."""
@@ -222,6 +229,7 @@
                 backoff_seconds=float(fields["rest"]),
                 is_draining=bool(fields["leaves"]),
                 at=float(fields["at"]),
+                held_seconds=float(fields.get("held", 0.0)),
                 sender=str(fields.get("from", "")),
             )
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -259,7 +259,12 @@
         self.assertEqual(self._find(), [])
 
     def _arrive(
-        self, entry: str, *times: float, backoff_seconds: float = 0.0, draining: bool = False
+        self,
+        entry: str,
+        *times: float,
+        backoff_seconds: float = 0.0,
+        draining: bool = False,
+        held_seconds: float = 0.0,
     ) -> None:
         for at in times:
             self.observations.arrivals.append(
@@ -269,9 +274,17 @@
                     backoff_seconds=backoff_seconds,
                     is_draining=draining,
                     at=at,
+                    held_seconds=held_seconds,
                 )
             )
 
+    def test_requests_that_a_cut_held_back_count_from_when_they_were_sent(self) -> None:
+        self._arrive("entry-1", 10.0, backoff_seconds=1.5)
+        self._arrive("entry-1", 11.0, 11.1, 11.2, 11.3, 11.4, held_seconds=0.9)
+        self.assertEqual(self._find(), [])
+        self._arrive("entry-1", 11.0, 11.1, 11.2, 11.3, 11.4, held_seconds=0.1)
+        self.assertEqual(self._find(), [ANNOUNCEMENT])
+
     def test_requests_to_a_target_that_backs_off(self) -> None:
         self._arrive("entry-1", 10.0, backoff_seconds=1.5)
         self._arrive("entry-1", 10.1, 10.2, 10.4, 10.6, 11.4, 11.6, 11.7)
