Idle connections beyond a smaller part are closed with the list; a new limit of a target counts at once

By reading: an entry whose part shrank closed idle connections only at its next request to that target, while entries that joined use theirs; and loans were counted by the limit that a service had when the target was first used. Both keep more open than the division allows. Now each new list of entries and each new document is applied to what is open.

test_connections_beyond_a_smaller_part_are_closed_at_once fails without the change; the test of the new limit guards the other.

--- a/packages/damsonlaned/src/damsonlaned/connections/_fleet_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/_fleet_connections.py
@@ -4,6 +4,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from dataclasses import replace
 from typing import Final, Protocol
 
 from damsonlane.connections import (
@@ -109,7 +110,7 @@
         self._waiting: Final[dict[str, deque[asyncio.Future[None]]]] = {}
         #: When a request of a service last found no connection, while a shortage lasts.
         self._shortages: Final[dict[str, float]] = {}
-        #: Requests that found no connection, by service.
+        #: Times that a request found no connection, by service.
         self.shortage_counts: Final[dict[str, int]] = {}
         #: Called when more connections are needed than this box has.
         self.on_need: Callable[[], None] = lambda: None
@@ -128,6 +129,8 @@
             )
             known = _TargetConnections(service=service, pool=pool, use=ConnectionUse())
             self._targets[target] = known
+        elif known.service != service:
+            known = self._targets[target] = replace(known, service=service)
         now = self._now()
         known.pool.set_limit(self._find_limit(service, target, now))
         known.use.record(known.pool.count_busy() + 1, now)
@@ -184,9 +187,20 @@
             elif is_cancelled:
                 self._wake_waiting(service, 1)
 
-    def count_waiting(self, service: str) -> int:
-        """Return the number of requests that wait for a connection."""
-        return len(self._waiting.get(service, ()))
+    def follow_entries(self) -> None:
+        """Close idle connections beyond parts that a new list of entries made smaller."""
+        now = self._now()
+        floors = {
+            service.name: find_floor(service.most_connections, self._shares, now)
+            for service in self._list_services()
+        }
+        self.apply_limits(
+            [
+                target
+                for target, known in self._targets.items()
+                if known.pool.count_open() > floors[known.service.name]
+            ]
+        )
 
     def retain_only(self, known: Collection[str]) -> None:
         """Close the connections to all other targets."""
@@ -253,8 +267,11 @@
     def summarise(self) -> Mapping[str, ServiceConnections]:
         """Return the use of connections by service."""
         now = self._now()
-        names = {known.service.name: known.service for known in self._targets.values()}
-        return {name: self._summarise(service, now) for name, service in names.items()}
+        return {service.name: self._summarise(service, now) for service in self._list_services()}
+
+    def _list_services(self) -> Collection[Service]:
+        """Return the services of the targets that were used."""
+        return {known.service.name: known.service for known in self._targets.values()}.values()
 
     def _summarise(self, service: Service, now: float) -> ServiceConnections:
         targets = [
--- a/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
@@ -121,6 +121,38 @@
         self.assertEqual({(await call).status for call in calls}, {200})
         return most
 
+    async def test_connections_beyond_a_smaller_part_are_closed_at_once(self) -> None:
+        """Guards against idle connections that stay open while new entries use theirs."""
+        self.is_held.set()
+        first = self.fleet.entries[0]
+        self.fleet.list_entries([first])
+        await asyncio.gather(*self.call(first, "/once/a", REQUEST_COUNT))
+        before = first.connections.count_open("t1")
+        self.fleet.list_entries(self.fleet.entries)
+        self.assertGreater(before, 4)
+        self.assertLessEqual(first.connections.count_open("t1"), 4)
+
+    async def test_a_new_limit_of_a_target_is_in_force_at_once(self) -> None:
+        services = tuple(
+            replace(service, most_connections=2 * ENTRY_COUNT)
+            if service.name == "desk"
+            else service
+            for service in CROWD_DOCUMENT.services
+        )
+        for entry in self.fleet.entries:
+            await self.call_once(entry)
+            entry.replace_document(replace(CROWD_DOCUMENT, version=2, services=services))
+            await self.call_once(entry)
+        self.assertLessEqual(sum(self.list_limits()), 2 * ENTRY_COUNT)
+
+    async def call_once(self, entry: Entry) -> None:
+        self.is_held.set()
+        self.assertEqual((await entry.call("/once/a")).status, 200)
+
+    def list_limits(self) -> list[int]:
+        summaries = [entry.connections.summarise()["desk"] for entry in self.fleet.entries]
+        return [summary.most - summary.borrowed for summary in summaries]
+
     async def test_entries_never_open_more_connections_than_a_target_takes(self) -> None:
         """Guards against entries that exceed the limit of a target together while all need more."""
         most = await self.measure_most(0.1, self.count_open_at_entries)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -105,7 +105,6 @@
             settings.internal_address, HOLD_RATIO * gateway.apply_seconds
         )
         self._is_uneven = False
-        self._view.on_entries(self._record_entries)
         targets = self._targets = TargetSelector(
             self._view,
             settings.data_centre,
@@ -115,6 +114,7 @@
             self._reach.observe,
             LOAN_RATIO * gateway.apply_seconds,
         )
+        self._view.on_entries(self._record_entries)
         self._loans: Final = LoanClient(
             targets.fleet_connections, self._view, settings.internal_address, context
         )
@@ -296,6 +296,7 @@
     def _record_entries(self) -> None:
         """Compute what depends only on control's list of entries."""
         self._shares.record(self._view.entries, asyncio.get_running_loop().time())
+        self._targets.fleet_connections.follow_entries()
         self._is_uneven = are_uneven(self._view.entries)
 
     def _count_entries(self) -> int:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -334,6 +334,7 @@
             self.reach.observe,
         )
         self.connections = targets.fleet_connections
+        self.view.on_entries(self.connections.follow_entries)
         self.loans = LoanClient(self.connections, self.view, address, None)
         #: Targets that the entry found to have exited, with the responses lost there.
         self.exits: list[tuple[LostTarget, Sequence[InterruptedRequest]]] = []
