Requests wait for a sound target that is full rather than go to one that is ejected

Cause: since targets without a free connection are left out of the choice, the last resort is chosen where only connections lack. Now the choice is empty while there are sound targets and all of them are full, and the request waits for a connection as long as it may. That holds beside targets with rate limits as well, whose requests were refused at once.

--- a/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
@@ -14,6 +14,7 @@
     FakeTarget,
     Response,
     answer_ok,
+    close_without_answer,
 )
 from damsonlaned.gateway.tests.test_links import wait_until
 from damsonlaned.http import HttpRequest, ResponseWriter
@@ -186,5 +187,44 @@
         self.assertLessEqual(most, 9)
 
 
+class LastResortTest(unittest.IsolatedAsyncioTestCase):
+    """An entry with a target that is ejected, after three failures."""
+
+    async def start(self, *targets: FakeTarget) -> Entry:
+        entry = Entry(CROWD_DOCUMENT)
+        records = [await target.start() for target in targets]
+        for target in targets:
+            self.addAsyncCleanup(target.stop)
+        await entry.start(*records)
+        self.addAsyncCleanup(entry.stop)
+        return entry
+
+    async def test_requests_wait_for_a_full_target_rather_than_go_to_an_ejected_one(self) -> None:
+        """Guards against a crowded entry that sends the rest to targets that fail."""
+        is_held = asyncio.Event()
+
+        async def answer_late(request: HttpRequest, writer: ResponseWriter) -> None:
+            await is_held.wait()
+            await answer_ok(request, writer)
+
+        failing, sound = FakeTarget("t1", close_without_answer), FakeTarget("t2", answer_late)
+        entry = await self.start(failing, sound)
+        is_held.set()
+        while not failing.requests or len(sound.requests) < 20:
+            await entry.call("/ping/a", deadline_ms=DEADLINE_MS)
+        before = len(failing.requests)
+        is_held.clear()
+        calls = [
+            asyncio.create_task(
+                entry.call("/once/a", request_id=f"r{number}", deadline_ms=DEADLINE_MS)
+            )
+            for number in range(MOST_CONNECTIONS)
+        ]
+        await wait_until(lambda: entry.connections.summarise()["desk"].in_use >= 45)
+        is_held.set()
+        self.assertEqual({(await call).status for call in calls}, {200})
+        self.assertEqual(len(failing.requests), before)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_limited_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_limited_targets.py
@@ -72,13 +72,14 @@
         }
         if not limited:
             found = self._targets.choose(service, prompt, avoid, excluded)
-            return found or self._explain_none(service)
+            return found or self._explain_none(service, {*avoid, *excluded})
         if self._targets.are_all_rate_limited(service, excluded):
             return await self._choose_among_limited(service, limited, avoid)
         at_rate_limit = self._list_at_rate_limit(limited)
         chosen = self._targets.choose(service, prompt, avoid, {*at_rate_limit, *excluded})
         if chosen is None or chosen.target not in limited:
-            return chosen or NoTarget()
+            left_out = {*avoid, *at_rate_limit, *excluded}
+            return chosen or self._find_shortage(service, left_out) or NoTarget()
         # A rate-limited target is preferred like any other until it is at its limit.
         self._targets.release_unused(chosen)
         others = [
@@ -90,18 +91,14 @@
         permitted = await self._choose_with_permit(service, others)
         if permitted is not None:
             return permitted
-        return self._targets.choose(service, prompt, avoid, {*limited, *excluded}) or NoTarget()
-
-    def _explain_none(self, service: Service) -> NoTarget:
-        """Return why no target was chosen."""
-        if self._targets.record_shortage(service):
-            return NoTarget(
-                detail="all connections of this entry to the targets of the service are in use",
-                wait_seconds=FULL_WAIT_SECONDS,
-                return_seconds=FULL_RETURN_SECONDS,
-                is_brief=True,
-                lacks_connection=True,
-            )
+        left_out = {*limited, *excluded}
+        unlimited = self._targets.choose(service, prompt, avoid, left_out)
+        return unlimited or self._find_shortage(service, {*avoid, *left_out}) or NoTarget()
+
+    def _explain_none(self, service: Service, left_out: Collection[str]) -> NoTarget:
+        """Return why no target was chosen, apart from some that may not get the request."""
+        if (shortage := self._find_shortage(service, left_out)) is not None:
+            return shortage
         if not self._targets.list_full(service):
             return NoTarget()
         return NoTarget(
@@ -111,6 +108,18 @@
             is_brief=True,
         )
 
+    def _find_shortage(self, service: Service, left_out: Collection[str]) -> NoTarget | None:
+        """Return that only connections to the other targets lack; None if that is not so."""
+        if not self._targets.record_shortage(service, left_out):
+            return None
+        return NoTarget(
+            detail="all connections of this entry to the targets of the service are in use",
+            wait_seconds=FULL_WAIT_SECONDS,
+            return_seconds=FULL_RETURN_SECONDS,
+            is_brief=True,
+            lacks_connection=True,
+        )
+
     async def check_admission(self, service: Service) -> NoTarget | None:
         """Return why a request with stages may not begin yet; None if it may begin now."""
         limited = self._targets.list_rate_limited(service)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -139,11 +139,13 @@
         unusable = {
             *closed,
             *self.list_full(service),
-            *self.fleet_connections.list_full(service, [record.target for record in records]),
             *self._misdirected,
             *self._list_over_warm_up_limit(service, warming_up),
             *excluded,
         }
+        full = self.fleet_connections.list_full(service, [record.target for record in records])
+        if full and self._are_sound_ones_full(service, records, {*avoid, *unusable}, full):
+            return None
         silent = {record.target for record in records if record.standing == "silent"}
         choice = self._table(service.name).choose(
             ENGINE_POLICY if service.engine is not None else DEFAULT_POLICY,
@@ -151,7 +153,7 @@
             prefer=self._find_side(service, prompt, records),
             avoid=avoid,
             silent=silent,
-            leaving=unusable,
+            leaving={*unusable, *full},
             now=self._now(),
             randomness=self._randomness,
         )
@@ -161,6 +163,26 @@
             self._warm_up_gate.record(choice.target, self._now())
         return self._make_chosen(service, choice)
 
+    def _are_sound_ones_full(
+        self,
+        service: Service,
+        records: Sequence[TargetRecord],
+        left_out: Collection[str],
+        full: Collection[str],
+    ) -> bool:
+        """Return whether there are sound targets and only connections to them lack.
+
+        A request waits for one of these rather than going to a target that is ejected or silent.
+        """
+        ejected = self._table(service.name).list_ejected(self._now())
+        sound = {
+            record.target
+            for record in records
+            if record.standing == "live" and record.target not in ejected
+        }
+        sound -= set(left_out)
+        return bool(sound) and sound <= set(full)
+
     def _list_closed(self, records: Sequence[TargetRecord]) -> set[str]:
         """Return the targets that get nothing new, since they are draining or evacuated."""
         return {record.target for record in records if not self._view.is_open(record)}
@@ -254,14 +276,19 @@
         names = [record.target for record in self._view.targets_of(service.name)]
         return self.fleet_connections.list_full(service, names)
 
-    def record_shortage(self, service: Service) -> bool:
-        """Record it if only connections lack for a request; return whether that is so."""
-        unusable = self.list_unusable(service) | self.list_full(service)
+    def record_shortage(self, service: Service, left_out: Collection[str]) -> bool:
+        """Record it if only connections lack for a request; return whether that is so.
+
+        Args:
+            service: the service.
+            left_out: targets that may not get the request, or failed it.
+        """
         records = self._view.targets_of(service.name)
-        usable = {record.target for record in records} - unusable
-        is_short = bool(usable) and usable <= self.list_unconnectable(service)
+        unusable = {*self.list_unusable(service), *self.list_full(service), *left_out}
+        full = self.list_unconnectable(service)
+        is_short = self._are_sound_ones_full(service, records, unusable, full)
         if is_short:
-            self.fleet_connections.record_shortage(service, usable)
+            self.fleet_connections.record_shortage(service, full - unusable)
         return is_short
 
     def find_backoff_seconds(self, service: Service) -> float:
