An ejected target that announced a rate limit gets nothing without a permit

Cause: targets with a limit were looked for among the usable ones only. One that is ejected is not among them, so no permit was asked for, and the choice took it as the last resort.

Now such a target is left out until it is usable again, or another one is chosen. test_an_ejected_target_with_a_rate_limit_gets_nothing_without_a_permit failed before: 30 requests, of which 10 were sent before the limit was known.

--- a/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
@@ -15,9 +15,10 @@
     Response,
     answer_ok,
     close_without_answer,
+    read_id,
 )
 from damsonlaned.gateway.tests.test_links import wait_until
-from damsonlaned.http import HttpRequest, ResponseWriter
+from damsonlaned.http import HttpRequest, HttpResponse, ResponseWriter
 
 ENTRY_COUNT = 12
 MOST_CONNECTIONS = 50
@@ -225,6 +226,34 @@
         self.assertEqual({(await call).status for call in calls}, {200})
         self.assertEqual(len(failing.requests), before)
 
+    async def test_an_ejected_target_with_a_rate_limit_gets_nothing_without_a_permit(self) -> None:
+        """Guards against a target that gets more than its limit since it is the last resort."""
+        is_known = asyncio.Event()
+
+        async def answer_first(request: HttpRequest, writer: ResponseWriter) -> None:
+            if len(target.requests) > 1:
+                await is_known.wait()
+                await close_without_answer(request, writer)
+                return
+            headers = (
+                (b"Damsonlane-Request-Id", read_id(request)),
+                (b"Damsonlane-Rate-Limit", b"0.5"),
+            )
+            writer.send_response(HttpResponse(status=200, headers=headers))
+
+        target = FakeTarget("t1", answer_first)
+        entry = await self.start(target)
+        first = [
+            asyncio.create_task(entry.call("/once/a", request_id=f"r{number}"))
+            for number in range(10)
+        ]
+        await wait_until(lambda: len(target.requests) == 10)
+        is_known.set()
+        await asyncio.gather(*first)
+        for number in range(20):
+            await entry.call("/once/a", request_id=f"s{number}")
+        self.assertLessEqual(len(target.requests), 18)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_limited_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_limited_targets.py
@@ -71,8 +71,10 @@
             if name not in excluded
         }
         if not limited:
-            found = self._targets.choose(service, prompt, avoid, excluded)
-            return found or self._explain_none(service, {*avoid, *excluded})
+            # One that is ejected would be the last resort, without a permit.
+            left_out = {*excluded, *self._targets.list_all_rate_limited(service)}
+            found = self._targets.choose(service, prompt, avoid, left_out)
+            return found or self._explain_none(service, {*avoid, *left_out})
         if self._targets.are_all_rate_limited(service, excluded):
             return await self._choose_among_limited(service, limited, avoid)
         at_rate_limit = self._list_at_rate_limit(limited)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -235,6 +235,10 @@
         unusable = self.list_unusable(service)
         return {name: incarnation for name, incarnation in limited.items() if name not in unusable}
 
+    def list_all_rate_limited(self, service: Service) -> set[str]:
+        """Return the targets that announced a rate limit, also those that are not usable now."""
+        return set(self._view.list_rate_limited(service.name))
+
     def are_all_rate_limited(self, service: Service, excluded: Collection[str] = ()) -> bool:
         """Return whether all usable targets, apart from some, announced a rate limit."""
         limited = set(self.list_rate_limited(service)) - set(excluded)
