--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -144,7 +144,7 @@
             *excluded,
         }
         full = self.fleet_connections.list_full(service, [record.target for record in records])
-        if full and self._are_sound_ones_full(service, records, {*avoid, *unusable}, full):
+        if full and self._are_healthy_targets_full(service, records, {*avoid, *unusable}, full):
             return None
         silent = {record.target for record in records if record.standing == "silent"}
         choice = self._table(service.name).choose(
@@ -163,25 +163,25 @@
             self._warm_up_gate.record(choice.target, self._now())
         return self._make_chosen(service, choice)
 
-    def _are_sound_ones_full(
+    def _are_healthy_targets_full(
         self,
         service: Service,
         records: Sequence[TargetRecord],
         left_out: Collection[str],
         full: Collection[str],
     ) -> bool:
-        """Return whether there are sound targets and only connections to them lack.
+        """Return whether there are healthy targets and only connections to them lack.
 
         A request waits for one of these rather than going to a target that is ejected or silent.
         """
         ejected = self._table(service.name).list_ejected(self._now())
-        sound = {
+        healthy = {
             record.target
             for record in records
             if record.standing == "live" and record.target not in ejected
         }
-        sound -= set(left_out)
-        return bool(sound) and sound <= set(full)
+        healthy -= set(left_out)
+        return bool(healthy) and healthy <= set(full)
 
     def _list_closed(self, records: Sequence[TargetRecord]) -> set[str]:
         """Return the targets that get nothing new, since they are draining or evacuated."""
@@ -290,7 +290,7 @@
         records = self._view.targets_of(service.name)
         unusable = {*self.list_unusable(service), *self.list_full(service), *left_out}
         full = self.list_unconnectable(service)
-        is_short = self._are_sound_ones_full(service, records, unusable, full)
+        is_short = self._are_healthy_targets_full(service, records, unusable, full)
         if is_short:
             self.fleet_connections.record_shortage(service, full - unusable)
         return is_short
