--- a/packages/damsonlaned/src/damsonlaned/crowds/_accept_gate.py
+++ b/packages/damsonlaned/src/damsonlaned/crowds/_accept_gate.py
@@ -60,7 +60,6 @@
         self._delay = 0.0
         self._measured_at = -math.inf
         self._is_measuring = False
-        self._is_late = False
         self._limit: Final = ConcurrencyLimit()
         self._load: Final = LoopLoad(LOAD_AVERAGE_SECONDS)
         self._sampled_at = -math.inf
