The test of full and ejected targets no longer depends on an ejection of one second

Traced by reading: the test went on once the failing target had one request, which is not ejected before the third failure, and an ejection lasts for a second, less than the test on a busy machine. It waits for the ejection now, which lasts for a minute in it.

--- a/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
@@ -4,9 +4,11 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from unittest import mock
 
 from damsonlane.connections import CONNECTION_SHARE
 from damsonlane.routes import Service
+from damsonlane.routing import _table
 from damsonlaned.gateway.tests.fleet import Fleet
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
@@ -192,6 +194,12 @@
     """An entry with a target that is ejected, after three failures."""
 
     async def start(self, *targets: FakeTarget) -> Entry:
+        # On a busy machine, an ejection of a second would end within the test.
+        patched = mock.patch.multiple(
+            _table, INITIAL_EJECTION_SECONDS=60.0, MAX_EJECTION_SECONDS=60.0
+        )
+        patched.start()
+        self.addCleanup(patched.stop)
         entry = Entry(CROWD_DOCUMENT)
         records = [await target.start() for target in targets]
         for target in targets:
@@ -211,7 +219,8 @@
         failing, sound = FakeTarget("t1", close_without_answer), FakeTarget("t2", answer_late)
         entry = await self.start(failing, sound)
         is_held.set()
-        while not failing.requests or len(sound.requests) < 20:
+        service = CROWD_DOCUMENT.services[0]
+        while "t1" not in entry.targets.list_unusable(service):
             await entry.call("/ping/a", deadline_ms=DEADLINE_MS)
         before = len(failing.requests)
         is_held.clear()
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -333,6 +333,7 @@
             shares,
             self.reach.observe,
         )
+        self.targets = targets
         self.connections = targets.fleet_connections
         self.view.on_entries(self.connections.follow_entries)
         self.loans = LoanClient(self.connections, self.view, address, None)
