--- a/packages/damsonlane/src/damsonlane/consensus/_followers.py
+++ b/packages/damsonlane/src/damsonlane/consensus/_followers.py
@@ -48,9 +48,13 @@
             self._progress[name] = Progress(next_index=next_index, last_reply_at=now)
 
     def rewind_silent(self, replied_before: float) -> None:
-        """Resend entries after the matching index to members that have not replied since a time."""
+        """Resend entries after the matching index to members that have not replied since a time.
+
+        A member whose matching index is unknown is not rewound: that would call for a snapshot,
+        while its reply to a heartbeat tells which entries it lacks.
+        """
         for progress in self._progress.values():
-            if progress.last_reply_at < replied_before:
+            if progress.match and progress.last_reply_at < replied_before:
                 progress.next_index = progress.match + 1
 
     def count_responsive(self, members: Members, own: str, since: float) -> int:
--- a/packages/damsonlane/src/damsonlane/consensus/tests/test_replica.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/test_replica.py
@@ -74,6 +74,24 @@
         self.assertIs(group.leader(), leader)
 
 
+class CatchUpTest(unittest.TestCase):
+    def test_a_replica_that_was_down_during_an_election_catches_up_once_it_is_back(self) -> None:
+        """Otherwise the new leader sends it nothing but a snapshot, every five election times."""
+        group = Group(5, Fault.NONE, seed=1)
+        old = _elect(group)
+        down = next(box for box in group.boxes.values() if box is not old)
+        down.crash()
+        old.crash()
+        group.settle(60, until=lambda: group.leader() is not None)
+        group.settle(8)
+        down.start()
+        group.settle(4)
+        leader = group.leader()
+        assert leader is not None
+        assert leader.replica is not None
+        self.assertEqual(leader.replica.match_index(down.name), leader.replica.last_index)
+
+
 class StalenessTest(unittest.TestCase):
     """A replica must never report its state as fresher than it is."""
 
