--- a/packages/damsonlane/src/damsonlane/consensus/__init__.py
+++ b/packages/damsonlane/src/damsonlane/consensus/__init__.py
@@ -18,13 +18,17 @@
 )
 from damsonlane.consensus._output import Output, Persist, ReadReady
 from damsonlane.consensus._repair import (
+    DepartureDecision,
     JoinCandidate,
     JoinDecision,
     MemberAddition,
+    MemberChange,
+    MemberDemotion,
     MemberRemoval,
     can_confirm_removal,
     evaluate_candidate,
-    find_member_to_remove,
+    evaluate_departure,
+    find_lost_member,
     may_bootstrap_group,
 )
 from damsonlane.consensus._replica import Replica
@@ -33,6 +37,8 @@
 __all__ = [
     "EMPTY_SNAPSHOT",
     "MemberAddition",
+    "MemberChange",
+    "MemberDemotion",
     "AppendReply",
     "AppendRequest",
     "JoinCandidate",
@@ -52,11 +58,13 @@
     "Snapshot",
     "SnapshotRequest",
     "PersistentState",
+    "DepartureDecision",
     "JoinDecision",
     "VoteReply",
     "VoteRequest",
-    "find_member_to_remove",
+    "find_lost_member",
     "evaluate_candidate",
+    "evaluate_departure",
     "may_bootstrap_group",
     "can_confirm_removal",
 ]
--- a/packages/damsonlane/src/damsonlane/consensus/_messages.py
+++ b/packages/damsonlane/src/damsonlane/consensus/_messages.py
@@ -58,6 +58,12 @@
         learners = tuple(member for member in self.learners if member.replica != replica)
         return Members(voters=self.voters + promoted, learners=learners)
 
+    def with_demoted(self, replica: str) -> "Members":
+        """Return the members with a voter demoted to learner."""
+        demoted = tuple(member for member in self.voters if member.replica == replica)
+        voters = tuple(member for member in self.voters if member.replica != replica)
+        return Members(voters=voters, learners=self.learners + demoted)
+
     def without(self, replica: str) -> "Members":
         """Return the members without a replica."""
         voters = tuple(member for member in self.voters if member.replica != replica)
--- a/packages/damsonlane/src/damsonlane/consensus/_repair.py
+++ b/packages/damsonlane/src/damsonlane/consensus/_repair.py
@@ -7,8 +7,11 @@
 from damsonlane.consensus._replica import Replica
 from damsonlane.records import dataclass
 
-#: Seconds without a reply after which a learner or a surplus voter is removed.
-SILENCE_SECONDS: Final = 2.0
+#: Seconds without a reply after which a surplus voter is demoted to learner.  It is short, since
+#: a learner that replies again is promoted at once and keeps its disk.
+VOTER_SILENCE_SECONDS: Final = 1.0
+#: Seconds without a reply after which a learner is removed; a box may restart in that time.
+LEARNER_SILENCE_SECONDS: Final = 10.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -41,6 +44,30 @@
     reason: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class MemberDemotion:
+    """Demotion of a voter to learner."""
+
+    #: The member to demote.
+    member: Member
+    #: Reason for the log message.
+    reason: str
+
+
+#: A membership change that the group makes by itself.
+MemberChange = MemberAddition | MemberRemoval | MemberDemotion
+
+
+@dataclass(frozen=True, kw_only=True)
+class DepartureDecision:
+    """A leader's decision on a replica whose process is about to end."""
+
+    #: Whether the process may end now.
+    may_end: bool = False
+    #: The membership change that is needed before; None if there is none.
+    change: MemberDemotion | None = None
+
+
 @dataclass(frozen=True, kw_only=True)
 class JoinDecision:
     """A leader's decision on an applicant."""
@@ -85,10 +112,36 @@
     return replica.is_leader and replica.is_members_committed()
 
 
-def find_member_to_remove(
+def evaluate_departure(
+    members: Members, replica: str, silence_of: Callable[[str], float], wanted_voters: int
+) -> DepartureDecision:
+    """Decide what must happen before the process of a replica ends.
+
+    A surplus voter is demoted first: the quorum of an even number of voters tolerates no more
+    losses than that of one voter less, and the process that ends would be one of these losses.
+    While a learner catches up, the voter waits for it.  A learner keeps its disk and its name,
+    so a process that only restarts is promoted again as soon as it replies.
+
+    Args:
+        members: the leader's current members.
+        replica: name of the replica.
+        silence_of: returns the seconds since a member last replied.
+        wanted_voters: number of voters that the group should have.
+    """
+    leaving = next((member for member in members.voters if member.replica == replica), None)
+    if leaving is None:
+        return DepartureDecision(may_end=True)
+    if len(members.voters) > wanted_voters:
+        reason = "its process is about to end and the group has more voters than wanted"
+        return DepartureDecision(change=MemberDemotion(member=leaving, reason=reason))
+    is_learning = any(silence_of(m.replica) <= VOTER_SILENCE_SECONDS for m in members.learners)
+    return DepartureDecision(may_end=not is_learning)
+
+
+def find_lost_member(
     members: Members, silence_of: Callable[[str], float], wanted_voters: int
-) -> MemberRemoval | None:
-    """Return the member that the leader should remove, or None.
+) -> MemberRemoval | MemberDemotion | None:
+    """Return the change that a silent member calls for, or None.
 
     A voter that does not reply stays until there are more voters than wanted: a slow
     or partitioned box may return, and removing it would only reduce the fault
@@ -99,16 +152,15 @@
         silence_of: returns the seconds since a member last replied.
         wanted_voters: number of voters that the group should have.
     """
-    silent_learners = [m for m in members.learners if silence_of(m.replica) > SILENCE_SECONDS]
-    if silent_learners:
-        return MemberRemoval(member=silent_learners[0], reason="the learner stopped replying")
-    if len(members.voters) <= wanted_voters:
-        return None
-    most_silent = max(members.voters, key=lambda member: silence_of(member.replica))
-    if silence_of(most_silent.replica) <= SILENCE_SECONDS:
-        return None
-    reason = "the voter stopped replying and the group has more voters than wanted"
-    return MemberRemoval(member=most_silent, reason=reason)
+    if len(members.voters) > wanted_voters:
+        most_silent = max(members.voters, key=lambda member: silence_of(member.replica))
+        if silence_of(most_silent.replica) > VOTER_SILENCE_SECONDS:
+            reason = "the voter stopped replying and the group has more voters than wanted"
+            return MemberDemotion(member=most_silent, reason=reason)
+    for learner in members.learners:
+        if silence_of(learner.replica) > LEARNER_SILENCE_SECONDS:
+            return MemberRemoval(member=learner, reason="the learner stopped replying")
+    return None
 
 
 def may_bootstrap_group(own_address: str, seeds: Sequence[str], *, is_first_start: bool) -> bool:
--- a/packages/damsonlane/src/damsonlane/consensus/_replica.py
+++ b/packages/damsonlane/src/damsonlane/consensus/_replica.py
@@ -97,6 +97,7 @@
         self._heartbeat_due = 0.0
         self._quorum_check_due = 0.0
         self._votes: set[str] = set()
+        self._is_leaving = False
         self._followers = Followers()
         self._round = 0
         self._reads = WaitingReads()
@@ -252,6 +253,31 @@
         self._change_members(members.without(replica))
         return self._take_output()
 
+    def demote(self, now: float, replica: str) -> Output:
+        """Demote a voter to learner; it is promoted again once it replies.
+
+        Raises:
+            NotLeaderError: this replica is not the leader.
+            GroupChangeError: another membership change is in progress, or it is not a
+                voter, or the last one.
+        """
+        self._now = max(self._now, now)
+        self._require_change_allowed()
+        members = self.members
+        if not members.is_voter(replica):
+            raise GroupChangeError(f"replica '{replica}' is not a voter")
+        if len(members.voters) == 1:
+            raise GroupChangeError(f"replica '{replica}' is the last voter")
+        self._change_members(members.with_demoted(replica))
+        return self._take_output()
+
+    def leave(self) -> None:
+        """Announce that the process of this replica is about to end.
+
+        Once it is demoted, it no longer acknowledges entries, since the leader would promote it.
+        """
+        self._is_leaving = True
+
     def acknowledge_persist(self) -> Output:
         """Record that everything in the last output's `Persist` is synced."""
         self._synced = self._log.last_index
@@ -478,6 +504,8 @@
         self._reply_append(sender, request.round, is_success=True, match=match)
 
     def _reply_append(self, leader: str, number: int, *, is_success: bool, match: int) -> None:
+        if is_success and self._is_leaving and not self.members.is_voter(self.name):
+            return
         reply = AppendReply(term=self.term, is_success=is_success, match=match, round=number)
         self._outbox.send(leader, reply)
 
--- a/packages/damsonlane/src/damsonlane/consensus/tests/group.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/group.py
@@ -51,6 +51,7 @@
     COMMIT_OLD_TERM = "an entry of an older term is committed by counting replicas"
     COUNT_UNSYNCED = "a leader counts its own entries before they are synced"
     OUTSIDER_AT_ONCE = "a replica erases its disk on a report of a leader that no quorum confirmed"
+    LEAVES_UNANNOUNCED = "a replaced box ends without giving up its vote"
     VOTER_GIVEN_UP = "a silent voter is removed before another one has replaced it"
 
 
--- a/packages/damsonlane/src/damsonlane/consensus/tests/repair_machine.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/repair_machine.py
@@ -9,7 +9,8 @@
     HardState,
     JoinCandidate,
     Member,
-    MemberAddition,
+    MemberChange,
+    MemberDemotion,
     MemberRemoval,
     Members,
     PersistentState,
@@ -17,7 +18,8 @@
     Snapshot,
     can_confirm_removal,
     evaluate_candidate,
-    find_member_to_remove,
+    evaluate_departure,
+    find_lost_member,
     may_bootstrap_group,
 )
 from damsonlane.consensus.tests.group import CLUSTER, Box, Fault
@@ -31,13 +33,16 @@
     """Drives boxes that repair their group as the control boxes do.
 
     Disks are lost and boxes replaced, at most as many at once as the group must tolerate.  Once
-    the group is fully repaired, as many may be lost again.
+    the group is fully repaired, as many may be lost again.  A box that has a successor, and ends
+    once the group allows it, is no loss.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.replaced = 0
         self.is_forming = True
+        #: Names of the boxes whose processes are about to end, and whether for good.
+        self.leaving: dict[str, bool] = {}
 
     @initialize(size=st.sampled_from([3, 5]), seed=st.integers(0, 2**16))
     def found(self, size: int, seed: int) -> None:
@@ -63,10 +68,10 @@
             self._ask(self._box(pick), leader)
 
     @rule(pick=PICK)
-    def remove_silent_member(self, pick: int) -> None:
-        """A box that believes it is the leader removes a silent member that is not needed."""
+    def change_silent_member(self, pick: int) -> None:
+        """A box that believes it is the leader changes a silent member that is not needed."""
         for leader in self._list_believed_leaders(pick):
-            self._remove_silent_member(leader)
+            self._change_silent_member(leader)
 
     @rule(rounds=st.integers(1, 6))
     def repair(self, rounds: int) -> None:
@@ -95,6 +100,36 @@
         name = f"new-{self.replaced}"
         self.group.boxes[name] = Box(self.group, name)
 
+    # Planned replacements and restarts.
+
+    @precondition(lambda self: len(self.group.boxes) < self.size + 2)
+    @rule()
+    def add_successor(self) -> None:
+        """A box starts at another address, so that one of the others can leave."""
+        self.replaced += 1
+        name = f"new-{self.replaced}"
+        self.group.boxes[name] = Box(self.group, name)
+
+    @rule(pick=PICK, is_final=st.booleans())
+    def terminate(self, pick: int, is_final: bool) -> None:
+        """A box is told to stop: for good if it has a successor, else to restart with its disk."""
+        box = self._box(pick)
+        if box.replica is None:
+            return
+        staying = [name for name in self.group.boxes if not self.leaving.get(name)]
+        is_final = is_final and len(staying) > self.size and self._is_fully_repaired()
+        self.leaving.setdefault(box.name, is_final)
+        box.replica.leave()
+        if self.fault is Fault.LEAVES_UNANNOUNCED:
+            self._end(box)
+
+    @rule(pick=PICK)
+    def ask_to_leave(self, pick: int) -> None:
+        """A box that is about to end asks a box that believes it is the leader."""
+        for leader in self._list_believed_leaders(pick):
+            for name in sorted(self.leaving):
+                self._ask_to_leave(name, leader)
+
     def admit(self, pick: int) -> None:
         """Do nothing: no operator admits boxes here."""
 
@@ -126,7 +161,9 @@
             for name in sorted(self.group.boxes):
                 if name in self.group.boxes:
                     self._ask(self.group.boxes[name], leader)
-            self._remove_silent_member(leader)
+            for name in sorted(self.leaving):
+                self._ask_to_leave(name, leader)
+            self._change_silent_member(leader)
         self.group.settle(4)
 
     def _ask(self, box: Box, leader: Box) -> None:
@@ -146,6 +183,36 @@
         elif decision.was_removed:
             self._report_removal(box, leader)
 
+    def _ask_to_leave(self, name: str, leader: Box) -> None:
+        """Ask the leader whether a process may end; end it if so."""
+        box, leading = self.group.boxes.get(name), leader.replica
+        if box is None or box.replica is None or box.is_frozen:
+            return
+        if leading is None or not leading.is_leader or not leader.is_up():
+            return
+        if {(name, leader.name), (leader.name, name)} & self.group.cuts:
+            return
+
+        def answer() -> None:
+            if leader.replica is not leading or not leading.is_leader:
+                return
+            decision = evaluate_departure(
+                leading.members, name, leading.seconds_since_reply, self.size
+            )
+            if decision.change is not None:
+                self._change(leader, decision.change)
+            elif decision.may_end and leading.is_members_committed():
+                self._end(box)
+
+        self.group.read(leader.name, answer)
+
+    def _end(self, box: Box) -> None:
+        """End the process of a box: for good, or to restart with its disk."""
+        if self.leaving.pop(box.name, False):
+            self.group.boxes.pop(box.name, None)
+        else:
+            box.crash()
+
     def _report_removal(self, box: Box, leader: Box) -> None:
         if self.fault is Fault.OUTSIDER_AT_ONCE:
             self._restart_as_new_replica(box)
@@ -160,21 +227,25 @@
 
         self.group.read(leader.name, report)
 
-    def _remove_silent_member(self, leader: Box) -> None:
+    def _change_silent_member(self, leader: Box) -> None:
         replica = leader.replica
         if replica is None or not replica.is_leader:
             return
         wanted = self.size if self.fault is not Fault.VOTER_GIVEN_UP else 1
-        removal = find_member_to_remove(replica.members, replica.seconds_since_reply, wanted)
-        if removal is not None:
-            self._change(leader, removal)
+        change = find_lost_member(replica.members, replica.seconds_since_reply, wanted)
+        if change is not None:
+            self._change(leader, change)
 
-    def _change(self, leader: Box, change: MemberAddition | MemberRemoval) -> None:
+    def _change(self, leader: Box, change: MemberChange) -> None:
         member = change.member
         if isinstance(change, MemberRemoval):
             self.group.change_members(
                 leader.name, lambda replica, now: replica.remove(now, member.replica)
             )
+        elif isinstance(change, MemberDemotion):
+            self.group.change_members(
+                leader.name, lambda replica, now: replica.demote(now, member.replica)
+            )
         else:
             self.group.change_members(
                 leader.name, lambda replica, now: replica.add_learner(now, member)
@@ -183,6 +254,7 @@
     def _restart_as_new_replica(self, box: Box) -> None:
         if self.group.boxes.pop(box.name, None) is None:
             return
+        self.leaving.pop(box.name, None)
         self.incarnations += 1
         name = f"{find_address(box.name)}+{self.incarnations}"
         self.group.boxes[name] = Box(self.group, name)
@@ -194,6 +266,12 @@
         super().teardown()
         if not hasattr(self, "group"):
             return
+        for name in self.leaving:
+            if name in self.group.boxes:
+                # A process that the group does not let go restarts in the end.
+                self.group.boxes[name].crash()
+                self.group.boxes[name].start()
+        self.leaving.clear()
         for _ in range(_MAX_REPAIR_ROUNDS):
             if self._is_fully_repaired():
                 break
--- a/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
@@ -1,24 +1,30 @@
 """Founding and repair of a group: single decisions, and the state machine test."""
 
+import itertools
 import unittest
+from collections.abc import Callable
 
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 
 from damsonlane.consensus import (
+    DepartureDecision,
     JoinCandidate,
     JoinDecision,
     Member,
     MemberAddition,
+    MemberDemotion,
     MemberRemoval,
     Members,
     evaluate_candidate,
-    find_member_to_remove,
+    evaluate_departure,
+    find_lost_member,
     may_bootstrap_group,
 )
-from damsonlane.consensus._repair import SILENCE_SECONDS
+from damsonlane.consensus._repair import LEARNER_SILENCE_SECONDS
 from damsonlane.consensus.tests.group import ELECTION_SECONDS, Fault
 from damsonlane.consensus.tests.repair_machine import RepairMachine, make_repair_machine
+from damsonlane.consensus.tests.replacement import Replacement
 
 _SETTINGS = settings(
     max_examples=60,
@@ -30,6 +36,10 @@
 )
 _A, _B, _C, _D = (Member(replica=name, address=f"at-{name}") for name in "abcd")
 _GROUP = Members(voters=(_A, _B), learners=(_C,))
+#: What the box that leaves is: ``isolated`` means cut off from all others.
+_ROLES = ("leader", "follower", "isolated")
+#: When the disks are lost, in seconds since the old box ended; since its SIGTERM if negative.
+_LOSS_SECONDS = (-5.0, -2.0, -1.0, -0.5, -0.1, 0.1, 0.5, 1.0, 2.0, 5.0)
 
 
 class ApplicantTest(unittest.TestCase):
@@ -55,22 +65,43 @@
                 self.assertEqual(evaluate_candidate(_GROUP, applicant), expected)
 
 
-class FindMemberToRemoveTest(unittest.TestCase):
-    def test_which_member_is_removed(self) -> None:
-        cases: tuple[tuple[str, str, int, Member | None], ...] = (
-            ("no member is silent", "", 1, None),
-            ("a silent learner", "c", 2, _C),
-            ("a silent surplus voter", "b", 1, _B),
-            ("a silent voter that is needed", "b", 2, None),
+class LostMemberTest(unittest.TestCase):
+    def test_which_member_is_changed(self) -> None:
+        cases: tuple[tuple[str, str, int, Member | None, type], ...] = (
+            ("no member is silent", "", 1, None, type(None)),
+            ("a silent learner", "c", 2, _C, MemberRemoval),
+            ("a silent surplus voter", "b", 1, _B, MemberDemotion),
+            ("a silent voter that is needed", "b", 2, None, type(None)),
         )
-        for name, silent, wanted, expected in cases:
+        for name, silent, wanted, expected, kind in cases:
             with self.subTest(name):
+                change = find_lost_member(_GROUP, _silence_of(silent), wanted)
+                self.assertIsInstance(change, kind)
+                self.assertEqual(change.member if change else None, expected)
 
-                def silence_of(replica: str, silent: str = silent) -> float:
-                    return 2 * SILENCE_SECONDS if replica == silent else 0.0
+    def test_a_demoted_voter_that_stays_silent_is_removed(self) -> None:
+        group = _GROUP.with_demoted("b")
+        removal = find_lost_member(group, _silence_of("b"), 1)
+        self.assertIsInstance(removal, MemberRemoval)
+        self.assertEqual(removal.member if removal else None, _B)
 
-                removal = find_member_to_remove(_GROUP, silence_of, wanted)
-                self.assertEqual(removal.member if removal else None, expected)
+
+class DepartureTest(unittest.TestCase):
+    def test_decision_on_a_replica_whose_process_is_about_to_end(self) -> None:
+        voters = Members(voters=(_A, _B))
+        silent = Members(voters=(_A, _B), learners=(_D,))
+        cases = (
+            ("a surplus voter", voters, "a", 1, DepartureDecision(change=_demote(_A))),
+            ("a voter that is needed", voters, "a", 2, DepartureDecision(may_end=True)),
+            ("a successor catches up", _GROUP, "a", 2, DepartureDecision()),
+            ("a learner is silent", silent, "a", 2, DepartureDecision(may_end=True)),
+            ("a learner", _GROUP, "c", 2, DepartureDecision(may_end=True)),
+            ("no member", _GROUP, "x", 1, DepartureDecision(may_end=True)),
+        )
+        for name, members, replica, wanted, expected in cases:
+            with self.subTest(name):
+                decision = evaluate_departure(members, replica, _silence_of("d"), wanted)
+                self.assertEqual(decision, expected)
 
 
 class FoundingTest(unittest.TestCase):
@@ -106,6 +137,48 @@
                 else:
                     machine.teardown()
 
+    def test_a_replaced_box_and_lost_disks_leave_a_group_with_all_changes(self) -> None:
+        """Guards against a group without a quorum after a planned replacement and lost disks."""
+        for size, role, loss_at in itertools.product((3, 5), _ROLES, _LOSS_SECONDS):
+            with self.subTest(size=size, role=role, loss_at=loss_at):
+                replacement = Replacement(RepairMachine(), size, role)
+                replacement.play(loss_at)
+                replacement.machine.teardown()
+
+    def test_two_replacements_in_series_and_lost_disks(self) -> None:
+        """The second box leaves while the group still changes for the first one."""
+        for size, loss_at in itertools.product((3, 5), _LOSS_SECONDS):
+            with self.subTest(size=size, loss_at=loss_at):
+                replacement = Replacement(RepairMachine(), size, "leader", count=2)
+                replacement.play(loss_at)
+                replacement.machine.teardown()
+
+    def test_a_replaced_box_that_keeps_its_vote_is_found(self) -> None:
+        machine = make_repair_machine(Fault.LEAVES_UNANNOUNCED)()
+        replacement = Replacement(machine, 5, "follower")
+        replacement.play(0.1)
+        with self.assertRaises(AssertionError):
+            machine.teardown()
+
+    def test_a_box_that_restarts_beside_a_successor_stays_a_member(self) -> None:
+        """A restart with the same disk is no removal: each box is a voter again, with its name."""
+        machine = RepairMachine()
+        machine.found(5, seed=1)
+        machine.add_successor()
+        machine.repair(20)
+        names = set(machine.group.boxes)
+        for name in sorted(names):
+            box = machine.group.boxes[name]
+            assert box.replica is not None
+            box.replica.leave()
+            machine.leaving[name] = False
+            machine.repair(4)
+            self.assertIsNone(box.replica, f"{name} did not end")
+            box.start()
+            machine.repair(4)
+            self.assertTrue(machine._is_fully_repaired(), machine._describe())
+        self.assertEqual(set(machine.group.boxes), names)
+
     def test_an_uncommitted_removal_erases_no_disk(self) -> None:
         """Random examples rarely reach this sequence, so its steps are fixed."""
         for fault, is_lost in ((Fault.NONE, False), (Fault.OUTSIDER_AT_ONCE, True)):
@@ -120,6 +193,16 @@
                     machine._require_acceptance()
 
 
+def _silence_of(silent: str) -> Callable[[str], float]:
+    """Return the seconds since each member last replied, where one is silent."""
+    return lambda replica: 2 * LEARNER_SILENCE_SECONDS if replica == silent else 0.0
+
+
+def _demote(member: Member) -> MemberDemotion:
+    reason = "its process is about to end and the group has more voters than wanted"
+    return MemberDemotion(member=member, reason=reason)
+
+
 def _lose_disk_while_voter_is_silent(machine: RepairMachine) -> None:
     """Cut one voter off for a long time, then let another one lose its disk."""
     group = machine.group
@@ -128,9 +211,10 @@
     other, silent = (box for box in group.boxes.values() if box is not leader)
     for name in (leader.name, other.name):
         group.cuts |= {(silent.name, name), (name, silent.name)}
-    group.settle(int(16 * SILENCE_SECONDS / ELECTION_SECONDS))
-    machine._remove_silent_member(leader)
-    group.settle(20)
+    group.settle(int(16 * LEARNER_SILENCE_SECONDS / ELECTION_SECONDS))
+    for _ in range(2):
+        machine._change_silent_member(leader)
+        group.settle(20)
     group.cuts.clear()
     machine._restart_as_new_replica(other)
 
--- a/packages/damsonlane/src/damsonlane/settings/_box.py
+++ b/packages/damsonlane/src/damsonlane/settings/_box.py
@@ -61,6 +61,8 @@
     is_first_start: bool = False
     #: Number of boxes that may lose their disks at the same time.
     lost_boxes: Annotated[int, Field(ge=0, le=4)] = 1
+    #: Seconds after SIGTERM for which a replica waits until the group tolerates its end.
+    leave_seconds: Annotated[float, Field(ge=0, le=600)] = 5.0
 
     @property
     def voters(self) -> int:
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_fleet_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_fleet_messages.py
@@ -39,6 +39,29 @@
     outcome: Annotated[Done | NotLeader | NotAMember, Field(discriminator="kind")]
 
 
+@dataclass(frozen=True, kw_only=True)
+class LeaveRequest:
+    """A replica whose process is about to end asks the leader whether it may end."""
+
+    #: Name of the replica.
+    replica: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeavePending:
+    """The group is still changing its members; the replica asks again shortly."""
+
+    kind: Literal["leave-pending"] = "leave-pending"
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveReply:
+    """Reply to a replica whose process is about to end."""
+
+    #: ``done`` means that the process may end.
+    outcome: Annotated[Done | NotLeader | LeavePending, Field(discriminator="kind")]
+
+
 @dataclass(frozen=True, kw_only=True)
 class HeartbeatReport:
     """A follower's report to the leader of targets whose heartbeats it recently received."""
@@ -62,6 +85,7 @@
     reply=ExchangeEnd,
 )
 JOIN: Final = unary_method("/damsonlane.Replication/Join", JoinRequest, JoinReply)
+LEAVE: Final = unary_method("/damsonlane.Replication/Leave", LeaveRequest, LeaveReply)
 REPORT_HEARTBEATS: Final = unary_method(
     "/damsonlane.Control/Heard", HeartbeatReport, HeartbeatReportReply
 )
--- a/packages/damsonlaned/src/damsonlaned/control/_group_manager.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_group_manager.py
@@ -5,19 +5,21 @@
 import random
 import ssl
 from collections.abc import Mapping
-from typing import Final
+from typing import Final, TypeVar
 
 from grpclib.const import Handler
 from grpclib.server import Stream
 
 from damsonlane.consensus import (
     JoinCandidate,
-    MemberAddition,
+    MemberChange,
+    MemberDemotion,
     MemberRemoval,
     Replica,
     can_confirm_removal,
     evaluate_candidate,
-    find_member_to_remove,
+    evaluate_departure,
+    find_lost_member,
     may_bootstrap_group,
 )
 from damsonlane.errors import GroupChangeError, NotLeaderError, StorageError, UnavailableError
@@ -25,10 +27,15 @@
 from damsonlane_rpc import (
     CALL_ERRORS,
     JOIN,
+    LEAVE,
     ControlClient,
     Done,
     JoinReply,
     JoinRequest,
+    LeavePending,
+    LeaveReply,
+    LeaveRequest,
+    Method,
     NotAMember,
     NotLeader,
 )
@@ -37,10 +44,15 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+_Request = TypeVar("_Request", JoinRequest, LeaveRequest)
+_Reply = TypeVar("_Reply", JoinReply, LeaveReply)
+
 #: Seconds between checks of the group.
 CHECK_INTERVAL_SECONDS: Final = 0.25
-#: Time-out of one join request, in seconds.
-JOIN_TIMEOUT_SECONDS: Final = 0.4
+#: Time-out of one request to join or leave, in seconds.
+REQUEST_TIMEOUT_SECONDS: Final = 0.4
+#: Seconds between requests to leave.
+LEAVE_INTERVAL_SECONDS: Final = 0.05
 #: Seconds without a leader after which a replica asks whether it is still a member.
 LEADERLESS_SECONDS: Final = 1.5
 #: Seconds after which the group accepts commands although it never reached its full size.
@@ -53,8 +65,8 @@
     At the first start of the system, the box with the lowest seed address founds a
     group of one; every other box requests admission.  A box that lost its disk rejoins
     at the same address under a new replica name, and the leader removes the old name
-    when the new one requests admission.  An unreachable member is removed once the
-    group has more voters than configured.
+    when the new one requests admission.  Once the group has more voters than configured,
+    it demotes one that is unreachable or whose process is about to end.
 
     Args:
         node: the control node.
@@ -74,7 +86,7 @@
         self._founding: Final = founding
         self._group_client: Final = client
         self._own_address: Final = node.settings.internal_address
-        self._join_client: Final = ControlClient((), context=context)
+        self._peer_client: Final = ControlClient((), context=context)
         self._seeds = founding.seeds
         self._task: asyncio.Task[None] | None = None
         self._started_at = node.now()
@@ -88,7 +100,26 @@
         """Stop checking the group."""
         if self._task is not None:
             await stop_task(self._task)
-        self._join_client.close()
+        self._peer_client.close()
+
+    async def leave(self) -> None:
+        """Give up the vote of this replica if the group has a replacement for it.
+
+        Call it before the process ends, while the replica still serves.  Returns once the
+        group tolerates the end, or after the time that the settings allow.
+        """
+        replica = self._node.replica
+        if replica is None:
+            return
+        replica.leave()
+        try:
+            async with asyncio.timeout(self._founding.leave_seconds):
+                while not await self._may_end():
+                    await asyncio.sleep(LEAVE_INTERVAL_SECONDS)
+        except TimeoutError:
+            _LOG.warning("ending without confirmation that the group tolerates it")
+        except StorageError as error:
+            _LOG.warning("ending without giving up the vote", extra={"fault": str(error)})
 
     def replace_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds by those of reloaded settings."""
@@ -110,7 +141,10 @@
 
     def handlers(self) -> Mapping[str, Handler]:
         """Return the handlers of calls from other boxes, by path."""
-        return {JOIN.path: JOIN.handler(self._serve_join)}
+        return {
+            JOIN.path: JOIN.handler(self._serve_join),
+            LEAVE.path: LEAVE.handler(self._serve_leave),
+        }
 
     # Periodic checks.
 
@@ -133,7 +167,7 @@
         if replica.leader:
             self._leader_seen_at = self._node.now()
         if replica.is_leader:
-            self._remove_lost_member(replica)
+            self._change_lost_member(replica)
         elif self._node.now() - self._leader_seen_at > LEADERLESS_SECONDS:
             await self._request_admission()
 
@@ -157,16 +191,31 @@
             Whether any box knew a leader.
         """
         identity = self._node.identity
-        outcome = await self._ask_leader(
-            JoinRequest(
-                replica=identity.replica, address=self._own_address, cluster=identity.cluster
-            )
+        request = JoinRequest(
+            replica=identity.replica, address=self._own_address, cluster=identity.cluster
         )
+        outcome = await self._ask_leader(JOIN, request)
         if isinstance(outcome, NotAMember) and identity == self._node.identity:
             self._node.reset()
         return outcome is not None
 
-    async def _ask_leader(self, request: JoinRequest) -> Done | NotLeader | NotAMember | None:
+    async def _may_end(self) -> bool:
+        """Return whether the group tolerates the end of this process, as far as is known."""
+        replica = self._node.replica
+        if replica is None:
+            return True
+        members, name = replica.members, self._node.identity.replica
+        is_surplus = len(members.voters) > self._founding.voters
+        is_expendable = not members.is_voter(name) or not (is_surplus or members.learners)
+        if is_expendable and replica.is_members_committed():
+            return True
+        if replica.is_leader:
+            return isinstance(await self._answer_leave(name), Done)
+        return isinstance(await self._ask_leader(LEAVE, LeaveRequest(replica=name)), Done)
+
+    async def _ask_leader(
+        self, method: Method[_Request, _Reply], request: _Request
+    ) -> Done | NotLeader | NotAMember | LeavePending | None:
         """Send a request to the known boxes, and to leaders they name, until a leader answers.
 
         Returns:
@@ -181,7 +230,7 @@
             if address in tried:
                 continue
             tried.add(address)
-            reply = await self._send_join_request(address, request)
+            reply = await self._send_request(address, method, request)
             if reply is None:
                 continue
             if not isinstance(reply.outcome, NotLeader):
@@ -191,13 +240,18 @@
                 addresses.insert(0, hint.leader)
         return hint
 
-    async def _send_join_request(self, address: str, request: JoinRequest) -> JoinReply | None:
+    async def _send_request(
+        self, address: str, method: Method[_Request, _Reply], request: _Request
+    ) -> _Reply | None:
         try:
-            call = JOIN.unary(self._join_client.channel(address))
-            return await call(request, timeout=JOIN_TIMEOUT_SECONDS)
+            call = method.unary(self._peer_client.channel(address))
+            return await call(request, timeout=REQUEST_TIMEOUT_SECONDS)
         except CALL_ERRORS as error:
             fault = str(error) or type(error).__name__
-            _LOG.debug("join request failed", extra={"address": address, "fault": fault})
+            _LOG.debug(
+                "request to a replica failed",
+                extra={"path": method.path, "address": address, "fault": fault},
+            )
             return None
 
     def _known_addresses(self) -> list[str]:
@@ -250,20 +304,49 @@
         was_removed = evaluate_candidate(replica.members, applicant).was_removed
         return NotAMember() if was_removed else NotLeader(leader="")
 
-    def _remove_lost_member(self, replica: Replica) -> None:
-        removal = find_member_to_remove(
+    async def _serve_leave(self, stream: Stream[LeaveRequest, LeaveReply]) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            outcome = await self._answer_leave(request.replica)
+            await stream.send_message(LeaveReply(outcome=outcome))
+
+    async def _answer_leave(self, name: str) -> Done | NotLeader | LeavePending:
+        """Answer whether a replica's process may end, and make the change that it needs."""
+        try:
+            # A leader that was deposed may not know of the latest members.
+            await self._node.confirm()
+        except NotLeaderError as error:
+            return NotLeader(leader=error.leader)
+        except UnavailableError:
+            return NotLeader(leader="")
+        replica = self._node.replica
+        if replica is None or not replica.is_leader:
+            return NotLeader(leader="")
+        decision = evaluate_departure(
+            replica.members, name, replica.seconds_since_reply, self._founding.voters
+        )
+        if decision.change is not None:
+            self._try_change(decision.change)
+        may_end = decision.may_end and replica.is_members_committed()
+        return Done() if may_end else LeavePending()
+
+    def _change_lost_member(self, replica: Replica) -> None:
+        change = find_lost_member(
             replica.members, replica.seconds_since_reply, self._founding.voters
         )
-        if removal is not None:
-            self._try_change(removal)
+        if change is not None:
+            self._try_change(change)
 
-    def _try_change(self, change: MemberAddition | MemberRemoval) -> None:
+    def _try_change(self, change: MemberChange) -> None:
         """Change the group; if another change is in progress, a later check tries again."""
         replica = change.member.replica
         try:
             if isinstance(change, MemberRemoval):
                 self._node.remove(replica)
                 _LOG.info("replica removed", extra={"replica": replica, "reason": change.reason})
+            elif isinstance(change, MemberDemotion):
+                self._node.demote(replica)
+                _LOG.info("replica demoted", extra={"replica": replica, "reason": change.reason})
             else:
                 self._node.add(replica, change.member.address)
                 _LOG.info("replica admitted", extra={"replica": replica})
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -34,6 +34,7 @@
 from damsonlane.records import dataclass
 from damsonlane.settings import BoxSettings
 from damsonlane.versions import VersionHistory
+from damsonlaned.control._members_log import MembersLog
 from damsonlaned.control._peer_streams import PeerStreams
 from damsonlaned.control._watchers import Watchers
 from damsonlaned.storage import (
@@ -95,6 +96,7 @@
         self._journal: Final = Journal(folder.path)
         self._peers: Final = PeerStreams(settings.internal_address, context)
         self._applied = 0
+        self._members_log = MembersLog(EMPTY_SNAPSHOT.members)
         self._since_snapshot = 0
         self._proposed: dict[int, _ProposedCommand] = {}
         self._reads: dict[int, asyncio.Future[None]] = {}
@@ -227,6 +229,16 @@
         own_replica = self._require_replica()
         self._process_output(own_replica.remove(self.now(), replica))
 
+    def demote(self, replica: str) -> None:
+        """Demote a voter to learner.
+
+        Raises:
+            NotLeaderError: this replica is not the leader.
+            GroupChangeError: the group doesn't allow the change now.
+        """
+        own_replica = self._require_replica()
+        self._process_output(own_replica.demote(self.now(), replica))
+
     def state_age(self) -> float | None:
         """Return the largest possible age of the state here, in seconds; None if unknown."""
         if self.replica is None:
@@ -303,6 +315,7 @@
     def _install(self, snapshot: Snapshot) -> None:
         self.state = ClusterState.from_text(snapshot.state)
         self._applied = snapshot.index
+        self._members_log.record(snapshot.members, snapshot.index)
         self._restart_versions()
         self.watchers.notify_all()
 
@@ -310,6 +323,8 @@
         before = self._pushed_versions()
         targets_revision = self.state.targets.revision
         reply: Reply | None = None
+        if isinstance(entry.body, Members):
+            self._members_log.record(entry.body, entry.index)
         if isinstance(entry.body, Opaque):
             reply = self.state.apply(decode_command(entry.body.text))
         self._applied = entry.index
@@ -418,6 +433,7 @@
     def _start_replica(self, stored: PersistentState) -> None:
         self.state = ClusterState.from_text(stored.snapshot.state)
         self._applied = stored.snapshot.index
+        self._members_log = MembersLog(stored.snapshot.members)
         self._restart_versions()
         self.replica = Replica(
             cluster=self.identity.cluster,
--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -141,6 +141,8 @@
         await self._start()
         _LOG.info("started", extra={"replica": self._node.identity.replica})
         await asyncio.wait({stop, self._node.failure}, return_when=asyncio.FIRST_COMPLETED)
+        if self._group is not None and not self._node.failure.done():
+            await self._group.leave()
         await self._stop(server)
         _LOG.info("stopped")
         return self._node.disk_error()
--- a/packages/damsonlaned/src/damsonlaned/control/tests/boxes.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/boxes.py
@@ -45,14 +45,16 @@
 class Box:
     """One control box, which can be stopped, erased and restarted."""
 
-    def __init__(self, address: str, seeds: tuple[str, ...], folder: Path) -> None:
+    def __init__(
+        self, address: str, seeds: tuple[str, ...], folder: Path, lost_boxes: int = 2
+    ) -> None:
         self.address = address
         self.seeds = seeds
         self.folder = folder
+        self.lost_boxes = lost_boxes
 
-    async def start(self, *, is_first_start: bool) -> None:
-        founding = Founding(seeds=self.seeds, is_first_start=is_first_start, lost_boxes=2)
-        settings = BoxSettings(
+    def make_settings(self, *, is_first_start: bool) -> BoxSettings:
+        return BoxSettings(
             name=f"box-{self.address.rpartition(':')[2]}",
             data_centre="gulberg",
             role="control",
@@ -61,8 +63,15 @@
             admin_address="127.0.0.1:1",
             control=self.seeds,
             election_seconds=ELECTION_SECONDS,
-            founding=founding,
+            founding=Founding(
+                seeds=self.seeds, is_first_start=is_first_start, lost_boxes=self.lost_boxes
+            ),
         )
+
+    async def start(self, *, is_first_start: bool) -> None:
+        settings = self.make_settings(is_first_start=is_first_start)
+        founding = settings.founding
+        assert founding is not None
         self.data = DataFolder(str(self.folder))
         self.data.open()
         self.node = ControlNode(settings, self.data, None)
@@ -103,6 +112,9 @@
 
 
 class GroupCase(unittest.IsolatedAsyncioTestCase):
+    #: Number of boxes that may lose their disks at the same time.
+    lost_boxes = 2
+
     async def asyncSetUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -112,7 +124,7 @@
         for number, address in enumerate(self.addresses):
             path = Path(folder.name) / str(number)
             path.mkdir()
-            self.boxes[address] = Box(address, self.seeds, path)
+            self.boxes[address] = Box(address, self.seeds, path, self.lost_boxes)
         self.running: list[Box] = []
 
     async def asyncTearDown(self) -> None:
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -12,7 +12,7 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from damsonlane.consensus.tests import group, machine
+from damsonlane.consensus.tests import group, machine, repair_machine
 from damsonlane.requests.tests import machine as request_machine
 from damsonlane.requests.tests import world
 
@@ -74,7 +74,11 @@
     deadline = time.monotonic() + options.seconds
     number, total = options.seed, 0
     while time.monotonic() < deadline:
-        for machine_class in (machine.GroupMachine, request_machine.RequestMachine):
+        for machine_class in (
+            machine.GroupMachine,
+            repair_machine.RepairMachine,
+            request_machine.RequestMachine,
+        ):
             total += search(machine_class, number, EXAMPLES_PER_ROUND, shrinks=True)
         number += 1
     print(f"{total} examples, nothing found")
