A learner whose admission is undone no longer waits for its old leader for ever

The group keeps a voter too few, so it does not tolerate the loss it should.

Cause: a replica forgot its leader only when it began to campaign. A learner never does, so GroupManager saw a known leader at all times and asked for admission no more. Ruled out: the removal of the learner as silent (the new leader's members do not hold it).

Change: a replica that hears nothing for an election time forgets its leader, whether it may campaign or not. It then asks, learns that it is no member, and joins under a new name.

test_a_learner_whose_admission_is_undone_asks_again: "the group is not fully repaired" before, passes now.

--- a/packages/damsonlane/src/damsonlane/consensus/_replica.py
+++ b/packages/damsonlane/src/damsonlane/consensus/_replica.py
@@ -313,11 +313,11 @@
     # Elections.
 
     def _start_pre_vote(self) -> None:
+        self.leader = ""
         if not self._may_campaign():
             self._reset_election()
             return
         self.standing = "trial"
-        self.leader = ""
         self._votes = {self.name}
         self._reset_election()
         self._request_votes(self.term + 1, is_trial=True)
--- a/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
@@ -179,6 +179,27 @@
             self.assertTrue(machine._is_fully_repaired(), machine._describe())
         self.assertEqual(set(machine.group.boxes), names)
 
+    def test_a_learner_whose_admission_is_undone_asks_again(self) -> None:
+        """Otherwise it waits for ever for the leader that admitted it and was replaced."""
+        machine = RepairMachine()
+        machine.found(size=3, seed=0)
+        group = machine.group
+        machine.crash(pick=1)
+        machine.add_successor()
+        group.boxes["box-2"].crashes_next = True
+        leader = group.leader()
+        assert leader is not None
+        machine._ask(group.boxes["new-1"], leader)
+        group.settle(5)
+        newcomer = group.boxes["new-1"].replica
+        self.assertTrue(newcomer is not None and newcomer.members.is_learner("new-1"))
+        leader.crash()
+        for name in ("box-1", "box-2"):
+            group.boxes[name].crash()
+            group.boxes[name].start()
+        group.settle(40, until=lambda: group.leader() is not None)
+        machine.teardown()
+
     def test_an_uncommitted_removal_erases_no_disk(self) -> None:
         """Random examples rarely reach this sequence, so its steps are fixed."""
         for fault, is_lost in ((Fault.NONE, False), (Fault.OUTSIDER_AT_ONCE, True)):
