--- a/packages/damsonlane/src/damsonlane/consensus/tests/repair_machine.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/repair_machine.py
@@ -194,7 +194,7 @@
             return
 
         def answer() -> None:
-            if leader.replica is not leading or not leading.is_leader:
+            if name not in self.leaving or not leading.is_leader:
                 return
             decision = evaluate_departure(
                 leading.members, name, leading.seconds_since_reply, self.size
@@ -263,15 +263,14 @@
 
     def teardown(self) -> None:
         """Heal all faults: the group must be fully repaired and accept a change."""
-        super().teardown()
         if not hasattr(self, "group"):
             return
         for name in self.leaving:
+            # A process that the group has not let go yet restarts.
             if name in self.group.boxes:
-                # A process that the group does not let go restarts in the end.
                 self.group.boxes[name].crash()
-                self.group.boxes[name].start()
         self.leaving.clear()
+        super().teardown()
         for _ in range(_MAX_REPAIR_ROUNDS):
             if self._is_fully_repaired():
                 break
