Bodies without end no longer fill the memory of an entry

Cause: a body is collected until it is complete, so that a cut one is never passed on, and nothing limited it but the deadline of the request. An answer to another request was skipped in the same way.

Ruled out: the parser (64 KB limit of its own, which holds for heads, lines of chunks and trailers), the kernel's buffers, the budget for slow callers (switched on by contract only, and it disconnects the caller, who is innocent).

Change: a body that is collected has at most 16 MB; one that announces more is refused at its head. All bodies under way share a budget (64 MB, or an eighth of the memory that the process may use); beyond it the largest is given up. The connection is closed, the target's health is bad, the request goes on as after a broken connection: a safe one at another target, others with 502. The same for answers of stage calls, and for answers that are skipped.

--- a/packages/damsonlaned/src/damsonlaned/connections/_fleet_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/_fleet_connections.py
@@ -22,7 +22,7 @@
 from damsonlane.records import dataclass
 from damsonlane.routes import RouteTable, Service
 from damsonlane.targets import TargetRecord
-from damsonlaned.http import ConnectionObserver, ConnectionPool
+from damsonlaned.http import CollectionBudget, ConnectionObserver, ConnectionPool
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -91,6 +91,7 @@
         loan_seconds: length of a loan of connections, in seconds.
         observe: returns the observer of the connections to a target of a service, by their names;
             None if nobody observes them.
+        budget: limits the bytes of responses that are collected.
     """
 
     def __init__(
@@ -99,7 +100,9 @@
         shares: CapacityShares,
         loan_seconds: float,
         observe: Callable[[str, str], ConnectionObserver] | None = None,
+        budget: CollectionBudget | None = None,
     ) -> None:
+        self._budget: Final = budget or CollectionBudget()
         self._fleet: Final = fleet
         self._shares: Final = shares
         self._observe: Final = observe
@@ -126,6 +129,7 @@
                 0,
                 self._observe(service.name, target) if self._observe else None,
                 lambda: self._wake_waiting(service.name, 1),
+                self._budget,
             )
             known = _TargetConnections(service=service, pool=pool, use=ConnectionUse())
             self._targets[target] = known
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -40,6 +40,7 @@
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import (
     BufferGuard,
+    CollectionBudget,
     HttpListener,
     HttpRequest,
     HttpResponse,
@@ -113,6 +114,9 @@
             self._shares,
             self._reach.observe,
             LOAN_RATIO * gateway.apply_seconds,
+            CollectionBudget.for_memory(settings.capacity.memory_bytes)
+            if settings.capacity is not None
+            else None,
         )
         self._view.on_entries(self._record_entries)
         self._loans: Final = LoanClient(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -28,7 +28,7 @@
 from damsonlaned.gateway._call import Prompt
 from damsonlaned.gateway._placement_client import PlacedPrompt
 from damsonlaned.gateway._view import FleetView
-from damsonlaned.http import ConnectionObserver, ConnectionPool
+from damsonlaned.http import CollectionBudget, ConnectionObserver, ConnectionPool
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -87,6 +87,7 @@
         observe: returns the observer of the connections to a target of a service, by their names;
             None if nobody observes them.
         loan_seconds: length of a loan of connections to targets, in seconds.
+        budget: limits the bytes of responses that are collected.
     """
 
     def __init__(
@@ -98,10 +99,13 @@
         shares: CapacityShares | None = None,
         observe: Callable[[str, str], ConnectionObserver] | None = None,
         loan_seconds: float = LOAN_SECONDS,
+        budget: CollectionBudget | None = None,
     ) -> None:
         self._shares: Final = shares or CapacityShares(own_address)
         #: The connections to targets, and loans of them.
-        self.fleet_connections: Final = FleetConnections(view, self._shares, loan_seconds, observe)
+        self.fleet_connections: Final = FleetConnections(
+            view, self._shares, loan_seconds, observe, budget
+        )
         self._own_address: Final = own_address
         self._warm_up_gate: Final = WarmupLimiter()
         self._incarnations: dict[str, int] = {}
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_endless_responses.py
@@ -0,0 +1,133 @@
+"""Targets that send bytes without end: callers get true responses, and memory stays bounded."""
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+from typing import Final
+
+from damsonlaned.gateway.tests.endless_target import (
+    ENDLESS_BODIES,
+    EndlessForm,
+    EndlessTarget,
+)
+from damsonlaned.gateway.tests.harness import (
+    TEST_TIMEOUT_SECONDS,
+    Entry,
+    FakeTarget,
+    answer_ok,
+    make_piece_handler,
+)
+from damsonlaned.http import CollectionBudget
+
+#: Headers of a request with two stages.
+_STAGE_HEADERS: Final = "Damsonlane-Pieces: 1,1\r\nDamsonlane-Material-Key: m\r\n"
+#: Requests that are sent at once, and how often.
+_CALLERS: Final = 10
+_ROUNDS: Final = 3
+#: Bytes that a target may send on a connection: the largest body and what the kernel buffers.
+_MOST_SENT_BYTES: Final = 32 * 2**20
+#: Connections that an endless target may get: those of the first callers, and a few more.
+_MOST_CONNECTIONS: Final = 2 * _CALLERS
+
+
+class EndlessCase(unittest.IsolatedAsyncioTestCase):
+    async def start(
+        self, endless: EndlessTarget, targets: Sequence[FakeTarget], others: Sequence[FakeTarget]
+    ) -> Entry:
+        """Start an entry with an endless target, sound ones of its service, and others."""
+        records = [endless.start()]
+        self.addCleanup(endless.stop)
+        for target in (*targets, *others):
+            records.append(await target.start())
+            self.addAsyncCleanup(target.stop)
+        entry = Entry()
+        await entry.start(*records)
+        self.addAsyncCleanup(entry.stop)
+        return entry
+
+    async def call_all(self, entry: Entry, prefix: str) -> list[int]:
+        """Send some rounds of requests; return the statuses of whole responses, 0 for others."""
+        statuses = []
+        for number in range(_ROUNDS):
+            paths = [f"{prefix}{number}-{caller}" for caller in range(_CALLERS)]
+            responses = await asyncio.gather(*(entry.call(path) for path in paths))
+            statuses += [each.status if each.is_whole() else 0 for each in responses]
+        return statuses
+
+    async def assert_given_up(self, endless: EndlessTarget) -> None:
+        """Check that the entry closed all connections to the target, early, and avoids it."""
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while endless.count_open():
+                await asyncio.sleep(0.01)
+        self.assertLessEqual(max(endless.sent, default=0), _MOST_SENT_BYTES)
+        self.assertLessEqual(endless.accepted, _MOST_CONNECTIONS)
+
+
+class EndlessBodyTest(EndlessCase):
+    async def test_safe_requests_are_served_by_other_targets(self) -> None:
+        """Guards against bodies that fill the memory of an entry until it ends."""
+        for name, form in ENDLESS_BODIES.items():
+            if "small" in name:
+                continue
+            with self.subTest(name):
+                endless = EndlessTarget("t1", form)
+                sound = [FakeTarget(f"t{number}", answer_ok) for number in (2, 3)]
+                entry = await self.start(endless, sound, ())
+                statuses = await self.call_all(entry, "/ping/")
+                self.assertEqual(statuses, [200] * _CALLERS * _ROUNDS)
+                await self.assert_given_up(endless)
+
+    async def test_a_request_that_must_run_once_ends_with_a_failure(self) -> None:
+        """Without another target there is nothing to serve, and nothing may be sent twice."""
+        endless = EndlessTarget("t1", ENDLESS_BODIES["no length"])
+        entry = await self.start(endless, (), ())
+        response = await entry.call("/once/a")
+        self.assertEqual(response.status, 502)
+        self.assertTrue(response.is_whole())
+        await self.assert_given_up(endless)
+
+    async def test_stage_calls_are_repeated_at_other_targets(self) -> None:
+        for name in ("no length", "huge length", "large chunks"):
+            with self.subTest(name):
+                form = _answer_pool_call(ENDLESS_BODIES[name])
+                endless = EndlessTarget("p1", form, "pool")
+                pool = FakeTarget("p2", make_piece_handler(lambda: "p2"), "pool")
+                entry = await self.start(endless, (pool,), (FakeTarget("t1", answer_ok),))
+                response = await entry.call("/staged/a", headers=_STAGE_HEADERS)
+                self.assertEqual(response.status, 200)
+                await self.assert_given_up(endless)
+
+
+class CollectionBudgetTest(unittest.TestCase):
+    def test_the_largest_body_is_given_up_first(self) -> None:
+        budget = CollectionBudget(100)
+        given_up: list[str] = []
+
+        def give_up_small() -> None:
+            given_up.append("small")
+
+        def give_up_large() -> None:
+            given_up.append("large")
+
+        budget.record(give_up_large, 70)
+        budget.record(give_up_small, 30)
+        self.assertEqual(given_up, [])
+        budget.record(give_up_small, 31)
+        self.assertEqual(given_up, ["large"])
+        budget.record(give_up_large, 0)
+        budget.record(give_up_small, 100)
+        self.assertEqual(given_up, ["large"])
+
+    def test_a_box_with_little_memory_collects_less(self) -> None:
+        self.assertEqual(CollectionBudget.for_memory(160 * 2**20).body_bytes, 16 * 2**20)
+        self.assertEqual(CollectionBudget.for_memory(64 * 2**20).body_bytes, 8 * 2**20)
+
+
+def _answer_pool_call(form: EndlessForm) -> EndlessForm:
+    """Return a form for the calls of stages, which have no id in their head."""
+    beginning = form.beginning.replace(b"Damsonlane-Request-Id: {id}\r\n", b"")
+    return EndlessForm(beginning=beginning, repeated=form.repeated)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/http/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/http/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from damsonlaned.http._buffer_guard import BufferGuard, BufferMeter
+from damsonlaned.http._collection_budget import CollectionBudget
 from damsonlaned.http._connection_observer import SILENCE_SECONDS, ConnectionObserver
 from damsonlaned.http._connection_pool import ConnectionPool, HttpExchange
 from damsonlaned.http._errors import (
@@ -30,6 +31,7 @@
     "BufferGuard",
     "BufferMeter",
     "CallerDisconnectedError",
+    "CollectionBudget",
     "ConnectionGate",
     "ConnectionObserver",
     "ConnectionsInUseError",
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -8,6 +8,7 @@
 
 from damsonlane_rpc import Endpoint
 from damsonlaned.http._buffer_guard import BufferMeter
+from damsonlaned.http._collection_budget import CollectionBudget
 from damsonlaned.http._connection_observer import (
     SILENCE_SECONDS,
     ConnectionObserver,
@@ -33,14 +34,18 @@
     """A request that was sent, until its response is complete or abandoned."""
 
     def __init__(
-        self, pool: "ConnectionPool", connection: TargetConnection, observer: ConnectionObserver
+        self,
+        pool: "ConnectionPool",
+        connection: TargetConnection,
+        observer: ConnectionObserver,
+        budget: CollectionBudget,
     ) -> None:
         self._pool: Final = pool
         self._observer: Final = observer
         self._sent_at: Final = asyncio.get_running_loop().time()
         self._silence_timer: asyncio.TimerHandle
         self._connection: Final = connection
-        self.body: Final = ResponseBody(connection)
+        self.body: Final = ResponseBody(connection, budget)
 
     async def read_head(self) -> HttpHead:
         """Return the head of the response.
@@ -101,6 +106,7 @@
         most: largest number of open connections.
         observer: learns whether the target is reached; None for nobody.
         on_free: called when a connection may be used by another request.
+        budget: limits the bytes of responses that are collected; None for one of its own.
     """
 
     def __init__(
@@ -109,7 +115,9 @@
         most: int,
         observer: ConnectionObserver | None = None,
         on_free: Callable[[], None] = lambda: None,
+        budget: CollectionBudget | None = None,
     ) -> None:
+        self._budget: Final = budget or CollectionBudget()
         self._on_free: Final = on_free
         self._observer: Final = observer or NoObserver()
         self._endpoint: Final = Endpoint.parse(address)
@@ -145,7 +153,7 @@
         """
         connection = self._take_idle() or await self._connect(connect_seconds)
         connection.send(request)
-        return HttpExchange(self, connection, self._observer)
+        return HttpExchange(self, connection, self._observer, self._budget)
 
     def release(self, connection: TargetConnection, *, is_complete: bool) -> None:
         """Keep a connection after a complete response; otherwise close it at once."""
--- a/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
@@ -6,6 +6,7 @@
 import h11
 
 from damsonlaned.http._buffer_guard import BufferMeter
+from damsonlaned.http._collection_budget import MAX_BODY_BYTES, CollectionBudget
 from damsonlaned.http._connection_observer import ConnectionObserver, NoObserver
 from damsonlaned.http._errors import IncompleteResponseError
 from damsonlaned.http._messages import HttpHead, HttpRequest
@@ -20,10 +21,17 @@
 
 
 class ResponseBody:
-    """The body of a response; ``is_complete`` once its end was received."""
+    """The body of a response; ``is_complete`` once its end was received.
 
-    def __init__(self, connection: "TargetConnection") -> None:
+    Args:
+        connection: the connection on which it arrives.
+        budget: limits the bytes that are collected.
+    """
+
+    def __init__(self, connection: "TargetConnection", budget: CollectionBudget) -> None:
         self._connection: Final = connection
+        self._budget: Final = budget
+        self._is_given_up = False
         self.is_complete = False
 
     async def iter_parts(self) -> AsyncIterator[bytes]:
@@ -46,15 +54,29 @@
         """Return the complete body.
 
         Raises:
-            IncompleteResponseError: the connection broke before the end.
+            IncompleteResponseError: the connection broke before the end, or the body is too large.
         """
-        parts: list[bytes] = []
-        size = 0
-        async for part in self.iter_parts():
-            parts.append(part)
-            size += len(part)
-            self._connection.record_collected(size)
-        return b"".join(parts)
+        body = bytearray()
+        self._check_size(self._connection.announced_bytes)
+        try:
+            async for part in self.iter_parts():
+                body += part
+                self._check_size(len(body))
+                self._connection.record_collected(len(body))
+                self._budget.record(self._give_up, len(body))
+                if self._is_given_up:
+                    raise IncompleteResponseError("the bodies under way take too much memory")
+        finally:
+            self._budget.record(self._give_up, 0)
+        return bytes(body)
+
+    def _check_size(self, size: int) -> None:
+        if size > self._budget.body_bytes:
+            raise IncompleteResponseError(f"the body has more than {self._budget.body_bytes} bytes")
+
+    def _give_up(self) -> None:
+        self._is_given_up = True
+        self._connection.abort()
 
 
 class TargetConnection:
@@ -71,6 +93,8 @@
         self._is_new = True
         #: Whether a byte arrived since the last request was sent.
         self.has_received = False
+        #: Length of the body that the last head announced, in bytes; 0 without one.
+        self.announced_bytes = 0
         self._parser = self._make_parser()
         self._last_request: h11.Request | None = None
         self._idle_seconds = _IDLE_SECONDS
@@ -119,6 +143,8 @@
             if isinstance(event, h11.Response):
                 head = HttpHead(status=event.status_code, headers=tuple(event.headers.raw_items()))
                 self._apply_idle_timeout(head)
+                # The parser accepts digits only.
+                self.announced_bytes = int(head.find(b"content-length") or 0)
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise IncompleteResponseError("the target closed without an answer")
@@ -129,8 +155,11 @@
         Raises:
             IncompleteResponseError: the connection ends with that response.
         """
-        while not isinstance(await self.next_event(), h11.EndOfMessage):
-            pass
+        size = 0
+        while not isinstance(event := await self.next_event(), h11.EndOfMessage):
+            size += len(event.data) if isinstance(event, h11.Data) else 0
+            if size > MAX_BODY_BYTES:
+                raise IncompleteResponseError("the answer to another request is too large")
         rest, _ = self._parser.trailing_data
         if self._parser.their_state is not h11.DONE or self._last_request is None:
             raise IncompleteResponseError("the connection ended with the answer to another request")
