An idle connection to a target closes as soon as bytes of no response arrive

Found by the stage calls of test_endless_responses ("bytes after the response"): a connection whose target goes on sending after a whole answer stayed open for as long as no request needed it, with up to 256 KB unread.

Cause: the bytes were looked at only when the connection was to be used again. Change: the pool drops the connection when they arrive, as when it closes.

--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -178,7 +178,7 @@
             self._drop(self._idle.pop())
 
     def _forget(self, connection: TargetConnection) -> None:
-        """Drop an idle connection that the target closed."""
+        """Drop an idle connection that the target closed, or on which it sent bytes."""
         if connection in self._idle:
             self._idle.remove(connection)
             self._drop(connection)
--- a/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
@@ -149,6 +149,7 @@
     def send(self, request: HttpRequest) -> None:
         """Send a request with its body."""
         self._stream.on_closed = None
+        self._stream.on_unexpected = None
         self.has_received = False
         headers = list(request.headers)
         if request.body or request.method in ("POST", "PUT", "PATCH"):
@@ -273,12 +274,13 @@
         self._observer.record_reached(is_new=self._is_new)
         self._is_new = False
 
-    def make_idle(self, now: float, on_closed: Callable[[], None]) -> bool:
+    def make_idle(self, now: float, on_unusable: Callable[[], None]) -> bool:
         """Prepare for another request after a complete response.
 
         Args:
             now: time by the loop's clock.
-            on_closed: called if the target closes the connection while it is idle.
+            on_unusable: called if the target closes the connection, or sends bytes that belong
+                to no request, while it is idle.
 
         Returns:
             Whether the connection may be kept.
@@ -289,7 +291,8 @@
             return False
         self._parser.start_next_cycle()
         self.idle_since = now
-        self._stream.on_closed = on_closed
+        self._stream.on_closed = on_unusable
+        self._stream.on_unexpected = on_unusable
         return True
 
     def abort(self) -> None:
--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -43,6 +43,8 @@
         self._has_small_buffers = False
         #: Called once when the other side closed or the connection broke.
         self.on_closed: Callable[[], None] | None = None
+        #: Called once when bytes arrive; None where they are expected.
+        self.on_unexpected: Callable[[], None] | None = None
 
     # Callbacks of asyncio.
 
@@ -60,6 +62,9 @@
         """Buffer bytes until they are read."""
         self._chunks.append(data)
         self._size += len(data)
+        if self.on_unexpected is not None:
+            notify, self.on_unexpected = self.on_unexpected, None
+            notify()
         self._record_unread()
         if not self._may_read() and self._transport is not None and not self._is_paused:
             self._is_paused = True
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
@@ -129,6 +129,14 @@
                 connection._stream.eof_received()
         self.assertEqual(pool.count_open(), 0)
 
+    async def test_an_idle_connection_with_bytes_of_no_response_is_closed_at_once(self) -> None:
+        """Otherwise it stays open, and keeps them, until the next request."""
+        _, pool = await self.open((COMPLETE,))
+        await self.call(pool)
+        for connection in list(pool._idle):
+            connection._stream.data_received(b"x")
+        self.assertEqual(pool.count_open(), 0)
+
     async def test_incomplete_and_malformed_responses_raise_an_error(self) -> None:
         cases = (
             ("closed without an answer", None),
