Targets of pipelines that send bytes without end no longer hold threads or memory

By reading: a body had no limit but the deadline, and the rest of a rejection, trailers and informational responses were read without regard to the deadline, so that a thread of a caller was lost for good.

Change: a body has at most 16 MB and a bounded number of small chunks, an event 64 KB; lines that are no body (heads, sizes of chunks, trailers) have 256 KB in a row; the rest of a failure is read up to 64 KB, else the connection closes. The attempt fails as after a broken connection.

Ruled out: a time-out of the socket (data arrives all the time), the thread pool's own limits.

entry/tests/test_endless_responses plays 29 forms at pools and engines. The test was not run on the code before.

--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/entry/tests/test_endless_responses.py
@@ -0,0 +1,63 @@
+"""Targets of pipelines that send bytes without end: each attempt ends early, as a failure."""
+
+import time
+import unittest
+
+from damsonlane.requests import AttemptKey
+from damsonlaned.gateway.tests.endless_target import (
+    ENDLESS_BODIES,
+    ENDLESS_HEADS,
+    ENDLESS_STREAMS,
+    EndlessForm,
+    EndlessTarget,
+)
+from damsonlaned.targets import TARGET_PROTOCOLS, Connections, TargetCall, TargetReply
+from damsonlaned.targets._connections import LateError
+
+#: Seconds until the deadline of an attempt.  An endless response would be read until then.
+_DEADLINE_SECONDS = 60.0
+_MOST_SENT_BYTES = 32 * 2**20
+_KEY = AttemptKey(request="r", organisation="o", stage="encode", number=1)
+
+
+class EndlessResponsesTest(unittest.TestCase):
+    def call(self, kind: str, endless: EndlessTarget) -> TargetReply:
+        connections = Connections()
+        self.addCleanup(connections.close)
+        address = endless.start().address
+        self.addCleanup(endless.stop)
+        call = TargetCall(
+            address=address,
+            key=_KEY,
+            text="text",
+            model="m",
+            deadline_at=time.monotonic() + _DEADLINE_SECONDS,
+        )
+        attempt = TARGET_PROTOCOLS[kind].call(connections, call)
+        while True:
+            try:
+                next(attempt)
+            except StopIteration as stopped:
+                reply = stopped.value
+                assert isinstance(reply, TargetReply)
+                return reply
+
+    def test_attempts_fail_before_their_deadline(self) -> None:
+        """Guards against callers' threads that are lost, and against bodies that fill memory."""
+        forms: dict[str, EndlessForm] = {
+            **{f"head: {name}": form for name, form in ENDLESS_HEADS.items()},
+            **{f"body: {name}": form for name, form in ENDLESS_BODIES.items()},
+            **{f"stream: {name}": form for name, form in ENDLESS_STREAMS.items()},
+        }
+        for kind in ("pool", "engine"):
+            for name, form in forms.items():
+                with self.subTest(kind=kind, form=name):
+                    endless = EndlessTarget("t1", form)
+                    reply = self.call(kind, endless)
+                    self.assertIn(reply.result.outcome, ("failed", "refused"))
+                    self.assertNotIn(LateError.__name__, reply.result.fault)
+                    self.assertLessEqual(max(endless.sent, default=0), _MOST_SENT_BYTES)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/targets/_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_calls.py
@@ -16,6 +16,7 @@
     Connections,
     LateError,
     TargetAnnouncement,
+    drain,
     read_announcement,
     read_load,
 )
@@ -115,8 +116,7 @@
             is_broken = result.outcome == "failed" and result.answers is None
             return TargetReply(result=result, load_report=report, is_interrupted=is_broken)
         is_draining = read_announcement(response).is_draining
-        response.drain_conn()
-        response.release_conn()
+        drain(response, call.deadline_at)
         is_rejected = response.status in REJECTING_STATUSES
         result = AttemptResult(
             answers=None,
--- a/packages/damsonlaned/src/damsonlaned/targets/_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_connections.py
@@ -1,11 +1,16 @@
 """Pooled connections to targets, and the headers of their responses."""
 
+import http.client
+import io
+import itertools
 import json
+import socket
 import threading
 from collections.abc import Iterator, Mapping
-from typing import Final
+from typing import Any, Final
 
 import urllib3
+import urllib3.connection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from damsonlane.records import dataclass
@@ -20,6 +25,16 @@
 CONNECT_TIMEOUT_SECONDS: Final = 0.5
 #: Largest number of bytes per read.
 CHUNK_BYTES: Final = 65_536
+#: Largest body of a response, in bytes.
+MAX_BODY_BYTES: Final = 16 * 2**20
+#: Chunks that a body may have whatever their size; each costs processor time.
+MAX_SMALL_CHUNKS: Final = 10_000
+#: Least mean size of the chunks beyond these, in bytes.
+MIN_CHUNK_BYTES: Final = 64
+#: Largest rest of a response that is read so that its connection can be used again, in bytes.
+MAX_DRAINED_BYTES: Final = 64 * 1024
+#: Largest size of the lines of a head, or of those between or after the chunks, in bytes.
+MAX_LINE_BYTES: Final = 256 * 1024
 #: Header in which a target reports its load.
 LOAD_HEADER: Final = "Damsonlane-Load"
 #: Header with which a target announces that it is draining.
@@ -57,11 +72,55 @@
     """The deadline of the attempt passed."""
 
 
+class OversizedError(OSError):
+    """A response is larger than any that is read."""
+
+
+class _LimitedFile(io.BufferedReader):
+    """Ends a response with lines without end: heads, sizes of chunks, or trailers.
+
+    The libraries read such lines without regard to the deadline.
+    """
+
+    _line_bytes = 0
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Read a line.
+
+        Raises:
+            OversizedError: there are too many since the last part of a body.
+        """
+        line = super().readline(size)
+        self._line_bytes += len(line)
+        if self._line_bytes > MAX_LINE_BYTES:
+            raise OversizedError("the head or the trailers are too large")
+        return line
+
+    def read(self, size: int | None = -1, /) -> bytes:
+        """Read a part of a body."""
+        self._line_bytes = 0
+        return super().read(size)
+
+
+class _LimitedResponse(http.client.HTTPResponse):
+    def __init__(self, sock: socket.socket, *arguments: Any, **named: Any) -> None:
+        super().__init__(sock, *arguments, **named)
+        self.fp = _LimitedFile(self.fp.detach())
+
+
+class _LimitedConnection(urllib3.connection.HTTPConnection):
+    response_class = _LimitedResponse
+
+
+class _LimitedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _LimitedConnection
+
+
 class Connections:
     """A pool of connections for each address of a target."""
 
     def __init__(self) -> None:
-        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+        self._pools: dict[str, _LimitedPool] = {}
         self._lock = threading.Lock()
 
     def post(
@@ -102,37 +161,56 @@
                 pool.close()
             self._pools.clear()
 
-    def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
+    def _pool(self, address: str) -> _LimitedPool:
         with self._lock:
             pool = self._pools.get(address)
             if pool is None:
                 endpoint = Endpoint.parse(address)
-                pool = urllib3.HTTPConnectionPool(
+                pool = _LimitedPool(
                     endpoint.host, endpoint.port, maxsize=IDLE_CONNECTIONS, block=False
                 )
                 self._pools[address] = pool
             return pool
 
 
-def read_chunks(response: urllib3.BaseHTTPResponse, deadline_at: float) -> Iterator[bytes]:
+def read_chunks(
+    response: urllib3.BaseHTTPResponse, deadline_at: float, most_bytes: int = MAX_BODY_BYTES
+) -> Iterator[bytes]:
     """Yield the body of a response as it arrives.
 
     Raises:
         LateError: the deadline passed before the end of the body.
+        OversizedError: the body is larger than allowed.
     """
-    while True:
+    size = 0
+    for count in itertools.count(1):
         remaining = deadline_at - read_clock()
         if remaining <= 0:
             raise LateError("the deadline passed while the answer arrived")
-        socket = getattr(response.connection, "sock", None)
-        if socket is not None:
-            socket.settimeout(remaining)
+        open_socket = getattr(response.connection, "sock", None)
+        if open_socket is not None:
+            open_socket.settimeout(remaining)
         chunk = response.read1(CHUNK_BYTES)
         if not chunk:
             return
+        size += len(chunk)
+        if size > most_bytes:
+            raise OversizedError(f"the body has more than {most_bytes} bytes")
+        if count > MAX_SMALL_CHUNKS + size // MIN_CHUNK_BYTES:
+            raise OversizedError("the body comes in too many small chunks")
         yield chunk
 
 
+def drain(response: urllib3.BaseHTTPResponse, deadline_at: float) -> None:
+    """Read the rest of a response and release its connection; close it if the rest is large."""
+    try:
+        for _ in read_chunks(response, deadline_at, MAX_DRAINED_BYTES):
+            pass
+    except (HTTPError, OSError):
+        response.close()
+    response.release_conn()
+
+
 def read_announcement(response: urllib3.BaseHTTPResponse) -> TargetAnnouncement:
     """Return what a target announces in the headers of a response, besides its load."""
     headers = response.headers
--- a/packages/damsonlaned/src/damsonlaned/targets/_engines.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_engines.py
@@ -1,6 +1,7 @@
 """Protocol of model engines: completions streamed as server-sent events."""
 
 import json
+import re
 from collections.abc import Generator, Iterator
 from typing import Final, final
 
@@ -9,9 +10,13 @@
 
 from damsonlane.requests import AttemptKey, AttemptResult
 from damsonlaned.targets._calls import TargetCall, TargetProtocol, register_protocol
-from damsonlaned.targets._connections import read_chunks
+from damsonlaned.targets._connections import OversizedError, read_chunks
 from damsonlaned.targets._pools import read_attempt_key
 
+#: Largest size of one event, in bytes; the parser copies an event for each of its lines.
+MAX_EVENT_BYTES: Final = 64 * 1024
+#: The end of an event.
+_END: Final = re.compile(rb"\n\n|\r\n\r\n|\r\r")
 #: Data of the last event of a complete stream.
 _DONE: Final = "[DONE]"
 
@@ -72,10 +77,25 @@
 
 
 def _read_events(response: urllib3.BaseHTTPResponse, deadline_at: float) -> Iterator[str]:
-    for event in sseclient.SSEClient(read_chunks(response, deadline_at)).events():
+    chunks = _limit_events(read_chunks(response, deadline_at))
+    for event in sseclient.SSEClient(chunks).events():
         yield event.data
 
 
+def _limit_events(chunks: Iterator[bytes]) -> Iterator[bytes]:
+    """Yield the chunks of a stream until one of its events is too large.
+
+    Raises:
+        OversizedError: an event exceeds the largest size.
+    """
+    pending = b""
+    for chunk in chunks:
+        yield chunk
+        pending = _END.split(pending + chunk)[-1]
+        if len(pending) > MAX_EVENT_BYTES:
+            raise OversizedError(f"an event has more than {MAX_EVENT_BYTES} bytes")
+
+
 def _make_mismatch(answers: AttemptKey, tokens: int) -> AttemptResult:
     return AttemptResult(
         answers=answers,
