Soak and model: planned replacements beside lost disks

The soak has a part has_replacements: a control replica gets a successor, ends by SIGTERM for good, and another one loses its disk 0.3 to 3 s later; at the end control must accept a change.

The model plays a box that is stopped while its successor learns (it waits, then gives up its vote), and leaders that lose their disks one after the other while the first one still learns.

--- a/packages/damsonlane/src/damsonlane/consensus/tests/replacement.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/replacement.py
@@ -1,6 +1,6 @@
 """A planned replacement of boxes beside the loss of disks, step by step."""
 
-from damsonlane.consensus.tests.group import ELECTION_SECONDS, Box
+from damsonlane.consensus.tests.group import ELECTION_SECONDS, Box, Group
 from damsonlane.consensus.tests.repair_machine import RepairMachine
 
 #: Simulated seconds of one step.
@@ -93,23 +93,26 @@
 
     def _lose_disks(self, count: int) -> None:
         """Lose disks right after a change is accepted: that of the leader and of others."""
-        group, machine = self.machine.group, self.machine
-        for attempt in range(20):
-            group.settle(20, until=lambda: group.leader() is not None)
-            leader = group.leader()
-            assert leader is not None, machine._describe()
-            change = f"before-loss-{attempt}"
-            group.propose(leader.name, change, leader.state.settings.version)
-            group.settle(8, until=lambda change=change: change in group.answers)  # type: ignore[misc]
-            if change in group.answers:
-                break
-        else:
-            raise AssertionError("no change is accepted before the loss")
+        machine = self.machine
+        leader = accept_change(machine.group, "before the loss")
         others = [
             box
-            for name, box in sorted(group.boxes.items())
+            for name, box in sorted(machine.group.boxes.items())
             if box is not leader and not machine.leaving.get(name) and box not in self._old
         ]
         losable = [leader, *others] if leader not in self._old else others
         for box in losable[:count]:
             machine._restart_as_new_replica(box)
+
+
+def accept_change(group: Group, change: str) -> Box:
+    """Propose a change until it is accepted, and return the leader that accepted it."""
+    for _ in range(20):
+        group.settle(20, until=lambda: group.leader() is not None)
+        leader = group.leader()
+        assert leader is not None, "no leader accepts the change"
+        group.propose(leader.name, change, leader.state.settings.version)
+        group.settle(8, until=lambda: change in group.answers)
+        if change in group.answers:
+            return leader
+    raise AssertionError("the change is not accepted")
--- a/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
@@ -24,7 +24,7 @@
 from damsonlane.consensus._repair import LEARNER_SILENCE_SECONDS
 from damsonlane.consensus.tests.group import ELECTION_SECONDS, Fault
 from damsonlane.consensus.tests.repair_machine import RepairMachine, make_repair_machine
-from damsonlane.consensus.tests.replacement import Replacement
+from damsonlane.consensus.tests.replacement import Replacement, accept_change
 
 _SETTINGS = settings(
     max_examples=60,
@@ -153,6 +153,47 @@
                 replacement.play(loss_at)
                 replacement.machine.teardown()
 
+    def test_a_box_that_is_stopped_waits_for_a_successor_that_is_learning(self) -> None:
+        """Guards against a vote that is given up before there is another one for it."""
+        machine = RepairMachine()
+        machine.found(5, seed=1)
+        leader = machine.group.leader()
+        assert leader is not None
+        assert leader.replica is not None
+        machine.add_successor()
+        machine._ask(machine.group.boxes["new-1"], leader)
+        old = next(box for box in machine.group.boxes.values() if box is not leader)
+        assert old.replica is not None
+        old.replica.leave()
+        machine.leaving[old.name] = True
+        machine._ask_to_leave(old.name, leader)
+        machine.group.settle(1)
+        self.assertIn(old.name, machine.group.boxes)
+        machine.repair(8)
+        self.assertNotIn(old.name, machine.group.boxes)
+        names = [member.replica for member in leader.replica.members.voters]
+        self.assertEqual(len(names), 5)
+        self.assertIn("new-1", names)
+        machine.teardown()
+
+    def test_leaders_that_lose_their_disks_while_the_first_one_learns(self) -> None:
+        """Each has just acknowledged a change; the second loss comes before the first is repaired."""
+        for loss_at in _LOSS_SECONDS[5:]:
+            with self.subTest(loss_at=loss_at):
+                machine = RepairMachine()
+                machine.found(5, seed=1)
+                group = machine.group
+                machine._restart_as_new_replica(accept_change(group, "first"))
+                # The empty box is admitted and then hears nothing more.
+                group.settle(20, until=lambda group=group: group.leader() is not None)  # type: ignore[misc]
+                machine.repair(1)
+                newcomer = next(name for name in group.boxes if "+" in name)
+                group.cuts |= {(other, newcomer) for other in group.boxes}
+                group.settle(round(loss_at * 8 / ELECTION_SECONDS))
+                machine._restart_as_new_replica(accept_change(group, "second"))
+                self.assertEqual(len(group.accepted), 2)
+                machine.teardown()
+
     def test_a_replaced_box_that_keeps_its_vote_is_found(self) -> None:
         machine = make_repair_machine(Fault.LEAVES_UNANNOUNCED)()
         replacement = Replacement(machine, 5, "follower")
--- a/packages/damsonlane_bench/src/damsonlane_bench/routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import http.client
 import json
+import shutil
 import sys
 import tempfile
 import time
@@ -48,6 +49,7 @@
         entry_settings: settings of entries by name; they replace the usual ones, and those of the
             gateway one by one.
         organisations: keys of callers by the name of their organisation.
+        spares: names of control replicas that may be added later.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         targets: Sequence[str] = _TARGET_NAMES,
         entry_settings: Mapping[str, Mapping[str, Any]] | None = None,
         organisations: Mapping[str, str] | None = None,
+        spares: Sequence[str] = (),
     ) -> None:
         self.folder: Final = folder
         self._entry_settings: Final = entry_settings or {}
@@ -72,7 +75,7 @@
         self.processes: Final[dict[str, Process]] = {}
         self.addresses: Final = {
             f"{name}/{purpose}": allocate_address()
-            for name in (*self.controls, *self.entries, *targets)
+            for name in (*self.controls, *spares, *self.entries, *targets)
             for purpose in ("internal", "admin", "front", "ready")
         }
 
@@ -117,6 +120,15 @@
         ]
         self.processes[name] = Process(name, command, self.folder / f"{name}.log")
 
+    def add_control(self, name: str) -> None:
+        """Start a spare control replica, which joins the group."""
+        self.start(name)
+        self.controls.append(name)
+
+    def erase_disk(self, name: str) -> None:
+        """Erase the data folder of a box whose process has ended."""
+        shutil.rmtree(self.folder / name)
+
     def put_document(self, version: int, **changes: Any) -> None:
         """Send a routing document until a control replica accepts it.
 
@@ -215,7 +227,7 @@
 
     def _make_settings(self, name: str, is_first_start: bool) -> dict[str, Any]:
         seeds = [self.addresses[f"{control}/internal"] for control in self.controls]
-        is_control = name in self.controls
+        is_control = name not in self.entries
         gateway: dict[str, Any] = {"dialect": "damsonlane", "heartbeat_seconds": 0.5}
         if is_control:
             gateway["registry_address"] = self.addresses[f"{name}/front"]
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
@@ -45,6 +45,8 @@
     has_versions: bool = False
     #: Requests, no two alike, share a part of their prompts that crashes engines.
     has_crashing_parts: bool = False
+    #: A control replica is replaced as planned, and another one loses its disk soon after.
+    has_replacements: bool = False
     #: Callers crowd at few entries.
     has_crowds: bool = False
     #: Entries at which they do at once.
@@ -63,6 +65,7 @@
         has_rejection_limits=_draw("rejection limits", seed),
         has_versions=_draw("versions", seed),
         has_crashing_parts=_draw("crashing parts", seed),
+        has_replacements=_draw("replacements", seed),
         has_crowds=_draw("crowds", seed),
         crowded_entries=random.Random(f"crowded entries {seed}").randint(1, 3),
         capacities=_draw_capacities(seed, entry_count) if _draw("capacities", seed) else (),
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -96,6 +96,8 @@
 CROWD_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for announcements of limits of rejections by targets.
 REJECTION_KINDS: Final[dict[str, DrawProcess]] = {}
+#: The same for planned replacements of control replicas, and the loss of a disk after them.
+REPLACEMENT_KINDS: Final[dict[str, DrawProcess]] = {}
 
 
 def fault_kind(
@@ -205,6 +207,12 @@
     return randomness.choice(names.entries)
 
 
+@fault_kind("replace", REPLACEMENT_KINDS)
+def _draw_replaced(randomness: random.Random, names: ProcessNames) -> str:
+    """Return a control replica that gets a successor; the duration is the time to the loss."""
+    return randomness.choice(names.controls)
+
+
 @fault_kind("fragile", REJECTION_KINDS)
 def _draw_fragile_service(randomness: random.Random, names: ProcessNames) -> str:
     """Return one target; all targets of its service are affected."""
@@ -240,8 +248,16 @@
     crowds: list[Fault] = []
     if parts.has_crowds:
         crowds = _draw_apart(random.Random(f"crowds {seed}"), seconds, names, CROWD_KINDS)
+    replaced: list[Fault] = []
+    if parts.has_replacements:
+        # One in a run: the boxes keep the addresses of control with which they started.
+        drawn = _draw_faults(random.Random(f"replace {seed}"), seconds, names, REPLACEMENT_KINDS)
+        replaced = drawn[:1]
     ordered = sorted(
-        (*faults, *announcements, *rate_limits, *loads, *surges, *cuts, *fragile, *crowds),
+        (
+            *(*faults, *announcements, *rate_limits, *loads, *surges),
+            *(*cuts, *fragile, *crowds, *replaced),
+        ),
         key=lambda fault: fault.at,
     )
     return Plan(seed=seed, seconds=seconds, faults=tuple(ordered), size=fleet, parts=parts)
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -50,6 +50,7 @@
     LOAD_KINDS,
     RATE_LIMIT_KINDS,
     REJECTION_KINDS,
+    REPLACEMENT_KINDS,
     SURGE_KINDS,
     Fault,
     Plan,
@@ -76,6 +77,12 @@
 _CUT_LENGTH_FACTOR: Final = 3.0
 #: What becomes of requests, by the kind of a cut.
 _CUT_FORMS: Final[dict[str, CutForm]] = {"cut by silence": "hang", "cut by resets": "reset"}
+#: Name of the control replica that replaces another one.
+SUCCESSOR: Final = "control-successor"
+#: Seconds after which a new or restarted replica counts for what the group tolerates.
+_CATCH_UP_SECONDS: Final = 3.0
+#: Version of the document that is sent at the end of a run.
+_LAST_VERSION: Final = 1_000_000
 #: Interval at which the supervisor polls the processes, in seconds.
 _POLL_SECONDS: Final = 0.05
 
@@ -99,6 +106,7 @@
             tuple(self._targets),
             make_entry_settings(plan.parts, size.list_entries()),
             ORGANISATIONS if plan.parts.has_organisations else None,
+            (SUCCESSOR,),
         )
         self._folder: Final = folder
         self._observations: Final = Observations()
@@ -308,6 +316,9 @@
         if fault.kind in REJECTION_KINDS:
             self._limit_rejections(fault)
             return
+        if fault.kind in REPLACEMENT_KINDS:
+            self._replace(fault)
+            return
         boxes = (*self._fleet.controls, *self._fleet.entries)
         names = (fault.process,) if fault.process else boxes
         reserved = self._reserve(names)
@@ -396,6 +407,46 @@
         self._stopped.wait(_RATE_LIMIT_LENGTH_FACTOR * fault.seconds)
         self._signal(names, REJECTION_LIMIT_END_SIGNAL)
 
+    def _replace(self, fault: Fault) -> None:
+        """Replace a control replica as planned, then let another one lose its disk.
+
+        No other fault affects the replicas meanwhile, so the group tolerates the loss.
+        """
+        controls = tuple(self._fleet.controls)
+        reserved: set[str] = set()
+        while not self._stopped.is_set() and reserved != set(controls):
+            reserved |= set(self._reserve(controls))
+            self._stopped.wait(_POLL_SECONDS)
+        try:
+            if not self._stopped.wait(_CATCH_UP_SECONDS):
+                self._observations.record_fault_events(*controls)
+                self._replace_and_lose(fault)
+                self._observations.record_fault_events(*controls)
+        finally:
+            with self._lock:
+                self._reserved -= reserved
+
+    def _replace_and_lose(self, fault: Fault) -> None:
+        fleet = self._fleet
+        with self._lock:
+            self._reserved.add(SUCCESSOR)
+        fleet.add_control(SUCCESSOR)
+        self._stopped.wait(_CATCH_UP_SECONDS)
+        old = fleet.processes[fault.process]
+        old.terminate()
+        old.wait()
+        fleet.controls.remove(fault.process)
+        self._stopped.wait(fault.seconds)
+        lost = fleet.controls[self._plan.seed % (len(fleet.controls) - 1)]
+        fleet.processes[lost].kill()
+        fleet.processes[lost].wait()
+        fleet.erase_disk(lost)
+        self._stopped.wait(_RESTART_SECONDS)
+        fleet.start(lost)
+        self._stopped.wait(_CATCH_UP_SECONDS)
+        with self._lock:
+            self._reserved.discard(SUCCESSOR)
+
     def _list_service_targets(self, fault: Fault) -> list[str]:
         """Return the names of all targets of the service that a fault affects."""
         service = self._targets[fault.process].service
@@ -480,6 +531,11 @@
         self._signal(list(self._targets), REJECTION_LIMIT_END_SIGNAL)
         try:
             wait_until(self._is_served, "all entries serve all routes again", _RECOVERY_SECONDS)
+            wait_until(
+                lambda: self._fleet.try_document(_LAST_VERSION),
+                "the control group accepts a change again",
+                _RECOVERY_SECONDS,
+            )
         except WaitTimeoutError as error:
             return (
                 Violation(guarantee="the fleet serves again after the faults", detail=str(error)),
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -21,6 +21,7 @@
     PROCESS_FAULT_KINDS,
     RATE_LIMIT_KINDS,
     REJECTION_KINDS,
+    REPLACEMENT_KINDS,
     SURGE_KINDS,
     FleetSize,
     Parts,
@@ -153,6 +154,7 @@
                 *CROWD_KINDS,
                 *CUT_KINDS,
                 *REJECTION_KINDS,
+                *REPLACEMENT_KINDS,
             },
         )
         overlapping = sum(
