--- a/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
@@ -177,7 +177,7 @@
         machine.teardown()
 
     def test_leaders_that_lose_their_disks_while_the_first_one_learns(self) -> None:
-        """Each has just acknowledged a change; the second loss comes before the first is repaired."""
+        """Each has just acknowledged a change, and the first loss is not repaired yet."""
         for loss_at in _LOSS_SECONDS[5:]:
             with self.subTest(loss_at=loss_at):
                 machine = RepairMachine()
