A surplus voter whose box refuses connections loses its vote at once

Cause: the group can't tell a process that has ended from one that is slow, so it waited for a second of silence and up to 0.3 s for its next check.

Change: a stream to a replica that breaks after it was open is opened again at once. If the box refuses that, no process listens there; the leader checks the group then, and demotes the replica if there are more voters than wanted. It comes back as a voter with its first reply.

Left: a machine that falls silent without SIGTERM (power, a cut), 1.3 s: docs/design/membership.md says so, and sketches a way.

--- a/packages/damsonlane/src/damsonlane/consensus/_repair.py
+++ b/packages/damsonlane/src/damsonlane/consensus/_repair.py
@@ -139,7 +139,10 @@
 
 
 def find_lost_member(
-    members: Members, silence_of: Callable[[str], float], wanted_voters: int
+    members: Members,
+    silence_of: Callable[[str], float],
+    has_ended: Callable[[str], bool],
+    wanted_voters: int,
 ) -> MemberRemoval | MemberDemotion | None:
     """Return the change that a silent member calls for, or None.
 
@@ -150,13 +153,14 @@
     Args:
         members: the leader's current members.
         silence_of: returns the seconds since a member last replied.
+        has_ended: returns whether the process of a member is known to have ended.
         wanted_voters: number of voters that the group should have.
     """
     if len(members.voters) > wanted_voters:
-        most_silent = max(members.voters, key=lambda member: silence_of(member.replica))
-        if silence_of(most_silent.replica) > VOTER_SILENCE_SECONDS:
+        lost = max(members.voters, key=lambda m: (has_ended(m.replica), silence_of(m.replica)))
+        if has_ended(lost.replica) or silence_of(lost.replica) > VOTER_SILENCE_SECONDS:
             reason = "the voter stopped replying and the group has more voters than wanted"
-            return MemberDemotion(member=most_silent, reason=reason)
+            return MemberDemotion(member=lost, reason=reason)
     for learner in members.learners:
         if silence_of(learner.replica) > LEARNER_SILENCE_SECONDS:
             return MemberRemoval(member=learner, reason="the learner stopped replying")
--- a/packages/damsonlane/src/damsonlane/consensus/tests/repair_machine.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/repair_machine.py
@@ -232,7 +232,9 @@
         if replica is None or not replica.is_leader:
             return
         wanted = self.size if self.fault is not Fault.VOTER_GIVEN_UP else 1
-        change = find_lost_member(replica.members, replica.seconds_since_reply, wanted)
+        change = find_lost_member(
+            replica.members, replica.seconds_since_reply, lambda _: False, wanted
+        )
         if change is not None:
             self._change(leader, change)
 
--- a/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
@@ -67,21 +67,30 @@
 
 class LostMemberTest(unittest.TestCase):
     def test_which_member_is_changed(self) -> None:
-        cases: tuple[tuple[str, str, int, Member | None, type], ...] = (
-            ("no member is silent", "", 1, None, type(None)),
-            ("a silent learner", "c", 2, _C, MemberRemoval),
-            ("a silent surplus voter", "b", 1, _B, MemberDemotion),
-            ("a silent voter that is needed", "b", 2, None, type(None)),
+        cases: tuple[tuple[str, str, str, int, Member | None, type], ...] = (
+            ("no member is silent", "", "", 1, None, type(None)),
+            ("a silent learner", "c", "", 2, _C, MemberRemoval),
+            ("a silent surplus voter", "b", "", 1, _B, MemberDemotion),
+            ("a silent voter that is needed", "b", "", 2, None, type(None)),
+            ("a surplus voter that has ended", "", "b", 1, _B, MemberDemotion),
+            ("one that has ended beside a silent one", "a", "b", 1, _B, MemberDemotion),
+            ("a voter that has ended and is needed", "", "b", 2, None, type(None)),
+            ("a learner that has ended", "", "c", 2, None, type(None)),
         )
-        for name, silent, wanted, expected, kind in cases:
+        for name, silent, ended, wanted, expected, kind in cases:
             with self.subTest(name):
-                change = find_lost_member(_GROUP, _silence_of(silent), wanted)
+                change = find_lost_member(
+                    _GROUP,
+                    _silence_of(silent),
+                    lambda replica, ended=ended: replica == ended,  # type: ignore[misc]
+                    wanted,
+                )
                 self.assertIsInstance(change, kind)
                 self.assertEqual(change.member if change else None, expected)
 
     def test_a_demoted_voter_that_stays_silent_is_removed(self) -> None:
         group = _GROUP.with_demoted("b")
-        removal = find_lost_member(group, _silence_of("b"), 1)
+        removal = find_lost_member(group, _silence_of("b"), lambda _: False, 1)
         self.assertIsInstance(removal, MemberRemoval)
         self.assertEqual(removal.member if removal else None, _B)
 
--- a/packages/damsonlaned/src/damsonlaned/control/_group_manager.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_group_manager.py
@@ -1,6 +1,7 @@
 """Automatic founding and repair of the control group."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import ssl
@@ -89,11 +90,13 @@
         self._peer_client: Final = ControlClient((), context=context)
         self._seeds = founding.seeds
         self._task: asyncio.Task[None] | None = None
+        self._is_check_due: Final = asyncio.Event()
         self._started_at = node.now()
         self._leader_seen_at = node.now()
 
     def start(self) -> None:
         """Start checking the group."""
+        self._node.on_peer_refused(self._is_check_due.set)
         self._task = start_task(self._run(), "maintenance of the control group")
 
     async def stop(self) -> None:
@@ -154,7 +157,10 @@
                 await self._check_group()
             except (GroupChangeError, StorageError) as error:
                 _LOG.warning("group change failed", extra={"fault": str(error)})
-            await asyncio.sleep(CHECK_INTERVAL_SECONDS * random.uniform(0.8, 1.2))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_SECONDS * random.uniform(0.8, 1.2)):
+                    await self._is_check_due.wait()
+            self._is_check_due.clear()
 
     async def _check_group(self) -> None:
         replica = self._node.replica
@@ -332,7 +338,10 @@
 
     def _change_lost_member(self, replica: Replica) -> None:
         change = find_lost_member(
-            replica.members, replica.seconds_since_reply, self._founding.voters
+            replica.members,
+            replica.seconds_since_reply,
+            self._node.is_peer_refused,
+            self._founding.voters,
         )
         if change is not None:
             self._try_change(change)
--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -7,7 +7,7 @@
 import random
 import secrets
 import ssl
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import Final
 
 from damsonlane.cluster import ClusterState, Command, Reply, decode_command, encode_command
@@ -239,6 +239,14 @@
         own_replica = self._require_replica()
         self._process_output(own_replica.demote(self.now(), replica))
 
+    def on_peer_refused(self, notify: Callable[[], None]) -> None:
+        """Call a function whenever the box of a member begins to refuse connections."""
+        self._peers.on_refused = notify
+
+    def is_peer_refused(self, replica: str) -> bool:
+        """Return whether the box of a member refused the last connection."""
+        return self._peers.is_refused(replica)
+
     def state_age(self) -> float | None:
         """Return the largest possible age of the state here, in seconds; None if unknown."""
         if self.replica is None:
--- a/packages/damsonlaned/src/damsonlaned/control/_peer_streams.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_peer_streams.py
@@ -4,7 +4,7 @@
 import contextlib
 import ssl
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Final
 
@@ -21,9 +21,21 @@
 
 
 class PeerStream:
-    """A stream to one replica, reopened after each failure."""
-
-    def __init__(self, address: str, context: ssl.SSLContext | None) -> None:
+    """A stream to one replica, reopened after each failure.
+
+    Args:
+        address: internal address of its box.
+        context: TLS context, or None.
+        on_refused: called when the box begins to refuse connections.
+    """
+
+    def __init__(
+        self, address: str, context: ssl.SSLContext | None, on_refused: Callable[[], None]
+    ) -> None:
+        #: Whether the box refused the last connection, so that no process listens there.
+        self.is_refused = False
+        self._on_refused: Final = on_refused
+        self._opened_at = float("-inf")
         self._address: Final = address
         self._context: Final = context
         self._queue: deque[Envelope] = deque(maxlen=QUEUE_LENGTH)
@@ -49,16 +61,34 @@
         while not self._is_closed:
             try:
                 await self._run_stream()
-            except CALL_ERRORS:
+            except CALL_ERRORS as error:
                 # Envelopes queued for a failed stream are stale; the leader sends again.
                 self._queue.clear()
-            await asyncio.sleep(RECONNECT_SECONDS)
+                self._record_failure(error)
+            if not self._has_just_broken():
+                await asyncio.sleep(RECONNECT_SECONDS)
+
+    def _record_failure(self, error: BaseException) -> None:
+        was_refused, self.is_refused = self.is_refused, isinstance(error, ConnectionRefusedError)
+        if self.is_refused and not was_refused:
+            self._on_refused()
+
+    def _has_just_broken(self) -> bool:
+        """Return whether a stream that was open for a while has failed.
+
+        The next attempt is made at once, to learn whether the process has ended.
+        """
+        opened_at, self._opened_at = self._opened_at, float("-inf")
+        is_old = asyncio.get_running_loop().time() - opened_at > RECONNECT_SECONDS
+        return is_old and opened_at > float("-inf")
 
     async def _run_stream(self) -> None:
         channel = open_channel(self._address, self._context)
         try:
             async with EXCHANGE.upload(channel).open() as stream:
                 await stream.send_request()
+                self.is_refused = False
+                self._opened_at = asyncio.get_running_loop().time()
                 # The peer replies only when it closes the stream; without waiting for that,
                 # this side would keep sending to a process that has exited.
                 reply = asyncio.create_task(stream.recv_message())
@@ -90,6 +120,8 @@
     """Streams to all other members of the group."""
 
     def __init__(self, own_address: str, context: ssl.SSLContext | None) -> None:
+        #: Called when the box of a member begins to refuse connections.
+        self.on_refused: Callable[[], None] = lambda: None
         self._own_address: Final = own_address
         self._context: Final = context
         self._streams: dict[str, PeerStream] = {}
@@ -111,9 +143,14 @@
         if self._is_closed or address is None or address == self._own_address:
             return
         if address not in self._streams:
-            self._streams[address] = PeerStream(address, self._context)
+            self._streams[address] = PeerStream(address, self._context, lambda: self.on_refused())
         self._streams[address].send(replace(envelope, sender_address=self._own_address))
 
+    def is_refused(self, replica: str) -> bool:
+        """Return whether the box of a replica refused the last connection."""
+        stream = self._streams.get(self._addresses.get(replica, ""))
+        return stream is not None and stream.is_refused
+
     async def close(self) -> None:
         """Close all streams and prevent new ones: replies to late messages would open them."""
         self._is_closed = True
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_departure.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_departure.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from damsonlane.cluster import PackedDocument, ReplaceDocument
+from damsonlane.consensus import _repair
 from damsonlane.errors import UnavailableError
 from damsonlane_rpc import ControlClient
 from damsonlaned._process import SettingsReloader, TlsContexts
@@ -164,6 +165,22 @@
         await self.assert_recovers(7, voters=5)
 
 
+class KilledTest(DepartureCase):
+    async def test_a_replica_that_ends_without_a_word_loses_its_vote_before_it_is_silent(
+        self,
+    ) -> None:
+        """Guards against a vote that counts for as long as a silent box may take to return."""
+        await self.start(0, 1, 2, 3, 4, is_first_start=True)
+        await self.wait_for_voter_count(5)
+        await self.start(5)
+        await self.wait_for_voter_count(6)
+        killed = next(box for box in self.running if not box.is_leader())
+        leader = next(box for box in self.running if box.is_leader())
+        with mock.patch.object(_repair, "VOTER_SILENCE_SECONDS", 2 * TEST_TIMEOUT_SECONDS):
+            await self.stop(self.addresses.index(killed.address))
+            await self.wait(lambda: killed.address not in leader.voters(), "the vote still counts")
+
+
 class SmallGroupDepartureTest(DepartureCase):
     lost_boxes = 1
 
