Lengths that announce no body are not limited

The limit of bodies looked at the length in every head; a response to HEAD, a 204 and a 304 announce the length of a body that does not follow, and one above 16 MB would have failed. Found by reading the change. The new test fails before ("the body has more than bytes") and passes after.

--- a/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
@@ -15,6 +15,8 @@
 
 #: Largest head of a response, in bytes.
 _MAX_HEAD_BYTES: Final = 64 * 1024
+#: Statuses of responses whose length is that of another response.
+_BODILESS_STATUSES: Final = (204, 304)
 #: Most informational responses before a response.
 _MAX_INFORMATIONAL: Final = 32
 #: Parts that a body may have whatever their size; each costs processor time.
@@ -184,8 +186,7 @@
             if isinstance(event, h11.Response):
                 head = HttpHead(status=event.status_code, headers=tuple(event.headers.raw_items()))
                 self._apply_idle_timeout(head)
-                # The parser accepts digits only.
-                self.announced_bytes = int(head.find(b"content-length") or 0)
+                self.announced_bytes = self._read_length(head)
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise IncompleteResponseError("the target closed without an answer")
@@ -303,6 +304,14 @@
         """Close after sending what is queued."""
         self._stream.close()
 
+    def _read_length(self, head: HttpHead) -> int:
+        """Return the length of the body that follows a head, in bytes; 0 without one."""
+        is_for_head = self._last_request is not None and self._last_request.method == b"HEAD"
+        if is_for_head or head.status in _BODILESS_STATUSES:
+            return 0
+        # The parser accepts digits only.
+        return int(head.find(b"content-length") or 0)
+
     def _apply_idle_timeout(self, head: HttpHead) -> None:
         value = head.find(b"keep-alive") or ""
         for part in value.split(","):
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
@@ -137,6 +137,16 @@
             connection._stream.data_received(b"x")
         self.assertEqual(pool.count_open(), 0)
 
+    async def test_a_length_without_a_body_is_not_limited(self) -> None:
+        """The answers to HEAD, and those that say that nothing has changed, announce a length."""
+        large = COMPLETE.replace(b"Content-Length: 2", b"Content-Length: 99999999")[:-2]
+        unchanged = large.replace(b"200 OK", b"304 Not Modified")
+        head = HttpRequest(method="HEAD", target="/a", headers=REQUEST.headers)
+        for name, request, answer in (("HEAD", head, large), ("304", REQUEST, unchanged)):
+            with self.subTest(name):
+                _, pool = await self.open((answer,))
+                self.assertEqual(await self.call(pool, request), b"")
+
     async def test_incomplete_and_malformed_responses_raise_an_error(self) -> None:
         cases = (
             ("closed without an answer", None),
