A replica that leaves asks the known leader first

It asked all known boxes in random order, 0.4 s each for one that is silent. Not measured; the answer of a leader that was deposed names no leader, and the others are asked as before.

--- a/packages/damsonlaned/src/damsonlaned/control/_group_manager.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_group_manager.py
@@ -228,7 +228,10 @@
             The outcome from the leader; without one, the last outcome that names a leader,
             or None.
         """
+        replica = self._node.replica
         addresses = self._known_addresses()
+        if replica is not None and replica.leader_address():
+            addresses.insert(0, replica.leader_address())
         tried = {self._own_address}
         hint: NotLeader | None = None
         while addresses:
