--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/endless_target.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/endless_target.py
@@ -96,9 +96,13 @@
         name: its name.
         form: the form of its responses.
         service: its service.
+        health_path: path of the health checks that it answers as it should.
     """
 
-    def __init__(self, name: str, form: EndlessForm, service: str = "desk") -> None:
+    def __init__(
+        self, name: str, form: EndlessForm, service: str = "desk", health_path: str = HEALTH_PATH
+    ) -> None:
+        self._health_path: Final = health_path
         self.name: Final = name
         self.service: Final = service
         #: Bytes sent on each connection that got a request, once it is closed.
@@ -143,7 +147,7 @@
     def _serve(self, connection: socket.socket) -> None:
         with connection:
             head = connection.recv(65536).decode()
-            if HEALTH_PATH in head:
+            if self._health_path in head:
                 connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                 return
             if not head:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_endless_responses.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_endless_responses.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from damsonlane.reach import ProbeResult
 from damsonlaned.gateway._events import EventSplitter
 from damsonlaned.gateway.tests.endless_target import (
     ENDLESS_BODIES,
@@ -22,6 +23,7 @@
     stream_events,
 )
 from damsonlaned.http import CollectionBudget
+from damsonlaned.relay._probe import probe_target
 
 #: Headers of a request with two stages.
 _STAGE_HEADERS: Final = "Damsonlane-Pieces: 1,1\r\nDamsonlane-Material-Key: m\r\n"
@@ -129,6 +131,19 @@
                 await self.assert_given_up(endless)
 
 
+class EndlessProbeTest(EndlessCase):
+    async def test_a_probe_of_the_health_ends_with_the_first_byte(self) -> None:
+        """A target that sends anything is reached; whether it is sound, requests show."""
+        for name, form in {**ENDLESS_HEADS, **ENDLESS_BODIES}.items():
+            with self.subTest(name):
+                endless = EndlessTarget("t1", form, health_path="/other")
+                address = endless.start().address
+                self.addCleanup(endless.stop)
+                result = await probe_target(address, "/endless")
+                self.assertEqual(result, ProbeResult.ANSWERED)
+                await self.assert_given_up(endless)
+
+
 class EventSplitterTest(unittest.TestCase):
     def test_events_are_found_however_their_bytes_arrive(self) -> None:
         data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\rdata: c\r\rdata: rest"
