Model: planned replacements with a frozen box, the one that leaves or another

Change: two more roles. A frozen box that leaves can't answer SIGTERM and ends after its grace time; another frozen box counts as one of the losses, so one disk fewer is lost.

Ruled out: that a demoted frozen box lets its group end below its size when it returns (it is promoted, and the dead voter demoted, within the catch-up time).

Before: 60 orders, all held. After: 100, all held; 20 in series as before.

--- a/packages/damsonlane/src/damsonlane/consensus/tests/repair_machine.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/repair_machine.py
@@ -155,7 +155,8 @@
         newest = max(self.group.committed, default=1)
         return all(_count_synced(box) >= newest for box in self.group.boxes.values())
 
-    def _repair_once(self) -> None:
+    def _repair_once(self, rounds: int = 4) -> None:
+        """Let all boxes ask the leader, and advance the group by some rounds."""
         leader = self.group.leader()
         if leader is not None:
             for name in sorted(self.group.boxes):
@@ -164,7 +165,7 @@
             for name in sorted(self.leaving):
                 self._ask_to_leave(name, leader)
             self._change_silent_member(leader)
-        self.group.settle(4)
+        self.group.settle(rounds)
 
     def _ask(self, box: Box, leader: Box) -> None:
         """Ask the leader as boxes do that know of none, or are in no group."""
--- a/packages/damsonlane/src/damsonlane/consensus/tests/replacement.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/replacement.py
@@ -15,7 +15,8 @@
     Args:
         machine: drives the group.
         size: number of voters that the group should have.
-        role: what the first box that leaves is: leader, follower or isolated.
+        role: what the first box that leaves is: leader, follower, isolated (cut off from all
+            others) or frozen; or "beside frozen": a follower, while another box is frozen.
         count: number of boxes that are replaced.
     """
 
@@ -37,23 +38,41 @@
             loss_at: when the disks are lost, in seconds since the last old box has ended; since
                 it was told to stop if negative.
         """
-        if self.role == "isolated":
-            for other in set(self.machine.group.boxes) - {self._old[0].name}:
-                cuts = {(self._old[0].name, other), (other, self._old[0].name)}
-                self.machine.group.cuts |= cuts
+        self._impair()
         if loss_at < 0:
             self._wait(-loss_at - 1.0)
-            # A box that is cut off counts as lost until it is removed.
-            self._lose_disks(self._tolerated - (self.role == "isolated"))
+            # A box that is cut off or frozen counts as lost until it is removed.
+            self._lose_disks(self._tolerated - (self.role not in ("leader", "follower")))
             self._wait(1.0 if loss_at < -1.0 else -loss_at)
         for box in self._old:
             self._terminate(box)
         self._wait_for_end()
         if loss_at > 0:
             self._wait(loss_at)
-            self._lose_disks(self._tolerated)
+            self._lose_disks(self._tolerated - (self.role == "beside frozen"))
         self._wait(_LEAVE_SECONDS)
 
+    def _impair(self) -> None:
+        """Cut off or freeze the box that the role names."""
+        group, old = self.machine.group, self._old[0]
+        if self.role == "isolated":
+            for other in set(group.boxes) - {old.name}:
+                group.cuts |= {(old.name, other), (other, old.name)}
+        elif self.role == "frozen":
+            old.is_frozen = True
+        elif self.role == "beside frozen":
+            self._find_others()[-1].is_frozen = True
+
+    def _find_others(self) -> list[Box]:
+        """Return the boxes that stay, without the leader."""
+        group = self.machine.group
+        leader = group.leader()
+        return [
+            box
+            for name, box in sorted(group.boxes.items())
+            if box is not leader and box not in self._old
+        ]
+
     def _choose_old(self, count: int) -> list[Box]:
         group = self.machine.group
         leader = group.leader()
@@ -63,8 +82,9 @@
 
     def _terminate(self, box: Box) -> None:
         if box.replica is not None and self.machine.group.boxes.get(box.name) is box:
-            box.replica.leave()
             self.machine.leaving[box.name] = True
+            if not box.is_frozen:
+                box.replica.leave()
 
     def _wait_for_end(self) -> None:
         """Wait until the old boxes have ended, with the permission of the group or without."""
@@ -77,32 +97,15 @@
         for _ in range(round(seconds / _STEP_SECONDS)):
             if is_final and not self.machine.leaving:
                 return
-            self._step()
-
-    def _step(self) -> None:
-        machine = self.machine
-        leader = machine.group.leader()
-        if leader is not None:
-            for name in sorted(machine.group.boxes):
-                if name in machine.group.boxes:
-                    machine._ask(machine.group.boxes[name], leader)
-            for name in sorted(machine.leaving):
-                machine._ask_to_leave(name, leader)
-            machine._change_silent_member(leader)
-        machine.group.settle(1)
+            self.machine._repair_once(rounds=1)
 
     def _lose_disks(self, count: int) -> None:
         """Lose disks right after a change is accepted: that of the leader and of others."""
-        machine = self.machine
-        leader = accept_change(machine.group, "before the loss")
-        others = [
-            box
-            for name, box in sorted(machine.group.boxes.items())
-            if box is not leader and not machine.leaving.get(name) and box not in self._old
-        ]
+        leader = accept_change(self.machine.group, "before the loss")
+        others = [box for box in self._find_others() if not box.is_frozen]
         losable = [leader, *others] if leader not in self._old else others
         for box in losable[:count]:
-            machine._restart_as_new_replica(box)
+            self.machine._restart_as_new_replica(box)
 
 
 def accept_change(group: Group, change: str) -> Box:
--- a/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
+++ b/packages/damsonlane/src/damsonlane/consensus/tests/test_repair.py
@@ -36,8 +36,8 @@
 )
 _A, _B, _C, _D = (Member(replica=name, address=f"at-{name}") for name in "abcd")
 _GROUP = Members(voters=(_A, _B), learners=(_C,))
-#: What the box that leaves is: ``isolated`` means cut off from all others.
-_ROLES = ("leader", "follower", "isolated")
+#: What the box that leaves is, as `Replacement` takes it.
+_ROLES = ("leader", "follower", "isolated", "frozen", "beside frozen")
 #: When the disks are lost, in seconds since the old box ended; since its SIGTERM if negative.
 _LOSS_SECONDS = (-5.0, -2.0, -1.0, -0.5, -0.1, 0.1, 0.5, 1.0, 2.0, 5.0)
 
