--- a/packages/damsonlane_bench/src/damsonlane_bench/crashing_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/crashing_parts.py
@@ -21,8 +21,8 @@
 from damsonlane_bench.fleet import wait_until
 from damsonlane_bench.registered_target import TargetKind
 from damsonlane_bench.registered_target._crashes import CRASH_INPUT
-from damsonlane_bench.routes import RoutesFleet
 from damsonlane_bench.routes_document import make_document
+from damsonlane_bench.routes_fleet import RoutesFleet
 
 #: Engines, targets of the pool, and entries.
 _ENGINES: Final = tuple(f"model-{number}" for number in range(10))
--- a/packages/damsonlane_bench/src/damsonlane_bench/crowded_entry/_fleet.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/crowded_entry/_fleet.py
@@ -12,8 +12,8 @@
 from damsonlane.records import dataclass
 from damsonlane_bench.fleet import wait_until
 from damsonlane_bench.registered_target import TargetKind
-from damsonlane_bench.routes import RoutesFleet
 from damsonlane_bench.routes_document import make_document
+from damsonlane_bench.routes_fleet import RoutesFleet
 
 #: Seconds for which an entry of half a core runs and is stopped by turns.
 HALF_CORE_SECONDS: Final = 0.05
--- a/packages/damsonlane_bench/src/damsonlane_bench/resumed_streams.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/resumed_streams.py
@@ -18,8 +18,8 @@
 from damsonlane_bench.fleet import wait_until
 from damsonlane_bench.registered_target import TargetKind
 from damsonlane_bench.registered_target._events import list_versions
-from damsonlane_bench.routes import RoutesFleet
 from damsonlane_bench.routes_document import make_document
+from damsonlane_bench.routes_fleet import RoutesFleet
 from damsonlane_bench.soak._observations import Observations, ResumedStream
 from damsonlane_bench.soak._resuming_callers import ResumingCaller
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from damsonlane_bench.registered_target._crashes import CRASH_INPUT
-from damsonlane_bench.routes import RoutesFleet
+from damsonlane_bench.routes_fleet import RoutesFleet
 from damsonlane_bench.soak._observations import CallerResponse, Observations, VersionRead
 from damsonlane_bench.soak._parts import ORGANISATIONS
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_crashing_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_crashing_callers.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 from damsonlane_bench.registered_target._crashes import CRASH_SEGMENT, CRASH_SEGMENT_AFTER_EVENT
-from damsonlane_bench.routes import RoutesFleet
 from damsonlane_bench.routes_document import CALLER_KEY
+from damsonlane_bench.routes_fleet import RoutesFleet
 from damsonlane_bench.soak._checks import (
     MAX_FURTHER_EXITS,
     PROPAGATION_SECONDS,
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_resuming_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_resuming_callers.py
@@ -8,8 +8,8 @@
 from typing import Final
 
 from damsonlane_bench.registered_target._events import list_versions, strip_versions
-from damsonlane_bench.routes import RoutesFleet
 from damsonlane_bench.routes_document import CALLER_KEY
+from damsonlane_bench.routes_fleet import RoutesFleet
 from damsonlane_bench.soak._checks import COMPLETE_STREAM
 from damsonlane_bench.soak._guarantees import guarantee
 from damsonlane_bench.soak._observations import Observations, ResumedStream, TargetRun
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -23,8 +23,8 @@
     TargetKind,
     write_senders,
 )
-from damsonlane_bench.routes import RoutesFleet
 from damsonlane_bench.routes_document import make_document
+from damsonlane_bench.routes_fleet import RoutesFleet
 from damsonlane_bench.soak._callers import Caller, OperatorThread
 from damsonlane_bench.soak._crashing_callers import (
     OneShotCaller,
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_stalled_readers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_stalled_readers.py
@@ -14,8 +14,8 @@
     render_stream,
     strip_versions,
 )
-from damsonlane_bench.routes import RoutesFleet
 from damsonlane_bench.routes_document import CALLER_KEY
+from damsonlane_bench.routes_fleet import RoutesFleet
 from damsonlane_bench.soak._guarantees import guarantee
 from damsonlane_bench.soak._observations import Observations, StalledRead, TargetRun
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_capacity_fleet.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_capacity_fleet.py
@@ -8,7 +8,7 @@
 
 from damsonlane_bench.fleet import wait_until
 from damsonlane_bench.registered_target import TargetKind
-from damsonlane_bench.routes import RoutesFleet
+from damsonlane_bench.routes_fleet import RoutesFleet
 
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 #: Names, services and kinds of the targets.
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_crash_requests.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_crash_requests.py
@@ -19,8 +19,8 @@
 from damsonlane_bench.registered_target import TargetKind
 from damsonlane_bench.registered_target._crashes import CRASH_INPUT
 from damsonlane_bench.registered_target._events import EVENT_COUNT
-from damsonlane_bench.routes import RoutesFleet
 from damsonlane_bench.routes_document import make_document
+from damsonlane_bench.routes_fleet import RoutesFleet
 
 #: Number of times that the caller sends the request.
 REQUEST_COUNT = 8
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_routes.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_routes.py
@@ -4,7 +4,8 @@
 import unittest
 from pathlib import Path
 
-from damsonlane_bench.routes import RoutesDemonstration, RoutesFleet
+from damsonlane_bench.routes import RoutesDemonstration
+from damsonlane_bench.routes_fleet import RoutesFleet
 
 
 class RoutesTest(unittest.TestCase):
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_sighup_at_start.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_sighup_at_start.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from damsonlane_bench.fleet import wait_until
-from damsonlane_bench.routes import RoutesFleet
+from damsonlane_bench.routes_fleet import RoutesFleet
 
 
 class SighupAtStartTest(unittest.TestCase):
