A silent target is given up only once the request was sent to another one

Cause: an attempt that was silent for three pauses (heads: half of the time left) was ended first. Only then the entry asked the retry budget, computed the stages again and looked for a target; if any of that failed, nothing was left to send the caller but the end of its connection.

Change: attempts run in a sequence. A silent one is still read while another one is prepared beside it: allowed by the budget, its stages computed, a target found. Before that one is sent the silent one stops writing, so that the event from which the stream is resumed does not change; it is closed 0.2 s after the request was sent, or with the head of the new response, and goes on if the other target rejects the request. Without a replacement it is read to its deadline. The same holds for requests that were passed on to an entry that falls silent, and where the service of a request under way is found not to be reached.

--- a/packages/damsonlane/src/damsonlane/requests/_budget.py
+++ b/packages/damsonlane/src/damsonlane/requests/_budget.py
@@ -56,12 +56,26 @@
             now: the monotonic clock, in seconds.
             slack: retries that this box may make in addition to its share.
         """
-        self._remove_old(now)
-        if len(self._retries) + 1 > self._share * len(self._firsts) + slack:
+        if not self.may_spend(now, slack):
             return False
         self._retries.append(now)
         return True
 
+    def return_last(self) -> None:
+        """Return the newest retry, which was not made."""
+        if self._retries:
+            self._retries.pop()
+
+    def may_spend(self, now: float, slack: float) -> bool:
+        """Return whether the window allows one more retry.
+
+        Args:
+            now: the monotonic clock, in seconds.
+            slack: retries that this box may make in addition to its share.
+        """
+        self._remove_old(now)
+        return len(self._retries) + 1 <= self._share * len(self._firsts) + slack
+
     def _remove_old(self, now: float) -> None:
         for times in (self._firsts, self._retries):
             while times and times[0] <= now - self._window:
--- a/packages/damsonlane/src/damsonlane/routing/_table.py
+++ b/packages/damsonlane/src/damsonlane/routing/_table.py
@@ -278,6 +278,18 @@
             record.failures = 0
             record.ejections = 0
 
+    def record_failure(self, target: str, start: int, now: float) -> None:
+        """Record that a target failed a request that is still in flight.
+
+        Args:
+            target: name of the target.
+            start: the incarnation that has the request.
+            now: the clock, in seconds.
+        """
+        record = self._records.get(target)
+        if record is not None and start == record.location.start:
+            self._record_failure(record, now)
+
     def _list_usable(self, now: float, leaving: Collection[str]) -> list[str]:
         present = [name for name in self._records if name not in leaving]
         healthy = [name for name in present if not self._records[name].is_ejected(now)]
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -194,10 +194,13 @@
         """Count the first attempt of a request, which adds to the retry budget."""
         self._budget(call).count_first(self._now())
 
+    def may_spend_retry(self, call: Call, entries: float) -> bool:
+        """Return whether the retry budget allows a retry of a request now."""
+        return self._budget(call).may_spend(self._now(), self._find_slack(entries))
+
     def try_spend_retry(self, call: Call, entries: float) -> bool:
         """Return whether a request may be retried, and charge the retry budget for it."""
-        slack = BUDGET_SHARE * self._slack / max(1, entries)
-        is_allowed = self._budget(call).try_spend(self._now(), slack)
+        is_allowed = self._budget(call).try_spend(self._now(), self._find_slack(entries))
         if not is_allowed:
             _LOG.info("retry budget exhausted", extra=call.log_fields())
         return is_allowed
@@ -283,6 +286,10 @@
             seconds=_find_work_seconds(opened) if health == "good" else None,
         )
 
+    def record_silent(self, chosen: ChosenTarget) -> None:
+        """Record that a target has sent nothing for too long."""
+        self._targets.record_failure(chosen)
+
     def finish_unopened(self, chosen: ChosenTarget, health: HealthSignal) -> None:
         """End an attempt without a response."""
         if chosen.placed is not None and health == "bad":
@@ -310,6 +317,13 @@
             await exchange.skip_response()
         raise IncompleteResponseError("the target sent only answers to other requests")
 
+    def return_retry(self, call: Call) -> None:
+        """Return the charge for a retry that was not sent."""
+        self._budget(call).return_last()
+
+    def _find_slack(self, entries: float) -> float:
+        return BUDGET_SHARE * self._slack / max(1, entries)
+
     def _budget(self, call: Call) -> WindowedRetryBudget:
         name = call.service.name
         if name not in self._budgets:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_events.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_events.py
@@ -5,8 +5,8 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Final
 
-from damsonlane.errors import DamsonlaneError
 from damsonlane.records import dataclass
+from damsonlaned.attempts import AttemptTurn
 
 #: Largest size of one event, in bytes.
 MAX_EVENT_BYTES: Final = 1024 * 1024
@@ -28,10 +28,6 @@
     """A stream holds blank events only."""
 
 
-class StreamTimeoutError(DamsonlaneError):
-    """No part of an event stream arrived in time."""
-
-
 @dataclass(frozen=True, kw_only=True)
 class Event:
     """One complete event."""
@@ -97,26 +93,26 @@
         return has_content
 
 
-async def read_in_time(
-    parts: AsyncIterator[bytes], find_pause: Callable[[], float]
+async def read_in_turn(
+    parts: AsyncIterator[bytes],
+    turn: AttemptTurn,
+    find_pause: Callable[[], float],
+    on_silent: Callable[[], None],
 ) -> AsyncIterator[bytes]:
     """Yield the parts of a stream as they arrive, large ones in pieces.
 
     Args:
         parts: the parts.
+        turn: is told of silences, and decides when a part may be forwarded.
         find_pause: returns the longest time until the next part, in seconds.
-
-    Raises:
-        StreamTimeoutError: nothing arrived for too long.
+        on_silent: called when that has passed.
     """
     while True:
-        try:
-            async with asyncio.timeout(find_pause()):
-                part = await anext(parts)
-        except StopAsyncIteration:
+        with turn.expect(find_pause, on_silent):
+            part = await anext(parts, None)
+        await turn.wait()
+        if part is None:
             return
-        except TimeoutError:
-            raise StreamTimeoutError("the stream fell silent") from None
         yield part[:_BYTES_PER_TURN]
         for begin in range(_BYTES_PER_TURN, len(part), _BYTES_PER_TURN):
             await asyncio.sleep(0)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_failed_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_failed_attempt.py
@@ -1,15 +1,10 @@
 """The outcome of an attempt that produced no response for the caller."""
 
-from typing import Literal
-
 from damsonlane.records import dataclass
 from damsonlaned.dialects import ResponseSignals
 from damsonlaned.http import HttpResponse
 from damsonlaned.relay import RelayFailure
 
-#: How a response was lost: its connection broke, or it timed out.
-Loss = Literal["broken", "silent"]
-
 
 @dataclass(frozen=True, kw_only=True)
 class FailedAttempt:
@@ -27,8 +22,8 @@
     is_throttled: bool = False
     #: Whether the request was sent.  Retries of others load no target more than once.
     was_sent: bool = True
-    #: How the response was lost, if the target may have exited under the request.
-    loss: Loss | None = None
+    #: Whether the response was lost since its connection broke: the target may have exited.
+    is_lost: bool = False
     #: Whether there was no target to send it to.
     has_no_target: bool = False
     #: Seconds after which the caller should come back; 0 where that is not known.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
@@ -11,6 +11,7 @@
 from damsonlane.quarantine import QuarantinedRequest, RequestCauses
 from damsonlane.routing import HealthSignal
 from damsonlane.versions import StreamOrigin
+from damsonlaned.attempts import AttemptSequence, AttemptTurn
 from damsonlaned.dialects import Dialect
 from damsonlaned.gateway._attempt_history import AttemptHistory
 from damsonlaned.gateway._attempts import Attempts, OpenedExchange
@@ -21,8 +22,7 @@
     Event,
     EventSplitter,
     EventTooLargeError,
-    StreamTimeoutError,
-    read_in_time,
+    read_in_turn,
 )
 from damsonlaned.gateway._exit_detector import ExitDetector
 from damsonlaned.gateway._failed_attempt import FailedAttempt, find_failure, make_relay_failure
@@ -93,6 +93,9 @@
         self._stages: Final = stages
         self._exit_detector: Final = exit_detector
         self._quarantine: Final = _make_quarantine(quarantine, call, attempts)
+        self._sequence: Final = AttemptSequence[FailedAttempt](
+            self._may_replace, self._replace_once, self._record_failure
+        )
         #: Whether it was recorded that the target has been writing for a while.
         self._is_writing_recorded = False
         #: Why the request was stopped while a target had it; None if it was not.
@@ -193,14 +196,13 @@
         # may have exited under the same request at other entries, which the limits on the
         # attempts of one request do not cover.
         while not await self._end_if_unavailable():
-            failure = await (self._relay_once() if self._relay.is_due() else self._attempt_once())
+            is_relayed = self._relay.is_due()
+            failure = await self._sequence.run(
+                self._relay_once if is_relayed else self._attempt_once
+            )
             if failure is None:
                 return
-            self._history.record_failure(
-                may_have_run=failure.may_have_run, is_throttled=failure.is_throttled
-            )
-            if failure.needs_inputs:
-                self._release_results()
+            self._record_failure(failure)
             if failure.has_no_target or not await self._may_continue(failure):
                 backoff = self._attempts.find_backoff_seconds(self._call)
                 self._responder.end_failed(failure, max(backoff, failure.return_seconds))
@@ -213,7 +215,14 @@
             self._results
         )
 
-    async def _attempt_once(self) -> FailedAttempt | None:
+    def _record_failure(self, failure: FailedAttempt) -> None:
+        self._history.record_failure(
+            may_have_run=failure.may_have_run, is_throttled=failure.is_throttled
+        )
+        if failure.needs_inputs:
+            self._release_results()
+
+    async def _attempt_once(self, turn: AttemptTurn) -> FailedAttempt | None:
         """Send the request to one target; return None once the response is complete."""
         if self._results is None:
             is_begun = self._response.has_started()
@@ -224,28 +233,51 @@
             no_target = make_no_target_failure(chosen)
             self._log_failure(no_target)
             return no_target
+        if (denied := self._find_denial(turn)) is not None:
+            self._attempts.finish_unopened(chosen, "neutral")
+            return denied
         if self._history.attempt_count == 0:
             self._attempts.count_first(self._call)
         self._history.record_attempt(chosen.target)
         self._times.record_sent()
         if not self._quarantine.may_copy(chosen.source_address, chosen.version):
             chosen = replace(chosen, source_address="")
-        self._quarantine.begin_attempt(chosen.version, chosen.source_address)
+        self._begin_at(chosen)
+        turn.on_resumed = partial(self._resume_at, chosen, self._times.age())
+        turn.on_given_up = partial(self._record_given_up, chosen, self._times.age())
         self._is_writing_recorded = False
         try:
-            failure = await self._send(chosen)
+            failure = await self._send(chosen, turn)
             if failure is not None:
                 self._log_failure(failure, chosen)
                 await self._report_loss(failure, chosen)
+                if turn.is_replacement and not failure.was_sent:
+                    self._attempts.return_retry(self._call)
             return failure
         finally:
-            self._quarantine.end_attempt()
+            if not turn.is_given_up:
+                self._history.record_end()
+                self._quarantine.end_attempt()
+
+    def _begin_at(self, chosen: ChosenTarget) -> None:
+        self._quarantine.begin_attempt(chosen.version, chosen.source_address)
+
+    def _resume_at(self, chosen: ChosenTarget, sent_age: float) -> None:
+        self._begin_at(chosen)
+        self._times.record_sent(sent_age)
 
-    async def _relay_once(self) -> FailedAttempt | None:
+    async def _relay_once(self, turn: AttemptTurn) -> FailedAttempt | None:
         """Have another entry serve the request; return None once the response is complete."""
-        self._release_results()
-        failed = await self._relay.run(self._last_event)
-        self._last_event = self._relay.last_event
+        if not turn.is_replacement:
+            self._release_results()
+        elif (denied := self._find_denial(turn)) is not None:
+            return denied
+        turn.on_given_up = self._record_given_up_relay
+        try:
+            failed = await self._relay.run(self._last_event, turn, self._record_last_event)
+        finally:
+            if not turn.is_given_up:
+                self._history.record_end()
         if failed is None:
             return None
         failure = make_relay_failure(failed)
@@ -262,48 +294,116 @@
 
     async def _report_loss(self, failure: FailedAttempt, chosen: ChosenTarget) -> None:
         """Report a lost response, since the target may have exited under the request."""
+        if not failure.is_lost:
+            return
         runs = (self._quarantine.make_run(self._times.seconds_since_sent()),)
-        if failure.loss == "broken":
-            if await self._exit_detector.report_broken(LostTarget.of(chosen.incarnation), runs):
-                await self._quarantine.wait_until_reported()
-        elif failure.loss == "silent":
-            self._exit_detector.report_silent(LostTarget.of(chosen.incarnation), runs)
+        if await self._exit_detector.report_broken(LostTarget.of(chosen.incarnation), runs):
+            await self._quarantine.wait_until_reported()
+
+    # Attempts beside a silent one.
+
+    def _may_replace(self) -> bool:
+        """Return whether another attempt may be prepared beside a silent one."""
+        if self._stopped_by is not None:
+            return False
+        has_started = self._response.has_started()
+        return self._history.may_retry(has_started=has_started) or self._relay.is_useful()
+
+    async def _replace_once(self, turn: AttemptTurn) -> FailedAttempt | None:
+        """Have another target or entry take the place of a silent one."""
+        failure = await self._prepare_replacement(turn)
+        if failure is not None and not turn.has_replaced:
+            fields = {**self._call.log_fields(), "reason": failure.detail}
+            _LOG.info("silent attempt not replaced", extra=fields)
+        return failure
 
-    async def _send(self, chosen: ChosenTarget) -> FailedAttempt | None:
+    async def _prepare_replacement(self, turn: AttemptTurn) -> FailedAttempt | None:
+        if not self._attempts.may_spend_retry(self._call, self._count_entries()):
+            return _make_denial("the retry budget is exhausted")
+        await self._quarantine.wait_until_confirmed()
+        backoff = self._attempts.find_backoff_seconds(self._call)
+        if self._quarantine.is_quarantined() or backoff > 0:
+            return _make_denial("no target may get it now")
+        may_follow = await self._relay.may_follow(may_have_run=True)
+        if may_follow and self._relay.is_due():
+            return await self._relay_once(turn)
+        if not self._history.may_retry(has_started=self._response.has_started()):
+            return _make_denial("the targets that it may run at are used up")
+        try:
+            return await self._attempt_once(turn)
+        except StageError as error:
+            return _make_denial(str(error))
+
+    def _find_denial(self, turn: AttemptTurn) -> FailedAttempt | None:
+        """Charge the retry budget for a replacement; return why the request is not sent again."""
+        if not turn.is_replacement:
+            return None
+        if not turn.take():
+            return _make_denial("the silent target goes on")
+        return None if self._spend_retry() else _make_denial("the retry budget is exhausted")
+
+    def _record_given_up(self, chosen: ChosenTarget, sent_age: float) -> None:
+        """Record that a silent target is given up for another one."""
+        if chosen.placed is not None:
+            chosen.placed.report_read(None)
+        failure = FailedAttempt(detail="the target fell silent", may_have_run=True)
+        self._log_failure(failure, chosen)
+        self._history.record_end()
+        self._record_failure(failure)
+        run = self._quarantine.make_run_at(
+            chosen.version, chosen.source_address, self._times.age() - sent_age
+        )
+        self._exit_detector.report_silent(LostTarget.of(chosen.incarnation), (run,))
+
+    def _record_given_up_relay(self) -> None:
+        """Record that a silent entry is given up for another one, or for a target."""
+        failure = FailedAttempt(detail="the other entry fell silent", may_have_run=True)
+        self._log_failure(failure)
+        self._history.record_end()
+        self._record_failure(failure)
+
+    # One target.
+
+    async def _send(self, chosen: ChosenTarget, turn: AttemptTurn) -> FailedAttempt | None:
         try:
-            opened = await self._open(chosen)
+            opened = await self._open(chosen, turn)
         except NotSentError as error:
             return FailedAttempt(detail=str(error), may_have_run=False, was_sent=False)
         except IncompleteResponseError as error:
-            return FailedAttempt(detail=str(error), may_have_run=True, loss="broken")
-        except TimeoutError:
-            detail = "the target did not answer in time"
-            return FailedAttempt(detail=detail, may_have_run=True, loss="silent")
+            return FailedAttempt(detail=str(error), may_have_run=True, is_lost=True)
         opened.exchange.charge_to(self._response.meter)
         if opened.signals.is_stream and opened.head.status == 200:
-            return await self._forward_stream(opened)
-        return await self._forward_whole(opened)
+            turn.replace()
+            return await self._forward_stream(opened, turn)
+        return await self._forward_whole(opened, turn)
 
-    async def _open(self, chosen: ChosenTarget) -> OpenedExchange:
+    async def _open(self, chosen: ChosenTarget, turn: AttemptTurn) -> OpenedExchange:
         """Send the request and wait for the head of the response.
 
         Raises:
             NotSentError: the request was not sent.
             IncompleteResponseError: it was sent and the connection broke before a response.
-            TimeoutError: the target did not respond in time.
         """
         inputs = self._results.inputs if self._results is not None else ()
         read_timer = InputReadTimer(self._release_read_results)
+
+        def record_sent() -> None:
+            read_timer.start()
+            turn.record_sent()
+
+        on_silent = partial(self._attempts.record_silent, chosen)
         try:
-            async with asyncio.timeout(self._history.response_timeout_seconds()) as limit:
-                with self._relay.interrupt(limit):
-                    return await self._attempts.open(
-                        self._call, chosen, inputs, self._last_event, read_timer.start
-                    )
+            with (
+                turn.expect(self._history.response_timeout_seconds, on_silent),
+                self._relay.watch(turn.report_silent),
+            ):
+                return await self._attempts.open(
+                    self._call, chosen, inputs, self._last_event, record_sent
+                )
         except ConnectionsInUseError:
             self._attempts.finish_unopened(chosen, "neutral")
             raise
-        except (NotSentError, IncompleteResponseError, TimeoutError):
+        except (NotSentError, IncompleteResponseError):
             self._attempts.finish_unopened(chosen, "bad")
             raise
         except BaseException:
@@ -328,7 +428,9 @@
 
     # Whole responses.
 
-    async def _forward_whole(self, opened: OpenedExchange) -> FailedAttempt | None:
+    async def _forward_whole(
+        self, opened: OpenedExchange, turn: AttemptTurn
+    ) -> FailedAttempt | None:
         health: HealthSignal = "neutral"
         try:
             body = await opened.exchange.body.read_all()
@@ -336,13 +438,15 @@
         except IncompleteResponseError as error:
             health = "bad"
             has_run = not opened.signals.has_not_run
-            return FailedAttempt(detail=str(error), may_have_run=has_run, loss="broken")
+            return FailedAttempt(detail=str(error), may_have_run=has_run, is_lost=True)
         finally:
             self._attempts.finish(opened, health)
         head = opened.head
         response = HttpResponse(status=head.status, headers=head.headers, body=body)
         failure = find_failure(opened.signals, response, has_started=self._response.has_started())
+        await turn.wait()
         if failure is None:
+            turn.replace()
             self._release_results()
             self._response.send_response(response)
             if response.status < 300:
@@ -353,12 +457,16 @@
 
     # Event streams.
 
-    async def _forward_stream(self, opened: OpenedExchange) -> FailedAttempt | None:
+    async def _forward_stream(
+        self, opened: OpenedExchange, turn: AttemptTurn
+    ) -> FailedAttempt | None:
         """Forward each complete event as it arrives; return None once the stream is complete."""
         splitter, blank_limit = EventSplitter(), BlankEventLimit()
         health: HealthSignal = "neutral"
+        on_silent = partial(self._attempts.record_silent, opened.chosen)
+        parts = opened.exchange.body.iter_parts()
         try:
-            async for data in read_in_time(opened.exchange.body.iter_parts(), self._pause_seconds):
+            async for data in read_in_turn(parts, turn, self._pause_seconds, on_silent):
                 events = splitter.feed(data)
                 if blank_limit.count(events):
                     opened.exchange.body.record_progress()
@@ -376,25 +484,25 @@
             return None
         except (IncompleteResponseError, EventTooLargeError, BlankStreamError) as error:
             health = "bad"
-            return FailedAttempt(detail=str(error), may_have_run=True, loss="broken")
-        except StreamTimeoutError as error:
-            health = "bad"
-            return FailedAttempt(detail=str(error), may_have_run=True, loss="silent")
+            return FailedAttempt(detail=str(error), may_have_run=True, is_lost=True)
         finally:
             self._attempts.finish(opened, health)
 
     def _pause_seconds(self) -> float:
         return self._history.pause_seconds(has_started=self._response.has_started())
 
+    def _record_last_event(self, event_id: str) -> None:
+        self._last_event = event_id
+
     async def _forward_events(self, opened: OpenedExchange, events: Sequence[Event]) -> None:
         """Forward events that arrived together; blank ones begin no response."""
         if not self._response.has_started():
             events = tuple(itertools.dropwhile(lambda event: event.is_blank, events))
         if not events:
             return
+        # An event shows that the target has read its inputs, and that it is not silent any more.
+        self._release_results()
         if not self._response.has_started():
-            # The first event shows that the target has read its inputs.
-            self._release_results()
             self._record_origin(opened)
             self._response.start(opened.head)
             seconds = self._times.record_first_event()
@@ -481,6 +589,11 @@
         )
 
 
+def _make_denial(detail: str) -> FailedAttempt:
+    """Return the outcome of an attempt that was not made beside a silent one."""
+    return FailedAttempt(detail=detail, may_have_run=False, was_sent=False)
+
+
 def _make_quarantine(quarantine: Quarantine, call: Call, attempts: Attempts) -> RequestQuarantine:
     """Return what the quarantine says about a request."""
     return RequestQuarantine(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_times.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_request_times.py
@@ -27,12 +27,16 @@
         """Record that its stages have completed."""
         self._staged_seconds = self.age()
 
-    def record_sent(self) -> None:
-        """Record that it is sent to a target."""
-        self._sent_seconds = self.age()
+    def record_sent(self, age: float | None = None) -> None:
+        """Record that it is sent to a target, or that the target that got it then goes on.
+
+        Args:
+            age: the seconds from its arrival until then; None for now.
+        """
+        self._sent_seconds = self.age() if age is None else age
 
     def seconds_since_sent(self) -> float:
-        """Return the seconds since it was last sent to a target."""
+        """Return the seconds since it was sent to the target that has it."""
         return self.age() - self._sent_seconds
 
     def seconds_since_first_event(self) -> float:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_target_selector.py
@@ -355,6 +355,12 @@
                 start=chosen.start,
             )
 
+    def record_failure(self, chosen: ChosenTarget) -> None:
+        """Record that a target failed a request that is still under way there."""
+        target_table = self._tables.get(chosen.service)
+        if target_table is not None:
+            target_table.record_failure(chosen.target, chosen.start, self._now())
+
     def record_signals(
         self, chosen: ChosenTarget, signals: ResponseSignals, *, is_own: bool
     ) -> None:
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
@@ -124,11 +124,18 @@
         Args:
             seconds: time since the request was sent.
         """
-        return InterruptedRequest(
-            fingerprint=self._causes.request,
-            seconds=seconds,
-            shared=self._find_attempted().list_shared(self._service, self._version or ""),
-        )
+        return self._make_run(self._version or "", self._copies, seconds)
+
+    def make_run_at(self, version: str, copy_source: str, seconds: float) -> InterruptedRequest:
+        """Return the record of an answer that broke off at a target which had the request.
+
+        Args:
+            version: version of the target.
+            copy_source: address from which it copied cached prompt segments, or an empty string.
+            seconds: time since the request was sent.
+        """
+        copies = list_shared_causes(copy_source=copy_source)
+        return self._make_run(version, copies, seconds)
 
     def record_served(self) -> None:
         """Record that the target that has the request served it."""
@@ -143,6 +150,13 @@
         names = self._find_attempted().list_shared(self._service, self._version or "")
         self._quarantine.record_served(names)
 
+    def _make_run(
+        self, version: str, copies: tuple[str, ...], seconds: float
+    ) -> InterruptedRequest:
+        causes = replace(self._causes, shared=(*self._causes.shared, *copies))
+        shared = causes.list_shared(self._service, version)
+        return InterruptedRequest(fingerprint=self._causes.request, seconds=seconds, shared=shared)
+
     def _find_attempted(self) -> RequestCauses:
         """Return what may make the target that has the request exit."""
         return replace(self._causes, shared=(*self._causes.shared, *self._copies))
--- a/packages/damsonlaned/src/damsonlaned/relay/_client.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_client.py
@@ -4,20 +4,21 @@
 import contextlib
 import logging
 import ssl
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Final
 
 from grpclib.client import Channel
 
 from damsonlane.records import dataclass
 from damsonlane_rpc import CALL_ERRORS, RELAY, RelayPart, open_channel
+from damsonlaned.attempts import AttemptTurn
 from damsonlaned.metrics import Metrics
 from damsonlaned.relay._messages import RelayedRequest
 from damsonlaned.relay._reach_monitor import ReachMonitor
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Silence after which the other entry has failed, in seconds: it sends keepalives.
+#: Silence after which the other entry may have failed, in seconds: it sends keepalives.
 SILENCE_SECONDS: Final = 1.0
 #: Seconds for a connection to the other entry.
 CONNECT_SECONDS: Final = 0.3
@@ -55,10 +56,15 @@
         self._reach: Final = reach
         self._context: Final = context
         self._metrics: Final = metrics
-        self._channels: dict[str, Channel] = {}
+        self._channels: dict[str, _SharedChannel] = {}
 
     async def serve(
-        self, request: RelayedRequest, service: str, request_id: str, on_part: OnPart
+        self,
+        request: RelayedRequest,
+        service: str,
+        request_id: str,
+        on_part: OnPart,
+        turn: AttemptTurn,
     ) -> RelayFailure | None:
         """Have one other entry serve a request; entries that decline it have not run it.
 
@@ -67,6 +73,7 @@
             service: the service that it goes to.
             request_id: id of the request, for logs.
             on_part: takes the parts of the response as they arrive.
+            turn: is told when the request was sent, and of silences.
 
         Returns:
             None once the response is complete, or why it is not.
@@ -76,7 +83,7 @@
             helper = self._reach.choose_helper(service)
             if helper is None:
                 break
-            declined, failure = await self._serve_at(helper.address, request, on_part)
+            declined, failure = await self._serve_at(helper.address, request, on_part, turn)
             outcome = "declined" if declined else "failed" if failure else "served"
             fields = {"request": request_id, "service": service, "to": helper.address}
             reason = declined or (failure.detail if failure else "")
@@ -91,42 +98,86 @@
     def close(self) -> None:
         """Close the connections to other entries."""
         for channel in self._channels.values():
-            channel.close()
+            channel.retire()
 
     async def _serve_at(
-        self, address: str, request: RelayedRequest, on_part: OnPart
+        self, address: str, request: RelayedRequest, on_part: OnPart, turn: AttemptTurn
     ) -> tuple[str, RelayFailure | None]:
         """Return why an entry declined a request, or why its response is not complete."""
         self._reach.helpers.begin(address)
-        exchange = _Exchange(request, on_part)
+        channel = self._find_channel(address)
+
+        def record_silent() -> None:
+            self._retire_channel(address, channel)
+            self._reach.helpers.record_declined(address, asyncio.get_running_loop().time())
+
+        exchange = _Exchange(request, on_part, turn, record_silent)
         try:
-            await exchange.run(self._find_channel(address))
+            with channel.use() as connection:
+                await exchange.run(connection)
         except CALL_ERRORS as error:
             if not exchange.is_complete:
-                self._drop_channel(address)
+                self._retire_channel(address, channel)
             exchange.fault = str(error) or type(error).__name__
         finally:
             self._reach.helpers.end(address)
         return exchange.find_result()
 
-    def _find_channel(self, address: str) -> Channel:
+    def _find_channel(self, address: str) -> "_SharedChannel":
         if address not in self._channels:
-            self._channels[address] = open_channel(address, self._context, CONNECT_SECONDS)
+            channel = open_channel(address, self._context, CONNECT_SECONDS)
+            self._channels[address] = _SharedChannel(channel)
         return self._channels[address]
 
-    def _drop_channel(self, address: str) -> None:
-        """Close a connection that broke, after the other requests on it have seen that."""
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+    def _retire_channel(self, address: str, channel: "_SharedChannel") -> None:
+        """Use a connection that broke or fell silent for no further request."""
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+        channel.retire()
+
+
+class _SharedChannel:
+    """A connection to another entry; a retired one closes when its last request has ended."""
+
+    def __init__(self, channel: Channel) -> None:
+        self._channel: Final = channel
+        self._users = 0
+        self._is_retired = False
+
+    @contextlib.contextmanager
+    def use(self) -> Iterator[Channel]:
+        """Use the connection for one request."""
+        self._users += 1
+        try:
+            yield self._channel
+        finally:
+            self._users -= 1
+            self._close_if_unused()
+
+    def retire(self) -> None:
+        """Close the connection once no request uses it."""
+        self._is_retired = True
+        self._close_if_unused()
+
+    def _close_if_unused(self) -> None:
+        if self._is_retired and not self._users:
+            self._channel.close()
 
 
 class _Exchange:
     """One request at one other entry."""
 
-    def __init__(self, request: RelayedRequest, on_part: OnPart) -> None:
+    def __init__(
+        self,
+        request: RelayedRequest,
+        on_part: OnPart,
+        turn: AttemptTurn,
+        on_silent: Callable[[], None],
+    ) -> None:
         self._request: Final = request
         self._on_part: Final = on_part
+        self._turn: Final = turn
+        self._on_silent: Final = on_silent
         self._is_sent = False
         #: Whether the response is complete.
         self.is_complete = False
@@ -140,8 +191,10 @@
             await stream.send_request()
             self._is_sent = True
             await stream.send_message(self._request.encode(), end=True)
+            self._turn.record_sent()
             while True:
-                part = await asyncio.wait_for(stream.recv_message(), SILENCE_SECONDS)
+                with self._turn.expect(lambda: SILENCE_SECONDS, self._on_silent):
+                    part = await stream.recv_message()
                 if part is None:
                     return
                 if part.declined or part.is_aborted:
--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -7,6 +7,7 @@
 
 from damsonlane.records import dataclass
 from damsonlane_rpc import RelayPart
+from damsonlaned.attempts import AttemptTurn
 from damsonlaned.http import HttpResponse
 from damsonlaned.relay._client import RelayClient, RelayFailure
 from damsonlaned.relay._messages import RelayedRequest, decode_body, read_head
@@ -75,11 +76,8 @@
         self._response: Final = response
         self._split: Final = split
         self._count = 0
-        self._fault = ""
         #: Whether the request is passed on next to find out whether another entry gets a response.
         self._is_comparison = False
-        #: Id of the last event that the caller has, if an event that was passed on had one.
-        self.last_event: str | None = None
 
     def is_due(self) -> bool:
         """Return whether the request is passed on next, rather than sent to a target."""
@@ -94,6 +92,14 @@
         # The trial may be lost, so it must be a request that can be repeated.
         return not (self._call.route.is_retryable() and reach.admit_trial(service))
 
+    def is_useful(self) -> bool:
+        """Return whether another entry may get a response that this one does not get."""
+        route = self._call.route
+        if not self._may_be_passed_on() or not route.is_retryable():
+            return False
+        is_resumable = route.is_resumable or not self._response.has_started()
+        return is_resumable and not self._relay.reach.is_reached(self._call.service.name)
+
     def _must_compare_first(self) -> bool:
         """Return whether the request is passed on without an attempt of this entry.
 
@@ -122,15 +128,18 @@
         self._is_comparison = self._relay.reach.is_suspect(service)
         return self._is_comparison
 
-    async def run(self, last_event: str | None) -> RelayFailure | None:
+    async def run(
+        self, last_event: str | None, turn: AttemptTurn, on_event: Callable[[str], None]
+    ) -> RelayFailure | None:
         """Pass the request on; return None once the response is complete.
 
         Args:
             last_event: id of the last event that its caller has, or None.
+            turn: is told of silences, and decides when a part may be forwarded.
+            on_event: called with the id of each event that its caller gets.
         """
         self._count += 1
         self._is_comparison = False
-        self.last_event = last_event
         self._history.record_relay()
         call = self._call
         request = RelayedRequest(
@@ -142,52 +151,76 @@
             last_event_id=last_event,
             origin=self._history.origin,
         )
+        copier = _ResponseCopier(
+            self._relay.reach, call.service.name, self._response, self._split, turn, on_event
+        )
         failure = await self._relay.client.serve(
-            request, call.service.name, call.request.request_id, self._take
+            request, call.service.name, call.request.request_id, copier.take, turn
         )
-        if failure is None and self._fault:
-            return RelayFailure(detail=self._fault, may_have_run=True)
+        if failure is None and copier.fault:
+            return RelayFailure(detail=copier.fault, may_have_run=True)
         if failure is None:
             self._response.outcome = "passed-on"
         return failure
 
     @contextlib.contextmanager
-    def interrupt(self, limit: asyncio.Timeout) -> Iterator[None]:
-        """End a wait for a target once its service is found not to be reached."""
+    def watch(self, on_unreached: Callable[[], None]) -> Iterator[None]:
+        """Call a function if the service is found not to be reached, unless that is of no use."""
         if not self._may_be_passed_on() or not self._call.route.is_retryable():
             yield
             return
-
-        def expire() -> None:
-            if not limit.expired():
-                limit.reschedule(asyncio.get_running_loop().time())
-
-        with self._relay.reach.watch(self._call.service.name, expire):
+        with self._relay.reach.watch(self._call.service.name, on_unreached):
             yield
 
     def _may_be_passed_on(self) -> bool:
         return not self._call.relayed_by and self._count < MAX_RELAYS
 
-    async def _take(self, part: RelayPart) -> None:
-        """Copy a part of the response to the caller."""
+
+class _ResponseCopier:
+    """Copies the response of one other entry to the caller."""
+
+    def __init__(
+        self,
+        reach: ReachMonitor,
+        service: str,
+        response: "FinalResponse",
+        split: Callable[[bytes], Iterable[Event]],
+        turn: AttemptTurn,
+        on_event: Callable[[str], None],
+    ) -> None:
+        self._reach: Final = reach
+        self._service: Final = service
+        self._response: Final = response
+        self._split: Final = split
+        self._turn: Final = turn
+        self._on_event: Final = on_event
+        #: Why the response is of no use to the caller, or an empty string.
+        self.fault = ""
+
+    async def take(self, part: RelayPart) -> None:
+        """Copy a part of the response."""
+        await self._turn.wait()
         if 0 < part.status < 500:
-            self._relay.reach.record_served_elsewhere(self._call.service.name)
+            self._reach.record_served_elsewhere(self._service)
         if part.is_whole:
             self._take_whole(part)
             return
+        self._turn.replace()
         if part.status and not self._response.has_started():
             self._response.start(read_head(part))
         if part.body:
             for event in self._split(decode_body(part.body)):
                 await self._response.send(event.data)
-                self.last_event = event.event_id or self.last_event
+                if event.event_id:
+                    self._on_event(event.event_id)
         if part.is_last:
             self._response.finish()
 
     def _take_whole(self, part: RelayPart) -> None:
         if self._response.has_started():
-            self._fault = f"the other entry could not resume the stream: {part.status}"
+            self.fault = f"the other entry could not resume the stream: {part.status}"
             return
+        self._turn.replace()
         head = read_head(part)
         self._response.send_response(
             HttpResponse(status=head.status, headers=head.headers, body=decode_body(part.body))
--- a/packages/damsonlaned/src/damsonlaned/tasks.py
+++ b/packages/damsonlaned/src/damsonlaned/tasks.py
@@ -34,7 +34,7 @@
         _LOG.error("task failed", extra={"task": task.get_name()}, exc_info=task.exception())
 
 
-async def stop_task(task: "asyncio.Task[None]") -> None:
+async def stop_task(task: "asyncio.Task[Any]") -> None:
     """Cancel a task and wait until it has ended, whatever it raises.
 
     A library may replace a cancellation by the error of a connection that fails at the same moment,
