A refusal promises nothing for a request that may have run before it was passed on

Callers could see: 503 with "not run" for a request that a target has (REFUSED).

Cause: a request that may have run at this entry is passed on if its targets are not reached; the other entry was not told of it, refused it with 503 because it had not run there, and this entry handed that to the caller. The other entry could also send it to more targets than its route allows.

Change: the message says at how many targets and entries the request may have run, and the other entry counts them: its refusals are 502 or 504, also those before an attempt. This entry accepts no promise (408, 421, 429, 503) for such a request, since the other one may be of an earlier version, and no failure for a request that a silent target still has.

--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_relay_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_relay_messages.py
@@ -63,6 +63,8 @@
     last_event_id: str | None = None
     #: Where the stream began that is resumed, if the sender knows it.
     origin: StreamOrigin | None = None
+    #: Targets and entries at which the request may have run before.
+    earlier_runs: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/dialects/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/__init__.py
@@ -10,6 +10,7 @@
 from damsonlaned.dialects._names import HeaderNames, PathNames
 from damsonlaned.dialects._native import NativeDialect
 from damsonlaned.dialects._types import (
+    PROMISE_STATUSES,
     Attempt,
     BadRequestError,
     CallerRequest,
@@ -41,6 +42,7 @@
     "Heartbeat",
     "ComputedPiece",
     "NativeDialect",
+    "PROMISE_STATUSES",
     "PathNames",
     "PrefixSegment",
     "PutDocument",
--- a/packages/damsonlaned/src/damsonlaned/dialects/_types.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_types.py
@@ -1,6 +1,7 @@
 """Typed requests, responses and control calls, to and from which dialects translate."""
 
-from typing import Literal
+from dataclasses import replace
+from typing import Final, Literal
 
 from damsonlane.errors import DamsonlaneError
 from damsonlane.records import dataclass
@@ -8,6 +9,9 @@
 from damsonlane.targets import TargetRecord
 from damsonlaned.http import HttpRequest
 
+#: Statuses of our refusals that promise that the request has not run.
+PROMISE_STATUSES: Final = frozenset({408, 421, 429, 503})
+
 
 class BadRequestError(DamsonlaneError):
     """A request or reply is malformed; the message says how."""
@@ -120,6 +124,11 @@
     #: Seconds after which the caller may retry, or None.
     retry_after_seconds: float | None = None
 
+    def without_promise(self) -> "Refusal":
+        """Return the refusal of a request that may have run before."""
+        status = 502 if self.status in PROMISE_STATUSES else self.status
+        return replace(self, status=status, may_have_run=True, retry_after_seconds=None)
+
 
 @dataclass(frozen=True, kw_only=True)
 class ComputedPiece:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempt_history.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempt_history.py
@@ -32,7 +32,7 @@
 
     def __init__(self, call: Call) -> None:
         self._call: Final = call
-        self._possible_runs = 0
+        self._possible_runs = call.earlier_runs
         #: Attempts under way.
         self._running = 0
         self._throttled = 0
@@ -43,7 +43,11 @@
         #: Names of the targets that it was sent to.
         self.tried_targets: Final[set[str]] = set()
         #: Whether it may have run at a target.
-        self.may_have_run = False
+        self.may_have_run = call.earlier_runs > 0
+
+    def count_runs(self) -> int:
+        """Return at how many targets and entries the request may have run or may run now."""
+        return self._possible_runs + self._running
 
     def record_attempt(self, target: str) -> None:
         """Record that the request is sent to a target."""
@@ -106,7 +110,7 @@
             return False
         if (self.may_have_run or self._running) and not route.is_retryable():
             return False
-        if self._possible_runs + self._running >= max(1, route.most_targets):
+        if self.count_runs() >= max(1, route.most_targets):
             return False
         return (
             self.attempt_count - self._throttled < MAX_ATTEMPTS
@@ -115,4 +119,4 @@
 
     def _is_last_allowed_run(self) -> bool:
         """Return whether the attempt under way is the last one that may run the request."""
-        return self._possible_runs + self._running >= self._call.route.most_targets
+        return self.count_runs() >= self._call.route.most_targets
--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -47,6 +47,8 @@
     has_response_begun: bool = False
     #: Name of the box that passed it on to this one, or an empty string.
     relayed_by: str = ""
+    #: Targets and entries at which it may have run before it was passed on to this box.
+    earlier_runs: int = 0
     #: Where the stream began that it resumes; None for a new request.
     origin: StreamOrigin | None = None
     #: Id of the last event that its caller has, where an event stream is resumed here.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -170,10 +170,14 @@
                     relayed_by=relayed.box,
                     last_event_id=relayed.last_event_id,
                     has_response_begun=relayed.is_resumed,
+                    earlier_runs=relayed.earlier_runs,
                 )
             call = await self._bind_stream(call, relayed)
         except _RefusedError as error:
-            self._refuse(error.refusal, request_id, http, writer)
+            refusal = error.refusal
+            if relayed is not None and relayed.earlier_runs:
+                refusal = refusal.without_promise()
+            self._refuse(refusal, request_id, http, writer)
             return
         else:
             await self._run_handler(call, writer)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_failure_responder.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_failure_responder.py
@@ -82,7 +82,7 @@
         """End a request that reached its deadline."""
         if self._response.has_started():
             self._response.abort("the deadline came in the middle of the answer")
-        elif self._history.attempt_count > 0:
+        elif self._history.attempt_count > 0 or self._history.may_have_run:
             # It was sent, so it may have run.
             self._history.may_have_run = True
             self._refuse(504, "no answer before the deadline")
--- a/packages/damsonlaned/src/damsonlaned/relay/_messages.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_messages.py
@@ -30,6 +30,8 @@
     last_event_id: str | None = None
     #: Where the stream began that is resumed, if that is known.
     origin: StreamOrigin | None = None
+    #: Targets and entries at which the request may have run before.
+    earlier_runs: int = 0
 
     def encode(self) -> RelayRequest:
         """Return the message."""
@@ -44,6 +46,7 @@
             is_resumed=self.is_resumed,
             last_event_id=self.last_event_id,
             origin=self.origin,
+            earlier_runs=self.earlier_runs,
         )
 
     @classmethod
@@ -62,6 +65,7 @@
             is_resumed=message.is_resumed,
             last_event_id=message.last_event_id,
             origin=message.origin,
+            earlier_runs=message.earlier_runs,
         )
 
 
--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -8,6 +8,7 @@
 from damsonlane.records import dataclass
 from damsonlane_rpc import RelayPart
 from damsonlaned.attempts import AttemptTurn
+from damsonlaned.dialects import PROMISE_STATUSES
 from damsonlaned.http import HttpResponse
 from damsonlaned.relay._client import RelayClient, RelayFailure
 from damsonlaned.relay._messages import RelayedRequest, decode_body, read_head
@@ -140,6 +141,7 @@
         """
         self._count += 1
         self._is_comparison = False
+        earlier_runs = self._history.count_runs()
         self._history.record_relay()
         call = self._call
         request = RelayedRequest(
@@ -150,9 +152,16 @@
             is_resumed=self._response.has_started(),
             last_event_id=last_event,
             origin=self._history.origin,
+            earlier_runs=earlier_runs,
         )
         copier = _ResponseCopier(
-            self._relay.reach, call.service.name, self._response, self._split, turn, on_event
+            self._relay.reach,
+            call.service.name,
+            self._response,
+            self._split,
+            turn,
+            on_event,
+            may_have_run=earlier_runs > 0,
         )
         failure = await self._relay.client.serve(
             request, call.service.name, call.request.request_id, copier.take, turn
@@ -187,7 +196,10 @@
         split: Callable[[bytes], Iterable[Event]],
         turn: AttemptTurn,
         on_event: Callable[[str], None],
+        *,
+        may_have_run: bool,
     ) -> None:
+        self._may_have_run: Final = may_have_run
         self._reach: Final = reach
         self._service: Final = service
         self._response: Final = response
@@ -220,6 +232,13 @@
         if self._response.has_started():
             self.fault = f"the other entry could not resume the stream: {part.status}"
             return
+        if self._may_have_run and part.status in PROMISE_STATUSES:
+            # Its promise does not hold for the runs before.
+            self.fault = f"the other entry refused the request: {part.status}"
+            return
+        if self._turn.is_replacement and part.status >= 500:
+            self.fault = f"the other entry failed: {part.status}"
+            return
         self._turn.replace()
         head = read_head(part)
         self._response.send_response(
