A request is passed on a second time only where its route allows another target

With a silent target held, a request whose service is not reached could be passed on twice, beside its run here: three targets where the route allows two. The first time stays allowed, since the target that has the request may not be reached.

--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -182,7 +182,10 @@
             yield
 
     def _may_be_passed_on(self) -> bool:
-        return not self._call.relayed_by and self._count < MAX_RELAYS
+        if self._call.relayed_by or self._count >= MAX_RELAYS:
+            return False
+        # The first time does not count: the target that has the request may not be reached.
+        return self._count == 0 or self._history.count_runs() < self._call.route.most_targets
 
 
 class _ResponseCopier:
