A silent stage call is read on until its pieces are computed

Callers saw: requests refused after one or two seconds (503, "no target made it") while all targets of a pool were silent, though each of them had their pieces and computed them.

Cause: a call without an answer after 2.5 times its usual duration and 0.4 s was closed before another target had its pieces, and the third such call failed them.

Change: a silent call is read to the deadline of its last piece; its pieces are queued again beside it. The first result of a piece counts, results of others are freed, and a silent call ends once all its pieces are answered. What waits again is not refused as late while a target still has it.

Tests, red before: 2 of 3 of HeldStageCallTest (503 with one target that takes 2.5 s, and with four that take 2.8 s).

--- a/packages/damsonlane/src/damsonlane/pools/_queue.py
+++ b/packages/damsonlane/src/damsonlane/pools/_queue.py
@@ -94,6 +94,10 @@
             self._waiting.add(piece)
             self._late_work.record_arrival(piece)
 
+    def has(self, piece: WaitingPiece) -> bool:
+        """Return whether a piece waits."""
+        return piece.identity in self._waiting or piece.identity in self._late_work.waiting
+
     def cancel(self, sender: str, number: int) -> None:
         """Remove a piece that its sender no longer needs."""
         self._waiting.remove((sender, number))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
@@ -13,10 +13,10 @@
 from damsonlaned.gateway._target_announcements import TargetAnnouncements
 from damsonlaned.http import ConnectionPool, HttpHead, HttpRequest, IncompleteResponseError
 
-#: Timeout of a call as a multiple of its expected duration: a target may run
+#: Time after which a call is silent, as a multiple of its expected duration: a target may run
 #: several times slower without having failed.
 CALL_TIMEOUT_FACTOR: Final = 2.5
-#: Seconds added to the timeout, for a call that queues behind another box's.
+#: Seconds added to that time, for a call that queues behind another box's.
 CALL_TIMEOUT_SLACK_SECONDS: Final = 0.4
 #: Timeout for a connection, in seconds.
 CONNECT_TIMEOUT_SECONDS: Final = 0.25
@@ -94,30 +94,44 @@
         self._announcements: Final = announcements
 
     async def compute(
-        self, connections: ConnectionPool, call: BatchCall, on_sent: Callable[[], None]
+        self,
+        connections: ConnectionPool,
+        call: BatchCall,
+        on_sent: Callable[[], None],
+        on_silent: Callable[[asyncio.Timeout], None],
     ) -> tuple[ComputedPiece, ...]:
         """Compute a batch and return the outcome of each piece.
 
+        A silent call is read on to the deadline of its last piece.
+
         Args:
             connections: connections to the target.
             call: the batch.
             on_sent: called once the complete call was sent.
+            on_silent: called when no answer came in time, with the time-out that ends the call.
 
         Raises:
             NotSentError: the call was not sent.
             TargetFullError: the target rejected the call.
             IncompleteResponseError: the call was sent and no valid answer came.
             BadRequestError: the answer can't be decoded.
-            TimeoutError: the call timed out.
+            TimeoutError: the call reached its deadline or was given up.
         """
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        now = loop.time()
         orders = [
             replace(piece.order, left_seconds=max(0.0, piece.deadline_at - now))
             for piece in call.batch
         ]
         request = self._dialect.make_pool_call(call.target.name, orders)
-        async with asyncio.timeout(CALL_TIMEOUT_FACTOR * call.seconds + CALL_TIMEOUT_SLACK_SECONDS):
-            answer = await self._exchange(call.target, connections, request, on_sent)
+        silent_at = now + CALL_TIMEOUT_FACTOR * call.seconds + CALL_TIMEOUT_SLACK_SECONDS
+        deadline_at = max(piece.deadline_at for piece in call.batch)
+        async with asyncio.timeout_at(max(silent_at, deadline_at)) as limit:
+            timer = loop.call_at(silent_at, on_silent, limit)
+            try:
+                answer = await self._exchange(call.target, connections, request, on_sent)
+            finally:
+                timer.cancel()
         if answer.head.status == 200:
             return self._dialect.read_pool_reply(answer.body, len(call.batch))
         if self._dialect.read_signals(answer.head).has_not_run:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -12,6 +12,7 @@
 from damsonlane.routes import PoolProperties, Service
 from damsonlane.targets import Shard
 from damsonlane.warmup import WarmupLimiter
+from damsonlaned.attempts import PieceCalls
 from damsonlaned.dialects import BadRequestError, ComputedPiece, Dialect
 from damsonlaned.gateway._exit_detector import ExitDetector
 from damsonlaned.gateway._free_calls import FreeCalls
@@ -94,6 +95,7 @@
             self._receivers, WaitForecasts(self._estimate_wait), metrics, self.free
         )
         self._warm_up_gate: Final = WarmupLimiter()
+        self._piece_calls: Final = PieceCalls()
         #: Work of this owner, for its log.
         self.activity: Final = ActivityMeter()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -134,6 +136,7 @@
         """Drop queued pieces that their sender no longer needs."""
         for number in numbers:
             self._queue.cancel(sender, number)
+        self._piece_calls.drop((sender, number) for number in numbers)
 
     def return_waiting(self) -> None:
         """Return queued pieces to their senders, since another entry now owns the pool.
@@ -141,6 +144,7 @@
         Calls in progress complete here and their results are delivered as usual.
         """
         returned = self._queue.take_all()
+        self._piece_calls.drop(piece.identity for piece in returned)
         self._answers.return_to_senders(returned)
         if returned:
             fields = {
@@ -229,6 +233,7 @@
         is_saturated = len(batch) + self._queue.count_in_time() >= properties.batch
         call = BatchCall.plan(target, batch, properties, now, is_saturated=is_saturated)
         target.record_call(call.reserved_bytes, now + call.seconds)
+        self._piece_calls.begin(batch)
         return call
 
     def _start(self, service: Service, call: BatchCall) -> None:
@@ -257,8 +262,10 @@
         self._dispatch()
 
     def _refuse(self, late: Sequence[WaitingPiece]) -> None:
+        """Refuse pieces that would be too late, but those that a silent target still has."""
         for piece in late:
-            self._answers.answer(piece, fault="late")
+            if not self._piece_calls.is_under_way(piece):
+                self._answers.answer(piece, fault="late")
 
     async def _run(self, service: Service, call: BatchCall) -> None:
         """Send a call, deliver its results and dispatch the next one."""
@@ -281,32 +288,55 @@
         """Run a batch; return the sizes of its results by handle, empty if the call failed."""
         target = call.target
         began_at = self._now()
+        pieces = call.batch
         try:
             connections = self._targets.connections(service, target.name, target.address)
             on_sent = read_timer.start if target.reads_at_once(began_at) else _do_nothing
-            computed = await self._calls.compute(connections, call, on_sent)
-            sizes = self._deliver(call, computed)
+            try:
+                on_silent = partial(self._hold, call, began_at)
+                computed = await self._calls.compute(connections, call, on_sent, on_silent)
+            finally:
+                pieces = self._piece_calls.end(call.batch)
+            sizes = self._deliver(call, computed, pieces)
             seconds = self._now() - began_at
             target.record_duration_ratio(seconds / call.seconds, self._now())
             if call.is_saturated and service.pool is not None:
                 self._record_throughput(call, service.pool, seconds)
             return sizes
         except NotSentError as error:
-            self._record_failed_call(call, str(error), has_run=False)
+            self._record_failed_call(call, pieces, str(error), has_run=False)
         except TimeoutError:
-            self._exit_detector.report_silent(
-                LostTarget.of(target.incarnation),
-                self._quarantine.describe_runs(call.batch, self._now() - began_at),
-            )
-            self._record_failed_call(call, "no answer in time", has_run=True)
+            # The target was recorded as failed when it fell silent.
+            self._log_failure(call, "no answer before the deadline")
+            self._requeue(pieces, has_run=True)
         except (IncompleteResponseError, BadRequestError) as error:
             await self._record_broken_call(call, began_at)
-            self._record_failed_call(call, str(error), has_run=True)
+            self._record_failed_call(call, pieces, str(error), has_run=True)
         except TargetFullError:
             target.record_rejection(self._now())
-            self._requeue(call.batch, has_run=False)
+            self._requeue(pieces, has_run=False)
         return {}
 
+    def _hold(self, call: BatchCall, began_at: float, limit: asyncio.Timeout) -> None:
+        """Queue the pieces of a silent call again; it ends once all of them are answered."""
+
+        def give_up() -> None:
+            if not limit.expired():
+                limit.reschedule(self._now())
+
+        self._exit_detector.report_silent(
+            LostTarget.of(call.target.incarnation),
+            self._quarantine.describe_runs(call.batch, self._now() - began_at),
+        )
+        call.target.record_failure(self._now())
+        self._log_failure(call, "no answer in time")
+        self._piece_calls.hold(call.batch, give_up)
+        for piece in call.batch:
+            if self._may_repeat(piece, piece.attempts + 1):
+                self._queue.add(replace(piece, attempts=piece.attempts + 1))
+        self._return_if_unreached()
+        self._dispatch()
+
     def _record_throughput(
         self, call: BatchCall, properties: PoolProperties, seconds: float
     ) -> None:
@@ -334,16 +364,29 @@
             },
         )
 
-    def _deliver(self, call: BatchCall, computed: Sequence[ComputedPiece]) -> dict[str, int]:
-        """Deliver the results of a call; return their sizes by handle."""
+    def _deliver(
+        self, call: BatchCall, computed: Sequence[ComputedPiece], pieces: Sequence[WaitingPiece]
+    ) -> dict[str, int]:
+        """Deliver the results of a call; return their sizes by handle.
+
+        Args:
+            call: the call.
+            computed: the outcome of each of its pieces.
+            pieces: those that no other call has answered; results of others are freed.
+        """
         sizes: dict[str, int] = {}
         failed: list[WaitingPiece] = []
         out_of_memory: list[WaitingPiece] = []
         for piece, result in zip(call.batch, computed, strict=True):
             if result.handle:
                 sizes[result.handle] = piece.order.result_bytes
+            if piece not in pieces:
+                self.free((result.handle,) if result.handle else ())
+            elif result.handle:
+                self._end_piece(piece)
                 self._answers.answer(piece, handle=result.handle)
             elif result.fault in ("late", "lost-input"):
+                self._end_piece(piece)
                 self._answers.answer(piece, fault=result.fault)
             elif result.fault == "no-room":
                 out_of_memory.append(piece)
@@ -357,6 +400,11 @@
         self._requeue(out_of_memory, has_run=False)
         return sizes
 
+    def _end_piece(self, piece: WaitingPiece) -> None:
+        """End what else was to compute a piece that is answered."""
+        self._queue.cancel(*piece.identity)
+        self._piece_calls.record_answer(piece)
+
     def _record_out_of_memory(
         self, call: BatchCall, pieces: Sequence[WaitingPiece], computed_bytes: int
     ) -> None:
@@ -374,26 +422,43 @@
         if await self._exit_detector.report_broken(LostTarget.of(call.target.incarnation), runs):
             await self._quarantine.wait_until_reported(runs)
 
-    def _record_failed_call(self, call: BatchCall, fault: str, *, has_run: bool) -> None:
+    def _record_failed_call(
+        self, call: BatchCall, pieces: Sequence[WaitingPiece], fault: str, *, has_run: bool
+    ) -> None:
         """Record a call without a valid answer, and queue its pieces again."""
         call.target.record_failure(self._now())
-        _LOG.warning(
-            "batch failed",
-            extra={"service": self._service, "target": call.target.name, "fault": fault},
-        )
-        self._requeue(call.batch, has_run=has_run)
+        self._log_failure(call, fault)
+        self._requeue(pieces, has_run=has_run)
+        self._return_if_unreached()
+
+    def _log_failure(self, call: BatchCall, fault: str) -> None:
+        fields = {"service": self._service, "target": call.target.name, "fault": fault}
+        _LOG.warning("batch failed", extra=fields)
+
+    def _return_if_unreached(self) -> None:
+        """Return queued pieces if this box does not reach the targets."""
         if not self._is_reached(self._service):
             self.return_waiting()
 
     def _requeue(self, pieces: Sequence[WaitingPiece], *, has_run: bool) -> None:
-        """Queue pieces again; fail those out of attempts, of suspects or without a sender."""
+        """Queue pieces again; fail those out of attempts, of suspects or without a sender.
+
+        Pieces of a silent call may wait already, or run in another call.
+        """
         for piece in pieces:
+            if self._queue.has(piece) or self._piece_calls.is_under_way(piece):
+                continue
             attempts = piece.attempts + (1 if has_run else 0)
-            is_lost = attempts >= MAX_ATTEMPTS or not self._receivers.is_attached(piece.sender)
-            if is_lost or (has_run and self._quarantine.is_suspect(piece.order)):
-                self._answers.answer(piece, fault="failed")
-            else:
+            if self._may_repeat(piece, attempts):
                 self._queue.add(replace(piece, attempts=attempts))
+            else:
+                self._answers.answer(piece, fault="failed")
+
+    def _may_repeat(self, piece: WaitingPiece, attempts: int) -> bool:
+        """Return whether a piece may be sent again after some calls in which it may have run."""
+        is_suspect = attempts > piece.attempts and self._quarantine.is_suspect(piece.order)
+        is_attached = self._receivers.is_attached(piece.sender)
+        return attempts < MAX_ATTEMPTS and is_attached and not is_suspect
 
     def _estimate_wait(self, like: PieceOrder) -> float:
         """Return the estimated queueing time of a piece like the given one, in seconds."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_silent_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_silent_targets.py
@@ -8,6 +8,7 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import Final
 
 from damsonlane.routes import RoutingDocument
@@ -19,6 +20,7 @@
     Response,
     answer_ok,
     answer_with,
+    hang,
     make_piece_handler,
     read_id,
 )
@@ -195,3 +197,55 @@
         self.assertEqual(makers, ["t0"] * EVENTS_BEFORE + ["t1"] * (EVENT_COUNT - EVENTS_BEFORE))
         async with asyncio.timeout(1.0):
             await first.gone.wait()
+
+
+class HeldStageCallTest(SilentTargetTestCase):
+    """Calls to the targets of a pool are silent after 0.65 s or a little more."""
+
+    async def call_staged(self, entry: Entry) -> Response:
+        return await entry.call(
+            "/staged-chat/a", headers="Damsonlane-Pieces: 1\r\n", deadline_ms=DEADLINE_MS
+        )
+
+    async def test_a_stage_call_of_a_silent_target_is_read_where_no_other_target_has_its_pieces(
+        self,
+    ) -> None:
+        target = FakeTarget("t0", stream_with_silence("t0", 0.0))
+        pool = FakeTarget("p0", make_piece_handler(lambda: pool.address, seconds=2.5), "pool")
+        entry = await self.start(target, pool)
+        self.assert_whole(await self.call_staged(entry))
+        calls = [request for request in pool.requests if not request.path.endswith("/free")]
+        self.assertEqual(len(calls), 1)
+
+    async def test_stage_calls_are_read_where_all_targets_are_silent(self) -> None:
+        target = FakeTarget("t0", stream_with_silence("t0", 0.0))
+        pools: list[FakeTarget] = []
+
+        def find_address(index: int) -> str:
+            return pools[index].address
+
+        for index in range(4):
+            handler = make_piece_handler(partial(find_address, index), seconds=2.8)
+            pools.append(FakeTarget(f"p{index}", handler, "pool"))
+        entry = await self.start(target, *pools)
+        self.assert_whole(await self.call_staged(entry))
+
+    async def test_a_silent_stage_call_ends_once_another_target_has_computed_its_pieces(
+        self,
+    ) -> None:
+        target = FakeTarget("t0", stream_with_silence("t0", 0.0))
+        first = FakeTarget("p0", hang, "pool")
+        entry = await self.start(target, first)
+        caller = asyncio.create_task(self.call_staged(entry))
+        while not first.requests:
+            await asyncio.sleep(0.01)
+        second = FakeTarget("p1", make_piece_handler(lambda: second.address), "pool")
+        self.addAsyncCleanup(second.stop)
+        entry.put_targets(
+            await second.start(),
+            *entry.view.open_targets_of("desk"),
+            *entry.view.open_targets_of("pool"),
+        )
+        self.assert_whole(await caller)
+        async with asyncio.timeout(1.0):
+            await first.gone.wait()
