--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
@@ -15,6 +15,8 @@
     RATE_LIMIT_SIGNAL,
     REJECTION_LIMIT_END_SIGNAL,
     REJECTION_LIMIT_SIGNAL,
+    SILENCE_END_SIGNAL,
+    SILENCE_SIGNAL,
     SLOW_END_SIGNAL,
     SLOW_SIGNAL,
     RegisteredTarget,
@@ -55,6 +57,8 @@
     loop.add_signal_handler(IMPLAUSIBLE_LOAD_END_SIGNAL, target.load.end_implausible_reports)
     loop.add_signal_handler(REJECTION_LIMIT_SIGNAL, target.rejections.announce_next)
     loop.add_signal_handler(REJECTION_LIMIT_END_SIGNAL, target.rejections.end)
+    loop.add_signal_handler(SILENCE_SIGNAL, target.fall_silent)
+    loop.add_signal_handler(SILENCE_END_SIGNAL, target.end_silence)
     await target.start()
     await stop_requested.wait()
     await target.drain()
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -64,6 +64,10 @@
 #: Signals at which a target announces the next limit of rejections, and at which it announces none.
 REJECTION_LIMIT_SIGNAL: Final = signal.SIGRTMIN + 6
 REJECTION_LIMIT_END_SIGNAL: Final = signal.SIGRTMIN + 7
+#: Signals at which a target falls silent, but for health checks and heartbeats, and at which it
+#: goes on.
+SILENCE_SIGNAL: Final = signal.SIGRTMIN + 8
+SILENCE_END_SIGNAL: Final = signal.SIGRTMIN + 9
 #: Exit code of a process that rejected more than it bears.
 _FALL_EXIT_CODE: Final = 71
 #: Seconds between checks whether a cut has ended.
@@ -144,6 +148,9 @@
         self.load: Final = ReportedLoad(self._record.slots)
         #: Rejections for lack of room, while it announces a limit of them.
         self.rejections: Final = Rejections(self._record.slots)
+        #: Set unless the target is silent.
+        self._may_send: Final = asyncio.Event()
+        self._may_send.set()
         #: Ids of the requests that ran, in order.
         self.ran: list[str] = []
 
@@ -169,6 +176,14 @@
         """Announce draining in each response, whether or not control replicas know of it."""
         self._is_draining = True
 
+    def fall_silent(self) -> None:
+        """Send nothing from now on, but for health checks and heartbeats."""
+        self._may_send.clear()
+
+    def end_silence(self) -> None:
+        """Go on with all responses."""
+        self._may_send.set()
+
     async def drain(self) -> None:
         """Report that it is draining, continue to serve for a while, deregister and stop."""
         if self._heartbeats is not None:
@@ -263,6 +278,7 @@
         else:
             await asyncio.sleep(_WORK_SECONDS * self.load.slowness)
             self._record_run(request)
+            await self._may_send.wait()
             reply.send_response(
                 HttpResponse(status=200, headers=self._make_headers(request), body=b"ok")
             )
@@ -323,6 +339,7 @@
             {"handle": f"{self._record.address}/{secrets.token_hex(6)}"}
             for _ in json.loads(request.body)["pieces"]
         ]
+        await self._may_send.wait()
         body = json.dumps({"pieces": pieces}).encode()
         reply.send_response(
             HttpResponse(status=200, headers=self._make_headers(request), body=body)
@@ -331,6 +348,7 @@
     async def _stream(self, request: HttpRequest, reply: ResponseWriter) -> None:
         self._record_run(request)
         headers = (*self._make_headers(request), (b"Content-Type", b"text/event-stream"))
+        await self._may_send.wait()
         reply.start(HttpHead(status=200, headers=headers))
         first = int(request.find(b"last-event-id") or 0) + 1
         request_id = request.find(b"damsonlane-request-id") or ""
@@ -338,6 +356,7 @@
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(_EVENT_SECONDS * self.load.slowness)
             event = render_event(number, large_request, self._record.version)
+            await self._may_send.wait()
             await self._send_event(reply, event, request_id)
         reply.finish()
 
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
@@ -47,6 +47,8 @@
     has_crashing_parts: bool = False
     #: A control replica is replaced as planned, and another one loses its disk soon after.
     has_replacements: bool = False
+    #: Targets fall silent for a while.
+    has_silences: bool = False
     #: Callers crowd at few entries.
     has_crowds: bool = False
     #: Entries at which they do at once.
@@ -66,6 +68,7 @@
         has_versions=_draw("versions", seed),
         has_crashing_parts=_draw("crashing parts", seed),
         has_replacements=_draw("replacements", seed),
+        has_silences=_draw("silences", seed),
         has_crowds=_draw("crowds", seed),
         crowded_entries=random.Random(f"crowded entries {seed}").randint(1, 3),
         capacities=_draw_capacities(seed, entry_count) if _draw("capacities", seed) else (),
@@ -89,6 +92,12 @@
     return settings
 
 
+def find_organisation(parts: Parts, number: int) -> str:
+    """Return the organisation of a caller, by the caller's number."""
+    names = list(ORGANISATIONS) if parts.has_organisations else ["florists"]
+    return names[number % len(names)]
+
+
 def _draw_capacities(seed: int, entry_count: int) -> tuple[float, ...]:
     """Return capacities of which the first ones, one for each known capacity, all differ."""
     shuffled = random.Random(f"capacities of {seed}").sample(_CORES, len(_CORES))
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -96,6 +96,8 @@
 CROWD_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for announcements of limits of rejections by targets.
 REJECTION_KINDS: Final[dict[str, DrawProcess]] = {}
+#: The same for targets that fall silent, but for health checks and heartbeats.
+SILENCE_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for planned replacements of control replicas, and the loss of a disk after them.
 REPLACEMENT_KINDS: Final[dict[str, DrawProcess]] = {}
 
@@ -207,6 +209,17 @@
     return randomness.choice(names.entries)
 
 
+@fault_kind("silence", SILENCE_KINDS)
+def _draw_silent(randomness: random.Random, names: ProcessNames) -> str:
+    return randomness.choice(names.targets)
+
+
+@fault_kind("silence of all", SILENCE_KINDS)
+def _draw_silent_service(randomness: random.Random, names: ProcessNames) -> str:
+    """Return one target; all targets of its service are affected."""
+    return randomness.choice(names.targets)
+
+
 @fault_kind("replace", REPLACEMENT_KINDS)
 def _draw_replaced(randomness: random.Random, names: ProcessNames) -> str:
     """Return a control replica that gets a successor; the duration is the time to the loss."""
@@ -248,6 +261,9 @@
     crowds: list[Fault] = []
     if parts.has_crowds:
         crowds = _draw_apart(random.Random(f"crowds {seed}"), seconds, names, CROWD_KINDS)
+    silences: list[Fault] = []
+    if parts.has_silences:
+        silences = _draw_faults(random.Random(f"silences {seed}"), seconds, names, SILENCE_KINDS)
     replaced: list[Fault] = []
     if parts.has_replacements:
         # One in a run: the boxes keep the addresses of control with which they started.
@@ -256,7 +272,7 @@
     ordered = sorted(
         (
             *(*faults, *announcements, *rate_limits, *loads, *surges),
-            *(*cuts, *fragile, *crowds, *replaced),
+            *(*cuts, *fragile, *crowds, *silences, *replaced),
         ),
         key=lambda fault: fault.at,
     )
