The results of a silent pool owner count until another owner has answered

Callers saw: 503 for a request whose stage the owner of the pool was computing, where that owner sent nothing for 0.8 s; most of all where no other entry reaches the pool's targets.

Cause: an owner without messages for 0.8 s was given up: its stream was closed and its orders were placed with another owner, or with this entry if there was none, though this entry had announced that it does not reach the targets; it then returned them to itself every 0.15 s until they were late.

Change: the stream stays open. The orders are placed with another owner as well, if one reaches the targets as far as is known; the first result counts, and a fault only if no other owner has the order. Answered orders are withdrawn from the others, and the stream closes once nothing is awaited on it.

The test of owners that are not replaced one after another calls the handler of silent streams now, which has taken the place of a flag.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_choice.py
@@ -70,6 +70,10 @@
         owner = choose_owner(shard.subject, self._view.entries, suspects | {avoid})
         return owner.address if owner is not None else self._own_address
 
+    def has_reaching_owner(self, shard: Shard) -> bool:
+        """Return whether the chosen owner of a shard reaches its targets, as far as is known."""
+        return self.find_owner(shard) not in self._list_unreaching(shard.service)
+
     def is_listed_owner(self, shard: Shard) -> bool:
         """Return whether this entry owns a shard by control's list, ignoring suspicions.
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_owner_link.py
@@ -26,17 +26,15 @@
 OnPlacements = Callable[[Sequence[Placement]], None]
 #: Called with permits.
 OnPermits = Callable[[Sequence[Permit]], None]
-#: Called with the owner's address, the numbers of the awaited orders, the fault, and whether it
-#: is that the owner was silent.
-OnLost = Callable[[str, Sequence[int], str, bool], None]
-
-
-class OwnerSilentError(TimeoutError):
-    """An owner sent nothing while results were awaited."""
+#: Called when a stream has ended: the stream, the numbers of the orders whose results are awaited,
+#: and the fault.
+OnLost = Callable[["OwnerLink", Sequence[int], str], None]
+#: Called when an owner is silent: its stream, and the numbers of the same orders.
+OnSilent = Callable[["OwnerLink", Sequence[int]], None]
 
 
 class OwnerLink:
-    """A stream to one owner, open until it breaks or the owner stops responding.
+    """A stream to one owner, open until it breaks or is closed.
 
     Args:
         owner: internal address of the owner.
@@ -46,7 +44,8 @@
         on_placements: called with placements of prompts.
         on_permits: called with permits.
         on_lost: called once the stream has ended.
-        silence_seconds: least silence after which the owner has failed, in seconds.
+        on_silent: called once if the owner sends nothing while results are awaited.
+        silence_seconds: least silence after which that is so, in seconds.
     """
 
     def __init__(
@@ -58,15 +57,18 @@
         on_placements: OnPlacements,
         on_permits: OnPermits,
         on_lost: OnLost,
+        on_silent: OnSilent,
         silence_seconds: float = SILENCE_SECONDS,
     ) -> None:
-        self._owner: Final = owner
+        #: Internal address of the owner.
+        self.owner: Final = owner
         self._context: Final = context
         self._on_results: Final = on_results
         self._on_reads: Final = on_reads
         self._on_placements: Final = on_placements
         self._on_permits: Final = on_permits
         self._on_lost: Final = on_lost
+        self._on_silent: Final = on_silent
         self._outgoing: list[PoolOrders] = []
         self._has_more: Final = asyncio.Event()
         self._awaited: set[int] = set()
@@ -86,6 +88,10 @@
         self._outgoing.append(message)
         self._has_more.set()
 
+    def is_awaiting(self) -> bool:
+        """Return whether results are awaited."""
+        return bool(self._awaited)
+
     def withdraw(self, shard: Shard, number: int) -> None:
         """Withdraw an order if it was placed with this owner."""
         if number in self._awaited:
@@ -98,19 +104,17 @@
         await stop_task(self._task)
 
     async def _run(self) -> None:
-        channel = open_channel(self._owner, self._context)
+        channel = open_channel(self.owner, self._context)
         fault = _STREAM_ENDED
-        is_silent = False
         try:
             async with POOL.stream(channel).open() as stream:
                 await stream.send_request()
                 await self._exchange(stream)
         except CALL_ERRORS as error:
             fault = str(error) or type(error).__name__
-            is_silent = isinstance(error, OwnerSilentError)
         finally:
             channel.close()
-            self._on_lost(self._owner, tuple(self._awaited), fault, is_silent)
+            self._on_lost(self, tuple(self._awaited), fault)
 
     async def _exchange(self, stream: Stream[PoolOrders, PoolResults]) -> None:
         """Send and receive until either ends.
@@ -150,12 +154,15 @@
                 await stream.send_message(message)
 
     async def _watch_for_silence(self) -> None:
-        """Raise OwnerSilentError when the owner sends nothing while results are awaited."""
-        while True:
+        """Report once that the owner sends nothing while results are awaited."""
+        is_reported = False
+        while not is_reported:
             await self._is_awaiting.wait()
             await asyncio.sleep(CHECK_SECONDS)
             now = asyncio.get_running_loop().time()
             if not self._awaited:
                 self._is_awaiting.clear()
             elif self._silence_detector.is_silent(now):
-                raise OwnerSilentError("the owner sent nothing while results were awaited")
+                is_reported = True
+                self._on_silent(self, tuple(self._awaited))
+        await asyncio.Event().wait()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 import ssl
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from functools import partial
@@ -20,6 +21,7 @@
 from damsonlaned.gateway._reported_waits import ReportedWaits
 from damsonlaned.gateway._shard_choice import ShardChoice
 from damsonlaned.gateway._view import FleetView
+from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -52,8 +54,9 @@
     """Orders pieces for the requests of this entry.
 
     All entries choose the same owner for a shard of a pool, by rendezvous hashing
-    over the entries that control lists. If an owner crashes or falls silent, its
-    outstanding orders are placed again with another owner.
+    over the entries that control lists. If an owner crashes, its outstanding orders
+    are placed again with another owner; if it falls silent, they are placed with
+    another one as well, and the first result counts.
 
     Args:
         view: lists the entries.
@@ -80,6 +83,10 @@
         self._numbers: Final = itertools.count(1)
         self._pending: dict[int, _PendingOrder] = {}
         self._links: dict[str, OwnerLink] = {}
+        #: Streams to owners that fell silent, until nothing is awaited from them.
+        self._silent_links: list[OwnerLink] = []
+        #: Owners that have an order, for those that were placed with several ones.
+        self._placements: Final[Counter[int]] = Counter()
         self._withdrawn: dict[int, str] = {}
         self._waits: Final = ReportedWaits()
         self._shards: Final = ShardChoice(view, self._waits)
@@ -140,7 +147,7 @@
 
     async def stop(self) -> None:
         """Close the streams to other entries."""
-        links = [link.stop() for link in self._links.values()]
+        links = [link.stop() for link in self._list_links()]
         await asyncio.gather(*links, return_exceptions=True)
 
     def _register_order(
@@ -235,7 +242,8 @@
                 self.receive_reads,
                 lambda placements: self.on_placements(placements),
                 lambda permits: self.on_permits(permits),
-                self.handle_lost_owner,
+                self.handle_lost_link,
+                self.handle_silent_link,
                 self._choice.find_silence_seconds(),
             )
         return self._links[owner]
@@ -243,23 +251,48 @@
     # Callbacks of the links.
 
     def receive(self, results: Sequence[PieceResult]) -> None:
-        """Receive results; those of withdrawn orders are freed."""
+        """Receive results; those of withdrawn orders are freed.
+
+        A fault counts only if no other owner has the order.
+        """
         self._send_again([result.number for result in results if result.is_returned])
         for result in results:
             if result.is_returned:
                 continue
             self._record_wait(result)
+            if not result.handle and self._remove_placement(result.number):
+                continue
             pending = self._pending.pop(result.number, None)
             if pending is not None and not pending.future.done():
                 pending.future.set_result(result)
+                self._withdraw_duplicates(pending)
                 continue
             service = self._withdrawn.pop(result.number, "")
             if service and result.handle:
                 self.free(service, (result.handle,))
+        self._close_unused_links()
+
+    def _remove_placement(self, number: int) -> bool:
+        """Record that an owner has an order no more; return whether another one has it."""
+        if number not in self._placements:
+            return False
+        self._placements[number] -= 1
+        if self._placements[number] <= 1:
+            del self._placements[number]
+        return True
+
+    def _withdraw_duplicates(self, pending: _PendingOrder) -> None:
+        """Withdraw an answered order from the other owners that have it."""
+        if self._placements.pop(pending.order.number, 0):
+            self._withdraw_everywhere(pending)
 
     def _send_again(self, numbers: Sequence[int]) -> None:
         """Order again pieces that an owner returned, each stage from one shard."""
-        returned = [self._pending[number] for number in numbers if number in self._pending]
+        returned = [
+            self._pending[number]
+            for number in numbers
+            if number in self._pending and not self._remove_placement(number)
+        ]
         stages: dict[tuple[str, int], list[_PendingOrder]] = {}
         for pending in returned:
             stages.setdefault((pending.order.request, pending.order.stage), []).append(pending)
@@ -276,19 +309,51 @@
             if pending is not None:
                 pending.on_read()
 
-    def handle_lost_owner(
-        self, owner: str, numbers: Sequence[int], fault: str, is_silent: bool = False
-    ) -> None:
+    def handle_lost_link(self, link: OwnerLink, numbers: Sequence[int], fault: str) -> None:
         """Place the outstanding orders of a lost owner with another one."""
-        link = self._links.pop(owner, None)
-        if link is None:
+        if link in self._silent_links:
+            self._silent_links.remove(link)
+        elif self._links.get(link.owner) is link:
+            del self._links[link.owner]
+            self._choice.suspect(link.owner)
+        else:
             return
-        self._choice.suspect(owner, is_silent=is_silent)
-        lost = [self._pending[number] for number in numbers if number in self._pending]
-        _LOG.warning("lost pool owner", extra={"owner": owner, "fault": fault, "orders": len(lost)})
+        lost = [
+            self._pending[number]
+            for number in numbers
+            if number in self._pending and not self._remove_placement(number)
+        ]
+        fields = {"owner": link.owner, "fault": fault, "orders": len(lost)}
+        _LOG.warning("lost pool owner", extra=fields)
         for shard in {pending.shard for pending in lost}:
             self._send_orders(shard, [item for item in lost if item.shard == shard])
 
+    def handle_silent_link(self, link: OwnerLink, numbers: Sequence[int]) -> None:
+        """Place the outstanding orders of a silent owner with another one as well."""
+        if self._links.get(link.owner) is not link:
+            return
+        del self._links[link.owner]
+        self._silent_links.append(link)
+        self._choice.suspect(link.owner, is_silent=True)
+        awaited = [self._pending[number] for number in numbers if number in self._pending]
+        moved = [item for item in awaited if self._choice.has_reaching_owner(item.shard)]
+        fields = {"owner": link.owner, "orders": len(awaited), "moved": len(moved)}
+        _LOG.warning("pool owner silent", extra=fields)
+        for item in moved:
+            number = item.order.number
+            self._placements[number] = self._placements.get(number, 1) + 1
+        for shard in {item.shard for item in moved}:
+            self._send_orders(shard, [item for item in moved if item.shard == shard])
+
+    def _list_links(self) -> list[OwnerLink]:
+        return [*self._links.values(), *self._silent_links]
+
+    def _close_unused_links(self) -> None:
+        """Close the streams to owners that were silent and have no order any more."""
+        for link in [link for link in self._silent_links if not link.is_awaiting()]:
+            self._silent_links.remove(link)
+            start_task(link.stop(), "closing a stream to a pool owner")
+
     def _record_wait(self, result: PieceResult) -> None:
         """Record the reported queueing time, if the piece is still awaited."""
         pending = self._pending.get(result.number)
@@ -301,11 +366,17 @@
         pending = self._pending.pop(number, None)
         if pending is None or not done.cancelled():
             return
-        shard = pending.shard
+        self._placements.pop(number, None)
+        self._withdraw_everywhere(pending)
+        self._close_unused_links()
+
+    def _withdraw_everywhere(self, pending: _PendingOrder) -> None:
+        """Withdraw an order from all owners that have it."""
+        shard, number = pending.shard, pending.order.number
         self._withdrawn[number] = shard.service
         if len(self._withdrawn) > MAX_WITHDRAWN:
             del self._withdrawn[next(iter(self._withdrawn))]
-        for link in self._links.values():
+        for link in self._list_links():
             link.withdraw(shard, number)
         if self.find_owner(shard.service, shard.index) == self._address:
             self._owners.get(shard.service, shard.index).withdraw(_SELF, (number,))
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_idle_streams.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_idle_streams.py
@@ -78,7 +78,9 @@
     async def test_a_link_is_checked_only_while_a_result_is_awaited(self) -> None:
         nothing = mock.Mock()
         with mock.patch.object(_owner_link, "start_task", lambda work, _: work.close()):
-            link = OwnerLink("127.0.0.1:1", None, nothing, nothing, nothing, nothing, nothing, 60.0)
+            link = OwnerLink(
+                "127.0.0.1:1", None, nothing, nothing, nothing, nothing, nothing, nothing, 60.0
+            )
         watch = asyncio.create_task(link._watch_for_silence())
         self.addCleanup(watch.cancel)
         await self._settle()
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_links.py
@@ -323,9 +323,9 @@
                 entry = Entry()
                 pools = entry.pools
                 entry.view.put_entries(before)
-                pools._links[self.address] = mock.Mock()
+                link = pools._links[self.address] = mock.Mock(owner=self.address)
                 with mock.patch.object(_owners, "_hash_weight", self._weigh_owner_most):
-                    pools.handle_lost_owner(self.address, (), "the stream ended")
+                    pools.handle_lost_link(link, (), "the stream ended")
                     entry.view.put_entries(after)
                     self.assertEqual(pools.find_owner("pool"), owner or self.address)
 
@@ -336,8 +336,8 @@
         timeouts = []
         for address in addresses:
             timeouts.append(pools._choice.find_silence_seconds())
-            pools._links[address] = mock.Mock()
-            pools.handle_lost_owner(address, (), "the owner sent nothing", True)
+            link = pools._links[address] = mock.Mock(owner=address, stop=mock.AsyncMock())
+            pools.handle_silent_link(link, ())
         self.assertEqual([after / before for before, after in pairwise(timeouts)], [2.0, 2.0, 2.0])
 
     def _weigh_owner_most(self, _service: str, address: str) -> bytes:
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_unreachable_targets.py
@@ -10,8 +10,10 @@
 from dataclasses import replace
 from functools import partial
 from typing import get_args
+from unittest import mock
 
 from damsonlane.targets import TargetRecord
+from damsonlaned.gateway import _pool_service
 from damsonlaned.gateway.tests.fleet import Fleet
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
@@ -20,6 +22,7 @@
     AnswerHandler,
     Entry,
     FakeTarget,
+    Response,
     answer_ok,
     make_piece_handler,
     stream_events,
@@ -40,6 +43,7 @@
     DOCUMENT,
     services=tuple(replace(service, health_path=HEALTH_PATH) for service in DOCUMENT.services),
 )
+ONE_STAGE = "Damsonlane-Pieces: 1,0\r\nDamsonlane-Material-Key: m\r\n"
 ONE_PIECE = "Damsonlane-Pieces: 1,1\r\nDamsonlane-Material-Key: m\r\n"
 
 
@@ -177,6 +181,37 @@
         self.assertTrue(self.fleet.entries[3].reach.is_reached("desk"))
 
 
+class SilentOwnerTest(CutTestCase):
+    """The owner of a pool sends nothing for a while, not even keepalives."""
+
+    async def call_through_silent_owner(self) -> Response:
+        """Return the response to a request whose stage takes 1.5 s at a silent owner."""
+        owner = self.find_owner("pool")
+        with mock.patch.object(_pool_service, "KEEPALIVE_SECONDS", 60.0):
+            return await self.fleet.entries[1 - owner].call(
+                "/staged/a", headers=ONE_STAGE, deadline_ms=4_000
+            )
+
+    async def test_pieces_stay_with_a_silent_owner_where_no_other_entry_reaches_their_targets(
+        self,
+    ) -> None:
+        await self.start_fleet(*make_targets(), *make_pool(1, seconds=1.5))
+        other = 1 - self.find_owner("pool")
+        await self.cut(other, "refuse", "pool")
+        for _ in range(2):
+            self.fleet.entries[other].reach.record_failed("pool", "p0", "connect")
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while self.fleet.entries[other].reach.is_reached("pool"):
+                await asyncio.sleep(0.01)
+        self.assertEqual((await self.call_through_silent_owner()).status, 200)
+
+    async def test_the_result_of_a_silent_owner_counts_where_another_entry_has_the_order_too(
+        self,
+    ) -> None:
+        await self.start_fleet(*make_targets(), *make_pool(1, seconds=1.5))
+        self.assertEqual((await self.call_through_silent_owner()).status, 200)
+
+
 class UnreportedHealthTest(CutTestCase):
     document = DOCUMENT
 
