Calls of stages carry an id that their answers must repeat

Cause: calls to pool targets had no id; whatever came first on a kept connection was taken for the answer to the next call if it had as many pieces.

Change: each call has a random id. An answer with another id is skipped, logged with the target and followed by the next one, three times at most; a connection on which an answer came without an id serves no further call, since a late second answer could not be told from the next one. The same for calls that free results. Weighed and left: the id of a piece's request, which calls of two stages share; closing all connections, which costs a new one for each call at targets that repeat ids.

--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -3,7 +3,7 @@
 import json
 from abc import abstractmethod
 from collections.abc import Mapping
-from dataclasses import fields
+from dataclasses import fields, replace
 from typing import Final
 from urllib.parse import unquote
 
@@ -220,6 +220,11 @@
 
     # JSON bodies.
 
+    def add_request_id(self, request: HttpRequest, request_id: str) -> HttpRequest:
+        """Return a call with an id, which its answer must repeat."""
+        header = (self.headers.request_id.encode(), request_id.encode())
+        return replace(request, headers=(*request.headers, header))
+
     def _make_post(
         self, path: str, value: Mapping[str, object], target: str | None = None
     ) -> HttpRequest:
--- a/packages/damsonlaned/src/damsonlaned/dialects/_interface.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_interface.py
@@ -70,6 +70,10 @@
     def make_release_call(self, handles: Sequence[str]) -> HttpRequest:
         """Return the call that has a pool target release results."""
 
+    @abstractmethod
+    def add_request_id(self, request: HttpRequest, request_id: str) -> HttpRequest:
+        """Return a call with an id, which its answer must repeat."""
+
     @abstractmethod
     def read_result_address(self, handle: str) -> str:
         """Return the address of the pool target that stores a result."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
@@ -1,6 +1,8 @@
 """Calls to the targets of a stage pool: computing pieces and freeing results."""
 
 import asyncio
+import logging
+import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Final, Self
@@ -8,16 +10,28 @@
 from damsonlane.pools import WaitingPiece
 from damsonlane.records import dataclass
 from damsonlane.routes import PoolProperties
-from damsonlaned.dialects import ComputedPiece, Dialect
+from damsonlaned.dialects import ComputedPiece, Dialect, ResponseSignals
 from damsonlaned.gateway._pool_targets import PoolTarget
 from damsonlaned.gateway._target_announcements import TargetAnnouncements
-from damsonlaned.http import ConnectionPool, HttpHead, HttpRequest, IncompleteResponseError
+from damsonlaned.http import (
+    ConnectionPool,
+    HttpExchange,
+    HttpHead,
+    HttpRequest,
+    IncompleteResponseError,
+)
+
+_LOG: Final = logging.getLogger(__name__)
 
 #: Time after which a call is silent, as a multiple of its expected duration: a target may run
 #: several times slower without having failed.
 CALL_TIMEOUT_FACTOR: Final = 2.5
 #: Seconds added to that time, for a call that queues behind another box's.
 CALL_TIMEOUT_SLACK_SECONDS: Final = 0.4
+#: Random bytes in the id of a call.
+CALL_ID_BYTES: Final = 8
+#: Answers to other calls that are skipped on one connection.
+MAX_SKIPPED_ANSWERS: Final = 3
 #: Timeout for a connection, in seconds.
 CONNECT_TIMEOUT_SECONDS: Final = 0.25
 #: Timeout of a call that frees results, in seconds.
@@ -167,13 +181,35 @@
         is_work: bool = True,
     ) -> _Answer:
         """Send a request and return its complete answer."""
+        call_id = secrets.token_hex(CALL_ID_BYTES)
+        request = self._dialect.add_request_id(request, call_id)
         exchange = await connections.send(request, CONNECT_TIMEOUT_SECONDS)
         on_sent()
+        has_id = False
         try:
-            head = await exchange.read_head()
-            signals = self._dialect.read_signals(head)
+            head, signals = await self._read_own_head(exchange, target, call_id)
             self._announcements.record(target.incarnation, signals, is_work=is_work)
             body = await exchange.body.read_all()
+            has_id = signals.request_id == call_id
         finally:
-            exchange.finish()
+            # Without an id a late second answer looks like that of the next call.
+            exchange.finish(may_keep=has_id)
         return _Answer(head=head, body=body)
+
+    async def _read_own_head(
+        self, exchange: HttpExchange, target: PoolTarget, call_id: str
+    ) -> tuple[HttpHead, ResponseSignals]:
+        """Return the head of the answer to a call; skip answers to other calls."""
+        for _ in range(MAX_SKIPPED_ANSWERS + 1):
+            head = await exchange.read_head()
+            signals = self._dialect.read_signals(head)
+            if signals.request_id == call_id:
+                return head, signals
+            if not signals.request_id and (signals.has_not_run or not exchange.is_reused):
+                return head, signals
+            _LOG.warning(
+                "skipped the answer to another call",
+                extra={"target": target.name, "call": call_id, "other": signals.request_id},
+            )
+            await exchange.skip_response()
+        raise IncompleteResponseError("the target sent only answers to other calls")
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -39,7 +39,11 @@
         connection: TargetConnection,
         observer: ConnectionObserver,
         budget: CollectionBudget,
+        *,
+        is_reused: bool,
     ) -> None:
+        #: Whether an earlier request was sent on the same connection.
+        self.is_reused: Final = is_reused
         self._pool: Final = pool
         self._observer: Final = observer
         self._sent_at: Final = asyncio.get_running_loop().time()
@@ -92,10 +96,14 @@
         """Record how many bytes of the response are kept until more of it arrives."""
         self._connection.record_collected(size)
 
-    def finish(self) -> None:
-        """Return the connection to the pool if the response is complete; otherwise close it."""
+    def finish(self, *, may_keep: bool = True) -> None:
+        """Return the connection to the pool if the response is complete; otherwise close it.
+
+        Args:
+            may_keep: whether the connection may be used again.
+        """
         self._connection.charge_to(None)
-        self._pool.release(self._connection, is_complete=self.body.is_complete)
+        self._pool.release(self._connection, is_complete=may_keep and self.body.is_complete)
 
 
 class ConnectionPool:
@@ -151,9 +159,12 @@
             NotSentError: no connection could be opened.
             ConnectionsInUseError: all connections that may be open are in use.
         """
-        connection = self._take_idle() or await self._connect(connect_seconds)
+        idle = self._take_idle()
+        connection = idle or await self._connect(connect_seconds)
         connection.send(request)
-        return HttpExchange(self, connection, self._observer, self._budget)
+        return HttpExchange(
+            self, connection, self._observer, self._budget, is_reused=idle is not None
+        )
 
     def release(self, connection: TargetConnection, *, is_complete: bool) -> None:
         """Keep a connection after a complete response; otherwise close it at once."""
