Results without the id of their call are compared with those of earlier calls

 let a connection serve no further call where a pool target does not repeat the id.

Change: such a connection is kept. An answer is refused, and its connection closed, if one of its results was made for another piece by an earlier call to the target, or if it is no list of as many pieces; the call is made again elsewhere.

A first form refused each known result: test_stages, whose targets give a piece that is made again the same handle, failed.

--- a/packages/damsonlaned/src/damsonlaned/dialects/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/__init__.py
@@ -25,6 +25,7 @@
     Refusal,
     ResponseSignals,
     Restore,
+    ResultCountError,
 )
 
 __all__ = [
@@ -49,5 +50,6 @@
     "ReadDocument",
     "Refusal",
     "Restore",
+    "ResultCountError",
     "dialect",
 ]
--- a/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_header_dialect.py
@@ -26,6 +26,7 @@
     Refusal,
     ResponseSignals,
     Restore,
+    ResultCountError,
 )
 from damsonlaned.http import (
     HeaderList,
@@ -249,7 +250,7 @@
     def _check_count(received: int, expected: int) -> None:
         """Reject a pool reply whose number of pieces is not that of its call."""
         if received != expected:
-            raise BadRequestError(f"the pool reply has {received} pieces instead of {expected}")
+            raise ResultCountError(f"the pool reply has {received} pieces instead of {expected}")
 
     # Headers.
 
--- a/packages/damsonlaned/src/damsonlaned/dialects/_types.py
+++ b/packages/damsonlaned/src/damsonlaned/dialects/_types.py
@@ -17,6 +17,10 @@
     """A request or reply is malformed; the message says how."""
 
 
+class ResultCountError(BadRequestError):
+    """A pool reply has another number of pieces than its call."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class PrefixSegment:
     """A segment of a prompt that other requests may share."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_calls.py
@@ -5,12 +5,19 @@
 import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from functools import partial
 from typing import Final, Self
 
 from damsonlane.pools import WaitingPiece
 from damsonlane.records import dataclass
 from damsonlane.routes import PoolProperties
-from damsonlaned.dialects import ComputedPiece, Dialect, ResponseSignals
+from damsonlaned.dialects import (
+    BadRequestError,
+    ComputedPiece,
+    Dialect,
+    ResponseSignals,
+    ResultCountError,
+)
 from damsonlaned.gateway._pool_targets import PoolTarget
 from damsonlaned.gateway._target_announcements import TargetAnnouncements
 from damsonlaned.http import (
@@ -30,6 +37,8 @@
 CALL_TIMEOUT_SLACK_SECONDS: Final = 0.4
 #: Random bytes in the id of a call.
 CALL_ID_BYTES: Final = 8
+#: Handles of results that are remembered for each target.
+MAX_KNOWN_HANDLES: Final = 256
 #: Answers to other calls that are skipped on one connection.
 MAX_SKIPPED_ANSWERS: Final = 3
 #: Timeout for a connection, in seconds.
@@ -106,6 +115,9 @@
     def __init__(self, dialect: Dialect, announcements: TargetAnnouncements) -> None:
         self._dialect: Final = dialect
         self._announcements: Final = announcements
+        #: Results of the last calls whose answers had no id: request, stage and piece by handle, by
+        #: the name of the target.
+        self._handles: Final[dict[str, dict[str, tuple[str, int, int]]]] = {}
 
     async def compute(
         self,
@@ -143,7 +155,9 @@
         async with asyncio.timeout_at(max(silent_at, deadline_at)) as limit:
             timer = loop.call_at(silent_at, on_silent, limit)
             try:
-                answer = await self._exchange(call.target, connections, request, on_sent)
+                answer = await self._exchange(
+                    call.target, connections, request, partial(self._check_results, call), on_sent
+                )
             finally:
                 timer.cancel()
         if answer.head.status == 200:
@@ -169,32 +183,81 @@
         """
         async with asyncio.timeout(FREE_CALL_TIMEOUT_SECONDS):
             request = self._dialect.make_release_call(handles)
-            await self._exchange(target, connections, request, is_work=False)
+            await self._exchange(target, connections, request, self._check_freed, is_work=False)
+
+    def _check_results(self, call: BatchCall, answer: _Answer, is_reused: bool) -> bool:
+        """Check results without the id of their call, which may be those of an earlier one.
+
+        Returns:
+            Whether the connection may be kept: not if nothing tells a second answer from this one.
+
+        Raises:
+            IncompleteResponseError: they are not those of this call.
+        """
+        if answer.head.status != 200:
+            return False
+        try:
+            computed = self._dialect.read_pool_reply(answer.body, len(call.batch))
+        except BadRequestError as error:
+            raise IncompleteResponseError(f"not the answer to the call: {error}") from None
+        handles = {
+            result.handle: (piece.order.request, piece.order.stage, piece.order.piece)
+            for result, piece in zip(computed, call.batch, strict=True)
+            if result.handle
+        }
+        known = self._handles.setdefault(call.target.name, {})
+        if is_reused and any(known.get(handle, made) != made for handle, made in handles.items()):
+            raise IncompleteResponseError("the results of an earlier call came again")
+        known.update(handles)
+        while len(known) > MAX_KNOWN_HANDLES:
+            del known[next(iter(known))]
+        return bool(handles)
+
+    def _check_freed(self, answer: _Answer, _is_reused: bool) -> bool:
+        """Return whether an answer without an id is no list of results, which came again."""
+        try:
+            self._dialect.read_pool_reply(answer.body, 0)
+        except ResultCountError:
+            return False
+        except BadRequestError:
+            return True
+        return True
 
     async def _exchange(
         self,
         target: PoolTarget,
         connections: ConnectionPool,
         request: HttpRequest,
+        check: Callable[[_Answer, bool], bool],
         on_sent: Callable[[], None] = lambda: None,
         *,
         is_work: bool = True,
     ) -> _Answer:
-        """Send a request and return its complete answer."""
+        """Send a request and return its complete answer.
+
+        Args:
+            target: the target.
+            connections: connections to it.
+            request: the request.
+            check: is given an answer without an id, and whether its connection served other calls;
+                returns whether the connection may be kept, or raises IncompleteResponseError.
+            on_sent: called once the complete call was sent.
+            is_work: whether the call computes pieces.
+        """
         call_id = secrets.token_hex(CALL_ID_BYTES)
         request = self._dialect.add_request_id(request, call_id)
         exchange = await connections.send(request, CONNECT_TIMEOUT_SECONDS)
         on_sent()
-        has_id = False
+        may_keep = False
         try:
             head, signals = await self._read_own_head(exchange, target, call_id)
             self._announcements.record(target.incarnation, signals, is_work=is_work)
             body = await exchange.body.read_all()
-            has_id = signals.request_id == call_id
+            answer = _Answer(head=head, body=body)
+            may_keep = signals.request_id == call_id or check(answer, exchange.is_reused)
         finally:
-            # Without an id a late second answer looks like that of the next call.
-            exchange.finish(may_keep=has_id)
-        return _Answer(head=head, body=body)
+            exchange.finish(may_keep=may_keep)
+        return answer
 
     async def _read_own_head(
         self, exchange: HttpExchange, target: PoolTarget, call_id: str
@@ -205,7 +268,7 @@
             signals = self._dialect.read_signals(head)
             if signals.request_id == call_id:
                 return head, signals
-            if not signals.request_id and (signals.has_not_run or not exchange.is_reused):
+            if not signals.request_id:
                 return head, signals
             _LOG.warning(
                 "skipped the answer to another call",
