A stopping entry ends only once its responses have left it

Cause: a request counted as done once its response was queued, and a connection that is to close was forgotten while its bytes were still sent; the process ended with what its buffers held. The same for requests that another entry has passed on, whose last parts were not sent yet.

Change: connections count as busy while they have unsent bytes, and are forgotten when they are lost. The entry also waits for the responses of requests passed on to it. The grace time and a client that leaves end the wait as before; the log line `drained` has the connections that were cut with unsent bytes. What is kept for slow readers is bounded as before (buffers.md).

test_a_response_that_its_caller_still_reads_is_in_progress, red before for kept connections and for those that close (0 busy instead of 1).

--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -269,10 +269,13 @@
                 is_refusing
                 and self._caller_service.in_flight() == 0
                 and self._listener.count_busy() == 0
+                and self._relay_service.count_active() == 0
             ):
                 break
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-        _LOG.info("drained", extra={"cut": self._caller_service.in_flight()})
+        cut = self._caller_service.in_flight()
+        unsent = self._listener.count_busy() - cut
+        _LOG.info("drained", extra={"cut": cut, "unsent": max(0, unsent)})
         await self._listener.stop()
         await self._ready_listener.stop()
         await self._control_follower.stop()
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -90,8 +90,13 @@
         except TimeoutError:
             self._stream.close()
         finally:
+            await self._stream.wait_lost()
             self._listener.forget(self)
 
+    def is_busy(self) -> bool:
+        """Return whether a request is in progress or its response has not left this process."""
+        return not self.is_idle or self._stream.count_unsent() > 0
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if self.is_idle and not self._stream.has_unread():
@@ -308,8 +313,8 @@
         return sum(1 for connection in self._connections if not connection.has_begun)
 
     def count_busy(self) -> int:
-        """Return the number of connections with a request in progress."""
-        return sum(1 for connection in self._connections if not connection.is_idle)
+        """Return the number of connections with a request in progress or a response to send."""
+        return sum(1 for connection in self._connections if connection.is_busy())
 
     def forget(self, connection: _Connection) -> None:
         """Remove a closed connection."""
--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -36,6 +36,7 @@
         self._has_received_eof = False
         self._error: Exception | None = None
         self._is_lost = False
+        self._lost: Final = asyncio.Event()
         self._reader: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
         self._may_write = True
@@ -82,6 +83,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is lost."""
         self._is_lost = True
+        self._lost.set()
         if self._meter is not None and self._meter.caller is self:
             self._meter.close()
         if not self._has_received_eof:
@@ -177,6 +179,11 @@
         if self._transport is not None and not self._is_lost:
             self._transport.close()
 
+    async def wait_lost(self) -> None:
+        """Wait until the connection is lost; a closed one is once all that was queued is sent."""
+        if self._transport is not None:
+            await self._lost.wait()
+
     def abort(self) -> None:
         """Close at once."""
         if self._transport is not None and not self._is_lost:
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
@@ -18,6 +18,9 @@
 #: Time-out of a test, in seconds; nothing is expected to take that long.
 TEST_TIMEOUT_SECONDS = 20.0
 
+#: A body that no buffer of the kernel holds.
+LARGE_BODY = b"x" * 32_000_000
+
 Handler = Callable[[HttpRequest, ResponseWriter], Awaitable[None]]
 
 
@@ -225,6 +228,30 @@
             release.set()
             self.assertIn(b"200", await busy.readline())
 
+    async def test_a_response_that_its_caller_still_reads_is_in_progress(self) -> None:
+        """Guards against a process that ends before its responses have left it."""
+        is_done = asyncio.Event()
+
+        async def answer(request: HttpRequest, writer: ResponseWriter) -> None:
+            writer.send_response(HttpResponse(status=200, body=LARGE_BODY))
+            is_done.set()
+
+        for sent in (GET, GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")):
+            with self.subTest(sent):
+                listener = await self.start(answer)
+                reader, writer = await self.connect(listener)
+                writer.write(sent)
+                async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                    await is_done.wait()
+                    await asyncio.sleep(0.05)
+                    self.assertEqual(listener.count_busy(), 1)
+                    listener.close_idle()
+                    data = await reader.read()
+                    self.assertTrue(data.endswith(LARGE_BODY))
+                    writer.close()
+                    while listener.count_busy() or listener.count_open():
+                        await asyncio.sleep(0.01)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/relay/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_service.py
@@ -36,6 +36,11 @@
     def __init__(self, serve: ServeRelayed, reach: ReachMonitor) -> None:
         self._serve: Final = serve
         self._reach: Final = reach
+        self._active = 0
+
+    def count_active(self) -> int:
+        """Return the number of requests whose responses the other entries don't have yet."""
+        return self._active
 
     def handlers(self) -> Mapping[str, Handler]:
         """Return the handlers of the calls from other entries."""
@@ -53,6 +58,15 @@
         message = await stream.recv_message()
         if message is None:
             return
+        self._active += 1
+        try:
+            await self._serve_relayed(stream, message)
+        finally:
+            self._active -= 1
+
+    async def _serve_relayed(
+        self, stream: Stream[RelayRequest, RelayPart], message: RelayRequest
+    ) -> None:
         writer = RelayWriter()
         push_task = asyncio.create_task(writer.push(stream))
         try:
