--- a/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
@@ -9,7 +9,6 @@
 from damsonlane.connections import CONNECTION_SHARE
 from damsonlane.routes import Service
 from damsonlane.routing import _table
-from damsonlaned.gateway import _target_wait
 from damsonlaned.gateway.tests.fleet import Fleet
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
@@ -22,6 +21,7 @@
 )
 from damsonlaned.gateway.tests.test_links import wait_until
 from damsonlaned.http import HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.requests import _target_wait
 
 ENTRY_COUNT = 12
 MOST_CONNECTIONS = 50
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -16,7 +16,6 @@
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._exit_detector import ExitDetector
-from damsonlaned.gateway._request_handler import RequestHandler
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.http import HttpRequest, HttpResponse, ListenerLimits, ResponseSink
@@ -24,6 +23,7 @@
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine
 from damsonlaned.relay import Relay, RelayedRequest
+from damsonlaned.requests import RequestHandler
 from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_endless_responses.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_endless_responses.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 from damsonlane.reach import ProbeResult
-from damsonlaned.gateway._events import EventSplitter
 from damsonlaned.gateway.tests.endless_target import (
     ENDLESS_BODIES,
     ENDLESS_EVENTS,
@@ -26,6 +25,7 @@
 )
 from damsonlaned.http import CollectionBudget
 from damsonlaned.relay._probe import probe_target
+from damsonlaned.requests._events import EventSplitter
 
 #: Headers of a request with two stages.
 _STAGE_HEADERS: Final = "Damsonlane-Pieces: 1,1\r\nDamsonlane-Material-Key: m\r\n"
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_request_times.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_request_times.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from damsonlaned.gateway._request_times import RequestTimes
+from damsonlaned.requests._request_times import RequestTimes
 
 
 class RequestTimesTest(unittest.IsolatedAsyncioTestCase):
--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -15,9 +15,9 @@
 from damsonlaned.relay._reach_monitor import ReachMonitor
 
 if TYPE_CHECKING:
-    from damsonlaned.gateway._attempt_history import AttemptHistory
     from damsonlaned.gateway._call import Call
-    from damsonlaned.gateway._final_response import FinalResponse
+    from damsonlaned.requests._attempt_history import AttemptHistory
+    from damsonlaned.requests._final_response import FinalResponse
 
 #: Times that one request is passed on: again if the first entry is lost.
 MAX_RELAYS: Final = 2
--- a/packages/damsonlaned/src/damsonlaned/gateway/_failure_responder.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_failure_responder.py
@@ -4,11 +4,11 @@
 
 from damsonlane.quarantine import QuarantinedRequest
 from damsonlaned.dialects import Refusal
-from damsonlaned.gateway._attempt_history import AttemptHistory
-from damsonlaned.gateway._failed_attempt import FailedAttempt
-from damsonlaned.gateway._final_response import FinalResponse
 from damsonlaned.gateway._stage_runner import StageError
 from damsonlaned.quarantine import describe_quarantined, find_retry_seconds
+from damsonlaned.requests._attempt_history import AttemptHistory
+from damsonlaned.requests._failed_attempt import FailedAttempt
+from damsonlaned.requests._final_response import FinalResponse
 
 #: Least Retry-After of a request that failed at all targets without having run, in seconds.
 MIN_RETRY_AFTER_SECONDS: Final = 0.5
--- a/packages/damsonlaned/src/damsonlaned/gateway/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
@@ -13,28 +13,14 @@
 from damsonlane.versions import StreamOrigin
 from damsonlaned.attempts import AttemptSequence, AttemptTurn
 from damsonlaned.dialects import Dialect
-from damsonlaned.gateway._attempt_history import AttemptHistory
 from damsonlaned.gateway._attempts import Attempts, OpenedExchange
 from damsonlaned.gateway._call import Call
-from damsonlaned.gateway._events import (
-    BlankEventLimit,
-    BlankStreamError,
-    Event,
-    EventSplitter,
-    EventTooLargeError,
-    read_in_turn,
-)
 from damsonlaned.gateway._exit_detector import ExitDetector
-from damsonlaned.gateway._failed_attempt import FailedAttempt, find_failure, make_relay_failure
-from damsonlaned.gateway._failure_responder import FailureResponder
-from damsonlaned.gateway._final_response import FinalResponse
 from damsonlaned.gateway._input_read_timer import InputReadTimer
 from damsonlaned.gateway._limited_targets import NoTarget
-from damsonlaned.gateway._request_times import RequestTimes
 from damsonlaned.gateway._stage_attempt import StageResults
 from damsonlaned.gateway._stage_runner import StageError, StageRunner
 from damsonlaned.gateway._target_selector import ChosenTarget
-from damsonlaned.gateway._target_wait import TargetWait, make_no_target_failure
 from damsonlaned.http import (
     CallerDisconnectedError,
     ConnectionsInUseError,
@@ -46,6 +32,20 @@
 from damsonlaned.lateness import LateRequests
 from damsonlaned.quarantine import LostTarget, Quarantine, RequestQuarantine
 from damsonlaned.relay import Relay, RequestRelay
+from damsonlaned.requests._attempt_history import AttemptHistory
+from damsonlaned.requests._events import (
+    BlankEventLimit,
+    BlankStreamError,
+    Event,
+    EventSplitter,
+    EventTooLargeError,
+    read_in_turn,
+)
+from damsonlaned.requests._failed_attempt import FailedAttempt, find_failure, make_relay_failure
+from damsonlaned.requests._failure_responder import FailureResponder
+from damsonlaned.requests._final_response import FinalResponse
+from damsonlaned.requests._request_times import RequestTimes
+from damsonlaned.requests._target_wait import TargetWait, make_no_target_failure
 from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_target_wait.py
@@ -4,18 +4,18 @@
 import logging
 from typing import Final
 
-from damsonlaned.gateway._attempt_history import AttemptHistory
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._call import Call
-from damsonlaned.gateway._failed_attempt import FailedAttempt
-from damsonlaned.gateway._failure_responder import FailureResponder
-from damsonlaned.gateway._final_response import FinalResponse
 from damsonlaned.gateway._limited_targets import MIN_PERMIT_INTERVAL_SECONDS, NoTarget
 from damsonlaned.gateway._stage_attempt import StageResults
 from damsonlaned.gateway._stage_runner import StageRunner
 from damsonlaned.gateway._target_selector import ChosenTarget
 from damsonlaned.lateness import LateRequests
 from damsonlaned.quarantine import RequestQuarantine
+from damsonlaned.requests._attempt_history import AttemptHistory
+from damsonlaned.requests._failed_attempt import FailedAttempt
+from damsonlaned.requests._failure_responder import FailureResponder
+from damsonlaned.requests._final_response import FinalResponse
 from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
