One attempt at one target is a class of its own

The id of the caller's last event is part of the history of attempts, which passing on reads as well.

--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -129,15 +129,11 @@
         self._is_comparison = self._relay.reach.is_suspect(service)
         return self._is_comparison
 
-    async def run(
-        self, last_event: str | None, turn: AttemptTurn, on_event: Callable[[str], None]
-    ) -> RelayFailure | None:
+    async def run(self, turn: AttemptTurn) -> RelayFailure | None:
         """Pass the request on; return None once the response is complete.
 
         Args:
-            last_event: id of the last event that its caller has, or None.
             turn: is told of silences, and decides when a part may be forwarded.
-            on_event: called with the id of each event that its caller gets.
         """
         self._count += 1
         self._is_comparison = False
@@ -150,7 +146,7 @@
             version=call.table.version,
             elapsed_seconds=asyncio.get_running_loop().time() - call.arrived_at + TRANSIT_SECONDS,
             is_resumed=self._response.has_started(),
-            last_event_id=last_event,
+            last_event_id=self._history.last_event,
             origin=self._history.origin,
             earlier_runs=earlier_runs,
         )
@@ -160,7 +156,7 @@
             self._response,
             self._split,
             turn,
-            on_event,
+            self._history,
             may_have_run=earlier_runs > 0,
         )
         failure = await self._relay.client.serve(
@@ -198,7 +194,7 @@
         response: "FinalResponse",
         split: Callable[[bytes], Iterable[Event]],
         turn: AttemptTurn,
-        on_event: Callable[[str], None],
+        history: "AttemptHistory",
         *,
         may_have_run: bool,
     ) -> None:
@@ -208,7 +204,7 @@
         self._response: Final = response
         self._split: Final = split
         self._turn: Final = turn
-        self._on_event: Final = on_event
+        self._history: Final = history
         #: Why the response is of no use to the caller, or an empty string.
         self.fault = ""
 
@@ -227,7 +223,7 @@
             for event in self._split(decode_body(part.body)):
                 await self._response.send(event.data)
                 if event.event_id:
-                    self._on_event(event.event_id)
+                    self._history.last_event = event.event_id
         if part.is_last:
             self._response.finish()
 
--- a/packages/damsonlaned/src/damsonlaned/requests/_attempt_history.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_attempt_history.py
@@ -38,6 +38,8 @@
         self._throttled = 0
         #: Where the stream began that further attempts go on with; None before the first event.
         self.origin: StreamOrigin | None = call.origin
+        #: Id of the last event that the caller has; None if there is none.
+        self.last_event: str | None = call.last_event_id
         #: Attempts so far.
         self.attempt_count = 0
         #: Names of the targets that it was sent to.
--- a/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
@@ -1,59 +1,42 @@
 """Handle one request: its stages, the attempts at targets, and the final response."""
 
 import asyncio
-import itertools
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 from typing import Final
 
 from damsonlane.quarantine import QuarantinedRequest, RequestCauses
-from damsonlane.routing import HealthSignal
-from damsonlane.versions import StreamOrigin
 from damsonlaned.attempts import AttemptSequence, AttemptTurn
 from damsonlaned.dialects import Dialect
-from damsonlaned.gateway._attempts import Attempts, OpenedExchange
+from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._exit_detector import ExitDetector
-from damsonlaned.gateway._input_read_timer import InputReadTimer
 from damsonlaned.gateway._limited_targets import NoTarget
-from damsonlaned.gateway._stage_attempt import StageResults
 from damsonlaned.gateway._stage_runner import StageError, StageRunner
-from damsonlaned.gateway._target_selector import ChosenTarget
 from damsonlaned.http import (
     CallerDisconnectedError,
-    ConnectionsInUseError,
-    HttpResponse,
-    IncompleteResponseError,
-    NotSentError,
     ResponseSink,
 )
 from damsonlaned.lateness import LateRequests
-from damsonlaned.quarantine import LostTarget, Quarantine, RequestQuarantine
+from damsonlaned.quarantine import Quarantine, RequestQuarantine
 from damsonlaned.relay import Relay, RequestRelay
 from damsonlaned.requests._attempt_history import AttemptHistory
 from damsonlaned.requests._events import (
-    BlankEventLimit,
-    BlankStreamError,
-    Event,
     EventSplitter,
-    EventTooLargeError,
-    read_in_turn,
 )
-from damsonlaned.requests._failed_attempt import FailedAttempt, find_failure, make_relay_failure
+from damsonlaned.requests._failed_attempt import FailedAttempt, make_relay_failure
 from damsonlaned.requests._failure_responder import FailureResponder
 from damsonlaned.requests._final_response import FinalResponse
+from damsonlaned.requests._request_parts import HeldResults, RequestParts
 from damsonlaned.requests._request_times import RequestTimes
+from damsonlaned.requests._target_attempt import TargetAttempt
 from damsonlaned.requests._target_wait import TargetWait, make_no_target_failure
 from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Seconds from the head of a stream after which an event of it shows that what the request shares
-#: with others does not make the target exit: that happens as it begins to write.
-WRITING_SECONDS: Final = 1.0
-
 
 class RequestHandler:
     """Serves one request until its final response is sent.
@@ -91,20 +74,15 @@
         self._call: Final = call
         self._attempts: Final = attempts
         self._stages: Final = stages
-        self._exit_detector: Final = exit_detector
         self._quarantine: Final = _make_quarantine(quarantine, call, attempts)
         self._sequence: Final = AttemptSequence[FailedAttempt](
             self._may_replace, self._replace_once, self._record_failure
         )
-        #: Whether it was recorded that the target has been writing for a while.
-        self._is_writing_recorded = False
         #: Why the request was stopped while a target had it; None if it was not.
         self._stopped_by: QuarantinedRequest | None = None
         self._late_requests: Final = late_requests
         self._count_entries: Final = count_entries
-        #: Results of the stages; None until they are computed and after they are released.
-        self._results: StageResults | None = None
-        self._last_event: str | None = call.last_event_id
+        self._results: Final = HeldResults(stages)
         self._times: Final = RequestTimes(call.arrived_at)
         self._history: Final = AttemptHistory(call)
         self._response: Final = FinalResponse(call.request.request_id, writer, dialect)
@@ -112,6 +90,20 @@
         self._relay: Final = RequestRelay(
             relay, call, self._history, self._response, EventSplitter().feed
         )
+        self._parts: Final = RequestParts(
+            call=call,
+            attempts=attempts,
+            stages=stages,
+            results=self._results,
+            history=self._history,
+            times=self._times,
+            response=self._response,
+            quarantine=self._quarantine,
+            relay=self._relay,
+            origins=origins,
+            exit_detector=exit_detector,
+            late_requests=late_requests,
+        )
         self._target_wait: Final = TargetWait(
             call,
             attempts,
@@ -147,7 +139,7 @@
         except CallerDisconnectedError:
             self._response.outcome = "caller-gone"
         finally:
-            self._release_results()
+            self._results.release()
             self._log_outcome()
 
     # Quarantine.
@@ -212,7 +204,7 @@
         """End the request if it may not be sent now; return whether it ended."""
         await self._quarantine.wait_until_confirmed()
         return self._end_if_quarantined() or await self._target_wait.end_if_unavailable(
-            self._results
+            self._results.value
         )
 
     def _record_failure(self, failure: FailedAttempt) -> None:
@@ -220,15 +212,15 @@
             may_have_run=failure.may_have_run, is_throttled=failure.is_throttled
         )
         if failure.needs_inputs:
-            self._release_results()
+            self._results.release()
 
     async def _attempt_once(self, turn: AttemptTurn) -> FailedAttempt | None:
         """Send the request to one target; return None once the response is complete."""
-        if self._results is None:
+        if self._results.value is None:
             is_begun = self._response.has_started()
-            self._results = await self._stages.run(self._call, is_begun=is_begun)
+            self._results.value = await self._stages.run(self._call, is_begun=is_begun)
             self._times.record_staged()
-        chosen = await self._target_wait.find_target(self._results)
+        chosen = await self._target_wait.find_target(self._results.value)
         if isinstance(chosen, NoTarget):
             no_target = make_no_target_failure(chosen)
             self._log_failure(no_target)
@@ -238,43 +230,17 @@
             return denied
         if self._history.attempt_count == 0:
             self._attempts.count_first(self._call)
-        self._history.record_attempt(chosen.target)
-        self._times.record_sent()
-        if not self._quarantine.may_copy(chosen.source_address, chosen.version):
-            chosen = replace(chosen, source_address="")
-        self._begin_at(chosen)
-        turn.on_resumed = partial(self._resume_at, chosen, self._times.age())
-        turn.on_given_up = partial(self._record_given_up, chosen, self._times.age())
-        self._is_writing_recorded = False
-        try:
-            failure = await self._send(chosen, turn)
-            if failure is not None:
-                self._log_failure(failure, chosen)
-                await self._report_loss(failure, chosen)
-                if turn.is_replacement and not failure.was_sent:
-                    self._attempts.return_retry(self._call)
-            return failure
-        finally:
-            if not turn.is_given_up:
-                self._history.record_end()
-                self._quarantine.end_attempt()
-
-    def _begin_at(self, chosen: ChosenTarget) -> None:
-        self._quarantine.begin_attempt(chosen.version, chosen.source_address)
-
-    def _resume_at(self, chosen: ChosenTarget, sent_age: float) -> None:
-        self._begin_at(chosen)
-        self._times.record_sent(sent_age)
+        return await TargetAttempt(self._parts, chosen, turn).run()
 
     async def _relay_once(self, turn: AttemptTurn) -> FailedAttempt | None:
         """Have another entry serve the request; return None once the response is complete."""
         if not turn.is_replacement:
-            self._release_results()
+            self._results.release()
         elif (denied := self._find_denial(turn)) is not None:
             return denied
         turn.on_given_up = self._record_given_up_relay
         try:
-            failed = await self._relay.run(self._last_event, turn, self._record_last_event)
+            failed = await self._relay.run(turn)
         finally:
             if not turn.is_given_up:
                 self._history.record_end()
@@ -292,14 +258,6 @@
                 return replace(failure, has_no_target=True)
         return failure
 
-    async def _report_loss(self, failure: FailedAttempt, chosen: ChosenTarget) -> None:
-        """Report a lost response, since the target may have exited under the request."""
-        if not failure.is_lost:
-            return
-        runs = (self._quarantine.make_run(self._times.seconds_since_sent()),)
-        if await self._exit_detector.report_broken(LostTarget.of(chosen.incarnation), runs):
-            await self._quarantine.wait_until_reported()
-
     # Attempts beside a silent one.
 
     def _may_replace(self) -> bool:
@@ -342,19 +300,6 @@
             return _make_denial("the silent target goes on")
         return None if self._spend_retry() else _make_denial("the retry budget is exhausted")
 
-    def _record_given_up(self, chosen: ChosenTarget, sent_age: float) -> None:
-        """Record that a silent target is given up for another one."""
-        if chosen.placed is not None:
-            chosen.placed.report_read(None)
-        failure = FailedAttempt(detail="the target fell silent", may_have_run=True)
-        self._log_failure(failure, chosen)
-        self._history.record_end()
-        self._record_failure(failure)
-        run = self._quarantine.make_run_at(
-            chosen.version, chosen.source_address, self._times.age() - sent_age
-        )
-        self._exit_detector.report_silent(LostTarget.of(chosen.incarnation), (run,))
-
     def _record_given_up_relay(self) -> None:
         """Record that a silent entry is given up for another one, or for a target."""
         failure = FailedAttempt(detail="the other entry fell silent", may_have_run=True)
@@ -362,57 +307,6 @@
         self._history.record_end()
         self._record_failure(failure)
 
-    # One target.
-
-    async def _send(self, chosen: ChosenTarget, turn: AttemptTurn) -> FailedAttempt | None:
-        try:
-            opened = await self._open(chosen, turn)
-        except NotSentError as error:
-            return FailedAttempt(detail=str(error), may_have_run=False, was_sent=False)
-        except IncompleteResponseError as error:
-            return FailedAttempt(detail=str(error), may_have_run=True, is_lost=True)
-        opened.exchange.charge_to(self._response.meter)
-        if opened.signals.is_stream and opened.head.status == 200:
-            turn.replace()
-            return await self._forward_stream(opened, turn)
-        return await self._forward_whole(opened, turn)
-
-    async def _open(self, chosen: ChosenTarget, turn: AttemptTurn) -> OpenedExchange:
-        """Send the request and wait for the head of the response.
-
-        Raises:
-            NotSentError: the request was not sent.
-            IncompleteResponseError: it was sent and the connection broke before a response.
-        """
-        inputs = self._results.inputs if self._results is not None else ()
-        read_timer = InputReadTimer(self._release_read_results)
-
-        def record_sent() -> None:
-            read_timer.start()
-            turn.record_sent()
-
-        on_silent = partial(self._attempts.record_silent, chosen)
-        try:
-            with (
-                turn.expect(self._history.response_timeout_seconds, on_silent),
-                self._relay.watch(turn.report_silent),
-            ):
-                return await self._attempts.open(
-                    self._call, chosen, inputs, self._last_event, record_sent
-                )
-        except ConnectionsInUseError:
-            self._attempts.finish_unopened(chosen, "neutral")
-            raise
-        except (NotSentError, IncompleteResponseError):
-            self._attempts.finish_unopened(chosen, "bad")
-            raise
-        except BaseException:
-            # The caller disconnected or the deadline passed: not a failure of the target.
-            self._attempts.finish_unopened(chosen, "neutral")
-            raise
-        finally:
-            read_timer.cancel()
-
     async def _may_continue(self, failure: FailedAttempt) -> bool:
         """Return whether the request may be passed on or retried after a failed attempt."""
         may_have_run = self._history.may_have_run
@@ -426,146 +320,10 @@
     def _spend_retry(self) -> bool:
         return self._attempts.try_spend_retry(self._call, self._count_entries())
 
-    # Whole responses.
-
-    async def _forward_whole(
-        self, opened: OpenedExchange, turn: AttemptTurn
-    ) -> FailedAttempt | None:
-        health: HealthSignal = "neutral"
-        try:
-            body = await opened.exchange.body.read_all()
-            health = "good" if opened.head.status < 500 else "bad"
-        except IncompleteResponseError as error:
-            health = "bad"
-            has_run = not opened.signals.has_not_run
-            return FailedAttempt(detail=str(error), may_have_run=has_run, is_lost=True)
-        finally:
-            self._attempts.finish(opened, health)
-        head = opened.head
-        response = HttpResponse(status=head.status, headers=head.headers, body=body)
-        failure = find_failure(opened.signals, response, has_started=self._response.has_started())
-        await turn.wait()
-        if failure is None:
-            turn.replace()
-            self._release_results()
-            self._response.send_response(response)
-            if response.status < 300:
-                self._quarantine.record_served()
-                if self._call.service.engine is None:
-                    self._record_duration(self._times.seconds_since_sent())
-        return failure
-
-    # Event streams.
-
-    async def _forward_stream(
-        self, opened: OpenedExchange, turn: AttemptTurn
-    ) -> FailedAttempt | None:
-        """Forward each complete event as it arrives; return None once the stream is complete."""
-        splitter, blank_limit = EventSplitter(), BlankEventLimit()
-        health: HealthSignal = "neutral"
-        on_silent = partial(self._attempts.record_silent, opened.chosen)
-        parts = opened.exchange.body.iter_parts()
-        try:
-            async for data in read_in_turn(parts, turn, self._pause_seconds, on_silent):
-                events = splitter.feed(data)
-                if blank_limit.count(events):
-                    opened.exchange.body.record_progress()
-                await self._forward_events(opened, events)
-                opened.exchange.record_collected(splitter.pending_bytes)
-            if splitter.pending_bytes:
-                raise IncompleteResponseError("the stream ended inside an event")
-            if not self._response.has_started():
-                self._response.start(opened.head)
-            self._response.finish()
-            if self._history.attempt_count == 1:
-                self._record_duration(self._times.seconds_since_first_event())
-            self._quarantine.record_served()
-            health = "good"
-            return None
-        except (IncompleteResponseError, EventTooLargeError, BlankStreamError) as error:
-            health = "bad"
-            return FailedAttempt(detail=str(error), may_have_run=True, is_lost=True)
-        finally:
-            self._attempts.finish(opened, health)
-
-    def _pause_seconds(self) -> float:
-        return self._history.pause_seconds(has_started=self._response.has_started())
-
-    def _record_last_event(self, event_id: str) -> None:
-        self._last_event = event_id
-
-    async def _forward_events(self, opened: OpenedExchange, events: Sequence[Event]) -> None:
-        """Forward events that arrived together; blank ones begin no response."""
-        if not self._response.has_started():
-            events = tuple(itertools.dropwhile(lambda event: event.is_blank, events))
-        if not events:
-            return
-        # An event shows that the target has read its inputs, and that it is not silent any more.
-        self._release_results()
-        if not self._response.has_started():
-            self._record_origin(opened)
-            self._response.start(opened.head)
-            seconds = self._times.record_first_event()
-            if opened.chosen.placed is not None:
-                opened.chosen.placed.report_read(
-                    self._times.seconds_since_sent(), opened.slowness, opened.head_at
-                )
-            if self._history.attempt_count == 1:
-                self._stages.record_first_event(self._call, seconds)
-        self._times.record_event()
-        self._record_writing(opened)
-        await self._response.send(b"".join(event.data for event in events))
-        for event in events:
-            if event.event_id is not None:
-                self._last_event = event.event_id
-
-    def _record_writing(self, opened: OpenedExchange) -> None:
-        """Record that the target has been writing for a while, if it has."""
-        is_long = asyncio.get_running_loop().time() - opened.head_at >= WRITING_SECONDS
-        if is_long and not self._is_writing_recorded:
-            self._is_writing_recorded = True
-            self._quarantine.record_writing()
-
-    def _record_origin(self, opened: OpenedExchange) -> None:
-        """Record where the stream began, before its caller has an event of it."""
-        chosen = opened.chosen
-        origin = StreamOrigin(
-            attempt=self._call.first_attempt,
-            service=chosen.service,
-            version=chosen.version,
-            weights=chosen.find_weights(self._call.request.model),
-        )
-        self._history.origin = origin
-        if self._call.route.is_resumable:
-            self._origins.record(origin)
-
-    def _record_duration(self, seconds: float) -> None:
-        """Record the duration of a complete answer, from which others are forecast."""
-        tokens = self._call.request.max_output_tokens
-        self._late_requests.record_duration(self._call.route.name, tokens, seconds)
-
-    # Results of stages, and the log.
+    # The log.
 
-    def _release_read_results(self) -> None:
-        """Release the inputs that the target has read, if pieces wait for result memory.
-
-        Otherwise they are kept until the first event, since a retry at another target needs
-        them.
-        """
-        if self._results is not None and self._stages.has_memory_contention(self._results):
-            self._release_results()
-
-    def _release_results(self) -> None:
-        if self._results is not None:
-            results, self._results = self._results, None
-            self._stages.free(results)
-
-    def _log_failure(self, failure: FailedAttempt, chosen: ChosenTarget | None = None) -> None:
-        fields = {
-            "target": chosen.target if chosen is not None else "",
-            "reason": failure.detail,
-            "may_have_run": failure.may_have_run,
-        }
+    def _log_failure(self, failure: FailedAttempt) -> None:
+        fields = {"target": "", "reason": failure.detail, "may_have_run": failure.may_have_run}
         _LOG.info("attempt failed", extra={**self._call.log_fields(), **fields})
 
     def _log_outcome(self) -> None:
@@ -584,7 +342,7 @@
                 "pause_aim_seconds": call.route.pause_seconds,
                 **self._times.log_fields(),
                 "offers": self._history.attempt_count,
-                "last_event": self._last_event,
+                "last_event": self._history.last_event,
             },
         )
 
