--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -22,6 +22,7 @@
     RATE_LIMIT_KINDS,
     REJECTION_KINDS,
     REPLACEMENT_KINDS,
+    SILENCE_KINDS,
     SURGE_KINDS,
     FleetSize,
     Parts,
@@ -155,6 +156,7 @@
                 *CUT_KINDS,
                 *REJECTION_KINDS,
                 *REPLACEMENT_KINDS,
+                *SILENCE_KINDS,
             },
         )
         overlapping = sum(
