Boxes that are silent about the path to targets are asked again

Callers saw: 503 at an entry that is cut off from its targets, where other entries reach them.

Cause: an entry that doubts its path asks others whether they reach the targets. One that did not answer within 0.7 s counted like one that does not reach them either, so the check ended, its result was dismissed for one to four seconds, and requests in this time were refused rather than passed on.

The log of each: "no answer about the path to targets" from both entries, then "path to targets checked", reached_by empty, 0.7 s after the first failure.

Change: a reply and none are told apart; those that gave none are asked again, in three rounds at most, as before; the log line of the check names them. After three silent rounds the result is dismissed as before.

--- a/packages/damsonlaned/src/damsonlaned/relay/_path_prober.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_path_prober.py
@@ -29,8 +29,8 @@
 
     #: Results of this box, by target.
     own: Mapping[str, ProbeResult]
-    #: Addresses of the other boxes.
-    asked: tuple[str, ...]
+    #: Addresses of the other boxes that did not answer in time.
+    silent: tuple[str, ...]
     #: Addresses of those that got further than this one.
     reached_by: tuple[str, ...]
     #: Addresses of further boxes that reach the service, by the word of those that were asked.
@@ -69,16 +69,19 @@
             self.probe(health_path, records, is_fresh=True),
             asyncio.gather(*(self._ask(address, query) for address in asked)),
         )
-        better = tuple(
-            address
+        answers = {
+            address: reply
             for address, reply in zip(asked, replies, strict=True)
-            if is_reached_better(reply.results, own)
+            if reply is not None
+        }
+        better = tuple(
+            address for address, reply in answers.items() if is_reached_better(reply.results, own)
         )
         return Comparison(
             own=own,
-            asked=tuple(asked),
+            silent=tuple(address for address in asked if address not in answers),
             reached_by=better,
-            hints=tuple(address for reply in replies for address in reply.reached_by),
+            hints=tuple(address for reply in answers.values() for address in reply.reached_by),
         )
 
     async def stop(self) -> None:
@@ -90,8 +93,8 @@
         for channel in self._channels.values():
             channel.close()
 
-    async def _ask(self, address: str, query: ReachQuery) -> ReachReply:
-        """Return the reply of another box; an empty one if it does not answer."""
+    async def _ask(self, address: str, query: ReachQuery) -> ReachReply | None:
+        """Return the reply of another box; None if it does not answer in time."""
         channel = self._channels.get(address)
         if channel is None:
             channel = self._channels[address] = open_channel(address, self._context)
@@ -101,7 +104,7 @@
             self._channels.pop(address, channel).close()
             fields = {"address": address, "fault": str(error) or type(error).__name__}
             _LOG.info("no answer about the path to targets", extra=fields)
-            return ReachReply(results={})
+            return None
 
     async def probe(
         self, health_path: str, records: Sequence[TargetRecord], *, is_fresh: bool = False
--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -305,22 +305,26 @@
             reach.dismiss(self._list_names(service), self._now())
             return
         asked: list[str] = []
+        silent: tuple[str, ...] = ()
         reached_by: tuple[str, ...] = ()
         own: Mapping[str, ProbeResult] = {}
         hints: tuple[str, ...] = ()
         for _ in range(MAX_ROUNDS):
-            drawn = self._draw_asked(service, hints, asked)
+            # A box that did not answer in time may reach the targets all the same.
+            drawn = self._draw_asked(service, hints, asked) or silent
             if not drawn or reached_by:
                 break
             path = self._find_health_path(service)
             comparison = await self._prober.compare(service, path, records, drawn)
             asked += drawn
             own, reached_by, hints = comparison.own, comparison.reached_by, comparison.hints
+            silent = comparison.silent
         fields = {
             "service": service,
             "evidence": evidence,
             "own": {target: result.name.lower() for target, result in own.items()},
             "asked": asked,
+            "silent": silent,
             "reached_by": reached_by,
         }
         _LOG.info("path to targets checked", extra=fields)
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_reach_monitor.py
@@ -6,8 +6,11 @@
 import asyncio
 import unittest
 from typing import get_args
+from unittest import mock
 
+from damsonlane_rpc import ReachQuery, ReachReply
 from damsonlaned.gateway.tests.harness import Entry, FakeTarget, answer_ok
+from damsonlaned.relay._path_prober import ANSWER_SECONDS
 from damsonlaned.relay.tests.cuts import CutForm
 from damsonlaned.relay.tests.test_unreachable_targets import DEADLINE_MS, CutTestCase, make_targets
 
@@ -49,6 +52,23 @@
         self.assertTrue(self.fleet.entries[0].reach.is_reached("desk"))
         self.assertTrue(self.fleet.entries[1].reach.is_reached("desk"))
 
+    async def test_a_cut_is_noticed_where_the_other_box_is_silent_at_first(self) -> None:
+        """Guards against a silent box that counts as one which does not reach the targets."""
+        await self.start_fleet(*make_targets(count=2))
+        await self.cut(0, "refuse")
+        other = self.fleet.entries[1].reach
+        answer = other.answer
+        delays = [2 * ANSWER_SECONDS]
+
+        async def answer_late_once(query: ReachQuery) -> ReachReply:
+            if delays:
+                await asyncio.sleep(delays.pop())
+            return await answer(query)
+
+        with mock.patch.object(other, "answer", answer_late_once):
+            await self.fleet.entries[0].call("/ping/a", deadline_ms=DEADLINE_MS)
+            await self.wait_until(0, "desk", is_reached=False)
+
     async def test_a_target_that_is_silent_for_a_second_is_no_cut(self) -> None:
         async def answer_late(request, writer):  # type: ignore[no-untyped-def]
             await asyncio.sleep(1.0)
