The test of streams taken up at a third entry waits until the cut is known

The test gave the entry one request to find out that it is cut off, on a machine of any speed; its subject is what happens afterwards. Where the entry finds out later, its streams are refused or use a kept connection: the traces show streams that the first entry served itself, so the test passed without passing on any.

The streams must be served and whole, as before; that one request is enough on a machine that is not starved is tested by UnreachableTargetsTest.

--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_relayed_versions.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_relayed_versions.py
@@ -1,6 +1,8 @@
 """A stream that is passed on to another entry goes on at the version that began it."""
 
-from damsonlaned.gateway.tests.harness import Response
+import asyncio
+
+from damsonlaned.gateway.tests.harness import TEST_TIMEOUT_SECONDS, Response
 from damsonlaned.relay.tests.test_unreachable_targets import CUT_DOCUMENT, CutTestCase
 from damsonlaned.versions.tests.streams import EVENT_COUNT, VersionedTarget, read_events, resume
 
@@ -35,8 +37,11 @@
         await self.start_versions()
         await self.fleet.entries[0].call("/chat/a", request_id="first")
         await self.cut(0, "refuse")
-        await self.fleet.entries[0].call("/chat/a", request_id="second", deadline_ms=4_000)
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while self.fleet.entries[0].reach.is_reached("desk"):
+                await self.fleet.entries[0].call("/chat/a", deadline_ms=4_000)
         for number in range(STREAM_COUNT):
+            self.assertFalse(self.fleet.entries[0].reach.is_reached("desk"))
             reader, writer = await self.fleet.entries[0].send(
                 "/chat/a", request_id=f"a{number}", deadline_ms=4_000
             )
