Attempts report their end without a callback of their task

Cause: since each attempt runs in a task of its own; its end came to the waiting request by a callback of the task, one turn of the event loop later.

Change: the attempt reports its end itself, as its last step; the task is done when the request runs.

--- a/packages/damsonlaned/src/damsonlaned/attempts/_sequence.py
+++ b/packages/damsonlaned/src/damsonlaned/attempts/_sequence.py
@@ -20,15 +20,17 @@
         held: AttemptTurn | None = None,
     ) -> None:
         self._make: Final = make
+        self._on_news: Final = on_news
         self.turn: Final = AttemptTurn(on_news, held)
         self.task: Final = asyncio.create_task(self._run())
-        self.task.add_done_callback(lambda _: on_news())
 
     async def _run(self) -> Failure | None:
         try:
             return await self._make(self.turn)
         finally:
             self.turn.has_ended = True
+            # The task is done before whoever awaits the news runs.
+            self._on_news()
 
     async def stop(self) -> None:
         """Cancel the attempt and wait for its end."""
