Probes of the path to a target stay within its limit of connections

Cause: probes opened their connections outside the parts by which entries divide the limit.

Change: a probe takes the place of a connection, of an idle one if need be. Without room it is left out; what other entries find is then compared with what the connections in use show, that the target accepts connections. So a cut that holds all connections of an entry is noticed where another entry gets a response, and otherwise once its requests have ended.

--- a/packages/damsonlaned/src/damsonlaned/connections/_fleet_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/_fleet_connections.py
@@ -1,9 +1,10 @@
 """The connections of this box to all targets, within its part of what each target takes."""
 
 import asyncio
+import contextlib
 import logging
 from collections import deque
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import replace
 from typing import Final, Protocol
 
@@ -142,6 +143,21 @@
             self.on_need()
         return known.pool
 
+    @contextlib.contextmanager
+    def reserve(self, record: TargetRecord) -> Iterator[bool]:
+        """Leave room for a connection to a target that is opened elsewhere.
+
+        Yields:
+            Whether there is room: not if all connections that may be open are in use.
+        """
+        table = self._fleet.table
+        service = table.service(record.service) if table is not None else None
+        if service is None:
+            yield False
+            return
+        with self.find_pool(service, record.target, record.address).reserve() as has_room:
+            yield has_room
+
     def list_full(self, service: Service, targets: Iterable[str]) -> set[str]:
         """Return the targets to which this box may open no further connection now."""
         now = self._now()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -118,6 +118,7 @@
             if settings.capacity is not None
             else None,
         )
+        self._reach.reserve_by(targets.fleet_connections.reserve)
         self._view.on_entries(self._record_entries)
         self._loans: Final = LoanClient(
             targets.fleet_connections, self._view, settings.internal_address, context
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -335,6 +335,7 @@
         )
         self.targets = targets
         self.connections = targets.fleet_connections
+        self.reach.reserve_by(self.connections.reserve)
         self.view.on_entries(self.connections.follow_entries)
         self.loans = LoanClient(self.connections, self.view, address, None)
         #: Targets that the entry found to have exited, with the responses lost there.
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -1,9 +1,10 @@
 """Persistent connections to a target, with one request at a time on each."""
 
 import asyncio
+import contextlib
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from damsonlane_rpc import Endpoint
@@ -148,6 +149,20 @@
         """Return the number of connections with a request, or that are being opened."""
         return self._open - len(self._idle)
 
+    @contextlib.contextmanager
+    def reserve(self) -> Iterator[bool]:
+        """Leave room for a connection that is opened elsewhere; yield whether there is room."""
+        if self._open >= self.max_connections and self._idle:
+            self._drop(self._idle.popleft())
+        has_room = self._open < self.max_connections
+        self._open += has_room
+        try:
+            yield has_room
+        finally:
+            self._open -= has_room
+            if has_room:
+                self._on_free()
+
     def has_free(self) -> bool:
         """Return whether one more request may be sent."""
         return self.count_busy() < self.max_connections
--- a/packages/damsonlaned/src/damsonlaned/relay/_path_prober.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_path_prober.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 import ssl
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import AbstractContextManager, nullcontext
 from typing import Final
 
 from grpclib.client import Channel
@@ -37,6 +38,11 @@
     hints: tuple[str, ...]
 
 
+def _allow(_: TargetRecord) -> AbstractContextManager[bool]:
+    """Have room for any connection."""
+    return nullcontext(True)  # noqa: FBT003
+
+
 class PathProber:
     """Probes targets, and has other boxes probe them.
 
@@ -46,7 +52,9 @@
 
     def __init__(self, context: ssl.SSLContext | None) -> None:
         self._context: Final = context
-        self._probes: dict[str, asyncio.Task[ProbeResult]] = {}
+        self._probes: dict[str, asyncio.Task[ProbeResult | None]] = {}
+        #: Leaves room for the connection of a probe; yields whether there is any.
+        self.reserve: Callable[[TargetRecord], AbstractContextManager[bool]] = _allow
         self._channels: dict[str, Channel] = {}
 
     async def compare(
@@ -69,13 +77,17 @@
             self.probe(health_path, records, is_fresh=True),
             asyncio.gather(*(self._ask(address, query) for address in asked)),
         )
+        # Connections in use show as much of a target without room for the one of a probe.
+        unprobed = {record.target: ProbeResult.CONNECTED for record in records}
         answers = {
             address: reply
             for address, reply in zip(asked, replies, strict=True)
             if reply is not None
         }
         better = tuple(
-            address for address, reply in answers.items() if is_reached_better(reply.results, own)
+            address
+            for address, reply in answers.items()
+            if is_reached_better(reply.results, unprobed | dict(own))
         )
         return Comparison(
             own=own,
@@ -109,7 +121,7 @@
     async def probe(
         self, health_path: str, records: Sequence[TargetRecord], *, is_fresh: bool = False
     ) -> Mapping[str, ProbeResult]:
-        """Return the results of probes by target.
+        """Return the results of probes by target, without those that had no room for a connection.
 
         Args:
             health_path: path of their health check; empty if they have none.
@@ -118,21 +130,30 @@
         """
         tasks = [self._probe(record, health_path, is_fresh=is_fresh) for record in records]
         results = await asyncio.gather(*(asyncio.shield(task) for task in tasks))
-        return {record.target: result for record, result in zip(records, results, strict=True)}
+        return {
+            record.target: result
+            for record, result in zip(records, results, strict=True)
+            if result is not None
+        }
 
     def _probe(
         self, record: TargetRecord, health_path: str, *, is_fresh: bool
-    ) -> "asyncio.Task[ProbeResult]":
+    ) -> "asyncio.Task[ProbeResult | None]":
         """Return a recent probe of a target, or start one."""
         task = self._probes.get(record.address)
         if task is None or (is_fresh and task.done()):
-            task = start_task(probe_target(record.address, health_path), "probing a target")
+            task = start_task(self._run_probe(record, health_path), "probing a target")
             self._probes[record.address] = task
             asyncio.get_running_loop().call_later(
                 RESULT_SECONDS, self._drop_probe, record.address, task
             )
         return task
 
-    def _drop_probe(self, address: str, task: "asyncio.Task[ProbeResult]") -> None:
+    async def _run_probe(self, record: TargetRecord, health_path: str) -> ProbeResult | None:
+        """Probe a target within its limit of connections; return None where that is reached."""
+        with self.reserve(record) as has_room:
+            return await probe_target(record.address, health_path) if has_room else None
+
+    def _drop_probe(self, address: str, task: "asyncio.Task[ProbeResult | None]") -> None:
         if self._probes.get(address) is task:
             del self._probes[address]
--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -7,6 +7,7 @@
 import ssl
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import AbstractContextManager
 from typing import Final, Protocol
 
 from damsonlane.membership import BoxRecord
@@ -111,6 +112,10 @@
         self._shared_cuts: set[str] = set()
         self._listeners: list[Callable[[str], None]] = []
 
+    def reserve_by(self, reserve: Callable[[TargetRecord], AbstractContextManager[bool]]) -> None:
+        """Have a function leave room for the connections of probes, and yield whether there is."""
+        self._prober.reserve = reserve
+
     # What others ask.
 
     def on_change(self, listener: Callable[[str], None]) -> None:
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_reach_monitor.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from typing import get_args
 from unittest import mock
 
@@ -12,18 +13,27 @@
 from damsonlaned.gateway.tests.harness import Entry, FakeTarget, answer_ok
 from damsonlaned.relay._path_prober import ANSWER_SECONDS
 from damsonlaned.relay.tests.cuts import CutForm
-from damsonlaned.relay.tests.test_unreachable_targets import DEADLINE_MS, CutTestCase, make_targets
+from damsonlaned.relay.tests.test_unreachable_targets import (
+    CUT_DOCUMENT,
+    DEADLINE_MS,
+    CutTestCase,
+    make_targets,
+)
 
 #: Longest time for an entry to find something out, in seconds.
 TIMEOUT_SECONDS = 10.0
+#: Connections that each target takes.
+MOST_CONNECTIONS = 8
 
 
-class ReachMonitorTest(CutTestCase):
+class ReachMonitorTestCase(CutTestCase):
     async def wait_until(self, index: int, service: str, *, is_reached: bool) -> None:
         async with asyncio.timeout(TIMEOUT_SECONDS):
             while self.fleet.entries[index].reach.is_reached(service) != is_reached:
                 await asyncio.sleep(0.02)
 
+
+class ReachMonitorTest(ReachMonitorTestCase):
     async def test_a_cut_and_its_end_are_noticed(self) -> None:
         for form in get_args(CutForm):
             with self.subTest(form=form):
@@ -80,5 +90,33 @@
         self.assertTrue(self.fleet.entries[0].reach.is_reached("desk"))
 
 
+class FullTargetsTest(ReachMonitorTestCase):
+    """Targets that take few connections."""
+
+    document = replace(
+        CUT_DOCUMENT,
+        services=tuple(
+            replace(service, most_connections=MOST_CONNECTIONS) for service in CUT_DOCUMENT.services
+        ),
+    )
+
+    async def test_a_cut_that_holds_all_connections_of_a_box_is_noticed(self) -> None:
+        """Guards against boxes that can't probe since all their connections are in use."""
+        await self.start_fleet(*make_targets(count=2))
+        entry = self.fleet.entries[0]
+        await self.cut(0, "hang")
+        calls = [
+            asyncio.create_task(
+                entry.call("/once/a", request_id=f"r{number}", deadline_ms=DEADLINE_MS)
+            )
+            for number in range(4 * MOST_CONNECTIONS)
+        ]
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while len(entry.connections.list_full(self.document.services[0], ("t0", "t1"))) < 2:
+                await asyncio.sleep(0.01)
+        await self.wait_until(0, "desk", is_reached=False)
+        await asyncio.gather(*calls)
+
+
 if __name__ == "__main__":
     unittest.main()
