Connections closed for bytes after a whole response are counted and logged

Change: the pool reports them to the observer of the target, which logs the target and counts it in damsonlane_extra_bytes_total.

Tests: the two of the connection pool that close such connections count them too; they failed before for lack of the report.

--- a/packages/damsonlaned/src/damsonlaned/http/_connection_observer.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_observer.py
@@ -28,6 +28,9 @@
             sent_at: when the request was sent, by the loop's clock.
         """
 
+    def record_extra_bytes(self) -> None:
+        """Record bytes after a whole response, which belong to no request."""
+
 
 class NoObserver:
     """Ignores what it is told."""
@@ -43,3 +46,6 @@
 
     def record_silent(self, sent_at: float) -> None:
         """Ignore a silence."""
+
+    def record_extra_bytes(self) -> None:
+        """Ignore bytes."""
--- a/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Sequence
+from functools import partial
 from typing import Final
 
 import h11
@@ -288,14 +289,20 @@
         """
         is_done = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
         has_rest = bool(self._parser.trailing_data[0]) or self._stream.has_unread()
+        if is_done and has_rest:
+            self._observer.record_extra_bytes()
         if not is_done or has_rest or self._stream.is_closed():
             return False
         self._parser.start_next_cycle()
         self.idle_since = now
         self._stream.on_closed = on_unusable
-        self._stream.on_unexpected = on_unusable
+        self._stream.on_unexpected = partial(self._record_unexpected, on_unusable)
         return True
 
+    def _record_unexpected(self, on_unusable: Callable[[], None]) -> None:
+        self._observer.record_extra_bytes()
+        on_unusable()
+
     def abort(self) -> None:
         """Close at once, so that the target stops its work on the request."""
         self._stream.abort()
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_connection_pool.py
@@ -15,6 +15,7 @@
     IncompleteResponseError,
     NotSentError,
 )
+from damsonlaned.http._connection_observer import NoObserver
 
 TEST_TIMEOUT_SECONDS = 20.0
 REQUEST = HttpRequest(method="GET", target="/a", headers=((b"Host", b"h"),))
@@ -77,12 +78,25 @@
             await reader.read()
 
 
+class ExtraBytesCounter(NoObserver):
+    """Counts the connections with bytes after a whole response."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def record_extra_bytes(self) -> None:
+        self.count += 1
+
+
 class ConnectionPoolTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.observer = ExtraBytesCounter()
+
     async def open(self, *scripts: Sequence[bytes | None]) -> tuple[RawTarget, ConnectionPool]:
         target = RawTarget(*scripts)
         address = await target.start()
         self.addAsyncCleanup(target.stop)
-        return target, ConnectionPool(address, 4)
+        return target, ConnectionPool(address, 4, self.observer)
 
     async def call(self, pool: ConnectionPool, request: HttpRequest = REQUEST) -> bytes:
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
@@ -117,7 +131,7 @@
         target, pool = await self.open((COMPLETE + EARLIER,), (COMPLETE,))
         self.assertEqual(await self.call(pool), b"ok")
         self.assertEqual(await self.call(pool), b"ok")
-        self.assertEqual(target.connections, 2)
+        self.assertEqual((target.connections, self.observer.count), (2, 1))
 
     async def test_a_connection_that_the_target_closed_is_not_used(self) -> None:
         target, pool = await self.open((COMPLETE,), (COMPLETE,))
@@ -135,7 +149,7 @@
         await self.call(pool)
         for connection in list(pool._idle):
             connection._stream.data_received(b"x")
-        self.assertEqual(pool.count_open(), 0)
+        self.assertEqual((pool.count_open(), self.observer.count), (0, 1))
 
     async def test_a_length_without_a_body_is_not_limited(self) -> None:
         """The answers to HEAD, and those that say that nothing has changed, announce a length."""
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -27,6 +27,11 @@
         self.attempts: Final = Counter(
             "damsonlane_attempts_total", "Attempts at targets.", registry=self.registry
         )
+        self.extra_bytes: Final = Counter(
+            "damsonlane_extra_bytes_total",
+            "Connections closed since a target sent bytes after a whole response, by target.",
+            registry=self.registry,
+        )
         self.served_late: Final = Counter(
             "damsonlane_served_late_total",
             "Requests served after their latency objective, by route.",
--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -279,6 +279,12 @@
         if evidence.record_unanswered(target, sent_at, now):
             self.record_failed(service, target, "silent")
 
+    def record_extra_bytes(self, service: str, target: str) -> None:
+        """Count and log a connection that is closed since bytes came that belong to no request."""
+        fields = {"service": service, "target": target}
+        _LOG.warning("closed a connection with bytes after a whole response", extra=fields)
+        self._metrics.extra_bytes.inc(fields)
+
     # Checks.
 
     def _check_if_doubtful(self, service: str, reach: ServiceReach) -> None:
--- a/packages/damsonlaned/src/damsonlaned/relay/_target_observer.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_target_observer.py
@@ -37,3 +37,7 @@
     def record_silent(self, sent_at: float) -> None:
         """Record a request without a response."""
         self._monitor.record_silent(self._service, self._target, sent_at)
+
+    def record_extra_bytes(self) -> None:
+        """Record bytes after a whole response."""
+        self._monitor.record_extra_bytes(self._service, self._target)
