Targets are not tried again because other boxes are silent

Callers would see: requests that are lost on trial, and pools taken back, at an entry that is still cut off.

Cause: an entry that does not reach a service tries its targets again after four rounds in which no other box gets further. A round in which no box answered counted as one.

Change: such a round counts for nothing, unless the entry's own probes are answered. Boxes that are gone are unlisted by control and asked no more.

Test: fails before (on trial within 2 s, with shortened delays), passes after.

--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -439,6 +439,8 @@
         lowest = min(comparison.own.values(), default=ProbeResult.FAILED)
         if lowest is ProbeResult.ANSWERED:
             return 1.0 / ANSWERED_ROUNDS
+        if asked and len(comparison.silent) == len(asked):
+            return 0.0
         # Targets that are busy or have failed look the same from other boxes.
         return 0.0 if comparison.reached_by else 1.0 / EQUAL_ROUNDS
 
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_reach_monitor.py
@@ -11,6 +11,7 @@
 
 from damsonlane_rpc import ReachQuery, ReachReply
 from damsonlaned.gateway.tests.harness import Entry, FakeTarget, answer_ok
+from damsonlaned.relay import _path_prober, _reach_monitor
 from damsonlaned.relay._path_prober import ANSWER_SECONDS
 from damsonlaned.relay.tests.cuts import CutForm
 from damsonlaned.relay.tests.test_unreachable_targets import (
@@ -26,6 +27,12 @@
 MOST_CONNECTIONS = 8
 
 
+async def hang(_: ReachQuery) -> ReachReply:
+    """Answer nothing."""
+    await asyncio.sleep(TIMEOUT_SECONDS)
+    return ReachReply(results={})
+
+
 class ReachMonitorTestCase(CutTestCase):
     async def wait_until(self, index: int, service: str, *, is_reached: bool) -> None:
         async with asyncio.timeout(TIMEOUT_SECONDS):
@@ -79,6 +86,22 @@
             await self.fleet.entries[0].call("/ping/a", deadline_ms=DEADLINE_MS)
             await self.wait_until(0, "desk", is_reached=False)
 
+    async def test_targets_are_not_tried_again_since_other_boxes_are_silent(self) -> None:
+        """Guards against a cut that counts as ended, since no box answers that it gets further."""
+        await self.start_fleet(*make_targets(count=2))
+        entry, other = self.fleet.entries
+        await self.cut(0, "refuse")
+        await self.call_until_cut(entry)
+        with (
+            mock.patch.object(other.reach, "answer", hang),
+            mock.patch.object(_path_prober, "ANSWER_SECONDS", 0.1),
+            mock.patch.object(_reach_monitor, "FIRST_PROBE_SECONDS", 0.02),
+            mock.patch.object(_reach_monitor, "MAX_PROBE_SECONDS", 0.02),
+        ):
+            await asyncio.sleep(2.0)
+            self.assertFalse(entry.reach.admit_trial("desk"))
+            self.assertFalse(entry.reach.is_reached("desk"))
+
     async def test_a_target_that_is_silent_for_a_second_is_no_cut(self) -> None:
         async def answer_late(request, writer):  # type: ignore[no-untyped-def]
             await asyncio.sleep(1.0)
