--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -6,24 +6,21 @@
 import random
 import ssl
 from collections import Counter
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager
-from typing import Final, Protocol
+from typing import Final
 
-from damsonlane.membership import BoxRecord
 from damsonlane.reach import (
     FailureKind,
     HelperCandidate,
     HelperChoice,
-    ProbeResult,
     ServiceReach,
 )
-from damsonlane.routes import RouteTable
 from damsonlane.targets import TargetRecord
 from damsonlane_rpc import ReachQuery, ReachReply
 from damsonlaned.http import ConnectionObserver
 from damsonlaned.metrics import Metrics
-from damsonlaned.relay._path_prober import PathProber
+from damsonlaned.relay._path_checker import Fleet, PathChecker
 from damsonlaned.relay._target_observer import TargetObserver
 from damsonlaned.tasks import start_task
 
@@ -31,47 +28,15 @@
 
 #: Boxes that announce a service not to be reached from which the others check it, too.
 SHARED_CUT_BOXES: Final = 2
-#: Targets that are probed to compare this box with others.
-MAX_PROBED: Final = 3
-#: Boxes that are asked whether they reach the targets.
-MAX_ASKED: Final = 3
 #: Longest time for which a request waits for a check, in seconds.
 CHECK_SECONDS: Final = 0.4
 #: Seconds between the probes of targets that are not reached: at first, and at most.
 FIRST_PROBE_SECONDS: Final = 0.25
 MAX_PROBE_SECONDS: Final = 1.0
-#: Rounds in which further boxes are asked, while none is found that reaches the targets.
-MAX_ROUNDS: Final = 3
-#: Targets to which a connection shows that there is a path.
-QUICK_PROBES: Final = 2
-#: Targets that each of these probes connects to.
-RECOVERY_TARGETS: Final = 2
-#: Rounds of probes, one after another, that targets must answer to be tried again.
-ANSWERED_ROUNDS: Final = 2
-#: The same for rounds in which no other box gets further than this one.
-EQUAL_ROUNDS: Final = 4
 #: Seconds after which targets are used again if no request came to try them.
 IDLE_TRIAL_SECONDS: Final = 2.0
 
 
-class Fleet(Protocol):
-    """What the monitor knows of the fleet."""
-
-    @property
-    def entries(self) -> tuple[BoxRecord, ...]:
-        """The entries that control lists."""
-
-    @property
-    def table(self) -> RouteTable | None:
-        """The routing document in force."""
-
-    def open_targets_of(self, service: str) -> tuple[TargetRecord, ...]:
-        """Return the targets of a service that may get new work."""
-
-    def has_rejection_limits(self, service: str) -> bool:
-        """Return whether a target of a service fails if it rejects too many requests."""
-
-
 class ReachMonitor:
     """Tracks which services this box reaches.
 
@@ -96,17 +61,12 @@
         metrics: Metrics,
     ) -> None:
         self._fleet: Final = fleet
-        self._address: Final = address
-        self._prober: Final = PathProber(context)
+        self._checker: Final = PathChecker(fleet, address, data_centre, context)
         self._metrics: Final = metrics
         self._randomness: Final = random.Random()
-        #: Chooses the boxes that serve in place of this one.
-        self.helpers: Final = HelperChoice(data_centre, self._randomness)
         self._services: dict[str, ServiceReach] = {}
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._recoveries: dict[str, asyncio.Task[None]] = {}
-        #: Boxes that were last found to reach a service that this one does not.
-        self._reaching: dict[str, tuple[str, ...]] = {}
         self._watchers: dict[str, set[Callable[[], None]]] = {}
         #: Services that several boxes announced not to reach.
         self._shared_cuts: set[str] = set()
@@ -114,7 +74,16 @@
 
     def reserve_by(self, reserve: Callable[[TargetRecord], AbstractContextManager[bool]]) -> None:
         """Have a function leave room for the connections of probes, and yield whether there is."""
-        self._prober.reserve = reserve
+        self._checker.prober.reserve = reserve
+
+    @property
+    def helpers(self) -> HelperChoice:
+        """Chooses the boxes that serve in place of this one."""
+        return self._checker.helpers
+
+    def choose_helper(self, service: str) -> HelperCandidate | None:
+        """Return the box that gets the next request of a service; None if none can take one."""
+        return self._checker.choose_helper(service)
 
     # What others ask.
 
@@ -132,7 +101,7 @@
         reach = self._services.get(service)
         if reach is None:
             return True
-        is_doubtful = reach.evidence.is_doubtful(self._list_names(service), self._now())
+        is_doubtful = reach.evidence.is_doubtful(self._checker.list_names(service), self._now())
         return reach.state == "reached" and not is_doubtful
 
     def list_silent(self, service: str) -> list[str]:
@@ -140,7 +109,7 @@
         reach = self._services.get(service)
         if reach is None:
             return []
-        return reach.evidence.list_silent(self._list_names(service), self._now())
+        return reach.evidence.list_silent(self._checker.list_names(service), self._now())
 
     def list_unreached(self) -> tuple[str, ...]:
         """Return the services that this box does not reach, sorted."""
@@ -164,11 +133,11 @@
         or the targets are at fault.
         """
         reach = self._services.get(service)
-        if reach is None or reach.state != "reached" or self._find_health_path(service):
+        if reach is None or reach.state != "reached" or self._checker.find_health_path(service):
             return False
-        if not self.list_candidates(service):
+        if not self._checker.list_candidates(service):
             return False
-        is_doubtful = reach.evidence.is_doubtful(self._list_names(service), self._now())
+        is_doubtful = reach.evidence.is_doubtful(self._checker.list_names(service), self._now())
         return is_doubtful and reach.evidence.has_lost_requests()
 
     def record_served_elsewhere(self, service: str) -> None:
@@ -192,23 +161,6 @@
         finally:
             watchers.discard(callback)
 
-    def list_candidates(self, service: str) -> list[HelperCandidate]:
-        """Return the other boxes that have not announced that they don't reach a service."""
-        return [
-            HelperCandidate(
-                address=entry.address, data_centre=entry.data_centre, capacity=entry.capacity
-            )
-            for entry in self._fleet.entries
-            if entry.address != self._address and service not in entry.unreached
-        ]
-
-    def choose_helper(self, service: str) -> HelperCandidate | None:
-        """Return the box that gets the next request of a service; None if none can take one."""
-        candidates = self.list_candidates(service)
-        known = [item for item in candidates if item.address in self._reaching.get(service, ())]
-        now = self._now()
-        return self.helpers.choose(known, now) or self.helpers.choose(candidates, now)
-
     def follow_entries(self) -> None:
         """Check services that other boxes have found not to be reached by themselves alone.
 
@@ -225,7 +177,7 @@
         shared = {name for name, count in announced.items() if count >= SHARED_CUT_BOXES}
         for service in shared - self._shared_cuts:
             reach = self._services.setdefault(service, ServiceReach())
-            if reach.state == "reached" and self._list_names(service):
+            if reach.state == "reached" and self._checker.list_names(service):
                 self._start_check(service, reach, is_thorough=True)
         self._shared_cuts = shared
 
@@ -233,10 +185,10 @@
         """Probe targets for another box; return nothing if the own path is in doubt."""
         reach = self._services.get(query.service)
         if reach is not None and reach.state != "reached":
-            return ReachReply(results={}, reached_by=self._reaching.get(query.service, ()))
-        records = self._find_records(query.service, query.targets)
-        path = self._find_health_path(query.service)
-        return ReachReply(results=await self._prober.probe(path, records))
+            return ReachReply(results={}, reached_by=self._checker.reaching.get(query.service, ()))
+        records = self._checker.find_named(query.service, query.targets)
+        path = self._checker.find_health_path(query.service)
+        return ReachReply(results=await self._checker.prober.probe(path, records))
 
     async def stop(self) -> None:
         """Stop all checks."""
@@ -244,7 +196,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self._prober.stop()
+        await self._checker.stop()
 
     # Evidence.
 
@@ -289,7 +241,7 @@
 
     def _check_if_doubtful(self, service: str, reach: ServiceReach) -> None:
         """Start a check of a service whose path is in doubt."""
-        if reach.needs_check(self._list_names(service), self._now()):
+        if reach.needs_check(self._checker.list_names(service), self._now()):
             self._start_check(service, reach)
 
     def _start_check(self, service: str, reach: ServiceReach, *, is_thorough: bool = False) -> None:
@@ -304,7 +256,7 @@
         table = self._fleet.table
         for found in table.document.services if table is not None else ():
             reach = self._services.setdefault(found.name, ServiceReach())
-            if reach.state == "reached" and self._list_names(found.name):
+            if reach.state == "reached" and self._checker.list_names(found.name):
                 self._start_check(found.name, reach)
 
     async def _run_check(
@@ -317,41 +269,19 @@
             reach: its state.
             is_thorough: whether a connection alone does not show that it is reached.
         """
-        records = self._draw_probed(service, reach)
+        records = self._checker.draw_probed(service, reach)
         evidence = ",".join(sorted(reach.evidence.list_kinds()))
-        if await self._reaches_some(service, reach, records, is_thorough=is_thorough):
-            reach.dismiss(self._list_names(service), self._now())
+        if await self._checker.reaches_some(service, reach, records, is_thorough=is_thorough):
+            reach.dismiss(self._checker.list_names(service), self._now())
             return
-        asked: list[str] = []
-        silent: tuple[str, ...] = ()
-        reached_by: tuple[str, ...] = ()
-        own: Mapping[str, ProbeResult] = {}
-        hints: tuple[str, ...] = ()
-        for _ in range(MAX_ROUNDS):
-            # A box that did not answer in time may reach the targets all the same.
-            drawn = self._draw_asked(service, hints, asked) or silent
-            if not drawn or reached_by:
-                break
-            path = self._find_health_path(service)
-            comparison = await self._prober.compare(service, path, records, drawn)
-            asked += drawn
-            own, reached_by, hints = comparison.own, comparison.reached_by, comparison.hints
-            silent = comparison.silent
-        fields = {
-            "service": service,
-            "evidence": evidence,
-            "own": {target: result.name.lower() for target, result in own.items()},
-            "asked": asked,
-            "silent": silent,
-            "reached_by": reached_by,
-        }
+        result = await self._checker.check(service, records)
+        fields = {"service": service, "evidence": evidence, **result.log_fields()}
         _LOG.info("path to targets checked", extra=fields)
-        self._reaching[service] = reached_by
-        if not reached_by:
+        if not result.reached_by:
             if self._must_hand_over(service, reach) and reach.confirm(self._now()):
                 self._publish(service, reach, "no health check; another box may reach the pool")
                 return
-            reach.dismiss(self._list_names(service), self._now())
+            reach.dismiss(self._checker.list_names(service), self._now())
         elif reach.confirm(self._now()):
             self._publish(service, reach, "another box reaches the targets")
             self._check_others()
@@ -362,54 +292,11 @@
         One entry calls all targets of a pool, so that others have no evidence of them.
         """
         found = self._fleet.table.service(service) if self._fleet.table is not None else None
-        if found is None or found.pool is None or self._find_health_path(service):
+        if found is None or found.pool is None or self._checker.find_health_path(service):
             return False
-        is_doubtful = reach.evidence.is_doubtful(self._list_names(service), self._now())
+        is_doubtful = reach.evidence.is_doubtful(self._checker.list_names(service), self._now())
         has_lost = is_doubtful and reach.evidence.has_lost_requests()
-        return has_lost and bool(self.list_candidates(service))
-
-    async def _reaches_some(
-        self,
-        service: str,
-        reach: ServiceReach,
-        records: Sequence[TargetRecord],
-        *,
-        is_thorough: bool,
-    ) -> bool:
-        """Return whether connections alone show that this box has a path to targets.
-
-        They don't where several targets are silent, or break connections at the first request: a
-        proxy or a firewall may accept connections in their place.
-        """
-        names = self._list_names(service)
-        if reach.evidence.is_doubtful(names, self._now()) and reach.evidence.has_lost_requests():
-            return False
-        path = self._find_health_path(service) if is_thorough else ""
-        least = ProbeResult.ANSWERED if path else ProbeResult.CONNECTED
-        results = await self._prober.probe(path, records[-QUICK_PROBES:], is_fresh=True)
-        return any(result >= least for result in results.values())
-
-    def _draw_asked(self, service: str, hints: Sequence[str], asked: Sequence[str]) -> list[str]:
-        """Return addresses of boxes to ask: those of hints, one that may know, and others."""
-        known = [*hints, *self._reaching.get(service, ())]
-        others = [entry for entry in self._fleet.entries if entry.address != self._address]
-        announced = [entry.address for entry in others if service in entry.unreached]
-        drawn = [
-            candidate.address
-            for candidate in self.helpers.sample(self.list_candidates(service), len(others))
-        ]
-        listed = {entry.address for entry in others}
-        order = dict.fromkeys([*known, *announced[:1], *drawn])
-        return [name for name in order if name in listed and name not in asked][:MAX_ASKED]
-
-    def _draw_probed(self, service: str, reach: ServiceReach) -> list[TargetRecord]:
-        """Return targets to probe: those that failed, and some of the others."""
-        failed = reach.evidence.list_failed(self._list_names(service), self._now())
-        records = list(self._fleet.open_targets_of(service))
-        self._randomness.shuffle(records)
-        records.sort(key=lambda record: record.target not in failed)
-        # At least one of the others, if there is one, shows whether only those that failed fail.
-        return [*records[: MAX_PROBED - 1], *records[-1:]] if len(records) > MAX_PROBED else records
+        return has_lost and bool(self._checker.list_candidates(service))
 
     # Recovery.
 
@@ -425,25 +312,11 @@
                 if self._now() - reach.since > IDLE_TRIAL_SECONDS and reach.end_outage(self._now()):
                     self._publish(service, reach, "no request came to try them")
                 continue
-            rounds = rounds + progress if (progress := await self._try_targets(service)) else 0.0
+            progress = await self._checker.find_progress(service)
+            rounds = rounds + progress if progress else 0.0
             if rounds >= reach.recovery_factor:
                 self._end_outage(service, reach)
 
-    async def _try_targets(self, service: str) -> float:
-        """Probe some targets; return the share of the rounds needed that this one counts for."""
-        records = self._fleet.open_targets_of(service)
-        drawn = self._randomness.sample(records, min(RECOVERY_TARGETS, len(records)))
-        asked = self._draw_asked(service, (), ())
-        path = self._find_health_path(service)
-        comparison = await self._prober.compare(service, path, drawn, asked)
-        lowest = min(comparison.own.values(), default=ProbeResult.FAILED)
-        if lowest is ProbeResult.ANSWERED:
-            return 1.0 / ANSWERED_ROUNDS
-        if asked and len(comparison.silent) == len(asked):
-            return 0.0
-        # Targets that are busy or have failed look the same from other boxes.
-        return 0.0 if comparison.reached_by else 1.0 / EQUAL_ROUNDS
-
     def _end_outage(self, service: str, reach: ServiceReach) -> None:
         """Use targets that probes reached again: pools at once, others on trial."""
         found = self._fleet.table.service(service) if self._fleet.table is not None else None
@@ -472,20 +345,6 @@
         for listener in self._listeners:
             listener(service)
 
-    def _list_names(self, service: str) -> list[str]:
-        return [record.target for record in self._fleet.open_targets_of(service)]
-
-    def _find_records(self, service: str, names: Sequence[str]) -> list[TargetRecord]:
-        records = self._fleet.open_targets_of(service)
-        return [record for record in records if record.target in names][:MAX_PROBED]
-
-    def _find_health_path(self, service: str) -> str:
-        found = self._fleet.table.service(service) if self._fleet.table is not None else None
-        # A full target rejects health checks like requests.
-        if found is None or self._fleet.has_rejection_limits(service):
-            return ""
-        return found.health_path
-
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
