Probes of exits count as connections too, and no connection opens before another is closed

Targets saw: more connections than they take, beside load, after as well: 54 where 50 are taken (load 27), 51 to 63 in 13 of 24 copies at once.

Cause, by traces of those copies: all parts were kept (45 at most), but (1) the probe that shows whether a target has exited opened its connection beside the part; (2) a closed connection is counted out at once and closed by the kernel in the next turn of the event loop, while the new one connects in this turn; (3) the test asked the target, which shares the starved loop and learns of closed connections late.

Change: probes of exits take the place of a connection like those of the path; a connection that takes the last place waits for one turn of the loop. The test counts established connections in the kernel's table, whoever opened them, as a target in a process of its own would; its bound stays 50.

--- a/packages/damsonlaned/src/damsonlaned/connections/_fleet_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/_fleet_connections.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 from collections import deque
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import replace
 from typing import Final, Protocol
 
@@ -143,8 +143,8 @@
             self.on_need()
         return known.pool
 
-    @contextlib.contextmanager
-    def reserve(self, record: TargetRecord) -> Iterator[bool]:
+    @contextlib.asynccontextmanager
+    async def reserve(self, record: TargetRecord) -> AsyncIterator[bool]:
         """Leave room for a connection to a target that is opened elsewhere.
 
         Yields:
@@ -155,7 +155,7 @@
         if service is None:
             yield False
             return
-        with self.find_pool(service, record.target, record.address).reserve() as has_room:
+        async with self.find_pool(service, record.target, record.address).reserve() as has_room:
             yield has_room
 
     def list_full(self, service: Service, targets: Iterable[str]) -> set[str]:
--- a/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
+++ b/packages/damsonlaned/src/damsonlaned/connections/tests/test_crowded_entry.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from unittest import mock
 
 from damsonlane.connections import CONNECTION_SHARE
@@ -32,6 +33,9 @@
 #: Share of the objective for which a request may wait for a connection.
 WAIT_SHARE = 0.7
 
+#: State of an established connection in the kernel's table.
+ESTABLISHED = "01"
+
 CROWD_DOCUMENT = replace(
     DOCUMENT,
     routes=tuple(
@@ -78,6 +82,16 @@
             for number in range(count)
         ]
 
+    def count_established(self) -> int:
+        """Return the connections to the target by the kernel's table, whoever opened them."""
+        port = int(self.target.address.rpartition(":")[2])
+        lines = Path("/proc/self/net/tcp").read_text(encoding="ascii").splitlines()[1:]
+        fields = (line.split() for line in lines)
+        return sum(
+            remote.endswith(f":{port:04X}") and state == ESTABLISHED
+            for _, _, remote, state, *_ in fields
+        )
+
     def count_open_at_entries(self) -> int:
         return sum(entry.connections.count_open("t1") for entry in self.fleet.entries)
 
@@ -172,7 +186,8 @@
 
     async def test_probes_of_a_silent_target_stay_within_its_limit(self) -> None:
         """Guards against probes beside all connections, which hit the limit of a busy target."""
-        most = await self.measure_most(2.0, self.target.count_open)
+        # The target shares the event loop with the entries, and learns late that they closed some.
+        most = await self.measure_most(2.0, self.count_established)
         self.assertLessEqual(most, MOST_CONNECTIONS)
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_exit_detector.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_exit_detector.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from damsonlane.quarantine import InterruptedRequest
+from damsonlaned.connections import Reserve, reserve_any
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.quarantine import SECOND_PROBE_SECONDS, LostTarget, refuses_connections
 from damsonlaned.tasks import start_task
@@ -48,6 +49,8 @@
         self._losses: dict[LostTarget, list[InterruptedRequest]] = {}
         self._probes: dict[LostTarget, asyncio.Task[bool]] = {}
         self._delayed_probes: dict[LostTarget, asyncio.Task[None]] = {}
+        #: Leaves room for the connection of a probe.
+        self.reserve: Reserve = reserve_any
         view.on_change(self._follow_view)
 
     async def report_broken(self, lost: LostTarget, runs: Sequence[InterruptedRequest]) -> bool:
@@ -94,11 +97,19 @@
         """Return the probe of a target that is under way, or start one."""
         task = self._probes.get(lost)
         if task is None:
-            task = start_task(refuses_connections(lost.address), "probing a target")
+            task = start_task(self._run_probe(lost), "probing a target")
             self._probes[lost] = task
             task.add_done_callback(lambda _: self._probes.pop(lost, None))
         return task
 
+    async def _run_probe(self, lost: LostTarget) -> bool:
+        """Return whether a target refuses connections; one with all of them in use does not."""
+        record = self._view.find_target(lost.target)
+        if record is None:
+            return await refuses_connections(lost.address)
+        async with self.reserve(record) as has_room:
+            return has_room and await refuses_connections(lost.address)
+
     def _schedule_probe(self, lost: LostTarget) -> None:
         """Schedule another probe, for which no request waits.
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -119,6 +119,7 @@
             else None,
         )
         self._reach.reserve_by(targets.fleet_connections.reserve)
+        exit_detector.reserve = targets.fleet_connections.reserve
         self._view.on_entries(self._record_entries)
         self._loans: Final = LoanClient(
             targets.fleet_connections, self._view, settings.internal_address, context
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -341,6 +341,7 @@
         #: Targets that the entry found to have exited, with the responses lost there.
         self.exits: list[tuple[LostTarget, Sequence[InterruptedRequest]]] = []
         self.exit_detector = ExitDetector(self.view, self._record_exit, self.reach.check)
+        self.exit_detector.reserve = self.connections.reserve
         self.control = control or Control()
         self.control.views.append(self.view)
         self.quarantine = Quarantine(self.view.quarantine, self.control.submit)
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from damsonlane_rpc import Endpoint
@@ -149,14 +149,15 @@
         """Return the number of connections with a request, or that are being opened."""
         return self._open - len(self._idle)
 
-    @contextlib.contextmanager
-    def reserve(self) -> Iterator[bool]:
+    @contextlib.asynccontextmanager
+    async def reserve(self) -> AsyncIterator[bool]:
         """Leave room for a connection that is opened elsewhere; yield whether there is room."""
         if self._open >= self.max_connections and self._idle:
             self._drop(self._idle.popleft())
         has_room = self._open < self.max_connections
         self._open += has_room
         try:
+            await self._await_closed()
             yield has_room
         finally:
             self._open -= has_room
@@ -229,12 +230,18 @@
             raise ConnectionsInUseError(detail)
         self._open += 1
         try:
+            await self._await_closed()
             return TargetConnection(await self._open_stream(seconds), self._observer)
         except BaseException:
             self._open -= 1
             self._on_free()
             raise
 
+    async def _await_closed(self) -> None:
+        """Let the kernel close what this turn of the loop closed, if all that may be open is."""
+        if self._open >= self.max_connections:
+            await asyncio.sleep(0)
+
     async def _open_stream(self, seconds: float) -> TcpStream:
         loop = asyncio.get_running_loop()
         host, port = self._endpoint.host, self._endpoint.port
--- a/packages/damsonlaned/src/damsonlaned/relay/_path_prober.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_path_prober.py
@@ -3,8 +3,7 @@
 import asyncio
 import logging
 import ssl
-from collections.abc import Callable, Mapping, Sequence
-from contextlib import AbstractContextManager, nullcontext
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from grpclib.client import Channel
@@ -13,6 +12,7 @@
 from damsonlane.records import dataclass
 from damsonlane.targets import TargetRecord
 from damsonlane_rpc import CALL_ERRORS, REACH, ReachQuery, ReachReply, open_channel
+from damsonlaned.connections import Reserve, reserve_any
 from damsonlaned.relay._probe import probe_target
 from damsonlaned.tasks import start_task
 
@@ -38,11 +38,6 @@
     hints: tuple[str, ...]
 
 
-def _allow(_: TargetRecord) -> AbstractContextManager[bool]:
-    """Have room for any connection."""
-    return nullcontext(True)  # noqa: FBT003
-
-
 class PathProber:
     """Probes targets, and has other boxes probe them.
 
@@ -54,7 +49,7 @@
         self._context: Final = context
         self._probes: dict[str, asyncio.Task[ProbeResult | None]] = {}
         #: Leaves room for the connection of a probe; yields whether there is any.
-        self.reserve: Callable[[TargetRecord], AbstractContextManager[bool]] = _allow
+        self.reserve: Reserve = reserve_any
         self._channels: dict[str, Channel] = {}
 
     async def compare(
@@ -151,7 +146,7 @@
 
     async def _run_probe(self, record: TargetRecord, health_path: str) -> ProbeResult | None:
         """Probe a target within its limit of connections; return None where that is reached."""
-        with self.reserve(record) as has_room:
+        async with self.reserve(record) as has_room:
             return await probe_target(record.address, health_path) if has_room else None
 
     def _drop_probe(self, address: str, task: "asyncio.Task[ProbeResult | None]") -> None:
--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -7,7 +7,6 @@
 import ssl
 from collections import Counter
 from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager
 from typing import Final
 
 from damsonlane.reach import (
@@ -16,8 +15,8 @@
     HelperChoice,
     ServiceReach,
 )
-from damsonlane.targets import TargetRecord
 from damsonlane_rpc import ReachQuery, ReachReply
+from damsonlaned.connections import Reserve
 from damsonlaned.http import ConnectionObserver
 from damsonlaned.metrics import Metrics
 from damsonlaned.relay._path_checker import Fleet, PathChecker
@@ -72,7 +71,7 @@
         self._shared_cuts: set[str] = set()
         self._listeners: list[Callable[[str], None]] = []
 
-    def reserve_by(self, reserve: Callable[[TargetRecord], AbstractContextManager[bool]]) -> None:
+    def reserve_by(self, reserve: Reserve) -> None:
         """Have a function leave room for the connections of probes, and yield whether there is."""
         self._checker.prober.reserve = reserve
 
