Requests that may have run wait for the whole check of the path

Cause: an attempt that fails puts the path in doubt, and the request waits 0.4 s for the check, so that one which nobody can serve is refused early. A request that may have run can't be refused any more; its end gave up what the check found later.

Change: it waits for the end of the check (three rounds of 0.7 s at most, and its deadline), if no further target may get it here. Where other entries answer, a check takes 0.3 s.

Test: fails before (502 after 0.46 s), passes after (whole after 1.3 s). The tests of relay/ and of silent targets pass.

--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -114,15 +114,20 @@
         """Return the services that this box does not reach, sorted."""
         return tuple(sorted(name for name in self._services if not self.is_reached(name)))
 
-    async def check(self, service: str) -> bool:
-        """Return whether a service is reached, after a check if that is in doubt."""
+    async def check(self, service: str, seconds: float = CHECK_SECONDS) -> bool:
+        """Return whether a service is reached, after a check if that is in doubt.
+
+        Args:
+            service: the service.
+            seconds: longest time to wait for the check, in seconds.
+        """
         reach = self._services.get(service)
         if reach is None:
             return True
         self._check_if_doubtful(service, reach)
         task = self._checks.get(service)
         if task is not None:
-            await asyncio.wait({task}, timeout=CHECK_SECONDS)
+            await asyncio.wait({task}, timeout=seconds)
         return reach.state == "reached"
 
     def is_suspect(self, service: str) -> bool:
--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -12,7 +12,7 @@
 from damsonlaned.http import HttpResponse
 from damsonlaned.relay._client import RelayClient, RelayFailure
 from damsonlaned.relay._messages import RelayedRequest, decode_body, read_head
-from damsonlaned.relay._reach_monitor import ReachMonitor
+from damsonlaned.relay._reach_monitor import CHECK_SECONDS, ReachMonitor
 
 if TYPE_CHECKING:
     from damsonlaned.gateway._call import Call
@@ -123,7 +123,10 @@
         if is_started and not route.is_resumable:
             return False
         service = self._call.service.name
-        if not await self._relay.reach.check(service):
+        # A request that may have run and can't be sent elsewhere gains nothing by an early end.
+        may_wait = may_have_run and not self._history.may_retry(has_started=is_started)
+        seconds = max(CHECK_SECONDS, self._call.remaining()) if may_wait else CHECK_SECONDS
+        if not await self._relay.reach.check(service, seconds):
             return True
         # Only the response to another entry tells whether the path is at fault.
         self._is_comparison = self._relay.reach.is_suspect(service)
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_relay.py
@@ -11,6 +11,7 @@
 from typing import Final
 from unittest import mock
 
+from damsonlane_rpc import ReachQuery, ReachReply
 from damsonlaned.gateway.tests.harness import (
     AnswerHandler,
     Entry,
@@ -23,6 +24,7 @@
 )
 from damsonlaned.http import HttpRequest, ResponseWriter
 from damsonlaned.relay import _writer
+from damsonlaned.relay._path_prober import ANSWER_SECONDS
 from damsonlaned.relay.tests.test_unreachable_targets import (
     CUT_DOCUMENT,
     DEADLINE_MS,
@@ -111,6 +113,26 @@
         self.assertEqual(numbers, [str(number).encode() for number in range(1, 21)])
         self.assertTrue(response.is_whole())
 
+    async def test_a_stream_is_not_cut_while_the_other_entry_is_silent_about_the_path(self) -> None:
+        await self.start_fleet(*make_targets(_stream_slowly, count=2))
+        other = self.fleet.entries[1].reach
+        answer = other.answer
+        delays = [2 * ANSWER_SECONDS]
+
+        async def answer_late_once(query: ReachQuery) -> ReachReply:
+            if delays:
+                await asyncio.sleep(delays.pop())
+            return await answer(query)
+
+        with mock.patch.object(other, "answer", answer_late_once):
+            caller = asyncio.create_task(self.call("/chat/a", deadline_ms=8_000))
+            await self.wait_for(lambda: any(proxy.has_forwarded for proxy in self.proxies[0]))
+            for proxy in self.proxies[0]:
+                await proxy.cut("reset")
+            response = await caller
+        self.assertEqual(response.data.count(b"data: token "), 20)
+        self.assertTrue(response.is_whole())
+
     async def test_the_work_ends_when_the_caller_leaves(self) -> None:
         targets = await self.start_cut_fleet(hang)
         _, writer = await self.fleet.entries[0].send("/once/a", deadline_ms=8_000)
