A test of a stopping entry says which request ended early

Nothing in the output tells whether a request was refused, ended or never came.

Change: the test fails as soon as one of the forty has ended, with its response.

Not reproduced, cause open.

--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_requests.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_requests.py
@@ -287,7 +287,14 @@
             self.pool.submit(self.fleet.call, "entry-1", "whole", f"text {number}", token=_NORTH)
             for number in range(30)
         ]
-        wait_until(lambda: self._read_in_flight("entry-1") == 40, "forty requests are in flight")
+
+        def are_all_in_flight() -> bool:
+            ended: list[object] = [stream.result() for stream in streams if stream.done()]
+            ended += [response.result() for response in plain if response.done()]
+            self.assertEqual(ended, [], "requests ended before the entry stopped")
+            return self._read_in_flight("entry-1") == 40
+
+        wait_until(are_all_in_flight, "forty requests are in flight")
         code = self.fleet.stop("entry-1")
         self._restart("entry-1")
         self.assertEqual(code, 0)
