--- a/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_reach_monitor.py
@@ -106,7 +106,7 @@
     def list_silent(self, service: str) -> list[str]:
         """Return the targets of a service that took requests here and sent nothing."""
         reach = self._services.get(service)
-        if reach is None:
+        if reach is None or not reach.evidence.has_lost_requests():
             return []
         return reach.evidence.list_silent(self._checker.list_names(service), self._now())
 
