--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_reach_monitor.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_reach_monitor.py
@@ -12,8 +12,8 @@
 from damsonlane_rpc import ReachQuery, ReachReply
 from damsonlaned.gateway.tests.harness import Entry, FakeTarget, answer_ok
 from damsonlaned.relay import _path_prober, _reach_monitor
-from damsonlaned.relay._path_prober import ANSWER_SECONDS
 from damsonlaned.relay.tests.cuts import CutForm
+from damsonlaned.relay.tests.late_answers import delay_first_answer
 from damsonlaned.relay.tests.test_unreachable_targets import (
     CUT_DOCUMENT,
     DEADLINE_MS,
@@ -73,16 +73,7 @@
         """Guards against a silent box that counts as one which does not reach the targets."""
         await self.start_fleet(*make_targets(count=2))
         await self.cut(0, "refuse")
-        other = self.fleet.entries[1].reach
-        answer = other.answer
-        delays = [2 * ANSWER_SECONDS]
-
-        async def answer_late_once(query: ReachQuery) -> ReachReply:
-            if delays:
-                await asyncio.sleep(delays.pop())
-            return await answer(query)
-
-        with mock.patch.object(other, "answer", answer_late_once):
+        with delay_first_answer(self.fleet.entries[1].reach):
             await self.fleet.entries[0].call("/ping/a", deadline_ms=DEADLINE_MS)
             await self.wait_until(0, "desk", is_reached=False)
 
--- a/packages/damsonlaned/src/damsonlaned/relay/tests/test_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/tests/test_relay.py
@@ -11,7 +11,6 @@
 from typing import Final
 from unittest import mock
 
-from damsonlane_rpc import ReachQuery, ReachReply
 from damsonlaned.gateway.tests.harness import (
     AnswerHandler,
     Entry,
@@ -24,7 +23,7 @@
 )
 from damsonlaned.http import HttpRequest, ResponseWriter
 from damsonlaned.relay import _writer
-from damsonlaned.relay._path_prober import ANSWER_SECONDS
+from damsonlaned.relay.tests.late_answers import delay_first_answer
 from damsonlaned.relay.tests.test_unreachable_targets import (
     CUT_DOCUMENT,
     DEADLINE_MS,
@@ -115,16 +114,7 @@
 
     async def test_a_stream_is_not_cut_while_the_other_entry_is_silent_about_the_path(self) -> None:
         await self.start_fleet(*make_targets(_stream_slowly, count=2))
-        other = self.fleet.entries[1].reach
-        answer = other.answer
-        delays = [2 * ANSWER_SECONDS]
-
-        async def answer_late_once(query: ReachQuery) -> ReachReply:
-            if delays:
-                await asyncio.sleep(delays.pop())
-            return await answer(query)
-
-        with mock.patch.object(other, "answer", answer_late_once):
+        with delay_first_answer(self.fleet.entries[1].reach):
             caller = asyncio.create_task(self.call("/chat/a", deadline_ms=8_000))
             await self.wait_for(lambda: any(proxy.has_forwarded for proxy in self.proxies[0]))
             for proxy in self.proxies[0]:
