Third-party packages are installed in isolated builds before our own

make demo and make test failed on a new arm64 machine: hdrhistogram comes as source there, and with --no-build-isolation its build lacked pbr, which names its version, so the wheel said 0.0.0 and pip refused it beside constraints.txt. constraints.txt pins all that is installed, so its packages go in first, each built in isolation; only our own packages are built with the pinned setuptools.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 $(VENV)/made: constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/pip install -q -c constraints.txt setuptools
+	$(VENV)/bin/pip install -q -r constraints.txt
 	$(VENV)/bin/pip install -q -c constraints.txt --no-build-isolation -r requirements.txt $(addprefix -e packages/,$(PACKAGES)) -e platform
 	touch $@
 
