Control replicas hold the origins of streams, so that all entries may be lost

Cause: where a stream began was in the memory of entries only.

While a service may have a second version, an entry now tells three control replicas as well as four entries, in the background, and what can't be delivered goes to the next replica. They keep it in memory, without a commit: an origin never changes, so any replica that knows it is right, and no leader is needed. What nobody nearby knows is asked of all replicas.

--- a/packages/damsonlane/src/damsonlane/versions/_origins.py
+++ b/packages/damsonlane/src/damsonlane/versions/_origins.py
@@ -9,6 +9,8 @@
 
 #: Most streams that one box remembers; beyond it the oldest is forgotten.
 MAX_ORIGINS: Final = 20_000
+#: Most streams that one control replica remembers for the boxes.
+MAX_REPLICA_ORIGINS: Final = 100_000
 #: Retention of an origin, as a multiple of the longest time-out of a route with event streams:
 #: callers resume a stream a few times, each try within the time-out.
 RETENTION_FACTOR: Final = 3.0
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/versions/_replicas.py
@@ -0,0 +1,38 @@
+"""Which control replicas a box tells of the origins of streams."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from damsonlane.membership import rank_boxes
+
+#: Control replicas that are told of each stream: one may be lost together with all entries, while
+#: another one restarts.
+REPLICA_COPIES: Final = 3
+#: Most control replicas that are told or asked.
+MAX_REPLICAS: Final = 9
+#: Subject by which they are chosen.
+_SUBJECT: Final = "stream origins"
+
+
+class ReplicaRanking:
+    """Ranks the control replicas that a box tells of the origins of its streams.
+
+    A box tells the same ones of all streams, so that origins of one moment share a message.
+
+    Args:
+        own_address: internal address of this box, by which boxes spread over the replicas.
+    """
+
+    def __init__(self, own_address: str) -> None:
+        self._own_address: Final = own_address
+        self._replicas: tuple[str, ...] = ()
+
+    def update(self, addresses: Sequence[str]) -> None:
+        """Replace the addresses of the control replicas."""
+        subject = f"{_SUBJECT} of {self._own_address}"
+        ranked = rank_boxes(subject, dict.fromkeys(addresses, 1.0))
+        self._replicas = tuple(ranked[:MAX_REPLICAS])
+
+    def rank(self) -> tuple[str, ...]:
+        """Return the addresses of the replicas, the ones that are told first."""
+        return self._replicas
--- /dev/null
+++ b/packages/damsonlane/src/damsonlane/versions/tests/test_replicas.py
@@ -0,0 +1,41 @@
+"""Tests of the choice of the control replicas that are told of origins."""
+
+import unittest
+from collections import Counter
+
+from damsonlane.versions import REPLICA_COPIES, ReplicaRanking
+
+REPLICAS = [f"10.1.0.{number}:7000" for number in range(5)]
+
+
+def rank(own: str, replicas: list[str]) -> tuple[str, ...]:
+    ranking = ReplicaRanking(own)
+    ranking.update(replicas)
+    return ranking.rank()
+
+
+class ReplicaRankingTest(unittest.TestCase):
+    def test_boxes_spread_over_the_replicas(self) -> None:
+        told = Counter(
+            address
+            for number in range(500)
+            for address in rank(f"10.0.0.{number}:7000", REPLICAS)[:REPLICA_COPIES]
+        )
+        self.assertEqual(set(told), set(REPLICAS))
+        self.assertGreater(min(told.values()), 200)
+
+    def test_the_order_of_the_list_does_not_matter(self) -> None:
+        self.assertEqual(rank("a:1", REPLICAS), rank("a:1", REPLICAS[::-1]))
+
+    def test_a_replica_that_leaves_moves_no_other_one(self) -> None:
+        before = rank("a:1", REPLICAS)
+        without = [address for address in REPLICAS if address != before[1]]
+        self.assertEqual(rank("a:1", without), (before[0], *before[2:]))
+
+    def test_the_number_of_replicas_is_bounded(self) -> None:
+        many = [f"10.1.0.{number}:7000" for number in range(40)]
+        self.assertEqual(len(rank("a:1", many)), 9)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damsonlane_bench/src/damsonlane_bench/resumed_streams.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/resumed_streams.py
@@ -109,6 +109,14 @@
         fleet.fleet.start(entry)
 
 
+@scenario("all entries are killed at once", _KILL_SECONDS)
+def _kill_all_entries(fleet: VersionedFleet, number: int) -> None:
+    for entry in fleet.fleet.entries:
+        fleet.fleet.processes[entry].kill()
+    for entry in fleet.fleet.entries:
+        fleet.fleet.start(entry)
+
+
 @scenario("one version replaces another", _ROLLOUT_SECONDS)
 def _replace_version(fleet: VersionedFleet, number: int) -> None:
     """Drain one engine, and start it again with the version of its turn."""
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_origin_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_origin_messages.py
@@ -9,9 +9,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class OriginBatch:
-    """Origins of streams that began at the sender."""
+    """Origins of streams that began at the sender, for other boxes and for control replicas."""
 
     origins: tuple[StreamOrigin, ...]
+    #: Seconds for which they are remembered; 0 where the receiver knows it by its routes.
+    retention_seconds: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -29,6 +29,7 @@
 from damsonlaned.dialects import DIALECTS
 from damsonlaned.metrics import Metrics
 from damsonlaned.storage import DataFolder
+from damsonlaned.versions import OriginService, ReplicaOrigins
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -115,6 +116,7 @@
         )
         self._membership: Final = MembershipUpdater(self._node, self._client, self._metrics)
         self._limits: Final = RateLimitService(self._node)
+        self._origins: Final = ReplicaOrigins(self._metrics)
         self._group: Final = _make_group(settings, self._node, self._client, tls_contexts)
         self._registry: Final = _make_registry(
             settings.gateway, self._node, self._group, self._client
@@ -152,6 +154,7 @@
         return {
             **FollowService(self._node).handlers(),
             **self._limits.handlers(),
+            **OriginService(self._origins).handlers(),
             **(self._group.handlers() if self._group else {}),
             **(self._registry.handlers() if self._registry else {}),
         }
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -175,6 +175,7 @@
         self._origins: Final = StreamOrigins(
             self._view, settings.internal_address, context, self._metrics
         )
+        self._origins.follow_replicas(settings.control)
         self._view.on_entries(self._origins.follow_entries)
         self._view.on_change(self._origins.tell_uncertain)
         self._origin_service: Final = OriginService(self._origins)
@@ -298,6 +299,7 @@
 
     def _update_control(self, addresses: tuple[str, ...]) -> None:
         self._control.update_addresses(addresses)
+        self._origins.follow_replicas(addresses)
 
     def _find_data_centre(self, handle: str) -> str:
         return self._view.data_centre_at(self._dialect.read_result_address(handle))
--- a/packages/damsonlaned/src/damsonlaned/metrics.py
+++ b/packages/damsonlaned/src/damsonlaned/metrics.py
@@ -122,6 +122,11 @@
             "Index of the last committed log entry.",
             registry=self.registry,
         )
+        self.kept_origins: Final = Gauge(
+            "damsonlane_kept_origins",
+            "Origins of event streams that this replica remembers.",
+            registry=self.registry,
+        )
         self.is_leader: Final = Gauge(
             "damsonlane_is_leader", "1 while this replica is the leader.", registry=self.registry
         )
--- a/packages/damsonlaned/src/damsonlaned/versions/_client.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_client.py
@@ -1,15 +1,15 @@
-"""Tells other boxes of the origins of streams, and asks them."""
+"""Tells other boxes and control replicas of the origins of streams, and asks them."""
 
 import asyncio
 import logging
 import ssl
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from grpclib.client import Channel
 
 from damsonlane.records import dataclass
-from damsonlane.versions import HolderRanking, StreamOrigin
+from damsonlane.versions import REPLICA_COPIES, HolderRanking, ReplicaRanking, StreamOrigin
 from damsonlane_rpc import (
     CALL_ERRORS,
     FIND_ORIGIN,
@@ -29,7 +29,7 @@
 MAX_POSITION: Final = 12
 #: Boxes that are asked first: the copies, and others in case the lists of boxes differ.
 FIRST_ASKED: Final = 6
-#: Rounds of questions; the later ones go to all holders.
+#: Rounds of questions; the later ones go to all holders, and to the control replicas.
 ROUNDS: Final = 2
 #: Seconds between them: the message about a stream that has just begun may still be under way.
 ROUND_PAUSE_SECONDS: Final = 0.03
@@ -39,50 +39,71 @@
 CONNECT_SECONDS: Final = 0.2
 
 
+@dataclass(frozen=True, kw_only=True)
+class FoundOrigin:
+    """An origin that another box or a control replica knew."""
+
+    #: The origin.
+    origin: StreamOrigin
+    #: Whether a control replica knew it.
+    is_from_control: bool
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Tell:
-    """An origin to send to a box."""
+    """An origin to send."""
 
     origin: StreamOrigin
-    #: Position of the box among the holders of the origin.
-    position: int
+    #: Addresses to which it is sent instead, one after the other, while it can't be delivered.
+    others: tuple[str, ...]
 
 
 class OriginClient:
-    """Tells and asks the boxes that hold origins.
+    """Tells and asks the boxes and control replicas that hold origins.
 
     Args:
-        ranking: ranks these boxes for each stream.
+        ranking: ranks the boxes for each stream.
+        replicas: ranks the control replicas.
         context: TLS context towards other boxes, or None.
+        find_retention: returns for how long origins are remembered, in seconds.
     """
 
-    def __init__(self, ranking: HolderRanking, context: ssl.SSLContext | None) -> None:
+    def __init__(
+        self,
+        ranking: HolderRanking,
+        replicas: ReplicaRanking,
+        context: ssl.SSLContext | None,
+        find_retention: Callable[[], float],
+    ) -> None:
         self._ranking: Final = ranking
+        self._replicas: Final = replicas
         self._context: Final = context
+        self._find_retention: Final = find_retention
         self._channels: dict[str, Channel] = {}
         self._outgoing: dict[str, list[_Tell]] = {}
         self._senders: dict[str, asyncio.Task[None]] = {}
 
     def tell(self, origin: StreamOrigin) -> None:
         """Send an origin to its holders without waiting for them."""
-        holders = self._ranking.rank(origin.attempt)
-        for position in range(min(COPIES, len(holders))):
-            self._send_to(holders[position], _Tell(origin=origin, position=position))
+        self._send_copies(origin, self._ranking.rank(origin.attempt)[:MAX_POSITION], COPIES)
+        self._send_copies(origin, self._replicas.rank(), REPLICA_COPIES)
 
-    async def find(self, attempt: str, *, is_needed: bool = True) -> StreamOrigin | None:
-        """Return the origin of a stream; None if no box that answers knows it.
+    async def find(self, attempt: str, *, is_needed: bool = True) -> FoundOrigin | None:
+        """Return the origin of a stream; None if nobody who answers knows it.
 
         Args:
             attempt: id of the caller's attempt that brought its first event.
             is_needed: whether all holders are asked if the first ones don't know it.
         """
         holders = self._ranking.rank(attempt)
-        for number in range(ROUNDS if is_needed else 1):
-            if number:
-                await asyncio.sleep(ROUND_PAUSE_SECONDS)
-            origin = await self._ask(holders if number else holders[:FIRST_ASKED], attempt)
-            if origin is not None:
-                return origin
+        found = await self._ask(holders[:FIRST_ASKED], attempt)
+        if found is not None or not is_needed:
+            return found
+        for _ in range(ROUNDS - 1):
+            await asyncio.sleep(ROUND_PAUSE_SECONDS)
+            found = await self._ask([*holders, *self._replicas.rank()], attempt)
+            if found is not None:
+                return found
         return None
 
     async def stop(self) -> None:
@@ -94,59 +115,70 @@
         for channel in self._channels.values():
             channel.close()
 
-    async def _ask(self, holders: Sequence[str], attempt: str) -> StreamOrigin | None:
+    async def _ask(self, addresses: Sequence[str], attempt: str) -> FoundOrigin | None:
         """Ask boxes at the same time; return the first origin that one of them knows."""
-        tasks = [asyncio.create_task(self._ask_one(holder, attempt)) for holder in holders]
+        tasks = [asyncio.create_task(self._ask_one(address, attempt)) for address in addresses]
         try:
             for earliest in asyncio.as_completed(tasks):
-                if (origin := await earliest) is not None:
-                    return origin
+                if (found := await earliest) is not None:
+                    return found
             return None
         finally:
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _ask_one(self, holder: str, attempt: str) -> StreamOrigin | None:
-        channel = self._find_channel(holder)
+    async def _ask_one(self, address: str, attempt: str) -> FoundOrigin | None:
+        channel = self._find_channel(address)
         try:
             async with asyncio.timeout(ASK_SECONDS):
                 reply = await FIND_ORIGIN.unary(channel)(OriginQuery(attempt=attempt))
         except CALL_ERRORS as error:
-            fields = {"to": holder, "attempt": attempt, "fault": _describe(error)}
+            fields = {"to": address, "attempt": attempt, "fault": _describe(error)}
             _LOG.info("question for an origin failed", extra=fields)
-            self._drop_channel(holder, channel)
+            self._drop_channel(address, channel)
             return None
-        return reply.origin
-
-    def _send_to(self, holder: str, tell: _Tell) -> None:
-        self._outgoing.setdefault(holder, []).append(tell)
-        if holder not in self._senders:
-            sender = start_task(self._send(holder), "telling origins")
-            self._senders[holder] = sender
-            sender.add_done_callback(lambda _: self._senders.pop(holder, None))
-
-    async def _send(self, holder: str) -> None:
+        if reply.origin is None:
+            return None
+        is_from_control = address in self._replicas.rank()
+        return FoundOrigin(origin=reply.origin, is_from_control=is_from_control)
+
+    def _send_copies(self, origin: StreamOrigin, addresses: Sequence[str], copies: int) -> None:
+        """Send an origin to the first of some addresses; each has others that may replace it."""
+        for position in range(min(copies, len(addresses))):
+            address, *others = addresses[position::copies]
+            self._send_to(address, _Tell(origin=origin, others=tuple(others)))
+
+    def _send_to(self, address: str, tell: _Tell) -> None:
+        self._outgoing.setdefault(address, []).append(tell)
+        if address not in self._senders:
+            sender = start_task(self._send(address), "telling origins")
+            self._senders[address] = sender
+            sender.add_done_callback(lambda _: self._senders.pop(address, None))
+
+    async def _send(self, address: str) -> None:
         """Send what is queued for a box; what is queued meanwhile goes into the next message."""
-        while tells := self._outgoing.pop(holder, []):
-            channel = self._find_channel(holder)
-            batch = OriginBatch(origins=tuple(tell.origin for tell in tells))
+        while tells := self._outgoing.pop(address, []):
+            channel = self._find_channel(address)
+            batch = OriginBatch(
+                origins=tuple(tell.origin for tell in tells),
+                retention_seconds=self._find_retention(),
+            )
             try:
                 async with asyncio.timeout(TELL_SECONDS):
                     await RECORD_ORIGINS.unary(channel)(batch)
             except CALL_ERRORS as error:
-                fields = {"to": holder, "count": len(tells), "fault": _describe(error)}
+                fields = {"to": address, "count": len(tells), "fault": _describe(error)}
                 _LOG.info("origins not told", extra=fields)
-                self._drop_channel(holder, channel)
+                self._drop_channel(address, channel)
                 for tell in tells:
                     self._tell_next(tell)
 
     def _tell_next(self, tell: _Tell) -> None:
-        """Send an origin to a holder further down, in place of one that did not take it."""
-        position = tell.position + COPIES
-        holders = self._ranking.rank(tell.origin.attempt)
-        if position < min(MAX_POSITION, len(holders)):
-            self._send_to(holders[position], _Tell(origin=tell.origin, position=position))
+        """Send an origin to the next address, in place of one that did not take it."""
+        if tell.others:
+            address, *others = tell.others
+            self._send_to(address, _Tell(origin=tell.origin, others=tuple(others)))
 
     def _find_channel(self, address: str) -> Channel:
         if address not in self._channels:
--- a/packages/damsonlaned/src/damsonlaned/versions/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_service.py
@@ -1,11 +1,12 @@
 """Serves other boxes that tell of the origins of streams or ask for them."""
 
-from collections.abc import Mapping
-from typing import Final
+from collections.abc import Iterable, Mapping
+from typing import Final, Protocol
 
 from grpclib.const import Handler
 from grpclib.server import Stream
 
+from damsonlane.versions import StreamOrigin
 from damsonlane_rpc import (
     FIND_ORIGIN,
     RECORD_ORIGINS,
@@ -14,7 +15,21 @@
     OriginQuery,
     OriginReply,
 )
-from damsonlaned.versions._stream_origins import StreamOrigins
+
+
+class OriginStore(Protocol):
+    """Keeps the origins of streams."""
+
+    def record_told(self, origins: Iterable[StreamOrigin], retention_seconds: float) -> None:
+        """Record origins that another box told.
+
+        Args:
+            origins: the origins.
+            retention_seconds: for how long that box remembers them, in seconds.
+        """
+
+    def find_here(self, attempt: str) -> StreamOrigin | None:
+        """Return an origin that this box knows, or None."""
 
 
 class OriginService:
@@ -24,7 +39,7 @@
         origins: the origins that this box knows.
     """
 
-    def __init__(self, origins: StreamOrigins) -> None:
+    def __init__(self, origins: OriginStore) -> None:
         self._origins: Final = origins
 
     def handlers(self) -> Mapping[str, Handler]:
@@ -37,7 +52,7 @@
     async def _record(self, stream: Stream[OriginBatch, OriginBatchReply]) -> None:
         batch = await stream.recv_message()
         if batch is not None:
-            self._origins.record_told(batch.origins)
+            self._origins.record_told(batch.origins, batch.retention_seconds)
             await stream.send_message(OriginBatchReply())
 
     async def _find(self, stream: Stream[OriginQuery, OriginReply]) -> None:
--- a/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
@@ -4,7 +4,7 @@
 import logging
 import ssl
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final, Protocol
 
 from damsonlane.membership import BoxRecord
@@ -13,6 +13,7 @@
 from damsonlane.versions import (
     HolderRanking,
     OriginTable,
+    ReplicaRanking,
     SteadyVersions,
     StreamOrigin,
     find_retention_seconds,
@@ -65,18 +66,25 @@
         #: Streams that began here and that no other box was told of, by service and by attempt.
         self._untold: dict[str, dict[str, StreamOrigin]] = {}
         self._ranking: Final = HolderRanking(address)
-        self._client: Final = OriginClient(self._ranking, context)
+        self._replicas: Final = ReplicaRanking(address)
+        self._client: Final = OriginClient(
+            self._ranking, self._replicas, context, self._retention_seconds
+        )
 
     def follow_entries(self) -> None:
         """Choose the boxes that hold origins anew, after a change of the list of entries."""
         self._ranking.update(self._fleet.entries)
 
+    def follow_replicas(self, addresses: Sequence[str]) -> None:
+        """Choose the control replicas that hold origins, after a change of their list."""
+        self._replicas.update(addresses)
+
     def record(self, origin: StreamOrigin) -> None:
         """Record the origin of a stream whose first event is about to be sent to its caller.
 
         Other boxes are told of it unless all of them know the version without it.
         """
-        self.record_told((origin,))
+        self.record_told((origin,), self._retention_seconds())
         if self._find_sole(origin.service) is None:
             self._tell_untold(origin.service)
             self._client.tell(origin)
@@ -98,8 +106,8 @@
             if self._table.find(attempt) is not None:
                 self._client.tell(origin)
 
-    def record_told(self, origins: Iterable[StreamOrigin]) -> None:
-        """Record origins that another box told."""
+    def record_told(self, origins: Iterable[StreamOrigin], retention_seconds: float) -> None:
+        """Record origins that another box told; they are kept for as long as those of this box."""
         now = asyncio.get_running_loop().time()
         for origin in origins:
             self._table.record(origin, now)
@@ -120,7 +128,10 @@
         origin, source = self.find_here(attempt), "here"
         certain = self._find_certain(attempt, route)
         if origin is None and attempt:
-            origin, source = await self._client.find(attempt, is_needed=certain is None), "told"
+            found = await self._client.find(attempt, is_needed=certain is None)
+            if found is not None:
+                origin = found.origin
+                source = "control" if found.is_from_control else "told"
         if origin is None:
             origin, source = certain, "certain"
         fields = {"request": request, "route": route.name, "first_attempt": attempt}
@@ -129,8 +140,8 @@
             _LOG.warning("stream of unknown version", extra={**fields, **self._describe(route)})
             return None
         self.count(source)
-        found = {"service": origin.service, "target_version": origin.version, "source": source}
-        _LOG.info("stream resumed", extra={**fields, **found})
+        fields |= {"service": origin.service, "target_version": origin.version, "source": source}
+        _LOG.info("stream resumed", extra=fields)
         return origin
 
     def count(self, outcome: str) -> None:
@@ -168,4 +179,8 @@
             )
             for share in route.services
         }
-        return {"targets": versions, "asked": self._ranking.count()}
+        return {
+            "targets": versions,
+            "asked": self._ranking.count(),
+            "asked_control": len(self._replicas.rank()),
+        }
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
@@ -203,7 +203,7 @@
         self.addAsyncCleanup(later.stop)
         record = await later.start()
         origin = StreamOrigin(attempt="a", service="desk", version="v1")
-        self.entry.origins.record_told([origin])
+        self.entry.origins.record_told([origin], LONG)
         placed = mock.Mock(target="t2", source="")
 
         async def place(service: str, order: PlacementRequest) -> mock.Mock | None:
@@ -282,7 +282,7 @@
         await resume(self.entry, "b", "a", events)
         await resume(self.entry, "c", "unheard of", events)
         origin = StreamOrigin(attempt="d", service="desk", version="v3")
-        self.entry.origins.record_told([origin])
+        self.entry.origins.record_told([origin], LONG)
         self.check_refused(await resume(self.entry, "e", "d", events))
         outcomes = self.find_outcomes(self.entry)
         self.assertEqual(outcomes, {"here": 2, "unknown": 1, "no-target": 1})
