An answer that follows a late one in a segment of its own is delivered

Callers got 502 for a request that its target answered well, if an extra answer to an earlier request came first on the kept connection and the right one some time later. Cause: after the extra answer the parser was handed what had arrived beyond it, and no bytes mean the end of the connection to it.

test_the_answer_that_comes_some_time_after_a_late_one_is_delivered: 200, 502, 200 before, for requests that must run once and for streams; passes now.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_late_answers.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_late_answers.py
@@ -1,4 +1,4 @@
-"""Pool targets that send an answer once more, late, on a kept connection."""
+"""Targets that send an answer once more, late, on a kept connection."""
 
 import asyncio
 import json
@@ -6,6 +6,7 @@
 
 from damsonlane.targets import TargetRecord
 from damsonlaned.gateway.tests.harness import Entry, FakeTarget, stream_events
+from damsonlaned.gateway.tests.scripted_target import ScriptedTarget, render
 from damsonlaned.tests.addresses import find_free_address
 
 REQUEST_COUNT = 6
@@ -99,6 +100,23 @@
         await self.call_all(target)
         self.assertLessEqual(target.accepted, 2)
 
+    async def test_the_answer_that_comes_some_time_after_a_late_one_is_delivered(self) -> None:
+        for path in ("/once/a", "/draft/a"):
+            with self.subTest(path):
+                target = ScriptedTarget(
+                    lambda request_id, number: (
+                        *([render(200, "earlier")] if number > 1 else ()),
+                        render(200, request_id),
+                    )
+                )
+                entry = Entry()
+                await entry.start(await target.start())
+                self.addAsyncCleanup(entry.stop)
+                self.addAsyncCleanup(target.stop)
+                responses = [await entry.call(path, request_id=f"r{n}") for n in range(3)]
+                self.assertEqual([response.status for response in responses], [200, 200, 200])
+                self.assertEqual(target.requests, [["r0", "r1", "r2"]])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
@@ -216,7 +216,9 @@
         self._parser.send(self._last_request)
         if not _has_body(self._last_request):
             self._parser.send(h11.EndOfMessage())
-        self._parser.receive_data(rest)
+        if rest:
+            # To the parser no bytes mean that the connection has ended.
+            self._parser.receive_data(rest)
 
     async def next_event(self) -> h11.Event:
         """Return the next event of the response.
