A request goes to a target again on a new connection

Callers were told 503 'not run' for a request that ran (REFUSED). Where a target has rejected a request and gets it again on the kept connection, a second copy of that rejection, which targets may send late at the place of the next answer, has the right id and was taken for the answer to the new attempt, which ran. Entries send a request to a target twice where no other one is left: 'avoid' is a preference.

Ids of requests stay as callers sent them, so an attempt can't have one of its own as calls of stages have; a repeat at the same target opens a connection, an idle one gives way where all that may be open are.

test_a_second_copy_of_a_rejection_is_no_answer_to_the_next_attempt: 503 with 'run: no' for a request that the target ran before, at plain requests and at streams that run once; 200 now.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -212,6 +212,8 @@
         inputs: tuple[str, ...],
         last_event: str | None,
         on_sent: Callable[[], None] = lambda: None,
+        *,
+        is_repeat: bool = False,
     ) -> OpenedExchange:
         """Send a request and read the head of its response.
 
@@ -221,6 +223,7 @@
             inputs: handles of its stage results.
             last_event: id of the last event that the caller has, if its stream is resumed.
             on_sent: called once the request was sent.
+            is_repeat: whether the target had the request before.
 
         Raises:
             NotSentError: the request was not sent.
@@ -237,7 +240,7 @@
             cache_source=chosen.source_address,
         )
         request = self._dialect.make_request(call.request, attempt)
-        exchange = await chosen.connections.send(request, CONNECT_SECONDS)
+        exchange = await chosen.connections.send(request, CONNECT_SECONDS, is_repeat=is_repeat)
         on_sent()
         sent_at = self._now()
         _LOG.info(
--- /dev/null
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_kept_promises.py
@@ -0,0 +1,48 @@
+"""Requests that must run once are refused with a promise only if they have not run."""
+
+import unittest
+
+from damsonlaned.gateway.tests.harness import Entry, FakeTarget, Response
+from damsonlaned.gateway.tests.scripted_target import ScriptedTarget, render
+
+DEADLINE_MS = 800
+#: Attempts that an entry makes at a target that rejects a request.
+ATTEMPT_COUNT = 3
+
+
+class KeptPromisesTest(unittest.IsolatedAsyncioTestCase):
+    async def start_entry(self, *targets: ScriptedTarget | FakeTarget) -> Entry:
+        entry = Entry()
+        records = [await target.start() for target in targets]
+        for target in targets:
+            self.addAsyncCleanup(target.stop)
+        await entry.start(*records)
+        self.addAsyncCleanup(entry.stop)
+        return entry
+
+    async def call_once(self, entry: Entry, request_id: str, path: str = "/once/a") -> Response:
+        return await entry.call(path, request_id=request_id, deadline_ms=DEADLINE_MS)
+
+    async def test_a_second_copy_of_a_rejection_is_no_answer_to_the_next_attempt(self) -> None:
+        for path in ("/once/a", "/draft/a"):
+            with self.subTest(path):
+                # The only target runs the third attempt.  A kept connection brings a second copy
+                # of the last rejection before the answer.
+                attempts: list[str] = []
+
+                def answer(request_id: str, number: int, seen: list[str] = attempts) -> list[bytes]:
+                    seen.append(request_id)
+                    rejection = render(503, request_id, has_run=False)
+                    if len(seen) < ATTEMPT_COUNT:
+                        return [rejection]
+                    return [*([rejection] if number > 1 else []), render(200, request_id)]
+
+                target = ScriptedTarget(answer)
+                entry = await self.start_entry(target)
+                response = await self.call_once(entry, "r1", path)
+                self.assertEqual(response.status, 200)
+                self.assertEqual(target.requests, [["r1"]] * ATTEMPT_COUNT)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -152,8 +152,7 @@
     @contextlib.asynccontextmanager
     async def reserve(self) -> AsyncIterator[bool]:
         """Leave room for a connection that is opened elsewhere; yield whether there is room."""
-        if self._open >= self.max_connections and self._idle:
-            self._drop(self._idle.popleft())
+        self._make_room()
         has_room = self._open < self.max_connections
         self._open += has_room
         try:
@@ -164,18 +163,33 @@
             if has_room:
                 self._on_free()
 
+    def _make_room(self) -> None:
+        """Close an idle connection if otherwise no other one may be opened."""
+        if self._open >= self.max_connections and self._idle:
+            self._drop(self._idle.popleft())
+
     def has_free(self) -> bool:
         """Return whether one more request may be sent."""
         return self.count_busy() < self.max_connections
 
-    async def send(self, request: HttpRequest, connect_seconds: float) -> HttpExchange:
+    async def send(
+        self, request: HttpRequest, connect_seconds: float, *, is_repeat: bool = False
+    ) -> HttpExchange:
         """Send a request on an idle connection, or on a new one.
 
+        Args:
+            request: the request.
+            connect_seconds: time-out of a new connection, in seconds.
+            is_repeat: whether the target had the same request before.  An idle connection may
+                still bring a copy of the earlier response, so a new one is opened.
+
         Raises:
             NotSentError: no connection could be opened.
             ConnectionsInUseError: all connections that may be open are in use.
         """
-        idle = self._take_idle()
+        if is_repeat:
+            self._make_room()
+        idle = self._take_idle() if not is_repeat else None
         connection = idle or await self._connect(connect_seconds)
         connection.send(request)
         return HttpExchange(
--- a/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
@@ -65,11 +65,14 @@
         if not self._quarantine.may_copy(chosen.source_address, chosen.version):
             chosen = replace(chosen, source_address="")
         self._chosen: Final = chosen
+        #: Whether the target had the request before.
+        self._is_repeat = False
         #: Whether it was recorded that the target has been writing for a while.
         self._is_writing_recorded = False
 
     async def run(self) -> FailedAttempt | None:
         """Make the attempt; return None once the response is complete."""
+        self._is_repeat = self._chosen.target in self._history.tried_targets
         self._history.record_attempt(self._chosen.target)
         self._times.record_sent()
         self._begin()
@@ -152,7 +155,12 @@
                 self._relay.watch(self._turn.report_silent),
             ):
                 return await self._attempts.open(
-                    self._call, self._chosen, inputs, self._history.last_event, record_sent
+                    self._call,
+                    self._chosen,
+                    inputs,
+                    self._history.last_event,
+                    record_sent,
+                    is_repeat=self._is_repeat,
                 )
         except ConnectionsInUseError:
             self._attempts.finish_unopened(self._chosen, "neutral")
