A rejection that names no request is believed on a new connection only

Callers were told 503 'not run' for a request that ran (REFUSED), or it ran at two targets (TWICE). A rejection without a request id was taken for the answer to the request under way wherever it came, also on a kept connection, where it may be a late second answer to something else. It is skipped there like any other answer to another request; on a new connection nothing else was sent, so it is believed. The log line of a skipped answer has the target, the status and whether it promised.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -306,8 +306,8 @@
         for _ in range(MAX_SKIPPED_RESPONSES + 1):
             head = await exchange.read_head()
             signals = self._dialect.read_signals(head)
-            is_own = signals.request_id == call.request.request_id or _is_rejection_without_id(
-                signals
+            is_own = signals.request_id == call.request.request_id or (
+                not exchange.is_reused and _is_rejection_without_id(signals)
             )
             # A response to another request carries signals of the target, too.
             self._targets.record_signals(chosen, signals, is_own=is_own)
@@ -315,7 +315,13 @@
                 return head, signals
             _LOG.warning(
                 "skipped the response to another request",
-                extra={**call.log_fields(), "other": signals.request_id},
+                extra={
+                    **call.log_fields(),
+                    "target": chosen.target,
+                    "other": signals.request_id,
+                    "status": head.status,
+                    "has_not_run": signals.has_not_run,
+                },
             )
             await exchange.skip_response()
         raise IncompleteResponseError("the target sent only answers to other requests")
@@ -389,5 +395,8 @@
 
 
 def _is_rejection_without_id(signals: ResponseSignals) -> bool:
-    """Return whether a target rejected a request before it read the id."""
+    """Return whether a target rejected a request before it read the id.
+
+    On a kept connection it may have rejected another request, and run this one.
+    """
     return signals.request_id is None and signals.has_not_run
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_kept_promises.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_kept_promises.py
@@ -43,6 +43,42 @@
                 self.assertEqual(response.status, 200)
                 self.assertEqual(target.requests, [["r1"]] * ATTEMPT_COUNT)
 
+    async def test_a_rejection_that_names_no_request_on_a_kept_connection_is_no_promise(
+        self,
+    ) -> None:
+        for path in ("/once/a", "/draft/a"):
+            with self.subTest(path):
+                # The target runs the second request, after a late rejection of something else.
+                entry = await self.start_entry(
+                    ScriptedTarget(
+                        lambda request_id, number: (
+                            [render(200, request_id)]
+                            if number == 1
+                            else [render(503, has_run=False)]
+                        )
+                    )
+                )
+                first = await self.call_once(entry, "r1", path)
+                second = await self.call_once(entry, "r2", path)
+                self.assertEqual((first.status, second.status), (200, 504))
+
+    async def test_the_answer_after_a_rejection_that_names_no_request_is_delivered(self) -> None:
+        entry = await self.start_entry(
+            ScriptedTarget(
+                lambda request_id, number: (
+                    [render(200, request_id)]
+                    if number == 1
+                    else [render(503, has_run=False), render(200, request_id)]
+                )
+            )
+        )
+        responses = [await self.call_once(entry, f"r{number}") for number in range(3)]
+        self.assertEqual([response.status for response in responses], [200, 200, 200])
+
+    async def test_a_rejection_that_names_no_request_is_one_on_a_new_connection(self) -> None:
+        entry = await self.start_entry(ScriptedTarget(lambda *_: [render(503, has_run=False)]))
+        self.assertEqual((await self.call_once(entry, "r1")).status, 503)
+
 
 if __name__ == "__main__":
     unittest.main()
