A status of a target is passed on as a promise only where it says 'not run'

Callers of requests that must run once got a target's own 503, 429 or 408 as it was, though the target had run the request and said nothing else (REFUSED). To callers these statuses mean that it has not run and never will, so they send it again. Only the header of a rejection says so; without it the outcome is not known, and the caller gets 502 with 'run: unknown'. Requests that may be repeated get the target's answer as before.

test_a_status_of_a_target_that_has_run_it_is_no_promise: 408, 429 and 503 at plain requests and streams that run once before, 502 now.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_kept_promises.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_kept_promises.py
@@ -3,13 +3,18 @@
 import unittest
 
 from damsonlaned.gateway.tests.harness import Entry, FakeTarget, Response
-from damsonlaned.gateway.tests.scripted_target import ScriptedTarget, render
+from damsonlaned.gateway.tests.scripted_target import Script, ScriptedTarget, render
 
 DEADLINE_MS = 800
 #: Attempts that an entry makes at a target that rejects a request.
 ATTEMPT_COUNT = 3
 
 
+def always(status: int) -> Script:
+    """Return the script of a target that runs each request, and answers it with a status."""
+    return lambda request_id, _: [render(status, request_id)]
+
+
 class KeptPromisesTest(unittest.IsolatedAsyncioTestCase):
     async def start_entry(self, *targets: ScriptedTarget | FakeTarget) -> Entry:
         entry = Entry()
@@ -79,6 +84,21 @@
         entry = await self.start_entry(ScriptedTarget(lambda *_: [render(503, has_run=False)]))
         self.assertEqual((await self.call_once(entry, "r1")).status, 503)
 
+    async def test_a_status_of_a_target_that_has_run_it_is_no_promise(self) -> None:
+        for path in ("/once/a", "/draft/a"):
+            for status in (408, 429, 503):
+                with self.subTest(path, status=status):
+                    target = ScriptedTarget(always(status))
+                    response = await self.call_once(await self.start_entry(target), "r1", path)
+                    self.assertEqual(response.status, 502)
+                    self.assertIn(b'"run": "unknown"', response.data)
+                    self.assertEqual(target.requests, [["r1"]])
+
+    async def test_such_a_status_reaches_callers_that_may_repeat_the_request(self) -> None:
+        target = ScriptedTarget(always(429))
+        response = await self.call_once(await self.start_entry(target), "r1", "/ping/a")
+        self.assertEqual(response.status, 429)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/requests/_failed_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_failed_attempt.py
@@ -1,7 +1,7 @@
 """The outcome of an attempt that produced no response for the caller."""
 
 from damsonlane.records import dataclass
-from damsonlaned.dialects import ResponseSignals
+from damsonlaned.dialects import PROMISE_STATUSES, ResponseSignals
 from damsonlaned.http import HttpResponse
 from damsonlaned.relay import RelayFailure
 
@@ -31,7 +31,11 @@
 
 
 def find_failure(
-    signals: ResponseSignals, response: HttpResponse, *, has_started: bool
+    signals: ResponseSignals,
+    response: HttpResponse,
+    *,
+    has_started: bool,
+    runs_once: bool,
 ) -> FailedAttempt | None:
     """Return why a whole response is not passed to the caller, or None if it is.
 
@@ -39,6 +43,8 @@
         signals: signals of the target in its head.
         response: the response.
         has_started: whether the caller has a part of another response.
+        runs_once: whether the request must run once, so that its caller repeats it only after a
+            promise.
     """
     if signals.has_not_run:
         return FailedAttempt(
@@ -47,6 +53,11 @@
             needs_inputs=response.status == 409,
             is_throttled=signals.is_announced_rejection(),
         )
+    if runs_once and response.status in PROMISE_STATUSES:
+        return FailedAttempt(
+            detail=f"the target answered {response.status}, but not that it has not run",
+            may_have_run=True,
+        )
     if response.status >= 500 or has_started:
         return FailedAttempt(
             detail=f"the target failed with {response.status}",
--- a/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
@@ -190,7 +190,12 @@
             self._attempts.finish(opened, health)
         head = opened.head
         response = HttpResponse(status=head.status, headers=head.headers, body=body)
-        failure = find_failure(opened.signals, response, has_started=self._response.has_started())
+        failure = find_failure(
+            opened.signals,
+            response,
+            has_started=self._response.has_started(),
+            runs_once=not self._call.route.is_retryable(),
+        )
         await self._turn.wait()
         if failure is None:
             self._turn.replace()
