A head that its target cut off is no rejection for pipelines either

At entries of pipelines the HTTP library takes the end of a connection for the end of a head. None of the answers with status 200 was taken for whole (bodies are JSON that names the attempt), but an attempt whose head of 503 broke off anywhere after the status was 'refused', which promises that it has not run, and the announcements in the part of the head were believed. A line of a head, of a chunk's size or of trailers must now end with a line feed.

--- a/packages/damsonlaned/src/damsonlaned/targets/_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_connections.py
@@ -76,10 +76,15 @@
     """A response is larger than any that is read."""
 
 
+class CutOffError(OSError):
+    """A response ended inside its head, the size of a chunk, or its trailers."""
+
+
 class _LimitedFile(io.BufferedReader):
-    """Ends a response with lines without end: heads, sizes of chunks, or trailers.
+    """Fails a response whose head, sizes of chunks or trailers don't end, or are cut off.
 
-    The libraries read such lines without regard to the deadline.
+    The libraries read such lines without regard to the deadline, and take the end of a connection
+    for that of a head.
     """
 
     _line_bytes = 0
@@ -89,8 +94,12 @@
 
         Raises:
             OversizedError: there are too many since the last part of a body.
+            CutOffError: the connection ended before the end of the line.
         """
         line = super().readline(size)
+        is_limited = size is not None and 0 <= size <= len(line)
+        if not line.endswith(b"\n") and not is_limited:
+            raise CutOffError("the connection ended in the middle of the head or between chunks")
         self._line_bytes += len(line)
         if self._line_bytes > MAX_LINE_BYTES:
             raise OversizedError("the head or the trailers are too large")
