--- a/packages/damsonlaned/src/damsonlaned/attempts/_sequence.py
+++ b/packages/damsonlaned/src/damsonlaned/attempts/_sequence.py
@@ -44,8 +44,9 @@
 class AttemptSequence(Generic[Failure]):
     """Runs attempts such that nothing under way is given up before it is replaced.
 
-    A silent attempt is still read while another one is prepared beside it.  It ends once the
-    request was sent again, and goes on if that fails, or if something arrives before.
+    A silent attempt is still read while another one is prepared and made beside it.  It ends once
+    the target of that one has accepted the request, and goes on if that fails, or if something
+    arrives before.
 
     Args:
         may_replace: returns whether another attempt may be prepared beside a silent one.
@@ -121,6 +122,17 @@
             failure = spare.task.result()
             if failure is not None:
                 self._record_failure(failure)
-        elif not spare.turn.has_taken and not self._current.turn.is_silent:
-            self._spare = None
-            await spare.stop()
+        elif not spare.turn.has_taken:
+            if not self._current.turn.is_silent:
+                await self._stop_spare(spare)
+        elif self._current.turn.has_spoken:
+            spare.turn.withdraw()
+            await self._stop_spare(spare)
+        elif spare.turn.is_silent:
+            spare.turn.give_up()
+            await self._stop_spare(spare)
+            self._current.turn.report_silent()
+
+    async def _stop_spare(self, spare: _RunningAttempt[Failure]) -> None:
+        self._spare = None
+        await spare.stop()
--- a/packages/damsonlaned/src/damsonlaned/attempts/_turn.py
+++ b/packages/damsonlaned/src/damsonlaned/attempts/_turn.py
@@ -5,10 +5,6 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
-#: Seconds after a request was sent again for which the silent attempt is still held, in case the
-#: new one is rejected.  Two targets may not work on a stream for longer than 0.4 s.
-HOLD_SECONDS: Final = 0.2
-
 
 def _do_nothing() -> None:
     """Ignore an event."""
@@ -27,12 +23,13 @@
         self._held: Final = held
         self._may_write: Final = asyncio.Event()
         self._may_write.set()
-        self._hold_timer: asyncio.TimerHandle | None = None
         #: Whether a silence was recorded.
         self._is_silence_recorded = False
         self._silence_timer: asyncio.TimerHandle
         #: Whether nothing has arrived for too long.
         self.is_silent = False
+        #: Whether something has arrived while another attempt was about to replace this one.
+        self.has_spoken = False
         #: Whether the silent attempt writes nothing, since this one is about to be sent.
         self.has_taken = False
         #: Whether the silent attempt is given up for this one.
@@ -41,8 +38,10 @@
         self.has_ended = False
         #: Whether this attempt is given up for another one.
         self.is_given_up = False
-        #: Called when this attempt is given up for another one.
+        #: Called when this silent attempt is given up for another one.
         self.on_given_up: Callable[[], None] = _do_nothing
+        #: Called when this attempt is given up since the one that it was to replace goes on.
+        self.on_withdrawn: Callable[[], None] = _do_nothing
         #: Called when this attempt goes on after another one has failed to replace it.
         self.on_resumed: Callable[[], None] = _do_nothing
 
@@ -88,7 +87,10 @@
         self._on_news()
 
     def _record_progress(self) -> None:
-        if self.is_silent and self._may_write.is_set():
+        if not self._may_write.is_set():
+            self.has_spoken = True
+            self._on_news()
+        elif self.is_silent:
             self.is_silent = False
             self._on_news()
 
@@ -112,29 +114,33 @@
         self._held._may_write.clear()
         return True
 
-    def record_sent(self) -> None:
-        """Record that the request was sent; the silent attempt is given up a little later."""
-        if self._held is not None and self._hold_timer is None:
-            self._hold_timer = asyncio.get_running_loop().call_later(HOLD_SECONDS, self.replace)
-
     def replace(self) -> None:
-        """Give up the silent attempt, since the new one is under way."""
-        if self._held is not None and not self.has_replaced and self.has_taken:
-            self.has_replaced = True
-            if not self._held.has_ended:
-                self._held.is_given_up = True
-                self._held.on_given_up()
-            self._on_news()
+        """Give up the silent attempt, since the target of this one has accepted the request."""
+        if self._held is None or self.has_replaced or self.is_given_up or not self.has_taken:
+            return
+        self.has_replaced = True
+        if not self._held.has_ended:
+            self._held.give_up()
+        self._on_news()
+
+    def give_up(self) -> None:
+        """Give up this attempt, which is silent."""
+        self.is_given_up = True
+        self.on_given_up()
+
+    def withdraw(self) -> None:
+        """Give up this attempt, since the one that it was to replace goes on."""
+        self.is_given_up = True
+        self.on_withdrawn()
 
     def end(self) -> None:
         """Let the silent attempt go on, unless it is given up already."""
-        if self._hold_timer is not None:
-            self._hold_timer.cancel()
         if self._held is not None and not self.has_replaced:
             self._held._resume(was_taken=self.has_taken)
 
     def _resume(self, *, was_taken: bool) -> None:
         self.is_silent = False
+        self.has_spoken = False
         if was_taken and not self.has_ended:
             self.on_resumed()
         self._may_write.set()
--- a/packages/damsonlaned/src/damsonlaned/attempts/tests/test_sequence.py
+++ b/packages/damsonlaned/src/damsonlaned/attempts/tests/test_sequence.py
@@ -1,14 +1,17 @@
 """What becomes of a silent attempt while another one is prepared, sent, rejected or lost."""
 
 import asyncio
+import contextlib
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from damsonlaned.attempts import AttemptSequence, AttemptTurn, _turn
+from damsonlaned.attempts import AttemptSequence, AttemptTurn
 
 #: Seconds after which an attempt of these tests is silent.
 SILENT_SECONDS: Final = 0.02
+#: Seconds after which another target rejects or accepts the request.
+REJECT_SECONDS: Final = 0.5
 TEST_TIMEOUT_SECONDS: Final = 10.0
 
 Make = Callable[[AttemptTurn], Awaitable[str | None]]
@@ -90,10 +93,8 @@
     ) -> None:
         async def replace(turn: AttemptTurn) -> str | None:
             self.assertTrue(turn.take())
-            turn.record_sent()
-            self.silent_end.set()
-            await asyncio.sleep(2 * SILENT_SECONDS)
             turn.replace()
+            self.silent_end.set()
             await turn.wait()
             self.written.append("other")
             return None
@@ -104,40 +105,77 @@
     async def test_a_silent_target_goes_on_after_the_other_one_rejected_the_request(self) -> None:
         async def reject(turn: AttemptTurn) -> str | None:
             self.assertTrue(turn.take())
-            turn.record_sent()
-            self.silent_end.set()
-            await asyncio.sleep(2 * SILENT_SECONDS)
+            await asyncio.sleep(REJECT_SECONDS)
+            asyncio.get_running_loop().call_later(2 * SILENT_SECONDS, self.silent_end.set)
             return "rejected"
 
         self.assertIsNone(await self.play(reject))
         self.assertEqual((self.written, self.failures), (["silent"], ["rejected"]))
 
-    async def test_a_silent_target_is_given_up_a_little_after_the_request_was_sent_again(
+    async def test_a_silent_target_is_given_up_once_the_other_one_has_accepted_the_request(
         self,
     ) -> None:
-        """Guards against two targets that work on one stream."""
-        given_up: list[float] = []
-        loop = asyncio.get_running_loop()
+        """Guards against streams that are cut for a target which rejects them."""
+        held: list[bool] = []
 
         async def replace(turn: AttemptTurn) -> str | None:
             self.assertTrue(turn.take())
-            began_at = loop.time()
-            turn.record_sent()
-            while not turn.has_replaced:
-                await asyncio.sleep(0.01)
-            given_up.append(loop.time() - began_at)
+            await asyncio.sleep(REJECT_SECONDS)
+            held.append(not turn.has_replaced)
+            turn.replace()
+            self.assertTrue(turn.has_replaced)
             return "lost"
 
         self.assertEqual(await self.play(replace), "lost")
-        self.assertGreaterEqual(given_up[0], _turn.HOLD_SECONDS - 0.01)
-        self.assertEqual((self.written, self.failures), ([], []))
+        self.assertEqual((held, self.written, self.failures), ([True], [], []))
+
+    async def test_a_target_that_goes_on_before_the_other_one_has_accepted_keeps_the_request(
+        self,
+    ) -> None:
+        """Guards against two targets that work on one stream."""
+        ended: list[str] = []
+
+        async def replace(turn: AttemptTurn) -> str | None:
+            self.assertTrue(turn.take())
+            turn.on_withdrawn = lambda: ended.append("withdrawn")
+            turn.on_given_up = lambda: ended.append("given up")
+            self.silent_end.set()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ended.append("stopped")
+            return None
+
+        self.assertIsNone(await self.play(replace))
+        self.assertEqual((self.written, self.failures), (["silent"], []))
+        self.assertEqual(ended, ["withdrawn", "stopped"])
+
+    async def test_a_second_target_that_is_silent_is_replaced_while_the_first_one_is_held(
+        self,
+    ) -> None:
+        given_up: list[str] = []
+
+        async def replace(turn: AttemptTurn) -> str | None:
+            self.assertTrue(turn.take())
+            turn.on_given_up = lambda: given_up.append("second")
+            if len(self.spares) == 1:
+                with turn.expect(lambda: SILENT_SECONDS):
+                    await asyncio.Event().wait()
+            turn.replace()
+            await turn.wait()
+            self.written.append("third")
+            return None
+
+        self.assertIsNone(await self.play(replace))
+        self.assertEqual((self.written, given_up), (["third"], ["second"]))
 
     async def test_a_failure_of_the_silent_target_counts_where_the_other_one_rejects(self) -> None:
         broken = asyncio.Event()
 
         async def read(turn: AttemptTurn) -> str | None:
-            with turn.expect(lambda: SILENT_SECONDS):
+            with contextlib.suppress(ConnectionError), turn.expect(lambda: SILENT_SECONDS):
                 await broken.wait()
+                raise ConnectionResetError
             return "broken"
 
         async def reject(turn: AttemptTurn) -> str | None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_silent_targets.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_silent_targets.py
@@ -33,6 +33,8 @@
 PAUSE_SECONDS: Final = 0.05
 #: Length of a silence of a target, in seconds.
 SILENT_SECONDS: Final = 0.5
+#: Seconds after which another target rejects a request.
+LATE_SECONDS: Final = 0.4
 #: Events of a whole stream.
 EVENT_COUNT: Final = 6
 #: Events after which a target falls silent.
@@ -129,6 +131,22 @@
         self.assert_whole(await entry.call("/chat/a", deadline_ms=DEADLINE_MS))
         self.assertEqual(count_requests(*targets), 1)
 
+    async def test_a_stream_is_not_cut_for_a_target_that_rejects_it_late(self) -> None:
+        """Guards against a silent target that is given up for one that has not accepted."""
+        begin = stream_with_silence("t0", LATE_SECONDS + SILENT_SECONDS)
+
+        async def reject(request: HttpRequest, writer: ResponseWriter) -> None:
+            await asyncio.sleep(LATE_SECONDS)
+            await answer_with(409, has_run=False)(request, writer)
+
+        async def answer(request: HttpRequest, writer: ResponseWriter) -> None:
+            await (reject if request.find(b"last-event-id") else begin)(request, writer)
+
+        targets = make_pair(lambda _: answer)
+        entry = await self.start(*targets)
+        self.assert_whole(await entry.call("/chat/a", deadline_ms=DEADLINE_MS))
+        self.assertGreater(count_requests(*targets), 1)
+
     async def test_a_stream_of_a_silent_target_is_not_cut_where_its_stages_fail_again(self) -> None:
         target = FakeTarget("t0", stream_with_silence("t0"))
         other = FakeTarget("t1", stream_with_silence("t1"))
--- a/packages/damsonlaned/src/damsonlaned/relay/_client.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_client.py
@@ -73,7 +73,7 @@
             service: the service that it goes to.
             request_id: id of the request, for logs.
             on_part: takes the parts of the response as they arrive.
-            turn: is told when the request was sent, and of silences.
+            turn: is told of silences.
 
         Returns:
             None once the response is complete, or why it is not.
@@ -191,7 +191,6 @@
             await stream.send_request()
             self._is_sent = True
             await stream.send_message(self._request.encode(), end=True)
-            self._turn.record_sent()
             while True:
                 with self._turn.expect(lambda: SILENCE_SECONDS, self._on_silent):
                     part = await stream.recv_message()
--- a/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
@@ -238,7 +238,8 @@
             self._results.release()
         elif (denied := self._find_denial(turn)) is not None:
             return denied
-        turn.on_given_up = self._record_given_up_relay
+        turn.on_given_up = partial(self._record_lost_relay, "the other entry fell silent")
+        turn.on_withdrawn = partial(self._record_lost_relay, "the silent target goes on")
         try:
             failed = await self._relay.run(turn)
         finally:
@@ -300,9 +301,9 @@
             return _make_denial("the silent target goes on")
         return None if self._spend_retry() else _make_denial("the retry budget is exhausted")
 
-    def _record_given_up_relay(self) -> None:
-        """Record that a silent entry is given up for another one, or for a target."""
-        failure = FailedAttempt(detail="the other entry fell silent", may_have_run=True)
+    def _record_lost_relay(self, detail: str) -> None:
+        """Record that another entry is given up, for a third one or for a target."""
+        failure = FailedAttempt(detail=detail, may_have_run=True)
         self._log_failure(failure)
         self._history.record_end()
         self._record_failure(failure)
--- a/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
@@ -78,6 +78,7 @@
         self._begin()
         self._turn.on_resumed = partial(self._resume, self._times.age())
         self._turn.on_given_up = partial(self._record_given_up, self._times.age())
+        self._turn.on_withdrawn = self._record_withdrawn
         try:
             failure = await self._send()
             if failure is not None:
@@ -119,6 +120,13 @@
         )
         self._exit_detector.report_silent(LostTarget.of(self._chosen.incarnation), (run,))
 
+    def _record_withdrawn(self) -> None:
+        """Record that the silent target goes on, which this one was to replace."""
+        failure = FailedAttempt(detail="the silent target goes on", may_have_run=True)
+        self._log_failure(failure)
+        self._history.record_end()
+        self._history.record_failure(may_have_run=True)
+
     # One target.
 
     async def _send(self) -> FailedAttempt | None:
@@ -143,11 +151,6 @@
         """
         inputs = self._results.value.inputs if self._results.value is not None else ()
         read_timer = InputReadTimer(self._results.release_read)
-
-        def record_sent() -> None:
-            read_timer.start()
-            self._turn.record_sent()
-
         on_silent = partial(self._attempts.record_silent, self._chosen)
         try:
             with (
@@ -159,7 +162,7 @@
                     self._chosen,
                     inputs,
                     self._history.last_event,
-                    record_sent,
+                    read_timer.start,
                     is_repeat=self._is_repeat,
                 )
         except ConnectionsInUseError:
