A control replica that stops completes the answers that it has begun

It accepts nothing new then, closes what is idle, and waits for calls in progress and for bytes that have not left the process until the grace time, 0.4 s less.

test_a_document_that_its_operator_still_reads_is_sent_whole_at_the_end failed before; a replica without calls in progress ends at once, as before.

--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -33,6 +33,8 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+#: Seconds reserved at the end of the grace period.
+STOP_MARGIN_SECONDS: Final = 0.4
 #: Seconds between probes of a failed disk: half of an election timeout, since a
 #: restarted replica has to wait for a leader anyway.
 DISK_PROBE_SECONDS: Final = 0.5
@@ -143,9 +145,12 @@
         await self._start()
         _LOG.info("started", extra={"replica": self._node.identity.replica})
         await asyncio.wait({stop, self._node.failure}, return_when=asyncio.FIRST_COMPLETED)
+        ends_at = self._node.now()
+        if self._settings.gateway is not None and not self._node.failure.done():
+            ends_at += self._settings.gateway.stop_seconds - STOP_MARGIN_SECONDS
         if self._group is not None and not self._node.failure.done():
             await self._group.leave()
-        await self._stop(server)
+        await self._stop(server, ends_at)
         _LOG.info("stopped")
         return self._node.disk_error()
 
@@ -169,9 +174,9 @@
         if self._registry is not None:
             await self._registry.start()
 
-    async def _stop(self, server: Server) -> None:
+    async def _stop(self, server: Server, ends_at: float) -> None:
         if self._registry is not None:
-            await self._registry.stop()
+            await self._registry.stop(ends_at)
         if self._group is not None:
             await self._group.stop()
         await self._limits.stop()
--- a/packages/damsonlaned/src/damsonlaned/control/_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_registry.py
@@ -119,10 +119,16 @@
         await self._listener.start()
         self._check_task = start_task(self._check_targets(), "checks for silent targets")
 
-    async def stop(self) -> None:
-        """Stop listening."""
+    async def stop(self, ends_at: float = 0.0) -> None:
+        """Complete the calls in progress, then stop.
+
+        Args:
+            ends_at: time until which they may take, by the loop's clock.
+        """
         if self._check_task is not None:
             await stop_task(self._check_task)
+        if cut := await self._listener.drain(ends_at):
+            _LOG.warning("calls cut", extra={"count": cut})
         await self._listener.stop()
 
     # Calls.
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_registry.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 from typing import cast
+from unittest import mock
 
 from grpclib.client import Channel
 from grpclib.server import Server
@@ -27,12 +28,14 @@
 )
 from damsonlaned.control import ControlNode, GroupManager, Registry
 from damsonlaned.dialects import NativeDialect
-from damsonlaned.http import ConnectionPool, HttpRequest
+from damsonlaned.http import ConnectionPool, HttpRequest, HttpResponse
 from damsonlaned.storage import DataFolder
 from damsonlaned.tests.addresses import find_free_address
 
 #: Seconds after which a call or a condition that a test waits for counts as failed.
 TEST_TIMEOUT_SECONDS = 20.0
+#: Size of an answer that the sockets on its way do not hold, in bytes.
+LARGE_BYTES = 16 * 2**20
 RECORD = TargetRecord(
     target="t1",
     service="desk",
@@ -362,6 +365,30 @@
         self.depose()
         self.assertEqual((await self.call("GET", "/v1/routes"))[0], 503)
 
+    async def test_a_document_that_its_operator_still_reads_is_sent_whole_at_the_end(self) -> None:
+        """Guards against answers of a stopping replica that are cut though they are ready."""
+        body = b"x" * LARGE_BYTES
+        answer = HttpResponse(status=200, body=body)
+        with mock.patch.object(self.registry, "_answer", mock.AsyncMock(return_value=answer)):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.registry._listener.port(), limit=1024
+            )
+            writer.write(b"GET /v1/routes HTTP/1.1\r\nHost: h\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+        ends_at = asyncio.get_running_loop().time() + TEST_TIMEOUT_SECONDS
+        stopping = asyncio.create_task(self.registry.stop(ends_at))
+        await asyncio.sleep(0.2)
+        self.assertFalse(stopping.done())
+        self.assertEqual(len(await reader.readexactly(LARGE_BYTES)), LARGE_BYTES)
+        await stopping
+        writer.close()
+
+    async def test_a_replica_without_calls_in_progress_stops_at_once(self) -> None:
+        await self.call("GET", "/v1/routes")
+        began_at = asyncio.get_running_loop().time()
+        await self.registry.stop(began_at + TEST_TIMEOUT_SECONDS)
+        self.assertLess(asyncio.get_running_loop().time() - began_at, TEST_TIMEOUT_SECONDS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -24,6 +24,8 @@
 _BACKLOG: Final = 512
 #: Seconds for which bytes are still read after a refusal, so that the caller can receive it.
 _LINGER_SECONDS: Final = 0.5
+#: Seconds between checks whether all responses have left the process.
+_DRAIN_POLL_SECONDS: Final = 0.05
 #: Time-out for reading a body, in seconds; the head has one of its own.
 _BODY_TIMEOUT_SECONDS: Final = 20.0
 
@@ -325,6 +327,26 @@
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    async def drain(self, ends_at: float) -> int:
+        """Accept nothing new, and wait until the responses in progress have left this process.
+
+        Args:
+            ends_at: time until which it waits, by the loop's clock.
+
+        Returns:
+            The number of connections with a response that is not complete.
+        """
+        self.is_closing = True
+        if self._server is not None:
+            self._server.close()
+        loop = asyncio.get_running_loop()
+        while True:
+            self.close_idle()
+            busy = self.count_busy()
+            if not busy or loop.time() >= ends_at:
+                return busy
+            await asyncio.sleep(_DRAIN_POLL_SECONDS)
+
     async def stop(self) -> None:
         """Stop listening and abort all connections."""
         if self._server is not None:
