--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -3,15 +3,14 @@
 import asyncio
 import contextlib
 import logging
-import zlib
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
 
 from damsonlane.admission import CallerWaitEstimator
-from damsonlane.quarantine import find_fingerprint, list_shared_causes
+from damsonlane.quarantine import list_shared_causes
 from damsonlane.records import dataclass
-from damsonlane.routes import Organisation, Route, RouteTable, Service
+from damsonlane.routes import Organisation, Route, RouteTable
 from damsonlaned.dialects import BadRequestError, CallerRequest, Dialect, Refusal
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._call import Call
@@ -23,7 +22,13 @@
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine
 from damsonlaned.relay import Relay, RelayedRequest
-from damsonlaned.requests import RequestHandler
+from damsonlaned.requests import (
+    RequestHandler,
+    choose_service,
+    find_request_fingerprint,
+    list_request_causes,
+    make_accepted_fields,
+)
 from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
@@ -40,10 +45,6 @@
 START_RETRY_SECONDS: Final = 0.2
 #: Seconds after which the caller of a stream that can't go on here should return.
 STREAM_RETURN_SECONDS: Final = 1.0
-#: Most shared prompt segments that the log line of a request names.
-MAX_LOGGED_PARTS: Final = 16
-#: Resolution of the weights of a route's services.
-_WEIGHT_STEPS: Final = 10_000
 
 
 class _RefusedError(Exception):
@@ -222,7 +223,7 @@
             dependencies.relay,
             dependencies.origins,
         )
-        _LOG.info("accepted", extra=_accepted_fields(call))
+        _LOG.info("accepted", extra=make_accepted_fields(call))
         if writer.meter is not None:
             organisation = call.organisation.name if call.organisation is not None else ""
             writer.meter.assign(organisation, call.request.request_id)
@@ -267,12 +268,12 @@
             request=request,
             route=route,
             table=table,
-            service=_choose_service(table, route, request.request_id),
+            service=choose_service(table, route, request.request_id),
             organisation=organisation,
             arrived_at=arrived_at,
             deadline_at=arrived_at + seconds - ANSWER_MARGIN_SECONDS,
-            fingerprint=_find_fingerprint(request, organisation),
-            shared_causes=_list_shared_causes(request, route),
+            fingerprint=find_request_fingerprint(request, organisation),
+            shared_causes=list_request_causes(request, route),
             stage_causes=list_shared_causes(
                 material_key=request.material_key if route.stages else ""
             ),
@@ -341,76 +342,3 @@
     """Return the refusal of a request whose stream can't go on here."""
     seconds = STREAM_RETURN_SECONDS
     return _RefusedError(Refusal(status=503, detail=detail, retry_after_seconds=seconds))
-
-
-def _find_fingerprint(request: CallerRequest, organisation: Organisation | None) -> str:
-    """Return the fingerprint that identical requests of one organisation share."""
-    return find_fingerprint(
-        organisation=organisation.name if organisation is not None else "",
-        method=request.http.method,
-        host=request.host,
-        target=request.http.target,
-        body=request.http.body,
-    )
-
-
-def _list_shared_causes(request: CallerRequest, route: Route) -> tuple[str, ...]:
-    """Return what of a request may make the target of its last step exit.
-
-    The last segment of a prompt belongs to the request, which its fingerprint covers.
-    """
-    return list_shared_causes(
-        parts=(segment.identity for segment in request.prefix_segments[:-1]),
-        material_key=request.material_key if route.stages else "",
-        body=request.http.body,
-    )
-
-
-def _accepted_fields(call: Call) -> dict[str, object]:
-    """Return the log fields of an accepted request."""
-    return {
-        **call.log_fields(),
-        "organisation": call.organisation.name if call.organisation is not None else "",
-        "service": call.service.name,
-        "fingerprint": call.fingerprint,
-        "rank": call.priority,
-        "left_ms": int(1000 * (call.deadline_at - call.arrived_at)),
-        "waited_ms": int(1000 * call.earlier_wait_seconds),
-        "pieces": call.request.pieces,
-        "tokens": call.request.prompt_tokens,
-        **_describe_prompt(call),
-        **_resumed_fields(call),
-        **({"passed_on_by": call.relayed_by} if call.relayed_by else {}),
-    }
-
-
-def _describe_prompt(call: Call) -> dict[str, object]:
-    """Return the log fields that name what a request shares with others; none for others."""
-    request = call.request
-    shared = [segment.identity for segment in request.prefix_segments[:-1]]
-    parts = {"parts": shared[:MAX_LOGGED_PARTS]} if shared else {}
-    return parts | ({"material": request.material_key} if request.material_key else {})
-
-
-def _resumed_fields(call: Call) -> dict[str, object]:
-    """Return the log fields of a request that resumes an event stream; none for others."""
-    request = call.request
-    if request.last_event_id is None and not request.first_attempt:
-        return {}
-    return {"first_attempt": request.first_attempt, "caller_event": request.last_event_id}
-
-
-def _choose_service(table: RouteTable, route: Route, request_id: str) -> Service:
-    """Choose one of a route's services by weight; the same one whenever a request is retried."""
-    total = sum(share.weight for share in route.services)
-    point = zlib.crc32(request_id.encode()) % _WEIGHT_STEPS / _WEIGHT_STEPS * total
-    name = route.services[-1].service
-    for share in route.services:
-        point -= share.weight
-        if point < 0:
-            name = share.service
-            break
-    service = table.service(name)
-    if service is None:
-        raise LookupError(f"the validated routing document has no service '{name}'")
-    return service
