--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_fault_injector.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_fault_injector.py
@@ -27,6 +27,7 @@
     ANNOUNCEMENT_KINDS,
     CROWD_KINDS,
     CUT_KINDS,
+    ENTRY_KINDS,
     LOAD_KINDS,
     PROCESS_FAULT_KINDS,
     RATE_LIMIT_KINDS,
@@ -80,6 +81,7 @@
         self._caller_count: Final = caller_count
         self._injections: Final[tuple[tuple[Collection[str], Callable[[Fault], None]], ...]] = (
             (PROCESS_FAULT_KINDS, self._affect_processes),
+            (ENTRY_KINDS, self._affect_processes),
             (ANNOUNCEMENT_KINDS, self._announce),
             (RATE_LIMIT_KINDS, self._announce_rate_limit),
             (SURGE_KINDS, self._surge),
@@ -99,9 +101,10 @@
                 inject(fault)
 
     def _affect_processes(self, fault: Fault) -> None:
-        """Kill, freeze, stop or signal one process, or all boxes."""
+        """Kill, freeze, stop or signal one process, all entries, or all boxes."""
         fleet = self._processes.fleet
-        names = (fault.process,) if fault.process else (*fleet.controls, *fleet.entries)
+        controls = () if fault.kind in ENTRY_KINDS else fleet.controls
+        names = (fault.process,) if fault.process else (*controls, *fleet.entries)
         reserved = self._processes.reserve(names)
         if not reserved:
             return
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -17,6 +17,8 @@
 _MAX_FAULT_SECONDS: Final = 3.0
 #: Mean time between the begins of two faults, in seconds; short enough that faults overlap.
 _MEAN_GAP_SECONDS: Final = 1.2
+#: Times that all entries are lost in one run; callers are served between them.
+_MAX_LOSSES: Final = 2
 #: Seconds at the end of a run in which no fault begins.
 FAULT_FREE_SECONDS: Final = 4.0
 
@@ -100,6 +102,8 @@
 SILENCE_KINDS: Final[dict[str, DrawProcess]] = {}
 #: The same for planned replacements of control replicas, and the loss of a disk after them.
 REPLACEMENT_KINDS: Final[dict[str, DrawProcess]] = {}
+#: The same for losses of all entries at once.
+ENTRY_KINDS: Final[dict[str, DrawProcess]] = {}
 
 
 def fault_kind(
@@ -220,6 +224,11 @@
     return randomness.choice(names.targets)
 
 
+@fault_kind("lost entries", ENTRY_KINDS)
+def _draw_all_entries(randomness: random.Random, names: ProcessNames) -> str:
+    return ""
+
+
 @fault_kind("replace", REPLACEMENT_KINDS)
 def _draw_replaced(randomness: random.Random, names: ProcessNames) -> str:
     """Return a control replica that gets a successor; the duration is the time to the loss."""
@@ -264,6 +273,10 @@
     silences: list[Fault] = []
     if parts.has_silences:
         silences = _draw_faults(random.Random(f"silences {seed}"), seconds, names, SILENCE_KINDS)
+    lost: list[Fault] = []
+    if parts.has_lost_entries:
+        drawn = _draw_apart(random.Random(f"lost entries {seed}"), seconds, names, ENTRY_KINDS)
+        lost = drawn[:_MAX_LOSSES]
     replaced: list[Fault] = []
     if parts.has_replacements:
         # One in a run: the boxes keep the addresses of control with which they started.
@@ -272,7 +285,7 @@
     ordered = sorted(
         (
             *(*faults, *announcements, *rate_limits, *loads, *surges),
-            *(*cuts, *fragile, *crowds, *silences, *replaced),
+            *(*cuts, *fragile, *crowds, *silences, *lost, *replaced),
         ),
         key=lambda fault: fault.at,
     )
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_soak.py
@@ -17,6 +17,7 @@
     ANNOUNCEMENT_KINDS,
     CROWD_KINDS,
     CUT_KINDS,
+    ENTRY_KINDS,
     LOAD_KINDS,
     PROCESS_FAULT_KINDS,
     RATE_LIMIT_KINDS,
@@ -157,6 +158,7 @@
                 *REJECTION_KINDS,
                 *REPLACEMENT_KINDS,
                 *SILENCE_KINDS,
+                *ENTRY_KINDS,
             },
         )
         overlapping = sum(
