Boxes of large fleets collect origins for a message to control

Boxes now collect origins for as long as keeps a replica below 500 messages a second, 0.25 s at most, which is short beside a stream: what began within it is lost with its entry. 8 boxes: 10 ms; 350: 0.25 s.

A sender of origins is forgotten by its own task at its end, not by a later callback: what was queued between would have waited for the next origin.

--- a/packages/damsonlane/src/damsonlane/versions/_replicas.py
+++ b/packages/damsonlane/src/damsonlane/versions/_replicas.py
@@ -10,6 +10,11 @@
 REPLICA_COPIES: Final = 3
 #: Most control replicas that are told or asked.
 MAX_REPLICAS: Final = 9
+#: Messages a second with origins that one control replica should get at most.
+MAX_MESSAGES_PER_SECOND: Final = 500.0
+#: Longest time for which origins are collected for one message, in seconds: what began within it is
+#: lost with its entry, so it is short beside the length of a stream.
+MAX_COLLECT_SECONDS: Final = 0.25
 #: Subject by which they are chosen.
 _SUBJECT: Final = "stream origins"
 
@@ -33,6 +38,16 @@
         ranked = rank_boxes(subject, dict.fromkeys(addresses, 1.0))
         self._replicas = tuple(ranked[:MAX_REPLICAS])
 
+    def find_collect_seconds(self, boxes: int) -> float:
+        """Return for how long a box collects origins for one message to a replica, in seconds.
+
+        Args:
+            boxes: number of boxes that tell the replicas.
+        """
+        copies = min(REPLICA_COPIES, len(self._replicas))
+        messages = boxes * copies / max(1, len(self._replicas))
+        return min(MAX_COLLECT_SECONDS, messages / MAX_MESSAGES_PER_SECOND)
+
     def rank(self) -> tuple[str, ...]:
         """Return the addresses of the replicas, the ones that are told first."""
         return self._replicas
--- a/packages/damsonlane/src/damsonlane/versions/tests/test_replicas.py
+++ b/packages/damsonlane/src/damsonlane/versions/tests/test_replicas.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from damsonlane.versions import REPLICA_COPIES, ReplicaRanking
+from damsonlane.versions._replicas import MAX_COLLECT_SECONDS
 
 REPLICAS = [f"10.1.0.{number}:7000" for number in range(5)]
 
@@ -36,6 +37,17 @@
         many = [f"10.1.0.{number}:7000" for number in range(40)]
         self.assertEqual(len(rank("a:1", many)), 9)
 
+    def test_boxes_of_large_fleets_collect_origins_for_a_message(self) -> None:
+        ranking = ReplicaRanking("a:1")
+        self.assertEqual(ranking.find_collect_seconds(350), 0.0)
+        ranking.update(REPLICAS)
+        self.assertLess(ranking.find_collect_seconds(8), 0.01)
+        for boxes in (66, 195, 350, 2_000):
+            seconds = ranking.find_collect_seconds(boxes)
+            messages = boxes * REPLICA_COPIES / len(REPLICAS) / seconds
+            self.assertTrue(seconds == MAX_COLLECT_SECONDS or messages <= 501, (boxes, seconds))
+            self.assertLessEqual(seconds, MAX_COLLECT_SECONDS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/versions/_client.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_client.py
@@ -66,6 +66,7 @@
         replicas: ranks the control replicas.
         context: TLS context towards other boxes, or None.
         find_retention: returns for how long origins are remembered, in seconds.
+        count_boxes: returns how many boxes tell the control replicas.
     """
 
     def __init__(
@@ -74,11 +75,13 @@
         replicas: ReplicaRanking,
         context: ssl.SSLContext | None,
         find_retention: Callable[[], float],
+        count_boxes: Callable[[], int],
     ) -> None:
         self._ranking: Final = ranking
         self._replicas: Final = replicas
         self._context: Final = context
         self._find_retention: Final = find_retention
+        self._count_boxes: Final = count_boxes
         self._channels: dict[str, Channel] = {}
         self._outgoing: dict[str, list[_Tell]] = {}
         self._senders: dict[str, asyncio.Task[None]] = {}
@@ -152,13 +155,20 @@
     def _send_to(self, address: str, tell: _Tell) -> None:
         self._outgoing.setdefault(address, []).append(tell)
         if address not in self._senders:
-            sender = start_task(self._send(address), "telling origins")
-            self._senders[address] = sender
-            sender.add_done_callback(lambda _: self._senders.pop(address, None))
+            self._senders[address] = start_task(self._send_all(address), "telling origins")
+
+    async def _send_all(self, address: str) -> None:
+        try:
+            await self._send(address)
+        finally:
+            del self._senders[address]
 
     async def _send(self, address: str) -> None:
         """Send what is queued for a box; what is queued meanwhile goes into the next message."""
-        while tells := self._outgoing.pop(address, []):
+        while address in self._outgoing:
+            if address in self._replicas.rank():
+                await asyncio.sleep(self._replicas.find_collect_seconds(self._count_boxes()))
+            tells = self._outgoing.pop(address)
             channel = self._find_channel(address)
             batch = OriginBatch(
                 origins=tuple(tell.origin for tell in tells),
--- a/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
@@ -68,7 +68,11 @@
         self._ranking: Final = HolderRanking(address)
         self._replicas: Final = ReplicaRanking(address)
         self._client: Final = OriginClient(
-            self._ranking, self._replicas, context, self._retention_seconds
+            self._ranking,
+            self._replicas,
+            context,
+            self._retention_seconds,
+            lambda: len(fleet.entries),
         )
 
     def follow_entries(self) -> None:
