--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import Final
 
-from damsonlane.placement import InputLocation, PlacementRequest, PromptSegment
+from damsonlane.placement import InputLocation
 from damsonlane.pools import ROUTE_PRIORITY_LEVELS
 from damsonlane.records import dataclass
 from damsonlane.requests import WindowedRetryBudget
 from damsonlane.routing import HealthSignal
 from damsonlane.versions import StreamOrigin
 from damsonlaned.dialects import Attempt, Dialect, ResponseSignals
-from damsonlaned.gateway._call import Call, Prompt
+from damsonlaned.gateway._call import Call
 from damsonlaned.gateway._limited_targets import LimitedTargetSelector, NoTarget
 from damsonlaned.gateway._permit_client import PermitClient
 from damsonlaned.gateway._placement_client import PlacementClient
@@ -140,7 +140,7 @@
         placed = await self._place_prompt(call, {*avoid, *excluded}, input_locations)
         if placed is not None:
             return placed
-        prompt = _find_prompt(call)
+        prompt = call.find_prompt()
         return await self._limited_targets.choose(call.service, prompt, avoid, excluded)
 
     def list_versions(self, call: Call) -> frozenset[str]:
@@ -169,7 +169,7 @@
             *self._targets.list_full(call.service),
             *self._targets.list_unconnectable(call.service),
         }
-        order = _make_prompt_order(call, tuple(sorted(unusable)), tuple(input_locations))
+        order = call.make_prompt_order(tuple(sorted(unusable)), tuple(input_locations))
         placed = await self._placements.place(call.service.name, order)
         if placed is None or placed.target in unusable:
             return None
@@ -188,7 +188,7 @@
 
     def record_arrival(self, call: Call) -> None:
         """Record the arrival of a request."""
-        self._targets.record_prompt(call.service, _find_prompt(call))
+        self._targets.record_prompt(call.service, call.find_prompt())
 
     def count_first(self, call: Call) -> None:
         """Count the first attempt of a request, which adds to the retry budget."""
@@ -368,32 +368,6 @@
     return min(LEAST_URGENT, priority)
 
 
-def _find_prompt(call: Call) -> Prompt:
-    """Return what the choice of an engine depends on."""
-    shared = call.request.prefix_segments[:-1]
-    affinity = shared[-1].identity if shared else ""
-    return Prompt(affinity=affinity, tokens=call.request.prompt_tokens)
-
-
-def _make_prompt_order(
-    call: Call, avoid: tuple[str, ...], input_locations: tuple[InputLocation, ...]
-) -> PlacementRequest:
-    """Return the order to place the prompt of a request; the client sets its number."""
-    now = asyncio.get_running_loop().time()
-    return PlacementRequest(
-        number=0,
-        shared=tuple(
-            PromptSegment(identity=part.identity, tokens=part.tokens)
-            for part in call.request.prefix_segments[:-1]
-        ),
-        tokens=call.request.prompt_tokens,
-        aim_left_seconds=call.objective_at - now,
-        avoid=avoid,
-        inputs=input_locations,
-        organisation=call.share_name,
-    )
-
-
 def _is_rejection_without_id(signals: ResponseSignals) -> bool:
     """Return whether a target rejected a request before it read the id.
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from damsonlane.placement import InputLocation, PlacementRequest, PromptSegment
 from damsonlane.pools import ROUTE_PRIORITY_LEVELS
 from damsonlane.records import dataclass
 from damsonlane.routes import Organisation, Route, RouteTable, Service
@@ -87,6 +88,35 @@
         """Return the seconds until its deadline."""
         return self.deadline_at - asyncio.get_running_loop().time()
 
+    def find_prompt(self) -> Prompt:
+        """Return what the choice of an engine depends on."""
+        shared = self.request.prefix_segments[:-1]
+        affinity = shared[-1].identity if shared else ""
+        return Prompt(affinity=affinity, tokens=self.request.prompt_tokens)
+
+    def make_prompt_order(
+        self, avoid: tuple[str, ...], input_locations: tuple[InputLocation, ...]
+    ) -> PlacementRequest:
+        """Return the order to place its prompt; the client sets its number.
+
+        Args:
+            avoid: engines that may not get it.
+            input_locations: where its stage results are stored.
+        """
+        now = asyncio.get_running_loop().time()
+        return PlacementRequest(
+            number=0,
+            shared=tuple(
+                PromptSegment(identity=part.identity, tokens=part.tokens)
+                for part in self.request.prefix_segments[:-1]
+            ),
+            tokens=self.request.prompt_tokens,
+            aim_left_seconds=self.objective_at - now,
+            avoid=avoid,
+            inputs=input_locations,
+            organisation=self.share_name,
+        )
+
     def log_fields(self) -> dict[str, object]:
         """Return the fields that each log line about it has."""
         return {
