A stream that its caller takes up is begun for the pools of its stages

A stream that its entry resumes within one answer is not refused so, since its stages are those of a begun one; the same stream taken up by its caller was treated as a new request, and its class is the least urgent there. It is a begun one now as well.

test_stages_of_a_stream_that_its_caller_takes_up_are_those_of_a_begun_one failed before.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_runner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_runner.py
@@ -67,8 +67,8 @@
 
         Args:
             call: the request.
-            is_begun: whether its answer has begun, so that it is resumed even if late, rather
-                than refused.
+            is_begun: whether its caller has a part of the answer, from this try or an earlier one,
+                so that it is resumed even if late, rather than refused.
 
         Raises:
             StageError: a piece was too late or failed.
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -13,6 +13,7 @@
 from damsonlane.membership import BoxRecord
 from damsonlane.pools import PieceOrder, PieceResult
 from damsonlane.routes import RoutingDocument
+from damsonlane.versions import StreamOrigin
 from damsonlaned.gateway import _attempts
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
@@ -322,6 +323,32 @@
         self.assertLessEqual(aim_seconds[0], 0.2 * (1 - MAX_OBJECTIVE_SHARE))
         self.assertGreater(aim_seconds[1], 0.5)
 
+    async def test_stages_of_a_stream_that_its_caller_takes_up_are_those_of_a_begun_one(
+        self,
+    ) -> None:
+        """Guards against begun streams that are refused like new requests."""
+        pool = FakeTarget("p1", make_piece_handler(lambda: pool.address), "pool")
+        entry = await self.start_entry(FakeTarget("t1", stream_events(1, 4)), pool)
+        origin = StreamOrigin(attempt="r0", service="desk", version="")
+        entry.origins.record_told([origin], TEST_TIMEOUT_SECONDS)
+        ordered: list[PieceOrder] = []
+        order_pieces = entry.pools.order
+
+        def record_order(
+            service: str, orders: Sequence[PieceOrder], on_read: Callable[[int], None]
+        ) -> "list[asyncio.Future[PieceResult]]":
+            ordered.extend(orders)
+            return order_pieces(service, orders, on_read)
+
+        headers = "Damsonlane-Pieces: 1\r\nDamsonlane-Material-Key: m\r\n"
+        with mock.patch.object(entry.pools, "order", record_order):
+            await entry.call("/staged-chat/a", headers=headers, request_id="new")
+            resumed = f"{headers}Last-Event-Id: 2\r\nDamsonlane-Resumes: r0\r\n"
+            response = await entry.call("/staged-chat/a", headers=resumed, request_id="r1")
+        self.assertTrue(response.is_whole())
+        self.assertEqual(response.data.count(b"data: token"), 2)
+        self.assertEqual([order.is_begun for order in ordered], [False, True])
+
     async def test_stages_that_fail_after_a_broken_run_give_no_guarantee(self) -> None:
         pieces = make_piece_handler(lambda: pool.address)
         pool_answer = answer_in_turn([pieces, answer_with(500, has_run=True)])
--- a/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
@@ -217,7 +217,7 @@
     async def _attempt_once(self, turn: AttemptTurn) -> FailedAttempt | None:
         """Send the request to one target; return None once the response is complete."""
         if self._results.value is None:
-            is_begun = self._response.has_started()
+            is_begun = self._response.has_started() or self._call.origin is not None
             self._results.value = await self._stages.run(self._call, is_begun=is_begun)
             self._times.record_staged()
         chosen = await self._target_wait.find_target(self._results.value)
