A rejection at entries of pipelines names the attempt that it is for

Callers whose stage must run once could be told "not run" for a stage that ran (REFUSED): entries of pipelines took any 503 or 429 on a kept connection for the answer to the attempt under way, also a late second copy of an earlier one.

A rejection now repeats the fields that name the attempt, as answers do. One that names another attempt, or none on a connection that had a response before, leaves the outcome unknown, and the connection is closed, since the right answer may follow. Believing none without the fields was weighed: targets that don't send them yet would have no rejection believed; on a new connection nothing else can have been sent.

--- a/packages/damsonlane_bench/src/damsonlane_bench/standin/_server.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/standin/_server.py
@@ -56,7 +56,7 @@
     def _handle(self, path: str, body: dict[str, Any], start: Any) -> Iterable[bytes]:
         behaviour = self.behaviour
         if behaviour.is_leaving or behaviour.is_refusing:
-            return self._reject(start, behaviour)
+            return self._reject(body, start, behaviour)
         with self._lock:
             self._in_flight += 1
             self._count += 1
@@ -81,7 +81,7 @@
             raise DropConnectionError
         if is_nth(behaviour.fail_every, count):
             return self._respond_json(start, {"error": "planned"}, "500 Internal Server Error")
-        response = {name: body[name] for name in ("request", "organisation", "stage", "attempt")}
+        response = _find_key(body)
         response["output"] = _STAGES.get(body["stage"], _stage_functions.encode)(text)
         if is_nth(behaviour.cross_every, count):
             response["request"] = "another"
@@ -132,9 +132,10 @@
         )
         self.counter.count(execution)
 
-    def _reject(self, start: Any, behaviour: Behaviour) -> Iterable[bytes]:
+    def _reject(self, body: dict[str, Any], start: Any, behaviour: Behaviour) -> Iterable[bytes]:
         headers = [("Damsonlane-Leaving", "1")] if behaviour.is_leaving else []
-        return self._respond(start, "503 Service Unavailable", b"{}", headers)
+        data = json.dumps(_find_key(body.get("metadata", body))).encode()
+        return self._respond(start, "503 Service Unavailable", data, headers)
 
     def _release(self) -> None:
         with self._lock:
@@ -169,3 +170,8 @@
         common = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
         start(status, [*common, self._load_header(), *headers])
         return [data]
+
+
+def _find_key(body: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields of a request that name its attempt; responses repeat them."""
+    return {name: body[name] for name in ("request", "organisation", "stage", "attempt")}
--- a/packages/damsonlaned/src/damsonlaned/targets/_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_calls.py
@@ -9,6 +9,7 @@
 from damsonlane.records import dataclass
 from damsonlane.requests import AttemptKey, AttemptResult
 from damsonlane.routing import LoadReport
+from damsonlaned.targets._attempt_keys import find_attempt_key
 from damsonlaned.targets._connections import (
     REJECTING_STATUSES,
     SENT_ERRORS,
@@ -17,6 +18,7 @@
     LateError,
     TargetAnnouncement,
     drain,
+    is_first_response,
     read_announcement,
     read_load,
 )
@@ -116,13 +118,19 @@
             is_broken = result.outcome == "failed" and result.answers is None
             return TargetReply(result=result, load_report=report, is_interrupted=is_broken)
         is_draining = read_announcement(response).is_draining
-        drain(response, call.deadline_at)
-        is_rejected = response.status in REJECTING_STATUSES
+        is_first = is_first_response(response)
+        key = find_attempt_key(drain(response, call.deadline_at))
+        is_own = key == call.key or (key is None and is_first)
+        if not is_own:
+            # The response to this attempt may follow.
+            response.close()
+        is_rejected = response.status in REJECTING_STATUSES and is_own
         result = AttemptResult(
             answers=None,
             outcome="refused" if is_rejected else "failed",
             is_leaving=is_draining,
-            fault=f"the target answered with status {response.status}",
+            fault=f"the target answered with status {response.status}"
+            + ("" if is_own else ", not to this attempt"),
         )
         return TargetReply(result=result, load_report=report)
 
--- a/packages/damsonlaned/src/damsonlaned/targets/_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_connections.py
@@ -119,6 +119,13 @@
 
 class _LimitedConnection(urllib3.connection.HTTPConnection):
     response_class = _LimitedResponse
+    #: Responses read since it was opened.
+    response_count = 0
+
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        self.response_count = 0
 
 
 class _LimitedPool(urllib3.HTTPConnectionPool):
@@ -152,7 +159,7 @@
         if seconds <= 0:
             raise LateError("the deadline passed before the request was sent")
         timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_SECONDS, seconds), read=seconds)
-        return self._pool(address).urlopen(
+        response = self._pool(address).urlopen(
             "POST",
             path,
             body=json.dumps(body).encode(),
@@ -162,6 +169,9 @@
             timeout=timeout,
             preload_content=False,
         )
+        if isinstance(response.connection, _LimitedConnection):
+            response.connection.response_count += 1
+        return response
 
     def close(self) -> None:
         """Close all connections."""
@@ -210,14 +220,25 @@
         yield chunk
 
 
-def drain(response: urllib3.BaseHTTPResponse, deadline_at: float) -> None:
-    """Read the rest of a response and release its connection; close it if the rest is large."""
+def is_first_response(response: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether a response with its body unread is the first one on its connection."""
+    connection = response.connection
+    return isinstance(connection, _LimitedConnection) and connection.response_count == 1
+
+
+def drain(response: urllib3.BaseHTTPResponse, deadline_at: float) -> bytes:
+    """Read a short body and release its connection; close it if the body is large.
+
+    Returns:
+        The body; empty if it is large or cut off.
+    """
+    body = b""
     try:
-        for _ in read_chunks(response, deadline_at, MAX_DRAINED_BYTES):
-            pass
+        body = b"".join(read_chunks(response, deadline_at, MAX_DRAINED_BYTES))
     except (HTTPError, OSError):
         response.close()
     response.release_conn()
+    return body
 
 
 def read_announcement(response: urllib3.BaseHTTPResponse) -> TargetAnnouncement:
--- a/packages/damsonlaned/src/damsonlaned/targets/_engines.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_engines.py
@@ -9,9 +9,9 @@
 import urllib3
 
 from damsonlane.requests import AttemptKey, AttemptResult
+from damsonlaned.targets._attempt_keys import read_attempt_key
 from damsonlaned.targets._calls import TargetCall, TargetProtocol, register_protocol
 from damsonlaned.targets._connections import OversizedError, read_chunks
-from damsonlaned.targets._pools import read_attempt_key
 
 #: Largest size of one event, in bytes; the parser copies an event for each of its lines.
 MAX_EVENT_BYTES: Final = 64 * 1024
--- a/packages/damsonlaned/src/damsonlaned/targets/_pools.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_pools.py
@@ -6,7 +6,8 @@
 
 import urllib3
 
-from damsonlane.requests import AttemptKey, AttemptResult
+from damsonlane.requests import AttemptResult
+from damsonlaned.targets._attempt_keys import read_attempt_key
 from damsonlaned.targets._calls import TargetCall, TargetProtocol, register_protocol
 from damsonlaned.targets._connections import read_chunks
 
@@ -43,17 +44,3 @@
 @register_protocol("plain")
 class PlainProtocol(PoolProtocol):
     """The protocol of plain services, some of whose calls must not be retried."""
-
-
-def read_attempt_key(body: dict[str, object]) -> AttemptKey:
-    """Return the key of the attempt that a response says it answers.
-
-    Raises:
-        KeyError, ValueError: a field is missing or invalid.
-    """
-    return AttemptKey(
-        request=str(body["request"]),
-        organisation=str(body["organisation"]),
-        stage=str(body["stage"]),
-        number=int(str(body["attempt"])),
-    )
