A quarantined cause that many requests hold is tried again

What entries have seen served clears such a cause, but all entries had been killed as well, and then nothing could show any more that it was innocent, since nothing with it was sent.

What at least as many different requests as targets held is tried: 10 s after its last exit one entry, chosen by rendezvous hashing for each 10 s, lets one request through. Served, it releases the cause as any answer does; an exit is one more under it and ends the trial. A first form tried all shared causes; test_a_request_that_crashes_plain_targets failed, rightly, since one request sent again and again is not popular.

test_popular_material_is_refused_for_an_hour_since_targets_were_lost: no request was let through before. test_crash_requests and all tests named after crashes: 23 passed.

--- a/packages/damsonlane/src/damsonlane/quarantine/__init__.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/__init__.py
@@ -26,6 +26,7 @@
     QuarantineSnapshot,
 )
 from damsonlane.quarantine._served import CONFIRMED_SECONDS, SERVED_SECONDS, RecentlyServed
+from damsonlane.quarantine._trials import MAX_FAILED_TRIALS, TRIAL_SECONDS, CauseTrials
 
 __all__ = [
     "CONFIRMED_SECONDS",
@@ -33,7 +34,10 @@
     "EXITS_TO_QUARANTINE",
     "EXITS_TO_QUARANTINE_TIED",
     "MAX_EXITS",
+    "MAX_FAILED_TRIALS",
     "SERVED_SECONDS",
+    "TRIAL_SECONDS",
+    "CauseTrials",
     "InterruptedRequest",
     "ForgetTargetExits",
     "QuarantinedRequest",
--- a/packages/damsonlane/src/damsonlane/quarantine/_registry.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_registry.py
@@ -13,6 +13,7 @@
     find_oldest_removable,
     list_suspects,
 )
+from damsonlane.quarantine._causes import is_shared
 from damsonlane.quarantine._exits import (
     ForgetTargetExits,
     InterruptedRequest,
@@ -60,6 +61,8 @@
     ends: int
     #: When it is released unless more exits are attributed to it, in seconds since 1970.
     until: float
+    #: Whether at least as many different requests as targets held it; it may be popular only.
+    is_common: bool = False
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -274,9 +277,19 @@
             targets=tuple(target_exit.target for target_exit in exits[:MAX_LISTED_TARGETS]),
             ends=len(exits),
             until=exits[EXITS_TO_QUARANTINE - 1].at + EXIT_WINDOW_SECONDS,
+            is_common=_count_requests(cause, exits) >= len(exits),
         )
 
 
+def _count_requests(cause: Cause, exits: Iterable[TargetExit]) -> int:
+    """Return how many different requests held a cause; 0 if it names one of them itself."""
+    if not all(map(is_shared, cause.names)):
+        return 0
+    names = frozenset(cause.names)
+    runs = (run for target_exit in exits for run in target_exit.runs)
+    return len({run.fingerprint for run in runs if names.issubset(run.names)})
+
+
 def _drop_empty(runs: Iterable[InterruptedRequest]) -> tuple[InterruptedRequest, ...]:
     """Return the runs that still name a possible cause."""
     return tuple(run for run in runs if run.names)
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
@@ -46,6 +46,8 @@
         self._version: str | None = None
         #: What that target copies cached prompt segments from, as a cause; none if it does not.
         self._copies: tuple[str, ...] = ()
+        #: Quarantined causes for which the request is sent as a trial.
+        self._tried: list[QuarantinedRequest] = []
 
     def find(self) -> QuarantinedRequest | None:
         """Return why the request may be sent to no target, or why the one that has it may exit."""
@@ -53,8 +55,17 @@
             return None
         if self._version is not None:
             return self._find_at(self._version)
+        found = self._find_anywhere()
+        while found is not None and self._quarantine.try_begin_trial(found, self._causes.request):
+            self._tried.append(found)
+            found = self._find_anywhere()
+        return found
+
+    def _find_anywhere(self) -> QuarantinedRequest | None:
+        """Return why the request may be sent to no target."""
         for service in self._stages:
-            found = self._quarantine.find_quarantined(self._list_stage_names(service))
+            names = self._list_stage_names(service)
+            found = self._quarantine.find_quarantined(names, self._tried)
             if found is not None:
                 return found
         versions = self._list_versions()
@@ -162,7 +173,7 @@
         return replace(self._causes, shared=(*self._causes.shared, *self._copies))
 
     def _find_at(self, version: str) -> QuarantinedRequest | None:
-        return self._quarantine.find_quarantined(self._list_names(version))
+        return self._quarantine.find_quarantined(self._list_names(version), self._tried)
 
     def _list_stage_names(self, service: str) -> frozenset[str]:
         return self._stage_causes.list_names(service, "")
