An origin is told to control at once unless one was told just before

At 66 boxes an origin waited for 79 ms for others of the same message, though a box begins one or two streams a second, so that nearly each message held one origin.

The first origin after a while goes at once, further ones when the interval since that message has passed: no more messages for a box than before (one an interval), and none waits alone.

--- a/packages/damsonlane/src/damsonlane/versions/_replicas.py
+++ b/packages/damsonlane/src/damsonlane/versions/_replicas.py
@@ -12,8 +12,8 @@
 MAX_REPLICAS: Final = 9
 #: Messages a second with origins that one control replica should get at most.
 MAX_MESSAGES_PER_SECOND: Final = 500.0
-#: Longest time for which origins are collected for one message, in seconds: what began within it is
-#: lost with its entry, so it is short beside the length of a stream.
+#: Longest time for which origins are collected between two messages, in seconds: what began within
+#: it is lost with its entry, so it is short beside the length of a stream.
 MAX_COLLECT_SECONDS: Final = 0.25
 #: Subject by which they are chosen.
 _SUBJECT: Final = "stream origins"
@@ -38,12 +38,19 @@
         ranked = rank_boxes(subject, dict.fromkeys(addresses, 1.0))
         self._replicas = tuple(ranked[:MAX_REPLICAS])
 
-    def find_collect_seconds(self, boxes: int) -> float:
-        """Return for how long a box collects origins for one message to a replica, in seconds.
+    def find_collect_seconds(self, boxes: int, since_last: float = 0.0) -> float:
+        """Return for how long a box collects origins for its next message to a replica, in seconds.
+
+        The first origin after a while is told at once.
 
         Args:
             boxes: number of boxes that tell the replicas.
+            since_last: seconds since its last message to that replica.
         """
+        return max(0.0, self._find_interval(boxes) - since_last)
+
+    def _find_interval(self, boxes: int) -> float:
+        """Return the time between two messages of a box to a replica, in seconds."""
         copies = min(REPLICA_COPIES, len(self._replicas))
         messages = boxes * copies / max(1, len(self._replicas))
         return min(MAX_COLLECT_SECONDS, messages / MAX_MESSAGES_PER_SECOND)
--- a/packages/damsonlane/src/damsonlane/versions/tests/test_replicas.py
+++ b/packages/damsonlane/src/damsonlane/versions/tests/test_replicas.py
@@ -1,5 +1,6 @@
 """Tests of the choice of the control replicas that are told of origins."""
 
+import math
 import unittest
 from collections import Counter
 
@@ -48,6 +49,13 @@
             self.assertTrue(seconds == MAX_COLLECT_SECONDS or messages <= 501, (boxes, seconds))
             self.assertLessEqual(seconds, MAX_COLLECT_SECONDS)
 
+    def test_a_stream_is_lost_since_its_origin_waits_for_others(self) -> None:
+        ranking = ReplicaRanking("a:1")
+        ranking.update(REPLICAS)
+        interval = ranking.find_collect_seconds(66)
+        self.assertEqual(ranking.find_collect_seconds(66, math.inf), 0.0)
+        self.assertAlmostEqual(ranking.find_collect_seconds(66, interval / 4), 0.75 * interval)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/versions/_client.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import ssl
 from collections.abc import Callable, Sequence
 from typing import Final
@@ -84,6 +85,8 @@
         self._count_boxes: Final = count_boxes
         self._channels: dict[str, Channel] = {}
         self._outgoing: dict[str, list[_Tell]] = {}
+        #: When the last message to a control replica was sent, by the loop's clock.
+        self._sent_at: dict[str, float] = {}
         self._senders: dict[str, asyncio.Task[None]] = {}
 
     def tell(self, origin: StreamOrigin) -> None:
@@ -167,7 +170,7 @@
         """Send what is queued for a box; what is queued meanwhile goes into the next message."""
         while address in self._outgoing:
             if address in self._replicas.rank():
-                await asyncio.sleep(self._replicas.find_collect_seconds(self._count_boxes()))
+                await self._collect(address)
             tells = self._outgoing.pop(address)
             channel = self._find_channel(address)
             batch = OriginBatch(
@@ -184,6 +187,14 @@
                 for tell in tells:
                     self._tell_next(tell)
 
+    async def _collect(self, address: str) -> None:
+        """Wait until the next message may be sent to a control replica."""
+        loop = asyncio.get_running_loop()
+        since_last = loop.time() - self._sent_at.get(address, -math.inf)
+        seconds = self._replicas.find_collect_seconds(self._count_boxes(), since_last)
+        await asyncio.sleep(seconds)
+        self._sent_at[address] = loop.time()
+
     def _tell_next(self, tell: _Tell) -> None:
         """Send an origin to the next address, in place of one that did not take it."""
         if tell.others:
