A stream that has begun goes before new requests at pools and engines

A begun stream has the first rank now, at pools and at engines: its caller has a part of it, which is of no use without the rest, and a new request can be sent again. Raised within the ranks of its organisation only was weighed: the wave of the other organisations' new requests would still go first.

test_stages_of_a_stream_that_its_caller_takes_up_are_those_of_a_begun_one: rank 1 before, 0 now, for a route of priority 1.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -66,7 +66,13 @@
 
     @property
     def priority(self) -> int:
-        """Priority; 0 comes first.  An organisation's priority comes before a route's."""
+        """Priority; 0 comes first.  An organisation's priority comes before a route's.
+
+        A stream that has begun goes before all new requests: its caller has a part of it, which is
+        of no use without the rest.
+        """
+        if self.origin is not None or self.has_response_begun:
+            return 0
         organisation = self.organisation.priority if self.organisation is not None else 0
         return organisation * ROUTE_PRIORITY_LEVELS + min(
             self.route.priority, ROUTE_PRIORITY_LEVELS - 1
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -81,6 +81,7 @@
             ROUTE,
             name="staged chat",
             prefix="/staged-chat/",
+            priority=1,
             repeat="stream",
             is_resumable=True,
             stages=(Stage(service="pool"),),
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -348,6 +348,9 @@
         self.assertTrue(response.is_whole())
         self.assertEqual(response.data.count(b"data: token"), 2)
         self.assertEqual([order.is_begun for order in ordered], [False, True])
+        # They go before those of new requests, whatever their route.
+        self.assertGreater(ordered[0].rank, 0)
+        self.assertEqual(ordered[1].rank, 0)
 
     async def test_stages_that_fail_after_a_broken_run_give_no_guarantee(self) -> None:
         pieces = make_piece_handler(lambda: pool.address)
