A stream that its entry resumes goes before new requests at its engine

The same cause on a related path: a stream that breaks off and is resumed within one answer was sent to its second engine with the urgency of a new request of its route, so that its caller waited behind a wave of more urgent ones, beyond the pause that the route allows.

test_a_broken_stream_waits_behind_new_requests_at_its_second_engine: urgencies 2 and 2 before, 2 and 0 now.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Collection, Sequence
+from dataclasses import replace
 from typing import Final
 
 from damsonlane.placement import InputLocation
@@ -234,7 +235,7 @@
             start=chosen.start,
             remaining_seconds=call.remaining() - RESPONSE_TRANSIT_SECONDS,
             organisation=call.organisation.name if call.organisation is not None else "",
-            urgency=_find_urgency(call, chosen),
+            urgency=_find_urgency(replace(call, has_response_begun=last_event is not None), chosen),
             inputs=inputs,
             last_event_id=last_event,
             cache_source=chosen.source_address,
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -12,7 +12,7 @@
 from damsonlane.codec import encode_bytes
 from damsonlane.membership import BoxRecord
 from damsonlane.pools import PieceOrder, PieceResult
-from damsonlane.routes import RoutingDocument
+from damsonlane.routes import EngineProperties, RoutingDocument
 from damsonlane.versions import StreamOrigin
 from damsonlaned.gateway import _attempts
 from damsonlaned.gateway.tests.harness import (
@@ -270,6 +270,23 @@
         self.assertEqual(sum(len(target.requests) for target in targets), 2)
         self.assertIn(resumed.find(b"last-event-id"), ("2", None))
 
+    async def test_a_broken_stream_waits_behind_new_requests_at_its_second_engine(self) -> None:
+        broken, whole = stream_events(1, 2, is_cut=True), stream_events(1, 4)
+        answer = answer_in_turn([broken, whole])
+        targets = [FakeTarget("t1", answer), FakeTarget("t2", answer)]
+        desk = replace(DOCUMENT.services[0], engine=EngineProperties(slots=4, cache_tokens=100_000))
+        document = replace(
+            DOCUMENT,
+            routes=tuple(replace(route, priority=2) for route in DOCUMENT.routes),
+            services=(desk, *DOCUMENT.services[1:]),
+        )
+        entry = await self.start_entry(*targets, document=document)
+        self.assertTrue((await entry.call("/chat/a")).is_whole())
+        urgencies = [
+            request.find(b"damsonlane-urgency") for target in targets for request in target.requests
+        ]
+        self.assertEqual(sorted(urgencies, key=str), ["0", "2"])
+
     async def test_a_stream_that_may_not_be_resumed_is_cut_after_its_last_whole_event(self) -> None:
         target = FakeTarget("t1", stream_events(1, 2, is_cut=True))
         entry = await self.start_entry(target)
