What becomes of the pieces of a call has a package beside the gateway

Functions moved only, no change of behaviour; the time is an argument where they read the clock. 53 tests of stages, pools, shards, silences and the quarantine pass.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -13,7 +13,7 @@
 from damsonlane.targets import Shard
 from damsonlane.warmup import WarmupLimiter
 from damsonlaned.attempts import PieceCalls
-from damsonlaned.dialects import BadRequestError, ComputedPiece, Dialect
+from damsonlaned.dialects import BadRequestError, Dialect
 from damsonlaned.gateway._exit_detector import ExitDetector
 from damsonlaned.gateway._free_calls import FreeCalls
 from damsonlaned.gateway._input_read_timer import InputReadTimer
@@ -28,14 +28,12 @@
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.gateway._wait_forecasts import WaitForecasts
 from damsonlaned.http import ConnectionPool, IncompleteResponseError, NotSentError
+from damsonlaned.pools import CallResults
 from damsonlaned.quarantine import LostTarget, PieceQuarantine, Quarantine
 from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Calls in which a piece may run before it counts as failed.
-MAX_ATTEMPTS: Final = 3
-
 
 class PoolOwner:
     """Queues pieces for the targets of one shard of a service and sends them in batches.
@@ -96,6 +94,15 @@
         )
         self._warm_up_gate: Final = WarmupLimiter()
         self._piece_calls: Final = PieceCalls()
+        self._results: Final = CallResults(
+            self._queue,
+            self._piece_calls,
+            self._receivers,
+            self._answers,
+            self._quarantine,
+            metrics,
+            self.free,
+        )
         #: Work of this owner, for its log.
         self.activity: Final = ActivityMeter()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -297,7 +304,7 @@
                 computed = await self._calls.compute(connections, call, on_sent, on_silent)
             finally:
                 pieces = self._piece_calls.end(call.batch)
-            sizes = self._deliver(call, computed, pieces)
+            sizes = self._results.deliver(call, computed, pieces, self._now())
             seconds = self._now() - began_at
             target.record_duration_ratio(seconds / call.seconds, self._now())
             if call.is_saturated and service.pool is not None:
@@ -308,13 +315,13 @@
         except TimeoutError:
             # The target was recorded as failed when it fell silent.
             self._log_failure(call, "no answer before the deadline")
-            self._requeue(pieces, has_run=True)
+            self._results.requeue(pieces, has_run=True)
         except (IncompleteResponseError, BadRequestError) as error:
             await self._record_broken_call(call, began_at)
             self._record_failed_call(call, pieces, str(error), has_run=True)
         except TargetFullError:
             target.record_rejection(self._now())
-            self._requeue(pieces, has_run=False)
+            self._results.requeue(pieces, has_run=False)
         return {}
 
     def _hold(self, call: BatchCall, began_at: float, limit: asyncio.Timeout) -> None:
@@ -332,7 +339,7 @@
         self._log_failure(call, "no answer in time")
         self._piece_calls.hold(call.batch, give_up)
         for piece in call.batch:
-            if self._may_repeat(piece, piece.attempts + 1):
+            if self._results.may_repeat(piece, piece.attempts + 1):
                 self._queue.add(replace(piece, attempts=piece.attempts + 1))
         self._return_if_unreached()
         self._dispatch()
@@ -364,58 +371,6 @@
             },
         )
 
-    def _deliver(
-        self, call: BatchCall, computed: Sequence[ComputedPiece], pieces: Sequence[WaitingPiece]
-    ) -> dict[str, int]:
-        """Deliver the results of a call; return their sizes by handle.
-
-        Args:
-            call: the call.
-            computed: the outcome of each of its pieces.
-            pieces: those that no other call has answered; results of others are freed.
-        """
-        sizes: dict[str, int] = {}
-        failed: list[WaitingPiece] = []
-        out_of_memory: list[WaitingPiece] = []
-        for piece, result in zip(call.batch, computed, strict=True):
-            if result.handle:
-                sizes[result.handle] = piece.order.result_bytes
-            if piece not in pieces:
-                self.free((result.handle,) if result.handle else ())
-            elif result.handle:
-                self._end_piece(piece)
-                self._answers.answer(piece, handle=result.handle)
-            elif result.fault in ("late", "lost-input"):
-                self._end_piece(piece)
-                self._answers.answer(piece, fault=result.fault)
-            elif result.fault == "no-room":
-                out_of_memory.append(piece)
-            else:
-                failed.append(piece)
-        self._quarantine.record_computed(
-            piece.order for piece, result in zip(call.batch, computed, strict=True) if result.handle
-        )
-        self._record_out_of_memory(call, out_of_memory, sum(sizes.values()))
-        self._requeue(failed, has_run=True)
-        self._requeue(out_of_memory, has_run=False)
-        return sizes
-
-    def _end_piece(self, piece: WaitingPiece) -> None:
-        """End what else was to compute a piece that is answered."""
-        self._queue.cancel(*piece.identity)
-        self._piece_calls.record_answer(piece)
-
-    def _record_out_of_memory(
-        self, call: BatchCall, pieces: Sequence[WaitingPiece], computed_bytes: int
-    ) -> None:
-        """Record pieces for which a target lacked result memory, beside the results it computed."""
-        self._metrics.record_out_of_memory(len(pieces))
-        if pieces:
-            missing = call.free_bytes - computed_bytes
-            call.target.result_memory.record_rejection(
-                missing, pieces[0].order.result_bytes, self._now()
-            )
-
     async def _record_broken_call(self, call: BatchCall, began_at: float) -> None:
         """Find out whether the target exited, before its pieces go to another one."""
         runs = self._quarantine.describe_runs(call.batch, self._now() - began_at)
@@ -428,7 +383,7 @@
         """Record a call without a valid answer, and queue its pieces again."""
         call.target.record_failure(self._now())
         self._log_failure(call, fault)
-        self._requeue(pieces, has_run=has_run)
+        self._results.requeue(pieces, has_run=has_run)
         self._return_if_unreached()
 
     def _log_failure(self, call: BatchCall, fault: str) -> None:
@@ -440,26 +395,6 @@
         if not self._is_reached(self._service):
             self.return_waiting()
 
-    def _requeue(self, pieces: Sequence[WaitingPiece], *, has_run: bool) -> None:
-        """Queue pieces again; fail those out of attempts, of suspects or without a sender.
-
-        Pieces of a silent call may wait already, or run in another call.
-        """
-        for piece in pieces:
-            if self._queue.has(piece) or self._piece_calls.is_under_way(piece):
-                continue
-            attempts = piece.attempts + (1 if has_run else 0)
-            if self._may_repeat(piece, attempts):
-                self._queue.add(replace(piece, attempts=attempts))
-            else:
-                self._answers.answer(piece, fault="failed")
-
-    def _may_repeat(self, piece: WaitingPiece, attempts: int) -> bool:
-        """Return whether a piece may be sent again after some calls in which it may have run."""
-        is_suspect = attempts > piece.attempts and self._quarantine.is_suspect(piece.order)
-        is_attached = self._receivers.is_attached(piece.sender)
-        return attempts < MAX_ATTEMPTS and is_attached and not is_suspect
-
     def _estimate_wait(self, like: PieceOrder) -> float:
         """Return the estimated queueing time of a piece like the given one, in seconds."""
         service = self._find_service()
