--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_plan.py
@@ -251,45 +251,15 @@
     """
     fleet = size or FleetSize()
     names = ProcessNames.from_size(fleet)
-    faults = _draw_faults(random.Random(seed), seconds, names, PROCESS_FAULT_KINDS)
-    announcements = _draw_faults(random.Random(f"words {seed}"), seconds, names, ANNOUNCEMENT_KINDS)
-    rate_limits = _draw_faults(random.Random(f"limits {seed}"), seconds, names, RATE_LIMIT_KINDS)
     parts = draw_parts(seed, len(names.entries))
-    loads: list[Fault] = []
-    if parts.has_reported_load:
-        loads = _draw_faults(random.Random(f"load {seed}"), seconds, names, LOAD_KINDS)
-    surges: list[Fault] = []
-    if parts.has_organisations:
-        surges = _draw_apart(random.Random(f"surges {seed}"), seconds, names, SURGE_KINDS)
-    cuts: list[Fault] = []
-    if parts.has_cuts:
-        cuts = _draw_faults(random.Random(f"cuts {seed}"), seconds, names, CUT_KINDS)
-    fragile: list[Fault] = []
-    if parts.has_rejection_limits:
-        fragile = _draw_faults(random.Random(f"fragile {seed}"), seconds, names, REJECTION_KINDS)
-    crowds: list[Fault] = []
-    if parts.has_crowds:
-        crowds = _draw_apart(random.Random(f"crowds {seed}"), seconds, names, CROWD_KINDS)
-    silences: list[Fault] = []
-    if parts.has_silences:
-        silences = _draw_faults(random.Random(f"silences {seed}"), seconds, names, SILENCE_KINDS)
-    lost: list[Fault] = []
-    if parts.has_lost_entries:
-        drawn = _draw_apart(random.Random(f"lost entries {seed}"), seconds, names, ENTRY_KINDS)
-        lost = drawn[:_MAX_LOSSES]
-    replaced: list[Fault] = []
-    if parts.has_replacements:
-        # One in a run: the boxes keep the addresses of control with which they started.
-        drawn = _draw_faults(random.Random(f"replace {seed}"), seconds, names, REPLACEMENT_KINDS)
-        replaced = drawn[:1]
-    ordered = sorted(
-        (
-            *(*faults, *announcements, *rate_limits, *loads, *surges),
-            *(*cuts, *fragile, *crowds, *silences, *lost, *replaced),
-        ),
-        key=lambda fault: fault.at,
-    )
-    return Plan(seed=seed, seconds=seconds, faults=tuple(ordered), size=fleet, parts=parts)
+    faults = [
+        fault
+        for group in _GROUPS
+        if not group.part or getattr(parts, group.part)
+        for fault in group.draw_faults(seed, seconds, names)
+    ]
+    faults.sort(key=lambda fault: fault.at)
+    return Plan(seed=seed, seconds=seconds, faults=tuple(faults), size=fleet, parts=parts)
 
 
 def _draw_apart(
@@ -321,3 +291,47 @@
         )
         at += randomness.expovariate(1 / _MEAN_GAP_SECONDS)
     return faults
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Group:
+    """Kinds of faults that are drawn from a generator of their own."""
+
+    #: Name of the generator; empty for the one of the seed itself.
+    generator: str = ""
+    #: Field of the parts that switches it on; empty for a group of every run.
+    part: str = ""
+    #: Its kinds.
+    kinds: Mapping[str, DrawProcess]
+    #: Whether none of its faults begins during another one.
+    is_apart: bool = False
+    #: Most faults of it in a run; None without a limit.
+    most: int | None = None
+
+    def draw_faults(self, seed: int, seconds: float, names: ProcessNames) -> list[Fault]:
+        """Return the faults of a seed."""
+        randomness = random.Random(f"{self.generator} {seed}" if self.generator else seed)
+        draw = _draw_apart if self.is_apart else _draw_faults
+        return draw(randomness, seconds, names, self.kinds)[: self.most]
+
+
+_GROUPS: Final = (
+    _Group(kinds=PROCESS_FAULT_KINDS),
+    _Group(generator="words", kinds=ANNOUNCEMENT_KINDS),
+    _Group(generator="limits", kinds=RATE_LIMIT_KINDS),
+    _Group(generator="load", part="has_reported_load", kinds=LOAD_KINDS),
+    _Group(generator="surges", part="has_organisations", kinds=SURGE_KINDS, is_apart=True),
+    _Group(generator="cuts", part="has_cuts", kinds=CUT_KINDS),
+    _Group(generator="fragile", part="has_rejection_limits", kinds=REJECTION_KINDS),
+    _Group(generator="crowds", part="has_crowds", kinds=CROWD_KINDS, is_apart=True),
+    _Group(generator="silences", part="has_silences", kinds=SILENCE_KINDS),
+    _Group(
+        generator="lost entries",
+        part="has_lost_entries",
+        kinds=ENTRY_KINDS,
+        is_apart=True,
+        most=_MAX_LOSSES,
+    ),
+    # One in a run: the boxes keep the addresses of control with which they started.
+    _Group(generator="replace", part="has_replacements", kinds=REPLACEMENT_KINDS, most=1),
+)
