The soak sends streams that run once, and checks every status that promises

A part of its own, `has_single_runs`, has three callers of such streams; 408, 421 and 429 count as well.

--- a/packages/damsonlane_bench/src/damsonlane_bench/routes_document.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/routes_document.py
@@ -37,6 +37,7 @@
             route("ping", "desk", "safe", most_targets=2),
             route("refund", "desk", "once"),
             route("chat", "model", "stream", is_resumable=True, most_targets=2, stages=stages),
+            route("note", "model", "stream", stages=stages),
         ],
         "services": [
             {"name": "desk", "most_connections": 50, "health_path": "/health"},
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_callers.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 import time
+from collections.abc import Sequence
 from threading import Event, Thread
 from typing import Final
 
@@ -22,6 +23,8 @@
 _CHANGE_PAUSE_SECONDS: Final = 0.8
 #: Routes that callers draw from.
 _ROUTES: Final = ("ping", "refund", "refund", "chat")
+#: Routes whose requests have stages.
+_STAGED_ROUTES: Final = ("chat", "note")
 
 
 class Caller:
@@ -34,6 +37,7 @@
         seed: seed of its random choices.
         organisation: organisation that it belongs to.
         sends_crash_request: whether it repeatedly sends the one request on which targets exit.
+        routes: routes that it draws from.
     """
 
     def __init__(
@@ -45,7 +49,9 @@
         *,
         organisation: str = "florists",
         sends_crash_request: bool = False,
+        routes: Sequence[str] = _ROUTES,
     ) -> None:
+        self._routes: Final = routes
         self._fleet: Final = fleet
         self._observations: Final = observations
         self._name: Final = name
@@ -69,7 +75,7 @@
     def _run(self) -> None:
         pause = _CRASH_PAUSE_SECONDS if self._sends_crash_request else _PAUSE_SECONDS
         while not self._stopped.wait(pause):
-            route = "ping" if self._sends_crash_request else self._randomness.choice(_ROUTES)
+            route = "ping" if self._sends_crash_request else self._randomness.choice(self._routes)
             entry = self._randomness.choice(self._fleet.entries)
             self._observations.record_response(self._call(entry, route))
         for connection in self._connections.values():
@@ -85,7 +91,7 @@
             "Damsonlane-Request-Id": request,
             "Damsonlane-Deadline-Ms": "4000",
         }
-        if route == "chat":
+        if route in _STAGED_ROUTES:
             headers |= {"Damsonlane-Pieces": "1,1", "Damsonlane-Material-Key": "soak"}
         connection = self._connections.get(entry) or self._connect(entry)
         status, data, is_complete = 0, b"", False
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_checks.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_checks.py
@@ -26,8 +26,10 @@
 MAX_LATE_POOL_CALLS: Final = 2 * MAX_LATE_REQUESTS + 1
 #: Part of the ids of requests that share a part of their prompts that crashes engines.
 SHARED_PART_NAME: Final = "sharedpart"
-#: Route whose requests run at most once.
-AT_MOST_ONCE_ROUTE: Final = "refund"
+#: Routes whose requests run at most once.
+AT_MOST_ONCE_ROUTES: Final = ("refund", "note")
+#: Statuses that promise that a request has not run and never will.
+PROMISE_STATUSES: Final = (408, 421, 429, 503)
 #: Route whose responses are event streams.
 STREAM_ROUTE: Final = "chat"
 
@@ -39,7 +41,7 @@
 def _check_at_most_once(observations: Observations, runs: Sequence[TargetRun]) -> Iterator[str]:
     counts = Counter(run.request for run in runs)
     for request, count in counts.items():
-        if request.startswith(AT_MOST_ONCE_ROUTE) and count > 1:
+        if request.startswith(AT_MOST_ONCE_ROUTES) and count > 1:
             yield f"{request} ran {count} times"
 
 
@@ -48,8 +50,8 @@
     ran = {run.request for run in runs}
     for response in observations.responses:
         if (
-            response.route == AT_MOST_ONCE_ROUTE
-            and response.status == 503
+            response.route in AT_MOST_ONCE_ROUTES
+            and response.status in PROMISE_STATUSES
             and response.request in ran
         ):
             yield f"{response.request} was refused but ran"
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_parts.py
@@ -51,6 +51,8 @@
     has_silences: bool = False
     #: All entries are killed at once.
     has_lost_entries: bool = False
+    #: Callers send streams with stages that may not be resumed, and so run once.
+    has_single_runs: bool = False
     #: Callers crowd at few entries.
     has_crowds: bool = False
     #: Entries at which they do at once.
@@ -72,6 +74,7 @@
         has_replacements=_draw("replacements", seed),
         has_silences=_draw("silences", seed),
         has_lost_entries=_draw("lost entries", seed),
+        has_single_runs=_draw("single runs", seed),
         has_crowds=_draw("crowds", seed),
         crowded_entries=random.Random(f"crowded entries {seed}").randint(1, 3),
         capacities=_draw_capacities(seed, entry_count) if _draw("capacities", seed) else (),
--- a/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/soak/_soak_run.py
@@ -34,6 +34,8 @@
 from damsonlane_bench.soak._stalled_readers import READER_COUNT, StalledReader
 from damsonlane_bench.soak._supervised_fleet import SupervisedFleet
 
+#: Number of callers of streams that run once.
+SINGLE_RUN_COUNT: Final = 3
 #: Number of callers that draw from all routes in a fleet of two entries; one more for each further
 #: entry.
 CALLER_COUNT: Final = 5
@@ -150,6 +152,11 @@
                 ResumingCaller(self._fleet, self._observations, f"resuming{number}", seed)
                 for number in range(RESUMING_COUNT)
             ]
+        if self._plan.parts.has_single_runs:
+            callers += [
+                Caller(self._fleet, self._observations, f"s{number}", seed, routes=("note",))
+                for number in range(SINGLE_RUN_COUNT)
+            ]
         if self._plan.parts.has_crashing_parts:
             callers += make_crashing_callers(self._fleet, self._observations, seed)
         operator = OperatorThread(self._fleet, self._observations, seed)
