Stages of a begun stream keep a latency objective that pools can meet

Cause: the objective of such a piece was one second from now less what the later steps are expected to take; beside load that lies in the past, and what can't meet its objective waits behind all that can, and may not be refused before its deadline either. The same held within one answer.

Each stage of a begun stream has one second now, or what is left until its deadline allows. A try that comes after a refusal is no late return any more when its stream has begun.

test_stages_of_a_stream_that_its_caller_takes_up_are_those_of_a_begun_one: -0.2 s with a forecast of 1.2 s to the first event before, more than 0.5 s now.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_stage_orders.py
@@ -18,7 +18,7 @@
 #: Share of its time after which a request whose stages have begun is served even if
 #: it misses its objective: its caller has waited too long for a retry to succeed.
 ABANDONABLE_SHARE: Final = 0.45
-#: Latency objective in seconds for the stages of a broken stream that is resumed.  Its
+#: Latency objective in seconds for each stage of a broken stream that is resumed.  Its
 #: caller is still reading: with the deadline as the objective, its pieces would queue
 #: behind all others, and streams would be lost under load: seven in 50 s of load.
 RESUME_SECONDS: Final = 1.0
@@ -114,15 +114,21 @@
         after = self._estimate_after(attempt, ready)
         now = asyncio.get_running_loop().time()
         remaining = after.stages + after.queues + after.first_event
-        aim_left = _find_objective(call, now) - now - remaining
+        aim_left = call.objective_at - now - remaining
         left = call.deadline_at - now - after.stages - after.first_event - after.late
-        is_late_return = call.earlier_wait_seconds > 0 and aim_left < _typical_seconds(
-            call, ready.stage
+        is_late_return = (
+            call.earlier_wait_seconds > 0
+            and not call.has_response_begun
+            and aim_left < _typical_seconds(call, ready.stage)
         )
         if is_late_return:
             # A retried request that will be late anyway gets the objective of a new one, so that
             # it is served as soon as that or refused.
             aim_left += call.earlier_wait_seconds
+        if call.has_response_begun:
+            # The time that the later steps need is not taken off: an objective that can't be met
+            # puts a piece behind all others.
+            aim_left = min(left, RESUME_SECONDS)
         may_be_late = self._late_requests.are_served and not call.has_response_begun
         if may_be_late:
             # A long answer may have its deadline before its latency objective.
@@ -185,15 +191,6 @@
         return data_centres.most_common(1)[0][0]
 
 
-def _find_objective(call: Call, now: float) -> float:
-    """Return the time of a request's latency objective; that of a broken stream is near."""
-    return (
-        min(call.deadline_at, now + RESUME_SECONDS)
-        if call.has_response_begun
-        else call.objective_at
-    )
-
-
 def _abandonable_until(call: Call) -> float:
     """Return until when a request may be refused; one whose answer has begun may not be."""
     if call.has_response_begun:
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_gateway.py
@@ -15,6 +15,7 @@
 from damsonlane.routes import EngineProperties, RoutingDocument
 from damsonlane.versions import StreamOrigin
 from damsonlaned.gateway import _attempts
+from damsonlaned.gateway._stage_orders import StageOrders
 from damsonlaned.gateway.tests.harness import (
     DOCUMENT,
     TEST_TIMEOUT_SECONDS,
@@ -358,7 +359,10 @@
             return order_pieces(service, orders, on_read)
 
         headers = "Damsonlane-Pieces: 1\r\nDamsonlane-Material-Key: m\r\n"
-        with mock.patch.object(entry.pools, "order", record_order):
+        with (
+            mock.patch.object(entry.pools, "order", record_order),
+            mock.patch.object(StageOrders, "_estimate_first_event", return_value=1.2),
+        ):
             await entry.call("/staged-chat/a", headers=headers, request_id="new")
             resumed = f"{headers}Last-Event-Id: 2\r\nDamsonlane-Resumes: r0\r\n"
             response = await entry.call("/staged-chat/a", headers=resumed, request_id="r1")
@@ -368,6 +372,8 @@
         # They go before those of new requests, whatever their route.
         self.assertGreater(ordered[0].rank, 0)
         self.assertEqual(ordered[1].rank, 0)
+        # An objective that can't be met would put it behind them all the same.
+        self.assertGreater(ordered[1].aim_left_seconds, 0.5)
 
     async def test_stages_that_fail_after_a_broken_run_give_no_guarantee(self) -> None:
         pieces = make_piece_handler(lambda: pool.address)
