--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import Final
 
-from damsonlane.cluster import ClusterState, Command, Reply, decode_command, encode_command
+from damsonlane.cluster import ClusterState, Command, Reply, encode_command
 from damsonlane.consensus import (
     EMPTY_SNAPSHOT,
     Envelope,
@@ -18,7 +18,6 @@
     LogEntry,
     Member,
     Members,
-    Opaque,
     Output,
     PersistentState,
     Replica,
@@ -34,6 +33,7 @@
 from damsonlane.records import dataclass
 from damsonlane.settings import BoxSettings
 from damsonlane.versions import VersionHistory
+from damsonlaned.control._applied_state import AppliedState
 from damsonlaned.control._members_log import MembersLog
 from damsonlaned.control._peer_streams import PeerStreams
 from damsonlaned.control._watchers import Watchers
@@ -87,17 +87,13 @@
     ) -> None:
         self.settings: Final = settings
         self.watchers: Final = Watchers()
-        self.state = ClusterState()
-        #: Which versions of targets have served while this process applied changes.
-        self.versions: Final = VersionHistory()
+        self._applied: Final = AppliedState(self.watchers)
         self.replica: Replica | None = None
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._folder: Final = folder.path
         self._journal: Final = Journal(folder.path)
         self._peers: Final = PeerStreams(settings.internal_address, context)
-        self._applied = 0
         self._members_log = MembersLog(EMPTY_SNAPSHOT.members)
-        self._since_snapshot = 0
         self._proposed: dict[int, _ProposedCommand] = {}
         self._reads: dict[int, asyncio.Future[None]] = {}
         self._references = itertools.count(1)
@@ -105,6 +101,16 @@
         self._ticker: asyncio.Task[None] | None = None
         self.identity = self._open_identity()
 
+    @property
+    def state(self) -> ClusterState:
+        """The replicated state."""
+        return self._applied.state
+
+    @property
+    def versions(self) -> VersionHistory:
+        """Which versions of targets have served while this process applied changes."""
+        return self._applied.versions
+
     # Lifecycle.
 
     def start(self) -> None:
@@ -321,50 +327,21 @@
             raise
 
     def _install(self, snapshot: Snapshot) -> None:
-        self.state = ClusterState.from_text(snapshot.state)
-        self._applied = snapshot.index
+        self._applied.replace(snapshot, self.now())
         self._members_log.record(snapshot.members, snapshot.index)
-        self._restart_versions()
         self.watchers.notify_all()
 
     def _apply(self, entry: LogEntry) -> None:
-        before = self._pushed_versions()
-        targets_revision = self.state.targets.revision
-        reply: Reply | None = None
         if isinstance(entry.body, Members):
             self._members_log.record(entry.body, entry.index)
-        if isinstance(entry.body, Opaque):
-            reply = self.state.apply(decode_command(entry.body.text))
-        self._applied = entry.index
-        self._since_snapshot += 1
+        reply = self._applied.apply(entry, self.now())
         proposed = self._proposed.pop(entry.index, None)
         if proposed is not None and not proposed.future.done():
             if proposed.term == entry.term and reply is not None:
                 proposed.future.set_result(reply)
             else:
                 proposed.future.set_exception(UnavailableError("another leader took over"))
-        if self.state.targets.revision != targets_revision:
-            self.versions.observe(self.state.targets.list_versions(), self.now())
-        if self._pushed_versions() != before:
-            self.watchers.notify_all()
-
-    def _restart_versions(self) -> None:
-        """Track the versions of targets anew, since changes may have been skipped."""
-        self.versions.restart()
-        self.versions.observe(self.state.targets.list_versions(), self.now())
-
-    def _pushed_versions(self) -> tuple[int, ...]:
-        """Return the versions and counts of everything that is pushed to watching boxes."""
-        state = self.state
-        return (
-            state.settings.version,
-            state.membership.count_live(),
-            state.documents.document.version,
-            state.targets.revision,
-            state.evacuations.revision,
-            state.quarantine.revision,
-            state.rate_limits.revision,
-        )
+        self._applied.notify_watchers()
 
     def _finish_reads(self, output: Output) -> None:
         for ready in output.reads:
@@ -380,15 +357,15 @@
         replica = self.replica
         if replica is None or not self._is_snapshot_due():
             return
-        self._since_snapshot = 0
-        replica.compact(self.state.to_text(), self._applied)
+        self._applied.since_snapshot = 0
+        replica.compact(self.state.to_text(), self._applied.index)
         with self._stop_on_write_failure():
             self._journal.rewrite(replica.persistent_state())
 
     def _is_snapshot_due(self) -> bool:
-        is_long = self._since_snapshot >= ENTRIES_PER_SNAPSHOT
+        is_long = self._applied.since_snapshot >= ENTRIES_PER_SNAPSHOT
         is_large = self._journal.grown_bytes >= BYTES_PER_SNAPSHOT
-        return is_long or (is_large and self._since_snapshot > 0)
+        return is_long or (is_large and self._applied.since_snapshot > 0)
 
     # Identity.
 
@@ -423,9 +400,7 @@
     def reset(self) -> None:
         """Discard all state and wait for admission under a new replica name."""
         self.replica = None
-        self.state = ClusterState()
-        self._applied = 0
-        self._restart_versions()
+        self._applied.clear(self.now())
         # The identity is replaced first: it makes the content of the old journal invalid.
         self.identity = draw_identity(self.settings.name)
         write_identity(self._folder, self.identity)
@@ -439,10 +414,8 @@
         write_identity(self._folder, self.identity)
 
     def _start_replica(self, stored: PersistentState) -> None:
-        self.state = ClusterState.from_text(stored.snapshot.state)
-        self._applied = stored.snapshot.index
+        self._applied.replace(stored.snapshot, self.now())
         self._members_log = MembersLog(stored.snapshot.members)
-        self._restart_versions()
         self.replica = Replica(
             cluster=self.identity.cluster,
             name=self.identity.replica,
--- a/packages/damsonlaned/src/damsonlaned/control/tests/test_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/tests/test_node.py
@@ -53,7 +53,7 @@
             folder.open()
             node = ControlNode(_make_settings(path), folder, None)
             node.found_group()
-            node._since_snapshot = ENTRIES_PER_SNAPSHOT
+            node._applied.since_snapshot = ENTRIES_PER_SNAPSHOT
             with (
                 mock.patch.object(Journal, "rewrite", side_effect=StorageError("full")),
                 self.assertRaises(StorageError),
