Control counts the failed trials of a quarantined cause

An entry counted them, and forgot them when it restarted, so that restarts could have granted more than the three requests after the fifth exit that callers were promised.

Exits more than 5 s after the third one are failed trials; control computes what is left from the replicated exits.

--- a/packages/damsonlane/src/damsonlane/quarantine/__init__.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/__init__.py
@@ -18,6 +18,8 @@
 from damsonlane.quarantine._registry import (
     EXIT_WINDOW_SECONDS,
     MAX_EXITS,
+    MAX_FAILED_TRIALS,
+    SAME_LOSS_SECONDS,
     QuarantineCommand,
     QuarantinedRequest,
     QuarantineList,
@@ -26,7 +28,7 @@
     QuarantineSnapshot,
 )
 from damsonlane.quarantine._served import CONFIRMED_SECONDS, SERVED_SECONDS, RecentlyServed
-from damsonlane.quarantine._trials import MAX_FAILED_TRIALS, TRIAL_SECONDS, CauseTrials
+from damsonlane.quarantine._trials import TRIAL_SECONDS, CauseTrials
 
 __all__ = [
     "CONFIRMED_SECONDS",
@@ -35,6 +37,7 @@
     "EXITS_TO_QUARANTINE_TIED",
     "MAX_EXITS",
     "MAX_FAILED_TRIALS",
+    "SAME_LOSS_SECONDS",
     "SERVED_SECONDS",
     "TRIAL_SECONDS",
     "CauseTrials",
--- a/packages/damsonlane/src/damsonlane/quarantine/_trials.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_trials.py
@@ -9,21 +9,18 @@
 from typing import Final
 
 from damsonlane.membership import rank_boxes
-from damsonlane.quarantine._registry import QuarantinedRequest
+from damsonlane.quarantine._registry import MAX_FAILED_TRIALS, QuarantinedRequest
 from damsonlane.records import dataclass
 
 #: Seconds from the last exit to the first trial; they double with each trial that failed.
 TRIAL_SECONDS: Final = 10.0
-#: Failed trials after which a cause stays quarantined until its exits no longer count.
-MAX_FAILED_TRIALS: Final = 3
 
 
 @dataclass(frozen=True, kw_only=True)
 class _Listed:
     """A quarantined cause as this entry has followed it."""
 
-    #: Number of its exits when it was listed, and now.
-    first_ends: int
+    #: Number of its exits.
     ends: int
     #: When that number was first seen, by the monotonic clock, in seconds.
     since: float
@@ -31,11 +28,6 @@
     window: int = -1
     request: str = ""
 
-    @property
-    def failed(self) -> int:
-        """Exits since it was listed: failed trials, and requests that targets had by then."""
-        return self.ends - self.first_ends
-
     def with_trial(self, window: int, request: str) -> "_Listed":
         """Return it with a trial that begins."""
         return replace(self, window=window, request=request)
@@ -65,20 +57,18 @@
         """
         before, self._listed = self._listed, {}
         for found in held:
-            if not found.is_common:
-                continue
             known = before.get(found.names)
             if known is None or found.ends != known.ends:
-                first = min(known.first_ends, found.ends) if known else found.ends
-                known = _Listed(first_ends=first, ends=found.ends, since=now)
+                known = _Listed(ends=found.ends, since=now)
             self._listed[found.names] = known
 
     def find_seconds_left(self, found: QuarantinedRequest, now: float) -> float | None:
         """Return the seconds until the next trial may begin; None if none will."""
         known = self._listed.get(found.names)
-        if known is None or known.failed >= MAX_FAILED_TRIALS:
+        if known is None or not found.trials_left:
             return None
-        return max(0.0, known.since + TRIAL_SECONDS * (1 << known.failed) - now)
+        failed = max(0, MAX_FAILED_TRIALS - found.trials_left)
+        return max(0.0, known.since + TRIAL_SECONDS * (1 << failed) - now)
 
     def try_begin(
         self,
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
@@ -132,6 +132,7 @@
         self.assertIsNone(another.find())
 
 
+@mock.patch("damsonlane.quarantine._registry.SAME_LOSS_SECONDS", _TRIAL_SECONDS / 4)
 @mock.patch("damsonlane.quarantine._trials.TRIAL_SECONDS", _TRIAL_SECONDS)
 class PopularMaterialTest(unittest.IsolatedAsyncioTestCase):
     """Targets are lost for another reason while they have requests with the same material."""
