--- a/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_attempts.py
@@ -235,7 +235,9 @@
             start=chosen.start,
             remaining_seconds=call.remaining() - RESPONSE_TRANSIT_SECONDS,
             organisation=call.organisation.name if call.organisation is not None else "",
-            urgency=_find_urgency(replace(call, has_response_begun=last_event is not None), chosen),
+            urgency=_find_urgency(
+                call if last_event is None else replace(call, has_response_begun=True), chosen
+            ),
             inputs=inputs,
             last_event_id=last_event,
             cache_source=chosen.source_address,
