A trial of a quarantined cause is sent to one target only

Callers were promised three at most for a part.

An entry may send a request as a trial once: the end of its attempt ends the trial, nothing replaces it while its target is silent, and the same request is not let through again in its window. test_a_trial_is_repeated_at_another_target is red without it.

--- a/packages/damsonlane/src/damsonlane/quarantine/_trials.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_trials.py
@@ -76,16 +76,18 @@
         request: str,
         now: float,
         wall_seconds: float,
-        entries: Sequence[str] = (),
+        entries: Sequence[str] | None = None,
     ) -> bool:
         """Return whether a request may be sent, and count it as the trial of this window.
 
+        An entry may send it once; the owner of a pool computes all its pieces.
+
         Args:
             found: what is quarantined of it.
             request: fingerprint of the request.
             now: time by the monotonic clock, in seconds.
             wall_seconds: seconds since 1970.
-            entries: addresses of the entries that share the trials; none at the owner of a pool,
+            entries: addresses of the entries that share the trials; None at the owner of a pool,
                 which gets pieces of requests that are tried only.
         """
         if self.find_seconds_left(found, now) != 0.0:
@@ -93,7 +95,7 @@
         known = self._listed[found.names]
         window = int(wall_seconds // TRIAL_SECONDS)
         if known.window == window:
-            return known.request == request
+            return entries is None and known.request == request
         if entries and self._choose(found, window, entries) != self._entry:
             return False
         self._listed[found.names] = known.with_trial(window, request)
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
@@ -184,6 +184,16 @@
         await asyncio.sleep(0.05)
         self.assertIsNone(self._make().find())
 
+    async def test_a_trial_is_repeated_at_another_target(self) -> None:
+        await self._lose_all()
+        trial = await self._find_trial()
+        assert trial is not None
+        trial.begin_attempt("", "")
+        self.assertTrue(trial.is_trial())
+        # Whether or not it is known yet that its target exited.
+        trial.end_attempt()
+        self.assertIsNotNone(trial.find())
+
     async def test_material_that_goes_on_to_crash_targets_is_tried_a_few_times_only(self) -> None:
         await self._lose_all()
         trials = 0
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
@@ -119,7 +119,7 @@
             is_shared_out: whether the entries share the trials; not for pieces, whose requests were
                 admitted at an entry.
         """
-        entries = self._list_entries() if is_shared_out else ()
+        entries = self._list_entries() if is_shared_out else None
         begins = self._trials.try_begin(found, request, read_clock(), time.time(), entries)
         if begins:
             fields = {"held": found.names, "exits": found.ends, "fingerprint": request}
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
@@ -76,6 +76,10 @@
         """Return whether the request is quarantined."""
         return self.find() is not None
 
+    def is_trial(self) -> bool:
+        """Return whether it is sent although something of it is quarantined."""
+        return bool(self._tried)
+
     def list_excluded_versions(self) -> frozenset[str]:
         """Return the versions whose targets may not get the request."""
         if self._quarantine.is_list_empty():
@@ -107,9 +111,10 @@
         self._copies = list_shared_causes(copy_source=copy_source)
 
     def end_attempt(self) -> None:
-        """Record that no target has the request any more."""
+        """Record that no target has the request any more; a trial is not repeated."""
         self._version = None
         self._copies = ()
+        self._tried.clear()
 
     async def wait_until_confirmed(self) -> None:
         """Wait until it is known whether what the request shares is quarantined."""
