A connection with a rejection of another attempt is closed for good

Found by reading the diff: entries of pipelines closed the response, whose connection had gone back to the pool with the end of its body, so that the connection stayed in use although the right answer may follow on it.

test_the_answer_after_a_late_rejection_is_taken_for_that_of_the_next_attempt: open before at plain targets, pools and engines, closed now.

--- a/packages/damsonlaned/src/damsonlaned/entry/tests/test_late_rejections.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/tests/test_late_rejections.py
@@ -4,7 +4,8 @@
 import unittest
 from typing import Any
 
-from damsonlaned.entry.tests.raw_target import KINDS, run_attempts
+from damsonlaned.entry.tests.raw_target import KINDS, RawTarget, run_attempt, run_attempts
+from damsonlaned.targets import Connections
 
 
 def render_response(status: int, fields: dict[str, Any]) -> bytes:
@@ -34,6 +35,17 @@
             rejection = render_response(503, {})
             self.assert_outcomes(kind, rejection, rejection, outcomes=["refused", "failed"])
 
+    def test_the_answer_after_a_late_rejection_is_taken_for_that_of_the_next_attempt(self) -> None:
+        for kind in KINDS:
+            rejection = render_rejection(kind, 1)
+            connections, target = Connections(), RawTarget(rejection, rejection, closes=False)
+            with self.subTest(kind=kind):
+                for number in (1, 2):
+                    run_attempt(kind, connections, target.address, number)
+                self.assertTrue(target.is_closed_by_peer())
+            connections.close()
+            target.stop()
+
     def test_rejections_that_name_their_attempts_are_believed(self) -> None:
         for kind in KINDS:
             answers = [render_rejection(kind, number) for number in (1, 2)]
--- a/packages/damsonlaned/src/damsonlaned/targets/_calls.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_calls.py
@@ -119,11 +119,12 @@
             return TargetReply(result=result, load_report=report, is_interrupted=is_broken)
         is_draining = read_announcement(response).is_draining
         is_first = is_first_response(response)
+        connection = response.connection
         key = find_attempt_key(drain(response, call.deadline_at))
         is_own = key == call.key or (key is None and is_first)
-        if not is_own:
+        if not is_own and connection is not None:
             # The response to this attempt may follow.
-            response.close()
+            connection.close()
         is_rejected = response.status in REJECTING_STATUSES and is_own
         result = AttemptResult(
             answers=None,
