--- a/packages/damsonlane/src/damsonlane/quarantine/__init__.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/__init__.py
@@ -18,8 +18,6 @@
 from damsonlane.quarantine._registry import (
     EXIT_WINDOW_SECONDS,
     MAX_EXITS,
-    MAX_FAILED_TRIALS,
-    SAME_LOSS_SECONDS,
     QuarantineCommand,
     QuarantinedRequest,
     QuarantineList,
@@ -28,7 +26,6 @@
     QuarantineSnapshot,
 )
 from damsonlane.quarantine._served import CONFIRMED_SECONDS, SERVED_SECONDS, RecentlyServed
-from damsonlane.quarantine._trials import TRIAL_SECONDS, CauseTrials
 
 __all__ = [
     "CONFIRMED_SECONDS",
@@ -36,11 +33,7 @@
     "EXITS_TO_QUARANTINE",
     "EXITS_TO_QUARANTINE_TIED",
     "MAX_EXITS",
-    "MAX_FAILED_TRIALS",
-    "SAME_LOSS_SECONDS",
     "SERVED_SECONDS",
-    "TRIAL_SECONDS",
-    "CauseTrials",
     "InterruptedRequest",
     "ForgetTargetExits",
     "QuarantinedRequest",
--- a/packages/damsonlane/src/damsonlane/quarantine/_registry.py
+++ b/packages/damsonlane/src/damsonlane/quarantine/_registry.py
@@ -1,6 +1,6 @@
 """The registry of quarantined requests and shared causes: part of the replicated state."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable
 from dataclasses import replace
 from typing import Final, Literal
 
@@ -13,7 +13,6 @@
     find_oldest_removable,
     list_suspects,
 )
-from damsonlane.quarantine._causes import is_shared
 from damsonlane.quarantine._exits import (
     ForgetTargetExits,
     InterruptedRequest,
@@ -40,10 +39,6 @@
 SAME_EXIT_SECONDS: Final = 0.2
 #: Exits from which on a request is a suspect: entries report if it is served after all.
 EXITS_TO_SUSPECT: Final = 2
-#: Exits under a quarantined cause, after which no request with it is tried any more.
-MAX_FAILED_TRIALS: Final = 3
-#: Seconds from the exit that quarantined a cause within which others count as the same loss.
-SAME_LOSS_SECONDS: Final = 5.0
 #: Most suspects that are sent to entries.
 MAX_SUSPECTS: Final = 128
 
@@ -65,9 +60,6 @@
     ends: int
     #: When it is released unless more exits are attributed to it, in seconds since 1970.
     until: float
-    #: How often requests with it may still be tried; 0 unless at least as many different requests
-    #: as targets held it, so that it may be popular only.
-    trials_left: int = 0
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -282,33 +274,9 @@
             targets=tuple(target_exit.target for target_exit in exits[:MAX_LISTED_TARGETS]),
             ends=len(exits),
             until=exits[EXITS_TO_QUARANTINE - 1].at + EXIT_WINDOW_SECONDS,
-            trials_left=_count_trials_left(cause, exits),
         )
 
 
-def _count_trials_left(cause: Cause, exits: Sequence[TargetExit]) -> int:
-    """Return how often requests with a cause may still be tried.
-
-    Args:
-        cause: the cause.
-        exits: its exits, the newest first.
-    """
-    if _count_requests(cause, exits) < len(exits):
-        return 0
-    lost_until = exits[-EXITS_TO_QUARANTINE].at + SAME_LOSS_SECONDS
-    failed = sum(target_exit.at > lost_until for target_exit in exits)
-    return max(0, MAX_FAILED_TRIALS - failed)
-
-
-def _count_requests(cause: Cause, exits: Iterable[TargetExit]) -> int:
-    """Return how many different requests held a cause; 0 if it names one of them itself."""
-    if not all(map(is_shared, cause.names)):
-        return 0
-    names = frozenset(cause.names)
-    runs = (run for target_exit in exits for run in target_exit.runs)
-    return len({run.fingerprint for run in runs if names.issubset(run.names)})
-
-
 def _drop_empty(runs: Iterable[InterruptedRequest]) -> tuple[InterruptedRequest, ...]:
     """Return the runs that still name a possible cause."""
     return tuple(run for run in runs if run.names)
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -94,10 +94,7 @@
         )
         self._control: Final = ControlClient(settings.control, context=context)
         self._quarantine: Final = Quarantine(
-            self._view.quarantine,
-            QuarantineClient(self._control).submit,
-            settings.internal_address,
-            lambda: [entry.address for entry in self._view.entries],
+            self._view.quarantine, QuarantineClient(self._control).submit
         )
         self._reach: Final = ReachMonitor(
             self._view, settings.internal_address, settings.data_centre, context, self._metrics
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_crashing_contents.py
@@ -3,16 +3,8 @@
 import asyncio
 import json
 import unittest
-from dataclasses import replace
-from unittest import mock
-
-from damsonlane.pools import PieceOrder
-from damsonlane.quarantine import (
-    EXITS_TO_QUARANTINE,
-    MAX_FAILED_TRIALS,
-    RequestCauses,
-    list_shared_causes,
-)
+
+from damsonlane.quarantine import EXITS_TO_QUARANTINE, RequestCauses, list_shared_causes
 from damsonlaned.gateway.tests.harness import (
     Control,
     FakeTarget,
@@ -23,31 +15,9 @@
 from damsonlaned.gateway.tests.test_crashing_parts import MAX_EXITS
 from damsonlaned.gateway.tests.test_quarantine import Fleet
 from damsonlaned.http import HttpRequest
-from damsonlaned.quarantine import (
-    KnownQuarantine,
-    LostTarget,
-    PieceQuarantine,
-    Quarantine,
-    RequestQuarantine,
-)
+from damsonlaned.quarantine import KnownQuarantine, LostTarget, Quarantine, RequestQuarantine
 from damsonlaned.quarantine._quarantine import CONFIRM_SECONDS
 
-#: Seconds between two trials of what is quarantined.
-_TRIAL_SECONDS = 0.2
-_ORDER = PieceOrder(
-    number=1,
-    request="r",
-    stage=0,
-    piece=0,
-    material_key="popular",
-    inputs=(),
-    left_seconds=5.0,
-    aim_left_seconds=1.0,
-    give_up_left_seconds=5.0,
-    rank=0,
-    result_bytes=100,
-)
-
 
 class CrashingMaterialTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -132,91 +102,5 @@
         self.assertIsNone(another.find())
 
 
-@mock.patch("damsonlane.quarantine._registry.SAME_LOSS_SECONDS", _TRIAL_SECONDS / 4)
-@mock.patch("damsonlane.quarantine._trials.TRIAL_SECONDS", _TRIAL_SECONDS)
-class PopularMaterialTest(unittest.IsolatedAsyncioTestCase):
-    """Targets are lost for another reason while they have requests with the same material."""
-
-    async def asyncSetUp(self) -> None:
-        self.quarantine = Quarantine(KnownQuarantine(), Control().submit)
-        self.count = 0
-
-    def _make(self) -> RequestQuarantine:
-        self.count += 1
-        shared = list_shared_causes(material_key="popular")
-        return RequestQuarantine(
-            self.quarantine,
-            causes=RequestCauses(request=f"f{self.count}", shared=shared),
-            service="pool",
-            stage_causes=RequestCauses(),
-            stages=(),
-            list_versions=lambda: [""],
-        )
-
-    async def _lose(self, request: RequestQuarantine) -> None:
-        request.begin_attempt("", "")
-        lost = LostTarget(target=f"t{self.count}", address="", start=0)
-        self.quarantine.record_exit(lost, [request.make_run(0.2)])
-        request.end_attempt()
-        await asyncio.sleep(2 * CONFIRM_SECONDS if self.count == EXITS_TO_QUARANTINE else 0)
-
-    async def _lose_all(self) -> None:
-        for _ in range(EXITS_TO_QUARANTINE):
-            await self._lose(self._make())
-
-    async def _find_trial(self) -> RequestQuarantine | None:
-        """Return the next request that is let through, or None if none is for some time."""
-        for _ in range(40):
-            if (request := self._make()).find() is None:
-                return request
-            await asyncio.sleep(_TRIAL_SECONDS / 8)
-        return None
-
-    async def test_popular_material_is_refused_for_an_hour_since_targets_were_lost(self) -> None:
-        await self._lose_all()
-        trial = await self._find_trial()
-        assert trial is not None
-        # One at a time; the others are refused until it has been served.
-        self.assertIsNotNone(self._make().find())
-        trial.begin_attempt("", "")
-        self.assertIsNone(trial.find())
-        trial.record_served()
-        await asyncio.sleep(0.05)
-        self.assertIsNone(self._make().find())
-
-    async def test_a_trial_is_repeated_at_another_target(self) -> None:
-        await self._lose_all()
-        trial = await self._find_trial()
-        assert trial is not None
-        trial.begin_attempt("", "")
-        self.assertTrue(trial.is_trial())
-        # Whether or not it is known yet that its target exited.
-        trial.end_attempt()
-        self.assertIsNotNone(trial.find())
-
-    async def test_material_that_goes_on_to_crash_targets_is_tried_a_few_times_only(self) -> None:
-        await self._lose_all()
-        trials = 0
-        while (trial := await self._find_trial()) is not None:
-            trials += 1
-            trial.begin_attempt("", "")
-            await self._lose(trial)
-            self.assertIsNotNone(trial.find())
-        self.assertEqual(trials, MAX_FAILED_TRIALS)
-
-    async def test_a_pool_computes_all_pieces_of_the_request_that_is_tried(self) -> None:
-        await self._lose_all()
-        pool = PieceQuarantine(self.quarantine, "pool")
-        shared = list_shared_causes(material_key="popular")
-        for _ in range(40):
-            first = replace(_ORDER, fingerprint="f90", shared_causes=shared)
-            if not pool.is_quarantined(first):
-                break
-            await asyncio.sleep(_TRIAL_SECONDS / 8)
-        another = replace(_ORDER, fingerprint="f91", shared_causes=shared)
-        self.assertFalse(pool.is_quarantined(first))
-        self.assertTrue(pool.is_quarantined(another))
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_piece_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_piece_quarantine.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from damsonlane.pools import PieceOrder, WaitingPiece
-from damsonlane.quarantine import InterruptedRequest, QuarantinedRequest, RequestCauses
+from damsonlane.quarantine import InterruptedRequest, RequestCauses
 from damsonlaned.quarantine._quarantine import Quarantine
 
 
@@ -22,22 +22,11 @@
 
     def is_quarantined(self, order: PieceOrder) -> bool:
         """Return whether a piece may be sent to no target."""
-        names = self._list_names(order)
-        tried: list[QuarantinedRequest] = []
-        while (found := self._quarantine.find_quarantined(names, tried)) is not None:
-            request = order.fingerprint
-            if not self._quarantine.try_begin_trial(found, request, is_shared_out=False):
-                return True
-            tried.append(found)
-        return False
+        return self._quarantine.find_quarantined(self._list_names(order)) is not None
 
     def is_suspect(self, order: PieceOrder) -> bool:
         """Return whether targets exited while they ran the request of a piece, at any box."""
-        names = self._list_names(order)
-        return (
-            self._quarantine.is_suspect(names)
-            or self._quarantine.find_quarantined(names) is not None
-        )
+        return self._quarantine.is_suspect(self._list_names(order)) or self.is_quarantined(order)
 
     def isolate_suspects(
         self, batch: Sequence[WaitingPiece]
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_quarantine.py
@@ -6,13 +6,11 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Collection, Iterator, Sequence
-from dataclasses import replace
 from typing import Final
 
 from damsonlane.errors import UnavailableError
 from damsonlane.quarantine import (
     CONFIRMED_SECONDS,
-    CauseTrials,
     InterruptedRequest,
     QuarantinedRequest,
     QuarantineList,
@@ -63,22 +61,11 @@
     Args:
         known: the list received from control.
         submit: commits reports.
-        entry: address of this entry.
-        list_entries: returns the addresses of all entries, which share the trials of quarantined
-            causes.
     """
 
-    def __init__(
-        self,
-        known: KnownQuarantine,
-        submit: Submit,
-        entry: str = "",
-        list_entries: Callable[[], Sequence[str]] = tuple,
-    ) -> None:
+    def __init__(self, known: KnownQuarantine, submit: Submit) -> None:
         self._known: Final = known
         self._submit: Final = submit
-        self._trials: Final = CauseTrials(entry)
-        self._list_entries: Final = list_entries
         #: Reports since control last had all of them.  Emptied once all are committed, since
         #: control may release a request meanwhile.
         self._local = QuarantineRegistry()
@@ -93,38 +80,15 @@
         self._answer_timer: asyncio.TimerHandle | None = None
         known.on_change(self._follow_list)
 
-    def find_quarantined(
-        self, names: Collection[str], tried: Collection[QuarantinedRequest] = ()
-    ) -> QuarantinedRequest | None:
+    def find_quarantined(self, names: Collection[str]) -> QuarantinedRequest | None:
         """Return what is quarantined of a request, or None if it may be sent to targets.
 
         Args:
             names: fingerprint of the request, and names of what it shares with others.
-            tried: what it is sent for as a trial; one more exit ends the trial.
         """
-        ignored = {(found.names, found.ends) for found in tried}
-        for found in self._find_listed(names):
-            if self._is_confirmed(found) and (found.names, found.ends) not in ignored:
-                return self._with_trial_time(found)
-        return None
-
-    def try_begin_trial(
-        self, found: QuarantinedRequest, request: str, *, is_shared_out: bool = True
-    ) -> bool:
-        """Return whether a request may be sent although something of it is quarantined.
-
-        Args:
-            found: what is quarantined.
-            request: its fingerprint.
-            is_shared_out: whether the entries share the trials; not for pieces, whose requests were
-                admitted at an entry.
-        """
-        entries = self._list_entries() if is_shared_out else None
-        begins = self._trials.try_begin(found, request, read_clock(), time.time(), entries)
-        if begins:
-            fields = {"held": found.names, "exits": found.ends, "fingerprint": request}
-            _LOG.info("trying a quarantined cause", extra=fields)
-        return begins
+        return next(
+            (found for found in self._find_listed(names) if self._is_confirmed(found)), None
+        )
 
     def is_list_empty(self) -> bool:
         """Return whether nothing is quarantined or suspected."""
@@ -264,13 +228,6 @@
                 if all(name in names for name in quarantined.names):
                     yield quarantined
 
-    def _with_trial_time(self, found: QuarantinedRequest) -> QuarantinedRequest:
-        """Return what is quarantined with the time of its next trial, if that is earlier."""
-        seconds = self._trials.find_seconds_left(found, read_clock())
-        if seconds is None:
-            return found
-        return replace(found, until=min(found.until, time.time() + seconds))
-
     def _is_confirmed(self, quarantined: QuarantinedRequest) -> bool:
         """Return whether entries have had the time to say that they served a shared cause."""
         if not is_shared(quarantined.fingerprint):
@@ -286,7 +243,6 @@
         listed = [name for name in self._list_names() if is_shared(name)]
         has_new = any(name not in self._listed_at for name in listed)
         self._listed_at = {name: self._listed_at.get(name, now) for name in listed}
-        self._trials.follow((found for known in self._lists() for found in known.held), now)
         if has_new:
             loop.call_later(CONFIRM_SECONDS, self._notify_watchers)
             if self._answer_timer is None:
--- a/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
+++ b/packages/damsonlaned/src/damsonlaned/quarantine/_request_quarantine.py
@@ -46,8 +46,6 @@
         self._version: str | None = None
         #: What that target copies cached prompt segments from, as a cause; none if it does not.
         self._copies: tuple[str, ...] = ()
-        #: Quarantined causes for which the request is sent as a trial.
-        self._tried: list[QuarantinedRequest] = []
 
     def find(self) -> QuarantinedRequest | None:
         """Return why the request may be sent to no target, or why the one that has it may exit."""
@@ -55,17 +53,8 @@
             return None
         if self._version is not None:
             return self._find_at(self._version)
-        found = self._find_anywhere()
-        while found is not None and self._quarantine.try_begin_trial(found, self._causes.request):
-            self._tried.append(found)
-            found = self._find_anywhere()
-        return found
-
-    def _find_anywhere(self) -> QuarantinedRequest | None:
-        """Return why the request may be sent to no target."""
         for service in self._stages:
-            names = self._list_stage_names(service)
-            found = self._quarantine.find_quarantined(names, self._tried)
+            found = self._quarantine.find_quarantined(self._list_stage_names(service))
             if found is not None:
                 return found
         versions = self._list_versions()
@@ -76,10 +65,6 @@
         """Return whether the request is quarantined."""
         return self.find() is not None
 
-    def is_trial(self) -> bool:
-        """Return whether it is sent although something of it is quarantined."""
-        return bool(self._tried)
-
     def list_excluded_versions(self) -> frozenset[str]:
         """Return the versions whose targets may not get the request."""
         if self._quarantine.is_list_empty():
@@ -111,10 +96,9 @@
         self._copies = list_shared_causes(copy_source=copy_source)
 
     def end_attempt(self) -> None:
-        """Record that no target has the request any more; a trial is not repeated."""
+        """Record that no target has the request any more."""
         self._version = None
         self._copies = ()
-        self._tried.clear()
 
     async def wait_until_confirmed(self) -> None:
         """Wait until it is known whether what the request shares is quarantined."""
@@ -178,7 +162,7 @@
         return replace(self._causes, shared=(*self._causes.shared, *self._copies))
 
     def _find_at(self, version: str) -> QuarantinedRequest | None:
-        return self._quarantine.find_quarantined(self._list_names(version), self._tried)
+        return self._quarantine.find_quarantined(self._list_names(version))
 
     def _list_stage_names(self, service: str) -> frozenset[str]:
         return self._stage_causes.list_names(service, "")
--- a/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
@@ -281,7 +281,7 @@
             return _make_denial("the retry budget is exhausted")
         await self._quarantine.wait_until_confirmed()
         backoff = self._attempts.find_backoff_seconds(self._call)
-        if self._quarantine.is_trial() or self._quarantine.is_quarantined() or backoff > 0:
+        if self._quarantine.is_quarantined() or backoff > 0:
             return _make_denial("no target may get it now")
         may_follow = await self._relay.may_follow(may_have_run=True)
         if may_follow and self._relay.is_due():
