Logs of resumed streams tell the age of the list, and of a second origin

Cause: the logs could not tell the hypotheses of the incident of streams out of order apart. "stream resumed" and "stream of unknown version" now have list_age, the seconds since control last confirmed its list of versions at this entry, and an origin that replaces a different one of the same attempt is logged as a warning.

--- a/packages/damsonlane/src/damsonlane/versions/_origins.py
+++ b/packages/damsonlane/src/damsonlane/versions/_origins.py
@@ -54,17 +54,22 @@
     def __len__(self) -> int:
         return len(self._origins)
 
-    def record(self, origin: StreamOrigin, now: float) -> None:
+    def record(self, origin: StreamOrigin, now: float) -> StreamOrigin | None:
         """Record an origin; the newest one of an attempt counts.
 
         Args:
             origin: the origin.
             now: the clock, in seconds.
+
+        Returns:
+            The different origin that it replaces, if there was one.
         """
+        former = self.find(origin.attempt)
         self._origins[origin.attempt] = (origin, now)
         self._origins.move_to_end(origin.attempt)
         if len(self._origins) > self._limit:
             self._origins.popitem(last=False)
+        return former if former != origin else None
 
     def find(self, attempt: str) -> StreamOrigin | None:
         """Return the origin of the stream that an attempt began, or None if it is not known."""
--- a/packages/damsonlane/src/damsonlane/versions/_steady.py
+++ b/packages/damsonlane/src/damsonlane/versions/_steady.py
@@ -93,6 +93,10 @@
         """Record a time as of which a quorum confirmed the state behind the report."""
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
+    def find_age(self, now: float) -> float:
+        """Return the age of the last confirmation, in seconds; infinite before the first one."""
+        return now - self._confirmed_at
+
     def find_sole(self, service: str, seconds: float, now: float) -> str | None:
         """Return the only version that has served a service; None if others may have.
 
@@ -102,6 +106,6 @@
             now: the clock, in seconds.
         """
         period = self._periods.get(service)
-        if period is None or now - self._confirmed_at > self._max_age:
+        if period is None or self.find_age(now) > self._max_age:
             return None
         return period.version if now - period.since >= seconds else None
--- a/packages/damsonlane/src/damsonlane/versions/tests/test_origins.py
+++ b/packages/damsonlane/src/damsonlane/versions/tests/test_origins.py
@@ -28,6 +28,12 @@
         self.assertEqual(table.find("a"), replace(ORIGIN, version="v2"))
         self.assertEqual(len(table), 1)
 
+    def test_a_different_origin_that_is_replaced_is_reported(self) -> None:
+        table = OriginTable()
+        self.assertIsNone(table.record(ORIGIN, 1.0))
+        self.assertIsNone(table.record(ORIGIN, 2.0))
+        self.assertEqual(table.record(replace(ORIGIN, version="v2"), 3.0), ORIGIN)
+
     def test_an_unknown_attempt_has_no_origin(self) -> None:
         self.assertIsNone(OriginTable().find("a"))
 
--- a/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import ssl
 from collections import Counter
 from collections.abc import Iterable, Sequence
@@ -114,7 +115,9 @@
         """Record origins that another box told; they are kept for as long as those of this box."""
         now = asyncio.get_running_loop().time()
         for origin in origins:
-            self._table.record(origin, now)
+            former = self._table.record(origin, now)
+            if former is not None:
+                _log_replaced(former, origin)
         self._table.remove_older(now - self._retention_seconds())
 
     def find_here(self, attempt: str) -> StreamOrigin | None:
@@ -145,7 +148,7 @@
             return None
         self.count(source)
         fields |= {"service": origin.service, "target_version": origin.version, "source": source}
-        _LOG.info("stream resumed", extra=fields)
+        _LOG.info("stream resumed", extra={**fields, "list_age": self._find_list_age()})
         return origin
 
     def count(self, outcome: str) -> None:
@@ -187,4 +190,24 @@
             "targets": versions,
             "asked": self._ranking.count(),
             "asked_control": len(self._replicas.rank()),
+            "list_age": self._find_list_age(),
         }
+
+    def _find_list_age(self) -> float | None:
+        """Return the age of control's list of versions in seconds, for logs; None without one."""
+        age = self._fleet.steady_versions.find_age(asyncio.get_running_loop().time())
+        return round(age, 3) if math.isfinite(age) else None
+
+
+def _log_replaced(former: StreamOrigin, origin: StreamOrigin) -> None:
+    """Log that a stream has two origins."""
+    _LOG.warning(
+        "origin replaced",
+        extra={
+            "attempt": origin.attempt,
+            "service": origin.service,
+            "target_version": origin.version,
+            "former_service": former.service,
+            "former_version": former.version,
+        },
+    )
