A single version is certain only when the leader confirms it after the request

What callers saw: streams joined from two versions (ORDER). An entry that missed a new version, cut off from all others or suspended, and at which a stream of that version was taken up, sent it on to a target of the old one.

Cause: the list of services that a single version has served counted for 1.5 s after control had last confirmed it, and new targets serve elsewhere within 0.2 s. The confirmation was dated at its receipt, so that an update which waited in the socket of a suspended entry looked fresh however long it had waited; and the list was read before others were asked and used after. Class: a copy of the past that counts as the present for a time, without a bound on what happens in that time.

Ruled out: shortening the time (no time is short enough while clocks date it); holding back the first target of a version until all entries know it (a release would wait for the slowest entry).

Change: the list names the revision of the registry since which the version has served alone. It is certain only if the leader of control, asked after the request arrived, confirms with a quorum the same version since the same revision. If nobody confirms it, and nobody who answers knows the origin, the request is refused, not run. An entry still uses the age of its list to decide whether to tell others.

Evidence: test_an_entry_cut_off_from_all_others_joins_two_versions and test_a_version_that_joins_while_others_are_asked_is_missed failed before (200, not 503), each time. The tests of SteadyVersions now ask is_expected_sole for what depends on age; what is certain is checked at the entry, with the same bounds and the leader's answer besides.

--- a/packages/damsonlane/src/damsonlane/versions/_steady.py
+++ b/packages/damsonlane/src/damsonlane/versions/_steady.py
@@ -20,13 +20,15 @@
     version: str
     #: Seconds for which no other version has served, at least.
     seconds: float
+    #: Revision of the registry since which no target had another one; 0 if none ever had.
+    revision: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
 class _Period:
     """The time in which a version alone has served."""
 
-    version: str
+    listed: ServiceVersion
     since: float
 
 
@@ -64,6 +66,7 @@
                 service=service,
                 version=item.version,
                 seconds=now - self._since[service] if item.revision else ALWAYS_SECONDS,
+                revision=item.revision,
             )
             for service, item in sorted(self._versions.items())
             if item.version is not None
@@ -73,9 +76,11 @@
 class SteadyVersions:
     """What control last reported of services that a single version has served.
 
+    A newer version may serve at other boxes at any moment, however recent the report is.
+
     Args:
-        max_age: seconds since the last confirmation of the reporter's state after which a newer
-            version may serve at other boxes.
+        max_age: seconds since the last confirmation of the reporter's state up to which no newer
+            version is expected.
     """
 
     def __init__(self, max_age: float) -> None:
@@ -86,7 +91,13 @@
     def replace(self, steady: Sequence[SteadyVersion], now: float) -> None:
         """Replace the report."""
         self._periods = {
-            item.service: _Period(version=item.version, since=now - item.seconds) for item in steady
+            item.service: _Period(
+                listed=ServiceVersion(
+                    service=item.service, version=item.version, revision=item.revision
+                ),
+                since=now - item.seconds,
+            )
+            for item in steady
         }
 
     def confirm(self, confirmed_at: float) -> None:
@@ -97,8 +108,20 @@
         """Return the age of the last confirmation, in seconds; infinite before the first one."""
         return now - self._confirmed_at
 
-    def find_sole(self, service: str, seconds: float, now: float) -> str | None:
-        """Return the only version that has served a service; None if others may have.
+    def is_expected_sole(self, service: str, seconds: float, now: float) -> bool:
+        """Return whether no other version is expected to have served a service.
+
+        Args:
+            service: name of the service.
+            seconds: the time that is asked about, up to now.
+            now: the clock, in seconds.
+        """
+        return self.find_age(now) <= self._max_age and bool(self.find_sole(service, seconds, now))
+
+    def find_sole(self, service: str, seconds: float, now: float) -> ServiceVersion | None:
+        """Return the only version that has served a service by the last report, or None.
+
+        It is certain only once the leader of control confirms that it is still in force.
 
         Args:
             service: name of the service.
@@ -106,6 +129,4 @@
             now: the clock, in seconds.
         """
         period = self._periods.get(service)
-        if period is None or self.find_age(now) > self._max_age:
-            return None
-        return period.version if now - period.since >= seconds else None
+        return period.listed if period is not None and now - period.since >= seconds else None
--- a/packages/damsonlane/src/damsonlane/versions/tests/test_steady.py
+++ b/packages/damsonlane/src/damsonlane/versions/tests/test_steady.py
@@ -45,12 +45,13 @@
 class SteadyVersionsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.steady = SteadyVersions(max_age=0.5)
-        report = SteadyVersion(service="model", version="v1", seconds=30.0)
+        report = SteadyVersion(service="model", version="v1", seconds=30.0, revision=4)
         self.steady.replace([report], 100.0)
         self.steady.confirm(100.0)
 
     def test_a_version_that_served_alone_is_found(self) -> None:
-        self.assertEqual(self.steady.find_sole("model", 30.0, 100.2), "v1")
+        self.assertEqual(self.steady.find_sole("model", 30.0, 100.2), make_version("v1", 4))
+        self.assertTrue(self.steady.is_expected_sole("model", 30.0, 100.2))
 
     def test_a_time_that_is_not_covered_is_not_known(self) -> None:
         self.assertIsNone(self.steady.find_sole("model", 31.0, 100.2))
@@ -58,10 +59,10 @@
     def test_another_service_is_not_known(self) -> None:
         self.assertIsNone(self.steady.find_sole("desk", 1.0, 100.2))
 
-    def test_a_report_that_is_not_confirmed_any_more_says_nothing(self) -> None:
-        self.assertIsNone(self.steady.find_sole("model", 30.0, 100.6))
+    def test_a_report_that_is_not_confirmed_any_more_is_not_expected_to_hold(self) -> None:
+        self.assertFalse(self.steady.is_expected_sole("model", 30.0, 100.6))
         self.steady.confirm(100.4)
-        self.assertEqual(self.steady.find_sole("model", 30.0, 100.6), "v1")
+        self.assertTrue(self.steady.is_expected_sole("model", 30.0, 100.6))
 
     def test_a_report_without_the_service_ends_the_earlier_one(self) -> None:
         self.steady.replace([], 100.1)
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_rejoined_streams.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_rejoined_streams.py
@@ -10,7 +10,6 @@
 from dataclasses import replace
 from pathlib import Path
 
-from damsonlane.records import dataclass
 from damsonlane_bench.fleet import wait_until
 from damsonlane_bench.registered_target._events import (
     EVENT_COUNT,
@@ -18,8 +17,8 @@
     render_stream,
     strip_versions,
 )
-from damsonlane_bench.routes_document import CALLER_KEY
 from damsonlane_bench.routes_fleet import RoutesFleet
+from damsonlane_bench.tests.streams import Stream, try_stream
 
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 ENGINES = {"model-1": "v1", "model-2": "v1", "model-3": "v2", "model-4": "v2"}
@@ -34,20 +33,6 @@
 _IS_LEADER = re.compile(rb"^damsonlane_is_leader\S* 1", re.MULTILINE)
 
 
-@dataclass(frozen=True, kw_only=True)
-class Stream:
-    """What a caller has of a stream."""
-
-    #: Id of the attempt that began it.
-    attempt: str
-    #: Its whole events.
-    body: str
-    #: Status of the last try that got an answer.
-    status: int = 200
-    #: Whether it has ended normally.
-    is_complete: bool = False
-
-
 class RejoinedStreamsTest(unittest.TestCase):
     def setUp(self) -> None:
         folder = self.enterContext(tempfile.TemporaryDirectory())
@@ -96,7 +81,9 @@
 
     def _begin_all(self) -> list[Stream]:
         streams = [
-            self._try(ENTRIES[number % len(ENTRIES)], f"begin-{number}", limit=SEEN_COUNT)
+            try_stream(
+                self.fleet, ENTRIES[number % len(ENTRIES)], f"begin-{number}", limit=SEEN_COUNT
+            )
             for number in range(STREAM_COUNT)
         ]
         self.assertEqual({stream.status for stream in streams}, {200})
@@ -127,7 +114,8 @@
         """Return whether every entry has just sent a stream of a version that serves."""
         name = f"probe-{time.monotonic_ns()}"
         return all(
-            self.fleet.is_ready(entry) and self._try(entry, f"{name}-{entry}").is_complete
+            self.fleet.is_ready(entry)
+            and try_stream(self.fleet, entry, f"{name}-{entry}").is_complete
             for entry in ENTRIES
         )
 
@@ -140,7 +128,7 @@
         """Take a stream up again at one entry after another."""
         for number in range(TRIES):
             entry = ENTRIES[number % len(ENTRIES)]
-            tried = self._try(entry, f"{stream.attempt}-again-{number}", begun=stream)
+            tried = try_stream(self.fleet, entry, f"{stream.attempt}-again-{number}", begun=stream)
             stream = replace(
                 stream,
                 body=stream.body + tried.body,
@@ -152,38 +140,6 @@
             time.sleep(PAUSE_SECONDS)
         return stream
 
-    def _try(
-        self, entry: str, name: str, *, begun: Stream | None = None, limit: int = EVENT_COUNT + 1
-    ) -> Stream:
-        """Send one request for a stream, and read at most some events of it."""
-        headers = {
-            "Host": "shop.example",
-            "Authorization": f"Bearer {CALLER_KEY}",
-            "Damsonlane-Request-Id": name,
-            "Damsonlane-Deadline-Ms": "6000",
-            "Damsonlane-Pieces": "0,0",
-        }
-        if begun is not None:
-            seen = str(begun.body.count("\n\n"))
-            headers |= {"Last-Event-Id": seen, "Damsonlane-Resumes": begun.attempt}
-        connection = http.client.HTTPConnection(self.fleet.addresses[f"{entry}/front"], timeout=8.0)
-        status, body, is_complete = 0, b"", False
-        with (
-            contextlib.closing(connection),
-            contextlib.suppress(OSError, http.client.HTTPException),
-        ):
-            connection.request("POST", "/chat/a", body=f"of {name}".encode(), headers=headers)
-            response = connection.getresponse()
-            status = response.status
-            while status == 200 and body.count(b"\n\n") < limit:
-                chunk = response.read1(4096)
-                body += chunk
-                if not chunk:
-                    is_complete = True
-                    break
-        whole = body[: body.rfind(b"\n\n") + 2] if b"\n\n" in body else b""
-        return Stream(attempt=name, body=whole.decode(), status=status, is_complete=is_complete)
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -99,7 +99,12 @@
         RelayRequest,
         TextHeader,
     )
-    from damsonlane_rpc._target_messages import TargetsQuery, TargetsView
+    from damsonlane_rpc._target_messages import (
+        TargetsQuery,
+        TargetsView,
+        VersionsQuery,
+        VersionsView,
+    )
     from damsonlane_rpc._tls import make_client_context, make_server_context
     from damsonlane_rpc._tls_reloader import TlsReloader
     from damsonlane_rpc._watch_messages import WatchReport
@@ -218,7 +223,7 @@
                 "RelayRequest",
                 "TextHeader",
             ),
-            "_target_messages": ("TargetsQuery", "TargetsView"),
+            "_target_messages": ("TargetsQuery", "TargetsView", "VersionsQuery", "VersionsView"),
             "_tls": (
                 "make_client_context",
                 "make_server_context",
@@ -317,6 +322,8 @@
     "SubmitRequest",
     "TargetsQuery",
     "TargetsView",
+    "VersionsQuery",
+    "VersionsView",
     "Committed",
     "MessageCounters",
     "Unconfirmed",
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -65,6 +65,8 @@
     TargetsQuery,
     TargetsView,
     Unconfirmed,
+    VersionsQuery,
+    VersionsView,
     WatchReport,
     WatchUpdate,
 )
@@ -223,7 +225,7 @@
             return QueryReply(outcome=NotLeader(leader=error.leader))
         except UnavailableError:
             return QueryReply(outcome=Unconfirmed())
-        is_public = isinstance(request.query, SettingsQuery | DocumentQuery)
+        is_public = isinstance(request.query, SettingsQuery | DocumentQuery | VersionsQuery)
         if self._operators() and not self._authenticate(stream) and not is_public:
             return QueryReply(outcome=Forbidden(detail="an operator's token is needed"))
         return self._answer(request)
@@ -252,6 +254,8 @@
                 )
             case TargetsQuery():
                 return QueryReply(outcome=TargetsView(targets=state.targets.records()))
+            case VersionsQuery():
+                return QueryReply(outcome=VersionsView(versions=state.targets.list_versions()))
             case CostsQuery():
                 return QueryReply(
                     outcome=CostsView(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -50,7 +50,7 @@
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine, QuarantineClient
 from damsonlaned.relay import ReachMonitor, Relay, RelayClient, RelayService
-from damsonlaned.versions import OriginService, StreamOrigins, TargetFilter
+from damsonlaned.versions import OriginService, StreamOrigins, TargetFilter, VersionReader
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -172,8 +172,9 @@
             gateway.retry_slack,
         )
         late_requests = LateRequests(gateway.late_requests, self._metrics)
+        self._versions: Final = VersionReader(self._control)
         self._origins: Final = StreamOrigins(
-            self._view, settings.internal_address, context, self._metrics
+            self._view, settings.internal_address, context, self._metrics, self._versions
         )
         self._origins.follow_replicas(settings.control)
         self._view.on_entries(self._origins.follow_entries)
@@ -285,6 +286,7 @@
         await self._quarantine.stop()
         await self._limit_reports.stop()
         await self._load.stop()
+        await self._versions.stop()
         self._control.close()
         await self._pools.stop()
         await self._loans.stop()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -28,8 +28,8 @@
 MAX_LOGGED_TARGETS: Final = 40
 
 
-#: Age of the confirmed state of control, in seconds, up to which no target of a version that is not
-#: listed here has begun streams elsewhere.
+#: Age of the confirmed state of control, in seconds, up to which this entry expects no version that
+#: is not listed here, and so need not tell others at which versions its streams began.
 MAX_CONFIRMED_AGE: Final = 1.5
 
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -20,7 +20,7 @@
     WeightedService,
 )
 from damsonlane.settings import LatePolicy
-from damsonlane.targets import TargetChanges, TargetRecord
+from damsonlane.targets import ServiceVersion, TargetChanges, TargetRecord
 from damsonlaned.connections import LoanClient
 from damsonlaned.dialects import NativeDialect
 from damsonlaned.gateway._attempts import Attempts
@@ -299,6 +299,16 @@
         return quarantined
 
 
+class FakeVersions:
+    """The versions of services that the leader of control confirms; None if it can't be reached."""
+
+    def __init__(self) -> None:
+        self.confirmed: Sequence[ServiceVersion] | None = None
+
+    async def read(self) -> Sequence[ServiceVersion] | None:
+        return self.confirmed
+
+
 class Entry:
     """A caller service with a view that the test updates."""
 
@@ -366,7 +376,8 @@
             targets, placements, permits, dialect, target_filter, 0.2, 10.0, slack
         )
         self.late_requests = LateRequests(late_policy, self.metrics)
-        self.origins = StreamOrigins(self.view, address, None, self.metrics)
+        self.versions = FakeVersions()
+        self.origins = StreamOrigins(self.view, address, None, self.metrics, self.versions)
         self.view.on_entries(self.origins.follow_entries)
         self.view.on_change(self.origins.tell_uncertain)
         self.relay_client = RelayClient(self.reach, None, self.metrics)
--- a/packages/damsonlaned/src/damsonlaned/versions/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/__init__.py
@@ -9,6 +9,7 @@
     from damsonlaned.versions._service import OriginService
     from damsonlaned.versions._stream_origins import StreamOrigins
     from damsonlaned.versions._target_filter import TargetFilter
+    from damsonlaned.versions._version_reader import VersionReader
 else:
     __getattr__ = import_at_use(
         __name__,
@@ -17,7 +18,8 @@
             "_service": ("OriginService",),
             "_stream_origins": ("StreamOrigins",),
             "_target_filter": ("TargetFilter",),
+            "_version_reader": ("VersionReader",),
         },
     )
 
-__all__ = ["OriginService", "ReplicaOrigins", "StreamOrigins", "TargetFilter"]
+__all__ = ["OriginService", "ReplicaOrigins", "StreamOrigins", "TargetFilter", "VersionReader"]
--- a/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
@@ -10,7 +10,7 @@
 
 from damsonlane.membership import BoxRecord
 from damsonlane.routes import Route, RouteTable
-from damsonlane.targets import TargetRecord
+from damsonlane.targets import ServiceVersion, TargetRecord
 from damsonlane.versions import (
     HolderRanking,
     OriginTable,
@@ -20,6 +20,7 @@
     find_retention_seconds,
 )
 from damsonlaned.metrics import Metrics
+from damsonlaned.tasks import stop_task
 from damsonlaned.versions._client import OriginClient
 
 _LOG: Final = logging.getLogger(__name__)
@@ -48,6 +49,16 @@
         """The services that a single version has served."""
 
 
+class VersionSource(Protocol):
+    """Reads the versions of services."""
+
+    async def read(self) -> Sequence[ServiceVersion] | None:
+        """Return versions that include every change accepted before the call.
+
+        None if they are not confirmed in time.
+        """
+
+
 class StreamOrigins:
     """Records the origins of streams and finds those of streams that are resumed.
 
@@ -56,12 +67,19 @@
         address: internal address of this box.
         context: TLS context towards other boxes, or None.
         metrics: metrics of the process.
+        versions: reads the versions of services.
     """
 
     def __init__(
-        self, fleet: Fleet, address: str, context: ssl.SSLContext | None, metrics: Metrics
+        self,
+        fleet: Fleet,
+        address: str,
+        context: ssl.SSLContext | None,
+        metrics: Metrics,
+        versions: VersionSource,
     ) -> None:
         self._fleet: Final = fleet
+        self._versions: Final = versions
         self._metrics: Final = metrics
         self._table: Final = OriginTable()
         #: Streams that began here and that no other box was told of, by service and by attempt.
@@ -90,7 +108,7 @@
         Other boxes are told of it unless all of them know the version without it.
         """
         self.record_told((origin,), self._retention_seconds())
-        if self._find_sole(origin.service) is None:
+        if not self._is_expected_sole(origin.service):
             self._tell_untold(origin.service)
             self._client.tell(origin)
             return
@@ -102,7 +120,7 @@
     def tell_uncertain(self) -> None:
         """Tell other boxes of the streams whose service may have a second version."""
         for service in tuple(self._untold):
-            if self._find_sole(service) is None:
+            if not self._is_expected_sole(service):
                 self._tell_untold(service)
 
     def _tell_untold(self, service: str) -> None:
@@ -133,14 +151,8 @@
             request: id of the request, for logs.
         """
         origin, source = self.find_here(attempt), "here"
-        certain = self._find_certain(attempt, route)
-        if origin is None and attempt:
-            found = await self._client.find(attempt, is_needed=certain is None)
-            if found is not None:
-                origin = found.origin
-                source = "control" if found.is_from_control else "told"
         if origin is None:
-            origin, source = certain, "certain"
+            origin, source = await self._find_elsewhere(attempt, route)
         fields = {"request": request, "route": route.name, "first_attempt": attempt}
         if origin is None:
             self.count("unknown")
@@ -159,20 +171,43 @@
         """Stop telling other boxes."""
         await self._client.stop()
 
-    def _find_certain(self, attempt: str, route: Route) -> StreamOrigin | None:
+    async def _find_elsewhere(self, attempt: str, route: Route) -> tuple[StreamOrigin | None, str]:
+        """Return an origin that this box doesn't know, and how it was found.
+
+        Control is read while the first holders are asked, and the others only if it is not certain.
+        """
+        reading = asyncio.create_task(self._find_certain(attempt, route))
+        try:
+            found = await self._client.find(attempt, is_needed=False) if attempt else None
+            certain = await reading if found is None else None
+        finally:
+            await stop_task(reading)
+        if found is None and certain is not None:
+            return certain, "certain"
+        if found is None and attempt:
+            found = await self._client.find(attempt)
+        if found is None:
+            return None, ""
+        return found.origin, "control" if found.is_from_control else "told"
+
+    async def _find_certain(self, attempt: str, route: Route) -> StreamOrigin | None:
         """Return the origin that follows from the routes and targets alone, or None."""
         if len(route.services) != 1:
             return None
         service = route.services[0].service
-        version = self._find_sole(service)
-        if version is None:
+        seconds, now = self._retention_seconds(), asyncio.get_running_loop().time()
+        listed = self._fleet.steady_versions.find_sole(service, seconds, now)
+        if listed is None or listed.version is None:
+            return None
+        if listed not in (await self._versions.read() or ()):
             return None
-        return StreamOrigin(attempt=attempt, service=service, version=version)
+        return StreamOrigin(attempt=attempt, service=service, version=listed.version)
 
-    def _find_sole(self, service: str) -> str | None:
-        """Return the only version that has served while origins are remembered, or None."""
+    def _is_expected_sole(self, service: str) -> bool:
+        """Return whether one version has served a service while origins are remembered."""
         now = asyncio.get_running_loop().time()
-        return self._fleet.steady_versions.find_sole(service, self._retention_seconds(), now)
+        steady = self._fleet.steady_versions
+        return steady.is_expected_sole(service, self._retention_seconds(), now)
 
     def _retention_seconds(self) -> float:
         table = self._fleet.table
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
@@ -8,7 +8,7 @@
 
 from damsonlane.placement import PlacementRequest
 from damsonlane.routes import EngineProperties, RoutingDocument, Service, WeightedService
-from damsonlane.targets import TargetRecord
+from damsonlane.targets import ServiceVersion, TargetRecord
 from damsonlane.versions import SteadyVersion, StreamOrigin
 from damsonlaned.gateway.tests.fleet import Fleet
 from damsonlaned.gateway.tests.harness import DOCUMENT, TEST_TIMEOUT_SECONDS, Entry, Response
@@ -76,6 +76,7 @@
         """Let control report that v1 alone has served at an entry."""
         steady = SteadyVersion(service=service, version="v1", seconds=seconds)
         entry.view.put_steady_versions([steady])
+        entry.versions.confirmed = [ServiceVersion(service=service, version="v1", revision=0)]
         entry.view.steady_versions.confirm(asyncio.get_running_loop().time())
 
     def check_refused(self, response: Response) -> None:
@@ -129,6 +130,45 @@
         await self.fleet.stop_serving(0)
         self.check_went_on(events, await resume(self.fleet.entries[1], "b", "a", events))
 
+    async def start_late_entry(self) -> list[Event]:
+        """Start a fleet whose last entry has missed a version, and begin a stream of that version.
+
+        That entry reaches none of the others.
+        """
+        old, new = VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2")
+        await self.start_fleet(old, new)
+        self.late = self.fleet.entries[-1]
+        self.late.put_targets(self.records[0])
+        self.report_steady(self.late)
+        self.late.versions.confirmed = None
+        self.entry.put_targets(self.records[1])
+        with mock.patch.object(self.entry.origins._client, "tell"):
+            events = await begin(self.entry, "a")
+        for index in range(len(self.fleet.entries) - 1):
+            await self.fleet.stop_serving(index)
+        return events
+
+    async def test_an_entry_cut_off_from_all_others_joins_two_versions(self) -> None:
+        """Guards against a list of versions that counts after a newer version has joined."""
+        events = await self.start_late_entry()
+        self.check_refused(await resume(self.late, "b", "a", events))
+        self.assertEqual(len(self.targets[0].requests), 0)
+
+    async def test_a_version_that_joins_while_others_are_asked_is_missed(self) -> None:
+        """Guards against a list of versions that is read before a wait and used after it."""
+        events = await self.start_late_entry()
+        find = self.late.origins._client.find
+
+        async def find_meanwhile(attempt: str, **options: bool) -> object:
+            self.late.view.put_steady_versions([])
+            self.late.put_targets(*self.records)
+            self.late.versions.confirmed = []
+            return await find(attempt, **options)
+
+        with mock.patch.object(self.late.origins._client, "find", find_meanwhile):
+            self.check_refused(await resume(self.late, "b", "a", events))
+        self.assertEqual(len(self.targets[0].requests), 0)
+
     async def test_a_stream_without_a_first_attempt_is_refused_among_versions(self) -> None:
         await self.start_fleet(VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2"))
         self.check_refused(await resume(self.entry, "b", "", BROKEN))
@@ -139,6 +179,15 @@
             self.report_steady(self.entry)
             self.check_went_on(BROKEN, await resume(self.entry, "b", first_attempt, BROKEN))
 
+    async def test_a_version_that_has_served_alone_since_a_later_revision_is_not_certain(
+        self,
+    ) -> None:
+        """Guards against a list from before another version joined and left."""
+        await self.start_fleet(VersionedTarget("t1", "v1"))
+        self.report_steady(self.entry)
+        self.entry.versions.confirmed = [ServiceVersion(service="desk", version="v1", revision=7)]
+        self.check_refused(await resume(self.entry, "b", "a", BROKEN))
+
     async def test_a_version_that_has_served_alone_for_too_short_a_time_is_not_certain(
         self,
     ) -> None:
