The entry of the caller alone records where a stream that it passes on begins

What callers saw: a stream joined from two versions (ORDER) after its request had been passed on to two entries, without a release: two versions in service suffice.

Cause: each entry at which a request began recorded and told an origin of the same attempt, also one whose events never reached the caller. The holders kept whichever they heard last, and the first answer that knew an origin was used. Class: a fact recorded by one that cannot know whether it took effect.

Ruled out: numbering the origins of an attempt, since a holder that has heard only of the first would still answer with it.

Change: an entry that serves for another one sends the origin with the head of its response and records nothing; the entry that passed the request on records and tells it before its caller has an event. It need not ask for the origin any more when the other entry is lost.

--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_relay_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_relay_messages.py
@@ -77,6 +77,8 @@
     status: int = 0
     #: Headers of the response, beside the status.
     headers: tuple[TextHeader, ...] = ()
+    #: Where the stream began that is resumable, in the part that has its head.
+    origin: StreamOrigin | None = None
     #: A part of the body, decoded as Latin-1.
     body: str = ""
     #: Whether the length of the body is known, so that the response consists of this part alone.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_call.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_call.py
@@ -1,6 +1,7 @@
 """A caller's request and what was decided about it on its arrival."""
 
 import asyncio
+from collections.abc import Callable
 
 from damsonlane.placement import InputLocation, PlacementRequest, PromptSegment
 from damsonlane.pools import ROUTE_PRIORITY_LEVELS
@@ -52,6 +53,9 @@
     earlier_runs: int = 0
     #: Where the stream began that it resumes; None for a new request.
     origin: StreamOrigin | None = None
+    #: Tells the entry that passed it on where its stream begins.  That entry alone records it: only
+    #: it knows of which of several attempts its caller has an event.
+    put_origin: Callable[[StreamOrigin], None] | None = None
     #: Id of the last event that its caller has, where an event stream is resumed here.
     last_event_id: str | None = None
     #: Seconds that its caller has waited before this try, since an earlier one was refused.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -11,6 +11,7 @@
 from damsonlane.quarantine import list_shared_causes
 from damsonlane.records import dataclass
 from damsonlane.routes import Organisation, Route, RouteTable
+from damsonlane.versions import StreamOrigin
 from damsonlaned.dialects import BadRequestError, CallerRequest, Dialect, Refusal
 from damsonlaned.gateway._attempts import Attempts
 from damsonlaned.gateway._call import Call
@@ -21,7 +22,7 @@
 from damsonlaned.lateness import LateRequests
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine
-from damsonlaned.relay import Relay, RelayedRequest
+from damsonlaned.relay import Relay, RelayedRequest, RelayWriter
 from damsonlaned.requests import (
     RequestHandler,
     choose_service,
@@ -125,7 +126,7 @@
         """Serve one request."""
         await self._serve(http, writer, asyncio.get_running_loop().time(), None)
 
-    async def serve_relayed(self, relayed: RelayedRequest, writer: ResponseSink) -> str:
+    async def serve_relayed(self, relayed: RelayedRequest, writer: RelayWriter) -> str:
         """Serve a request that another entry passed on.
 
         Returns:
@@ -135,7 +136,7 @@
         if not declined:
             self._dependencies.metrics.relayed.inc({"direction": "from", "outcome": "accepted"})
             arrived_at = asyncio.get_running_loop().time() - relayed.elapsed_seconds
-            await self._serve(relayed.http, writer, arrived_at, relayed)
+            await self._serve(relayed.http, writer, arrived_at, relayed, writer.put_origin)
         return declined
 
     def _find_decline(self, relayed: RelayedRequest) -> str:
@@ -157,6 +158,7 @@
         writer: ResponseSink,
         arrived_at: float,
         relayed: RelayedRequest | None,
+        put_origin: Callable[[StreamOrigin], None] | None = None,
     ) -> None:
         self._in_flight += 1
         request_id = ""
@@ -172,6 +174,7 @@
                     last_event_id=relayed.last_event_id,
                     has_response_begun=relayed.is_resumed,
                     earlier_runs=relayed.earlier_runs,
+                    put_origin=put_origin,
                 )
             call = await self._bind_stream(call, relayed)
         except _RefusedError as error:
--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 from damsonlane.records import dataclass
+from damsonlane.versions import StreamOrigin
 from damsonlane_rpc import RelayPart
 from damsonlaned.attempts import AttemptTurn
 from damsonlaned.dialects import PROMISE_STATUSES
@@ -61,6 +62,7 @@
         history: its attempts so far.
         response: the response to its caller.
         split: returns the complete events in the bytes of a stream.
+        record_origin: records where a stream began, before its caller has an event of it.
     """
 
     def __init__(
@@ -70,7 +72,9 @@
         history: "AttemptHistory",
         response: "FinalResponse",
         split: Callable[[bytes], Iterable[Event]],
+        record_origin: Callable[[StreamOrigin], None],
     ) -> None:
+        self._record_origin: Final = record_origin
         self._relay: Final = relay
         self._call: Final = call
         self._history: Final = history
@@ -160,6 +164,7 @@
             self._split,
             turn,
             self._history,
+            self._record_origin,
             may_have_run=earlier_runs > 0,
         )
         failure = await self._relay.client.serve(
@@ -198,9 +203,11 @@
         split: Callable[[bytes], Iterable[Event]],
         turn: AttemptTurn,
         history: "AttemptHistory",
+        record_origin: Callable[[StreamOrigin], None],
         *,
         may_have_run: bool,
     ) -> None:
+        self._record_origin: Final = record_origin
         self._may_have_run: Final = may_have_run
         self._reach: Final = reach
         self._service: Final = service
@@ -220,6 +227,9 @@
             self._take_whole(part)
             return
         self._turn.replace()
+        if part.origin is not None and self._history.origin is None:
+            self._history.origin = part.origin
+            self._record_origin(part.origin)
         if part.status and not self._response.has_started():
             self._response.start(read_head(part))
         if part.body:
--- a/packages/damsonlaned/src/damsonlaned/relay/_writer.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_writer.py
@@ -5,6 +5,7 @@
 
 from grpclib.server import Stream
 
+from damsonlane.versions import StreamOrigin
 from damsonlane_rpc import RelayPart, RelayRequest
 from damsonlaned.http import HttpHead, HttpResponse
 from damsonlaned.relay._messages import encode_body, encode_headers
@@ -28,6 +29,7 @@
         self._has_space.set()
         self._has_started = False
         self._is_last = False
+        self._origin: StreamOrigin | None = None
 
     @property
     def has_started(self) -> bool:
@@ -47,10 +49,15 @@
             )
         )
 
+    def put_origin(self, origin: StreamOrigin) -> None:
+        """Tell the other entry, with the head, where the stream begins."""
+        self._origin = origin
+
     def start(self, head: HttpHead) -> None:
         """Write the head of a response of unknown length."""
         self._has_started = True
-        self._add(RelayPart(status=head.status, headers=encode_headers(head.headers)))
+        headers = encode_headers(head.headers)
+        self._add(RelayPart(status=head.status, headers=headers, origin=self._origin))
 
     async def send(self, data: bytes) -> None:
         """Write a part of the body and wait until more can be buffered."""
--- a/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
@@ -88,7 +88,7 @@
         self._response: Final = FinalResponse(call.request.request_id, writer, dialect)
         self._responder: Final = FailureResponder(self._response, self._history)
         self._relay: Final = RequestRelay(
-            relay, call, self._history, self._response, EventSplitter().feed
+            relay, call, self._history, self._response, EventSplitter().feed, origins.record
         )
         self._parts: Final = RequestParts(
             call=call,
@@ -250,7 +250,7 @@
         failure = make_relay_failure(failed)
         self._log_failure(failure)
         if self._response.has_started() and self._history.origin is None:
-            # The other entry chose the target, and told where the stream began.
+            # The other entry chose the target, and did not tell where the stream began.
             call = self._call
             self._history.origin = await self._origins.resolve(
                 call.first_attempt, call.route, call.request.request_id
--- a/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
@@ -287,7 +287,8 @@
         )
         self._history.origin = origin
         if self._call.route.is_resumable:
-            self._origins.record(origin)
+            put_origin = self._call.put_origin or self._origins.record
+            put_origin(origin)
 
     def _record_duration(self, seconds: float) -> None:
         """Record the duration of a complete answer, from which others are forecast."""
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_relayed_versions.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_relayed_versions.py
@@ -1,10 +1,19 @@
 """A stream that is passed on to another entry goes on at the version that began it."""
 
 import asyncio
+import itertools
+from unittest import mock
 
 from damsonlaned.gateway.tests.harness import TEST_TIMEOUT_SECONDS, Response
+from damsonlaned.relay import RelayedRequest, RelayWriter
 from damsonlaned.relay.tests.test_unreachable_targets import CUT_DOCUMENT, CutTestCase
-from damsonlaned.versions.tests.streams import EVENT_COUNT, VersionedTarget, read_events, resume
+from damsonlaned.versions.tests.streams import (
+    EVENT_COUNT,
+    VersionedTarget,
+    begin,
+    read_events,
+    resume,
+)
 
 #: Streams in each case.
 STREAM_COUNT = 6
@@ -50,3 +59,42 @@
             events = read_events(Response(status=200, data=data))
             response = await resume(self.fleet.entries[2], f"b{number}", f"a{number}", events)
             self.check_whole(data + response.data)
+
+    async def test_a_stream_that_began_at_two_entries_goes_on_at_the_version_of_the_first(
+        self,
+    ) -> None:
+        """Guards against the origin of a run whose events never reached the caller."""
+        old, new = VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2")
+        await self.start_fleet(old, new, count=3)
+        caller_entry, lost, helper = self.fleet.entries
+        for entry, version in ((lost, "v1"), (helper, "v2")):
+            records = entry.view.targets_of("desk")
+            entry.put_targets(*(record for record in records if record.version == version))
+        await self.cut(0, "refuse")
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while caller_entry.reach.is_reached("desk"):
+                await caller_entry.call("/chat/a", deadline_ms=4_000)
+        serve = lost.relay_service._serve
+        failed: list[RelayedRequest] = []
+
+        async def begin_and_fail(relayed: RelayedRequest, _: RelayWriter) -> str:
+            writer = RelayWriter()
+            serving = asyncio.ensure_future(serve(relayed, writer))
+            while not writer.has_started and not serving.done():
+                await asyncio.sleep(0)
+            serving.cancel()
+            failed.append(relayed)
+            raise ConnectionResetError
+
+        with (
+            mock.patch.object(lost.relay_service, "_serve", begin_and_fail),
+            mock.patch.object(helper.origins._client, "tell"),
+        ):
+            for number in itertools.count():
+                failed.clear()
+                events = await begin(caller_entry, f"a{number}")
+                if events and failed:
+                    break
+        response = await resume(lost, "b", f"a{number}", events)
+        versions = {event.version for event in [*events, *read_events(response)]}
+        self.assertEqual(versions, {"v2"})
