--- a/packages/damsonlane/src/damsonlane/consensus/_messages.py
+++ b/packages/damsonlane/src/damsonlane/consensus/_messages.py
@@ -36,6 +36,13 @@
         """Return all members: voters, then learners."""
         return self.voters + self.learners
 
+    def address_of(self, replica: str) -> str:
+        """Return the address of a member, or an empty string if it is none."""
+        for member in self.all_members():
+            if member.replica == replica:
+                return member.address
+        return ""
+
     def is_voter(self, replica: str) -> bool:
         """Return whether a replica is a voter."""
         return any(member.replica == replica for member in self.voters)
