--- a/packages/damsonlaned/src/damsonlaned/control/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import logging
 import random
 import secrets
@@ -10,7 +9,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import Final
 
-from damsonlane.cluster import ClusterState, Command, Reply, encode_command
+from damsonlane.cluster import ClusterState, Command, Reply
 from damsonlane.consensus import (
     EMPTY_SNAPSHOT,
     Envelope,
@@ -30,21 +29,15 @@
     StorageError,
     UnavailableError,
 )
-from damsonlane.records import dataclass
 from damsonlane.settings import BoxSettings
 from damsonlane.versions import VersionHistory
 from damsonlaned.control._applied_state import AppliedState
 from damsonlaned.control._members_log import MembersLog
 from damsonlaned.control._peer_streams import PeerStreams
+from damsonlaned.control._pending_calls import PendingCalls
+from damsonlaned.control._replica_disk import ReplicaDisk
 from damsonlaned.control._watchers import Watchers
-from damsonlaned.storage import (
-    DataFolder,
-    Identity,
-    Journal,
-    draw_identity,
-    read_identity,
-    write_identity,
-)
+from damsonlaned.storage import DataFolder, Identity
 from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
@@ -61,16 +54,6 @@
 TIMEOUT_ELECTIONS: Final = 3.0
 
 
-@dataclass(frozen=True, kw_only=True)
-class _ProposedCommand:
-    """A proposed command whose caller waits until its log entry is applied."""
-
-    #: Term in which the entry was proposed.
-    term: int
-    #: Resolved with the reply.
-    future: "asyncio.Future[Reply]"
-
-
 class ControlNode:
     """One control box: replica, replicated state, journal and streams to its peers.
 
@@ -90,16 +73,16 @@
         self._applied: Final = AppliedState(self.watchers)
         self.replica: Replica | None = None
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._folder: Final = folder.path
-        self._journal: Final = Journal(folder.path)
         self._peers: Final = PeerStreams(settings.internal_address, context)
         self._members_log = MembersLog(EMPTY_SNAPSHOT.members)
-        self._proposed: dict[int, _ProposedCommand] = {}
-        self._reads: dict[int, asyncio.Future[None]] = {}
-        self._references = itertools.count(1)
-        self._unproposed: list[tuple[str, asyncio.Future[Reply]]] = []
+        self._calls: Final = PendingCalls()
         self._ticker: asyncio.Task[None] | None = None
-        self.identity = self._open_identity()
+        self._disk: Final = ReplicaDisk(folder.path, settings.name)
+
+    @property
+    def identity(self) -> Identity:
+        """The identity of the replica."""
+        return self._disk.identity
 
     @property
     def state(self) -> ClusterState:
@@ -130,7 +113,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self._ticker
         await self._peers.close()
-        self._journal.close()
+        self._disk.journal.close()
 
     def disk_error(self) -> StorageError | None:
         """Return the error with which the disk failed, or None."""
@@ -151,12 +134,9 @@
             UnavailableError: the outcome is unknown.
         """
         self._require_replica()
-        loop = asyncio.get_running_loop()
-        futures = [loop.create_future() for _ in commands]
-        if not self._unproposed:
-            loop.call_soon(self._propose_submitted)
-        for command, future in zip(commands, futures, strict=True):
-            self._unproposed.append((encode_command(command), future))
+        if not self._calls.has_submitted():
+            asyncio.get_running_loop().call_soon(self._propose_submitted)
+        futures = self._calls.submit(commands)
         try:
             timeout_seconds = TIMEOUT_ELECTIONS * self.settings.election_seconds
             return tuple(await asyncio.wait_for(asyncio.gather(*futures), timeout_seconds))
@@ -171,16 +151,14 @@
             UnavailableError: no quorum confirmed it in time.
         """
         replica = self._require_replica()
-        reference = next(self._references)
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._reads[reference] = future
+        reference, future = self._calls.start_read()
         try:
             self._process_output(replica.read(self.now(), reference))
             await asyncio.wait_for(future, TIMEOUT_ELECTIONS * self.settings.election_seconds)
         except TimeoutError:
             raise UnavailableError("no quorum confirmed the read in time") from None
         finally:
-            self._reads.pop(reference, None)
+            self._calls.end_read(reference)
 
     def receive(self, envelope: Envelope) -> None:
         """Process an envelope from another replica.
@@ -193,7 +171,8 @@
             return
         self._peers.update_address(envelope.sender, envelope.sender_address)
         if not self.identity.cluster:
-            self._join_cluster(envelope.cluster)
+            self._disk.join(envelope.cluster)
+            self._start_replica(PersistentState(hard_state=HardState(), snapshot=EMPTY_SNAPSHOT))
         self._process_output(self._require_replica().receive(self.now(), envelope))
 
     def found_group(self) -> None:
@@ -207,8 +186,7 @@
         member = Member(replica=self.identity.replica, address=self.settings.internal_address)
         snapshot = Snapshot(index=1, term=1, members=Members(voters=(member,)), state="")
         stored = PersistentState(hard_state=HardState(term=1), snapshot=snapshot)
-        self._journal.rewrite(stored)
-        self._write_cluster(secrets.token_hex(8))
+        self._disk.found(stored, secrets.token_hex(8))
         self._start_replica(stored)
 
     def add(self, replica: str, address: str) -> None:
@@ -276,19 +254,17 @@
 
     def _propose_submitted(self) -> None:
         """Propose the commands submitted since the last turn of the event loop."""
-        unproposed = [(text, future) for text, future in self._unproposed if not future.done()]
-        self._unproposed.clear()
+        submitted = self._calls.take_submitted()
         replica = self.replica
-        if replica is None or not unproposed:
+        if replica is None or not submitted:
             return
         try:
-            output, entries = replica.propose(self.now(), [text for text, _ in unproposed])
+            output, entries = replica.propose(self.now(), [command.text for command in submitted])
         except NotLeaderError as error:
-            for _, future in unproposed:
-                future.set_exception(error)
+            for command in submitted:
+                command.future.set_exception(error)
             return
-        for entry, (_, future) in zip(entries, unproposed, strict=True):
-            self._proposed[entry.index] = _ProposedCommand(term=entry.term, future=future)
+        self._calls.record_proposed(entries, submitted)
         self._process_output(output)
 
     def _process_output(self, output: Output) -> None:
@@ -297,7 +273,7 @@
         next_output = None
         if not output.persist.is_empty():
             with self._stop_on_write_failure():
-                self._journal.append(output.persist)
+                self._disk.journal.append(output.persist)
             next_output = replica.acknowledge_persist()
         self._peers.update_members(replica.members.all_members())
         for envelope in output.envelopes:
@@ -306,7 +282,7 @@
             self._install(output.installed)
         for entry in output.committed:
             self._apply(entry)
-        self._finish_reads(output)
+        self._calls.finish_reads(output)
         if next_output is not None and next_output != Output():
             self._process_output(next_output)
         self._compact_if_due()
@@ -335,24 +311,9 @@
         if isinstance(entry.body, Members):
             self._members_log.record(entry.body, entry.index)
         reply = self._applied.apply(entry, self.now())
-        proposed = self._proposed.pop(entry.index, None)
-        if proposed is not None and not proposed.future.done():
-            if proposed.term == entry.term and reply is not None:
-                proposed.future.set_result(reply)
-            else:
-                proposed.future.set_exception(UnavailableError("another leader took over"))
+        self._calls.finish_command(entry, reply)
         self._applied.notify_watchers()
 
-    def _finish_reads(self, output: Output) -> None:
-        for ready in output.reads:
-            future = self._reads.get(ready.reference)
-            if future is not None and not future.done():
-                future.set_result(None)
-        for reference in output.failed_reads:
-            future = self._reads.get(reference)
-            if future is not None and not future.done():
-                future.set_exception(NotLeaderError(""))
-
     def _compact_if_due(self) -> None:
         replica = self.replica
         if replica is None or not self._is_snapshot_due():
@@ -360,37 +321,19 @@
         self._applied.since_snapshot = 0
         replica.compact(self.state.to_text(), self._applied.index)
         with self._stop_on_write_failure():
-            self._journal.rewrite(replica.persistent_state())
+            self._disk.journal.rewrite(replica.persistent_state())
 
     def _is_snapshot_due(self) -> bool:
         is_long = self._applied.since_snapshot >= ENTRIES_PER_SNAPSHOT
-        is_large = self._journal.grown_bytes >= BYTES_PER_SNAPSHOT
+        is_large = self._disk.journal.grown_bytes >= BYTES_PER_SNAPSHOT
         return is_long or (is_large and self._applied.since_snapshot > 0)
 
-    # Identity.
-
-    def _open_identity(self) -> Identity:
-        identity = read_identity(self._folder)
-        if identity is None:
-            # The journal is created first, so that a folder with an identity always has one.
-            self._journal.create()
-            identity = draw_identity(self.settings.name)
-            write_identity(self._folder, identity)
-        if not self._journal.exists():
-            raise StorageError(
-                f"{self._folder}: the journal is missing; remove this replica from the group, "
-                "empty the folder and admit it again"
-            )
-        return identity
-
-    def _join_cluster(self, cluster: str) -> None:
-        self._write_cluster(cluster)
-        self._start_replica(PersistentState(hard_state=HardState(), snapshot=EMPTY_SNAPSHOT))
+    # Stored state.
 
     def _recover(self) -> None:
         """Read the journal; with automatic repair, treat a damaged one as a lost disk."""
         try:
-            self._start_replica(self._journal.recover())
+            self._start_replica(self._disk.journal.recover())
         except CorruptionError as error:
             if self.settings.founding is None:
                 raise
@@ -401,18 +344,11 @@
         """Discard all state and wait for admission under a new replica name."""
         self.replica = None
         self._applied.clear(self.now())
-        # The identity is replaced first: it makes the content of the old journal invalid.
-        self.identity = draw_identity(self.settings.name)
-        write_identity(self._folder, self.identity)
-        self._journal.create()
+        self._disk.reset()
         _LOG.warning(
             "replica reset; waiting for admission", extra={"replica": self.identity.replica}
         )
 
-    def _write_cluster(self, cluster: str) -> None:
-        self.identity = self.identity.with_cluster(cluster)
-        write_identity(self._folder, self.identity)
-
     def _start_replica(self, stored: PersistentState) -> None:
         self._applied.replace(stored.snapshot, self.now())
         self._members_log = MembersLog(stored.snapshot.members)
