--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__init__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__init__.py
@@ -1,7 +1,7 @@
 """Stand-ins for targets that register at control replicas: plain, engine and pool targets."""
 
 from damsonlane_bench.registered_target._senders import CutForm, write_senders
-from damsonlane_bench.registered_target._target import (
+from damsonlane_bench.registered_target._signals import (
     BACKOFF_SIGNAL,
     DRAINING_SIGNAL,
     IMPLAUSIBLE_LOAD_END_SIGNAL,
@@ -14,9 +14,8 @@
     SILENCE_SIGNAL,
     SLOW_END_SIGNAL,
     SLOW_SIGNAL,
-    RegisteredTarget,
-    TargetKind,
 )
+from damsonlane_bench.registered_target._target import RegisteredTarget, TargetKind
 
 __all__ = [
     "BACKOFF_SIGNAL",
--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/__main__.py
@@ -6,7 +6,7 @@
 
 import fire
 
-from damsonlane_bench.registered_target._target import (
+from damsonlane_bench.registered_target._signals import (
     BACKOFF_SIGNAL,
     DRAINING_SIGNAL,
     IMPLAUSIBLE_LOAD_END_SIGNAL,
@@ -19,9 +19,8 @@
     SILENCE_SIGNAL,
     SLOW_END_SIGNAL,
     SLOW_SIGNAL,
-    RegisteredTarget,
-    TargetKind,
 )
+from damsonlane_bench.registered_target._target import RegisteredTarget, TargetKind
 
 
 async def _run(
