Which owners have an order is counted by the core, not by the pool client

The times of an order that is placed again are PieceOrder.deduct_elapsed. No new module in gateway/.

--- a/packages/damsonlane/src/damsonlane/pools/__init__.py
+++ b/packages/damsonlane/src/damsonlane/pools/__init__.py
@@ -1,6 +1,7 @@
 """Stage pools: pieces of work, their scheduling, and the result memory of targets."""
 
 from damsonlane.pools._division import DivisionPolicy, OwnedWork
+from damsonlane.pools._order_copies import OrderCopies
 from damsonlane.pools._pieces import PieceFault, PieceOrder, PieceResult
 from damsonlane.pools._plan import ReadyStage, StageProgress
 from damsonlane.pools._priorities import ROUTE_PRIORITY_LEVELS
@@ -14,6 +15,7 @@
     "CallCapacity",
     "CallPlan",
     "DivisionPolicy",
+    "OrderCopies",
     "OwnedWork",
     "PieceFault",
     "PieceOrder",
--- a/packages/damsonlane/src/damsonlane/pools/_pieces.py
+++ b/packages/damsonlane/src/damsonlane/pools/_pieces.py
@@ -1,6 +1,7 @@
 """Messages by which one box orders pieces of stages from another."""
 
 import operator
+from dataclasses import replace
 from typing import Annotated, Literal
 
 from pydantic import Field
@@ -59,6 +60,15 @@
     #: Whether a result that misses the latency objective is wanted if it meets the deadline.
     may_be_late: Annotated[bool, Field(exclude_if=operator.not_)] = False
 
+    def deduct_elapsed(self, seconds: float) -> "PieceOrder":
+        """Return the order with the seconds since it was first placed deducted."""
+        return replace(
+            self,
+            left_seconds=self.left_seconds - seconds,
+            aim_left_seconds=self.aim_left_seconds - seconds,
+            give_up_left_seconds=self.give_up_left_seconds - seconds,
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class PieceResult:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_client.py
@@ -4,13 +4,12 @@
 import itertools
 import logging
 import ssl
-from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace
 from functools import partial
 from typing import Final
 
-from damsonlane.pools import PieceOrder, PieceResult
+from damsonlane.pools import OrderCopies, PieceOrder, PieceResult
 from damsonlane.ratelimit import NON_OWNER_SHARE, RateLimitReport
 from damsonlane.records import dataclass
 from damsonlane.targets import Shard
@@ -25,8 +24,6 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Withdrawn orders that are remembered, so that a result that still arrives is freed.
-MAX_WITHDRAWN: Final = 4_096
 #: Seconds within which every entry receives a change of the list of entries: control sends
 #: it immediately, except to an entry that is just switching to another replica.
 PROPAGATION_SECONDS: Final = 0.3
@@ -86,9 +83,7 @@
         self._links: dict[str, OwnerLink] = {}
         #: Streams to owners that fell silent, until nothing is awaited from them.
         self._silent_links: list[OwnerLink] = []
-        #: Owners that have an order, for those that were placed with several ones.
-        self._placements: Final[Counter[int]] = Counter()
-        self._withdrawn: dict[int, str] = {}
+        self._copies: Final = OrderCopies()
         self._waits: Final = ReportedWaits()
         self._shards: Final = ShardChoice(view, self._waits)
         #: Called with the placements that arrive on the same streams.
@@ -226,7 +221,7 @@
         """Send orders to the owner of their shard, with their remaining times."""
         owner = self.find_owner(shard.service, shard.index)
         now = asyncio.get_running_loop().time()
-        orders = tuple(_deduct_elapsed(pending, now) for pending in placed)
+        orders = tuple(item.order.deduct_elapsed(now - item.placed_at) for item in placed)
         if owner == self._address:
             pool = self._owners.get(shard.service, shard.index)
             pool.attach(_SELF, self)
@@ -262,30 +257,21 @@
             if result.is_returned:
                 continue
             self._record_wait(result)
-            if not result.handle and self._remove_placement(result.number):
+            if not result.handle and self._copies.remove(result.number):
                 continue
             pending = self._pending.pop(result.number, None)
             if pending is not None and not pending.future.done():
                 pending.future.set_result(result)
                 self._withdraw_duplicates(pending)
                 continue
-            service = self._withdrawn.pop(result.number, "")
+            service = self._copies.take_withdrawn(result.number)
             if service and result.handle:
                 self.free(service, (result.handle,))
         self._close_unused_links()
 
-    def _remove_placement(self, number: int) -> bool:
-        """Record that an owner has an order no more; return whether another one has it."""
-        if number not in self._placements:
-            return False
-        self._placements[number] -= 1
-        if self._placements[number] <= 1:
-            del self._placements[number]
-        return True
-
     def _withdraw_duplicates(self, pending: _PendingOrder) -> None:
         """Withdraw an answered order from the other owners that have it."""
-        if self._placements.pop(pending.order.number, 0):
+        if self._copies.end(pending.order.number):
             self._withdraw_everywhere(pending)
 
     def _send_again(self, numbers: Sequence[int]) -> None:
@@ -293,7 +279,7 @@
         returned = [
             self._pending[number]
             for number in numbers
-            if number in self._pending and not self._remove_placement(number)
+            if number in self._pending and not self._copies.remove(number)
         ]
         stages: dict[tuple[str, int], list[_PendingOrder]] = {}
         for pending in returned:
@@ -323,7 +309,7 @@
         lost = [
             self._pending[number]
             for number in numbers
-            if number in self._pending and not self._remove_placement(number)
+            if number in self._pending and not self._copies.remove(number)
         ]
         fields = {"owner": link.owner, "fault": fault, "orders": len(lost)}
         _LOG.warning("lost pool owner", extra=fields)
@@ -361,7 +347,7 @@
         moved = [
             item
             for number in sorted(numbers)
-            if number not in self._placements
+            if not self._copies.has_several(number)
             and (item := self._pending.get(number)) is not None
             and (is_silent or not self._choice.may_reach(owner, item.shard.service))
             and self._choice.has_reaching_owner(item.shard)
@@ -374,8 +360,7 @@
     def _place_as_well(self, moved: Sequence[_PendingOrder]) -> None:
         """Place orders with the present owners of their shards beside those that have them."""
         for item in moved:
-            number = item.order.number
-            self._placements[number] = self._placements.get(number, 1) + 1
+            self._copies.add(item.order.number)
         for shard in {item.shard for item in moved}:
             self._send_orders(shard, [item for item in moved if item.shard == shard])
 
@@ -400,28 +385,15 @@
         pending = self._pending.pop(number, None)
         if pending is None or not done.cancelled():
             return
-        self._placements.pop(number, None)
+        self._copies.end(number)
         self._withdraw_everywhere(pending)
         self._close_unused_links()
 
     def _withdraw_everywhere(self, pending: _PendingOrder) -> None:
         """Withdraw an order from all owners that have it."""
         shard, number = pending.shard, pending.order.number
-        self._withdrawn[number] = shard.service
-        if len(self._withdrawn) > MAX_WITHDRAWN:
-            del self._withdrawn[next(iter(self._withdrawn))]
+        self._copies.record_withdrawn(number, shard.service)
         for link in self._list_links():
             link.withdraw(shard, number)
         if self.find_owner(shard.service, shard.index) == self._address:
             self._owners.get(shard.service, shard.index).withdraw(_SELF, (number,))
-
-
-def _deduct_elapsed(pending: _PendingOrder, now: float) -> PieceOrder:
-    """Return an order with the time since it was first placed deducted."""
-    elapsed = now - pending.placed_at
-    return replace(
-        pending.order,
-        left_seconds=pending.order.left_seconds - elapsed,
-        aim_left_seconds=pending.order.aim_left_seconds - elapsed,
-        give_up_left_seconds=pending.order.give_up_left_seconds - elapsed,
-    )
