The owner of a pool queues and plans; a runner sends its calls

gateway/_pool_owner.py queued pieces, planned calls, ran them and recorded how they ended, in 456 lines; now 346. No new module in gateway/.

Not solved: damsonlaned.pools and damsonlaned.gateway import each other, so "import damsonlaned.pools" alone fails with an ImportError, before and after.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -3,8 +3,6 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import replace
-from functools import partial
 from typing import Final
 
 from damsonlane.fairness import UsageTotals
@@ -13,23 +11,22 @@
 from damsonlane.targets import Shard
 from damsonlane.warmup import WarmupLimiter
 from damsonlaned.attempts import PieceCalls
-from damsonlaned.dialects import BadRequestError, Dialect
+from damsonlaned.dialects import Dialect
 from damsonlaned.gateway._exit_detector import ExitDetector
 from damsonlaned.gateway._free_calls import FreeCalls
-from damsonlaned.gateway._input_read_timer import InputReadTimer
 from damsonlaned.gateway._order_receivers import OrderReceiver, OrderReceivers
 from damsonlaned.gateway._owner_activity import ActivityMeter
 from damsonlaned.gateway._piece_answers import PieceAnswers
-from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls, TargetFullError
+from damsonlaned.gateway._pool_calls import BatchCall, PoolCalls
 from damsonlaned.gateway._pool_metrics import PoolMetrics
 from damsonlaned.gateway._pool_targets import PoolTarget, PoolTargets
 from damsonlaned.gateway._rate_limits import ServiceLimits
 from damsonlaned.gateway._target_selector import TargetSelector
 from damsonlaned.gateway._view import FleetView
 from damsonlaned.gateway._wait_forecasts import WaitForecasts
-from damsonlaned.http import ConnectionPool, IncompleteResponseError, NotSentError
-from damsonlaned.pools import CallResults
-from damsonlaned.quarantine import LostTarget, PieceQuarantine, Quarantine
+from damsonlaned.http import ConnectionPool
+from damsonlaned.pools import CallResults, CallRunner
+from damsonlaned.quarantine import PieceQuarantine, Quarantine
 from damsonlaned.tasks import start_task
 
 _LOG: Final = logging.getLogger(__name__)
@@ -66,14 +63,12 @@
         is_reached: Callable[[str], bool],
     ) -> None:
         self._is_reached: Final = is_reached
-        self._exit_detector: Final = exit_detector
         self._quarantine: Final = PieceQuarantine(quarantine, shard.service)
         self._shard: Final = shard
         self._service: Final = shard.service
         self._shards = 0
         self._view: Final = view
         self._targets: Final = targets
-        self._metrics: Final = metrics
         self._calls: Final = PoolCalls(dialect, view.announcements)
         self._queue: Final = PieceQueue(find_weight)
         self._receivers: Final = OrderReceivers()
@@ -94,7 +89,7 @@
         )
         self._warm_up_gate: Final = WarmupLimiter()
         self._piece_calls: Final = PieceCalls()
-        self._results: Final = CallResults(
+        results = CallResults(
             self._queue,
             self._piece_calls,
             self._receivers,
@@ -103,6 +98,21 @@
             metrics,
             self.free,
         )
+        self._runner: Final = CallRunner(
+            shard=shard,
+            queue=self._queue,
+            receivers=self._receivers,
+            pool_targets=self._pool_targets,
+            calls=self._calls,
+            piece_calls=self._piece_calls,
+            results=results,
+            metrics=metrics,
+            exit_detector=exit_detector,
+            quarantine=self._quarantine,
+            find_connections=targets.connections,
+            on_failure=self._return_if_unreached,
+            on_free_target=self._dispatch,
+        )
         #: Work of this owner, for its log.
         self.activity: Final = ActivityMeter()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -245,7 +255,7 @@
 
     def _start(self, service: Service, call: BatchCall) -> None:
         self.activity.record_call()
-        task = start_task(self._run(service, call), "call to a pool target")
+        task = start_task(self._runner.run(service, call), "call to a pool target")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -274,122 +284,6 @@
             if not self._piece_calls.is_under_way(piece):
                 self._answers.answer(piece, fault="late")
 
-    async def _run(self, service: Service, call: BatchCall) -> None:
-        """Send a call, deliver its results and dispatch the next one."""
-        began_at = self._now()
-        sizes: dict[str, int] = {}
-        read_timer = InputReadTimer(partial(self._receivers.notify_read, call.batch))
-        try:
-            sizes = await self._execute(service, call, read_timer)
-        finally:
-            read_timer.cancel()
-            call.target.record_completion(call.reserved_bytes, sizes, self._now())
-        seconds = self._now() - began_at
-        self._metrics.record_call(seconds)
-        self._log_completion(call, len(sizes), seconds)
-        self._dispatch()
-
-    async def _execute(
-        self, service: Service, call: BatchCall, read_timer: InputReadTimer
-    ) -> dict[str, int]:
-        """Run a batch; return the sizes of its results by handle, empty if the call failed."""
-        target = call.target
-        began_at = self._now()
-        pieces = call.batch
-        try:
-            connections = self._targets.connections(service, target.name, target.address)
-            on_sent = read_timer.start if target.reads_at_once(began_at) else _do_nothing
-            try:
-                on_silent = partial(self._hold, call, began_at)
-                computed = await self._calls.compute(connections, call, on_sent, on_silent)
-            finally:
-                pieces = self._piece_calls.end(call.batch)
-            sizes = self._results.deliver(call, computed, pieces, self._now())
-            seconds = self._now() - began_at
-            target.record_duration_ratio(seconds / call.seconds, self._now())
-            if call.is_saturated and service.pool is not None:
-                self._record_throughput(call, service.pool, seconds)
-            return sizes
-        except NotSentError as error:
-            self._record_failed_call(call, pieces, str(error), has_run=False)
-        except TimeoutError:
-            # The target was recorded as failed when it fell silent.
-            self._log_failure(call, "no answer before the deadline")
-            self._results.requeue(pieces, has_run=True)
-        except (IncompleteResponseError, BadRequestError) as error:
-            await self._record_broken_call(call, began_at)
-            self._record_failed_call(call, pieces, str(error), has_run=True)
-        except TargetFullError:
-            target.record_rejection(self._now())
-            self._results.requeue(pieces, has_run=False)
-        return {}
-
-    def _hold(self, call: BatchCall, began_at: float, limit: asyncio.Timeout) -> None:
-        """Queue the pieces of a silent call again; it ends once all of them are answered."""
-
-        def give_up() -> None:
-            if not limit.expired():
-                limit.reschedule(self._now())
-
-        self._exit_detector.report_silent(
-            LostTarget.of(call.target.incarnation),
-            self._quarantine.describe_runs(call.batch, self._now() - began_at),
-        )
-        call.target.record_failure(self._now())
-        self._log_failure(call, "no answer in time")
-        self._piece_calls.hold(call.batch, give_up)
-        for piece in call.batch:
-            if self._results.may_repeat(piece, piece.attempts + 1):
-                self._queue.add(replace(piece, attempts=piece.attempts + 1))
-        self._return_if_unreached()
-        self._dispatch()
-
-    def _record_throughput(
-        self, call: BatchCall, properties: PoolProperties, seconds: float
-    ) -> None:
-        """Record the throughput of a call that could have been full."""
-        full_seconds = properties.call_seconds + properties.batch * properties.piece_seconds
-        self._pool_targets.throughput.record_call(
-            len(call.batch), properties.batch, seconds, full_seconds
-        )
-
-    def _log_completion(self, call: BatchCall, results: int, seconds: float) -> None:
-        _LOG.info(
-            "batch ended",
-            extra={
-                "service": self._service,
-                "shard": self._shard.index,
-                "target": call.target.name,
-                "pieces": len(call.batch),
-                "away": call.count_remote(),
-                "made": results,
-                "announced_bytes": call.reserved_bytes,
-                "free_bytes": call.free_bytes,
-                "expected_seconds": round(call.seconds, 3),
-                "seconds": round(seconds, 3),
-                "waiting": len(self._queue),
-            },
-        )
-
-    async def _record_broken_call(self, call: BatchCall, began_at: float) -> None:
-        """Find out whether the target exited, before its pieces go to another one."""
-        runs = self._quarantine.describe_runs(call.batch, self._now() - began_at)
-        if await self._exit_detector.report_broken(LostTarget.of(call.target.incarnation), runs):
-            await self._quarantine.wait_until_reported(runs)
-
-    def _record_failed_call(
-        self, call: BatchCall, pieces: Sequence[WaitingPiece], fault: str, *, has_run: bool
-    ) -> None:
-        """Record a call without a valid answer, and queue its pieces again."""
-        call.target.record_failure(self._now())
-        self._log_failure(call, fault)
-        self._results.requeue(pieces, has_run=has_run)
-        self._return_if_unreached()
-
-    def _log_failure(self, call: BatchCall, fault: str) -> None:
-        fields = {"service": self._service, "target": call.target.name, "fault": fault}
-        _LOG.warning("batch failed", extra=fields)
-
     def _return_if_unreached(self) -> None:
         """Return queued pieces if this box does not reach the targets."""
         if not self._is_reached(self._service):
@@ -450,7 +344,3 @@
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
-
-
-def _do_nothing() -> None:
-    """Ignore that a call was sent."""
