--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_events.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_events.py
@@ -7,6 +7,8 @@
 EVENT_COUNT: Final = 20
 #: Beginning of the body of a request whose events are large and hold the id of the request.
 LARGE_INPUT: Final = "large events"
+#: Length of the whole answer of a plain target to a request whose body begins like that.
+LARGE_ANSWER_BYTES: Final = 6 * 2**20
 #: Characters that fill each large event: the 1.3 MB of a stream exceed what the sockets between its
 #: target and its caller hold, so that a caller which stops reading makes the target wait.
 _PADDING: Final = "." * 65536
--- a/packages/damsonlane_bench/src/damsonlane_bench/tests/test_run_tests.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/tests/test_run_tests.py
@@ -2,6 +2,7 @@
 
 import importlib.util
 import sys
+import tempfile
 import unittest
 from pathlib import Path
 from types import ModuleType
@@ -56,6 +57,34 @@
             self.program.read_known_failures(text)
         self.program.read_known_failures("run: a\nrun: b\n" + text.replace("a.3, make test\n", ""))
 
+    def test_only_entries_of_one_issue_are_not_counted(self) -> None:
+        text = "".join(f"a.{number}, make test, issue 1\n" for number in range(3))
+        uncounted = "".join(f"b.{number}, make test, issue 76\n" for number in range(5))
+        self.assertEqual(len(self.program.read_known_failures(text + uncounted).tests), 8)
+        for more in ("c.d, issue 76, make test\n", "c.d, make test, issue 761\n"):
+            with self.assertRaises(ValueError):
+                self.program.read_known_failures(text + uncounted + more)
+        problems = self.list_problems(uncounted, ["b.0", "b.1"], ["b.0"])
+        self.assertEqual(len(problems), 4)
+        self.assertIn("passes again", problems[0])
+
+    def test_a_test_has_one_line(self) -> None:
+        with self.assertRaises(ValueError):
+            self.program.read_known_failures("a.b, x, issue 76\na.b, y, issue 76\n")
+
+
+class ModuleListTest(unittest.TestCase):
+    def test_only_modules_with_the_marker_run_alone(self) -> None:
+        program = load_program()
+        with tempfile.TemporaryDirectory() as folder:
+            tests = Path(folder) / "packages" / "one" / "src" / "one" / "tests"
+            tests.mkdir(parents=True)
+            (tests / "test_alone.py").write_text("RUNS_ALONE: Final = True\n")
+            (tests / "test_usual.py").write_text("# RUNS_ALONE: Final = True\n")
+            modules = program.list_modules(Path(folder))
+        self.assertEqual(modules.alone, ("one.tests.test_alone",))
+        self.assertEqual(modules.parallel, ("one.tests.test_usual",))
+
 
 if __name__ == "__main__":
     unittest.main()
