A body over the limit is refused by its announced length

Callers that announced 1 GB and sent it were read up to the limit of 4 MiB before they got their 413, and then for 0.5 s more whatever came; the parts that had been read were kept meanwhile by the traceback of the refusal. 48 such callers took an entry of 96 MiB to 816 MB.

The length of the head is now compared with the limit, also before a caller that waits for "100 Continue" is invited. After a refusal at most twice the largest body is read and thrown away, so that a caller that is a little over the limit still receives its answer. The error is dropped with its frames before the refusal is sent.

--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -24,6 +24,8 @@
 _BACKLOG: Final = 512
 #: Seconds for which bytes are still read after a refusal, so that the caller can receive it.
 _LINGER_SECONDS: Final = 0.5
+#: Most bytes that are read after a refusal, as a multiple of the largest body.
+_LINGER_BODIES: Final = 2
 #: Seconds between checks whether all responses have left the process.
 _DRAIN_POLL_SECONDS: Final = 0.05
 #: Time-out for reading a body, in seconds; the head has one of its own.
@@ -82,11 +84,10 @@
     async def run(self) -> None:
         """Serve requests until either side closes."""
         try:
-            while await self._serve_one():
-                self._parser.start_next_cycle()
+            refusal = await self._serve_all()
+            if refusal is not None:
+                await self._refuse(*refusal)
             self._stream.close()
-        except _RefusedError as error:
-            await self._refuse(error)
         except (ConnectionError, CallerDisconnectedError):
             self._stream.abort()
         except TimeoutError:
@@ -108,6 +109,17 @@
         """Break the connection."""
         self._stream.abort()
 
+    async def _serve_all(self) -> tuple[int, str] | None:
+        """Serve requests; return the status and reason with which one is refused, if any is."""
+        try:
+            while await self._serve_one():
+                self._parser.start_next_cycle()
+        except _RefusedError as error:
+            # The frames of the traceback would keep what was read of the body.
+            error.__traceback__ = None
+            return error.status, str(error)
+        return None
+
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
         request = await self._read_request()
@@ -171,7 +183,7 @@
             return None
         if not isinstance(event, h11.Request):
             raise _RefusedError(400, "not a request")
-        _check_framing(event)
+        _check_framing(event, limits.body_bytes)
         if self._parser.they_are_waiting_for_100_continue:
             data = self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             self._stream.write(data or b"")
@@ -199,7 +211,7 @@
                 raise ConnectionResetError("the caller closed in the middle of a request")
             size += len(event.data)
             if size > limits.body_bytes:
-                raise _RefusedError(413, f"a body may have {limits.body_bytes} bytes")
+                raise _make_too_large(limits.body_bytes)
             parts.append(bytes(event.data))
             self._record_body(size)
 
@@ -220,33 +232,38 @@
             else:
                 raise _RefusedError(400, "bytes where no request may stand")
 
-    async def _refuse(self, error: _RefusedError) -> None:
-        """Send a refusal, read for a moment so that the caller receives it, and close."""
-        _LOG.info(
-            "refused an invalid request", extra={"status": error.status, "reason": str(error)}
-        )
-        response = self._listener.render_refusal(error.status, str(error))
+    async def _refuse(self, status: int, reason: str) -> None:
+        """Send a refusal and read for a moment, so that the caller receives it."""
+        _LOG.info("refused an invalid request", extra={"status": status, "reason": reason})
+        response = self._listener.render_refusal(status, reason)
         with contextlib.suppress(h11.LocalProtocolError):
             ResponseWriter(self._stream, self._parser, is_last=lambda: True).send_response(response)
+        left = _LINGER_BODIES * self._listener.limits().body_bytes
         with contextlib.suppress(ConnectionError, TimeoutError):
             async with asyncio.timeout(_LINGER_SECONDS):
-                while await self._stream.read():
-                    pass
-        self._stream.close()
+                while left > 0 and (data := await self._stream.read()):
+                    left -= len(data)
 
 
-def _check_framing(event: h11.Request) -> None:
-    """Refuse a request whose length is ambiguous or whose target is not a path.
+def _check_framing(event: h11.Request, body_bytes: int) -> None:
+    """Refuse a request whose length is ambiguous or too large, or whose target is not a path.
 
     h11 refuses lengths that differ, but accepts a length together with chunks.
     """
     names = {name for name, _ in event.headers}
     if b"content-length" in names and b"transfer-encoding" in names:
         raise _RefusedError(400, "a request has a length or chunks, not both")
+    # h11 accepts digits only.
+    if any(name == b"content-length" and int(value) > body_bytes for name, value in event.headers):
+        raise _make_too_large(body_bytes)
     if not event.target.startswith(b"/"):
         raise _RefusedError(400, "the path must begin with a slash")
 
 
+def _make_too_large(body_bytes: int) -> _RefusedError:
+    return _RefusedError(413, f"a body may have {body_bytes} bytes")
+
+
 class HttpListener:
     """Listens at one address and passes complete requests to a handler.
 
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
@@ -74,6 +74,17 @@
         b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + GET,
         statuses=(400,),
     ),
+    Case(
+        # Guards against reading a body that is refused in any case.
+        name="a length over the limit, without the body",
+        sent=b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n",
+        statuses=(413,),
+    ),
+    Case(
+        name="a length over the limit, of a caller that waits for an invitation",
+        sent=b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\nExpect: 100-continue\r\n\r\n",
+        statuses=(413,),
+    ),
     Case(
         name="a negative length",
         sent=b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -3\r\n\r\n",
