Requests in very many parts share a bounded part of each turn of the loop

Beside 48 callers whose bodies came in chunks of one byte, no ordinary request was answered. The parser makes an event of each chunk and parses up to 256 KiB before it waits for the network, so each connection held the loop for some 40,000 events, and a request needs about ten turns.

A request now parses 64 events at once, which is more than an ordinary one has. After that it waits for grants of 64 events, of which all connections of a listener together get two a turn, one after the other (damsonlane/turns decides, without I/O). Reading from its socket pauses meanwhile, as before, once 256 KiB are unread. No request is refused for the size of its chunks, and the time-outs of heads and bodies count only the time in which bytes are awaited: otherwise a single request in small chunks could end by the time that its parsing takes.

--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -15,6 +15,7 @@
 from damsonlaned.http._buffer_guard import BufferGuard
 from damsonlaned.http._errors import CallerDisconnectedError
 from damsonlaned.http._messages import HttpRequest, HttpResponse
+from damsonlaned.http._parse_turns import ParseTurns, RequestEvents
 from damsonlaned.http._response_writer import ResponseWriter
 from damsonlaned.http._tcp_stream import TcpStream
 
@@ -28,7 +29,7 @@
 _LINGER_BODIES: Final = 2
 #: Seconds between checks whether all responses have left the process.
 _DRAIN_POLL_SECONDS: Final = 0.05
-#: Time-out for reading a body, in seconds; the head has one of its own.
+#: Seconds for which the bytes of a body are awaited; the head has a time-out of its own.
 _BODY_TIMEOUT_SECONDS: Final = 20.0
 
 
@@ -40,7 +41,7 @@
     header_bytes: int = 16_384
     #: Largest body, in bytes.
     body_bytes: int = 4 * 2**20
-    #: Time-out for reading a head from its first bytes on, in seconds.
+    #: Seconds for which the bytes of a head are awaited, from its first ones on.
     header_seconds: float = 3.0
     #: Seconds for which an idle connection is kept.
     idle_seconds: float = 15.0
@@ -75,7 +76,10 @@
         self._parser: Final = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
+        self._events: Final = RequestEvents(listener.turns)
         self._handler_task: asyncio.Task[None] | None = None
+        #: Seconds for which further bytes of the head or body are awaited.
+        self._wait_seconds = 0.0
         #: Whether a byte of a request has arrived.
         self.has_begun = False
         #: Whether no request is being read or served.
@@ -163,10 +167,12 @@
 
     async def _read_request(self) -> HttpRequest | None:
         limits = self._listener.limits()
+        self._events.begin_request()
         head = await self._read_head(limits)
         if head is None:
             return None
-        body = await asyncio.wait_for(self._read_body(limits), _BODY_TIMEOUT_SECONDS)
+        self._wait_seconds = _BODY_TIMEOUT_SECONDS
+        body = await self._read_body(limits)
         return HttpRequest(
             method=head.method.decode("ascii"),
             target=head.target.decode("latin-1"),
@@ -178,7 +184,8 @@
         has_bytes = bool(self._parser.trailing_data[0])
         if not has_bytes and not await self._wait_for_bytes(limits.idle_seconds):
             return None
-        event = await asyncio.wait_for(self._next_event(), limits.header_seconds)
+        self._wait_seconds = limits.header_seconds
+        event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
         if not isinstance(event, h11.Request):
@@ -192,7 +199,8 @@
     async def _wait_for_bytes(self, seconds: float) -> bool:
         """Wait for the first bytes of a request; return whether any arrived."""
         try:
-            data = await asyncio.wait_for(self._stream.read(), seconds)
+            async with asyncio.timeout(seconds):
+                data = await self._stream.read()
         except TimeoutError:
             return False
         self.is_idle = False
@@ -220,18 +228,35 @@
             self._stream.meter.record_unread(self, size)
 
     async def _next_event(self) -> h11.Event:
+        if self._events.must_wait():
+            await self._events.wait()
         while True:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
                 raise _RefusedError(error.error_status_hint, str(error)) from None
             if event is h11.NEED_DATA:
-                self._parser.receive_data(await self._stream.read())
+                self._parser.receive_data(await self._read_more())
             elif isinstance(event, h11.Event):
                 return event
             else:
                 raise _RefusedError(400, "bytes where no request may stand")
 
+    async def _read_more(self) -> bytes:
+        """Return further bytes of a request; time in which none are awaited doesn't count.
+
+        Raises:
+            TimeoutError: they did not arrive in time.
+        """
+        if self._stream.has_unread():
+            return await self._stream.read()
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        async with asyncio.timeout(self._wait_seconds):
+            data = await self._stream.read()
+        self._wait_seconds -= loop.time() - began_at
+        return data
+
     async def _refuse(self, status: int, reason: str) -> None:
         """Send a refusal and read for a moment, so that the caller receives it."""
         _LOG.info("refused an invalid request", extra={"status": status, "reason": reason})
@@ -292,6 +317,8 @@
         self.handler: Final = handler
         self.limits: Final = limits
         self.render_refusal: Final = render_refusal
+        #: Divides the turns of the event loop among connections that have much to parse.
+        self.turns: Final = ParseTurns()
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from unittest import mock
 
 from damsonlaned.http import (
     HttpHead,
@@ -12,6 +13,7 @@
     HttpResponse,
     ListenerLimits,
     ResponseWriter,
+    _listener,
 )
 
 LIMITS = ListenerLimits(header_bytes=2_000, body_bytes=1_000, header_seconds=0.2, idle_seconds=0.3)
@@ -154,6 +156,24 @@
             data = await reader.read()
         self.assertTrue(data.endswith(b"PUT /a/b?c=d xy"))
 
+    async def test_a_body_in_very_small_chunks_is_read_whole(self) -> None:
+        """Guards against a time-out that counts the time for parsing what has arrived."""
+        count = 100_000
+        limits = ListenerLimits(body_bytes=count)
+        listener = HttpListener("127.0.0.1:0", echo, limits=lambda: limits, render_refusal=render)
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", listener.port(), limit=2 * count
+        )
+        self.addCleanup(writer.close)
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        with mock.patch.object(_listener, "_BODY_TIMEOUT_SECONDS", 0.2):
+            writer.write(head + b"1\r\nx\r\n" * count + b"0\r\n\r\n")
+            async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                received = await reader.readuntil(b"x" * count)
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "))
+
     async def test_a_disconnect_of_the_caller_cancels_the_handler_at_once(self) -> None:
         began, ended = asyncio.Event(), asyncio.Event()
 
