Responses wait for room in the budget instead of being cut off at its limit

test_responses_are_delivered_whole_under_pressure failed now and then: a quick caller was disconnected. While all are being collected nothing tells quick callers from slow ones, so any order of evictions takes some quick ones.

A whole response now reserves its announced length before more of it is collected, and waits while the budget has no room. For those that wait, callers are disconnected that hold bytes and neither take nor send any, the largest product of bytes and seconds first; after 1 s without room also one that makes progress. Nothing more is read for one that waits, streams receive 64 KiB at once instead of 256, and a collected response is counted until it is written: without these, unread bytes of waiting answers filled the budget, and the room of a complete answer was given away before it was sent.

--- a/packages/damsonlane/src/damsonlane/buffers/_budget.py
+++ b/packages/damsonlane/src/damsonlane/buffers/_budget.py
@@ -1,9 +1,10 @@
 """Decides which connections may buffer more, and which callers are disconnected."""
 
 from collections import Counter
+from collections.abc import Collection, Iterable
 from typing import Final, Literal
 
-from damsonlane.buffers._account import BufferAccount
+from damsonlane.buffers._account import BufferAccount, RoomRequest
 from damsonlane.records import dataclass
 
 #: Bytes that any connection may buffer, also while the budget is short: about one event.
@@ -17,6 +18,21 @@
 #: Share of the budget to which evictions reduce the sum once it exceeds the budget, so that not
 #: each further byte needs a search for another caller.
 EVICTED_SHARE: Final = 0.95
+#: Share of the budget up to which bodies and collected responses may grow.  The rest is for small
+#: bodies, and for the one that is nearest to its end while others wait.
+GRANTED_SHARE: Final = 0.75
+#: Share of the budget up to which that one may grow.
+FINISHED_SHARE: Final = 0.9
+#: Size up to which a body or response need not wait while the budget holds, in bytes.
+SMALL_BYTES: Final = 64 * 1024
+#: Share of the budget to which callers that hold bytes up are disconnected while others wait.
+ROOM_SHARE: Final = 0.5
+#: Seconds without progress from which a caller holds up those that wait for room.
+HELD_UP_SECONDS: Final = 0.02
+#: Seconds after which one caller that makes progress is disconnected for those that wait.
+WAIT_SECONDS: Final = 1.0
+#: Share of a process's memory that may hold bytes for callers and targets where it isn't set.
+MEMORY_SHARE: Final = 0.25
 #: Seconds after which a caller is disconnected if its target has to wait for it.  Targets cut off
 #: an answer that isn't read after some seconds.
 BLOCKED_SECONDS: Final = 3.0
@@ -42,10 +58,12 @@
 
     Args:
         limit: the limit, in bytes.
+        limits_time: whether slow callers are disconnected also while the budget has room.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, *, limits_time: bool = True) -> None:
         self._limit: Final = limit
+        self._limits_time: Final = limits_time
         self._accounts: dict[BufferAccount, None] = {}
         self._backlogs: dict[BufferAccount, None] = {}
         self._by_organisation: Counter[str] = Counter()
@@ -111,9 +129,60 @@
         else:
             account.unread.pop(stream, None)
 
+    def begin_body(self, account: BufferAccount, now: float) -> None:
+        """Record that a body of the caller is read from now on."""
+        account.reading_since = account.arrived_at = now
+
+    def end_body(self, account: BufferAccount) -> None:
+        """Record that no body of the caller is read any more."""
+        account.reading_since = None
+
+    def has_room(self, account: BufferAccount, size: int) -> bool:
+        """Return whether a body or response of an account may grow by some bytes now."""
+        total = self.total + size
+        if account.size + size <= SMALL_BYTES:
+            return total <= self._limit
+        return total <= GRANTED_SHARE * self._limit or account.size == self.total
+
+    def choose_request(self, requests: Collection[RoomRequest]) -> RoomRequest | None:
+        """Return which of the requests that wait may be granted now, if any may.
+
+        Args:
+            requests: the requests, in the order of their arrival.
+        """
+        for request in requests:
+            if self.has_room(request.account, request.size):
+                return request
+        if not requests:
+            return None
+        largest = max(requests, key=lambda request: request.account.size)
+        is_granted = self.total + largest.size <= FINISHED_SHARE * self._limit
+        return largest if is_granted else None
+
+    def list_room_evictions(
+        self, requests: Collection[RoomRequest], now: float, waited_seconds: float
+    ) -> tuple[Eviction, ...]:
+        """Return the callers to disconnect for those that wait for room.
+
+        Args:
+            requests: the requests that wait.
+            now: the monotonic clock, in seconds.
+            waited_seconds: for how long none of them got room.
+        """
+        held_up = [
+            account for account in self._accounts if account.stalled_seconds(now) >= HELD_UP_SECONDS
+        ]
+        excess = self.total - int(ROOM_SHARE * self._limit)
+        evictions = self._choose(held_up, excess, now)
+        if not evictions and waited_seconds >= WAIT_SECONDS:
+            largest = max(requests, key=lambda request: request.account.size).account
+            others = [account for account in self._accounts if account is not largest]
+            evictions = self._choose(others, 1, now)
+        return tuple(evictions)
+
     def may_read(self, account: BufferAccount) -> bool:
         """Return whether more may be read for an account before what it holds is processed."""
-        return account.size < self._find_window(account)
+        return not account.room_requests and account.size < self._find_window(account)
 
     def list_backlogs(self) -> tuple[BufferAccount, ...]:
         """Return the accounts whose callers have bytes to take."""
@@ -123,6 +192,8 @@
         """Return the callers to disconnect now, the slowest with the largest backlog first."""
         evictions: list[Eviction] = []
         for account in self._backlogs:
+            if not self._limits_time or account.room_requests:
+                continue
             paused_at = account.paused_at
             if paused_at is not None and now - paused_at >= BLOCKED_SECONDS:
                 evictions.append(Eviction(account=account, reason="blocked"))
@@ -140,14 +211,24 @@
     ) -> list[Eviction]:
         """Return evictions that free some bytes.
 
-        Callers of organisations above their share are first. Callers without a backlog, whose
-        responses are being read, are last.
+        Callers without a backlog, whose responses are being read, are last.
+        """
+        candidates = [account for account in self._accounts if account not in listed]
+        return self._choose(candidates, excess, now)
+
+    def _choose(
+        self, candidates: Iterable[BufferAccount], excess: int, now: float
+    ) -> list[Eviction]:
+        """Return evictions of candidates that free some bytes.
+
+        Of those that have something to take or to send, callers of organisations above their share
+        are first.
         """
         share = self._find_share()
-        candidates = [account for account in self._accounts if account.size]
-        candidates.sort(
+        order = sorted(
+            (account for account in candidates if account.size),
             key=lambda account: (
-                account.unsent > 0,
+                account.unsent > 0 or account.reading_since is not None,
                 self._by_organisation[account.organisation] > share,
                 account.cost(now),
                 account.size,
@@ -155,12 +236,11 @@
             reverse=True,
         )
         evictions: list[Eviction] = []
-        for account in candidates:
+        for account in order:
             if excess <= 0:
                 break
-            if account not in listed:
-                evictions.append(Eviction(account=account, reason="budget"))
-                excess -= account.size
+            evictions.append(Eviction(account=account, reason="budget"))
+            excess -= account.size
         return evictions
 
     def _find_window(self, account: BufferAccount) -> int:
--- a/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
@@ -79,10 +79,15 @@
         body = bytearray()
         self._check_size(self._connection.announced_bytes)
         try:
+            # Responses that hold a part of the room each could not complete.
+            reserved = await self._connection.reserve_announced()
             async for part in self.iter_parts():
+                size = len(body) + len(part)
+                self._check_size(size)
+                if size > self._connection.announced_bytes:
+                    await self._connection.wait_for_room(len(part))
                 body += part
-                self._check_size(len(body))
-                self._connection.record_collected(len(body))
+                self._connection.record_collected(max(reserved, size))
                 self._budget.record(self._give_up, len(body))
                 if self._is_given_up:
                     raise IncompleteResponseError("the bodies under way take too much memory")
@@ -176,6 +181,30 @@
         if self._stream.meter is not None:
             self._stream.meter.record_unread(self, size)
 
+    async def reserve_announced(self) -> int:
+        """Wait for room for the announced body, and return the bytes that are reserved.
+
+        Raises:
+            IncompleteResponseError: the caller was disconnected.
+        """
+        missing = max(0, self.announced_bytes - self._stream.count_unread())
+        await self.wait_for_room(missing)
+        self.record_collected(missing)
+        return missing
+
+    async def wait_for_room(self, size: int) -> None:
+        """Wait until the caller's budget has room for more bytes of a response.
+
+        Raises:
+            IncompleteResponseError: the caller was disconnected.
+        """
+        meter = self._stream.meter
+        if meter is not None and not meter.has_room(size):
+            try:
+                await meter.wait_for_room(size)
+            except ConnectionError as error:
+                raise IncompleteResponseError(str(error)) from None
+
     async def read_head(self) -> HttpHead:
         """Return the head of the next response.
 
--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -10,6 +10,8 @@
 
 #: Buffered bytes beyond which reading from the connection pauses until they are read.
 MAX_UNREAD_BYTES: Final = 256 * 1024
+#: Most bytes that are received at once.
+MAX_RECEIVED_BYTES: Final = 64 * 1024
 #: Bytes that may be buffered for sending before a writer must wait.
 MAX_UNSENT_BYTES: Final = 64 * 1024
 #: Size of the kernel's buffers of a connection whose bytes are counted.  Otherwise the kernel
@@ -18,6 +20,8 @@
 #: Most bytes of a response that are read at once if they are counted for a caller.  While they are
 #: passed on, the target may have to wait; it would wait for seconds if all unread bytes were.
 MAX_COUNTED_READ_BYTES: Final = 16 * 1024
+#: Most bytes of a caller that its parser is given at once if they are counted.
+MAX_PARSED_BYTES: Final = 64 * 1024
 
 
 class TcpStream(asyncio.Protocol):
@@ -32,6 +36,8 @@
         self._transport: asyncio.Transport | None = None
         self._chunks: list[bytes] = []
         self._size = 0
+        #: Bytes of a caller that were read last, and that its parser may still hold.
+        self._parsed_size = 0
         self._is_paused = False
         self._has_received_eof = False
         self._error: Exception | None = None
@@ -53,6 +59,8 @@
         """Store the transport and set its options."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        # asyncio has no function for it; a connection without unread bytes receives 256 KiB.
+        vars(self._transport)["max_size"] = MAX_RECEIVED_BYTES
         connection = self._transport.get_extra_info("socket")
         if connection is not None:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -114,6 +122,10 @@
         """Return whether the other side has closed or the connection is lost."""
         return self._has_received_eof or self._is_lost
 
+    def count_unread(self) -> int:
+        """Return the bytes that wait to be read."""
+        return self._size
+
     def has_unread(self) -> bool:
         """Return whether bytes wait to be read."""
         return self._size > 0
@@ -124,6 +136,9 @@
         Raises:
             ConnectionError: the connection broke.
         """
+        if self._parsed_size:
+            self._parsed_size = 0
+            self._record_unread()
         while not self._chunks:
             if self._error is not None:
                 raise ConnectionResetError(str(self._error))
@@ -133,6 +148,8 @@
             await self._reader
         data = self._take_unread()
         self._size -= len(data)
+        if self._meter is not None and self._meter.caller is self:
+            self._parsed_size = len(data)
         self._record_unread()
         may_resume = not self._chunks or self._may_read()
         if self._is_paused and may_resume and self._transport is not None and not self._is_lost:
@@ -143,18 +160,25 @@
 
     def _take_unread(self) -> bytes:
         """Remove and return the bytes that arrived; only the first ones if they are counted."""
-        count = len(self._chunks)
-        if self._meter is not None and self._meter.caller is not self:
-            first = self._chunks[0]
-            if len(first) > MAX_COUNTED_READ_BYTES:
-                self._chunks[0] = first[MAX_COUNTED_READ_BYTES:]
-                return first[:MAX_COUNTED_READ_BYTES]
-            sizes = itertools.accumulate(len(chunk) for chunk in self._chunks)
-            count = sum(1 for _ in itertools.takewhile(MAX_COUNTED_READ_BYTES.__ge__, sizes))
+        most = self._find_most_read()
+        first = self._chunks[0]
+        if most and len(first) > most:
+            self._chunks[0] = first[most:]
+            return first[:most]
+        sizes = itertools.accumulate(len(chunk) for chunk in self._chunks)
+        count = sum(1 for _ in itertools.takewhile(most.__ge__, sizes)) if most else None
         data = b"".join(self._chunks[:count])
         del self._chunks[:count]
         return data
 
+    def _find_most_read(self) -> int:
+        """Return the most bytes that are read at once; 0 for any number."""
+        if self._meter is None:
+            return 0
+        if self._meter.caller is self:
+            return MAX_PARSED_BYTES
+        return MAX_COUNTED_READ_BYTES if self._meter.limits_time else 0
+
     def write(self, data: bytes) -> None:
         """Queue bytes; they are dropped if the connection is lost."""
         if self._transport is not None and not self._is_lost:
@@ -203,7 +227,8 @@
             self._record_paused(is_paused=False)
         self._meter = meter
         if meter is not None:
-            self._limit_kernel_buffers()
+            if meter.limits_time:
+                self._limit_kernel_buffers()
             self._record_paused(is_paused=self._is_paused)
             self._record_unread()
 
@@ -227,7 +252,7 @@
 
     def _record_unread(self) -> None:
         if self._meter is not None:
-            self._meter.record_unread(self, self._size)
+            self._meter.record_unread(self, self._size + self._parsed_size)
 
     def _record_paused(self, *, is_paused: bool) -> None:
         if self._meter is not None and self._meter.caller is not self:
--- a/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
@@ -184,6 +184,9 @@
         health: HealthSignal = "neutral"
         try:
             body = await opened.exchange.body.read_all()
+            if self._response.meter is not None:
+                # Otherwise the room would be given away before the response is written.
+                self._response.meter.hold(self, len(body))
             health = "good" if opened.head.status < 500 else "bad"
         except IncompleteResponseError as error:
             health = "bad"
@@ -191,6 +194,14 @@
             return FailedAttempt(detail=str(error), may_have_run=has_run, is_lost=True)
         finally:
             self._attempts.finish(opened, health)
+        try:
+            return await self._send_whole(opened, body)
+        finally:
+            if self._response.meter is not None:
+                self._response.meter.record_unread(self, 0)
+
+    async def _send_whole(self, opened: OpenedExchange, body: bytes) -> FailedAttempt | None:
+        """Send a complete response, or return why it is none for the caller."""
         head = opened.head
         response = HttpResponse(status=head.status, headers=head.headers, body=body)
         failure = find_failure(
@@ -203,6 +214,8 @@
         if failure is None:
             self._turn.replace()
             self._results.release()
+            if self._response.meter is not None:
+                self._response.meter.hold(self, 0)
             self._response.send_response(response)
             if response.status < 300:
                 self._quarantine.record_served()
