Bodies and answers are limited by the memory of the box, by default

The budget of buffered bytes was off without a setting that only one contract of the platform sets. Bodies were lists of parts, and a part of one byte costs some forty; what a parser held was not counted.

Each entry now has a budget: gateway.buffer_bytes, or a quarter of its memory. That is the memory that the settings name, else the least of the machine's, its control group's and RLIMIT_AS. Without the setting nobody is disconnected for being slow, and the buffers of the kernel stay as they are. Bodies grow in place, wait for room, and what was given to the parser counts. A body that has to go is refused with 503 and Retry-After: its request has not run.

test_only_the_setting_starts_the_counting_of_buffers said that there is no budget without the setting. That was the fault; its successor checks the limit and the limits of time in both cases. The linger after a refusal is bounded by 8 MiB now, not by twice the limit of bodies, which a test with a limit of 1,000 bytes showed to be too short for a head of 100 kB.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import replace
+from http import HTTPStatus
 from typing import Final
 
 from damsonlane.admission import CallerWaitEstimator
@@ -43,6 +44,8 @@
 START_HOLD_SECONDS: Final = 0.7
 #: Least Retry-After of an entry that starts or stops, in seconds.
 START_RETRY_SECONDS: Final = 0.2
+#: Retry-After of a request whose body there was no memory for, in seconds.
+NO_MEMORY_RETRY_SECONDS: Final = 1.0
 #: Seconds after which the caller of a stream that can't go on here should return.
 STREAM_RETURN_SECONDS: Final = 1.0
 
@@ -118,8 +121,12 @@
         )
 
     def render_bad_bytes(self, status: int, detail: str) -> HttpResponse:
-        """Return the response to a malformed request."""
-        return self._dependencies.dialect.render_refusal(Refusal(status=status, detail=detail), "")
+        """Return the response to a request that could not be read."""
+        retry_seconds = (
+            NO_MEMORY_RETRY_SECONDS if status == HTTPStatus.SERVICE_UNAVAILABLE else None
+        )
+        refusal = Refusal(status=status, detail=detail, retry_after_seconds=retry_seconds)
+        return self._dependencies.dialect.render_refusal(refusal, "")
 
     async def serve(self, http: HttpRequest, writer: ResponseSink) -> None:
         """Serve one request."""
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -10,7 +10,7 @@
 
 from grpclib.const import Handler
 
-from damsonlane.buffers import EvictionReason
+from damsonlane.buffers import MEMORY_SHARE, EvictionReason
 from damsonlane.ledger import Holder
 from damsonlane.membership import CapacityShares, OverloadDetector, are_uneven
 from damsonlane.settings import BoxSettings, Gateway
@@ -47,6 +47,7 @@
     ResponseWriter,
 )
 from damsonlaned.lateness import LateRequests
+from damsonlaned.machine import find_memory_bytes
 from damsonlaned.metrics import Metrics
 from damsonlaned.quarantine import Quarantine, QuarantineClient
 from damsonlaned.relay import ReachMonitor, Relay, RelayClient, RelayService
@@ -197,10 +198,10 @@
             )
         )
         self._relay_service: Final = RelayService(self._caller_service.serve_relayed, self._reach)
-        self._guard: Final = (
-            BufferGuard(gateway.buffer_bytes, self._count_eviction)
-            if gateway.buffer_bytes
-            else None
+        self._guard: Final = BufferGuard(
+            gateway.buffer_bytes or int(MEMORY_SHARE * find_memory_bytes(settings.capacity)),
+            self._count_eviction,
+            limits_time=gateway.buffer_bytes > 0,
         )
         self._listener: Final = HttpListener(
             settings.caller_address,
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_node_capacity.py
@@ -79,12 +79,14 @@
             self.assertEqual(node._find_cores(), 0.0)
         self.assertEqual((await self.make_uneven_node())._find_cores(), 0.516)
 
-    async def test_only_the_setting_starts_the_counting_of_buffers(self) -> None:
-        """Guards against a budget that applies where none is set, and the reverse."""
-        self.assertIsNone((await self.make_node())._guard)
+    async def test_the_memory_limits_buffers_and_only_the_setting_limits_time(self) -> None:
+        """Guards against boxes without a budget, and against slow callers cut off in calm."""
+        node = await self.make_node()
+        self.assertIs(node._listener._guard, node._guard)
+        self.assertEqual((node._guard._limit, node._guard.limits_time), (2**26, False))
         node = await self.make_node(gateway=replace(GATEWAY, buffer_bytes=2**20))
         self.assertIs(node._listener._guard, node._guard)
-        self.assertIsNotNone(node._guard)
+        self.assertEqual((node._guard._limit, node._guard.limits_time), (2**20, True))
 
     async def test_the_retry_budget_is_divided_by_capacity_only_where_it_differs(self) -> None:
         """Guards against entries of one size that divide limits differently than before."""
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -25,8 +25,8 @@
 _BACKLOG: Final = 512
 #: Seconds for which bytes are still read after a refusal, so that the caller can receive it.
 _LINGER_SECONDS: Final = 0.5
-#: Most bytes that are read after a refusal, as a multiple of the largest body.
-_LINGER_BODIES: Final = 2
+#: Most bytes that are read meanwhile.
+_LINGER_BYTES: Final = 8 * 2**20
 #: Seconds between checks whether all responses have left the process.
 _DRAIN_POLL_SECONDS: Final = 0.05
 #: Seconds for which the bytes of a body are awaited; the head has a time-out of its own.
@@ -76,6 +76,8 @@
         self._parser: Final = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
+        #: Ends the reading of a body; None while none is read, or once it is to end.
+        self._body_scope: asyncio.Timeout | None = None
         self._events: Final = RequestEvents(listener.turns)
         self._handler_task: asyncio.Task[None] | None = None
         #: Seconds for which further bytes of the head or body are awaited.
@@ -139,7 +141,8 @@
             await asyncio.wait({self._handler_task})
         finally:
             self._stream.on_closed = None
-            self._record_body(0)
+            if self._stream.meter is not None:
+                self._stream.meter.record_unread(self, 0)
         self._check_handler()
         if not writer.is_complete:
             self._stream.abort()
@@ -209,23 +212,48 @@
         return bool(data)
 
     async def _read_body(self, limits: ListenerLimits) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+        event = await self._next_event()
+        meter = self._stream.meter
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        if meter is None:
+            return await self._collect_body(event, limits)
+        try:
+            async with asyncio.timeout(None) as scope:
+                self._body_scope = scope
+                meter.begin_body(self._refuse_body)
+                return await self._collect_body(event, limits)
+        except (TimeoutError, ConnectionError):
+            if self._body_scope is not None:
+                raise
+            raise _RefusedError(503, "there is no memory for the body") from None
+        finally:
+            self._body_scope = None
+            meter.end_body()
+
+    def _refuse_body(self) -> None:
+        """Refuse the request whose body is read, since the budget is exhausted."""
+        if self._body_scope is not None:
+            self._body_scope.reschedule(asyncio.get_running_loop().time())
+            self._body_scope = None
+
+    async def _collect_body(self, event: h11.Event, limits: ListenerLimits) -> bytes:
+        """Return the body whose first event is given."""
+        body = bytearray()
+        meter = self._stream.meter
+        while not isinstance(event, h11.EndOfMessage):
             if not isinstance(event, h11.Data):
                 raise ConnectionResetError("the caller closed in the middle of a request")
-            size += len(event.data)
-            if size > limits.body_bytes:
+            size = len(event.data)
+            if len(body) + size > limits.body_bytes:
                 raise _make_too_large(limits.body_bytes)
-            parts.append(bytes(event.data))
-            self._record_body(size)
-
-    def _record_body(self, size: int) -> None:
-        if self._stream.meter is not None:
-            self._stream.meter.record_unread(self, size)
+            if meter is not None and not meter.has_room(size):
+                await meter.wait_for_room(size)
+            body += event.data
+            if meter is not None:
+                meter.record_body(self, len(body))
+            event = await self._next_event()
+        return bytes(body)
 
     async def _next_event(self) -> h11.Event:
         if self._events.must_wait():
@@ -263,7 +291,7 @@
         response = self._listener.render_refusal(status, reason)
         with contextlib.suppress(h11.LocalProtocolError):
             ResponseWriter(self._stream, self._parser, is_last=lambda: True).send_response(response)
-        left = _LINGER_BODIES * self._listener.limits().body_bytes
+        left = _LINGER_BYTES
         with contextlib.suppress(ConnectionError, TimeoutError):
             async with asyncio.timeout(_LINGER_SECONDS):
                 while left > 0 and (data := await self._stream.read()):
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from damsonlaned.http import (
+    BufferGuard,
     HttpHead,
     HttpListener,
     HttpRequest,
@@ -174,6 +175,31 @@
                 received = await reader.readuntil(b"x" * count)
         self.assertTrue(received.startswith(b"HTTP/1.1 200 "))
 
+    async def test_a_body_that_stalls_is_refused_while_others_wait_for_room(self) -> None:
+        """Guards against bodies that are held until their time-out, whatever their sum."""
+        reasons: list[str] = []
+        listener = HttpListener(
+            "127.0.0.1:0",
+            echo,
+            render_refusal=render,
+            guard=BufferGuard(2**20, reasons.append, limits_time=False),
+        )
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 800000\r\n\r\n"
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            stalled, writer = await asyncio.open_connection("127.0.0.1", listener.port())
+            self.addCleanup(writer.close)
+            writer.write(head + b"x" * 700_000)
+            while listener._guard is not None and listener._guard.budget.total < 700_000:
+                await asyncio.sleep(0.01)
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port())
+            self.addCleanup(writer.close)
+            writer.write(head + b"x" * 800_000)
+            self.assertIn(b" 200 ", await reader.readline())
+            self.assertIn(b" 503 ", await stalled.readline())
+        self.assertEqual(reasons, ["budget"])
+
     async def test_a_disconnect_of_the_caller_cancels_the_handler_at_once(self) -> None:
         began, ended = asyncio.Event(), asyncio.Event()
 
