--- a/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
+++ b/packages/damsonlane_bench/src/damsonlane_bench/registered_target/_target.py
@@ -12,7 +12,12 @@
 from damsonlane_bench.registered_target._announcements import BACKOFF_SECONDS, Announcements
 from damsonlane_bench.registered_target._connections import ConnectionLimit
 from damsonlane_bench.registered_target._crashes import CRASH_DELAY_SECONDS, Crash, find_crash
-from damsonlane_bench.registered_target._events import EVENT_COUNT, LARGE_INPUT, render_event
+from damsonlane_bench.registered_target._events import (
+    EVENT_COUNT,
+    LARGE_ANSWER_BYTES,
+    LARGE_INPUT,
+    render_event,
+)
 from damsonlane_bench.registered_target._load import ReportedLoad
 from damsonlane_bench.registered_target._registration import Registration
 from damsonlane_bench.registered_target._rejections import Rejections
@@ -193,9 +198,11 @@
             await asyncio.sleep(_WORK_SECONDS * self.load.slowness)
             self._record_run(request)
             await self._may_send.wait()
+            is_large = request.body.startswith(LARGE_INPUT.encode())
+            body = b"." * LARGE_ANSWER_BYTES if is_large else b"ok"
             reply.send_response(
                 HttpResponse(
-                    status=200, headers=self._announcements.make_headers(request), body=b"ok"
+                    status=200, headers=self._announcements.make_headers(request), body=body
                 )
             )
 
--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -15,6 +15,7 @@
 from damsonlaned.http._buffer_guard import BufferGuard
 from damsonlaned.http._errors import CallerDisconnectedError
 from damsonlaned.http._messages import HttpRequest, HttpResponse
+from damsonlaned.http._parse_turns import ParseTurns, RequestEvents
 from damsonlaned.http._response_writer import ResponseWriter
 from damsonlaned.http._tcp_stream import TcpStream
 
@@ -24,9 +25,11 @@
 _BACKLOG: Final = 512
 #: Seconds for which bytes are still read after a refusal, so that the caller can receive it.
 _LINGER_SECONDS: Final = 0.5
+#: Most bytes that are read meanwhile.
+_LINGER_BYTES: Final = 8 * 2**20
 #: Seconds between checks whether all responses have left the process.
 _DRAIN_POLL_SECONDS: Final = 0.05
-#: Time-out for reading a body, in seconds; the head has one of its own.
+#: Seconds for which the bytes of a body are awaited; the head has a time-out of its own.
 _BODY_TIMEOUT_SECONDS: Final = 20.0
 
 
@@ -38,7 +41,7 @@
     header_bytes: int = 16_384
     #: Largest body, in bytes.
     body_bytes: int = 4 * 2**20
-    #: Time-out for reading a head from its first bytes on, in seconds.
+    #: Seconds for which the bytes of a head are awaited, from its first ones on.
     header_seconds: float = 3.0
     #: Seconds for which an idle connection is kept.
     idle_seconds: float = 15.0
@@ -73,7 +76,12 @@
         self._parser: Final = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
+        #: Ends the reading of a body; None while none is read, or once it is to end.
+        self._body_scope: asyncio.Timeout | None = None
+        self._events: Final = RequestEvents(listener.turns)
         self._handler_task: asyncio.Task[None] | None = None
+        #: Seconds for which further bytes of the head or body are awaited.
+        self._wait_seconds = 0.0
         #: Whether a byte of a request has arrived.
         self.has_begun = False
         #: Whether no request is being read or served.
@@ -82,11 +90,10 @@
     async def run(self) -> None:
         """Serve requests until either side closes."""
         try:
-            while await self._serve_one():
-                self._parser.start_next_cycle()
+            refusal = await self._serve_all()
+            if refusal is not None:
+                await self._refuse(*refusal)
             self._stream.close()
-        except _RefusedError as error:
-            await self._refuse(error)
         except (ConnectionError, CallerDisconnectedError):
             self._stream.abort()
         except TimeoutError:
@@ -108,6 +115,17 @@
         """Break the connection."""
         self._stream.abort()
 
+    async def _serve_all(self) -> tuple[int, str] | None:
+        """Serve requests; return the status and reason with which one is refused, if any is."""
+        try:
+            while await self._serve_one():
+                self._parser.start_next_cycle()
+        except _RefusedError as error:
+            # The frames of the traceback would keep what was read of the body.
+            error.__traceback__ = None
+            return error.status, str(error)
+        return None
+
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
         request = await self._read_request()
@@ -123,7 +141,8 @@
             await asyncio.wait({self._handler_task})
         finally:
             self._stream.on_closed = None
-            self._record_body(0)
+            if self._stream.meter is not None:
+                self._stream.meter.record_unread(self, 0)
         self._check_handler()
         if not writer.is_complete:
             self._stream.abort()
@@ -151,10 +170,12 @@
 
     async def _read_request(self) -> HttpRequest | None:
         limits = self._listener.limits()
+        self._events.begin_request()
         head = await self._read_head(limits)
         if head is None:
             return None
-        body = await asyncio.wait_for(self._read_body(limits), _BODY_TIMEOUT_SECONDS)
+        self._wait_seconds = _BODY_TIMEOUT_SECONDS
+        body = await self._read_body(limits)
         return HttpRequest(
             method=head.method.decode("ascii"),
             target=head.target.decode("latin-1"),
@@ -166,12 +187,13 @@
         has_bytes = bool(self._parser.trailing_data[0])
         if not has_bytes and not await self._wait_for_bytes(limits.idle_seconds):
             return None
-        event = await asyncio.wait_for(self._next_event(), limits.header_seconds)
+        self._wait_seconds = limits.header_seconds
+        event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
         if not isinstance(event, h11.Request):
             raise _RefusedError(400, "not a request")
-        _check_framing(event)
+        _check_framing(event, limits.body_bytes)
         if self._parser.they_are_waiting_for_100_continue:
             data = self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             self._stream.write(data or b"")
@@ -180,7 +202,8 @@
     async def _wait_for_bytes(self, seconds: float) -> bool:
         """Wait for the first bytes of a request; return whether any arrived."""
         try:
-            data = await asyncio.wait_for(self._stream.read(), seconds)
+            async with asyncio.timeout(seconds):
+                data = await self._stream.read()
         except TimeoutError:
             return False
         self.is_idle = False
@@ -189,64 +212,111 @@
         return bool(data)
 
     async def _read_body(self, limits: ListenerLimits) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+        event = await self._next_event()
+        meter = self._stream.meter
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        if meter is None:
+            return await self._collect_body(event, limits)
+        try:
+            async with asyncio.timeout(None) as scope:
+                self._body_scope = scope
+                meter.begin_body(self._refuse_body)
+                return await self._collect_body(event, limits)
+        except (TimeoutError, ConnectionError):
+            if self._body_scope is not None:
+                raise
+            raise _RefusedError(503, "there is no memory for the body") from None
+        finally:
+            self._body_scope = None
+            meter.end_body()
+
+    def _refuse_body(self) -> None:
+        """Refuse the request whose body is read, since the budget is exhausted."""
+        if self._body_scope is not None:
+            self._body_scope.reschedule(asyncio.get_running_loop().time())
+            self._body_scope = None
+
+    async def _collect_body(self, event: h11.Event, limits: ListenerLimits) -> bytes:
+        """Return the body whose first event is given."""
+        body = bytearray()
+        meter = self._stream.meter
+        while not isinstance(event, h11.EndOfMessage):
             if not isinstance(event, h11.Data):
                 raise ConnectionResetError("the caller closed in the middle of a request")
-            size += len(event.data)
-            if size > limits.body_bytes:
-                raise _RefusedError(413, f"a body may have {limits.body_bytes} bytes")
-            parts.append(bytes(event.data))
-            self._record_body(size)
-
-    def _record_body(self, size: int) -> None:
-        if self._stream.meter is not None:
-            self._stream.meter.record_unread(self, size)
+            size = len(event.data)
+            if len(body) + size > limits.body_bytes:
+                raise _make_too_large(limits.body_bytes)
+            if meter is not None and not meter.has_room(size):
+                await meter.wait_for_room(size)
+            body += event.data
+            if meter is not None:
+                meter.record_body(self, len(body))
+            event = await self._next_event()
+        return bytes(body)
 
     async def _next_event(self) -> h11.Event:
+        if self._events.must_wait():
+            await self._events.wait()
         while True:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
                 raise _RefusedError(error.error_status_hint, str(error)) from None
             if event is h11.NEED_DATA:
-                self._parser.receive_data(await self._stream.read())
+                self._parser.receive_data(await self._read_more())
             elif isinstance(event, h11.Event):
                 return event
             else:
                 raise _RefusedError(400, "bytes where no request may stand")
 
-    async def _refuse(self, error: _RefusedError) -> None:
-        """Send a refusal, read for a moment so that the caller receives it, and close."""
-        _LOG.info(
-            "refused an invalid request", extra={"status": error.status, "reason": str(error)}
-        )
-        response = self._listener.render_refusal(error.status, str(error))
+    async def _read_more(self) -> bytes:
+        """Return further bytes of a request; time in which none are awaited doesn't count.
+
+        Raises:
+            TimeoutError: they did not arrive in time.
+        """
+        if self._stream.has_unread():
+            return await self._stream.read()
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        async with asyncio.timeout(self._wait_seconds):
+            data = await self._stream.read()
+        self._wait_seconds -= loop.time() - began_at
+        return data
+
+    async def _refuse(self, status: int, reason: str) -> None:
+        """Send a refusal and read for a moment, so that the caller receives it."""
+        _LOG.info("refused an invalid request", extra={"status": status, "reason": reason})
+        response = self._listener.render_refusal(status, reason)
         with contextlib.suppress(h11.LocalProtocolError):
             ResponseWriter(self._stream, self._parser, is_last=lambda: True).send_response(response)
+        left = _LINGER_BYTES
         with contextlib.suppress(ConnectionError, TimeoutError):
             async with asyncio.timeout(_LINGER_SECONDS):
-                while await self._stream.read():
-                    pass
-        self._stream.close()
+                while left > 0 and (data := await self._stream.read()):
+                    left -= len(data)
 
 
-def _check_framing(event: h11.Request) -> None:
-    """Refuse a request whose length is ambiguous or whose target is not a path.
+def _check_framing(event: h11.Request, body_bytes: int) -> None:
+    """Refuse a request whose length is ambiguous or too large, or whose target is not a path.
 
     h11 refuses lengths that differ, but accepts a length together with chunks.
     """
     names = {name for name, _ in event.headers}
     if b"content-length" in names and b"transfer-encoding" in names:
         raise _RefusedError(400, "a request has a length or chunks, not both")
+    # h11 accepts digits only.
+    if any(name == b"content-length" and int(value) > body_bytes for name, value in event.headers):
+        raise _make_too_large(body_bytes)
     if not event.target.startswith(b"/"):
         raise _RefusedError(400, "the path must begin with a slash")
 
 
+def _make_too_large(body_bytes: int) -> _RefusedError:
+    return _RefusedError(413, f"a body may have {body_bytes} bytes")
+
+
 class HttpListener:
     """Listens at one address and passes complete requests to a handler.
 
@@ -275,6 +345,8 @@
         self.handler: Final = handler
         self.limits: Final = limits
         self.render_refusal: Final = render_refusal
+        #: Divides the turns of the event loop among connections that have much to parse.
+        self.turns: Final = ParseTurns()
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
@@ -4,14 +4,17 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from unittest import mock
 
 from damsonlaned.http import (
+    BufferGuard,
     HttpHead,
     HttpListener,
     HttpRequest,
     HttpResponse,
     ListenerLimits,
     ResponseWriter,
+    _listener,
 )
 
 LIMITS = ListenerLimits(header_bytes=2_000, body_bytes=1_000, header_seconds=0.2, idle_seconds=0.3)
@@ -74,6 +77,17 @@
         b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + GET,
         statuses=(400,),
     ),
+    Case(
+        # Guards against reading a body that is refused in any case.
+        name="a length over the limit, without the body",
+        sent=b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n",
+        statuses=(413,),
+    ),
+    Case(
+        name="a length over the limit, of a caller that waits for an invitation",
+        sent=b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\nExpect: 100-continue\r\n\r\n",
+        statuses=(413,),
+    ),
     Case(
         name="a negative length",
         sent=b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -3\r\n\r\n",
@@ -143,6 +157,49 @@
             data = await reader.read()
         self.assertTrue(data.endswith(b"PUT /a/b?c=d xy"))
 
+    async def test_a_body_in_very_small_chunks_is_read_whole(self) -> None:
+        """Guards against a time-out that counts the time for parsing what has arrived."""
+        count = 100_000
+        limits = ListenerLimits(body_bytes=count)
+        listener = HttpListener("127.0.0.1:0", echo, limits=lambda: limits, render_refusal=render)
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", listener.port(), limit=2 * count
+        )
+        self.addCleanup(writer.close)
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        with mock.patch.object(_listener, "_BODY_TIMEOUT_SECONDS", 0.2):
+            writer.write(head + b"1\r\nx\r\n" * count + b"0\r\n\r\n")
+            async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                received = await reader.readuntil(b"x" * count)
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "))
+
+    async def test_a_body_that_stalls_is_refused_while_others_wait_for_room(self) -> None:
+        """Guards against bodies that are held until their time-out, whatever their sum."""
+        reasons: list[str] = []
+        listener = HttpListener(
+            "127.0.0.1:0",
+            echo,
+            render_refusal=render,
+            guard=BufferGuard(2**20, reasons.append, limits_time=False),
+        )
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 800000\r\n\r\n"
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            stalled, writer = await asyncio.open_connection("127.0.0.1", listener.port())
+            self.addCleanup(writer.close)
+            writer.write(head + b"x" * 700_000)
+            while listener._guard is not None and listener._guard.budget.total < 700_000:
+                await asyncio.sleep(0.01)
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port())
+            self.addCleanup(writer.close)
+            writer.write(head + b"x" * 800_000)
+            self.assertIn(b" 200 ", await reader.readline())
+            self.assertIn(b" 503 ", await stalled.readline())
+        self.assertEqual(reasons, ["budget"])
+
     async def test_a_disconnect_of_the_caller_cancels_the_handler_at_once(self) -> None:
         began, ended = asyncio.Event(), asyncio.Event()
 
