A message between boxes is limited as decompressed

A box with a valid certificate, or any client where calls between boxes aren't encrypted, sent a message of 257 KB that became 256 MiB once decompressed: the process grew to 819 MiB of its 128.

Cause: zlib.decompress has no limit, and what it returns is parsed as JSON after that.

--- a/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_codec.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/tests/test_codec.py
@@ -3,8 +3,11 @@
 import json
 import math
 import unittest
+import zlib
 from typing import Any
 
+from grpclib.exceptions import GRPCError
+
 from damsonlane.codec import encode_bytes
 from damsonlane.membership import BoxRecord, is_plausible_capacity
 from damsonlane.placement import PromptOutcome
@@ -17,7 +20,7 @@
     PoolOrders,
     WatchReport,
 )
-from damsonlane_rpc._codec import MIN_COMPRESSED_BYTES
+from damsonlane_rpc._codec import MAX_MESSAGE_BYTES, MIN_COMPRESSED_BYTES
 
 _ORDER = PieceOrder(
     number=1,
@@ -126,6 +129,14 @@
                 self.assertEqual(data.startswith(b"{"), is_text)
                 self.assertLess(len(data), MIN_COMPRESSED_BYTES)
 
+    def test_a_message_is_limited_as_decompressed(self) -> None:
+        message = PoolOrders(service="pool", orders=(_ORDER,))
+        data = DataclassCodec().encode(message, PoolOrders)
+        whole = zlib.compress(data + b" " * (MAX_MESSAGE_BYTES - len(data)))
+        self.assertEqual(DataclassCodec().decode(whole, PoolOrders), message)
+        with self.assertRaises(GRPCError):
+            DataclassCodec().decode(zlib.compress(b" " * (MAX_MESSAGE_BYTES + 1)), PoolOrders)
+
     def test_sent_bytes_are_counted_after_compression(self) -> None:
         before = MESSAGE_COUNTERS.bytes_sent
         message = PoolOrders(service="pool", orders=(_ORDER,) * 50)
