The body of a refused request is skipped in parts, or not at all

A caller without a valid token announced a body of 1 GB and sent it: four connections took the entry of pipelines from 52 to 311 MiB with the first 64 MiB of each, and would have gone on.

Cause: before the head of a response, cheroot reads what the application has left of the body in one call, whatever its length, so that the connection can be used again. Requests that are refused before their body is read (401, 404, 405, not ready) met this; 413 did not, since it closes.

Now the rest is read in parts of 64 KiB that are dropped, up to the largest body that is accepted; a connection with more is closed after the response. A caller within the limits gets its refusal on a connection that stays open, as before.

--- a/packages/damsonlaned/src/damsonlaned/entry/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -51,7 +51,10 @@
         runner = RequestRunner(self._control, self._dispatcher)
         self._callers: Final = CallerApplication(settings, self._view, runner, self._metrics)
         self._server: Final = WsgiServer(
-            settings.caller_address, self._callers, settings.caller_threads
+            settings.caller_address,
+            self._callers,
+            settings.caller_threads,
+            settings.body_limit,
         )
         self._admin: Final = AdminServer(
             settings.admin_address, self._metrics, self._callers.is_ready, self._update_metrics
--- a/packages/damsonlaned/src/damsonlaned/wsgi_server.py
+++ b/packages/damsonlaned/src/damsonlaned/wsgi_server.py
@@ -35,6 +35,8 @@
 _BACKLOG: Final = 512
 #: Most idle connections that are kept open.
 _MAX_IDLE_CONNECTIONS: Final = 10_000
+#: Bytes of an unread body that are skipped at once.
+_SKIPPED_PART_BYTES: Final = 64 * 1024
 
 #: A WSGI application.
 Application = Callable[[Any, Any], Iterable[bytes]]
@@ -74,6 +76,18 @@
         super().__init__(*arguments, **options)
         self.inheaders = _Headers()
 
+    def send_headers(self) -> None:
+        """Send the head of the response.
+
+        cheroot reads what the application left of the body, at once and whatever its length.
+        """
+        remaining = getattr(self.rfile, "remaining", 0)
+        if remaining > self.server.body_limit:
+            self.close_connection = True
+        while remaining and not self.close_connection and self.rfile.read(_SKIPPED_PART_BYTES):
+            pass
+        super().send_headers()
+
     def simple_response(self, status: Any, msg: str = "") -> None:
         """Send an error response to an invalid request, and close the connection."""
         if msg.startswith(_HEADERS_TOO_LARGE_PREFIX):
@@ -101,6 +115,8 @@
     ConnectionClass = _Connection
     keep_alive_conn_limit = _MAX_IDLE_CONNECTIONS
     max_request_header_size = _MAX_HEADER_BYTES
+    #: Largest body that is skipped if the application does not read it, in bytes.
+    body_limit: int
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Suppress cheroot's messages, which are about broken connections of callers."""
@@ -113,9 +129,16 @@
         address: address to listen on.
         application: the WSGI application.
         threads: number of threads, that is, of requests served at once.
+        body_limit: largest body that the application reads, in bytes.
     """
 
-    def __init__(self, address: str, application: Application, threads: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        application: Application,
+        threads: int,
+        body_limit: int = 2 * 2**20,
+    ) -> None:
         endpoint = Endpoint.parse(address)
         self._server: Final = _Server(
             (endpoint.host, endpoint.port),
@@ -126,6 +149,7 @@
             timeout=_IDLE_TIMEOUT_SECONDS,
         )
         self._server.server_name = "damsonlane"
+        self._server.body_limit = body_limit
         self._thread: threading.Thread | None = None
 
     def start(self) -> None:
