Heads and bodies at the pipelines' entry have a time-out each

Callers that sent a byte each half second, as many as the entry has threads, kept all others from being answered: with 4 threads and 12 such callers no ordinary request was answered in 20 s.

Cause: cheroot's time-out of 10 s is one for each read, so a byte before its end begins it anew, and a request is read in the thread that serves it. A new connection also took a thread before its first byte, for 10 s.

Now a head has 3 s, and a body 5 s and one more second for each 500 bytes, at most 20 s, as at the entry of routes; beyond it the answer is 408, which is true, since nothing runs before the body is whole. A new connection waits for its first bytes without a thread, as an idle one did already.

--- a/packages/damsonlaned/src/damsonlaned/wsgi_server.py
+++ b/packages/damsonlaned/src/damsonlaned/wsgi_server.py
@@ -1,15 +1,17 @@
 """A WSGI server in threads, by cheroot."""
 
 import contextlib
+import socket
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any, Final
 
+from cheroot import makefile, wsgi
 from cheroot import server as cheroot_server
-from cheroot import wsgi
 
 from damsonlane.errors import StorageError
 from damsonlane_rpc import Endpoint
+from damsonlaned.wsgi_limits import RequestReader, RequestSocket
 
 #: Headers that a request may have only once.
 _SINGLE_HEADERS: Final = frozenset(
@@ -76,6 +78,19 @@
         super().__init__(*arguments, **options)
         self.inheaders = _Headers()
 
+    def parse_request(self) -> None:
+        """Parse the head."""
+        self.conn.request_socket.begin_head()
+        super().parse_request()
+
+    def respond(self) -> None:
+        """Call the application, and send its response."""
+        self.conn.request_socket.begin_body()
+        try:
+            super().respond()
+        finally:
+            self.conn.request_socket.end_request()
+
     def send_headers(self) -> None:
         """Send the head of the response.
 
@@ -108,6 +123,14 @@
 
     RequestHandlerClass = _Request
 
+    def __init__(
+        self, server: "_Server", connection: socket.socket, make_file: Any = makefile.MakeFile
+    ) -> None:
+        super().__init__(server, connection, make_file)
+        self.request_socket: Final = RequestSocket(connection)
+        self.rfile.close()
+        self.rfile = RequestReader(self.request_socket, self.rbufsize)
+
 
 class _Server(wsgi.Server):
     """A server that keeps the idle connections of many callers open."""
@@ -118,6 +141,13 @@
     #: Largest body that is skipped if the application does not read it, in bytes.
     body_limit: int
 
+    def process_conn(self, conn: _Connection) -> None:
+        """Pass a connection to a thread; a new one only once its first bytes have arrived."""
+        if conn.last_used is None:
+            self.put_conn(conn)
+        else:
+            super().process_conn(conn)
+
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Suppress cheroot's messages, which are about broken connections of callers."""
 
