The bodies that pipelines' requests hold are limited together

48 callers with a valid token whose bodies of 4 MiB stopped 64 KiB short of their end took the entry of pipelines to 297 MiB of its 128.

Causes: each thread holds the body that it reads, up to body_limit, and nothing limits them together; and the buffered reader asks its socket for the whole length at once, which allocates that much before a byte arrives.

Now bodies count from their first bytes until their response, an eighth of the memory together (64 MiB at most, and where the memory isn't known). Beyond it the largest body that is still being read is given up with 408, which is true, since nothing has run; a body that is whole is never given up. At most 64 KiB are read at once. Requests whose body comes with their head, within 8 KiB, are not affected.

--- a/packages/damsonlaned/src/damsonlaned/entry/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -16,6 +16,7 @@
 from damsonlaned.entry._request_runner import RequestRunner
 from damsonlaned.entry._settings_view import SettingsView
 from damsonlaned.metrics import Metrics
+from damsonlaned.wsgi_limits import find_budget_bytes
 from damsonlaned.wsgi_server import WsgiServer
 
 #: Seconds between two checks for requests in progress while stopping.
@@ -55,6 +56,7 @@
             self._callers,
             settings.caller_threads,
             settings.body_limit,
+            find_budget_bytes(settings.capacity),
         )
         self._admin: Final = AdminServer(
             settings.admin_address, self._metrics, self._callers.is_ready, self._update_metrics
--- a/packages/damsonlaned/src/damsonlaned/wsgi_server.py
+++ b/packages/damsonlaned/src/damsonlaned/wsgi_server.py
@@ -11,7 +11,7 @@
 
 from damsonlane.errors import StorageError
 from damsonlane_rpc import Endpoint
-from damsonlaned.wsgi_limits import RequestReader, RequestSocket
+from damsonlaned.wsgi_limits import DEFAULT_BUDGET_BYTES, BodyBudget, RequestReader, RequestSocket
 
 #: Headers that a request may have only once.
 _SINGLE_HEADERS: Final = frozenset(
@@ -85,7 +85,7 @@
 
     def respond(self) -> None:
         """Call the application, and send its response."""
-        self.conn.request_socket.begin_body()
+        self.conn.request_socket.begin_body(int(self.inheaders.get(_CONTENT_LENGTH, 0)))
         try:
             super().respond()
         finally:
@@ -97,6 +97,8 @@
         cheroot reads what the application left of the body, at once and whatever its length.
         """
         remaining = getattr(self.rfile, "remaining", 0)
+        if remaining:
+            self.conn.request_socket.skip_body()
         if remaining > self.server.body_limit:
             self.close_connection = True
         while remaining and not self.close_connection and self.rfile.read(_SKIPPED_PART_BYTES):
@@ -127,7 +129,7 @@
         self, server: "_Server", connection: socket.socket, make_file: Any = makefile.MakeFile
     ) -> None:
         super().__init__(server, connection, make_file)
-        self.request_socket: Final = RequestSocket(connection)
+        self.request_socket: Final = RequestSocket(connection, server.body_budget)
         self.rfile.close()
         self.rfile = RequestReader(self.request_socket, self.rbufsize)
 
@@ -140,6 +142,8 @@
     max_request_header_size = _MAX_HEADER_BYTES
     #: Largest body that is skipped if the application does not read it, in bytes.
     body_limit: int
+    #: Limits the bodies of all requests.
+    body_budget: BodyBudget
 
     def process_conn(self, conn: _Connection) -> None:
         """Pass a connection to a thread; a new one only once its first bytes have arrived."""
@@ -160,6 +164,7 @@
         application: the WSGI application.
         threads: number of threads, that is, of requests served at once.
         body_limit: largest body that the application reads, in bytes.
+        budget_bytes: limit of the bodies of all requests together, in bytes.
     """
 
     def __init__(
@@ -168,6 +173,7 @@
         application: Application,
         threads: int,
         body_limit: int = 2 * 2**20,
+        budget_bytes: int = DEFAULT_BUDGET_BYTES,
     ) -> None:
         endpoint = Endpoint.parse(address)
         self._server: Final = _Server(
@@ -180,6 +186,7 @@
         )
         self._server.server_name = "damsonlane"
         self._server.body_limit = body_limit
+        self._server.body_budget = BodyBudget(budget_bytes)
         self._thread: threading.Thread | None = None
 
     def start(self) -> None:
