Messages between boxes that are being received are limited, each and together

A box that announced a message of 4 GiB and sent 64 MiB of it on each of four connections took a control replica to 313 MiB of its 128, and 48 connections with a message each that stopped 64 KiB short of 4 MiB to 249 MiB.

Cause: grpclib reads a message of whatever length its five first bytes announce, and opens the stream's window again as it reads, so HTTP/2's flow control doesn't bound it; what is unread has a window of 4 MiB for each connection. Neither is a setting of the library, apart from the windows, which don't bound the first case.

Now a stream's buffer refuses a message above 32 MiB by its announced length, as the codec does once it is decompressed, and counts what it holds, read or not, towards a budget of the process: an eighth of its memory, 64 MiB at most. Beyond it the call with the largest message ends with RESOURCE_EXHAUSTED, its bytes are dropped and its window is opened, so other calls of the same connection go on.

InternalListenerTest.test_messages_without_end (313 MiB of 128) and test_unfinished_messages (249) failed before and pass (50 and 72 MiB).

--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -13,7 +13,12 @@
         ForbiddenError,
         open_channel,
     )
-    from damsonlane_rpc._codec import MESSAGE_COUNTERS, DataclassCodec, MessageCounters
+    from damsonlane_rpc._codec import (
+        MAX_MESSAGE_BYTES,
+        MESSAGE_COUNTERS,
+        DataclassCodec,
+        MessageCounters,
+    )
     from damsonlane_rpc._fleet_messages import (
         EXCHANGE,
         JOIN,
@@ -116,6 +121,7 @@
                 "open_channel",
             ),
             "_codec": (
+                "MAX_MESSAGE_BYTES",
                 "MESSAGE_COUNTERS",
                 "DataclassCodec",
                 "MessageCounters",
@@ -256,6 +262,7 @@
     "STATUS",
     "SUBMIT",
     "TOKEN_METADATA_KEY",
+    "MAX_MESSAGE_BYTES",
     "MESSAGE_COUNTERS",
     "WATCH",
     "AddReplicaRequest",
--- a/packages/damsonlaned/src/damsonlaned/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/_process.py
@@ -16,8 +16,10 @@
 from damsonlane.errors import DamsonlaneError, SettingsError, StorageError
 from damsonlane.findings import Finding, Place
 from damsonlane.settings import BoxSettings
-from damsonlane_rpc import DataclassCodec, Endpoint, RpcService
+from damsonlane_rpc import Endpoint, RpcService
+from damsonlaned.http import CollectionBudget
 from damsonlaned.logs import configure_logs
+from damsonlaned.rpc_server import RpcServer
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -112,7 +114,10 @@
     Raises:
         StorageError: cannot listen on the internal address.
     """
-    server = Server([service], codec=DataclassCodec())
+    budget = CollectionBudget()
+    if settings.capacity is not None:
+        budget = CollectionBudget.for_memory(settings.capacity.memory_bytes)
+    server = RpcServer(service, budget)
     endpoint = Endpoint.parse(settings.internal_address)
     try:
         await server.start(endpoint.host, endpoint.port, ssl=tls_contexts.server)
