Admin and readiness addresses accept no large bodies

48 clients whose bodies stopped 64 KiB short of 4 MiB took a process to 249 MiB of its 128 by its admin address, and to 250 MiB by the readiness address of an entry.

Cause: these listeners had the limits of callers' requests, although none of their calls has a body. Their limit is 16 KiB now, which 413 refuses by the announced length or as it is exceeded.

--- a/packages/damsonlaned/src/damsonlaned/admin.py
+++ b/packages/damsonlaned/src/damsonlaned/admin.py
@@ -3,9 +3,18 @@
 from collections.abc import Callable
 from typing import Final
 
-from damsonlaned.http import HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.http import (
+    HttpListener,
+    HttpRequest,
+    HttpResponse,
+    ListenerLimits,
+    ResponseWriter,
+)
 from damsonlaned.metrics import Metrics
 
+#: Limits of a connection whose calls have no body, as all of an admin or readiness address.
+BODILESS_LIMITS: Final = ListenerLimits(body_bytes=16 * 1024)
+
 _TEXT: Final = ((b"Content-Type", b"text/plain"),)
 
 
@@ -29,7 +38,9 @@
         self._metrics: Final = metrics
         self._is_ready: Final = is_ready
         self._refresh: Final = refresh
-        self._listener: Final = HttpListener(address, self._handle, render_refusal=_render_text)
+        self._listener: Final = HttpListener(
+            address, self._handle, limits=lambda: BODILESS_LIMITS, render_refusal=_render_text
+        )
 
     async def start(self) -> None:
         """Start serving.
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -16,7 +16,7 @@
 from damsonlane.settings import BoxSettings, Gateway
 from damsonlane.warmup import WarmupAllowance
 from damsonlane_rpc import ControlClient
-from damsonlaned.admin import AdminServer
+from damsonlaned.admin import BODILESS_LIMITS, AdminServer
 from damsonlaned.clock import read_clock
 from damsonlaned.connections import LoanClient, LoanService
 from damsonlaned.crowds import AcceptGate
@@ -218,6 +218,7 @@
         self._ready_listener: Final = HttpListener(
             gateway.ready_address,
             self._serve_readiness,
+            limits=lambda: BODILESS_LIMITS,
             render_refusal=self._caller_service.render_bad_bytes,
         )
         self._admin: Final = AdminServer(
