What control buffers for targets and operators is limited

48 clients whose documents stopped 64 KiB short of 4 MiB took a control replica to 249 MiB of its 128; 8 clients that asked for a document of 210 KB 400 times each and read nothing, to 672 MiB.

Cause: the registry's listener had no budget of buffered bytes. Entries have one where the pressure contract sets it; control had none. A body is held until it is whole, and a response is written whether or not the one before it has been taken.

The listener is given the same guard with a quarter of the memory (64 MiB where it isn't known). Beyond it, clients that hold most are disconnected, those that don't take their responses first. A connection that closes promises nothing, so operators and targets send the call again. A client that takes nothing of a response for 15 s is disconnected as well, as at entries.

--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -8,7 +8,7 @@
 from grpclib.server import Server
 
 from damsonlane.errors import StorageError
-from damsonlane.settings import BoxSettings, Founding, Gateway
+from damsonlane.settings import BoxSettings, Capacity, Founding, Gateway
 from damsonlane_rpc import ControlClient
 from damsonlaned._process import (
     Reload,
@@ -27,6 +27,7 @@
 from damsonlaned.control._registry import Registry
 from damsonlaned.control._service import ControlService
 from damsonlaned.dialects import DIALECTS
+from damsonlaned.http import BufferGuard
 from damsonlaned.metrics import Metrics
 from damsonlaned.storage import DataFolder
 from damsonlaned.versions import OriginService, ReplicaOrigins
@@ -38,6 +39,10 @@
 #: Seconds between probes of a failed disk: half of an election timeout, since a
 #: restarted replica has to wait for a leader anyway.
 DISK_PROBE_SECONDS: Final = 0.5
+#: Share of the memory that may hold bytes of the registry's callers.
+BUFFER_SHARE: Final = 0.25
+#: What may hold them where the memory is not known, in bytes.
+DEFAULT_BUFFER_BYTES: Final = 64 * 2**20
 
 
 async def run_control(
@@ -120,8 +125,12 @@
         self._limits: Final = RateLimitService(self._node)
         self._origins: Final = ReplicaOrigins(self._metrics)
         self._group: Final = _make_group(settings, self._node, self._client, tls_contexts)
+        guard = BufferGuard(
+            _find_buffer_bytes(settings.capacity),
+            lambda reason: self._metrics.slow_callers.inc({"reason": reason}),
+        )
         self._registry: Final = _make_registry(
-            settings.gateway, self._node, self._group, self._client
+            settings.gateway, self._node, self._group, self._client, guard
         )
 
     def apply_settings(self, newer: BoxSettings) -> None:
@@ -209,7 +218,11 @@
 
 
 def _make_registry(
-    gateway: Gateway | None, node: ControlNode, group: GroupManager | None, client: ControlClient
+    gateway: Gateway | None,
+    node: ControlNode,
+    group: GroupManager | None,
+    client: ControlClient,
+    guard: BufferGuard,
 ) -> Registry | None:
     """Return the registry, or None if the settings have no address for it."""
     if group is None or gateway is None or not gateway.registry_address:
@@ -222,4 +235,12 @@
         gateway.registry_address,
         gateway.heartbeat_seconds,
         gateway.data_centres,
+        guard,
     )
+
+
+def _find_buffer_bytes(capacity: Capacity | None) -> int:
+    """Return the limit of what is buffered for callers of the registry, in bytes."""
+    if capacity is None:
+        return DEFAULT_BUFFER_BYTES
+    return int(BUFFER_SHARE * capacity.memory_bytes)
--- a/packages/damsonlaned/src/damsonlaned/control/_registry.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_registry.py
@@ -48,7 +48,7 @@
     Refusal,
     Restore,
 )
-from damsonlaned.http import HttpListener, HttpRequest, HttpResponse, ResponseWriter
+from damsonlaned.http import BufferGuard, HttpListener, HttpRequest, HttpResponse, ResponseWriter
 from damsonlaned.logs import LogRateLimiter
 from damsonlaned.tasks import start_task, stop_task
 
@@ -79,6 +79,7 @@
         address: address to listen at.
         heartbeat_seconds: time between heartbeats of a target.
         data_centres: names of the data centres that can be evacuated; empty for any.
+        guard: limits the bytes that are buffered for callers; None without a limit.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         address: str,
         heartbeat_seconds: float,
         data_centres: tuple[str, ...] = (),
+        guard: BufferGuard | None = None,
     ) -> None:
         self._node: Final = node
         self._data_centres: Final = frozenset(data_centres)
@@ -103,7 +105,7 @@
         self._heartbeats: Final = HeartbeatTracker(SILENT_HEARTBEATS * heartbeat_seconds)
         self._check_task: asyncio.Task[None] | None = None
         self._listener: Final = HttpListener(
-            address, self._serve_http, render_refusal=self._render_refusal
+            address, self._serve_http, render_refusal=self._render_refusal, guard=guard
         )
 
     def handlers(self) -> Mapping[str, Handler]:
