Connections of pipelines' callers leave descriptors to the process

400 clients that only connected took all 256 descriptors of the entry of pipelines; it could open no connection to targets, control or other entries, and no file, until cheroot closed the idle ones after 10 s.

Cause: cheroot accepts while there are descriptors. Connections of callers may take half of those that the process has now; beyond it the connection that has been idle for longest is closed, or, if none is idle, the new one, unread (nothing has run).

--- a/packages/damsonlaned/src/damsonlaned/wsgi_limits.py
+++ b/packages/damsonlaned/src/damsonlaned/wsgi_limits.py
@@ -1,6 +1,7 @@
 """Limits on the time and memory that reading requests takes in the threads of a WSGI server."""
 
 import io
+import resource
 import socket
 import threading
 import time
@@ -26,6 +27,16 @@
 _MAX_READ_BYTES: Final = 64 * 1024
 
 
+#: Share of the descriptors of a process that connections of callers may take.
+_DESCRIPTOR_SHARE: Final = 0.5
+
+
+def find_connection_limit() -> int:
+    """Return how many connections of callers the process may have open."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return int(_DESCRIPTOR_SHARE * descriptors)
+
+
 def find_budget_bytes(capacity: Capacity | None) -> int:
     """Return the limit of all bodies together, in bytes."""
     if capacity is None:
--- a/packages/damsonlaned/src/damsonlaned/wsgi_server.py
+++ b/packages/damsonlaned/src/damsonlaned/wsgi_server.py
@@ -11,7 +11,13 @@
 
 from damsonlane.errors import StorageError
 from damsonlane_rpc import Endpoint
-from damsonlaned.wsgi_limits import DEFAULT_BUDGET_BYTES, BodyBudget, RequestReader, RequestSocket
+from damsonlaned.wsgi_limits import (
+    DEFAULT_BUDGET_BYTES,
+    BodyBudget,
+    RequestReader,
+    RequestSocket,
+    find_connection_limit,
+)
 
 #: Headers that a request may have only once.
 _SINGLE_HEADERS: Final = frozenset(
@@ -132,6 +138,12 @@
         self.request_socket: Final = RequestSocket(connection, server.body_budget)
         self.rfile.close()
         self.rfile = RequestReader(self.request_socket, self.rbufsize)
+        server.open_connections.add(self)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.server.open_connections.discard(self)
+        super().close()
 
 
 class _Server(wsgi.Server):
@@ -144,13 +156,31 @@
     body_limit: int
     #: Limits the bodies of all requests.
     body_budget: BodyBudget
+    #: Connections that may be open, and those that are.
+    connection_limit: int
+    open_connections: set[_Connection]
+    #: Idle connections, from the base class.
+    _connections: Any
 
     def process_conn(self, conn: _Connection) -> None:
         """Pass a connection to a thread; a new one only once its first bytes have arrived."""
-        if conn.last_used is None:
+        if conn.last_used is not None:
+            super().process_conn(conn)
+        elif len(self.open_connections) <= self.connection_limit or self._close_idle():
             self.put_conn(conn)
         else:
-            super().process_conn(conn)
+            conn.close()
+
+    def _close_idle(self) -> bool:
+        """Close the connection that has been idle for longest; return whether there was any."""
+        selector = self._connections._selector
+        idle = [(descriptor, conn) for descriptor, conn in selector.connections if conn != self]
+        if not idle:
+            return False
+        descriptor, oldest = min(idle, key=lambda item: item[1].last_used)
+        selector.unregister(descriptor)
+        oldest.close()
+        return True
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Suppress cheroot's messages, which are about broken connections of callers."""
@@ -186,6 +216,8 @@
         )
         self._server.server_name = "damsonlane"
         self._server.body_limit = body_limit
+        self._server.connection_limit = find_connection_limit()
+        self._server.open_connections = set()
         self._server.body_budget = BodyBudget(budget_bytes)
         self._thread: threading.Thread | None = None
 
