A listener that closes answers the requests that have reached the box

Cause: the listener closed a connection by what the process had read of it. Three states looked idle that are not: a request that waits in the kernel, a connection whose first request is still under way, and a connection that the kernel has completed and the process has not accepted; the last ones are reset with the listening socket.

Fix: before a connection is closed as idle, the kernel is asked for unread bytes; a connection without a request stays for 0.5 s; the connections that wait in the kernel are accepted at once before the socket is closed, with no other turn of the event loop between.

--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -31,6 +31,8 @@
 _DRAIN_POLL_SECONDS: Final = 0.05
 #: Seconds for which the bytes of a body are awaited; the head has a time-out of its own.
 _BODY_TIMEOUT_SECONDS: Final = 20.0
+#: Seconds for which a connection without a request stays open while the listener closes.
+_FIRST_REQUEST_SECONDS: Final = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -82,6 +84,7 @@
         self._handler_task: asyncio.Task[None] | None = None
         #: Seconds for which further bytes of the head or body are awaited.
         self._wait_seconds = 0.0
+        self._accepted_at: Final = asyncio.get_running_loop().time()
         #: Whether a byte of a request has arrived.
         self.has_begun = False
         #: Whether no request is being read or served.
@@ -106,9 +109,18 @@
         """Return whether a request is in progress or its response has not left this process."""
         return not self.is_idle or self._stream.count_unsent() > 0
 
+    def is_open(self) -> bool:
+        """Return whether it isn't being closed."""
+        return not self._stream.is_closing()
+
+    def is_new(self) -> bool:
+        """Return whether its first request may still be under way from the caller."""
+        age = asyncio.get_running_loop().time() - self._accepted_at
+        return not self.has_begun and age < _FIRST_REQUEST_SECONDS
+
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if self.is_idle and not self._stream.has_unread():
+        """Close the connection unless a request is in progress or arrives."""
+        if self.is_idle and not self.is_new() and not self._stream.has_arrived():
             self._stream.close()
 
     def abort(self) -> None:
@@ -409,16 +421,32 @@
             The number of connections with a response that is not complete.
         """
         self.is_closing = True
+        accepted = self._accept_last()
         if self._server is not None:
             self._server.close()
         loop = asyncio.get_running_loop()
+        for connection in accepted:
+            await loop.connect_accepted_socket(lambda: TcpStream(self._accept), connection)
         while True:
             self.close_idle()
-            busy = self.count_busy()
-            if not busy or loop.time() >= ends_at:
-                return busy
+            is_done = not any(
+                connection.is_busy() or connection.is_open() for connection in self._connections
+            )
+            if is_done or loop.time() >= ends_at:
+                return self.count_busy()
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
 
+    def _accept_last(self) -> list[socket.socket]:
+        """Accept the connections that wait in the kernel, which would be reset with the socket."""
+        accepted: list[socket.socket] = []
+        if self._server is None or not self._server.sockets:
+            return accepted
+        with self._server.sockets[0].dup() as listening, contextlib.suppress(OSError):
+            listening.setblocking(False)
+            while len(accepted) < _BACKLOG:
+                accepted.append(listening.accept()[0])
+        return accepted
+
     async def stop(self) -> None:
         """Stop listening and abort all connections."""
         if self._server is not None:
--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -1,8 +1,11 @@
 """One TCP connection as a stream of bytes, with the ways in which it can end."""
 
+import array
 import asyncio
+import fcntl
 import itertools
 import socket
+import termios
 from collections.abc import Callable
 from typing import Final, cast
 
@@ -130,6 +133,19 @@
         """Return whether bytes wait to be read."""
         return self._size > 0
 
+    def has_arrived(self) -> bool:
+        """Return whether bytes wait to be read, here or in the kernel."""
+        connection = self._transport.get_extra_info("socket") if self._transport else None
+        if self._size or connection is None or self._is_lost:
+            return self._size > 0
+        count = array.array("i", (0,))
+        fcntl.ioctl(connection.fileno(), termios.FIONREAD, count)
+        return count[0] > 0
+
+    def is_closing(self) -> bool:
+        """Return whether this side closes the connection, or it is lost."""
+        return self._is_lost or self._transport is None or self._transport.is_closing()
+
     async def read(self) -> bytes:
         """Return the bytes that arrived; none if the other side closed.
 
