Requests that an entry can't complete before it ends get an answer

What callers saw: in a planned stop, requests that came late in the grace time were taken and passed on, and their connections were closed without an answer at its end, among them requests that may run once only. The same for requests whose stages were still computed then, which had not run.

Cause: the end of the process was no limit of a request: not when it was taken, not when it was sent to a target, and not while it was served. An entry whose grace is shorter than 2.9 s never refused a request at all, since it takes new ones for 2.5 s. Class: a time limit that only the assembly knows.

Fix: StopLimit applies the end of the entry to each request. A request that would outlast it, by the durations of recent answers of its route (or the route's objective until eight are known) and the estimate of its stages, is refused with 503 and Retry-After before it is sent; that is checked again when its stages have completed. One that a target has at the end gets 504 ("may have run"), one that was not sent gets 503, a stream is cut visibly. Requests of other entries are declined from the start of the stop. New requests are taken for half of the grace time at most.

--- a/packages/damsonlane/src/damsonlane/lateness/_durations.py
+++ b/packages/damsonlane/src/damsonlane/lateness/_durations.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-#: Share of answers that are shorter than their forecast.  A refusal for a forecast that is too long
-#: loses the request, while a forecast that is too short only wastes work, so it is low.
+#: Share of answers that are shorter than their forecast, unless told otherwise.  A refusal for a
+#: forecast that is too long loses the request, while a forecast that is too short only wastes work,
+#: so it is low.
 QUANTILE: Final = 0.2
 #: Durations from which a forecast is first made.
 MIN_SAMPLES: Final = 8
@@ -29,6 +30,10 @@
 class _Estimate:
     """The forecast for one range of output tokens; mutable."""
 
+    #: Share of answers that are shorter than the forecast.
+    quantile: float
+    #: Time without a duration after which the forecast is halved, in seconds.
+    half_life_seconds: float
     #: Seconds per token.
     pace: float = 0.0
     updated_at: float = 0.0
@@ -44,16 +49,16 @@
         self.updated_at = now
         if not self.is_learned():
             self.first_paces.append(pace)
-            self.pace = sorted(self.first_paces)[int(QUANTILE * len(self.first_paces))]
+            self.pace = sorted(self.first_paces)[int(self.quantile * len(self.first_paces))]
             return
         # At the quantile, steps up and down cancel out.
         is_longer = pace > self.pace
-        self.pace *= 1 + STEP * QUANTILE if is_longer else 1 - STEP * (1 - QUANTILE)
+        self.pace *= 1 + STEP * self.quantile if is_longer else 1 - STEP * (1 - self.quantile)
 
     def find_pace(self, now: float) -> float:
         """Return the forecast, in seconds per token."""
         age = max(0.0, now - self.updated_at)
-        return self.pace * float(0.5 ** (age / HALF_LIFE_SECONDS))
+        return self.pace * float(0.5 ** (age / self.half_life_seconds))
 
 
 class AnswerDurations:
@@ -61,9 +66,17 @@
 
     The state is lost with its process.  Until a route has had `MIN_SAMPLES` answers again, its
     requests have no forecast.
+
+    Args:
+        quantile: share of answers that are shorter than their forecast.
+        half_life_seconds: time without a duration after which a forecast is halved, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, quantile: float = QUANTILE, half_life_seconds: float = HALF_LIFE_SECONDS
+    ) -> None:
+        self._quantile: Final = quantile
+        self._half_life_seconds: Final = half_life_seconds
         self._routes: dict[str, dict[int, _Estimate]] = {}
 
     def record(self, route: str, tokens: int, seconds: float, now: float) -> None:
@@ -81,7 +94,10 @@
         self._routes[route] = estimates
         if len(self._routes) > MAX_ROUTES:
             del self._routes[next(iter(self._routes))]
-        estimate = estimates.setdefault(_find_range(tokens), _Estimate())
+        estimate = estimates.setdefault(
+            _find_range(tokens),
+            _Estimate(quantile=self._quantile, half_life_seconds=self._half_life_seconds),
+        )
         estimate.record(seconds / _clamp(tokens), now)
 
     def find_seconds(self, route: str, tokens: int, now: float) -> float | None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_caller_service.py
@@ -26,6 +26,7 @@
 from damsonlaned.relay import Relay, RelayedRequest, RelayWriter
 from damsonlaned.requests import (
     RequestHandler,
+    StopLimit,
     choose_service,
     find_request_fingerprint,
     list_request_causes,
@@ -99,6 +100,8 @@
         self._has_routes: Final = asyncio.Event()
         dependencies.view.on_change(self._signal_routes)
         self._started_at: Final = asyncio.get_running_loop().time()
+        #: The end of the entry, if it stops.
+        self.stop_limit: Final = StopLimit()
         #: Whether new requests are refused, since the process stops before they could complete.
         self.refuses_new = False
         #: Whether requests of other entries are declined, since the box is short of processor time.
@@ -149,8 +152,10 @@
     def _find_decline(self, relayed: RelayedRequest) -> str:
         """Return why a request of another entry is not served here; empty if it is."""
         table = self._dependencies.view.table
-        if self.refuses_new or self.is_overloaded:
-            return "this entry is stopping" if self.refuses_new else "this entry is overloaded"
+        if self.stop_limit.has_begun() or self.refuses_new:
+            return "this entry is stopping"
+        if self.is_overloaded:
+            return "this entry is overloaded"
         if table is None or table.version < relayed.version:
             return "this entry has older routes"
         route = table.find_route(relayed.http.find(b"host") or "", relayed.http.path)
@@ -232,6 +237,7 @@
             dependencies.late_requests,
             dependencies.relay,
             dependencies.origins,
+            self.stop_limit,
         )
         _LOG.info("accepted", extra=make_accepted_fields(call))
         if writer.meter is not None:
--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -55,11 +55,15 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-#: Seconds for which new connections are still accepted after SIGTERM: the load balancer checks
+#: Seconds for which new requests are still accepted after SIGTERM: the load balancer checks
 #: readiness every second and removes an entry after two failed checks.
 DRAIN_ACCEPT_SECONDS: Final = 2.5
+#: Most of the grace period for which they are, as a share of it.
+MAX_DRAIN_ACCEPT_SHARE: Final = 0.5
 #: Seconds reserved at the end of the grace period.
 STOP_MARGIN_SECONDS: Final = 0.4
+#: Seconds before that at which the requests that are left are ended with an answer.
+LAST_ANSWER_SECONDS: Final = 0.2
 #: Time after a change of the list of entries for which a share of a limit does not grow, as a
 #: multiple of the time within which a document is in force everywhere.
 HOLD_RATIO: Final = 1.5
@@ -261,27 +265,20 @@
     async def stop(self) -> None:
         """Accept requests until the load balancer sends none, let them complete, then stop."""
         loop = asyncio.get_running_loop()
-        began_at = loop.time()
-        ends_at = began_at + self._gateway.stop_seconds - STOP_MARGIN_SECONDS
+        ends_at = loop.time() + self._gateway.stop_seconds - STOP_MARGIN_SECONDS
         self._is_stopping = True
         self._listener.is_closing = True
+        self._caller_service.stop_limit.begin(ends_at - LAST_ANSWER_SECONDS)
         self._control_follower.announce_draining()
-        while loop.time() < ends_at:
-            is_refusing = loop.time() - began_at >= DRAIN_ACCEPT_SECONDS
-            if is_refusing:
-                self._caller_service.refuses_new = True
-                self._listener.close_idle()
-            if (
-                is_refusing
-                and self._caller_service.in_flight() == 0
-                and self._listener.count_busy() == 0
-                and self._relay_service.count_active() == 0
-            ):
-                break
+        accept_share = MAX_DRAIN_ACCEPT_SHARE * self._gateway.stop_seconds
+        await asyncio.sleep(min(DRAIN_ACCEPT_SECONDS, accept_share))
+        self._caller_service.refuses_new = True
+        while self._has_work() and loop.time() < ends_at:
+            self._listener.close_idle()
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        unanswered = await self._listener.drain(ends_at)
         cut = self._caller_service.in_flight()
-        unsent = self._listener.count_busy() - cut
-        _LOG.info("drained", extra={"cut": cut, "unsent": max(0, unsent)})
+        _LOG.info("drained", extra={"cut": cut, "unsent": max(0, unanswered - cut)})
         await self._listener.stop()
         await self._ready_listener.stop()
         await self._control_follower.stop()
@@ -297,6 +294,10 @@
         await self._origins.stop()
         await self._admin.stop()
 
+    def _has_work(self) -> bool:
+        """Return whether requests are served."""
+        return self._caller_service.in_flight() > 0 or self._relay_service.count_active() > 0
+
     async def _serve_readiness(self, request: HttpRequest, writer: ResponseWriter) -> None:
         is_ready = self._dialect.is_readiness_check(request) and self.is_ready()
         writer.send_response(HttpResponse(status=200 if is_ready else 503))
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owner.py
@@ -175,6 +175,10 @@
         """Return the number of queued pieces."""
         return len(self._queue)
 
+    def count_calls(self) -> int:
+        """Return the number of calls under way."""
+        return len(self._tasks)
+
     def take_usage(self) -> Mapping[str, UsageTotals]:
         """Return the work of each organisation since the last call of this method."""
         return self._queue.take_usage()
--- a/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_pool_owners.py
@@ -93,6 +93,10 @@
         """Return the number of queued pieces of a shard."""
         return self._owners[shard].count_waiting() if shard in self._owners else 0
 
+    def count_calls(self) -> int:
+        """Return the number of calls to pool targets under way, for all entries."""
+        return sum(owner.count_calls() for owner in self._owners.values())
+
     def detach(self, sender: str) -> None:
         """Unregister a sender at all pools."""
         for owner in self._owners.values():
--- a/packages/damsonlaned/src/damsonlaned/requests/__init__.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/__init__.py
@@ -7,9 +7,11 @@
     make_accepted_fields,
 )
 from damsonlaned.requests._request_handler import RequestHandler
+from damsonlaned.requests._stop_limit import StopLimit
 
 __all__ = [
     "RequestHandler",
+    "StopLimit",
     "choose_service",
     "find_request_fingerprint",
     "list_request_causes",
--- a/packages/damsonlaned/src/damsonlaned/requests/_failure_responder.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_failure_responder.py
@@ -89,6 +89,17 @@
         else:
             self._refuse(503, "its stages were not made before the deadline")
 
+    def end_stopped(self) -> None:
+        """End a request whose entry ends."""
+        detail = "this entry ends"
+        if self._response.has_started():
+            self._response.abort(detail)
+        elif self._history.attempt_count > 0 or self._history.may_have_run:
+            self._history.may_have_run = True
+            self._refuse(504, detail)
+        else:
+            self._refuse(503, detail, retry_after_seconds=MIN_RETRY_AFTER_SECONDS)
+
     def _refuse(self, status: int, detail: str, retry_after_seconds: float | None = None) -> None:
         self._response.refuse(
             Refusal(
--- a/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
@@ -31,6 +31,7 @@
 from damsonlaned.requests._final_response import FinalResponse
 from damsonlaned.requests._request_parts import HeldResults, RequestParts
 from damsonlaned.requests._request_times import RequestTimes
+from damsonlaned.requests._stop_limit import StopLimit
 from damsonlaned.requests._target_attempt import TargetAttempt
 from damsonlaned.requests._target_wait import TargetWait, make_no_target_failure
 from damsonlaned.versions import StreamOrigins
@@ -54,6 +55,7 @@
         late_requests: the policy for late requests.
         relay: passes requests on to other entries.
         origins: records where streams began, and finds it.
+        stop_limit: the end of the entry, if it stops.
     """
 
     def __init__(
@@ -69,7 +71,9 @@
         late_requests: LateRequests,
         relay: Relay,
         origins: StreamOrigins,
+        stop_limit: StopLimit,
     ) -> None:
+        self._stop_limit: Final = stop_limit
         self._origins: Final = origins
         self._call: Final = call
         self._attempts: Final = attempts
@@ -103,6 +107,7 @@
             origins=origins,
             exit_detector=exit_detector,
             late_requests=late_requests,
+            stop_limit=stop_limit,
         )
         self._target_wait: Final = TargetWait(
             call,
@@ -114,6 +119,7 @@
             late_requests,
             origins,
             self._quarantine,
+            stop_limit,
         )
 
     @property
@@ -126,7 +132,10 @@
         self._attempts.record_arrival(self._call)
         try:
             async with asyncio.timeout_at(self._call.deadline_at) as limit:
-                with self._quarantine.watch(partial(self._stop, limit)):
+                with (
+                    self._quarantine.watch(partial(self._stop, limit)),
+                    self._stop_limit.apply(limit),
+                ):
                     await self._serve()
         except TimeoutError:
             self._end_timed_out()
@@ -155,10 +164,12 @@
 
     def _end_timed_out(self) -> None:
         """End a request that reached its deadline or was quarantined."""
-        if self._stopped_by is None:
-            self._responder.end_timed_out()
-        else:
+        if self._stopped_by is not None:
             self._end_quarantined(self._stopped_by, is_under_way=self._history.attempt_count > 0)
+        elif self._stop_limit.has_ended():
+            self._responder.end_stopped()
+        else:
+            self._responder.end_timed_out()
 
     def _end_if_quarantined(self) -> bool:
         """End the request if it is quarantined; return whether it is."""
--- a/packages/damsonlaned/src/damsonlaned/requests/_request_parts.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_request_parts.py
@@ -14,6 +14,7 @@
 from damsonlaned.requests._attempt_history import AttemptHistory
 from damsonlaned.requests._final_response import FinalResponse
 from damsonlaned.requests._request_times import RequestTimes
+from damsonlaned.requests._stop_limit import StopLimit
 from damsonlaned.versions import StreamOrigins
 
 
@@ -73,3 +74,5 @@
     exit_detector: ExitDetector
     #: The policy for late requests.
     late_requests: LateRequests
+    #: The end of the entry, if it stops.
+    stop_limit: StopLimit
--- a/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
@@ -61,6 +61,7 @@
         self._origins: Final = parts.origins
         self._exit_detector: Final = parts.exit_detector
         self._late_requests: Final = parts.late_requests
+        self._stop_limit: Final = parts.stop_limit
         self._turn: Final = turn
         if not self._quarantine.may_copy(chosen.source_address, chosen.version):
             chosen = replace(chosen, source_address="")
@@ -219,6 +220,7 @@
             self._response.send_response(response)
             if response.status < 300:
                 self._quarantine.record_served()
+                self._stop_limit.record_duration(self._call, self._times.seconds_since_sent())
                 if self._call.service.engine is None:
                     self._record_duration(self._times.seconds_since_sent())
         return failure
@@ -244,6 +246,7 @@
                 self._response.start(opened.head)
             self._response.finish()
             if self._history.attempt_count == 1:
+                self._stop_limit.record_duration(self._call, self._times.seconds_since_sent())
                 self._record_duration(self._times.seconds_since_first_event())
             self._quarantine.record_served()
             health = "good"
--- a/packages/damsonlaned/src/damsonlaned/requests/_target_wait.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_target_wait.py
@@ -16,6 +16,7 @@
 from damsonlaned.requests._failed_attempt import FailedAttempt
 from damsonlaned.requests._failure_responder import FailureResponder
 from damsonlaned.requests._final_response import FinalResponse
+from damsonlaned.requests._stop_limit import StopLimit
 from damsonlaned.versions import StreamOrigins
 
 _LOG: Final = logging.getLogger(__name__)
@@ -44,6 +45,7 @@
         late_requests: the policy for late requests.
         origins: counts streams that no target can go on with.
         quarantine: finds the versions whose targets may not get the request.
+        stop_limit: the end of the entry, if it stops.
     """
 
     def __init__(
@@ -57,7 +59,9 @@
         late_requests: LateRequests,
         origins: StreamOrigins,
         quarantine: RequestQuarantine,
+        stop_limit: StopLimit,
     ) -> None:
+        self._stop_limit: Final = stop_limit
         self._quarantine: Final = quarantine
         self._origins: Final = origins
         self._late_requests: Final = late_requests
@@ -76,7 +80,7 @@
         """
         return (
             self._end_if_version_gone()
-            or self._end_if_too_long()
+            or self._end_if_too_long(results)
             or await self._end_if_backed_off(results)
             or await self._end_if_rate_limited(results)
         )
@@ -88,7 +92,7 @@
         """
         give_up_at = asyncio.get_running_loop().time() + self._brief_wait_seconds()
         while True:
-            if (overrun := self._find_overrun()) is not None:
+            if (overrun := self._find_overrun(results)) is not None:
                 return NoTarget(detail=overrun)
             chosen = await self._attempts.choose(
                 self._call,
@@ -108,12 +112,14 @@
             else:
                 await asyncio.sleep(max(MIN_PERMIT_INTERVAL_SECONDS, chosen.wait_seconds))
 
-    def _find_overrun(self) -> str | None:
-        """Return why a request can't end before its deadline; None if it can."""
+    def _find_overrun(self, results: StageResults | None) -> str | None:
+        """Return why a request can't end before its deadline or its entry; None if it can."""
+        if self._response.has_started():
+            return None
         call = self._call
         seconds = self._stages.estimate_last_step(call)
-        if seconds is None or seconds <= call.remaining() or self._response.has_started():
-            return None
+        if seconds is None or seconds <= call.remaining():
+            return self._find_stop_overrun(results)
         detail = f"its answer would take {seconds:.2f} s, longer than the time to its deadline"
         fields = call.log_fields()
         self._late_requests.record_refused(call.route.name, fields, call.remaining(), detail)
@@ -139,9 +145,15 @@
         self._responder.end_failed(make_no_target_failure(no_target), no_target.return_seconds)
         return True
 
-    def _end_if_too_long(self) -> bool:
-        """End the request if it can't end before its deadline; return whether it ended."""
-        overrun = self._find_overrun()
+    def _find_stop_overrun(self, results: StageResults | None) -> str | None:
+        """Return why a request can't end before its entry; None if it can or the entry goes on."""
+        if not self._stop_limit.has_begun():
+            return None
+        return self._stop_limit.find_overrun(self._call, self._expected_stage_seconds(results))
+
+    def _end_if_too_long(self, results: StageResults | None) -> bool:
+        """End the request if it can't end before its deadline or its entry; return whether."""
+        overrun = self._find_overrun(results)
         if overrun is not None:
             self._responder.end_failed(make_no_target_failure(NoTarget(detail=overrun)))
         return overrun is not None
