The owner of a pool ends after the pieces that it has ordered

What happened: an owner that stops hands its queue over, but ended while a target computed pieces of other entries. These ordered them again from the new owner, so the targets did the work twice.

Cause: the end of a stop waited for the requests of this entry only.

Fix: it waits for the calls to pool targets as well, until the end of the grace time.

--- a/packages/damsonlaned/src/damsonlaned/gateway/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_node.py
@@ -295,8 +295,12 @@
         await self._admin.stop()
 
     def _has_work(self) -> bool:
-        """Return whether requests are served."""
-        return self._caller_service.in_flight() > 0 or self._relay_service.count_active() > 0
+        """Return whether requests are served, or pieces computed for other entries."""
+        return (
+            self._caller_service.in_flight() > 0
+            or self._relay_service.count_active() > 0
+            or self._owners.count_calls() > 0
+        )
 
     async def _serve_readiness(self, request: HttpRequest, writer: ResponseWriter) -> None:
         is_ready = self._dialect.is_readiness_check(request) and self.is_ready()
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_planned_stop.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_planned_stop.py
@@ -9,6 +9,8 @@
 from unittest import mock
 
 from damsonlane.lateness._durations import MIN_SAMPLES
+from damsonlane.membership import _owners
+from damsonlane_rpc import RpcService
 from damsonlaned._process import TlsContexts
 from damsonlaned.gateway import _node, _process
 from damsonlaned.gateway.tests.harness import (
@@ -17,10 +19,12 @@
     FakeTarget,
     answer_ok,
     hang,
+    make_box_record,
+    make_piece_handler,
     read_id,
 )
 from damsonlaned.gateway.tests.stopping_box import Answer, StoppingBox, render_request
-from damsonlaned.gateway.tests.test_links import wait_until
+from damsonlaned.gateway.tests.test_links import serve, wait_until
 from damsonlaned.http import HttpHead, HttpRequest, ResponseWriter
 
 #: Grace time of the entries, and how long they take new requests, in seconds.
@@ -31,6 +35,8 @@
 #: Seconds that a request of theirs runs, and until one of them comes back after a refusal.
 RUN_SECONDS = 0.1
 RETRY_SECONDS = 0.05
+#: Seconds that a piece takes whose owner stops.
+PIECE_SECONDS = 0.5
 
 STAGED_HEADERS = "Damsonlane-Pieces: 1,1\r\nDamsonlane-Material-Key: m\r\n"
 
@@ -191,6 +197,37 @@
         self.assert_truthful(statuses)
         self.assertIn(503, statuses.values())
 
+    async def test_pieces_of_other_entries_are_completed_before_their_owner_ends(self) -> None:
+        """Guards against work that is done twice since the owner of a pool ended in between."""
+        make_piece = make_piece_handler(lambda: pool.address, seconds=PIECE_SECONDS)
+        is_made = asyncio.Event()
+
+        async def answer(request: HttpRequest, writer: ResponseWriter) -> None:
+            await make_piece(request, writer)
+            is_made.set()
+
+        pool = FakeTarget("p1", answer, "pool")
+        self.enterContext(mock.patch.object(_node, "DRAIN_ACCEPT_SECONDS", 0.0))
+        owner = await self.start(answer_ok, pool)
+        other = await self.start_box()
+        # Seniority decides who may own a pool, so others make both eligible.
+        addresses = (owner.address, other.address, "127.0.0.1:1", "127.0.0.1:2")
+        with mock.patch.object(
+            _owners, "_hash_weight", lambda _, address: b"1" if address == owner.address else b"0"
+        ):
+            for box in (owner, other):
+                await serve(self, box.address, RpcService(dict(box.node.handlers())))
+            for box in (owner, other):
+                box.list_entries(*map(make_box_record, addresses))
+            headers = "Damsonlane-Pieces: 1\r\nDamsonlane-Material-Key: m\r\n"
+            caller = asyncio.create_task(other.call("/staged-chat/a", headers=headers))
+            await wait_until(lambda: bool(pool.requests))
+            await owner.stop()
+            self.assertTrue(is_made.is_set())
+            self.assertEqual((await caller).status, 200)
+        calls = [request for request in pool.requests if not request.path.endswith("/free")]
+        self.assertEqual(len(calls), 1)
+
     async def test_a_second_sigterm_changes_nothing(self) -> None:
         """Guards against a stop that is cut short by another one."""
         box = await self.start(answer_after(2 * ACCEPT_SECONDS))
