Bodies of pipelines' targets are not decompressed

What could happen: a target that announces "Content-Encoding: gzip" had its body decompressed, though no request accepts that.

Cause: urllib3 decodes by default. Class: a library does more than it was asked to.

Fix: bodies are read as they are, so that such a one is no answer. Entries that serve routes decode nothing (h11).

--- a/packages/damsonlaned/src/damsonlaned/entry/tests/test_endless_responses.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/tests/test_endless_responses.py
@@ -1,9 +1,12 @@
 """Targets of pipelines that send bytes without end: each attempt ends early, as a failure."""
 
 import time
+import tracemalloc
 import unittest
+import zlib
 
 from damsonlane.requests import AttemptKey
+from damsonlaned.entry.tests.raw_target import KINDS, run_attempts
 from damsonlaned.gateway.tests.endless_target import (
     ENDLESS_BODIES,
     ENDLESS_HEADS,
@@ -17,6 +20,8 @@
 #: Seconds until the deadline of an attempt.  An endless response would be read until then.
 _DEADLINE_SECONDS = 60.0
 _MOST_SENT_BYTES = 32 * 2**20
+#: Size of a compressed body once it is expanded, in bytes.
+_EXPANDED_BYTES = 64 * 2**20
 _KEY = AttemptKey(request="r", organisation="o", stage="encode", number=1)
 
 
@@ -58,6 +63,24 @@
                     self.assertNotIn(LateError.__name__, reply.result.fault)
                     self.assertLessEqual(max(endless.sent, default=0), _MOST_SENT_BYTES)
 
+    def test_compressed_bodies_are_not_expanded(self) -> None:
+        """Guards against a short body that takes a thousand times its size in memory."""
+        compressor = zlib.compressobj(wbits=31)
+        body = compressor.compress(bytes(_EXPANDED_BYTES)) + compressor.flush()
+        answer = (
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Encoding: gzip\r\n"
+            + f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        for kind in KINDS:
+            with self.subTest(kind):
+                tracemalloc.start()
+                (reply,) = run_attempts(kind, answer)
+                _, peak = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertEqual(reply.result.outcome, "failed")
+                self.assertLess(peak, _EXPANDED_BYTES // 8)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/targets/_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_connections.py
@@ -168,6 +168,7 @@
             redirect=False,
             timeout=timeout,
             preload_content=False,
+            decode_content=False,
         )
         if isinstance(response.connection, _LimitedConnection):
             response.connection.response_count += 1
