Unfinished events of streams count against the budget of collected bytes

What could happen: each stream holds an event until its end, up to 1 MB, and only a budget for slow callers (switched on by contract) counted it. Targets that send events just below that limit without an end fill the memory of a small box with 200 streams.

Cause: the budget counted bodies that are collected whole, and not the other thing that is collected. Class: a limit for each one and none for their sum.

Fix: the unfinished event of a stream is recorded in the same budget; beyond it the largest response is given up, as a broken connection.

Evidence: ten streams of 400,000 bytes with a budget for three: before, all ten were kept until the deadline (ten times 504); now three are, and seven get 502.

--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/test_endless_responses.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/test_endless_responses.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from typing import Final
+from unittest import mock
 
 from damsonlane.reach import ProbeResult
 from damsonlane.routes import RoutingDocument
@@ -24,9 +25,10 @@
     FakeTarget,
     answer_ok,
     make_piece_handler,
+    read_id,
     stream_events,
 )
-from damsonlaned.http import CollectionBudget
+from damsonlaned.http import CollectionBudget, HttpHead, HttpRequest, ResponseWriter
 from damsonlaned.relay._probe import probe_target
 from damsonlaned.requests._events import EventSplitter
 
@@ -42,6 +44,9 @@
     DOCUMENT,
     routes=tuple(replace(route, timeout_seconds=TEST_TIMEOUT_SECONDS) for route in DOCUMENT.routes),
 )
+#: Size of an event that does not end, in bytes, and how many of them a budget holds.
+_UNFINISHED_BYTES: Final = 400_000
+_UNFINISHED_KEPT: Final = 3
 #: Connections that an endless target may get: those of the first callers, and a few more.
 _MOST_CONNECTIONS: Final = 2 * _CALLERS
 
@@ -165,6 +170,38 @@
                 await self.assert_given_up(endless)
 
 
+class UnfinishedEventsTest(EndlessCase):
+    async def test_the_sum_of_unfinished_events_is_limited(self) -> None:
+        """Guards against many streams that each hold an event below the limit of one."""
+
+        async def answer(request: HttpRequest, writer: ResponseWriter) -> None:
+            headers = (
+                (b"Damsonlane-Request-Id", read_id(request)),
+                (b"Content-Type", b"text/event-stream"),
+            )
+            writer.start(HttpHead(status=200, headers=headers))
+            await writer.send(b"data: " + b"x" * _UNFINISHED_BYTES)
+            await asyncio.sleep(TEST_TIMEOUT_SECONDS)
+
+        target = FakeTarget("t1", answer)
+        record = replace(await target.start(), slots=2 * _CALLERS)
+        self.addAsyncCleanup(target.stop)
+        entry = Entry(_PATIENT_DOCUMENT)
+        self.addAsyncCleanup(entry.stop)
+        budget = CollectionBudget(_UNFINISHED_KEPT * _UNFINISHED_BYTES + _UNFINISHED_BYTES // 2)
+        with mock.patch.object(entry.connections, "_budget", budget):
+            await entry.start(record)
+            calls = [
+                entry.call("/draft/a", request_id=f"r{n}", deadline_ms=6_000)
+                for n in range(_CALLERS)
+            ]
+            responses = await asyncio.gather(*calls)
+        # Those that are kept have no event by their deadline.
+        statuses = [response.status for response in responses]
+        self.assertEqual(statuses.count(504), _UNFINISHED_KEPT)
+        self.assertEqual(statuses.count(502), _CALLERS - _UNFINISHED_KEPT)
+
+
 class EventSplitterTest(unittest.TestCase):
     def test_events_are_found_however_their_bytes_arrive(self) -> None:
         data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\rdata: c\r\rdata: rest"
--- a/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_connection_pool.py
@@ -96,6 +96,7 @@
     def record_collected(self, size: int) -> None:
         """Record how many bytes of the response are kept until more of it arrives."""
         self._connection.record_collected(size)
+        self.body.record_collected(size)
 
     def finish(self, *, may_keep: bool = True) -> None:
         """Return the connection to the pool if the response is complete; otherwise close it.
@@ -104,6 +105,7 @@
             may_keep: whether the connection may be used again.
         """
         self._connection.charge_to(None)
+        self.body.record_collected(0)
         self._pool.release(self._connection, is_complete=may_keep and self.body.is_complete)
 
 
--- a/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_target_connection.py
@@ -88,13 +88,17 @@
                     await self._connection.wait_for_room(len(part))
                 body += part
                 self._connection.record_collected(max(reserved, size))
-                self._budget.record(self._give_up, len(body))
+                self.record_collected(len(body))
                 if self._is_given_up:
                     raise IncompleteResponseError("the bodies under way take too much memory")
         finally:
-            self._budget.record(self._give_up, 0)
+            self.record_collected(0)
         return bytes(body)
 
+    def record_collected(self, size: int) -> None:
+        """Record how many bytes of it are kept; the budget may give it up for them."""
+        self._budget.record(self._give_up, size)
+
     def _check_size(self, size: int) -> None:
         if size > self._budget.body_bytes:
             raise IncompleteResponseError(f"the body has more than {self._budget.body_bytes} bytes")
