Pipelines' entries limit the sum of the bodies that they collect

What could happen: each attempt at a plain target or a pool may collect 16 MB, and 200 threads (the default) collect at once: 3.2 GB. Targets that send a part of a long body and then wait keep it until the deadline.

Cause: the budget of collected bytes was built into entries that serve routes only. Class: the same fault in the second of two ways to do one thing.

Fix: BodyBudget applies CollectionBudget across threads; the largest body is given up first, by shutting its socket down, so that its thread wakes. The same limit: 64 MB, or an eighth of the box's memory.

Evidence: eight bodies of 400,000 bytes whose rest does not come, with a budget for three: before, all eight were kept until the deadline; now three are. The text of engines' tokens is not counted (16 MB a stream).

--- a/packages/damsonlaned/src/damsonlaned/entry/_dispatcher.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_dispatcher.py
@@ -26,6 +26,7 @@
 from damsonlaned.entry._settings_view import SettingsInForce
 from damsonlaned.entry._target_backoff import TargetBackoff
 from damsonlaned.entry._thread_safe_quarantine import ThreadSafeQuarantine
+from damsonlaned.http import CollectionBudget
 from damsonlaned.quarantine import LostTarget
 from damsonlaned.targets import (
     TARGET_PROTOCOLS,
@@ -47,6 +48,7 @@
         quarantine: receives the attempts whose connection broke.
         count_entries: returns how many entries send to the targets.
         limits: rate limits of targets; without it, targets that announce one get nothing more.
+        budget: limits the bytes of responses that are collected; None for the default.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         quarantine: ThreadSafeQuarantine,
         count_entries: Callable[[], int] = lambda: 1,
         limits: RateLimitedTargets | None = None,
+        budget: CollectionBudget | None = None,
     ) -> None:
         self._limits: Final = limits or RateLimitedTargets(NoPermitSource())
         self._count_entries: Final = count_entries
@@ -63,7 +66,7 @@
         self._data_centre: Final = data_centre
         self._draining: Final = draining
         self._backoff: Final = TargetBackoff()
-        self._connections: Final = Connections()
+        self._connections: Final = Connections(budget)
         self._tables: dict[str, TargetTable] = {}
         self._meters: dict[str, ServiceMeter] = {}
         self._version = 0
--- a/packages/damsonlaned/src/damsonlaned/entry/_node.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/_node.py
@@ -15,6 +15,7 @@
 from damsonlaned.entry._rate_limited_targets import RateLimitedTargets
 from damsonlaned.entry._request_runner import RequestRunner
 from damsonlaned.entry._settings_view import SettingsView
+from damsonlaned.http import CollectionBudget
 from damsonlaned.metrics import Metrics
 from damsonlaned.wsgi_limits import find_budget_bytes
 from damsonlaned.wsgi_server import WsgiServer
@@ -47,6 +48,9 @@
             self._control.quarantine,
             lambda: self._control.settings.live_entries,
             limits,
+            CollectionBudget.for_memory(settings.capacity.memory_bytes)
+            if settings.capacity is not None
+            else None,
         )
         self._platform: Final = PlatformListWatcher(settings, self._view, draining)
         runner = RequestRunner(self._control, self._dispatcher)
--- a/packages/damsonlaned/src/damsonlaned/entry/tests/test_endless_responses.py
+++ b/packages/damsonlaned/src/damsonlaned/entry/tests/test_endless_responses.py
@@ -4,9 +4,10 @@
 import tracemalloc
 import unittest
 import zlib
+from concurrent.futures import ThreadPoolExecutor
 
 from damsonlane.requests import AttemptKey
-from damsonlaned.entry.tests.raw_target import KINDS, run_attempts
+from damsonlaned.entry.tests.raw_target import KINDS, RawTarget, run_attempt, run_attempts
 from damsonlaned.gateway.tests.endless_target import (
     ENDLESS_BODIES,
     ENDLESS_HEADS,
@@ -14,6 +15,7 @@
     EndlessForm,
     EndlessTarget,
 )
+from damsonlaned.http import CollectionBudget
 from damsonlaned.targets import TARGET_PROTOCOLS, Connections, TargetCall, TargetReply
 from damsonlaned.targets._connections import LateError
 
@@ -22,6 +24,10 @@
 _MOST_SENT_BYTES = 32 * 2**20
 #: Size of a compressed body once it is expanded, in bytes.
 _EXPANDED_BYTES = 64 * 2**20
+#: Size of a body whose rest does not come, in bytes, and how many of them a budget holds.
+_PART_BYTES = 400_000
+_PARTS_KEPT = 3
+_CALLERS = 8
 _KEY = AttemptKey(request="r", organisation="o", stage="encode", number=1)
 
 
@@ -81,6 +87,28 @@
                 self.assertEqual(reply.result.outcome, "failed")
                 self.assertLess(peak, _EXPANDED_BYTES // 8)
 
+    def test_the_sum_of_bodies_under_way_is_limited(self) -> None:
+        """Guards against many threads that each collect a body below the limit of one."""
+        answer = (
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            + f"Content-Length: {2 * _PART_BYTES}\r\n\r\n".encode()
+            + bytes(_PART_BYTES)
+        )
+        connections = Connections(CollectionBudget(_PARTS_KEPT * _PART_BYTES + _PART_BYTES // 2))
+        targets = [RawTarget(answer, closes=False) for _ in range(_CALLERS)]
+        with ThreadPoolExecutor(_CALLERS) as threads:
+            attempts = [
+                threads.submit(run_attempt, "pool", connections, target.address, number)
+                for number, target in enumerate(targets)
+            ]
+            faults = [attempt.result().result.fault for attempt in attempts]
+        connections.close()
+        for target in targets:
+            target.stop()
+        # Those that are kept wait for the rest of their bodies until the deadline.
+        kept = [fault for fault in faults if "Timeout" in fault or LateError.__name__ in fault]
+        self.assertEqual((len(kept), len(faults)), (_PARTS_KEPT, _CALLERS), faults)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damsonlaned/src/damsonlaned/targets/_connections.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_connections.py
@@ -17,7 +17,8 @@
 from damsonlane.routing import LoadReport
 from damsonlane_rpc import Endpoint
 from damsonlaned.clock import read_clock
-from damsonlaned.http import read_rate_limit, read_retry_after
+from damsonlaned.http import CollectionBudget, read_rate_limit, read_retry_after
+from damsonlaned.targets._body_budget import BodyBudget
 
 #: Largest number of idle connections to one target.
 IDLE_CONNECTIONS: Final = 64
@@ -119,6 +120,8 @@
 
 class _LimitedConnection(urllib3.connection.HTTPConnection):
     response_class = _LimitedResponse
+    #: Limits the bodies that are collected on all connections.
+    body_budget = BodyBudget()
     #: Responses read since it was opened.
     response_count = 0
 
@@ -133,9 +136,14 @@
 
 
 class Connections:
-    """A pool of connections for each address of a target."""
+    """A pool of connections for each address of a target.
 
-    def __init__(self) -> None:
+    Args:
+        budget: limits the bytes of responses that are collected; None for the default.
+    """
+
+    def __init__(self, budget: CollectionBudget | None = None) -> None:
+        self._budget: Final = BodyBudget(budget)
         self._pools: dict[str, _LimitedPool] = {}
         self._lock = threading.Lock()
 
@@ -172,6 +180,7 @@
         )
         if isinstance(response.connection, _LimitedConnection):
             response.connection.response_count += 1
+            response.connection.body_budget = self._budget
         return response
 
     def close(self) -> None:
@@ -221,6 +230,25 @@
         yield chunk
 
 
+def read_body(response: urllib3.BaseHTTPResponse, deadline_at: float) -> bytes:
+    """Return the whole body of a response.
+
+    Raises:
+        LateError: the deadline passed before the end of the body.
+        OversizedError: the body, or the sum of those under way, is larger than allowed.
+    """
+    connection = response.connection
+    if not isinstance(connection, _LimitedConnection):
+        return b"".join(read_chunks(response, deadline_at))
+    body = bytearray()
+    with connection.body_budget.collect(connection.sock) as record:
+        for chunk in read_chunks(response, deadline_at):
+            body += chunk
+            if not record(len(body)):
+                raise OversizedError("the bodies under way take too much memory")
+    return bytes(body)
+
+
 def is_first_response(response: urllib3.BaseHTTPResponse) -> bool:
     """Return whether a response with its body unread is the first one on its connection."""
     connection = response.connection
--- a/packages/damsonlaned/src/damsonlaned/targets/_pools.py
+++ b/packages/damsonlaned/src/damsonlaned/targets/_pools.py
@@ -9,7 +9,7 @@
 from damsonlane.requests import AttemptResult
 from damsonlaned.targets._attempt_keys import read_attempt_key
 from damsonlaned.targets._calls import TargetCall, TargetProtocol, register_protocol
-from damsonlaned.targets._connections import read_chunks
+from damsonlaned.targets._connections import read_body
 
 
 @register_protocol("pool")
@@ -32,7 +32,7 @@
         self, response: urllib3.BaseHTTPResponse, call: TargetCall
     ) -> Generator[str, None, AttemptResult]:
         """Read the object; a truncated one is invalid JSON and fails the attempt."""
-        body = json.loads(b"".join(read_chunks(response, call.deadline_at)))
+        body = json.loads(read_body(response, call.deadline_at))
         output = body["output"]
         if not isinstance(output, str):
             raise TypeError("output is not text")
