A target that has gone on while its replacement ended is not taken for silent

Cause: after a replacement that fell silent itself had been stopped, the attempt that it was to replace was reported silent again, also if it had gone on meanwhile. The next replacement could then take its place. As the id of the last event was recorded only once the caller had taken the event, the replacement began after an older one. Class: a state that was true before a wait and is used after it.

The doubled events were shown by reading only: the response is queued before the wait for the caller, and the id was set after it.

--- a/packages/damsonlaned/src/damsonlaned/attempts/_sequence.py
+++ b/packages/damsonlaned/src/damsonlaned/attempts/_sequence.py
@@ -129,9 +129,12 @@
             spare.turn.withdraw()
             await self._stop_spare(spare)
         elif spare.turn.is_silent:
+            before = self._current.turn.progress_count
             spare.turn.give_up()
             await self._stop_spare(spare)
-            self._current.turn.report_silent()
+            # The silent attempt goes on as soon as the other one has ended.
+            if self._current.turn.progress_count == before:
+                self._current.turn.report_silent()
 
     async def _stop_spare(self, spare: _RunningAttempt[Failure]) -> None:
         self._spare = None
--- a/packages/damsonlaned/src/damsonlaned/attempts/_turn.py
+++ b/packages/damsonlaned/src/damsonlaned/attempts/_turn.py
@@ -28,6 +28,8 @@
         self._silence_timer: asyncio.TimerHandle
         #: Whether nothing has arrived for too long.
         self.is_silent = False
+        #: Number of times that something has arrived.
+        self.progress_count = 0
         #: Whether something has arrived while another attempt was about to replace this one.
         self.has_spoken = False
         #: Whether the silent attempt writes nothing, since this one is about to be sent.
@@ -87,6 +89,7 @@
         self._on_news()
 
     def _record_progress(self) -> None:
+        self.progress_count += 1
         if not self._may_write.is_set():
             self.has_spoken = True
             self._on_news()
--- a/packages/damsonlaned/src/damsonlaned/attempts/tests/test_sequence.py
+++ b/packages/damsonlaned/src/damsonlaned/attempts/tests/test_sequence.py
@@ -169,6 +169,40 @@
         self.assertIsNone(await self.play(replace))
         self.assertEqual((self.written, given_up), (["third"], ["second"]))
 
+    async def test_a_target_that_goes_on_while_a_silent_replacement_ends_is_taken_for_silent(
+        self,
+    ) -> None:
+        """Guards against events that a slow caller gets twice."""
+        spoken, sent = asyncio.Event(), asyncio.Event()
+        taken: list[bool] = []
+
+        async def read(turn: AttemptTurn) -> str | None:
+            with turn.expect(lambda: SILENT_SECONDS):
+                await spoken.wait()
+            await turn.wait()
+            self.written.append("first")
+            await sent.wait()
+            return None
+
+        async def replace(turn: AttemptTurn) -> str | None:
+            taken.append(turn.take())
+            if len(taken) == 1:
+                try:
+                    with turn.expect(lambda: SILENT_SECONDS):
+                        await asyncio.Event().wait()
+                finally:
+                    spoken.set()
+                    while not self.written:
+                        await asyncio.sleep(0)
+            sent.set()
+            return "late"
+
+        asyncio.get_running_loop().call_later(20 * SILENT_SECONDS, sent.set)
+        sequence = AttemptSequence[str](lambda: True, replace, self.failures.append)
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            self.assertIsNone(await sequence.run(read))
+        self.assertNotIn(True, taken[1:])
+
     async def test_a_failure_of_the_silent_target_counts_where_the_other_one_rejects(self) -> None:
         broken = asyncio.Event()
 
--- a/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
+++ b/packages/damsonlaned/src/damsonlaned/relay/_request_relay.py
@@ -234,9 +234,9 @@
             self._response.start(read_head(part))
         if part.body:
             for event in self._split(decode_body(part.body)):
-                await self._response.send(event.data)
                 if event.event_id:
                     self._history.last_event = event.event_id
+                await self._response.send(event.data)
         if part.is_last:
             self._response.finish()
 
--- a/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_target_attempt.py
@@ -280,10 +280,11 @@
                 self._stages.record_first_event(self._call, seconds)
         self._times.record_event()
         self._record_writing(opened)
-        await self._response.send(b"".join(event.data for event in events))
         for event in events:
             if event.event_id is not None:
                 self._history.last_event = event.event_id
+        # The events are on their way to the caller before this waits for it.
+        await self._response.send(b"".join(event.data for event in events))
 
     def _record_writing(self, opened: OpenedExchange) -> None:
         """Record that the target has been writing for a while, if it has."""
