A stream that began at another service through another entry does not go on here

What callers could see: a stream joined from two services (ORDER), without a release and within one answer.

Cause: an entry that passes a request on may meet one with a newer document, by which the stream begins at another service. When that entry is lost and the first one reaches its own targets again, it went on at its own service: only the version of the origin was compared, and versions of two services may have the same text. Class: an identity compared in part.

--- a/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
+++ b/packages/damsonlaned/src/damsonlaned/requests/_request_handler.py
@@ -227,6 +227,9 @@
 
     async def _attempt_once(self, turn: AttemptTurn) -> FailedAttempt | None:
         """Send the request to one target; return None once the response is complete."""
+        if (elsewhere := self._find_other_service()) is not None:
+            self._log_failure(elsewhere)
+            return elsewhere
         if self._results.value is None:
             is_begun = self._response.has_started() or self._call.origin is not None
             self._results.value = await self._stages.run(self._call, is_begun=is_begun)
@@ -243,6 +246,14 @@
             self._attempts.count_first(self._call)
         return await TargetAttempt(self._parts, chosen, turn).run()
 
+    def _find_other_service(self) -> FailedAttempt | None:
+        """Return why a stream can't go on here that another entry began at another service."""
+        origin = self._history.origin
+        if origin is None or origin.service == self._call.service.name:
+            return None
+        detail = "the stream began at a service to which the route does not lead here"
+        return FailedAttempt(detail=detail, may_have_run=False, was_sent=False, has_no_target=True)
+
     async def _relay_once(self, turn: AttemptTurn) -> FailedAttempt | None:
         """Have another entry serve the request; return None once the response is complete."""
         if not turn.is_replacement:
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_relayed_versions.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_relayed_versions.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+from dataclasses import replace
 from unittest import mock
 
+from damsonlane.routes import WeightedService
 from damsonlaned.gateway.tests.harness import TEST_TIMEOUT_SECONDS, Response
 from damsonlaned.relay import RelayedRequest, RelayWriter
 from damsonlaned.relay.tests.test_unreachable_targets import CUT_DOCUMENT, CutTestCase
@@ -98,3 +100,52 @@
         response = await resume(lost, "b", f"a{number}", events)
         versions = {event.version for event in [*events, *read_events(response)]}
         self.assertEqual(versions, {"v2"})
+
+    async def test_a_stream_that_was_passed_on_goes_on_at_another_service(self) -> None:
+        """Guards against entries whose routes lead to different services of one version."""
+        old, new = VersionedTarget("t1", "v1"), VersionedTarget("t2", "new", service="desk2")
+        # Versions of different services may have the same text.
+        new._version = "v1"
+        await self.start_fleet(old, new)
+        caller_entry, helper = self.fleet.entries
+        helper.replace_document(
+            replace(
+                CUT_DOCUMENT,
+                version=CUT_DOCUMENT.version + 1,
+                routes=tuple(
+                    replace(route, services=(WeightedService(service="desk2", weight=1.0),))
+                    if route.name == "chat"
+                    else route
+                    for route in CUT_DOCUMENT.routes
+                ),
+                services=(
+                    *CUT_DOCUMENT.services,
+                    replace(CUT_DOCUMENT.services[0], name="desk2"),
+                ),
+            )
+        )
+        await self.cut(0, "refuse")
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while caller_entry.reach.is_reached("desk"):
+                await caller_entry.call("/chat/a", deadline_ms=4_000)
+        serve = helper.relay_service._serve
+
+        async def begin_and_fail(relayed: RelayedRequest, writer: RelayWriter) -> str:
+            serving = asyncio.ensure_future(serve(relayed, writer))
+            while not writer.has_started and not serving.done():
+                await asyncio.sleep(0)
+            # The other entry gets the first events.
+            await asyncio.sleep(0.02)
+            serving.cancel()
+            await self.heal(0)
+            while caller_entry.reach._services["desk"].state == "unreached":
+                await asyncio.sleep(0.01)
+            raise ConnectionResetError
+
+        with mock.patch.object(helper.relay_service, "_serve", begin_and_fail):
+            reader, writer = await caller_entry.send("/chat/a", deadline_ms=4_000)
+            async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                data = await reader.read()
+            writer.close()
+        events = read_events(Response(status=200, data=data))
+        self.assertEqual({event.version for event in events}, {"new"}, events)
