A stream goes on without an origin only if its route has led to the service all the time

What callers could see: streams joined from two services (ORDER), after a document moved a route or at an entry that had missed it, if nobody who answers knows where the stream began.

Cause: a single version was confirmed for the service to which the entry's document leads now; neither that document nor its history was. Class: the same as of the list of versions, a copy of the past that counts as the present.

Change: the leader's answer names its document, which the entry must have; it records when routes began or ceased to lead to a service, and a route that it saw change within the time for which origins are remembered makes nothing certain. Streams of a service whose routes have changed are told to others.

--- a/packages/damsonlane/src/damsonlane/routes/__init__.py
+++ b/packages/damsonlane/src/damsonlane/routes/__init__.py
@@ -1,5 +1,6 @@
 """Routes by host and path prefix, in one versioned routing document."""
 
+from damsonlane.routes._changes import RouteChanges
 from damsonlane.routes._checks import check_document
 from damsonlane.routes._document import (
     CallerLimits,
@@ -22,6 +23,7 @@
     "PoolProperties",
     "RetryMode",
     "Route",
+    "RouteChanges",
     "RouteTable",
     "RoutingDocument",
     "Service",
--- a/packages/damsonlane/src/damsonlane/versions/__init__.py
+++ b/packages/damsonlane/src/damsonlane/versions/__init__.py
@@ -3,6 +3,7 @@
 from damsonlane.versions._holders import HolderRanking
 from damsonlane.versions._origins import (
     MAX_REPLICA_ORIGINS,
+    MAX_RETENTION_SECONDS,
     MIN_RETENTION_SECONDS,
     OriginTable,
     StreamOrigin,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "MAX_REPLICA_ORIGINS",
+    "MAX_RETENTION_SECONDS",
     "MIN_RETENTION_SECONDS",
     "REPLICA_COPIES",
     "HolderRanking",
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_target_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_target_messages.py
@@ -36,3 +36,5 @@
     kind: Literal["versions-view"] = "versions-view"
     #: The version of each service that has had targets, sorted by service.
     versions: tuple[ServiceVersion, ...]
+    #: Version of the routing document in force.
+    document_version: int = 0
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -255,7 +255,11 @@
             case TargetsQuery():
                 return QueryReply(outcome=TargetsView(targets=state.targets.records()))
             case VersionsQuery():
-                return QueryReply(outcome=VersionsView(versions=state.targets.list_versions()))
+                versions = VersionsView(
+                    versions=state.targets.list_versions(),
+                    document_version=state.documents.document.version,
+                )
+                return QueryReply(outcome=versions)
             case CostsQuery():
                 return QueryReply(
                     outcome=CostsView(
--- a/packages/damsonlaned/src/damsonlaned/gateway/_view.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/_view.py
@@ -11,9 +11,9 @@
 from damsonlane.evacuation import EvacuationList
 from damsonlane.membership import BoxRecord
 from damsonlane.records import dataclass
-from damsonlane.routes import RouteTable, Service
+from damsonlane.routes import RouteChanges, RouteTable, Service
 from damsonlane.targets import Shard, TargetChanges, TargetRecord
-from damsonlane.versions import SteadyVersion, SteadyVersions
+from damsonlane.versions import MAX_RETENTION_SECONDS, SteadyVersion, SteadyVersions
 from damsonlane.warmup import WarmupAllowance, WarmupLimit
 from damsonlaned.clock import read_clock
 from damsonlaned.dialects import Dialect
@@ -84,6 +84,8 @@
         )
         #: Services that a single version of targets has served.
         self.steady_versions: Final = SteadyVersions(MAX_CONFIRMED_AGE)
+        #: When routes began to lead to other services.
+        self.route_changes: Final = RouteChanges()
         #: Entries that accept requests, including this one once control lists it.
         self.entries: tuple[BoxRecord, ...] = ()
         self._targets: dict[str, TargetRecord] = {}
@@ -250,6 +252,7 @@
             # Control validated it with the same dialect, so this box runs an older release.
             _LOG.error("cannot read the routing document", extra={"fault": str(error)})
             return
+        self.route_changes.observe(self.table.document.routes, self._clock(), MAX_RETENTION_SECONDS)
         _LOG.info("document in force", extra={"version": document.version})
         self._notify()
 
--- a/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
+++ b/packages/damsonlaned/src/damsonlaned/gateway/tests/harness.py
@@ -21,6 +21,7 @@
 )
 from damsonlane.settings import LatePolicy
 from damsonlane.targets import ServiceVersion, TargetChanges, TargetRecord
+from damsonlane_rpc import VersionsView
 from damsonlaned.connections import LoanClient
 from damsonlaned.dialects import NativeDialect
 from damsonlaned.gateway._attempts import Attempts
@@ -300,13 +301,16 @@
 
 
 class FakeVersions:
-    """The versions of services that the leader of control confirms; None if it can't be reached."""
+    """The versions that the leader of control confirms; None if it can't be reached."""
 
     def __init__(self) -> None:
         self.confirmed: Sequence[ServiceVersion] | None = None
+        self.document_version = 0
 
-    async def read(self) -> Sequence[ServiceVersion] | None:
-        return self.confirmed
+    async def read(self) -> VersionsView | None:
+        if self.confirmed is None:
+            return None
+        return VersionsView(versions=tuple(self.confirmed), document_version=self.document_version)
 
 
 class Entry:
--- a/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
@@ -1,6 +1,7 @@
 """Where event streams began, as this box and others know it."""
 
 import asyncio
+import contextlib
 import logging
 import math
 import ssl
@@ -9,8 +10,8 @@
 from typing import Final, Protocol
 
 from damsonlane.membership import BoxRecord
-from damsonlane.routes import Route, RouteTable
-from damsonlane.targets import ServiceVersion, TargetRecord
+from damsonlane.routes import Route, RouteChanges, RouteTable
+from damsonlane.targets import TargetRecord
 from damsonlane.versions import (
     HolderRanking,
     OriginTable,
@@ -19,6 +20,7 @@
     StreamOrigin,
     find_retention_seconds,
 )
+from damsonlane_rpc import VersionsView
 from damsonlaned.metrics import Metrics
 from damsonlaned.tasks import stop_task
 from damsonlaned.versions._client import OriginClient
@@ -28,6 +30,9 @@
 
 #: Most streams of a service that are told together when it gets a second version.
 MAX_UNTOLD: Final = 2_000
+#: Seconds for which a document that the leader has is awaited here, and between two looks.
+DOCUMENT_SECONDS: Final = 0.2
+DOCUMENT_POLL_SECONDS: Final = 0.02
 
 
 class Fleet(Protocol):
@@ -48,11 +53,18 @@
     def steady_versions(self) -> SteadyVersions:
         """The services that a single version has served."""
 
+    @property
+    def route_changes(self) -> RouteChanges:
+        """When routes began to lead to other services."""
+
+    def version(self) -> int:
+        """Return the version of the routing document in force; 0 if there is none."""
+
 
 class VersionSource(Protocol):
     """Reads the versions of services."""
 
-    async def read(self) -> Sequence[ServiceVersion] | None:
+    async def read(self) -> VersionsView | None:
         """Return versions that include every change accepted before the call.
 
         None if they are not confirmed in time.
@@ -199,15 +211,30 @@
         listed = self._fleet.steady_versions.find_sole(service, seconds, now)
         if listed is None or listed.version is None:
             return None
-        if listed not in (await self._versions.read() or ()):
+        confirmed = await self._versions.read()
+        if confirmed is None or listed not in confirmed.versions:
+            return None
+        if not await self._has_document(confirmed.document_version):
+            return None
+        if not self._fleet.route_changes.is_steady(route, seconds, now):
             return None
         return StreamOrigin(attempt=attempt, service=service, version=listed.version)
 
+    async def _has_document(self, version: int) -> bool:
+        """Return whether this entry has a document, for which it waits for a moment."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DOCUMENT_SECONDS):
+                while self._fleet.version() < version:
+                    await asyncio.sleep(DOCUMENT_POLL_SECONDS)
+        return self._fleet.version() >= version
+
     def _is_expected_sole(self, service: str) -> bool:
         """Return whether one version has served a service while origins are remembered."""
         now = asyncio.get_running_loop().time()
-        steady = self._fleet.steady_versions
-        return steady.is_expected_sole(service, self._retention_seconds(), now)
+        seconds = self._retention_seconds()
+        if self._fleet.route_changes.has_moved(service, seconds, now):
+            return False
+        return self._fleet.steady_versions.is_expected_sole(service, seconds, now)
 
     def _retention_seconds(self) -> float:
         table = self._fleet.table
--- a/packages/damsonlaned/src/damsonlaned/versions/_version_reader.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_version_reader.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from damsonlane.errors import UnavailableError
-from damsonlane.targets import ServiceVersion
 from damsonlane_rpc import ControlClient, QueryRequest, VersionsQuery, VersionsView
 
 _LOG: Final = logging.getLogger(__name__)
@@ -27,11 +26,14 @@
 
     def __init__(self, control: ControlClient) -> None:
         self._control: Final = control
-        self._current: asyncio.Task[tuple[ServiceVersion, ...] | None] | None = None
-        self._next: asyncio.Task[tuple[ServiceVersion, ...] | None] | None = None
+        self._current: asyncio.Task[VersionsView | None] | None = None
+        self._next: asyncio.Task[VersionsView | None] | None = None
 
-    async def read(self) -> tuple[ServiceVersion, ...] | None:
-        """Return the versions of all services; None if no leader confirms them in time."""
+    async def read(self) -> VersionsView | None:
+        """Return the versions of all services and of the routing document.
+
+        None if no leader confirms them in time.
+        """
         if self._next is None:
             self._next = asyncio.create_task(self._read_after(self._current))
         return await asyncio.shield(self._next)
@@ -44,8 +46,8 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _read_after(
-        self, earlier: asyncio.Task[tuple[ServiceVersion, ...] | None] | None
-    ) -> tuple[ServiceVersion, ...] | None:
+        self, earlier: asyncio.Task[VersionsView | None] | None
+    ) -> VersionsView | None:
         if earlier is not None:
             await asyncio.wait({earlier})
         self._current, self._next = self._next, None
@@ -56,4 +58,4 @@
         except UnavailableError as error:
             _LOG.info("versions not confirmed", extra={"fault": str(error)})
             return None
-        return reply.outcome.versions if isinstance(reply.outcome, VersionsView) else None
+        return reply.outcome if isinstance(reply.outcome, VersionsView) else None
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_resumed_streams.py
@@ -222,6 +222,51 @@
             entry.replace_document(split_chat(2, "desk2"))
         self.check_refused(await resume(self.fleet.entries[1], "b", "a", events))
 
+    async def start_moved_route(self) -> list[Event]:
+        """Begin a stream at a service, and then move its route to another one.
+
+        A single version has always served each of them, so that nobody is told of the stream.
+        """
+        await self.start_fleet(
+            VersionedTarget("t1", "v1"), VersionedTarget("t2", "other", service="desk2")
+        )
+        steady = [
+            SteadyVersion(service="desk", version="v1", seconds=LONG),
+            SteadyVersion(service="desk2", version="other", seconds=LONG),
+        ]
+        for entry in self.fleet.entries:
+            entry.view.put_steady_versions(steady)
+            entry.view.steady_versions.confirm(asyncio.get_running_loop().time())
+            entry.versions.confirmed = [
+                ServiceVersion(service=item.service, version=item.version, revision=0)
+                for item in steady
+            ]
+        events = await begin(self.entry, "a")
+        for entry in self.fleet.entries:
+            entry.replace_document(split_chat(2, "desk2"))
+        return events
+
+    async def test_a_stream_whose_route_has_moved_goes_on_at_another_service(self) -> None:
+        """Guards against a route that counts as the one by which a stream began."""
+        events = await self.start_moved_route()
+        await self.fleet.stop_serving(0)
+        self.check_refused(await resume(self.fleet.entries[1], "b", "a", events))
+        self.assertEqual(len(self.targets[1].requests), 0)
+
+    async def test_an_entry_that_missed_a_document_joins_two_services(self) -> None:
+        """Guards against an old list of routes that counts as the present."""
+        await self.start_moved_route()
+        late = self.fleet.entries[-1]
+        late.view.table = None
+        late.replace_document(split_chat(1, "desk"))
+        late.versions.document_version = 2
+        events = await begin(self.entry, "c")
+        self.assertEqual({event.version for event in events}, {"other"})
+        await self.fleet.stop_serving(0)
+        before = len(self.targets[0].requests)
+        self.check_refused(await resume(late, "d", "c", events))
+        self.assertEqual(len(self.targets[0].requests), before)
+
     async def test_a_stream_whose_version_has_left_is_refused(self) -> None:
         await self.start_fleet(VersionedTarget("t1", "v1"), VersionedTarget("t2", "v2"))
         begun = await self.begin_both()
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_version_reader.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_version_reader.py
@@ -12,6 +12,11 @@
 READ_COUNT = 20
 
 
+def make_view(revision: int) -> VersionsView:
+    version = ServiceVersion(service="desk", version="v1", revision=revision)
+    return VersionsView(versions=(version,))
+
+
 class Leader(ControlClient):
     """A leader that answers each query, when it is let, with the number of queries so far."""
 
@@ -25,11 +30,11 @@
         self, request: QueryRequest, seconds: float, *, attempt_seconds: float = 0.0
     ) -> QueryReply:
         self.query_count += 1
-        version = ServiceVersion(service="desk", version="v1", revision=self.query_count)
+        view = make_view(self.query_count)
         await self.may_answer.wait()
         if not self.is_reachable:
             raise UnavailableError("no leader")
-        return QueryReply(outcome=VersionsView(versions=(version,)))
+        return QueryReply(outcome=view)
 
 
 class VersionReaderTest(unittest.IsolatedAsyncioTestCase):
@@ -45,9 +50,9 @@
         later = [asyncio.create_task(self.reader.read()) for _ in range(READ_COUNT)]
         await asyncio.sleep(0)
         self.leader.may_answer.set()
-        self.assertEqual([one.revision for one in await first or ()], [1])
+        self.assertEqual(await first, make_view(1))
         for read in later:
-            self.assertEqual([one.revision for one in await read or ()], [2])
+            self.assertEqual(await read, make_view(2))
         self.assertEqual(self.leader.query_count, 2)
 
     async def test_a_read_without_a_leader_confirms_nothing(self) -> None:
