All holders of origins are asked while control is read, not after it

Change: the second round of questions runs beside the read; the first of both that is of use ends the other. test_resumed_streams passes; the time was not measured again.

--- a/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_stream_origins.py
@@ -23,7 +23,7 @@
 from damsonlane_rpc import VersionsView
 from damsonlaned.metrics import Metrics
 from damsonlaned.tasks import stop_task
-from damsonlaned.versions._client import OriginClient
+from damsonlaned.versions._client import FoundOrigin, OriginClient
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -186,21 +186,32 @@
     async def _find_elsewhere(self, attempt: str, route: Route) -> tuple[StreamOrigin | None, str]:
         """Return an origin that this box doesn't know, and how it was found.
 
-        Control is read while the first holders are asked, and the others only if it is not certain.
+        Control is read while holders are asked: first some, then all if both are of no use.
         """
         reading = asyncio.create_task(self._find_certain(attempt, route))
         try:
             found = await self._client.find(attempt, is_needed=False) if attempt else None
+            if found is None and attempt:
+                found = await self._find_unless_certain(attempt, reading)
             certain = await reading if found is None else None
         finally:
             await stop_task(reading)
-        if found is None and certain is not None:
-            return certain, "certain"
-        if found is None and attempt:
-            found = await self._client.find(attempt)
-        if found is None:
-            return None, ""
-        return found.origin, "control" if found.is_from_control else "told"
+        if found is not None:
+            return found.origin, "control" if found.is_from_control else "told"
+        return certain, "certain"
+
+    async def _find_unless_certain(
+        self, attempt: str, reading: "asyncio.Task[StreamOrigin | None]"
+    ) -> FoundOrigin | None:
+        """Ask all holders until one knows an origin, or until it is certain without them."""
+        finding = asyncio.create_task(self._client.find(attempt))
+        try:
+            await asyncio.wait({reading, finding}, return_when=asyncio.FIRST_COMPLETED)
+            if reading.done() and reading.result() is not None:
+                return None
+            return await finding
+        finally:
+            await stop_task(finding)
 
     async def _find_certain(self, attempt: str, route: Route) -> StreamOrigin | None:
         """Return the origin that follows from the routes and targets alone, or None."""
