A request waits until the response before it has been taken

48 callers that sent 16 requests on a connection and read no answer took an entry of 96 MiB to 1,503 MB. A complete response is written at once, and the next request was served whatever was still unsent. A caller that took nothing also kept its closed connection for ever, since the rest had to be sent first.

The next request is read once the unsent bytes are few again (64 KiB, as for streams), and a connection with unsent bytes of which none is taken for the time of an idle connection is broken. Large responses are given to the transport in parts of 64 KiB as it takes them: it kept them in one buffer, which it copied and extended, and a rest of 3.4 MB held the whole 6 MiB.

--- a/packages/damsonlaned/src/damsonlaned/http/_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_listener.py
@@ -99,7 +99,7 @@
         except TimeoutError:
             self._stream.close()
         finally:
-            await self._stream.wait_lost()
+            await self._wait_lost()
             self._listener.forget(self)
 
     def is_busy(self) -> bool:
@@ -119,6 +119,8 @@
         """Serve requests; return the status and reason with which one is refused, if any is."""
         try:
             while await self._serve_one():
+                if self._stream.must_drain():
+                    await self._wait_sent()
                 self._parser.start_next_cycle()
         except _RefusedError as error:
             # The frames of the traceback would keep what was read of the body.
@@ -126,6 +128,29 @@
             return error.status, str(error)
         return None
 
+    async def _wait_sent(self) -> None:
+        """Wait until the caller has taken most of a response, before its next request is served."""
+        while self._stream.must_drain():
+            unsent = self._stream.count_unsent()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._listener.limits().idle_seconds):
+                    await self._stream.drain()
+            self._abort_if_stalled(unsent)
+
+    async def _wait_lost(self) -> None:
+        """Wait until the connection is lost; break it if the caller takes no more of a response."""
+        while not self._stream.is_lost():
+            unsent = self._stream.count_unsent()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._listener.limits().idle_seconds):
+                    await self._stream.wait_lost()
+            self._abort_if_stalled(unsent)
+
+    def _abort_if_stalled(self, unsent: int) -> None:
+        if unsent and self._stream.count_unsent() >= unsent:
+            _LOG.info("closed a stalled connection", extra={"unsent": unsent})
+            self._stream.abort()
+
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
         request = await self._read_request()
--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import socket
+from collections import deque
 from collections.abc import Callable
 from typing import Final, cast
 
@@ -46,6 +47,10 @@
         self._reader: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
         self._may_write = True
+        #: Parts that the transport is given later.  It would keep them in one growing buffer.
+        self._queue: deque[bytes] = deque()
+        self._queued_size = 0
+        self._closes_when_sent = False
         self._meter: BufferMeter | None = None
         self._has_small_buffers = False
         #: Called once when the other side closed or the connection broke.
@@ -91,6 +96,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is lost."""
         self._is_lost = True
+        self._queue.clear()
+        self._queued_size = 0
         self._lost.set()
         if self._meter is not None and self._meter.caller is self:
             self._meter.close()
@@ -106,9 +113,10 @@
         self._may_write = False
 
     def resume_writing(self) -> None:
-        """Let writers continue."""
+        """Write what is queued, then let writers continue."""
         self._may_write = True
-        if self._writer is not None and not self._writer.done():
+        self._write_queued()
+        if self._may_write and self._writer is not None and not self._writer.done():
             self._writer.set_result(None)
 
     # Interface for users.
@@ -122,6 +130,10 @@
         """Return whether the other side has closed or the connection is lost."""
         return self._has_received_eof or self._is_lost
 
+    def is_lost(self) -> bool:
+        """Return whether the connection is lost."""
+        return self._is_lost
+
     def count_unread(self) -> int:
         """Return the bytes that wait to be read."""
         return self._size
@@ -181,10 +193,37 @@
 
     def write(self, data: bytes) -> None:
         """Queue bytes; they are dropped if the connection is lost."""
-        if self._transport is not None and not self._is_lost:
+        if self._transport is None or self._is_lost:
+            return
+        if len(data) <= MAX_UNSENT_BYTES and not self._queue:
             self._transport.write(data)
-            if self._meter is not None and self._meter.caller is self:
-                self._meter.record_written(len(data))
+        else:
+            self._write_parts(data)
+        if self._meter is not None and self._meter.caller is self:
+            self._meter.record_written(len(data))
+
+    def _write_parts(self, data: bytes) -> None:
+        """Write large data in parts, and queue those that must wait, so that each frees memory."""
+        for start in range(0, len(data), MAX_UNSENT_BYTES):
+            part = data[start : start + MAX_UNSENT_BYTES]
+            if self._may_write and not self._queue and self._transport is not None:
+                self._transport.write(part)
+            else:
+                self._queue.append(part)
+                self._queued_size += len(part)
+
+    def _write_queued(self) -> None:
+        """Give the transport what is queued, as far as it may be given more."""
+        while self._queue and self._may_write and self._transport is not None:
+            part = self._queue.popleft()
+            self._queued_size -= len(part)
+            self._transport.write(part)
+        if self._closes_when_sent and not self._queue and self._transport is not None:
+            self._transport.close()
+
+    def must_drain(self) -> bool:
+        """Return whether more bytes may be queued only after `drain`."""
+        return not self._may_write and not self._is_lost
 
     async def drain(self) -> None:
         """Wait until more bytes may be queued.
@@ -201,7 +240,8 @@
     def close(self) -> None:
         """Send what is queued, then close."""
         if self._transport is not None and not self._is_lost:
-            self._transport.close()
+            self._closes_when_sent = True
+            self._write_queued()
 
     async def wait_lost(self) -> None:
         """Wait until the connection is lost; a closed one is once all that was queued is sent."""
@@ -236,7 +276,7 @@
         """Return the bytes that are queued for sending."""
         if self._transport is None or self._is_lost:
             return 0
-        return self._transport.get_write_buffer_size()
+        return self._transport.get_write_buffer_size() + self._queued_size
 
     def _limit_kernel_buffers(self) -> None:
         connection = self._transport.get_extra_info("socket") if self._transport else None
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
@@ -1,6 +1,7 @@
 """The listener, with raw bytes sent over sockets."""
 
 import asyncio
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -200,6 +201,26 @@
             self.assertIn(b" 503 ", await stalled.readline())
         self.assertEqual(reasons, ["budget"])
 
+    async def test_requests_wait_for_the_response_before_and_a_stalled_caller_is_closed(
+        self,
+    ) -> None:
+        """Guards against responses that pile up for a caller that reads nothing."""
+        served: list[str] = []
+
+        async def answer(request: HttpRequest, writer: ResponseWriter) -> None:
+            served.append(request.path)
+            writer.send_response(HttpResponse(status=200, body=LARGE_BODY))
+
+        listener = HttpListener("127.0.0.1:0", answer, limits=lambda: LIMITS, render_refusal=render)
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        with socket.create_connection(("127.0.0.1", listener.port())) as caller:
+            caller.sendall(GET * 5)
+            async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                while not served or listener.count_open():
+                    await asyncio.sleep(0.01)
+        self.assertEqual(served, ["/a"])
+
     async def test_a_disconnect_of_the_caller_cancels_the_handler_at_once(self) -> None:
         began, ended = asyncio.Event(), asyncio.Event()
 
