A connection is not closed while its transport asks for more to send

Since large responses are queued in parts, the end of a connection's last response logged "'NoneType' object has no attribute 'connection_lost'": the stream closed its transport within resume_writing(), and asyncio then ended it a second time. Callers had received everything. The close is scheduled for the next turn. test_a_large_last_response_ends_its_connection_once fails before.

--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -219,7 +219,8 @@
             self._queued_size -= len(part)
             self._transport.write(part)
         if self._closes_when_sent and not self._queue and self._transport is not None:
-            self._transport.close()
+            # The transport would end twice if it was closed while it calls `resume_writing`.
+            asyncio.get_running_loop().call_soon(self._transport.close)
 
     def must_drain(self) -> bool:
         """Return whether more bytes may be queued only after `drain`."""
--- a/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
+++ b/packages/damsonlaned/src/damsonlaned/http/tests/test_listener.py
@@ -221,6 +221,28 @@
                     await asyncio.sleep(0.01)
         self.assertEqual(served, ["/a"])
 
+    async def test_a_large_last_response_ends_its_connection_once(self) -> None:
+        """Guards against a transport that is closed while it asks for more to send."""
+        errors: list[object] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+
+        async def answer(request: HttpRequest, writer: ResponseWriter) -> None:
+            writer.send_response(HttpResponse(status=200, body=LARGE_BODY))
+
+        listener = HttpListener("127.0.0.1:0", answer, render_refusal=render)
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        listener.is_closing = True
+        reader, writer = await asyncio.open_connection("127.0.0.1", listener.port())
+        self.addCleanup(writer.close)
+        writer.write(GET)
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            received = await reader.read()
+            while listener.count_open():
+                await asyncio.sleep(0.01)
+        self.assertTrue(received.endswith(LARGE_BODY))
+        self.assertEqual(errors, [])
+
     async def test_a_disconnect_of_the_caller_cancels_the_handler_at_once(self) -> None:
         began, ended = asyncio.Event(), asyncio.Event()
 
