Connections between boxes without a request are limited

400 clients that connected to a control replica's internal address and never began the TLS handshake took all its 256 descriptors, for the 60 s of asyncio's time-out: targets, operators and other boxes could not connect, and the replica could open no file.

Cause: grpclib's server accepts while there are descriptors, has no setting for their number, and doesn't pass the time-out of handshakes on to asyncio.

Now the connections on which no request has arrived, with a handshake under way or after it, may take a quarter of the descriptors; beyond it the oldest is closed. A handshake has 10 s. Connections in use are not limited, so a box that is heard is never cut off by others; a box with a valid certificate, or any client where TLS is off, can still take all descriptors by sending a request on each connection.

To count handshakes, the server accepts plain connections and starts TLS itself, as asyncio's server does.

--- a/packages/damsonlaned/src/damsonlaned/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/_process.py
@@ -117,10 +117,10 @@
     budget = CollectionBudget()
     if settings.capacity is not None:
         budget = CollectionBudget.for_memory(settings.capacity.memory_bytes)
-    server = RpcServer(service, budget)
+    server = RpcServer(service, budget, tls_contexts.server)
     endpoint = Endpoint.parse(settings.internal_address)
     try:
-        await server.start(endpoint.host, endpoint.port, ssl=tls_contexts.server)
+        await server.start(endpoint.host, endpoint.port)
     except OSError as error:
         reason = error.strerror or str(error)
         raise StorageError(f"cannot listen on {settings.internal_address}: {reason}") from None
