What admin addresses buffer for callers is limited

Eight clients that asked for the metrics 4,000 times each and read nothing took a control replica to 103 to 112 MiB of its 128; more of them would have gone on.

Cause: as at the registry, a response was written whether or not the one before it was taken. The listener has a guard of 8 MiB now, as control has for targets and operators.

--- a/packages/damsonlaned/src/damsonlaned/admin.py
+++ b/packages/damsonlaned/src/damsonlaned/admin.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from damsonlaned.http import (
+    BufferGuard,
     HttpListener,
     HttpRequest,
     HttpResponse,
@@ -15,6 +16,9 @@
 #: Limits of a connection whose calls have no body, as all of an admin or readiness address.
 BODILESS_LIMITS: Final = ListenerLimits(body_bytes=16 * 1024)
 
+#: Limit of the bytes that are buffered for callers of the admin address.
+BUFFER_BYTES: Final = 8 * 2**20
+
 _TEXT: Final = ((b"Content-Type", b"text/plain"),)
 
 
@@ -39,7 +43,13 @@
         self._is_ready: Final = is_ready
         self._refresh: Final = refresh
         self._listener: Final = HttpListener(
-            address, self._handle, limits=lambda: BODILESS_LIMITS, render_refusal=_render_text
+            address,
+            self._handle,
+            limits=lambda: BODILESS_LIMITS,
+            render_refusal=_render_text,
+            guard=BufferGuard(
+                BUFFER_BYTES, lambda reason: metrics.slow_callers.inc({"reason": reason})
+            ),
         )
 
     async def start(self) -> None:
