--- a/packages/damsonlaned/src/damsonlaned/control/_process.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_process.py
@@ -40,7 +40,7 @@
 #: restarted replica has to wait for a leader anyway.
 DISK_PROBE_SECONDS: Final = 0.5
 #: Share of the memory that may hold bytes of the registry's callers.
-BUFFER_SHARE: Final = 0.25
+BUFFER_SHARE: Final = 0.125
 #: What may hold them where the memory is not known, in bytes.
 DEFAULT_BUFFER_BYTES: Final = 64 * 2**20
 
