Time-outs of the pipelines' entry use the clock of the box

The time-outs of heads and bodies used a clock that stops while the box is suspended, which test_no_module_uses_a_clock_that_stops_during_suspension refused.

--- a/packages/damsonlaned/src/damsonlaned/wsgi_limits.py
+++ b/packages/damsonlaned/src/damsonlaned/wsgi_limits.py
@@ -4,12 +4,12 @@
 import resource
 import socket
 import threading
-import time
 from typing import Any, Final
 
 from cheroot.makefile import StreamReader
 
 from damsonlane.settings import Capacity
+from damsonlaned.clock import read_clock
 
 #: Time-out for reading a head from its first bytes on, in seconds.
 HEADER_SECONDS: Final = 3.0
@@ -95,7 +95,7 @@
 
     def begin_head(self) -> None:
         """Limit the time of the next head."""
-        self._deadline = time.monotonic() + HEADER_SECONDS
+        self._deadline = read_clock() + HEADER_SECONDS
 
     def begin_body(self, length: int) -> None:
         """Limit the time and count the bytes of the body that follows.
@@ -106,7 +106,7 @@
         self._length = length
         self._size = 0
         self._is_skipping = False
-        self._body_began_at = time.monotonic()
+        self._body_began_at = read_clock()
         self._deadline = self._body_began_at + FIRST_BODY_SECONDS
 
     def end_request(self) -> None:
@@ -142,7 +142,7 @@
         Raises:
             TimeoutError: the part of the request took too long, or too much memory is in use.
         """
-        left = self._deadline - time.monotonic()
+        left = self._deadline - read_clock()
         if left <= 0 or self._is_given_up:
             raise TimeoutError("timed out")
         seconds = self._connection.gettimeout()
