Room in the budget is granted to one request at a time

A request that was granted counts its bytes once its task runs; until then the same room was granted again. The next grant now follows after that.

--- a/packages/damsonlaned/src/damsonlaned/http/_buffer_guard.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_buffer_guard.py
@@ -142,6 +142,8 @@
         self._requests: dict[RoomRequest, asyncio.Future[None]] = {}
         #: When one of them last got room, or began to wait.
         self._granted_at = 0.0
+        #: The request that was granted and whose bytes are not counted yet.
+        self._granted: RoomRequest | None = None
 
     def watch(self, caller: "TcpStream") -> None:
         """Count the bytes that are buffered for a caller, from now on."""
@@ -181,15 +183,24 @@
         finally:
             account.room_requests -= 1
             self._requests.pop(request, None)
+            if self._granted is request:
+                self._granted = None
 
     def grant(self) -> None:
-        """Let one request that waits go on if there is room; it calls this again."""
-        request = self.budget.choose_request(self._requests) if self._requests else None
-        if request is not None:
-            self._granted_at = _now()
-            granted = self._requests.pop(request)
-            if not granted.done():
-                granted.set_result(None)
+        """Let one request that waits go on if there is room.
+
+        The next one follows when its bytes are counted, which is after its task has run.
+        """
+        if self._granted is not None or not self._requests:
+            return
+        request = self.budget.choose_request(self._requests)
+        if request is None:
+            return
+        self._granted_at = _now()
+        granted = self._requests.pop(request)
+        if not granted.done():
+            self._granted = request
+            granted.set_result(None)
 
     def update_unsent(self, meter: BufferMeter, written: int = 0) -> None:
         """Record how many bytes a caller has not taken yet."""
