A connection with nothing left to send is closed at once, also outside of the event loop

Closing a pool of connections from a test's clean-up raised "no running event loop": 20 errors of control.tests.test_registry in the whole suite. Only resume_writing() must not close the transport in its own turn. test_registry, test_listener, test_tcp_stream and test_drain pass.

--- a/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
+++ b/packages/damsonlaned/src/damsonlaned/http/_tcp_stream.py
@@ -119,6 +119,9 @@
         """Write what is queued, then let writers continue."""
         self._may_write = True
         self._write_queued()
+        if self._closes_when_sent and not self._queue and self._transport is not None:
+            # The transport would end twice if it was closed while it calls this.
+            asyncio.get_running_loop().call_soon(self._transport.close)
         if self._may_write and self._writer is not None and not self._writer.done():
             self._writer.set_result(None)
 
@@ -234,9 +237,6 @@
             part = self._queue.popleft()
             self._queued_size -= len(part)
             self._transport.write(part)
-        if self._closes_when_sent and not self._queue and self._transport is not None:
-            # The transport would end twice if it was closed while it calls `resume_writing`.
-            asyncio.get_running_loop().call_soon(self._transport.close)
 
     def must_drain(self) -> bool:
         """Return whether more bytes may be queued only after `drain`."""
@@ -259,6 +259,8 @@
         if self._transport is not None and not self._is_lost:
             self._closes_when_sent = True
             self._write_queued()
+            if not self._queue:
+                self._transport.close()
 
     async def wait_lost(self) -> None:
         """Wait until the connection is lost; a closed one is once all that was queued is sent."""
