The versions of targets are read by a call of their own

The query of the versions stood among those of operators, whose messages import what only control replicates: an entry imported 42 modules more at its start, as test_start_modules showed. The call has messages of its own now, and needs no operator's token.

--- a/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/__init__.py
@@ -104,14 +104,15 @@
         RelayRequest,
         TextHeader,
     )
-    from damsonlane_rpc._target_messages import (
-        TargetsQuery,
-        TargetsView,
+    from damsonlane_rpc._target_messages import TargetsQuery, TargetsView
+    from damsonlane_rpc._tls import make_client_context, make_server_context
+    from damsonlane_rpc._tls_reloader import TlsReloader
+    from damsonlane_rpc._version_messages import (
+        READ_VERSIONS,
         VersionsQuery,
+        VersionsReply,
         VersionsView,
     )
-    from damsonlane_rpc._tls import make_client_context, make_server_context
-    from damsonlane_rpc._tls_reloader import TlsReloader
     from damsonlane_rpc._watch_messages import WatchReport
 else:
     __getattr__ = import_at_use(
@@ -229,7 +230,13 @@
                 "RelayRequest",
                 "TextHeader",
             ),
-            "_target_messages": ("TargetsQuery", "TargetsView", "VersionsQuery", "VersionsView"),
+            "_target_messages": ("TargetsQuery", "TargetsView"),
+            "_version_messages": (
+                "READ_VERSIONS",
+                "VersionsQuery",
+                "VersionsReply",
+                "VersionsView",
+            ),
             "_tls": (
                 "make_client_context",
                 "make_server_context",
@@ -329,7 +336,9 @@
     "SubmitRequest",
     "TargetsQuery",
     "TargetsView",
+    "READ_VERSIONS",
     "VersionsQuery",
+    "VersionsReply",
     "VersionsView",
     "Committed",
     "MessageCounters",
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_client.py
@@ -31,6 +31,7 @@
     )
     from damsonlane_rpc._methods import Method
     from damsonlane_rpc._permit_messages import PermitBatchReply, PermitBatchRequest
+    from damsonlane_rpc._version_messages import VersionsReply, VersionsView
 
 #: Seconds after which an unanswered call is retried at another replica.
 ATTEMPT_SECONDS: Final = 2.0
@@ -60,6 +61,7 @@
     "GroupReply",
     "HeartbeatReportReply",
     "PermitBatchReply",
+    "VersionsReply",
 )
 
 
@@ -214,6 +216,23 @@
         reply = await self._call_leader(PERMIT, request, seconds, seconds)
         return reply.outcome.permits if isinstance(reply.outcome, Permits) else ()
 
+    async def read_versions(self, seconds: float, *, attempt_seconds: float) -> VersionsView:
+        """Return the leader's current software versions of targets.
+
+        Args:
+            seconds: time-out of the whole operation, in seconds.
+            attempt_seconds: time-out of one attempt, in seconds.
+
+        Raises:
+            UnavailableError: no leader confirmed a reply in time.
+        """
+        from damsonlane_rpc._version_messages import READ_VERSIONS, VersionsQuery, VersionsView
+
+        reply = await self._call_leader(READ_VERSIONS, VersionsQuery(), seconds, attempt_seconds)
+        if isinstance(reply.outcome, VersionsView):
+            return reply.outcome
+        raise UnavailableError("control could not confirm the versions in time")
+
     async def change_group(
         self, method: Method[Request, GroupReply], request: Request, seconds: float
     ) -> GroupReply:
--- a/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
+++ b/packages/damsonlane_rpc/src/damsonlane_rpc/_messages.py
@@ -18,12 +18,7 @@
 from damsonlane_rpc._methods import Method, unary_method
 from damsonlane_rpc._outcomes import Done, Forbidden, NotLeader, Unconfirmed
 from damsonlane_rpc._quarantine_messages import QuarantineQuery, QuarantineView
-from damsonlane_rpc._target_messages import (
-    TargetsQuery,
-    TargetsView,
-    VersionsQuery,
-    VersionsView,
-)
+from damsonlane_rpc._target_messages import TargetsQuery, TargetsView
 from damsonlane_rpc._watch_messages import WatchReport
 
 
@@ -136,8 +131,7 @@
         | BoxesQuery
         | EvacuationsQuery
         | QuarantineQuery
-        | TargetsQuery
-        | VersionsQuery,
+        | TargetsQuery,
         Field(discriminator="kind"),
     ]
 
@@ -206,7 +200,6 @@
         | EvacuationsView
         | QuarantineView
         | TargetsView
-        | VersionsView
         | NotLeader
         | Unconfirmed
         | Forbidden,
--- a/packages/damsonlaned/src/damsonlaned/control/_service.py
+++ b/packages/damsonlaned/src/damsonlaned/control/_service.py
@@ -24,6 +24,7 @@
     EXCHANGE,
     FOUND_GROUP,
     QUERY,
+    READ_VERSIONS,
     REMOVE_REPLICA,
     STATUS,
     SUBMIT,
@@ -66,6 +67,7 @@
     TargetsView,
     Unconfirmed,
     VersionsQuery,
+    VersionsReply,
     VersionsView,
     WatchReport,
     WatchUpdate,
@@ -102,6 +104,7 @@
                 **more,
                 SUBMIT.path: SUBMIT.handler(self.submit),
                 QUERY.path: QUERY.handler(self.query),
+                READ_VERSIONS.path: READ_VERSIONS.handler(self.read_versions),
                 STATUS.path: STATUS.handler(self.status),
                 FOUND_GROUP.path: FOUND_GROUP.handler(self.found),
                 ADD_REPLICA.path: ADD_REPLICA.handler(self.add),
@@ -123,6 +126,11 @@
         if request is not None:
             await stream.send_message(await self._query(stream, request))
 
+    async def read_versions(self, stream: Stream[VersionsQuery, VersionsReply]) -> None:
+        """Report the versions of targets that a quorum confirms as current."""
+        if await stream.recv_message() is not None:
+            await stream.send_message(await self._read_versions())
+
     async def status(self, stream: Stream[StatusRequest, StatusReply]) -> None:
         """Report the status of this box."""
         if await stream.recv_message() is not None:
@@ -225,11 +233,25 @@
             return QueryReply(outcome=NotLeader(leader=error.leader))
         except UnavailableError:
             return QueryReply(outcome=Unconfirmed())
-        is_public = isinstance(request.query, SettingsQuery | DocumentQuery | VersionsQuery)
+        is_public = isinstance(request.query, SettingsQuery | DocumentQuery)
         if self._operators() and not self._authenticate(stream) and not is_public:
             return QueryReply(outcome=Forbidden(detail="an operator's token is needed"))
         return self._answer(request)
 
+    async def _read_versions(self) -> VersionsReply:
+        try:
+            await self._node.confirm()
+        except NotLeaderError as error:
+            return VersionsReply(outcome=NotLeader(leader=error.leader))
+        except UnavailableError:
+            return VersionsReply(outcome=Unconfirmed())
+        state = self._node.state
+        versions = VersionsView(
+            versions=state.targets.list_versions(),
+            document_version=state.documents.document.version,
+        )
+        return VersionsReply(outcome=versions)
+
     def _answer(self, request: QueryRequest) -> QueryReply:
         state = self._node.state
         settings = state.settings
@@ -254,12 +276,6 @@
                 )
             case TargetsQuery():
                 return QueryReply(outcome=TargetsView(targets=state.targets.records()))
-            case VersionsQuery():
-                versions = VersionsView(
-                    versions=state.targets.list_versions(),
-                    document_version=state.documents.document.version,
-                )
-                return QueryReply(outcome=versions)
             case CostsQuery():
                 return QueryReply(
                     outcome=CostsView(
--- a/packages/damsonlaned/src/damsonlaned/versions/_version_reader.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/_version_reader.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from damsonlane.errors import UnavailableError
-from damsonlane_rpc import ControlClient, QueryRequest, VersionsQuery, VersionsView
+from damsonlane_rpc import ControlClient, VersionsView
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -52,10 +52,7 @@
             await asyncio.wait({earlier})
         self._current, self._next = self._next, None
         try:
-            reply = await self._control.query(
-                QueryRequest(query=VersionsQuery()), READ_SECONDS, attempt_seconds=ATTEMPT_SECONDS
-            )
+            return await self._control.read_versions(READ_SECONDS, attempt_seconds=ATTEMPT_SECONDS)
         except UnavailableError as error:
             _LOG.info("versions not confirmed", extra={"fault": str(error)})
             return None
-        return reply.outcome if isinstance(reply.outcome, VersionsView) else None
--- a/packages/damsonlaned/src/damsonlaned/versions/tests/test_version_reader.py
+++ b/packages/damsonlaned/src/damsonlaned/versions/tests/test_version_reader.py
@@ -5,7 +5,7 @@
 
 from damsonlane.errors import UnavailableError
 from damsonlane.targets import ServiceVersion
-from damsonlane_rpc import ControlClient, QueryReply, QueryRequest, VersionsView
+from damsonlane_rpc import ControlClient, VersionsView
 from damsonlaned.versions import VersionReader
 
 #: Reads that are requested at once.
@@ -26,15 +26,13 @@
         self.may_answer = asyncio.Event()
         self.is_reachable = True
 
-    async def query(
-        self, request: QueryRequest, seconds: float, *, attempt_seconds: float = 0.0
-    ) -> QueryReply:
+    async def read_versions(self, seconds: float, *, attempt_seconds: float) -> VersionsView:
         self.query_count += 1
         view = make_view(self.query_count)
         await self.may_answer.wait()
         if not self.is_reachable:
             raise UnavailableError("no leader")
-        return QueryReply(outcome=view)
+        return view
 
 
 class VersionReaderTest(unittest.IsolatedAsyncioTestCase):
