--- a/packages/damsonlane/src/damsonlane/buffers/_budget.py
+++ b/packages/damsonlane/src/damsonlane/buffers/_budget.py
@@ -32,7 +32,7 @@
 #: Seconds after which one caller that makes progress is disconnected for those that wait.
 WAIT_SECONDS: Final = 1.0
 #: Share of a process's memory that may hold bytes for callers and targets where it isn't set.
-MEMORY_SHARE: Final = 0.25
+MEMORY_SHARE: Final = 0.1875
 #: Seconds after which a caller is disconnected if its target has to wait for it.  Targets cut off
 #: an answer that isn't read after some seconds.
 BLOCKED_SECONDS: Final = 3.0
