--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,7 @@
-"""A stage worker crashes; its address goes to a worker of another service while results are freed."""
+"""After the final fault the model workers crash once: nothing is served any more once they are back."""
 
 import asyncio
-import signal
+import secrets
 import sys
 from pathlib import Path
 
@@ -15,126 +15,177 @@
     CannotRunError,
     Deployment,
     Worker,
-    call,
-    make_stage_server,
+    make_message,
+    read_message,
     run_case,
 )
 
-#: Seconds of a call of the second stage, as its `callMs` says.
-SECOND_STAGE_S = 2.4
-#: From the page: an address is given to another service this long after its worker has ended.
-REUSE_AFTER_S = 2.0
+RECOVER_S = 12.0
+WORKERS = 3
+#: Seconds that a stream takes, and seconds for which crashed workers are down.
+STREAM_S, DOWN_S = 2.5, 3.0
+#: Clients, and seconds between two requests of one.
+CLIENTS, PAUSE_S = 9, 0.5
+BEFORE_S, AFTER_S = 6.0, 10.0
+#: The part that all prompts begin with, as those of a kind of request do; another one follows that
+#: only some share.
+SHARED = "5c1e07a2:900"
+SUBJECTS = 12
+KEY = "9dnn2ctnfzs989anu6ws"
 
 CONFIG = {
     "version": 3,
     "routes": [
         {
-            "name": "draft", "host": "drafts.example", "pathPrefix": "/draft/", "kind": "streaming",
-            "timeoutMs": 15000, "targetLatencyMs": 9000, "priority": 0, "service": "model",
-            "maxAttempts": 1, "public": False, "sticky": True, "resumable": False,
-            "gapAimMs": 1000,
-            "stages": [
-                {"service": "encode", "afterRev": [], "bytes": 8000},
-                {"service": "lookup", "afterRev": [0], "bytes": 8000},
-            ],
-        },
-        {
-            "name": "ping", "host": "desk.example", "pathPrefix": "/ping/", "kind": "safe",
-            "timeoutMs": 3000, "targetLatencyMs": 400, "priority": 0, "service": "desk",
-            "maxAttempts": 2, "public": False,
+            "name": "chat", "host": "chat.example", "pathPrefix": "/chat/", "kind": "streaming",
+            "timeoutMs": 8000, "targetLatencyMs": 3600, "priority": 0, "service": "model",
+            "maxAttempts": 2, "public": False, "sticky": True, "resumable": True, "gapAimMs": 500,
         },
     ],
     "services": [
-        {"name": "model", "healthPath": "/health", "maxConns": 100, "protocol": "h1", "tls": False},
-        {"name": "desk", "healthPath": "/health", "maxConns": 100, "protocol": "h1", "tls": False},
-        {
-            "name": "encode", "healthPath": "/health", "maxConns": 100, "protocol": "h1",
-            "tls": False,
-            "pieces": {"slots": 1, "queue": 2, "batch": 8, "callMs": 60.0, "itemMs": 5.0,
-                       "roomMb": 10.0, "handleS": 6.0, "linkMbps": 10000},
-        },
         {
-            "name": "lookup", "healthPath": "/health", "maxConns": 100, "protocol": "h1",
+            "name": "model", "healthPath": "/health", "maxConns": 360, "protocol": "h1",
             "tls": False,
-            "pieces": {"slots": 1, "queue": 2, "batch": 8, "callMs": SECOND_STAGE_S * 1000,
-                       "itemMs": 5.0, "roomMb": 10.0, "handleS": 6.0, "linkMbps": 10000},
+            "engine": {"slots": 64, "kvCapacityTokens": 343821, "kvTokenBytes": 131072,
+                       "linkMbps": 130000.0, "moves": False, "backups": False, "stride": 3,
+                       "most": 12, "pinMs": 0.0, "holdMs": 0.0, "handleS": 5.0,
+                       "models": [{"name": "m"}]},
         },
     ],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                "idleTimeoutMs": 15000},
-    "tenants": [{"name": "florists", "apiKeys": ["9dnn2ctnfzs989anu6ws"], "priority": 1}],
+    "tenants": [{"name": "florists", "apiKeys": [KEY], "priority": 1}],
 }
 
 
 async def serve_model(worker, method, path, headers, body, reader, writer):
-    """Answer with a stream of one event."""
-    if not headers.get("inputs"):
+    """Answer with a stream of ten events."""
+    if path == "/api/report":
+        return False
+    if "request-id" not in headers:
         return 400, {"Not-Run": "1"}, b""
-    status, named, text = await worker.run_plain(method, path, headers, body)
-    return status, {**named, "Content-Type": "text/event-stream"}, b"id: 1\ndata: " + text + b"\n\n"
+    worker.runs.append(headers["request-id"])
+    first = int(headers.get("last-event-id", 0)) + 1
+    for number in range(first, 11):
+        await asyncio.sleep(STREAM_S / 10)
+        if number == first:
+            writer.write(
+                f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: "
+                f"{headers['request-id']}\r\nResponse-Stamp: {worker.id}\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n".encode()
+            )
+        event = f"id: {number}\ndata: x\n\n".encode()
+        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+    return None
+
 
+class Clients:
+    """Clients that ask one after the other; each request counts once."""
 
-async def send_draft(deployment, entry):
-    request_id = deployment.make_request_id()
-    headers = {
-        "Host": "drafts.example", "Request-Id": request_id, "Deadline-Ms": "15000",
-        "Credential": "9dnn2ctnfzs989anu6ws", "Pieces": "1,1", "Piece-Key": "7c1e07a291bd",
-    }
-    deployment.record.write(f"client sends {request_id} to {entry[0]}")
-    got = await call(*entry, "POST", "/draft/1", headers, b"text", seconds=15.5)
-    deployment.record.write(f"client: {request_id} -> {got[0] if got else None}")
-    return got
+    def __init__(self, deployment):
+        self.deployment, self.record = deployment, deployment.record
+        #: When each request was sent, and its status; 0 without a whole answer.
+        self.outcomes = []
+        self.is_over = False
+
+    async def run(self, number):
+        while not self.is_over:
+            entry = self.deployment.entries[number % len(self.deployment.entries)]
+            number += 1
+            sent_at = self.record.now()
+            request_id = self.deployment.make_request_id()
+            head = {
+                "Host": "chat.example", "Request-Id": request_id, "Deadline-Ms": "8000",
+                "Credential": KEY, "Model": "m", "Token-Counts": "5800,30",
+                "Prefix-Hash": (
+                    f"{SHARED},91bd3f{number % SUBJECTS:02x}:3800,{secrets.token_hex(4)}:1100"
+                ),
+            }
+            status, wait, writer = 0, "", None
+            try:
+                async with asyncio.timeout(8.5):
+                    reader, writer = await asyncio.open_connection(*entry)
+                    body = secrets.token_hex(40).encode()
+                    writer.write(make_message("POST /chat/1 HTTP/1.1", head, body))
+                    first, got, _ = await read_message(reader)
+                    status, wait = int(first.split()[1]), got.get("retry-after", "")
+            except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+                status = 0
+            finally:
+                if writer is not None:
+                    writer.transport.abort()
+            self.outcomes.append((sent_at, status))
+            more = f", Retry-After {wait}" if wait else ""
+            self.record.write(f"client: {request_id} sent {sent_at:.2f} s -> {status}{more}")
+            await asyncio.sleep(PAUSE_S)
+
+    def find_share(self, since, until):
+        """Return the share of the requests sent in a span that was served, and their number."""
+        statuses = [status for sent_at, status in self.outcomes if since <= sent_at < until]
+        return sum(status == 200 for status in statuses) / max(1, len(statuses)), len(statuses)
+
+
+async def start_workers(deployment):
+    workers = []
+    for number in range(WORKERS):
+        worker = Worker(deployment, "model", deployment.make_ip(), serve_model, slots=64,
+                        zone=ZONES[number], models=[{"name": "m", "version": 1, "adapters": []}])
+        await worker.start()
+        workers.append(worker)
+    return workers
 
 
 async def main(record, is_troubled):
-    with Deployment(record, cores=3, fronts=2) as deployment:
+    with Deployment(record, cores=3, fronts=3) as deployment:
         deployment.start()
         await asyncio.sleep(1.5)
         deployment.settle()
         if await deployment.configure(CONFIG) != 200:
             raise CannotRunError("the configuration was not taken")
-        makers = [
-            Worker(deployment, "encode", deployment.make_ip(), make_stage_server(0.06), slots=1)
-            for _ in range(2)
-        ]
-        others = [
-            Worker(deployment, "lookup", deployment.make_ip(),
-                   make_stage_server(SECOND_STAGE_S), slots=1),
-            Worker(deployment, "model", deployment.make_ip(), serve_model),
-            Worker(deployment, "desk", deployment.make_ip()),
-        ]
-        for worker in (*makers, *others):
-            await worker.start()
+        workers = await start_workers(deployment)
         await deployment.wait_ready()
         await asyncio.sleep(3)
-        leader = await deployment.find_leader()
-
-        drafts = [asyncio.create_task(send_draft(deployment, deployment.entries[0]))]
-        # The second stage has begun, and has read its input, soon after the first one is made.
-        while not any(maker.handles for maker in makers):
-            await asyncio.sleep(0.01)
-            if drafts[0].done():
-                raise CannotRunError("the request ended before its first stage was made")
-        await asyncio.sleep(0.15)
-        crashed = next(maker for maker in makers if maker.handles)
-        crashed.crash()
-        await asyncio.sleep(REUSE_AFTER_S - 0.05)
-        if is_troubled:
-            record.write(f"{leader.name}, which leads, is killed")
-            leader.kill()
-        await asyncio.sleep(0.1)
-        desk = Worker(deployment, "desk", crashed.ip, port=crashed.port, zone=ZONES[0])
-        await desk.start()
-        await asyncio.sleep(0.9)
+        clients = Clients(deployment)
+        began = record.now()
+        tasks = [asyncio.create_task(clients.run(number)) for number in range(CLIENTS)]
+        await asyncio.sleep(BEFORE_S)
+        record.write("the final fault: all processes are killed")
+        fault_at = record.now()
+        machines = (*deployment.cores, *deployment.fronts)
+        for machine in machines:
+            machine.kill()
+        await asyncio.sleep(0.6)
+        for machine in machines:
+            machine.start()
+        back_at = record.now()
+        for worker in workers:
+            worker.runs.clear()
+        while not all(worker.runs for worker in workers):
+            await asyncio.sleep(0.02)
+            if record.now() > back_at + RECOVER_S:
+                raise CannotRunError("service did not resume")
+        record.write(f"served again {record.now() - back_at:.1f} s after the machines are back")
+        await asyncio.sleep(0.5)
         if is_troubled:
-            leader.start()
-        await asyncio.gather(*drafts)
-        await asyncio.sleep(1.5)
-        foreign = [run for run in desk.runs if run not in deployment.client_ids]
-        record.write(f"ids that worker {desk.id} ran and no client sent: {foreign}")
-        return BROKEN if foreign else HELD
+            for worker in workers:
+                worker.crash()
+            await asyncio.sleep(DOWN_S)
+            await start_workers(deployment)
+            record.write("the workers have successors")
+        await asyncio.sleep(max(0.0, back_at + RECOVER_S + AFTER_S - record.now()))
+        clients.is_over = True
+        await asyncio.gather(*tasks)
+        before, _ = clients.find_share(began, fault_at - STREAM_S - 1)
+        after, count = clients.find_share(back_at + RECOVER_S, back_at + RECOVER_S + AFTER_S)
+        record.write(f"served before the final fault: {before:.2f}")
+        record.write(f"served of {count} sent more than recoverS after it: {after:.2f}")
+        if before < 0.25 or not count:
+            raise CannotRunError("too little was served before the final fault")
+        return BROKEN if after < 0.25 else HELD
 
 
 if __name__ == "__main__":
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     run_case(main, HERE / "record.txt")
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -578,12 +578,15 @@
     record = Record(record_path)
 
     async def guarded():
+        # Cancelled, so that the processes that were started are ended.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit):
             return await main(record, os.environ.get("TROUBLE", "1") != "0")
 
     try:
         code = asyncio.run(guarded())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {error!r}")
         code = NOT_RUN
     record.write({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN"}.get(code, "not run"))
