--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
-"""After the final fault the model workers crash once: nothing is served any more once they are back."""
+"""Entries in touch obey an old configuration, since they look for control at addresses that are gone."""
 
 import asyncio
-import secrets
+import random
+import signal
 import sys
 from pathlib import Path
 
@@ -15,177 +16,128 @@
     CannotRunError,
     Deployment,
     Worker,
-    make_message,
-    read_message,
+    call,
     run_case,
 )
 
-RECOVER_S = 12.0
-WORKERS = 3
-#: Seconds that a stream takes, and seconds for which crashed workers are down.
-STREAM_S, DOWN_S = 2.5, 3.0
-#: Clients, and seconds between two requests of one.
-CLIENTS, PAUSE_S = 9, 0.5
-BEFORE_S, AFTER_S = 6.0, 10.0
-#: The part that all prompts begin with, as those of a kind of request do; another one follows that
-#: only some share.
-SHARED = "5c1e07a2:900"
-SUBJECTS = 12
+CONTACT_S, CONFIG_APPLY_S = 3.0, 2.0
+#: Core machines that have been replaced since the system started, one after the other.
+REPLACED = 4
+#: Seconds from one replacement to the next: more than `catchUpS`, 4 s.
+REPLACE_EVERY_S = 4.5
+#: Core machines that freeze at once (as many as `faultTolerance` names), how often, and for how long.
+FROZEN, ROUNDS, FREEZE_S = 2, 6, 4.0
+#: Seconds from the end of a round to the next: more than `contactMs` and `catchUpS`.
+PAUSE_S = 6.0
 KEY = "9dnn2ctnfzs989anu6ws"
 
-CONFIG = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "chat", "host": "chat.example", "pathPrefix": "/chat/", "kind": "streaming",
-            "timeoutMs": 8000, "targetLatencyMs": 3600, "priority": 0, "service": "model",
-            "maxAttempts": 2, "public": False, "sticky": True, "resumable": True, "gapAimMs": 500,
-        },
-    ],
-    "services": [
-        {
-            "name": "model", "healthPath": "/health", "maxConns": 360, "protocol": "h1",
-            "tls": False,
-            "engine": {"slots": 64, "kvCapacityTokens": 343821, "kvTokenBytes": 131072,
-                       "linkMbps": 130000.0, "moves": False, "backups": False, "stride": 3,
-                       "most": 12, "pinMs": 0.0, "holdMs": 0.0, "handleS": 5.0,
-                       "models": [{"name": "m"}]},
-        },
-    ],
-    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
-               "idleTimeoutMs": 15000},
-    "tenants": [{"name": "florists", "apiKeys": [KEY], "priority": 1}],
-}
-
-
-async def serve_model(worker, method, path, headers, body, reader, writer):
-    """Answer with a stream of ten events."""
-    if path == "/api/report":
-        return False
-    if "request-id" not in headers:
-        return 400, {"Not-Run": "1"}, b""
-    worker.runs.append(headers["request-id"])
-    first = int(headers.get("last-event-id", 0)) + 1
-    for number in range(first, 11):
-        await asyncio.sleep(STREAM_S / 10)
-        if number == first:
-            writer.write(
-                f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: "
-                f"{headers['request-id']}\r\nResponse-Stamp: {worker.id}\r\n"
-                "Transfer-Encoding: chunked\r\n\r\n".encode()
-            )
-        event = f"id: {number}\ndata: x\n\n".encode()
-        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        await writer.drain()
-    writer.write(b"0\r\n\r\n")
-    await writer.drain()
-    return None
-
-
-class Clients:
-    """Clients that ask one after the other; each request counts once."""
-
-    def __init__(self, deployment):
-        self.deployment, self.record = deployment, deployment.record
-        #: When each request was sent, and its status; 0 without a whole answer.
-        self.outcomes = []
-        self.is_over = False
-
-    async def run(self, number):
-        while not self.is_over:
-            entry = self.deployment.entries[number % len(self.deployment.entries)]
-            number += 1
-            sent_at = self.record.now()
-            request_id = self.deployment.make_request_id()
-            head = {
-                "Host": "chat.example", "Request-Id": request_id, "Deadline-Ms": "8000",
-                "Credential": KEY, "Model": "m", "Token-Counts": "5800,30",
-                "Prefix-Hash": (
-                    f"{SHARED},91bd3f{number % SUBJECTS:02x}:3800,{secrets.token_hex(4)}:1100"
-                ),
-            }
-            status, wait, writer = 0, "", None
-            try:
-                async with asyncio.timeout(8.5):
-                    reader, writer = await asyncio.open_connection(*entry)
-                    body = secrets.token_hex(40).encode()
-                    writer.write(make_message("POST /chat/1 HTTP/1.1", head, body))
-                    first, got, _ = await read_message(reader)
-                    status, wait = int(first.split()[1]), got.get("retry-after", "")
-            except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
-                status = 0
-            finally:
-                if writer is not None:
-                    writer.transport.abort()
-            self.outcomes.append((sent_at, status))
-            more = f", Retry-After {wait}" if wait else ""
-            self.record.write(f"client: {request_id} sent {sent_at:.2f} s -> {status}{more}")
-            await asyncio.sleep(PAUSE_S)
-
-    def find_share(self, since, until):
-        """Return the share of the requests sent in a span that was served, and their number."""
-        statuses = [status for sent_at, status in self.outcomes if since <= sent_at < until]
-        return sum(status == 200 for status in statuses) / max(1, len(statuses)), len(statuses)
 
-
-async def start_workers(deployment):
-    workers = []
-    for number in range(WORKERS):
-        worker = Worker(deployment, "model", deployment.make_ip(), serve_model, slots=64,
-                        zone=ZONES[number], models=[{"name": "m", "version": 1, "adapters": []}])
-        await worker.start()
-        workers.append(worker)
-    return workers
+def make_route(name):
+    return {
+        "name": name, "host": "desk.example", "pathPrefix": f"/{name}/", "kind": "safe",
+        "timeoutMs": 2000, "targetLatencyMs": 400, "priority": 0, "service": "desk",
+        "maxAttempts": 2, "public": False,
+    }
+
+
+def make_config(version, names):
+    return {
+        "version": version,
+        "routes": [make_route(name) for name in names],
+        "services": [{"name": "desk", "healthPath": "/health", "maxConns": 96, "protocol": "h1",
+                      "tls": False}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
+                   "idleTimeoutMs": 15000},
+        "tenants": [{"name": "florists", "apiKeys": [KEY], "priority": 1}],
+    }
+
+
+async def probe(deployment, machine, name):
+    """Return the status of a request on a route at one entry."""
+    headers = {"Host": "desk.example", "Request-Id": deployment.make_request_id(),
+               "Deadline-Ms": "2000", "Credential": KEY}
+    got = await call(machine.ip, 8625, "GET", f"/{name}/1", headers, seconds=2.5)
+    return got[0] if got else None
+
+
+async def play_round(deployment, version, is_troubled, *, with_leader):
+    """Freeze two core machines, change a route, and return how many entries obey the old one."""
+    record = deployment.record
+    leader = await deployment.find_leader()
+    others = [item for item in deployment.cores if item is not leader]
+    frozen = [leader, random.choice(others)] if with_leader else random.sample(others, FROZEN)
+    began = record.now()
+    if is_troubled:
+        record.write(f"frozen: {', '.join(f'{item.name} ({item.ip})' for item in frozen)}")
+        for item in frozen:
+            item.signal(signal.SIGSTOP)
+    old, new = f"r{version - 1}", f"r{version}"
+    running = [(item.ip, 8628) for item in deployment.cores if item not in frozen]
+    config = make_config(version, ["ping", new])
+    change = asyncio.create_task(
+        deployment.configure(config, seconds=15.0, first=random.choice(running))
+    )
+    stale = set()
+    latest = began + FREEZE_S - CONFIG_APPLY_S - 0.3
+    await asyncio.wait({change}, timeout=max(0.0, latest - record.now()))
+    if change.done():
+        acknowledged = record.now()
+        due = max(began + CONTACT_S, acknowledged + CONFIG_APPLY_S) + 0.1
+        await asyncio.sleep(due - record.now())
+        while record.now() < began + FREEZE_S - 0.2:
+            for machine in deployment.fronts:
+                on_new, on_old = await asyncio.gather(
+                    probe(deployment, machine, new), probe(deployment, machine, old)
+                )
+                if on_new == 404 or on_old == 200:
+                    stale.add(machine.name)
+                    record.write(
+                        f"{machine.name}: added route {new} -> {on_new}, dropped route {old} -> "
+                        f"{on_old}; version {version} was acknowledged "
+                        f"{record.now() - acknowledged:.2f} s ago, the core has been stable for "
+                        f"{record.now() - began - CONTACT_S:.2f} s"
+                    )
+            await asyncio.sleep(0.1)
+    else:
+        record.write("the change was not acknowledged early enough to be judged")
+    await asyncio.sleep(max(0.0, began + FREEZE_S - record.now()))
+    for item in frozen:
+        item.signal(signal.SIGCONT)
+    if await change != 200:
+        raise CannotRunError("the change was not acknowledged")
+    record.write(f"round with version {version}: {len(stale)} entries obeyed the old one")
+    return len(stale)
 
 
 async def main(record, is_troubled):
-    with Deployment(record, cores=3, fronts=3) as deployment:
+    with Deployment(record, cores=5, fronts=8) as deployment:
         deployment.start()
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(2.0)
         deployment.settle()
-        if await deployment.configure(CONFIG) != 200:
+        if await deployment.configure(make_config(10, ["ping", "r10"])) != 200:
             raise CannotRunError("the configuration was not taken")
-        workers = await start_workers(deployment)
+        for number in range(2):
+            worker = Worker(deployment, "desk", deployment.make_ip(), zone=ZONES[number])
+            await worker.start()
         await deployment.wait_ready()
-        await asyncio.sleep(3)
-        clients = Clients(deployment)
-        began = record.now()
-        tasks = [asyncio.create_task(clients.run(number)) for number in range(CLIENTS)]
-        await asyncio.sleep(BEFORE_S)
-        record.write("the final fault: all processes are killed")
-        fault_at = record.now()
-        machines = (*deployment.cores, *deployment.fronts)
-        for machine in machines:
-            machine.kill()
-        await asyncio.sleep(0.6)
-        for machine in machines:
-            machine.start()
-        back_at = record.now()
-        for worker in workers:
-            worker.runs.clear()
-        while not all(worker.runs for worker in workers):
-            await asyncio.sleep(0.02)
-            if record.now() > back_at + RECOVER_S:
-                raise CannotRunError("service did not resume")
-        record.write(f"served again {record.now() - back_at:.1f} s after the machines are back")
-        await asyncio.sleep(0.5)
-        if is_troubled:
-            for worker in workers:
-                worker.crash()
-            await asyncio.sleep(DOWN_S)
-            await start_workers(deployment)
-            record.write("the workers have successors")
-        await asyncio.sleep(max(0.0, back_at + RECOVER_S + AFTER_S - record.now()))
-        clients.is_over = True
-        await asyncio.gather(*tasks)
-        before, _ = clients.find_share(began, fault_at - STREAM_S - 1)
-        after, count = clients.find_share(back_at + RECOVER_S, back_at + RECOVER_S + AFTER_S)
-        record.write(f"served before the final fault: {before:.2f}")
-        record.write(f"served of {count} sent more than recoverS after it: {after:.2f}")
-        if before < 0.25 or not count:
-            raise CannotRunError("too little was served before the final fault")
-        return BROKEN if after < 0.25 else HELD
+        await asyncio.sleep(2)
+        for _ in range(REPLACED):
+            leader = await deployment.find_leader()
+            known = [item for item in deployment.cores if item is not leader]
+            await deployment.replace_core(known[0])
+            await asyncio.sleep(REPLACE_EVERY_S)
+        await asyncio.sleep(8)
+        stale = 0
+        for number in range(ROUNDS):
+            # At first all entries follow the machine that was up first, which leads.
+            stale += await play_round(
+                deployment, 11 + number, is_troubled, with_leader=number == 0
+            )
+            if stale:
+                break
+            await asyncio.sleep(PAUSE_S)
+        return BROKEN if stale else HELD
 
 
 if __name__ == "__main__":
-    run_case(main, HERE / "record.txt")
+    run_case(main, HERE / "record.txt", limit=115.0)
